Lay out the workspace, the data types and the interfaces

Ruled out: one package with sub-packages, since an import direction between layers is easier to hold between distributions. Conclusion: the types are a first version; nothing runs yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,55 @@
+# Every command installs what it needs into .venv first.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := state protocol coordination transport daemon ctl standins bench
+SOURCES := $(foreach p,$(PACKAGES),packages/$(p)/src)
+
+.PHONY: help install test lint format demo cost slopes scenario generate docs clean
+
+help:
+	@echo "make demo | test | lint | cost | slopes | scenario | docs | generate | clean"
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
+	@touch $@
+
+test: install
+	$(BIN)/python -m pytest
+
+lint: install
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+	$(BIN)/mypy $(SOURCES)
+
+format: install
+	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages
+
+demo: install
+	$(BIN)/python -m hollyknot_bench.demo
+
+cost: install
+	$(BIN)/python -m hollyknot_bench.cost
+
+slopes: install
+	$(BIN)/python -m hollyknot_bench.slopes
+
+scenario: install
+	$(BIN)/python -m hollyknot_bench.scenario
+
+docs: install
+	$(BIN)/python -m hollyknot_ctl.reference docs
+
+# Needs the Apache Thrift compiler; its output is committed, builds do not
+# need it.
+generate:
+	cd packages/protocol && for f in idl/*.thrift; do \
+	  thrift --gen py:package_prefix=hollyknot_protocol.gen.,slots -out src/hollyknot_protocol/gen $$f; done
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, cost, slopes and scenario commands."""
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: admission, routing, limits, retries, claims, membership."""
--- /dev/null
+++ b/packages/ctl/src/hollyknot_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's tool, hollyknotctl."""
--- /dev/null
+++ b/packages/daemon/src/hollyknot_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry-host process, hollyknotd."""
--- /dev/null
+++ b/packages/protocol/src/hollyknot_protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift messages between hosts and the shapes of HTTP and SSE."""
--- /dev/null
+++ b/packages/state/src/hollyknot_state/_settings.py
@@ -0,0 +1,78 @@
+"""Settings of one host's process, read from a JSON file at its start."""
+
+import attrs
+
+
+@attrs.frozen
+class Address:
+    """Where to listen or to connect.
+
+    Attributes:
+        ip: An IP address; names are not resolved.
+        port: 1 to 65535; 0 to listen on a free port.
+    """
+
+    ip: str
+    port: int
+
+
+@attrs.frozen
+class Tls:
+    """Files of the TLS of the links between hosts, in PEM.
+
+    Attributes:
+        certificate: This host's certificate, with its chain.
+        key: Its private key.
+        authority: The authority that signed the peers' certificates.
+    """
+
+    certificate: str
+    key: str
+    authority: str
+
+
+@attrs.frozen
+class Platform:
+    """Where the platform's two services answer.
+
+    Attributes:
+        configuration: Addresses of the configuration service.
+        host_list: Addresses of the host list.
+    """
+
+    configuration: tuple[Address, ...]
+    host_list: tuple[Address, ...]
+
+
+@attrs.frozen
+class Settings:
+    """All that a host has to be told.
+
+    Attributes:
+        host: This host's name, as the host list has it.
+        data_centre: This host's data centre.
+        callers: Where callers connect (HTTP).
+        links: Where other hosts connect (thrift over TCP).
+        operators: Where health, metrics and status are served (HTTP).
+        platform: The platform's addresses.
+        link_keys: One or two shared keys of the links; the first signs, each
+            is accepted, so that a key can be changed host by host.
+        tls: TLS of the links; absent for none.
+        max_body_bytes: The largest request body that is accepted.
+        trace_file: Where spans are written, one JSON object a line; empty for
+            none.
+        stop_grace_s: Seconds that a graceful stop waits for requests in
+            flight before it ends them; 0 for as long as they take.
+    """
+
+    host: str
+    data_centre: str
+    callers: Address
+    links: Address
+    operators: Address
+    platform: Platform
+    link_keys: tuple[str, ...]
+    tls: Tls | None = None
+    max_body_bytes: int = 4_194_304
+    trace_file: str = ""
+    stop_grace_s: float = 0.0
--- /dev/null
+++ b/packages/transport/src/hollyknot_transport/__init__.py
@@ -0,0 +1,1 @@
+"""Servers, clients, links between hosts, platform watches, traces, metrics."""
