Define the soft signals between hosts

Cause: routing, admission and gossip need one set of typed signals. Ruled out: clock readings in messages (hosts' clocks differ) in favour of ages. Change: TierPressure, UpstreamSign, SuspectRecord, LoadReport.

--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -16,6 +16,13 @@
 from hollyknot_state._hosts import EntryState, HostList, HostListEntry, Role
 from hollyknot_state._request import Nature, RequestInfo, TargetKind
 from hollyknot_state._settings import Address, Platform, Settings, Tls
+from hollyknot_state._signals import (
+    LoadReport,
+    SignKind,
+    SuspectRecord,
+    TierPressure,
+    UpstreamSign,
+)
 from hollyknot_state._verdict import Outcome, Reason, Verdict
 
 __all__ = [
@@ -28,6 +35,7 @@
     "EntryState",
     "HostList",
     "HostListEntry",
+    "LoadReport",
     "ModelDeclaration",
     "Nature",
     "Outcome",
@@ -37,8 +45,12 @@
     "Role",
     "ServiceDeclaration",
     "Settings",
+    "SignKind",
+    "SuspectRecord",
     "Target",
     "TargetKind",
+    "TierPressure",
     "Tls",
+    "UpstreamSign",
     "Verdict",
 ]
