Check declarations, settings and host lists when they are read

Cause: the types took any value, so that a mistake in a document would show up as a crash or a wrong decision on a host. Change: parse_declarations, parse_settings and parse_host_list give a checked value or every mistake with its path and a remedy; validators run wherever a value is built; references between the parts are checked on the document, also where other fields are broken.

--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -14,6 +14,14 @@
     Target,
 )
 from hollyknot_state._hosts import EntryState, HostList, HostListEntry, Role
+from hollyknot_state._parse import (
+    dump_declarations,
+    parse_declarations,
+    parse_host_list,
+    parse_settings,
+)
+from hollyknot_state._problem import CheckError, Problem, Problems
+from hollyknot_state._references import check_references
 from hollyknot_state._request import Nature, RequestInfo, TargetKind
 from hollyknot_state._settings import Address, Platform, Settings, Tls
 from hollyknot_state._signals import (
@@ -29,6 +37,7 @@
     "TIERS",
     "Address",
     "CallPattern",
+    "CheckError",
     "ClassDeclaration",
     "CustomerDeclaration",
     "Declarations",
@@ -40,6 +49,8 @@
     "Nature",
     "Outcome",
     "Platform",
+    "Problem",
+    "Problems",
     "Reason",
     "RequestInfo",
     "Role",
@@ -53,4 +64,9 @@
     "Tls",
     "UpstreamSign",
     "Verdict",
+    "check_references",
+    "dump_declarations",
+    "parse_declarations",
+    "parse_host_list",
+    "parse_settings",
 ]
--- a/packages/state/src/hollyknot_state/_declarations.py
+++ b/packages/state/src/hollyknot_state/_declarations.py
@@ -6,6 +6,23 @@
 
 import attrs
 
+from hollyknot_state._validators import (
+    each,
+    each_key,
+    has_distinct_items,
+    has_items,
+    is_between,
+    is_call_path,
+    is_method,
+    is_name,
+    is_pool_name,
+    is_sha256,
+    is_short,
+)
+
+MAX_TARGET_MS = 86_400_000
+MAX_REMEMBER_S = 604_800
+
 TIERS = (1, 2, 3)
 """The service tiers, highest first."""
 
@@ -20,9 +37,15 @@
         whole_answer_ms: Milliseconds from arrival to the answer's end.
     """
 
-    first_token_ms: int = 0
-    between_tokens_ms: int = 0
-    whole_answer_ms: int = 0
+    first_token_ms: int = attrs.field(
+        default=0, validator=is_between(0, MAX_TARGET_MS, "ms")
+    )
+    between_tokens_ms: int = attrs.field(
+        default=0, validator=is_between(0, MAX_TARGET_MS, "ms")
+    )
+    whole_answer_ms: int = attrs.field(
+        default=0, validator=is_between(0, MAX_TARGET_MS, "ms")
+    )
 
     @property
     def budget_s(self) -> float:
@@ -39,7 +62,7 @@
         target: What its callers wait for.
     """
 
-    tier: int
+    tier: int = attrs.field(validator=is_between(TIERS[0], TIERS[-1]))
     target: Target
 
 
@@ -53,8 +76,10 @@
         default_class: The class of a request that names none.
     """
 
-    key_sha256: str
-    classes: tuple[str, ...]
+    key_sha256: str = attrs.field(validator=is_sha256)
+    classes: tuple[str, ...] = attrs.field(
+        validator=[has_items, has_distinct_items]
+    )
     default_class: str
 
 
@@ -66,7 +91,7 @@
         description: For `GET /v1/models` and the operators' pages.
     """
 
-    description: str = ""
+    description: str = attrs.field(default="", validator=is_short(1_000))
 
 
 @attrs.frozen
@@ -78,8 +103,8 @@
         path: The path below the service; a trailing `*` matches any rest.
     """
 
-    method: str
-    path: str
+    method: str = attrs.field(validator=is_method)
+    path: str = attrs.field(validator=is_call_path)
 
     def matches(self, method: str, path: str) -> bool:
         """Tells whether a call falls under this pattern."""
@@ -103,7 +128,9 @@
 
     non_idempotent: tuple[CallPattern, ...] = ()
     idempotent: tuple[CallPattern, ...] = ()
-    remember_s: int = 86_400
+    remember_s: int = attrs.field(
+        default=86_400, validator=is_between(1, MAX_REMEMBER_S, "s")
+    )
 
 
 @attrs.frozen
@@ -120,8 +147,18 @@
     """
 
     version: int
-    data_centres: tuple[str, ...] = ()
-    classes: dict[str, ClassDeclaration] = attrs.Factory(dict)
-    customers: dict[str, CustomerDeclaration] = attrs.Factory(dict)
-    models: dict[str, ModelDeclaration] = attrs.Factory(dict)
-    services: dict[str, ServiceDeclaration] = attrs.Factory(dict)
+    data_centres: tuple[str, ...] = attrs.field(
+        default=(), validator=[each(is_name), has_distinct_items]
+    )
+    classes: dict[str, ClassDeclaration] = attrs.field(
+        factory=dict, validator=each_key(is_name)
+    )
+    customers: dict[str, CustomerDeclaration] = attrs.field(
+        factory=dict, validator=each_key(is_name)
+    )
+    models: dict[str, ModelDeclaration] = attrs.field(
+        factory=dict, validator=each_key(is_pool_name)
+    )
+    services: dict[str, ServiceDeclaration] = attrs.field(
+        factory=dict, validator=each_key(is_name)
+    )
--- a/packages/state/src/hollyknot_state/_hosts.py
+++ b/packages/state/src/hollyknot_state/_hosts.py
@@ -8,6 +8,16 @@
 
 import attrs
 
+from hollyknot_state._validators import (
+    is_between,
+    is_ip,
+    is_name,
+    is_pool_name,
+)
+
+MAX_PORT = 65_535
+MAX_REVISION = 2**63 - 1
+
 
 class EntryState(enum.Enum):
     """What the host list says of an entry."""
@@ -38,11 +48,11 @@
         state: Live or leaving.
     """
 
-    name: str
+    name: str = attrs.field(validator=is_pool_name)
     role: Role
-    data_centre: str
-    ip: str
-    port: int
+    data_centre: str = attrs.field(validator=is_name)
+    ip: str = attrs.field(validator=is_ip)
+    port: int = attrs.field(validator=is_between(1, MAX_PORT))
     pools: tuple[str, ...] = ()
     state: EntryState = EntryState.LIVE
 
@@ -56,7 +66,7 @@
         entries: All entries, of every data centre.
     """
 
-    revision: int
+    revision: int = attrs.field(validator=is_between(0, MAX_REVISION))
     entries: tuple[HostListEntry, ...] = ()
 
     def hosts(self, data_centre: str) -> tuple[HostListEntry, ...]:
--- /dev/null
+++ b/packages/state/src/hollyknot_state/_json.py
@@ -0,0 +1,187 @@
+"""Reads JSON strictly: what a lenient reader lets through is a problem here.
+
+Plain `json` keeps the last of two equal keys, accepts `NaN` and raises errors
+of its own for deep nesting and long numbers. An operator whose second
+`"classes"` silently replaced the first would lose customers' access without a
+word, so all of these are told.
+"""
+
+import json
+import math
+from typing import Any
+
+from hollyknot_state._problem import (
+    PathPart,
+    ProblemCollector,
+    Problems,
+    shown,
+)
+
+MAX_DEPTH = 12
+"""The deepest nesting; the deepest document of ours has five levels."""
+
+_MAX_DIGITS = 40
+
+
+class _Duplicates(dict[str, Any]):
+    """An object in which keys stood more than once."""
+
+    def __init__(self, pairs: list[tuple[str, Any]]) -> None:
+        super().__init__(pairs)
+        seen: set[str] = set()
+        self.repeated: list[str] = []
+        for key, _ in pairs:
+            if key in seen:
+                self.repeated.append(key)
+            seen.add(key)
+
+
+class _NumberError(ValueError):
+    """A number that has no finite value."""
+
+
+def read_json(data: bytes | str, max_bytes: int) -> Any | Problems:
+    """Reads a JSON document.
+
+    Args:
+        data: The document, in UTF-8 if it is bytes.
+        max_bytes: The largest document that is looked at.
+
+    Returns:
+        The value, or what is wrong with the text. Never raises.
+    """
+    text = _decode(data, max_bytes)
+    if isinstance(text, Problems):
+        return text
+    try:
+        value = json.loads(
+            text,
+            object_pairs_hook=_object,
+            parse_constant=_refuse_constant,
+            parse_float=_finite,
+            parse_int=_bounded_int,
+        )
+    except json.JSONDecodeError as e:
+        where = f"line {e.lineno}, column {e.colno}"
+        return _one(f"not JSON at {where}: {e.msg}", "mend the syntax there")
+    except _NumberError as e:
+        return _one(str(e), "write a finite number")
+    except RecursionError:
+        return _too_deep()
+    return _walk(value)
+
+
+def _decode(data: bytes | str, max_bytes: int) -> str | Problems:
+    if isinstance(data, str):
+        try:
+            data = data.encode()
+        except UnicodeEncodeError:
+            return _one("not valid Unicode text", "save the file as UTF-8")
+    if len(data) > max_bytes:
+        return _one(
+            f"{len(data)} bytes is too large",
+            f"keep it to {max_bytes} bytes",
+        )
+    try:
+        return data.decode()
+    except UnicodeDecodeError as e:
+        line = data.count(b"\n", 0, e.start) + 1
+        return _one(
+            f"not UTF-8 at byte {e.start} (line {line})",
+            "save the file as UTF-8",
+        )
+
+
+def _object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    plain = dict(pairs)
+    return plain if len(plain) == len(pairs) else _Duplicates(pairs)
+
+
+def _refuse_constant(name: str) -> Any:
+    raise _NumberError(f"{name} is not a JSON number")
+
+
+def _finite(text: str) -> float:
+    number = float(text)
+    if math.isinf(number):
+        raise _NumberError(f"the number {text[:_MAX_DIGITS]} is too large")
+    return number
+
+
+def _bounded_int(text: str) -> int:
+    # Python refuses integers of thousands of digits with a bare ValueError,
+    # and turning them into text later would raise again.
+    if len(text) > _MAX_DIGITS:
+        raise _NumberError(f"the number {text[:_MAX_DIGITS]}... is too large")
+    return int(text)
+
+
+def _walk(value: Any) -> Any | Problems:
+    """Looks for repeated keys, deep nesting and strings that UTF-8 lacks."""
+    collector = ProblemCollector()
+    waiting: list[tuple[tuple[PathPart, ...], Any]] = [((), value)]
+    while waiting:
+        path, item = waiting.pop()
+        if len(path) > MAX_DEPTH:
+            return _too_deep()
+        if isinstance(item, _Duplicates):
+            _add_repeated(collector, path, item)
+        if isinstance(item, dict):
+            for key, member in item.items():
+                _check_text(collector, path, key)
+                _visit(collector, waiting, (*path, key), member)
+        elif isinstance(item, list):
+            for index, member in enumerate(item):
+                _visit(collector, waiting, (*path, index), member)
+        elif isinstance(item, str):
+            _check_text(collector, path, item)
+    return collector.result or value
+
+
+def _visit(
+    collector: ProblemCollector,
+    waiting: list[tuple[tuple[PathPart, ...], Any]],
+    path: tuple[PathPart, ...],
+    member: Any,
+) -> None:
+    if isinstance(member, str):
+        _check_text(collector, path, member)
+    elif isinstance(member, dict | list):
+        waiting.append((path, member))
+
+
+def _add_repeated(
+    collector: ProblemCollector, path: tuple[PathPart, ...], item: _Duplicates
+) -> None:
+    for key in item.repeated:
+        collector.add(
+            (*path, key), "the key stands more than once", "keep one of them"
+        )
+
+
+def _check_text(
+    collector: ProblemCollector, path: tuple[PathPart, ...], text: str
+) -> None:
+    # An escape such as \ud800 gives half a character. It would pass here and
+    # raise much later, wherever the text is first written out.
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        collector.add(
+            path,
+            f"{shown(text)} holds half of a surrogate pair",
+            "write the whole character",
+        )
+
+
+def _too_deep() -> Problems:
+    return _one(
+        f"nested deeper than {MAX_DEPTH} levels", "flatten the document"
+    )
+
+
+def _one(problem: str, remedy: str) -> Problems:
+    collector = ProblemCollector()
+    collector.add((), problem, remedy)
+    assert collector.result is not None
+    return collector.result
--- /dev/null
+++ b/packages/state/src/hollyknot_state/_parse.py
@@ -0,0 +1,95 @@
+"""Reads and writes the documents: declarations, settings, the host list.
+
+Each reader takes any bytes at all and returns either a checked value or all
+that is wrong with it; it raises nothing.
+"""
+
+from typing import Any, TypeVar
+
+import orjson
+
+from hollyknot_state._declarations import Declarations
+from hollyknot_state._hosts import HostList
+from hollyknot_state._json import read_json
+from hollyknot_state._problem import ProblemCollector, Problems
+from hollyknot_state._references import check_raw_references
+from hollyknot_state._settings import Settings
+from hollyknot_state._structure import structure, unstructure
+
+MAX_DECLARATIONS_BYTES = 16 * 1024 * 1024
+MAX_SETTINGS_BYTES = 64 * 1024
+MAX_HOST_LIST_BYTES = 16 * 1024 * 1024
+
+T = TypeVar("T")
+
+
+def parse_declarations(
+    data: bytes | str, version: int
+) -> Declarations | Problems:
+    """Reads declarations as operators publish them.
+
+    Args:
+        data: JSON without a version; the configuration service gives that.
+        version: The version under which they were published.
+    """
+    document = read_json(data, MAX_DECLARATIONS_BYTES)
+    if isinstance(document, Problems):
+        return document
+    collector = ProblemCollector()
+    if isinstance(document, dict):
+        document = dict(document)
+        if "version" in document:
+            collector.add(
+                ("version",),
+                "is not the operators' to state",
+                "leave it out; publishing gives the version",
+            )
+        document["version"] = version
+    return _build(document, Declarations, collector)
+
+
+def parse_settings(data: bytes | str) -> Settings | Problems:
+    """Reads a host's settings; doesn't look for the files they name."""
+    document = read_json(data, MAX_SETTINGS_BYTES)
+    if isinstance(document, Problems):
+        return document
+    return _build(document, Settings, ProblemCollector())
+
+
+def parse_host_list(data: bytes | str) -> HostList | Problems:
+    """Reads the platform's host list.
+
+    Unknown fields pass: the platform may add one at any time, and a fleet that
+    then refused the list would go on sending work to what is leaving.
+    """
+    document = read_json(data, MAX_HOST_LIST_BYTES)
+    if isinstance(document, Problems):
+        return document
+    return _build(document, HostList, ProblemCollector(), strict=False)
+
+
+def dump_declarations(declarations: Declarations) -> bytes:
+    """Writes declarations as JSON that `parse_declarations` reads.
+
+    The version is left out, the keys are sorted: equal declarations give equal
+    bytes.
+    """
+    document = unstructure(declarations)
+    del document["version"]
+    return orjson.dumps(document, option=orjson.OPT_SORT_KEYS)
+
+
+def _build(
+    document: Any,
+    cls: type[T],
+    collector: ProblemCollector,
+    *,
+    strict: bool = True,
+) -> T | Problems:
+    built = structure(document, cls, collector, strict=strict)
+    if cls is Declarations:
+        check_raw_references(document, collector)
+    if collector.result is not None:
+        return collector.result
+    assert built is not None
+    return built
--- /dev/null
+++ b/packages/state/src/hollyknot_state/_references.py
@@ -0,0 +1,135 @@
+"""Checks that the parts of declarations name each other rightly.
+
+They look at a customer's names even where another of its fields is broken, so
+that one pass tells all mistakes.
+"""
+
+import functools
+from collections.abc import Collection, Iterable
+from typing import Any, Protocol
+
+import attrs
+
+from hollyknot_state._declarations import Declarations
+from hollyknot_state._problem import ProblemCollector, Problems, nearest, shown
+
+
+class _Bound(Protocol):
+    """What a customer refers to."""
+
+    @property
+    def key_sha256(self) -> str: ...
+    @property
+    def classes(self) -> tuple[str, ...]: ...
+    @property
+    def default_class(self) -> str: ...
+
+
+@attrs.frozen
+class _LooseCustomer:
+    """The well-typed parts of a customer; an empty part isn't looked at."""
+
+    key_sha256: str
+    classes: tuple[str, ...]
+    default_class: str
+
+
+def check_references(declarations: Declarations) -> Problems | None:
+    """Returns what the parts of declarations name wrongly, if anything.
+
+    `Declarations` doesn't hold these checks when it is built, since they cost
+    the size of the whole and a change touches little of it.
+    """
+    collector = ProblemCollector()
+    _check_customers(
+        declarations.classes, declarations.customers.items(), collector
+    )
+    _check_pools(declarations.models, declarations.services, collector)
+    return collector.result
+
+
+def check_raw_references(document: Any, collector: ProblemCollector) -> None:
+    """Does the same for a document whose types may be wrong."""
+    if not isinstance(document, dict):
+        return
+    classes, customers, models, services = (
+        _mapping(document.get(name))
+        for name in ("classes", "customers", "models", "services")
+    )
+    loose = ((name, _loosen(value)) for name, value in customers.items())
+    _check_customers(classes, loose, collector)
+    _check_pools(models, services, collector)
+
+
+def _mapping(value: Any) -> dict[str, Any]:
+    return value if isinstance(value, dict) else {}
+
+
+def _loosen(value: Any) -> _LooseCustomer:
+    fields = _mapping(value)
+    key = fields.get("key_sha256")
+    classes = fields.get("classes")
+    default = fields.get("default_class")
+    return _LooseCustomer(
+        key if isinstance(key, str) else "",
+        tuple(c if isinstance(c, str) else "" for c in classes)
+        if isinstance(classes, list)
+        else (),
+        default if isinstance(default, str) else "",
+    )
+
+
+def _check_customers(
+    classes: Collection[str],
+    customers: Iterable[tuple[str, _Bound]],
+    collector: ProblemCollector,
+) -> None:
+    owners: dict[str, str] = {}
+    for name, customer in customers:
+        _check_classes(name, customer, classes, collector)
+        owner = owners.setdefault(customer.key_sha256, name)
+        if owner != name and customer.key_sha256:
+            collector.add(
+                ("customers", name, "key_sha256"),
+                f"is the key of customer {shown(owner)} too",
+                "give each customer a key of its own",
+            )
+
+
+def _check_classes(
+    name: str,
+    customer: _Bound,
+    classes: Collection[str],
+    collector: ProblemCollector,
+) -> None:
+    path = ("customers", name)
+    for index, used in enumerate(customer.classes):
+        if used and used not in classes:
+            collector.add(
+                (*path, "classes", index),
+                f"no class {shown(used)} is declared",
+                functools.partial(nearest, used, classes),
+            )
+    default = customer.default_class
+    if default and customer.classes and default not in customer.classes:
+        collector.add(
+            (*path, "default_class"),
+            f"{shown(default)} is not among the customer's classes",
+            functools.partial(nearest, default, customer.classes),
+        )
+
+
+def _check_pools(
+    models: Collection[str],
+    services: Iterable[str],
+    collector: ProblemCollector,
+) -> None:
+    # Both are pools of upstreams: under one name a model's engines would be
+    # sent a service's calls.
+    for name in services:
+        if name in models:
+            collector.add(
+                ("services", name),
+                "a model has this name too",
+                "rename one of them and its pool in the host list",
+            )
--- a/packages/state/src/hollyknot_state/_settings.py
+++ b/packages/state/src/hollyknot_state/_settings.py
@@ -2,6 +2,20 @@
 
 import attrs
 
+from hollyknot_state._validators import (
+    are_link_keys,
+    each,
+    has_items,
+    is_between,
+    is_connectable,
+    is_ip,
+    is_name,
+)
+
+MAX_PORT = 65_535
+MAX_BODY_BYTES = 1_073_741_824
+MAX_STOP_GRACE_S = 86_400
+
 
 @attrs.frozen
 class Address:
@@ -12,8 +26,8 @@
         port: 1 to 65535; 0 to listen on a free port.
     """
 
-    ip: str
-    port: int
+    ip: str = attrs.field(validator=is_ip)
+    port: int = attrs.field(validator=is_between(0, MAX_PORT))
 
 
 @attrs.frozen
@@ -26,9 +40,9 @@
         authority: The authority that signed the peers' certificates.
     """
 
-    certificate: str
-    key: str
-    authority: str
+    certificate: str = attrs.field(validator=has_items)
+    key: str = attrs.field(validator=has_items)
+    authority: str = attrs.field(validator=has_items)
 
 
 @attrs.frozen
@@ -40,8 +54,12 @@
         host_list: Addresses of the host list.
     """
 
-    configuration: tuple[Address, ...]
-    host_list: tuple[Address, ...]
+    configuration: tuple[Address, ...] = attrs.field(
+        validator=[has_items, each(is_connectable)]
+    )
+    host_list: tuple[Address, ...] = attrs.field(
+        validator=[has_items, each(is_connectable)]
+    )
 
 
 @attrs.frozen
@@ -65,14 +83,18 @@
             flight before it ends them; 0 for as long as they take.
     """
 
-    host: str
-    data_centre: str
+    host: str = attrs.field(validator=is_name)
+    data_centre: str = attrs.field(validator=is_name)
     callers: Address
     links: Address
     operators: Address
     platform: Platform
-    link_keys: tuple[str, ...]
+    link_keys: tuple[str, ...] = attrs.field(validator=are_link_keys)
     tls: Tls | None = None
-    max_body_bytes: int = 4_194_304
+    max_body_bytes: int = attrs.field(
+        default=4_194_304, validator=is_between(1, MAX_BODY_BYTES, "bytes")
+    )
     trace_file: str = ""
-    stop_grace_s: float = 0.0
+    stop_grace_s: float = attrs.field(
+        default=0.0, validator=is_between(0, MAX_STOP_GRACE_S, "s")
+    )
--- /dev/null
+++ b/packages/state/src/hollyknot_state/_structure.py
@@ -0,0 +1,267 @@
+"""Builds typed values from JSON values, without coercion.
+
+cattrs walks the types and goes on after a mistake; this module adds what it
+leaves out: a JSON type has to be the declared one ("1" and true are not 1),
+each attribute's validators run beside the others', and errors become problems
+with a path and a remedy.
+"""
+
+import enum
+import functools
+from collections.abc import Iterator
+from typing import Any, TypeVar, get_args, get_origin
+
+import attrs
+import cattrs
+from cattrs.errors import (
+    AttributeValidationNote,
+    BaseValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationNote,
+)
+from cattrs.gen import make_dict_structure_fn, override
+
+from hollyknot_state._problem import (
+    CheckError,
+    PathPart,
+    ProblemCollector,
+    nearest,
+    refuse,
+    shown,
+)
+
+T = TypeVar("T")
+
+_JSON_NAMES: dict[type, str] = {
+    str: "a string",
+    int: "an integer",
+    float: "a number",
+    bool: "true or false",
+    dict: "an object",
+    list: "an array",
+}
+
+
+def structure(
+    value: Any,
+    cls: type[T],
+    collector: ProblemCollector,
+    *,
+    strict: bool = True,
+) -> T | None:
+    """Builds a typed value and collects what is wrong with it.
+
+    Args:
+        value: A JSON value.
+        cls: An attrs class of this package.
+        collector: Takes each mistake.
+        strict: Whether an unknown field is a mistake.
+
+    Returns:
+        The value, or None if the collector took a problem.
+    """
+    converter = _STRICT if strict else _LENIENT
+    try:
+        return converter.structure(value, cls)
+    except (BaseValidationError, CheckError) as e:
+        _collect(e, (), collector)
+        return None
+
+
+def unstructure(value: Any) -> Any:
+    """Turns a value of this package into JSON values."""
+    return _STRICT.unstructure(value)
+
+
+def _make_converter(*, strict: bool) -> cattrs.Converter:
+    converter = cattrs.Converter(
+        detailed_validation=True, forbid_extra_keys=strict
+    )
+    for kind in (str, int, bool):
+        converter.register_structure_hook(kind, _exactly(kind))
+    converter.register_structure_hook(float, _number)
+    converter.register_structure_hook_factory(_is_enum, _enum_hook)
+    converter.register_structure_hook_factory(_is_container, _container_hook)
+    converter.register_structure_hook_factory(
+        attrs.has, lambda cls, c: _class_hook(cls, c, strict)
+    )
+    return converter
+
+
+def _expect(value: Any, kind: type) -> None:
+    if type(value) is not kind and not (
+        kind is dict and isinstance(value, dict)
+    ):
+        name = _JSON_NAMES[kind]
+        raise refuse(f"{shown(value)} is not {name}", f"write {name}")
+
+
+def _exactly(kind: type) -> Any:
+    def hook(value: Any, _: Any) -> Any:
+        _expect(value, kind)
+        return value
+
+    return hook
+
+
+def _number(value: Any, _: Any) -> float:
+    if type(value) is int:
+        return float(value)
+    _expect(value, float)
+    return float(value)
+
+
+def _is_enum(cls: Any) -> bool:
+    return isinstance(cls, type) and issubclass(cls, enum.Enum)
+
+
+def _enum_hook(cls: type[enum.Enum]) -> Any:
+    members = {member.value: member for member in cls}
+
+    def hook(value: Any, _: Any) -> Any:
+        _expect(value, str)
+        if value not in members:
+            raise refuse(f"{shown(value)} is unknown", nearest(value, members))
+        return members[value]
+
+    return hook
+
+
+def _is_container(cls: Any) -> bool:
+    return get_origin(cls) in (tuple, dict)
+
+
+def _container_hook(cls: Any, converter: cattrs.Converter) -> Any:
+    """Returns a hook of a tuple or a dict that first checks the JSON type."""
+    is_dict = get_origin(cls) is dict
+    item_type = get_args(cls)[1] if is_dict else get_args(cls)[0]
+    kind = dict if is_dict else list
+    item_hook = converter.get_structure_hook(item_type)
+
+    def hook(value: Any, _: Any) -> Any:
+        _expect(value, kind)
+        places = value.items() if is_dict else enumerate(value)
+        items, errors = _structure_items(places, item_hook, item_type)
+        if errors:
+            raise cattrs.IterableValidationError("items", errors, cls)
+        return dict(items) if is_dict else tuple(v for _, v in items)
+
+    return hook
+
+
+def _structure_items(
+    places: Any, item_hook: Any, item_type: Any
+) -> tuple[list[tuple[Any, Any]], list[Exception]]:
+    items: list[tuple[Any, Any]] = []
+    errors: list[Exception] = []
+    for place, item in places:
+        try:
+            items.append((place, item_hook(item, item_type)))
+        except (BaseValidationError, CheckError) as e:
+            e.add_note(IterableValidationNote("", place, item_type))
+            errors.append(e)
+    return items, errors
+
+
+def _class_hook(cls: Any, converter: cattrs.Converter, strict: bool) -> Any:
+    overrides: dict[str, Any] = {
+        a.name: override(struct_hook=_attribute_hook(a, converter))
+        for a in attrs.fields(cls)
+    }
+    build = make_dict_structure_fn(
+        cls,
+        converter,
+        _cattrs_forbid_extra_keys=strict,
+        _cattrs_detailed_validation=True,
+        **overrides,
+    )
+
+    def hook(value: Any, _: Any) -> Any:
+        _expect(value, dict)
+        return build(value, cls)
+
+    return hook
+
+
+def _attribute_hook(
+    attribute: "attrs.Attribute[Any]", converter: cattrs.Converter
+) -> Any:
+    """Returns a hook that checks an attribute by itself.
+
+    Left to the class, the first attribute that is refused would hide the
+    mistakes in the others.
+    """
+    build = _value_hook(attribute.type, converter)
+    check = attribute.validator
+
+    def hook(value: Any, kind: Any) -> Any:
+        built = build(value, kind)
+        if check is not None:
+            check(None, attribute, built)
+        return built
+
+    return hook
+
+
+def _value_hook(kind: Any, converter: cattrs.Converter) -> Any:
+    is_optional = type(None) in get_args(kind)
+    inner = get_args(kind)[0] if is_optional else kind
+    hook = converter.get_structure_hook(inner)
+    if not is_optional:
+        return hook
+    return lambda v, _: None if v is None else hook(v, inner)
+
+
+def _collect(
+    error: BaseException,
+    path: tuple[PathPart, ...],
+    collector: ProblemCollector,
+) -> None:
+    if isinstance(error, CheckError):
+        for f in error.findings:
+            collector.add((*path, *f.path), f.problem, f.remedy)
+    elif isinstance(error, ForbiddenExtraKeysError):
+        _collect_unknown(error, path, collector)
+    elif isinstance(error, BaseValidationError):
+        for inner in error.exceptions:
+            _collect(inner, (*path, *_step(inner)), collector)
+    else:
+        _collect_missing(error, path, collector)
+
+
+def _collect_missing(
+    error: BaseException,
+    path: tuple[PathPart, ...],
+    collector: ProblemCollector,
+) -> None:
+    if not isinstance(error, KeyError):
+        raise error
+    collector.add(path, "is missing", "add it")
+
+
+def _collect_unknown(
+    error: ForbiddenExtraKeysError,
+    path: tuple[PathPart, ...],
+    collector: ProblemCollector,
+) -> None:
+    known = [a.name for a in attrs.fields(error.cl)]
+    for name in sorted(error.extra_fields):
+        collector.add(
+            (*path, name),
+            "is an unknown field",
+            functools.partial(nearest, name, known),
+        )
+
+
+def _step(error: BaseException) -> Iterator[PathPart]:
+    for note in getattr(error, "__notes__", ()):
+        if isinstance(note, AttributeValidationNote):
+            yield note.name
+            return
+        if isinstance(note, IterableValidationNote):
+            yield note.index
+            return
+
+
+_STRICT = _make_converter(strict=True)
+_LENIENT = _make_converter(strict=False)
--- /dev/null
+++ b/packages/state/src/hollyknot_state/_validators.py
@@ -0,0 +1,215 @@
+"""Validators of single attributes, run wherever a value is built.
+
+Each is an attrs validator that looks at the value alone, so that the reader
+of documents can run it for one attribute and go on to the next.
+"""
+
+import ipaddress
+import re
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from hollyknot_state._problem import CheckError, Finding, refuse, shown
+
+Validator = Callable[[Any, Any, Any], None]
+
+MAX_NAME = 63
+MAX_MODEL_NAME = 127
+MIN_LINK_KEY = 32
+MAX_LINK_KEYS = 2
+
+# Names go into HTTP headers, metric labels, log lines and paths. A space, a
+# quote or a line break in one would split a log line or a header in two.
+_NAME = re.compile(rf"[A-Za-z0-9][A-Za-z0-9._-]{{0,{MAX_NAME - 1}}}")
+_MODEL_NAME = re.compile(
+    rf"[A-Za-z0-9][A-Za-z0-9._:/-]{{0,{MAX_MODEL_NAME - 1}}}"
+)
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+_METHOD = re.compile(r"[A-Z]{1,20}|\*")
+_CALL_PATH = re.compile(r"/[^\s*?#]{0,500}\*?")
+_NAME_REMEDY = (
+    "begin with a letter or digit and go on with letters, digits, '.', '_' or"
+    f" '-', {MAX_NAME} characters at most"
+)
+_MODEL_NAME_REMEDY = (
+    "begin with a letter or digit and go on with letters, digits, '.', '_',"
+    f" '-', ':' or '/', {MAX_MODEL_NAME} characters at most"
+)
+
+
+def is_name(_: Any, attribute: Any, value: str) -> None:
+    """Holds that a value is a name safe in headers, metrics and logs."""
+    del attribute
+    if not _NAME.fullmatch(value):
+        raise refuse(f"{shown(value)} is not a usable name", _NAME_REMEDY)
+
+
+def is_pool_name(_: Any, attribute: Any, value: str) -> None:
+    """Holds that a value can be the name of a model or a service."""
+    del attribute
+    if not _MODEL_NAME.fullmatch(value):
+        raise refuse(f"{shown(value)} is not a usable name", _MODEL_NAME_REMEDY)
+
+
+def is_sha256(_: Any, attribute: Any, value: str) -> None:
+    """Holds that a value is a SHA-256 in lower-case hexadecimal."""
+    del attribute
+    if not _SHA256.fullmatch(value):
+        # The value isn't shown: a key pasted here by mistake would be logged.
+        raise refuse(
+            "not 64 lower-case hexadecimal digits",
+            "write what 'hollyknotctl hash-key' prints for the key",
+        )
+
+
+def is_ip(_: Any, attribute: Any, value: str) -> None:
+    """Holds that a value is the literal of an IP address."""
+    del attribute
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        raise refuse(
+            f"{shown(value)} is not an IP address",
+            "write an IP address; names are not resolved",
+        ) from None
+
+
+def is_connectable(_: Any, attribute: Any, value: Any) -> None:
+    """Holds that an address has a port to connect to."""
+    del attribute
+    if value.port == 0:
+        raise CheckError(
+            [Finding(("port",), "0 can't be connected to", "write its port")]
+        )
+
+
+def are_link_keys(_: Any, attribute: Any, value: tuple[str, ...]) -> None:
+    """Holds that there are one or two distinct keys of enough length."""
+    del attribute
+    if not 1 <= len(value) <= MAX_LINK_KEYS:
+        raise refuse(
+            f"{len(value)} keys", f"give 1, or {MAX_LINK_KEYS} during a change"
+        )
+    # A key is never shown, not even a wrong one.
+    findings = [
+        Finding(
+            (index,),
+            f"{len(key)} characters are too few",
+            f"use {MIN_LINK_KEY} random characters or more",
+        )
+        for index, key in enumerate(value)
+        if len(key) < MIN_LINK_KEY
+    ]
+    if len(set(value)) < len(value):
+        findings.append(Finding((1,), "equals the first", "use a new key"))
+    if findings:
+        raise CheckError(findings)
+
+
+def is_method(_: Any, attribute: Any, value: str) -> None:
+    """Holds that a value is an HTTP method in capitals, or `*`."""
+    del attribute
+    if not _METHOD.fullmatch(value):
+        raise refuse(
+            f"{shown(value)} is not an HTTP method",
+            "write a method in capitals, such as POST, or *",
+        )
+
+
+def is_call_path(_: Any, attribute: Any, value: str) -> None:
+    """Holds that a value is a path, with no `*` but at its end."""
+    del attribute
+    if not _CALL_PATH.fullmatch(value):
+        raise refuse(
+            f"{shown(value)} is not a path pattern",
+            "begin with '/' and put '*' at the end only",
+        )
+
+
+def is_between(low: float, high: float, unit: str = "") -> Validator:
+    """Returns a validator that holds a number within limits, both included."""
+    suffix = f" {unit}" if unit else ""
+
+    def check(_: Any, attribute: Any, value: float) -> None:
+        del attribute
+        if not low <= value <= high:
+            raise refuse(
+                f"{shown(value)} is out of range",
+                f"choose {low:,} to {high:,}{suffix}".replace(",", "_"),
+            )
+
+    check.__doc__ = f"{low:,} to {high:,}{suffix}".replace(",", "_")
+    return check
+
+
+def is_short(limit: int) -> Validator:
+    """Returns a validator that bounds a string's or sequence's length."""
+
+    def check(_: Any, attribute: Any, value: Any) -> None:
+        del attribute
+        if len(value) > limit:
+            raise refuse(f"{len(value)} is too long", f"keep to {limit}")
+
+    check.__doc__ = f"at most {limit} long"
+    return check
+
+
+def has_items(_: Any, attribute: Any, value: Any) -> None:
+    """Holds that a string or sequence isn't empty."""
+    del attribute
+    if not value:
+        raise refuse("is empty", "give at least one")
+
+
+def has_distinct_items(_: Any, attribute: Any, value: Iterable[Any]) -> None:
+    """Holds that no item stands twice."""
+    del attribute
+    seen: set[Any] = set()
+    findings = []
+    for index, item in enumerate(value):
+        if item in seen:
+            findings.append(
+                Finding((index,), "stands more than once", "keep one of them")
+            )
+        seen.add(item)
+    if findings:
+        raise CheckError(findings)
+
+
+def each(check: Validator) -> Validator:
+    """Returns a validator that holds a check for each item of a sequence."""
+
+    def check_items(instance: Any, attribute: Any, value: Any) -> None:
+        _check_all(check, instance, attribute, enumerate(value))
+
+    check_items.__doc__ = f"each: {check.__doc__}"
+    return check_items
+
+
+def each_key(check: Validator) -> Validator:
+    """Returns a validator that holds a check for each key of a mapping."""
+
+    def check_keys(instance: Any, attribute: Any, value: Any) -> None:
+        _check_all(check, instance, attribute, ((k, k) for k in value))
+
+    check_keys.__doc__ = f"each name: {check.__doc__}"
+    return check_keys
+
+
+def _check_all(
+    check: Validator,
+    instance: Any,
+    attribute: Any,
+    items: Iterable[tuple[Any, Any]],
+) -> None:
+    findings: list[Finding] = []
+    for place, item in items:
+        try:
+            check(instance, attribute, item)
+        except CheckError as e:
+            findings += [
+                Finding((place, *f.path), f.problem, f.remedy)
+                for f in e.findings
+            ]
+    if findings:
+        raise CheckError(findings)
