--- /dev/null
+++ b/packages/standins/src/hollyknot_standins/_prefix_cache.py
@@ -0,0 +1,86 @@
+"""A prefix cache of limited size that tells of its changes late, with gaps."""
+
+import hashlib
+from collections import OrderedDict, deque
+from collections.abc import Callable
+
+import attrs
+
+BLOCK_BYTES = 256
+EVENTS_KEPT = 1_000
+
+
+@attrs.frozen
+class CacheEvent:
+    """A block that was stored or evicted.
+
+    Attributes:
+        seq: Rises by one with every event, also with one that gets lost.
+        kind: `stored` or `evicted`.
+        prefix: Hexadecimal BLAKE2b-64 of all of the prompt's bytes up to the
+            block's end.
+        at_s: When it happened.
+    """
+
+    seq: int
+    kind: str
+    prefix: str
+    at_s: float
+
+
+class PrefixCache:
+    """Remembers blocks of prompts, least recently used first to go."""
+
+    def __init__(
+        self, blocks: int, gap: int, now_s: Callable[[], float]
+    ) -> None:
+        self._capacity = blocks
+        self._gap = gap
+        self._now_s = now_s
+        self._blocks: OrderedDict[str, None] = OrderedDict()
+        self._events: deque[CacheEvent] = deque(maxlen=EVENTS_KEPT)
+        self._seq = 0
+
+    @property
+    def used(self) -> float:
+        """The share of the blocks in use, 0 to 1."""
+        return len(self._blocks) / self._capacity if self._capacity else 0.0
+
+    def hit(self, prompt: bytes) -> int:
+        """Returns how many bytes of a prompt were cached, and stores it."""
+        digest = hashlib.blake2b(digest_size=8)
+        cached = 0
+        end = len(prompt) - len(prompt) % BLOCK_BYTES
+        for start in range(0, end, BLOCK_BYTES):
+            digest.update(prompt[start : start + BLOCK_BYTES])
+            prefix = digest.hexdigest()
+            if prefix in self._blocks and cached == start:
+                cached = start + BLOCK_BYTES
+            self._store(prefix)
+        return cached
+
+    def events(self, after: int, lag_s: float) -> list[CacheEvent]:
+        """Returns the events after a number that are old enough to be told."""
+        until_s = self._now_s() - lag_s
+        return [e for e in self._events if e.seq > after and e.at_s <= until_s]
+
+    def clear(self) -> None:
+        """Loses everything, without events, as a crash does."""
+        self._blocks.clear()
+
+    def _store(self, prefix: str) -> None:
+        if not self._capacity:
+            return
+        if prefix not in self._blocks:
+            self._tell("stored", prefix)
+        self._blocks[prefix] = None
+        self._blocks.move_to_end(prefix)
+        if len(self._blocks) > self._capacity:
+            evicted, _ = self._blocks.popitem(last=False)
+            self._tell("evicted", evicted)
+
+    def _tell(self, kind: str, prefix: str) -> None:
+        self._seq += 1
+        if self._gap and self._seq % self._gap == 0:
+            return
+        self._events.append(CacheEvent(self._seq, kind, prefix, self._now_s()))
--- /dev/null
+++ b/packages/standins/src/hollyknot_standins/_scheduler.py
@@ -0,0 +1,226 @@
+"""Continuous batching: slots, a queue by priority, and one timer for all."""
+
+import asyncio
+import enum
+import heapq
+import itertools
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import NamedTuple
+
+import attrs
+
+BURST_TOKENS = 32
+"""Tokens a step for each sequence when the interval is 0."""
+STALLED_WAIT_S = 0.001
+"""Seconds to the next step when no reader took a token."""
+REMEMBERED = 10_000
+"""Prompts remembered for resuming."""
+
+
+class End(enum.Enum):
+    """How a sequence ended."""
+
+    COMPLETE = "complete"
+    CANCELLED = "cancelled"
+    TRUNCATED = "truncated"
+
+
+@attrs.frozen
+class Prompt:
+    """What is needed to generate an answer, again or elsewhere.
+
+    Attributes:
+        request_id: The caller's.
+        model: Echoed in the answer.
+        text: The whole prompt.
+        message: The last user message, echoed in the answer.
+        length: Tokens of the whole answer.
+        is_chat: Whether answers have the chat shape.
+    """
+
+    request_id: str
+    model: str
+    text: str
+    message: str
+    length: int
+    is_chat: bool
+
+    def token(self, index: int) -> str:
+        """The text of one token."""
+        return f" t{index}" if index else f"echo:{self.message}"
+
+    def answer(self) -> str:
+        """The text of the whole answer."""
+        return expected_text(self.message, self.length)
+
+
+def expected_text(message: str, length: int) -> str:
+    """The answer that the engine gives to a message in so many tokens."""
+    return f"echo:{message}" + "".join(f" t{i}" for i in range(1, length))
+
+
+Emit = Callable[[int, int], bool]
+"""Takes tokens from an index up to another; False if the reader is slow."""
+
+
+@attrs.define(eq=False)
+class Sequence:
+    """An answer in the making.
+
+    Attributes:
+        prompt: What it answers.
+        priority: 1 is the highest.
+        position: The next token's index.
+        prefill_s: Seconds from its start to its first token.
+        emit: Where its tokens go.
+        done: Resolved at its end.
+    """
+
+    prompt: Prompt
+    priority: int
+    position: int
+    prefill_s: float
+    emit: Emit
+    done: asyncio.Future[End]
+    ready_at_s: float = 0.0
+
+
+class Pace(NamedTuple):
+    """Seconds a token, and the token after which streams are cut (0: none)."""
+
+    interval_s: float
+    truncate: int
+
+
+class Scheduler:
+    """Runs sequences in slots, a token each a step."""
+
+    def __init__(
+        self,
+        slots: int,
+        queue: int,
+        pace: Callable[[], Pace],
+        on_start: Callable[[Prompt, int], None],
+    ) -> None:
+        self._slots = slots
+        self._queue_limit = queue
+        self._pace = pace
+        self._on_start = on_start
+        self._serial = itertools.count()
+        self._queue: list[tuple[int, int, Sequence]] = []
+        self._running: dict[Sequence, None] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._remembered: OrderedDict[str, Prompt] = OrderedDict()
+        self.tokens = 0
+
+    @property
+    def running(self) -> int:
+        """Sequences in slots."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Sequences that wait."""
+        return len(self._queue)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether a new sequence is refused."""
+        waiting = self.running + self.queued
+        return waiting >= self._slots + self._queue_limit
+
+    def submit(self, sequence: Sequence) -> None:
+        """Queues a sequence, and starts it if there is a slot."""
+        entry = (sequence.priority, next(self._serial), sequence)
+        heapq.heappush(self._queue, entry)
+        self._admit()
+
+    def remembered(self, request_id: str) -> Prompt | None:
+        """The prompt of a request that ran here, for resuming it."""
+        return self._remembered.get(request_id)
+
+    def remember(self, prompt: Prompt) -> None:
+        """Keeps a prompt for resuming it."""
+        self._remembered[prompt.request_id] = prompt
+        if len(self._remembered) > REMEMBERED:
+            self._remembered.popitem(last=False)
+
+    def cancel_request(self, request_id: str) -> int:
+        """Cancels all sequences of a request; returns how many."""
+        queued = [sequence for _, _, sequence in self._queue]
+        found = [
+            sequence
+            for sequence in [*self._running, *queued]
+            if sequence.prompt.request_id == request_id
+        ]
+        for sequence in found:
+            self.finish(sequence, End.CANCELLED)
+        return len(found)
+
+    def finish(self, sequence: Sequence, end: End) -> None:
+        """Ends a sequence and gives its slot to the next."""
+        if sequence in self._running:
+            del self._running[sequence]
+        else:
+            self._queue = [e for e in self._queue if e[2] is not sequence]
+            heapq.heapify(self._queue)
+        if not sequence.done.done():
+            sequence.done.set_result(end)
+        self._admit()
+
+    def forget(self) -> None:
+        """Loses all work and memory, as a crash does."""
+        self._queue.clear()
+        self._running.clear()
+        self._remembered.clear()
+
+    def _admit(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        while self._queue and len(self._running) < self._slots:
+            _, _, sequence = heapq.heappop(self._queue)
+            sequence.ready_at_s = now_s + sequence.prefill_s
+            self._running[sequence] = None
+            self.remember(sequence.prompt)
+            self._on_start(sequence.prompt, sequence.position)
+        if self._running and self._timer is None:
+            self._schedule(self._pace().interval_s)
+
+    def _schedule(self, after_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(
+            after_s, self._step, loop.time() + after_s
+        )
+
+    def _step(self, due_s: float) -> None:
+        self._timer = None
+        interval_s, truncate = self._pace()
+        now_s = asyncio.get_running_loop().time()
+        burst = 1 if interval_s else BURST_TOKENS
+        before = self.tokens
+        for sequence in list(self._running):
+            if sequence.ready_at_s <= now_s and sequence in self._running:
+                self._advance(sequence, burst, truncate)
+        if not self._running or self._timer is not None:
+            return
+        if interval_s:
+            # Steps keep to their grid, so that a late timer does not lower
+            # the rate; a grid that is a whole step behind starts anew.
+            late_s = now_s - due_s
+            self._schedule(max(interval_s - late_s, 0.0))
+        else:
+            self._schedule(0.0 if self.tokens > before else STALLED_WAIT_S)
+
+    def _advance(self, sequence: Sequence, burst: int, truncate: int) -> None:
+        start = sequence.position
+        stop = min(start + burst, sequence.prompt.length)
+        if truncate:
+            stop = min(stop, max(truncate, start))
+        if stop > start and not sequence.emit(start, stop):
+            return
+        sequence.position = stop
+        self.tokens += stop - start
+        if truncate and stop >= truncate and stop < sequence.prompt.length:
+            self.finish(sequence, End.TRUNCATED)
+        elif stop == sequence.prompt.length:
+            self.finish(sequence, End.COMPLETE)
