Add the HTTP side of a host: calls, exchanges, answers, platform watches

Cause: nothing served a caller yet. Ruled out: the client library's shared connections for non-idempotent calls, since it sends an idempotent method again by itself when a kept connection was closed; an application object for the server, whose layers cost time. Change: transport modules for reading a call within bounds, one try at an upstream ended by a verdict, the caller's answer, watches on the platform, the operators' server, logs, traces, metrics; targets and tallies. Conclusion: not wired into a process yet.

--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/outcomes/_targets.py
@@ -0,0 +1,54 @@
+"""Whether an answer met its class's target."""
+
+import attrs
+from hollyknot_state import Target
+
+
+@attrs.frozen
+class Timing:
+    """When the parts of an answer came, in seconds on one clock.
+
+    Attributes:
+        arrived_s: When the request arrived.
+        first_byte_s: When the first byte of the answer was relayed or read.
+        ended_s: When the last byte was.
+        tokens: Tokens generated; 0 if not known.
+        is_streamed: Whether the caller saw the tokens as they came.
+    """
+
+    arrived_s: float
+    first_byte_s: float
+    ended_s: float
+    tokens: int
+    is_streamed: bool
+
+
+def met_target(target: Target, timing: Timing) -> bool:
+    """Tells whether a complete answer met every part of its target.
+
+    The caller of a whole answer sees no first token. Its answer is in time if
+    it came no later than a streamed one within target would have ended.
+
+    Args:
+        target: The class's target.
+        timing: When the parts came.
+    """
+    whole_ms = (timing.ended_s - timing.arrived_s) * 1000
+    if target.whole_answer_ms and whole_ms > target.whole_answer_ms:
+        return False
+    if not timing.is_streamed:
+        return whole_ms <= _whole_allowance_ms(target, timing.tokens)
+    first_ms = (timing.first_byte_s - timing.arrived_s) * 1000
+    if target.first_token_ms and first_ms > target.first_token_ms:
+        return False
+    gaps = max(1, timing.tokens - 1)
+    between_ms = (timing.ended_s - timing.first_byte_s) * 1000 / gaps
+    return (
+        not target.between_tokens_ms or between_ms <= target.between_tokens_ms
+    )
+
+
+def _whole_allowance_ms(target: Target, tokens: int) -> float:
+    if not target.first_token_ms or not target.between_tokens_ms:
+        return float("inf")
+    return target.first_token_ms + tokens * target.between_tokens_ms
--- /dev/null
+++ b/packages/transport/src/hollyknot_transport/_caller_response.py
@@ -0,0 +1,107 @@
+"""The answer to one caller: relayed as it comes, or refused, never both."""
+
+import contextlib
+
+import orjson
+from aiohttp import web
+from hollyknot_state import Outcome, Verdict
+
+from hollyknot_transport._answers import (
+    REQUEST_ID,
+    VERDICT,
+    Refusal,
+    openai_error,
+    openai_refusal,
+    problem_refusal,
+)
+from hollyknot_transport._exchange import CallerGoneError, Sink, UpstreamAnswer
+
+_EVENT_STREAM = "text/event-stream"
+
+
+class CallerResponse:
+    """Builds the one response of a request."""
+
+    def __init__(
+        self, request: web.BaseRequest, request_id: str, is_model: bool
+    ) -> None:
+        """Prepares to answer; sends nothing yet.
+
+        Args:
+            request: The caller's request.
+            request_id: Given back in a header.
+            is_model: Whether refusals take the OpenAI form.
+        """
+        self._request = request
+        self._request_id = request_id
+        self._is_model = is_model
+        self._response: web.StreamResponse | None = None
+        self._is_events = False
+
+    def sink(self) -> Sink:
+        """Returns the closures by which an answer is relayed."""
+        return Sink(start=self._start, write=self._write)
+
+    def refuse(self, refusal: Refusal) -> web.Response:
+        """Returns the response of a request that is refused."""
+        render = openai_refusal if self._is_model else problem_refusal
+        return render(self._request_id, refusal)
+
+    def whole(self, answer: UpstreamAnswer, verdict: Verdict) -> web.Response:
+        """Returns the response that carries an upstream's whole answer."""
+        headers = dict(answer.headers)
+        headers[REQUEST_ID] = self._request_id
+        headers[VERDICT] = verdict.outcome.value
+        return web.Response(
+            status=answer.status, body=answer.body, headers=headers
+        )
+
+    async def finish(
+        self, verdict: Verdict, refusal: Refusal
+    ) -> web.StreamResponse:
+        """Ends an answer that was relayed.
+
+        A body that just stops looks whole to a caller that reads until the
+        end. So an answer that is not complete ends with an error event, if it
+        is a stream of events, and by closing the connection before the body's
+        last chunk: the caller's library then reports an incomplete read.
+
+        Args:
+            verdict: How the request ended.
+            refusal: What to tell if it isn't complete.
+        """
+        response = self._response
+        if response is None:
+            raise RuntimeError("finish() was called before the answer started")
+        with contextlib.suppress(ConnectionError):
+            if self._is_events:
+                await response.write(self._last_event(verdict, refusal))
+        is_whole = verdict.outcome in (Outcome.COMPLETE, Outcome.FAILED)
+        if not is_whole and self._request.transport is not None:
+            self._request.transport.close()
+        return response
+
+    def _last_event(self, verdict: Verdict, refusal: Refusal) -> bytes:
+        if verdict.is_complete:
+            return f": verdict={verdict.outcome.value}\n\n".encode()
+        error = orjson.dumps(openai_error(refusal))
+        return b"\n\ndata: " + error + b"\n\n"
+
+    async def _start(self, answer: UpstreamAnswer) -> None:
+        headers = dict(answer.headers)
+        headers[REQUEST_ID] = self._request_id
+        response = web.StreamResponse(status=answer.status, headers=headers)
+        self._is_events = response.content_type == _EVENT_STREAM
+        self._response = response
+        try:
+            await response.prepare(self._request)
+        except ConnectionError as error:
+            raise CallerGoneError(str(error)) from error
+
+    async def _write(self, data: bytes) -> None:
+        if self._response is None:
+            raise RuntimeError("write() was called before the answer started")
+        try:
+            await self._response.write(data)
+        except ConnectionError as error:
+            raise CallerGoneError(str(error)) from error
--- /dev/null
+++ b/packages/transport/src/hollyknot_transport/_calls.py
@@ -0,0 +1,241 @@
+"""Reads a caller's HTTP request into a typed call, within bounds.
+
+Nothing here trusts the caller: each mistake ends in a `Refusal` that says what
+is wrong, in bounded time and memory.
+"""
+
+import asyncio
+import secrets
+
+import attrs
+import orjson
+import xxhash
+from aiohttp import web
+from hollyknot_state import Outcome, Reason, Verdict
+
+from hollyknot_transport._answers import Refusal, bad_request
+from hollyknot_transport._bounded import TooLarge, read_bounded
+
+MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
+SERVICE_PREFIX = "/v1/services/"
+BODY_TIMEOUT_S = 30.0
+"""Seconds for a whole body; a caller that sends a byte a second is cut off."""
+
+_MAX_PREFIX_CHARS = 2048
+_MAX_HEADER_CHARS = 200
+_FORWARDED_REQUEST_HEADERS = (
+    "Content-Type",
+    "Accept",
+    "Accept-Language",
+    "Idempotency-Key",
+)
+
+
+@attrs.frozen
+class ModelCall:
+    """A call of a model.
+
+    Attributes:
+        model: The model's name.
+        is_streamed: Whether the answer is asked for as server-sent events.
+        prefix: A hash of the prompt's head, for prefix locality.
+    """
+
+    model: str
+    is_streamed: bool
+    prefix: int
+
+
+@attrs.frozen
+class ServiceCall:
+    """A call of a plain service.
+
+    Attributes:
+        service: The service's name.
+        path: The path below the service, with its slash, without the query.
+    """
+
+    service: str
+    path: str
+
+
+@attrs.frozen
+class CallerCall:
+    """One request of a caller, read whole.
+
+    Attributes:
+        request_id: Given by hollyknot.
+        method: The HTTP method.
+        upstream_path: The path and query to ask the upstream for.
+        headers: Those that are forwarded.
+        body: The body, unchanged.
+        target: The model or the service it is for.
+        bearer_key: The bearer key, empty if none.
+        request_class: The class that the caller names, empty if none.
+        idempotency_key: As sent, empty if none.
+        traceparent: As sent, empty if none.
+        fingerprint: A hash of the path and the body.
+    """
+
+    request_id: str
+    method: str
+    upstream_path: str
+    headers: dict[str, str]
+    body: bytes
+    target: ModelCall | ServiceCall
+    bearer_key: str
+    request_class: str
+    idempotency_key: str
+    traceparent: str
+    fingerprint: int
+
+
+def new_request_id() -> str:
+    """Returns a request id that no other host gives."""
+    return "req-" + secrets.token_hex(12)
+
+
+async def read_call(
+    request: web.BaseRequest, request_id: str, max_body_bytes: int
+) -> CallerCall | Refusal:
+    """Reads a request to a model or a service.
+
+    Args:
+        request: The request, its body not yet read.
+        request_id: The id given to it.
+        max_body_bytes: The largest body that is read.
+
+    Returns:
+        The call, or what to answer instead.
+    """
+    body = await _read_body(request, max_body_bytes)
+    if isinstance(body, Refusal):
+        return body
+    target = _read_target(request, body)
+    if isinstance(target, Refusal):
+        return target
+    headers = request.headers
+    return CallerCall(
+        request_id=request_id,
+        method=request.method,
+        upstream_path=_upstream_path(request, target),
+        headers=_forwarded(request),
+        body=body,
+        target=target,
+        bearer_key=_bearer_key(headers.get("Authorization", "")),
+        request_class=headers.get("X-Request-Class", "")[:_MAX_HEADER_CHARS],
+        idempotency_key=headers.get("Idempotency-Key", ""),
+        traceparent=headers.get("traceparent", ""),
+        fingerprint=xxhash.xxh3_64_intdigest(
+            body, seed=xxhash.xxh32_intdigest(request.path.encode())
+        ),
+    )
+
+
+async def _read_body(
+    request: web.BaseRequest, max_body_bytes: int
+) -> bytes | Refusal:
+    if (request.content_length or 0) > max_body_bytes:
+        return _too_large(max_body_bytes)
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            body = await read_bounded(request.content, max_body_bytes)
+    except TimeoutError:
+        return bad_request(
+            f"The body did not arrive within {BODY_TIMEOUT_S:.0f} s", 408
+        )
+    except (web.RequestPayloadError, ValueError) as error:
+        return bad_request(f"The body can't be read: {error}")
+    if isinstance(body, TooLarge):
+        return _too_large(max_body_bytes)
+    return body
+
+
+def _too_large(limit: int) -> Refusal:
+    detail = f"The body is larger than {limit} bytes"
+    verdict = Verdict(Outcome.NOT_RUN, Reason.TOO_LARGE, detail)
+    return Refusal(413, verdict)
+
+
+def _read_target(
+    request: web.BaseRequest, body: bytes
+) -> ModelCall | ServiceCall | Refusal:
+    if request.path.startswith(SERVICE_PREFIX):
+        return _read_service(request.path)
+    if request.method != "POST":
+        return bad_request(f"{request.path} takes POST only", 405)
+    return _read_model(body)
+
+
+def _read_service(path: str) -> ServiceCall | Refusal:
+    name, slash, rest = path[len(SERVICE_PREFIX) :].partition("/")
+    if not name:
+        return bad_request("The path names no service", 404)
+    segments = rest.split("/")
+    # A path with dot segments could match no declared pattern and still reach
+    # a call that may not be repeated, once the service resolves it.
+    if "." in segments or ".." in segments or "\\" in rest:
+        return bad_request("The path has dot segments; send it resolved")
+    return ServiceCall(name, "/" + rest if slash else "/")
+
+
+def _read_model(body: bytes) -> ModelCall | Refusal:
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        return bad_request(f"The body is not JSON: {error}")
+    if not isinstance(document, dict):
+        return bad_request("The body must be a JSON object")
+    model = document.get("model")
+    if not isinstance(model, str) or not model:
+        return bad_request("'model' must be a non-empty string")
+    stream = document.get("stream", False)
+    if not isinstance(stream, bool | None):
+        return bad_request("'stream' must be true or false")
+    head = _prompt_head(document)
+    if isinstance(head, Refusal):
+        return head
+    prefix = xxhash.xxh3_64_intdigest(
+        f"{model}\0{head}".encode("utf-8", "surrogatepass")
+    )
+    return ModelCall(model, bool(stream), prefix)
+
+
+def _prompt_head(document: dict[str, object]) -> str | Refusal:
+    messages = document.get("messages")
+    if messages is None:
+        prompt = document.get("prompt", "")
+        return str(prompt)[:_MAX_PREFIX_CHARS]
+    if not isinstance(messages, list):
+        return bad_request("'messages' must be a list")
+    if not all(isinstance(message, dict) for message in messages):
+        return bad_request("each of 'messages' must be an object")
+    if not messages:
+        return ""
+    return str(messages[0].get("content", ""))[:_MAX_PREFIX_CHARS]
+
+
+def _upstream_path(
+    request: web.BaseRequest, target: ModelCall | ServiceCall
+) -> str:
+    if isinstance(target, ModelCall):
+        return request.path
+    raw = request.raw_path
+    rest = raw[len(SERVICE_PREFIX) :].partition("/")[2]
+    return "/" + rest
+
+
+def _forwarded(request: web.BaseRequest) -> dict[str, str]:
+    headers = {}
+    for name in _FORWARDED_REQUEST_HEADERS:
+        value = request.headers.get(name)
+        if value is not None:
+            headers[name] = value
+    return headers
+
+
+def _bearer_key(authorization: str) -> str:
+    scheme, _, key = authorization.partition(" ")
+    if scheme.lower() != "bearer":
+        return ""
+    return key.strip()
