--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/classification/_authenticate.py
@@ -0,0 +1,45 @@
+"""Finds the customer that a bearer key belongs to."""
+
+import hashlib
+from collections.abc import Mapping
+
+from hollyknot_state import CustomerDeclaration, Outcome, Reason, Verdict
+
+_SCHEME = "bearer"
+
+
+def index_keys(customers: Mapping[str, CustomerDeclaration]) -> dict[str, str]:
+    """Returns the customers' names by the SHA-256 of their keys.
+
+    It costs the number of customers: build it once for a version.
+    """
+    return {c.key_sha256: name for name, c in customers.items()}
+
+
+def authenticate(
+    owners: Mapping[str, str], authorization: str
+) -> str | Verdict:
+    """Finds the customer of a request.
+
+    A key is looked up by its hash: the time this takes tells nothing of how
+    much of a guessed key is right.
+
+    Args:
+        owners: What `index_keys` returned.
+        authorization: The header `Authorization`; empty if there was none.
+
+    Returns:
+        The customer's name, or the refusal.
+    """
+    scheme, _, key = authorization.strip().partition(" ")
+    if scheme.lower() != _SCHEME or not key.strip():
+        return _refusal("send the header 'Authorization: Bearer KEY'")
+    digest = hashlib.sha256(key.strip().encode("utf-8", "surrogateescape"))
+    owner = owners.get(digest.hexdigest())
+    if owner is None:
+        return _refusal("the bearer key belongs to no customer")
+    return owner
+
+
+def _refusal(detail: str) -> Verdict:
+    return Verdict(Outcome.NOT_RUN, Reason.BAD_KEY, detail)
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -13,6 +13,21 @@
     ServiceDeclaration,
     Target,
 )
+from hollyknot_state._gossip_messages import (
+    DocumentDelta,
+    DocumentKind,
+    DocumentPage,
+    DocumentRecord,
+    DocumentVersion,
+    FetchDocument,
+    Gossip,
+    IndirectProbe,
+    MemberState,
+    MemberUpdate,
+    PeerMessage,
+    Probe,
+    ProbeAck,
+)
 from hollyknot_state._hosts import EntryState, HostList, HostListEntry, Role
 from hollyknot_state._parse import (
     dump_declarations,
@@ -20,6 +35,7 @@
     parse_host_list,
     parse_settings,
 )
+from hollyknot_state._paths import PathFault, normalise_path
 from hollyknot_state._problem import CheckError, Problem, Problems
 from hollyknot_state._references import check_references
 from hollyknot_state._request import Nature, RequestInfo, TargetKind
@@ -41,14 +57,28 @@
     "ClassDeclaration",
     "CustomerDeclaration",
     "Declarations",
+    "DocumentDelta",
+    "DocumentKind",
+    "DocumentPage",
+    "DocumentRecord",
+    "DocumentVersion",
     "EntryState",
+    "FetchDocument",
+    "Gossip",
     "HostList",
     "HostListEntry",
+    "IndirectProbe",
     "LoadReport",
+    "MemberState",
+    "MemberUpdate",
     "ModelDeclaration",
     "Nature",
     "Outcome",
+    "PathFault",
+    "PeerMessage",
     "Platform",
+    "Probe",
+    "ProbeAck",
     "Problem",
     "Problems",
     "Reason",
@@ -66,6 +96,7 @@
     "Verdict",
     "check_references",
     "dump_declarations",
+    "normalise_path",
     "parse_declarations",
     "parse_host_list",
     "parse_settings",
--- a/packages/state/src/hollyknot_state/_validators.py
+++ b/packages/state/src/hollyknot_state/_validators.py
@@ -9,12 +9,14 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from hollyknot_state._paths import PathFault, normalise_path
 from hollyknot_state._problem import CheckError, Finding, refuse, shown
 
 Validator = Callable[[Any, Any, Any], None]
 
 MAX_NAME = 63
 MAX_MODEL_NAME = 127
+MAX_CALL_PATH = 500
 MIN_LINK_KEY = 32
 MAX_LINK_KEYS = 2
 
@@ -26,7 +28,6 @@
 )
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 _METHOD = re.compile(r"[A-Z]{1,20}|\*")
-_CALL_PATH = re.compile(r"/[^\s*?#]{0,500}\*?")
 _NAME_REMEDY = (
     "begin with a letter or digit and go on with letters, digits, '.', '_' or"
     f" '-', {MAX_NAME} characters at most"
@@ -119,11 +120,23 @@
 def is_call_path(_: Any, attribute: Any, value: str) -> None:
     """Holds that a value is a path, with no `*` but at its end."""
     del attribute
-    if not _CALL_PATH.fullmatch(value):
+    body = value.removesuffix("*")
+    normal = normalise_path(body)
+    if (
+        len(value) > MAX_CALL_PATH
+        or "*" in body
+        or normal is PathFault.CHARACTERS
+    ):
         raise refuse(
             f"{shown(value)} is not a path pattern",
-            "begin with '/' and put '*' at the end only",
+            "begin with '/', put '*' at the end only, keep to"
+            f" {MAX_CALL_PATH} characters",
         )
+    # Calls are matched in their one spelling: another would match nothing.
+    if isinstance(normal, PathFault):
+        raise refuse(f"{shown(value)} has {normal.value}", "leave it out")
+    if normal != body:
+        raise refuse(f"{shown(value)} would match nothing", f"write {normal}")
 
 
 def is_between(low: float, high: float, unit: str = "") -> Validator:
