Encode messages between hosts with thrift

Cause: hosts have to talk, and every part names its own messages. Change: a codec that maps registered attrs classes to generated structs of equal field names, a frame parser and the handshake's proof, all free of I/O. Ruled out: thrift structs as messages in the decisions, since they are mutable and unchecked; a pre-scan of the bytes, since the C decoder bounds nesting and takes limits on lengths.

--- /dev/null
+++ b/packages/protocol/idl/claims.thrift
@@ -0,0 +1,107 @@
+// Claims of non-idempotent requests. The attrs classes of the same names are
+// in hollyknot_state/_claim_messages.py, which also tells what they mean.
+
+struct Attempt {
+  1: string coordinator,
+  2: i64 number,
+}
+
+struct HeldAttempt {
+  1: Attempt attempt,
+  2: string outcome,
+}
+
+struct GrantClaim {
+  1: binary key,
+  2: Attempt attempt,
+  3: i64 revision,
+  4: i64 group,
+}
+
+struct CancelClaim {
+  1: binary key,
+  2: Attempt attempt,
+  3: Attempt asker,
+  4: i64 revision,
+  5: i64 group,
+}
+
+struct ReleaseClaim {
+  1: binary key,
+  2: Attempt attempt,
+}
+
+struct RecordClaim {
+  1: binary key,
+  2: Attempt attempt,
+  3: string outcome,
+}
+
+struct ClaimAnswer {
+  1: binary key,
+  2: Attempt asker,
+  3: Attempt attempt,
+  4: string kind,
+  5: i64 group,
+  6: list<HeldAttempt> held,
+  7: i64 revision,
+  8: list<string> holders,
+  9: i64 wait_ms,
+}
+
+struct HolderEpoch {
+  1: i64 revision,
+  2: list<string> holders,
+}
+
+struct SlotQuestion {
+  1: i32 slot,
+  2: HolderEpoch epoch,
+  3: binary after,
+}
+
+struct LearnSlots {
+  1: i64 incarnation,
+  2: list<SlotQuestion> questions,
+}
+
+struct ClaimRecord {
+  1: binary key,
+  2: list<HeldAttempt> held,
+  3: list<Attempt> refused,
+}
+
+struct StoppedHolder {
+  1: string name,
+  2: i64 active,
+}
+
+struct SlotAnswer {
+  1: i32 slot,
+  2: string kind,
+  3: HolderEpoch question,
+  4: i64 active,
+  5: list<HolderEpoch> epochs,
+  6: i64 horizon_ms,
+  7: list<ClaimRecord> records,
+  8: binary after,
+  9: bool more,
+  10: list<StoppedHolder> stopped,
+}
+
+struct SlotAnswers {
+  1: list<SlotAnswer> answers,
+}
+
+struct HandOverSlots {
+  1: list<SlotAnswer> answers,
+}
+
+struct SlotPage {
+  1: i32 slot,
+  2: binary after,
+}
+
+struct HandOverTaken {
+  1: list<SlotPage> pages,
+}
--- a/packages/protocol/src/hollyknot_protocol/__init__.py
+++ b/packages/protocol/src/hollyknot_protocol/__init__.py
@@ -1,1 +1,72 @@
-"""Thrift messages between hosts and the shapes of HTTP and SSE."""
+"""Thrift messages between hosts and the shapes of HTTP and SSE.
+
+This front re-exports the public names; the work is in the underscore modules.
+"""
+
+from hollyknot_protocol._codec import (
+    Unknown,
+    UnknownReason,
+    decode,
+    decode_as,
+    encode,
+    kind_name,
+    kind_of,
+)
+from hollyknot_protocol._errors import (
+    FrameError,
+    MalformedMessageError,
+    UnencodableMessageError,
+    UnknownValueError,
+)
+from hollyknot_protocol._frames import (
+    HEADER_BYTES,
+    MAX_FRAME_BYTES,
+    MAX_HANDSHAKE_FRAME_BYTES,
+    FrameParser,
+    pack_frame,
+)
+from hollyknot_protocol._handshake import Side, is_proved, make_mac
+from hollyknot_protocol._kinds import Kind
+from hollyknot_protocol._peer import (
+    LINK_VERSION,
+    NONCE_BYTES,
+    Envelope,
+    Hello,
+    Ping,
+    Pong,
+    Proof,
+    Refusal,
+    RefusalReason,
+)
+
+__all__ = [
+    "HEADER_BYTES",
+    "LINK_VERSION",
+    "MAX_FRAME_BYTES",
+    "MAX_HANDSHAKE_FRAME_BYTES",
+    "NONCE_BYTES",
+    "Envelope",
+    "FrameError",
+    "FrameParser",
+    "Hello",
+    "Kind",
+    "MalformedMessageError",
+    "Ping",
+    "Pong",
+    "Proof",
+    "Refusal",
+    "RefusalReason",
+    "Side",
+    "UnencodableMessageError",
+    "Unknown",
+    "UnknownReason",
+    "UnknownValueError",
+    "decode",
+    "decode_as",
+    "encode",
+    "is_proved",
+    "kind_name",
+    "kind_of",
+    "make_mac",
+    "pack_frame",
+]
--- /dev/null
+++ b/packages/protocol/src/hollyknot_protocol/_convert.py
@@ -0,0 +1,269 @@
+"""Converters between an attrs class and its thrift struct, made once a class.
+
+The two have equal field names. These types meet:
+
+- `int`: `i16`, `i32`, `i64`; or, unsigned of 64 bits, `binary` (8 bytes);
+- `bool`: `bool`; `float`: `double`; `str`: `string`; `bytes`: `binary`;
+- an enum: `string`, `i16`, `i32` or `i64`, by its values;
+- an attrs class: a struct;
+- `tuple[X, ...]`: `list<X>`; `frozenset[X]`: `set<X>`;
+- `dict[K, V]`: `map<K, V>`;
+- `X | None`: any of these; `None` is an absent field.
+"""
+
+import enum
+import operator
+import types
+import typing
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from thrift.Thrift import TType
+
+from hollyknot_protocol._errors import UnknownValueError
+
+Convert = Callable[[Any], Any]
+
+_INTEGERS = (TType.I16, TType.I32, TType.I64)
+_PLAIN = {
+    int: _INTEGERS,
+    bool: (TType.BOOL,),
+    float: (TType.DOUBLE,),
+    str: (TType.STRING,),
+    bytes: (TType.STRING,),
+}
+_U64_BYTES = 8
+_BINARY = "BINARY"
+
+
+@attrs.frozen
+class Converter:
+    """Both directions of one class.
+
+    Attributes:
+        to_struct: From an attrs instance to a thrift struct.
+        from_struct: Back. Raises `UnknownValueError` for an unknown enum
+            value, and what the class raises for fields that are not allowed.
+    """
+
+    to_struct: Convert
+    from_struct: Convert
+
+
+@attrs.frozen
+class _Pair:
+    """Converters of one type; equal to `_same` where nothing is to do."""
+
+    to_wire: Convert
+    from_wire: Convert
+
+
+def _same(value: Any) -> Any:
+    return value
+
+
+_SAME = _Pair(_same, _same)
+
+
+def make_converter(message: type[Any], struct: type[Any]) -> Converter:
+    """Returns the converter of an attrs class and a thrift struct.
+
+    Raises:
+        TypeError: Their fields differ, in name or in type.
+    """
+    specs = {spec[2]: spec for spec in struct.thrift_spec if spec}
+    hints = typing.get_type_hints(message)
+    names = [field.name for field in attrs.fields(message)]
+    if set(names) != set(specs):
+        raise TypeError(
+            f"{message.__name__}: the attrs class has the fields"
+            f" {sorted(names)}, its thrift struct {sorted(specs)}; make them"
+            " equal and run `make generate`"
+        )
+    pairs = {
+        name: _make_pair(
+            f"{message.__name__}.{name}", hints[name], *specs[name][1:4:2]
+        )
+        for name in names
+    }
+    # The constructor of a generated struct takes its slots in their order.
+    order = tuple(struct.__slots__)
+    return Converter(
+        _make_to_struct(struct, order, pairs),
+        _make_from_struct(message, order, pairs),
+    )
+
+
+def _values_of(names: tuple[str, ...]) -> Callable[[Any], tuple[Any, ...]]:
+    """Returns a function that gives the values of attributes in order."""
+    if not names:
+        return lambda _: ()
+    getter = operator.attrgetter(*names)
+    if len(names) == 1:
+        return lambda value: (getter(value),)
+    return getter
+
+
+def _make_to_struct(
+    struct: type[Any], order: tuple[str, ...], pairs: dict[str, _Pair]
+) -> Convert:
+    values_of = _values_of(order)
+    steps = [
+        (i, pairs[name].to_wire)
+        for i, name in enumerate(order)
+        if pairs[name].to_wire is not _same
+    ]
+    if not steps:
+        return lambda message: struct(*values_of(message))
+
+    def to_struct(message: Any) -> Any:
+        values = list(values_of(message))
+        for i, convert in steps:
+            if values[i] is not None:
+                values[i] = convert(values[i])
+        return struct(*values)
+
+    return to_struct
+
+
+def _make_from_struct(
+    message: type[Any], order: tuple[str, ...], pairs: dict[str, _Pair]
+) -> Convert:
+    values_of = _values_of(order)
+    steps = [
+        (name, None if pairs[name] is _SAME else pairs[name].from_wire)
+        for name in order
+    ]
+
+    def from_struct(struct: Any) -> Any:
+        # An absent field is left out, so that the class gives its default.
+        return message(
+            **{
+                name: value if convert is None else convert(value)
+                for (name, convert), value in zip(
+                    steps, values_of(struct), strict=True
+                )
+                if value is not None
+            }
+        )
+
+    return from_struct
+
+
+def _make_pair(place: str, hint: Any, ttype: int, args: Any) -> _Pair:
+    """Returns the converters of one type.
+
+    Args:
+        place: The field, for the error.
+        hint: The type of the attrs field.
+        ttype: The thrift type.
+        args: The thrift type's arguments, as `thrift_spec` holds them.
+    """
+    hint = _without_none(hint)
+    origin = typing.get_origin(hint)
+    if origin is None and isinstance(hint, type):
+        pair = _make_scalar_pair(place, hint, ttype, args)
+    else:
+        pair = _make_container_pair(place, hint, ttype, args)
+    if pair is None:
+        raise TypeError(
+            f"{place}: {hint} does not fit its thrift type; see the list at"
+            " the head of hollyknot_protocol/_convert.py"
+        )
+    return pair
+
+
+def _without_none(hint: Any) -> Any:
+    if typing.get_origin(hint) in (typing.Union, types.UnionType):
+        rest = [a for a in typing.get_args(hint) if a is not type(None)]
+        if len(rest) == 1:
+            return rest[0]
+    return hint
+
+
+def _make_scalar_pair(
+    place: str, hint: type[Any], ttype: int, args: Any
+) -> _Pair | None:
+    if attrs.has(hint):
+        if ttype != TType.STRUCT:
+            return None
+        nested = make_converter(hint, args[0])
+        return _Pair(nested.to_struct, nested.from_struct)
+    if issubclass(hint, enum.Enum):
+        return _make_enum_pair(place, hint, ttype)
+    if hint is int and ttype == TType.STRING and args == _BINARY:
+        return _Pair(_u64_to_wire, _u64_from_wire)
+    if ttype not in _PLAIN.get(hint, ()):
+        return None
+    if hint in (str, bytes) and (hint is bytes) != (args == _BINARY):
+        return None
+    return _SAME
+
+
+def _make_enum_pair(
+    place: str, hint: type[enum.Enum], ttype: int
+) -> _Pair | None:
+    values = {member.value: member for member in hint}
+    wanted = str if ttype == TType.STRING else int
+    fits = ttype == TType.STRING or ttype in _INTEGERS
+    if not fits or not all(isinstance(v, wanted) for v in values):
+        return None
+
+    def from_wire(value: Any) -> enum.Enum:
+        member = values.get(value)
+        if member is None:
+            raise UnknownValueError(f"{place}: {value!r} is not known here")
+        return member
+
+    return _Pair(operator.attrgetter("value"), from_wire)
+
+
+def _u64_to_wire(value: int) -> bytes:
+    return value.to_bytes(_U64_BYTES, "big")
+
+
+def _u64_from_wire(value: bytes) -> int:
+    if len(value) != _U64_BYTES:
+        raise ValueError(f"an unsigned number of {len(value)} bytes, not 8")
+    return int.from_bytes(value, "big")
+
+
+def _make_container_pair(
+    place: str, hint: Any, ttype: int, args: Any
+) -> _Pair | None:
+    origin, params = typing.get_origin(hint), typing.get_args(hint)
+    if origin is dict and ttype == TType.MAP:
+        keys = _make_pair(place, params[0], args[0], args[1])
+        values = _make_pair(place, params[1], args[2], args[3])
+        return _make_map_pair(keys, values)
+    if origin is tuple and ttype == TType.LIST and params[1:] == (...,):
+        items = _make_pair(place, params[0], args[0], args[1])
+        return _make_items_pair(items, list, tuple)
+    if origin is frozenset and ttype == TType.SET:
+        items = _make_pair(place, params[0], args[0], args[1])
+        return _make_items_pair(items, set, frozenset)
+    return None
+
+
+def _make_items_pair(
+    items: _Pair, wire: Callable[[Any], Any], ours: Callable[[Any], Any]
+) -> _Pair:
+    if items is _SAME:
+        return _Pair(wire, ours)
+    to_wire, from_wire = items.to_wire, items.from_wire
+    return _Pair(
+        lambda value: wire([to_wire(v) for v in value]),
+        lambda value: ours([from_wire(v) for v in value]),
+    )
+
+
+def _make_map_pair(keys: _Pair, values: _Pair) -> _Pair:
+    if keys is _SAME and values is _SAME:
+        return _Pair(_same, dict)
+    key_to, key_from = keys.to_wire, keys.from_wire
+    value_to, value_from = values.to_wire, values.from_wire
+    return _Pair(
+        lambda value: {key_to(k): value_to(v) for k, v in value.items()},
+        lambda value: {key_from(k): value_from(v) for k, v in value.items()},
+    )
