Give admission its floors, fairness, estimates, pressure and checked rules

Cause: strict tiers starve the lower ones and know nothing of other hosts. RequestInfo says what kind of target its budget is, since a whole answer needs its service time out of the budget. Ruled out: floors by time alone (with one slot they would take it all); shared room alone (a host full of tier 1 would refuse all of tier 3).

--- a/packages/coordination/src/hollyknot_coordination/admission/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/admission/__init__.py
@@ -5,18 +5,54 @@
 `docs/decisions/0005-admission.md`, and `check_run` tests a run against them.
 """
 
+from hollyknot_coordination.admission._checked import (
+    Admission,
+    CheckedAdmission,
+)
 from hollyknot_coordination.admission._commands import (
     AdmissionCommand,
     Admit,
     Refuse,
 )
+from hollyknot_coordination.admission._estimates import EstimateError
+from hollyknot_coordination.admission._events import (
+    Admitted,
+    Offered,
+    PressureHeard,
+    Refused,
+    RunEvent,
+    SlotsOffered,
+    Withdrawn,
+)
 from hollyknot_coordination.admission._options import AdmissionOptions
+from hollyknot_coordination.admission._predicates import (
+    Rule,
+    RunChecker,
+    Violation,
+    check_run,
+    floor_gap,
+)
 from hollyknot_coordination.admission._queue import AdmissionQueue
 
 __all__ = [
+    "Admission",
     "AdmissionCommand",
     "AdmissionOptions",
     "AdmissionQueue",
     "Admit",
+    "Admitted",
+    "CheckedAdmission",
+    "EstimateError",
+    "Offered",
+    "PressureHeard",
     "Refuse",
+    "Refused",
+    "Rule",
+    "RunChecker",
+    "RunEvent",
+    "SlotsOffered",
+    "Violation",
+    "Withdrawn",
+    "check_run",
+    "floor_gap",
 ]
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/admission/_checked.py
@@ -0,0 +1,153 @@
+"""A queue whose every call is checked against the rules as it happens."""
+
+from typing import Protocol
+
+from hollyknot_coordination.admission._commands import AdmissionCommand, Admit
+from hollyknot_coordination.admission._events import (
+    Admitted,
+    Offered,
+    PressureHeard,
+    Refused,
+    SlotsOffered,
+    Withdrawn,
+)
+from hollyknot_coordination.admission._options import AdmissionOptions
+from hollyknot_coordination.admission._predicates import RunChecker
+from hollyknot_state import RequestInfo, TierPressure
+
+
+class Admission(Protocol):
+    """What decides on admission: `AdmissionQueue`, or one to compare it to."""
+
+    def offer(
+        self, request: RequestInfo, now_s: float
+    ) -> tuple[AdmissionCommand, ...]:
+        """Takes a request in, or refuses it or another at once."""
+
+    def on_capacity(
+        self, pool: str, free_slots: int, now_s: float
+    ) -> tuple[AdmissionCommand, ...]:
+        """Admits what may start on a pool's free slots."""
+
+    def withdraw(self, request_id: str, now_s: float) -> None:
+        """Forgets a request, waiting or admitted."""
+
+    def on_finished(
+        self,
+        request_id: str,
+        service_time_s: float,
+        output_tokens: int,
+        now_s: float,
+    ) -> None:
+        """Learns from an admitted request that has ended."""
+
+    def on_peer_pressure(
+        self, pressures: tuple[TierPressure, ...], now_s: float
+    ) -> None:
+        """Takes peers' pressure in."""
+
+    def local_pressure(self, now_s: float) -> tuple[TierPressure, ...]:
+        """Returns where this host is short of capacity."""
+
+    def tick(self, now_s: float) -> tuple[AdmissionCommand, ...]:
+        """Admits what has become due by time."""
+
+    def next_deadline(self) -> float:
+        """Returns when `tick` has something to do."""
+
+
+class CheckedAdmission:
+    """Passes calls on to a queue and shows them to a checker of the rules."""
+
+    def __init__(self, queue: Admission, options: AdmissionOptions) -> None:
+        """Wraps a queue that is empty.
+
+        Args:
+            queue: What decides.
+            options: The sizes and times that the rules speak of.
+        """
+        self._queue = queue
+        self._checker = RunChecker(options)
+        self._pools: dict[str, str] = {}
+        self._left: dict[str, int] = {}
+
+    @property
+    def checker(self) -> RunChecker:
+        """The checker, with what it found."""
+        return self._checker
+
+    def offer(
+        self, request: RequestInfo, now_s: float
+    ) -> tuple[AdmissionCommand, ...]:
+        """Takes a request in, or refuses it or another at once."""
+        self._pools[request.request_id] = request.pool
+        self._checker.observe(Offered(request, now_s))
+        return self._show(self._queue.offer(request, now_s), now_s)
+
+    def on_capacity(
+        self, pool: str, free_slots: int, now_s: float
+    ) -> tuple[AdmissionCommand, ...]:
+        """Admits what may start on a pool's free slots."""
+        self._left[pool] = free_slots
+        commands = self._queue.on_capacity(pool, free_slots, now_s)
+        return self._show_slots(pool, commands, now_s)
+
+    def withdraw(self, request_id: str, now_s: float) -> None:
+        """Forgets a request, waiting or admitted."""
+        self._checker.observe(Withdrawn(request_id, now_s))
+        self._queue.withdraw(request_id, now_s)
+
+    def on_finished(
+        self,
+        request_id: str,
+        service_time_s: float,
+        output_tokens: int,
+        now_s: float,
+    ) -> None:
+        """Learns from an admitted request that has ended."""
+        self._queue.on_finished(
+            request_id, service_time_s, output_tokens, now_s
+        )
+
+    def on_peer_pressure(
+        self, pressures: tuple[TierPressure, ...], now_s: float
+    ) -> None:
+        """Takes peers' pressure in."""
+        self._checker.observe(PressureHeard(pressures, now_s))
+        self._queue.on_peer_pressure(pressures, now_s)
+
+    def local_pressure(self, now_s: float) -> tuple[TierPressure, ...]:
+        """Returns where this host is short of capacity."""
+        return self._queue.local_pressure(now_s)
+
+    def tick(self, now_s: float) -> tuple[AdmissionCommand, ...]:
+        """Admits what has become due by time."""
+        commands = self._queue.tick(now_s)
+        for pool in tuple(self._left):
+            self._show_slots(pool, commands, now_s)
+        return commands
+
+    def next_deadline(self) -> float:
+        """Returns when `tick` has something to do."""
+        return self._queue.next_deadline()
+
+    def _show_slots(
+        self, pool: str, commands: tuple[AdmissionCommand, ...], now_s: float
+    ) -> tuple[AdmissionCommand, ...]:
+        own = tuple(c for c in commands if self._pools[c.request_id] == pool)
+        self._checker.observe(SlotsOffered(pool, self._left[pool], now_s))
+        self._left[pool] -= len(own)
+        self._show(own, now_s)
+        return commands
+
+    def _show(
+        self, commands: tuple[AdmissionCommand, ...], now_s: float
+    ) -> tuple[AdmissionCommand, ...]:
+        for command in commands:
+            request_id = command.request_id
+            if isinstance(command, Admit):
+                self._checker.observe(Admitted(request_id, now_s))
+            else:
+                refused = Refused(request_id, command.verdict, now_s)
+                self._checker.observe(refused)
+        return commands
--- a/packages/coordination/src/hollyknot_coordination/admission/_commands.py
+++ b/packages/coordination/src/hollyknot_coordination/admission/_commands.py
@@ -1,6 +1,7 @@
 """What admission tells its owner to do."""
 
 import attrs
+
 from hollyknot_state import Verdict
 
 
--- a/packages/coordination/src/hollyknot_coordination/admission/_options.py
+++ b/packages/coordination/src/hollyknot_coordination/admission/_options.py
@@ -1,23 +1,32 @@
 """The constants of admission. Operators never set them; tests do."""
 
+from typing import Any
+
 import attrs
 
-FLOOR_SHARES = {2: 0.10, 3: 0.05}
-"""The least share of a pool's admissions of a lower tier that waits."""
+FULL_CREDIT = 1_000_000
+"""What an admission by a floor costs; whole numbers, so that sums are exact."""
+
+FLOOR_CREDITS = {2: 100_000, 3: 50_000}
+"""What a lower tier that waits earns by another tier's admission: a floor of
+one admission in ten others for tier 2 and in twenty for tier 3."""
 
 COST_RATIO_MAX = 20
 """How much dearer than the others an admission by the floor may count.
 
-A tier whose requests run longer than the others' is due less often, in
-proportion, so that its floor is a share of the slots' time; at most this much
-less often, so that no tier starves however wrong the estimates are.
+A tier whose requests run longer than the others' earns less, in proportion, so
+that its floor is a share of the slots' time; at most this much less, so that no
+tier starves however wrong the estimates are.
 """
 
-LATE_SHARE = 0.125
-"""The share of a tier's admissions of work that has missed its target."""
+LATE_CREDIT = 125_000
+"""What a tier's late work earns by an admission of work that is not late."""
 
+FLOOR_DUTY = 0.5
+"""The share of one slot that a tier is given by time, while only the pressure
+of peers holds it to its floor."""
 
-_POSITIVE = attrs.validators.gt(0)
+_POSITIVE: Any = attrs.validators.gt(0)
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/admission/_pool.py
@@ -0,0 +1,175 @@
+"""The requests of one pool: the order of the tiers, and their floors.
+
+A free slot goes to the highest tier that waits. Two things set that aside. A
+lower tier earns credit by the others' admissions while it waits, and is next
+when its credit is full: its floor. And while a peer reports that a higher tier
+is short of capacity in this pool, lower tiers get their floor and no more.
+"""
+
+import math
+from collections.abc import Callable
+
+from hollyknot_coordination.admission._fair import Entry
+from hollyknot_coordination.admission._options import (
+    COST_RATIO_MAX,
+    FLOOR_CREDITS,
+    FLOOR_DUTY,
+    FULL_CREDIT,
+    AdmissionOptions,
+)
+from hollyknot_coordination.admission._tier import TierQueue
+from hollyknot_state import TIERS, RequestInfo
+
+
+class PoolQueue:
+    """Waiting requests of one pool."""
+
+    def __init__(
+        self, options: AdmissionOptions, on_late: Callable[[Entry], None]
+    ) -> None:
+        """Makes an empty queue.
+
+        Args:
+            options: Sizes and times.
+            on_late: Called with each request found to have missed its target.
+        """
+        self._options = options
+        self._tiers = {tier: TierQueue(on_late) for tier in TIERS}
+        self._credit = dict.fromkeys(FLOOR_CREDITS, 0)
+        self._admitted_s = dict.fromkeys(TIERS, -math.inf)
+        self._pressed_s = dict.fromkeys(TIERS, -math.inf)
+        self._peer_pressed_s = dict.fromkeys(TIERS, -math.inf)
+        self._in_flight = 0
+        self._free_slots = 0
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return sum(len(queue) for queue in self._tiers.values())
+
+    @property
+    def free_slots(self) -> int:
+        """Slots that were free after the last call of `set_free_slots`."""
+        return self._free_slots
+
+    @property
+    def in_flight(self) -> int:
+        """Requests of this host that hold a slot."""
+        return self._in_flight
+
+    def tier(self, tier: int) -> TierQueue:
+        """Returns the queue of a tier."""
+        return self._tiers[tier]
+
+    def set_free_slots(self, free_slots: int) -> None:
+        """Notes how many slots the pool's upstreams can take now."""
+        self._free_slots = free_slots
+
+    def hear_pressure(self, tier: int, at_s: float) -> None:
+        """Notes that a peer was short of capacity for a tier."""
+        self._peer_pressed_s[tier] = max(self._peer_pressed_s[tier], at_s)
+
+    def note_pressure(self, tier: int, now_s: float) -> None:
+        """Notes that this host is short of capacity for a tier."""
+        self._pressed_s[tier] = now_s
+
+    def pressure_age_s(self, tier: int, now_s: float) -> float:
+        """Returns for how long a tier has not been short here."""
+        share = self._options.pressure_share
+        if self._tiers[tier].is_pressed(now_s, share):
+            self._pressed_s[tier] = now_s
+        return now_s - self._pressed_s[tier]
+
+    def predicted_wait_s(
+        self, request: RequestInfo, cost_s: float, by_s: float
+    ) -> float:
+        """Returns how long a request would wait if no lower tier existed.
+
+        Neither the floors of lower tiers nor the slots that they hold count:
+        a wait that is too long only because of them must not get a request of
+        a higher tier refused.
+
+        Args:
+            request: The request, not yet in the queue.
+            cost_s: Its expected service time.
+            by_s: When it must start.
+        """
+        if self._in_flight == 0:
+            return 0.0
+        ahead_s = self._tiers[request.tier].ahead_s(request, cost_s, by_s)
+        for tier in TIERS:
+            if tier < request.tier:
+                ahead_s += self._tiers[tier].backlog_s
+        return ahead_s / self._in_flight
+
+    def next_entry(self, now_s: float) -> Entry | None:
+        """Returns the request that the next free slot goes to."""
+        waiting = [t for t in TIERS if len(self._tiers[t])]
+        if not waiting:
+            return None
+        held_above = self._held_above(now_s)
+        for tier in waiting:
+            is_held = tier > min(waiting[0], held_above)
+            if is_held and self._credit[tier] >= FULL_CREDIT:
+                return self._tiers[tier].head(now_s)
+        if waiting[0] <= held_above:
+            return self._tiers[waiting[0]].head(now_s)
+        tier = min(waiting, key=self._due_s)
+        if self._due_s(tier) <= now_s:
+            return self._tiers[tier].head(now_s)
+        return None
+
+    def admit(self, entry: Entry, now_s: float) -> None:
+        """Gives a slot to a request that `next_entry` returned."""
+        admitted = entry.request.tier
+        waiting = [t for t in TIERS if len(self._tiers[t])]
+        top = min(waiting[0], self._held_above(now_s))
+        if admitted > top and self._credit[admitted] >= FULL_CREDIT:
+            self._credit[admitted] -= FULL_CREDIT
+        self._earn(admitted, entry.cost_s)
+        self._tiers[admitted].admit(entry)
+        self._admitted_s[admitted] = now_s
+        self._free_slots -= 1
+        self._in_flight += 1
+
+    def release(self) -> None:
+        """Notes that an admitted request holds its slot no more."""
+        self._in_flight -= 1
+
+    def next_due_s(self, now_s: float) -> float:
+        """Returns when time alone will let a request start on a free slot."""
+        waiting = [t for t in TIERS if len(self._tiers[t])]
+        if not waiting or self._free_slots <= 0:
+            return math.inf
+        if waiting[0] <= self._held_above(now_s):
+            return now_s
+        fresh_until_s = max(self._peer_pressed_s.values())
+        fresh_until_s += self._options.pressure_fresh_s
+        return min(fresh_until_s, *(self._due_s(tier) for tier in waiting))
+
+    def _held_above(self, now_s: float) -> int:
+        """Returns the tier below which peers' pressure holds tiers back."""
+        oldest_s = now_s - self._options.pressure_fresh_s
+        for tier in TIERS:
+            if self._peer_pressed_s[tier] > oldest_s:
+                return tier
+        return TIERS[-1]
+
+    def _due_s(self, tier: int) -> float:
+        """Returns when a tier that only peers hold back is due by time."""
+        options = self._options
+        interval_s = self._tiers[tier].mean_cost_s / FLOOR_DUTY
+        interval_s = max(interval_s, options.floor_interval_min_s)
+        interval_s = min(interval_s, options.floor_interval_max_s)
+        return self._admitted_s[tier] + interval_s
+
+    def _earn(self, admitted: int, cost_s: float) -> None:
+        """Credits the lower tiers that wait while another is admitted."""
+        for tier, full in FLOOR_CREDITS.items():
+            queue = self._tiers[tier]
+            if tier == admitted or not len(queue):
+                continue
+            ratio = cost_s / max(queue.mean_cost_s, 1e-9)
+            ratio = min(1.0, max(ratio, 1 / COST_RATIO_MAX))
+            earned = self._credit[tier] + int(full * ratio)
+            self._credit[tier] = min(FULL_CREDIT, earned)
--- a/packages/coordination/src/hollyknot_coordination/admission/_queue.py
+++ b/packages/coordination/src/hollyknot_coordination/admission/_queue.py
@@ -1,28 +1,42 @@
 """The admission queue of one host."""
 
+import itertools
 import math
 import random
-from collections import deque
 
+from hollyknot_coordination.admission._commands import (
+    AdmissionCommand,
+    Admit,
+    Refuse,
+)
+from hollyknot_coordination.admission._estimates import (
+    EstimateError,
+    ServiceEstimator,
+)
+from hollyknot_coordination.admission._fair import Entry
+from hollyknot_coordination.admission._options import AdmissionOptions
+from hollyknot_coordination.admission._pool import PoolQueue
+from hollyknot_coordination.admission._returns import ReturnCalendar
+from hollyknot_coordination.admission._room import Room
 from hollyknot_state import (
     TIERS,
     Outcome,
     Reason,
     RequestInfo,
+    TargetKind,
     TierPressure,
     Verdict,
 )
 
-from hollyknot_coordination.admission._commands import (
-    AdmissionCommand,
-    Admit,
-    Refuse,
-)
-from hollyknot_coordination.admission._options import AdmissionOptions
+_MS_PER_S = 1000
 
 
 class AdmissionQueue:
-    """Requests that wait for a slot, by pool and tier."""
+    """Requests that wait for a slot, and those that hold one.
+
+    The owner calls `offer` for each request, `on_capacity` after it and
+    whenever a slot frees, and then one of `on_finished` and `withdraw`.
+    """
 
     def __init__(self, options: AdmissionOptions, rng: random.Random) -> None:
         """Makes an empty queue.
@@ -33,48 +47,82 @@
         """
         self._options = options
         self._rng = rng
-        self._waiting: dict[str, RequestInfo] = {}
-        self._by_tier: dict[tuple[str, int], deque[str]] = {}
+        self._room = Room(options)
+        self._estimator = ServiceEstimator(options.estimate_keys)
+        self._pools: dict[str, PoolQueue] = {}
+        self._calendars: dict[tuple[str, int], ReturnCalendar] = {}
+        self._waiting: dict[str, Entry] = {}
+        self._in_flight: dict[str, Entry] = {}
+        self._now_s = 0.0
 
     @property
     def waiting(self) -> int:
         """Requests that wait."""
         return len(self._waiting)
 
+    @property
+    def estimate_error(self) -> EstimateError:
+        """The error of the service times that were expected."""
+        return self._estimator.measured_error
+
     def offer(
         self, request: RequestInfo, now_s: float
     ) -> tuple[AdmissionCommand, ...]:
-        """Takes a request in, or refuses it or a lower one at once."""
-        del now_s
-        if len(self._waiting) >= self._options.max_waiting:
-            after_s = self._options.retry_min_s * self._rng.uniform(1, 2)
-            verdict = Verdict(
-                Outcome.NOT_RUN, Reason.SHED, "too many wait", after_s
-            )
-            return (Refuse(request.request_id, verdict),)
-        self._waiting[request.request_id] = request
-        key = (request.pool, request.tier)
-        self._by_tier.setdefault(key, deque()).append(request.request_id)
-        return ()
+        """Takes a request in, or refuses it or a lower one at once.
+
+        Args:
+            request: A request whose id was not offered before.
+            now_s: The time.
+
+        Returns:
+            Refusals, if any; what may start, `on_capacity` tells.
+
+        Raises:
+            ValueError: The request's id waits or runs already.
+        """
+        self._now_s = now_s
+        self._check_new(request)
+        pool = self._pool(request.pool)
+        tier = pool.tier(request.tier)
+        tier.expire(now_s)
+        estimate = self._estimator.expect(request)
+        reserve_s = estimate.mean_s + estimate.error_s
+        latest_s = _latest_start_s(request, reserve_s)
+        wait_s = pool.predicted_wait_s(request, estimate.mean_s, latest_s)
+        if wait_s > 0 and now_s + wait_s > latest_s:
+            return (self._refuse_unreachable(request, wait_s, now_s),)
+        flow = tier.flow(request.customer)
+        entry = Entry(request, flow, estimate.mean_s, latest_s)
+        self._waiting[request.request_id] = entry
+        tier.push(entry)
+        self._room.add(entry)
+        return self._make_room(now_s)
 
     def on_capacity(
         self, pool: str, free_slots: int, now_s: float
     ) -> tuple[AdmissionCommand, ...]:
-        """Admits what may start on a pool's free slots."""
-        del now_s
-        admitted: list[AdmissionCommand] = []
-        for tier in TIERS:
-            queue = self._by_tier.get((pool, tier), deque())
-            while queue and len(admitted) < free_slots:
-                request_id = queue.popleft()
-                if self._waiting.pop(request_id, None) is not None:
-                    admitted.append(Admit(request_id))
-        return tuple(admitted)
+        """Admits what may start on a pool's free slots.
+
+        Args:
+            pool: The pool.
+            free_slots: What its upstreams can take now, all told.
+            now_s: The time.
+        """
+        self._now_s = now_s
+        queue = self._pool(pool)
+        queue.set_free_slots(free_slots)
+        return self._admit_some(queue, now_s)
 
     def withdraw(self, request_id: str, now_s: float) -> None:
         """Forgets a request, waiting or admitted, that needs no answer."""
-        del now_s
-        self._waiting.pop(request_id, None)
+        self._now_s = now_s
+        entry = self._waiting.get(request_id)
+        if entry is not None:
+            self._remove(entry)
+            return
+        entry = self._in_flight.pop(request_id, None)
+        if entry is not None:
+            self._pool(entry.request.pool).release()
 
     def on_finished(
         self,
@@ -83,23 +131,155 @@
         output_tokens: int,
         now_s: float,
     ) -> None:
-        """Learns from an admitted request that has ended."""
+        """Learns from an admitted request that has ended.
+
+        Args:
+            request_id: The request; an unknown one is ignored, as its caller
+                may have gone just before.
+            service_time_s: Seconds that it held its slot.
+            output_tokens: Tokens of its answer.
+            now_s: The time.
+        """
+        # A slot's time is what others wait for, and it holds the tokens' time
+        # already; their number would count it twice.
+        del output_tokens
+        self._now_s = now_s
+        entry = self._in_flight.pop(request_id, None)
+        if entry is None:
+            return
+        self._pool(entry.request.pool).release()
+        entry.flow.debt_s += service_time_s - entry.cost_s
+        self._estimator.observe(entry.request, service_time_s, entry.cost_s)
 
     def on_peer_pressure(
         self, pressures: tuple[TierPressure, ...], now_s: float
     ) -> None:
-        """Takes peers' pressure in."""
+        """Takes in where other hosts of the data centre are short."""
+        self._now_s = now_s
+        for pressure in pressures:
+            at_s = now_s - pressure.age_ms / _MS_PER_S
+            self._pool(pressure.pool).hear_pressure(pressure.tier, at_s)
 
     def local_pressure(self, now_s: float) -> tuple[TierPressure, ...]:
-        """Returns the tiers that are short of capacity here."""
-        del now_s
-        return ()
+        """Returns where this host is or was just now short of capacity."""
+        self._now_s = now_s
+        pressed: list[TierPressure] = []
+        for name, tier in itertools.product(self._pools, TIERS):
+            age_s = self._pools[name].pressure_age_s(tier, now_s)
+            if age_s < self._options.pressure_fresh_s:
+                age_ms = int(age_s * _MS_PER_S)
+                pressed.append(TierPressure(name, tier, age_ms))
+        return tuple(pressed)
 
     def tick(self, now_s: float) -> tuple[AdmissionCommand, ...]:
-        """Admits what has become due by time."""
-        del now_s
-        return ()
+        """Admits what has become due by time, on slots offered earlier."""
+        self._now_s = now_s
+        admitted: list[AdmissionCommand] = []
+        for pool in self._pools.values():
+            admitted.extend(self._admit_some(pool, now_s))
+        return tuple(admitted)
 
     def next_deadline(self) -> float:
         """Returns when `tick` has something to do; infinity for never."""
+        pools = self._pools.values()
+        due_s = (pool.next_due_s(self._now_s) for pool in pools)
+        return min(due_s, default=math.inf)
+
+    def _check_new(self, request: RequestInfo) -> None:
+        request_id = request.request_id
+        if request_id in self._waiting or request_id in self._in_flight:
+            raise ValueError(
+                f"request {request_id} was offered before and has not ended:"
+                " withdraw it first, or give the new one an id of its own"
+            )
+
+    def _pool(self, name: str) -> PoolQueue:
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = PoolQueue(self._options, self._room.set_late)
+            self._pools[name] = pool
+        return pool
+
+    def _admit_some(
+        self, pool: PoolQueue, now_s: float
+    ) -> tuple[AdmissionCommand, ...]:
+        admitted: list[AdmissionCommand] = []
+        while pool.free_slots > 0:
+            entry = pool.next_entry(now_s)
+            if entry is None:
+                break
+            request_id = entry.request.request_id
+            pool.admit(entry, now_s)
+            self._room.remove(entry)
+            del self._waiting[request_id]
+            self._in_flight[request_id] = entry
+            admitted.append(Admit(request_id))
+        return tuple(admitted)
+
+    def _make_room(self, now_s: float) -> tuple[AdmissionCommand, ...]:
+        refused: list[AdmissionCommand] = []
+        while self._room.is_over:
+            entry = self._room.victim()
+            self._remove(entry)
+            refused.append(self._refuse_shed(entry, now_s))
+        return tuple(refused)
+
+    def _remove(self, entry: Entry) -> None:
+        request = entry.request
+        self._pool(request.pool).tier(request.tier).remove(entry)
+        self._room.remove(entry)
+        del self._waiting[request.request_id]
+
+    def _refuse_unreachable(
+        self, request: RequestInfo, wait_s: float, now_s: float
+    ) -> Refuse:
+        detail = (
+            f"the wait would be {wait_s:.1f} s, longer than the target of"
+            f" class {request.request_class} allows"
+        )
+        reason = Reason.TARGET_UNREACHABLE
+        return self._refuse(request, reason, detail, wait_s, now_s)
+
+    def _refuse_shed(self, entry: Entry, now_s: float) -> Refuse:
+        request = entry.request
+        pool = self._pool(request.pool)
+        wait_s = pool.predicted_wait_s(request, entry.cost_s, math.inf)
+        detail = f"too many requests of tier {request.tier} or above wait"
+        return self._refuse(request, Reason.SHED, detail, wait_s, now_s)
+
+    def _refuse(
+        self,
+        request: RequestInfo,
+        reason: Reason,
+        detail: str,
+        wait_s: float,
+        now_s: float,
+    ) -> Refuse:
+        pool = self._pool(request.pool)
+        pool.note_pressure(request.tier, now_s)
+        key = (request.pool, request.tier)
+        calendar = self._calendars.get(key)
+        if calendar is None:
+            calendar = ReturnCalendar(self._options, self._rng)
+            self._calendars[key] = calendar
+        cost_s = self._estimator.expect(request).mean_s
+        step_s = cost_s / max(1, pool.in_flight)
+        after_s = calendar.retry_after_s(wait_s, step_s, now_s)
+        verdict = Verdict(Outcome.NOT_RUN, reason, detail, after_s)
+        return Refuse(request.request_id, verdict)
+
+
+def _latest_start_s(request: RequestInfo, reserve_s: float) -> float:
+    """Returns when a request must start at the latest to meet its target.
+
+    A whole answer needs its own service time out of the budget too. At most
+    half of the budget is set aside for that: were it all, a class whose answers
+    once ran long would be late on arrival, never start in time again, and the
+    estimate that causes it would never be corrected.
+    """
+    if request.budget_s <= 0:
         return math.inf
+    deadline_s = request.arrived_s + request.budget_s
+    if request.target_kind is not TargetKind.WHOLE_ANSWER:
+        return deadline_s
+    return deadline_s - min(reserve_s, request.budget_s / 2)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/admission/_tier.py
@@ -0,0 +1,190 @@
+"""The requests of one tier of one pool.
+
+Classes are ordered by the latest time at which the request whose turn it is
+can start and meet its target. Requests that have missed that time wait apart:
+they go after those that can still meet theirs, but for a fixed share.
+"""
+
+from collections.abc import Callable
+
+from hollyknot_coordination.admission._fair import (
+    Entry,
+    FairQueue,
+    Flow,
+    VirtualClock,
+)
+from hollyknot_coordination.admission._options import FULL_CREDIT, LATE_CREDIT
+from hollyknot_state import RequestInfo
+
+_SWEEP_MIN = 1024
+"""Flows that are kept before idle ones are looked for."""
+
+
+class TierQueue:
+    """Waiting requests of one tier of one pool."""
+
+    def __init__(self, on_late: Callable[[Entry], None]) -> None:
+        """Makes an empty queue.
+
+        Args:
+            on_late: Called with each request found to have missed its target.
+        """
+        self._on_late = on_late
+        self._clock = VirtualClock()
+        self._classes: dict[str, FairQueue] = {}
+        self._late = FairQueue(self._clock)
+        self._late_credit = 0
+        self._flows: dict[str, Flow] = {}
+        self._sweep_at = _SWEEP_MIN
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    @property
+    def backlog_s(self) -> float:
+        """The expected service time of all that waits."""
+        on_time_s = sum(q.backlog_s for q in self._classes.values())
+        return on_time_s + self._late.backlog_s
+
+    @property
+    def mean_cost_s(self) -> float:
+        """The mean expected service time of what waits."""
+        return self.backlog_s / max(1, self._count)
+
+    def flow(self, customer: str) -> Flow:
+        """Returns a customer's flow, a new one if it has none."""
+        flow = self._flows.get(customer)
+        if flow is None:
+            self._sweep()
+            flow = Flow(customer)
+            self._flows[customer] = flow
+        return flow
+
+    def push(self, entry: Entry) -> None:
+        """Takes a request in."""
+        name = entry.request.request_class
+        queue = self._classes.get(name)
+        if queue is None:
+            queue = FairQueue(self._clock)
+            self._classes[name] = queue
+        queue.push(entry)
+        entry.flow.entries[entry.request.request_id] = entry
+        entry.flow.input_size += entry.request.input_size
+        self._count += 1
+
+    def remove(self, entry: Entry) -> None:
+        """Takes a request out without admitting it."""
+        self._queue_of(entry).remove(entry)
+        del entry.flow.entries[entry.request.request_id]
+        entry.flow.input_size -= entry.request.input_size
+        self._count -= 1
+        if self._count == 0:
+            self._clock.become_idle()
+
+    def admit(self, entry: Entry) -> None:
+        """Takes a request out and counts it as its customer's turn."""
+        if not len(self._late):
+            self._late_credit = 0
+        elif entry.is_late:
+            self._late_credit = max(0, self._late_credit - FULL_CREDIT)
+        else:
+            earned = self._late_credit + LATE_CREDIT
+            self._late_credit = min(FULL_CREDIT, earned)
+        self._clock.charge(entry)
+        self.remove(entry)
+
+    def head(self, now_s: float) -> Entry | None:
+        """Returns the request whose turn it is."""
+        self.expire(now_s)
+        on_time = self._on_time_head()
+        while on_time is not None and on_time.latest_start_s < now_s:
+            # A class whose budget was shortened holds requests that are late
+            # behind older ones that are not; `expire` stops at the older.
+            self._set_late(self._queue_of(on_time), on_time)
+            on_time = self._on_time_head()
+        if on_time is not None and self._late_credit < FULL_CREDIT:
+            return on_time
+        return self._late.head() or on_time
+
+    def expire(self, now_s: float) -> None:
+        """Sets apart the requests that can't meet their target any more."""
+        for queue in self._classes.values():
+            oldest = queue.oldest
+            while oldest is not None and oldest.latest_start_s < now_s:
+                self._set_late(queue, oldest)
+                oldest = queue.oldest
+
+    def ahead_s(
+        self, request: RequestInfo, cost_s: float, by_s: float
+    ) -> float:
+        """Returns the service time that goes before a new request.
+
+        Args:
+            request: The request, not yet in the queue.
+            cost_s: Its expected service time.
+            by_s: When it must start; classes that must start later than that
+                don't go before it.
+        """
+        total_s = 0.0
+        for name, queue in self._classes.items():
+            head = queue.head()
+            if head is None:
+                continue
+            if name == request.request_class or head.latest_start_s <= by_s:
+                total_s += queue.ahead_s(request.customer, cost_s)
+        if len(self._late):
+            total_s *= FULL_CREDIT / (FULL_CREDIT - LATE_CREDIT)
+        return total_s
+
+    def is_pressed(self, now_s: float, share: float) -> bool:
+        """Tells whether a request has waited a share of its budget."""
+        if len(self._late):
+            return True
+        for queue in self._classes.values():
+            oldest = queue.oldest
+            if oldest is None or oldest.request.budget_s <= 0:
+                continue
+            waited_s = now_s - oldest.request.arrived_s
+            if waited_s >= share * oldest.request.budget_s:
+                return True
+        return False
+
+    def _queue_of(self, entry: Entry) -> FairQueue:
+        if entry.is_late:
+            return self._late
+        return self._classes[entry.request.request_class]
+
+    def _on_time_head(self) -> Entry | None:
+        best: Entry | None = None
+        for queue in self._classes.values():
+            head = queue.head()
+            if head is None:
+                continue
+            if best is None or head.latest_start_s < best.latest_start_s:
+                best = head
+        return best
+
+    def _set_late(self, queue: FairQueue, entry: Entry) -> None:
+        queue.remove(entry)
+        entry.is_late = True
+        self._late.push(entry)
+        self._on_late(entry)
+
+    def _sweep(self) -> None:
+        """Drops idle flows whose tag has passed.
+
+        Without this a host would keep a flow for each customer it ever saw, in
+        each pool and tier; one would notice memory that grows for days. The
+        next sweep waits until the flows have doubled, so that its cost for
+        each new flow stays constant.
+        """
+        if len(self._flows) < self._sweep_at:
+            return
+        now = self._clock.now
+        self._flows = {
+            c: f
+            for c, f in self._flows.items()
+            if f.entries or f.finish_tag > now
+        }
+        self._sweep_at = max(_SWEEP_MIN, 2 * len(self._flows))
--- a/packages/state/src/hollyknot_state/_request.py
+++ b/packages/state/src/hollyknot_state/_request.py
@@ -38,6 +38,8 @@
             by which a request that crashes upstreams is recognised.
         prefix: A hash of the prompt's head, for prefix locality; 0 if none.
         input_size: Bytes of the request's body.
+        target_kind: What the budget is spent on: for a whole answer the time
+            that the answer takes counts too.
     """
 
     request_id: str
@@ -51,3 +53,4 @@
     fingerprint: int = 0
     prefix: int = 0
     input_size: int = 0
+    target_kind: TargetKind = TargetKind.FIRST_TOKEN
