Link hosts by framed, authenticated thrift messages

Cause: hosts have to call one another and to tell each other soft signals. Change: LinkServer and LinkPool. A link is dialled on demand, proves both ends by HMAC-SHA256 over both first frames, and carries calls, replies and one-way messages through a bounded queue. A call's error says whether the message may have arrived. A silent link is pinged, then closed and dialled anew. Ruled out: a proof by the accepter first, which saves a round trip but leaves a rejected dialler in doubt whether its first call was served; pings on idle links, which would cost more than control traffic may in a large fleet.

--- a/packages/protocol/idl/peer.thrift
+++ b/packages/protocol/idl/peer.thrift
@@ -36,6 +36,6 @@
 }
 
 // The answer to a call that was not served, or not to its end.
-struct Refusal {
+struct CallRefusal {
   1: string reason
 }
--- a/packages/protocol/src/hollyknot_protocol/__init__.py
+++ b/packages/protocol/src/hollyknot_protocol/__init__.py
@@ -35,8 +35,8 @@
     Ping,
     Pong,
     Proof,
-    Refusal,
-    RefusalReason,
+    CallRefusal,
+    CallRefusalReason,
 )
 
 __all__ = [
@@ -54,8 +54,8 @@
     "Ping",
     "Pong",
     "Proof",
-    "Refusal",
-    "RefusalReason",
+    "CallRefusal",
+    "CallRefusalReason",
     "Side",
     "UnencodableMessageError",
     "Unknown",
--- a/packages/protocol/src/hollyknot_protocol/_kinds.py
+++ b/packages/protocol/src/hollyknot_protocol/_kinds.py
@@ -46,6 +46,6 @@
 KINDS = (
     Kind(1, _peer.Ping, peer.Ping),
     Kind(2, _peer.Pong, peer.Pong),
-    Kind(3, _peer.Refusal, peer.Refusal),
+    Kind(3, _peer.CallRefusal, peer.CallRefusal),
 )
 """What travels in an envelope."""
--- a/packages/protocol/src/hollyknot_protocol/_peer.py
+++ b/packages/protocol/src/hollyknot_protocol/_peer.py
@@ -88,7 +88,7 @@
     """The answer to a `Ping`."""
 
 
-class RefusalReason(enum.Enum):
+class CallRefusalReason(enum.Enum):
     """Why a call was not served."""
 
     UNKNOWN_KIND = "unknown-kind"
@@ -105,11 +105,11 @@
 
 
 @attrs.frozen
-class Refusal:
+class CallRefusal:
     """The answer to a call that was not served, or not to its end.
 
     Attributes:
         reason: Why.
     """
 
-    reason: RefusalReason
+    reason: CallRefusalReason
--- a/packages/protocol/src/hollyknot_protocol/gen/peer/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/peer/ttypes.py
@@ -404,7 +404,7 @@
         return not (self == other)
 
 
-class Refusal(object):
+class CallRefusal(object):
     """
     Attributes:
      - reason
@@ -442,7 +442,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Refusal')
+        oprot.writeStructBegin('CallRefusal')
         if self.reason is not None:
             oprot.writeFieldBegin('reason', TType.STRING, 1)
             oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
@@ -498,8 +498,8 @@
 all_structs.append(Pong)
 Pong.thrift_spec = (
 )
-all_structs.append(Refusal)
-Refusal.thrift_spec = (
+all_structs.append(CallRefusal)
+CallRefusal.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'reason', 'UTF8', None, ),  # 1
 )
--- a/packages/transport/src/hollyknot_transport/__init__.py
+++ b/packages/transport/src/hollyknot_transport/__init__.py
@@ -1,1 +1,85 @@
 """Servers, clients, links between hosts, platform watches, traces, metrics."""
+
+from hollyknot_transport._answers import Refusal, bad_request
+from hollyknot_transport._caller_response import CallerResponse
+from hollyknot_transport._caller_server import CallerServer, start_server
+from hollyknot_transport._calls import (
+    MODEL_PATHS,
+    SERVICE_PREFIX,
+    CallerCall,
+    new_request_id,
+    read_call,
+)
+from hollyknot_transport._exchange import (
+    Exchanges,
+    Result,
+    Sink,
+    UpstreamAnswer,
+    UpstreamRequest,
+)
+from hollyknot_transport._links import (
+    Handler,
+    LinkCredentials,
+    LinkError,
+    LinkErrorReason,
+    LinkLimits,
+    NoReply,
+    PeerIdentity,
+    make_link_credentials,
+)
+from hollyknot_transport._links_counters import KindTraffic, LinkCounters
+from hollyknot_transport._links_pool import LinkPool
+from hollyknot_transport._links_server import LinkServer
+from hollyknot_transport._logging import configure_logging, get_logger
+from hollyknot_transport._metrics import Metrics, Waste
+from hollyknot_transport._operators import Readiness, operators_server
+from hollyknot_transport._platform import (
+    DocumentName,
+    PlatformDocument,
+    PlatformFailure,
+    watch,
+)
+from hollyknot_transport._stall_guard import StallGuard
+from hollyknot_transport._tracing import Tracing
+
+__all__ = [
+    "MODEL_PATHS",
+    "SERVICE_PREFIX",
+    "CallerCall",
+    "CallerResponse",
+    "CallerServer",
+    "DocumentName",
+    "Exchanges",
+    "Handler",
+    "KindTraffic",
+    "LinkCounters",
+    "LinkCredentials",
+    "LinkError",
+    "LinkErrorReason",
+    "LinkLimits",
+    "LinkPool",
+    "LinkServer",
+    "Metrics",
+    "NoReply",
+    "PeerIdentity",
+    "PlatformDocument",
+    "PlatformFailure",
+    "Readiness",
+    "Refusal",
+    "Result",
+    "Sink",
+    "StallGuard",
+    "Tracing",
+    "UpstreamAnswer",
+    "UpstreamRequest",
+    "Waste",
+    "bad_request",
+    "configure_logging",
+    "get_logger",
+    "make_link_credentials",
+    "new_request_id",
+    "operators_server",
+    "read_call",
+    "start_server",
+    "watch",
+]
--- /dev/null
+++ b/packages/transport/src/hollyknot_transport/_links_handshake.py
@@ -0,0 +1,144 @@
+"""The handshake of a link: both sides prove that they know a shared key."""
+
+import secrets
+
+import attrs
+
+from hollyknot_protocol import (
+    HEADER_BYTES,
+    LINK_VERSION,
+    NONCE_BYTES,
+    Hello,
+    Proof,
+    Side,
+    decode_as,
+    encode,
+    is_proved,
+    make_mac,
+    pack_frame,
+)
+from hollyknot_transport._links import LinkCredentials, PeerIdentity
+from hollyknot_transport._links_counters import LinkCounters
+from hollyknot_transport._links_stream import FrameStream
+
+
+class NotProvedError(Exception):
+    """The peer knows none of this host's keys."""
+
+
+@attrs.frozen
+class _Hellos:
+    """Both first frames as they were sent."""
+
+    dialler: bytes
+    accepter: bytes
+
+
+async def shake_as_dialler(
+    stream: FrameStream, credentials: LinkCredentials, counters: LinkCounters
+) -> PeerIdentity:
+    """Proves this host to the accepting side, then checks that side.
+
+    Returns:
+        Who accepted. The accepter has by then accepted this host.
+
+    Raises:
+        NotProvedError: The accepter knows none of the keys.
+        StreamEndedError: The connection ended, as it does when the accepter
+            does not know this host's key.
+        FrameError: The accepter sent no handshake.
+        MalformedMessageError: Likewise.
+    """
+    mine = _make_hello(credentials)
+    await _send(stream, counters, "Hello", mine)
+    theirs = await _receive(stream, counters, "Hello")
+    identity = _read_hello(theirs, stream.ip)
+    hellos = _Hellos(dialler=mine, accepter=theirs)
+    await _send_proof(stream, credentials, counters, Side.DIALLER, hellos)
+    await _check_proof(stream, credentials, counters, Side.ACCEPTER, hellos)
+    return identity
+
+
+async def shake_as_accepter(
+    stream: FrameStream, credentials: LinkCredentials, counters: LinkCounters
+) -> PeerIdentity:
+    """Checks the dialling side, then proves this host to it.
+
+    The dialler proves first: its receipt of this side's proof tells it that it
+    was accepted, so a rejected dialler never takes a message for sent.
+
+    Returns:
+        Who dialled.
+
+    Raises:
+        NotProvedError: The dialler knows none of the keys.
+        StreamEndedError: The connection ended.
+        FrameError: The dialler sent no handshake.
+        MalformedMessageError: Likewise.
+    """
+    theirs = await _receive(stream, counters, "Hello")
+    identity = _read_hello(theirs, stream.ip)
+    mine = _make_hello(credentials)
+    await _send(stream, counters, "Hello", mine)
+    hellos = _Hellos(dialler=theirs, accepter=mine)
+    await _check_proof(stream, credentials, counters, Side.DIALLER, hellos)
+    await _send_proof(stream, credentials, counters, Side.ACCEPTER, hellos)
+    return identity
+
+
+def _make_hello(credentials: LinkCredentials) -> bytes:
+    # A nonce that repeats would let an old proof be sent again, hence the
+    # operating system's generator and not the injected one.
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    return encode(
+        Hello(LINK_VERSION, credentials.host, credentials.data_centre, nonce)
+    )
+
+
+def _read_hello(body: bytes, ip: str) -> PeerIdentity:
+    hello = decode_as(Hello, body)
+    return PeerIdentity(hello.host, hello.data_centre, ip)
+
+
+async def _send_proof(
+    stream: FrameStream,
+    credentials: LinkCredentials,
+    counters: LinkCounters,
+    side: Side,
+    hellos: _Hellos,
+) -> None:
+    mac = make_mac(credentials.keys[0], side, hellos.dialler, hellos.accepter)
+    await _send(stream, counters, "Proof", encode(Proof(mac)))
+
+
+async def _check_proof(
+    stream: FrameStream,
+    credentials: LinkCredentials,
+    counters: LinkCounters,
+    side: Side,
+    hellos: _Hellos,
+) -> None:
+    proof = decode_as(Proof, await _receive(stream, counters, "Proof"))
+    if not is_proved(
+        credentials.keys, proof.mac, side, hellos.dialler, hellos.accepter
+    ):
+        raise NotProvedError(
+            "the peer's proof was made with none of this host's link_keys;"
+            " give both hosts a common key"
+        )
+
+
+async def _send(
+    stream: FrameStream, counters: LinkCounters, kind: str, body: bytes
+) -> None:
+    frame = pack_frame(body)
+    counters.count_sent(kind, len(frame))
+    await stream.write(frame)
+
+
+async def _receive(
+    stream: FrameStream, counters: LinkCounters, kind: str
+) -> bytes:
+    body = await stream.read_frame()
+    counters.count_received(kind, HEADER_BYTES + len(body))
+    return body
--- /dev/null
+++ b/packages/transport/src/hollyknot_transport/_links_link.py
@@ -0,0 +1,292 @@
+"""One link between two hosts, after its handshake."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import structlog
+
+from hollyknot_protocol import (
+    HEADER_BYTES,
+    Envelope,
+    FrameError,
+    MalformedMessageError,
+    Ping,
+    Pong,
+    CallRefusal,
+    CallRefusalReason,
+    Unknown,
+    decode,
+    decode_as,
+    kind_name,
+)
+from hollyknot_transport._links import (
+    Handler,
+    LinkError,
+    LinkErrorReason,
+    LinkLimits,
+    NoReply,
+    PeerIdentity,
+)
+from hollyknot_transport._links_counters import LinkCounters
+from hollyknot_transport._links_liveness import Liveness, LivenessAction
+from hollyknot_transport._links_outbox import Outbox, Outgoing
+from hollyknot_transport._links_packing import pack, read_reply
+from hollyknot_transport._links_stream import FrameStream, StreamEndedError
+
+_log = structlog.get_logger()
+
+Clock = Callable[[], float]
+"""Gives monotonic seconds."""
+
+
+@attrs.frozen
+class LinkParts:
+    """What all links of a server or a pool share.
+
+    Attributes:
+        limits: Bounds.
+        counters: Where traffic is counted.
+        clock: Monotonic seconds.
+        handler: Serves the peer's messages; None if this side serves none.
+        idle_s: Seconds without use after which this side closes a link.
+    """
+
+    limits: LinkLimits
+    counters: LinkCounters
+    clock: Clock
+    handler: Handler | None
+    idle_s: float
+
+
+@attrs.frozen
+class _Waiter:
+    """A call that waits for its reply."""
+
+    item: Outgoing
+    reply: "asyncio.Future[Any]"
+
+
+class Link:
+    """Calls, replies and one-way messages over one connection.
+
+    `run` owns the connection; everything else leaves messages for it.
+    """
+
+    def __init__(
+        self, stream: FrameStream, peer: PeerIdentity, parts: LinkParts
+    ) -> None:
+        self._stream = stream
+        self._peer = peer
+        self._parts = parts
+        limits = parts.limits
+        self._outbox = Outbox(limits.queue_messages, limits.queue_bytes)
+        self._liveness = Liveness(limits, parts.idle_s, parts.clock())
+        self._waiters: dict[int, _Waiter] = {}
+        self._last_call_id = 0
+        self._handling: set[asyncio.Task[None]] = set()
+        self._is_retired = False
+        self._end: LinkErrorReason | None = None
+
+    @property
+    def peer(self) -> PeerIdentity:
+        """Who is at the other end."""
+        return self._peer
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether new messages may be sent on it."""
+        return self._end is None and not self._is_retired
+
+    async def run(self) -> None:
+        """Carries messages until the link ends; then resolves all waiters."""
+        tasks = {
+            asyncio.ensure_future(self._read()),
+            asyncio.ensure_future(self._write()),
+        }
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self.abort(LinkErrorReason.LOST)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        await self._end_handlers()
+
+    def abort(self, reason: LinkErrorReason, detail: str = "") -> None:
+        """Ends the link at once; calls without reply get the reason."""
+        if self._end is not None:
+            return
+        self._end = reason
+        self._stream.abort()
+        for waiter in self._waiters.values():
+            if not waiter.reply.done():
+                error = LinkError(reason, waiter.item.is_written, detail)
+                waiter.reply.set_result(error)
+
+    async def call(
+        self, message: Any, timeout_s: float, traceparent: str
+    ) -> Any | LinkError:
+        """Sends a message and waits for its reply.
+
+        Returns:
+            The reply, or why there is none.
+
+        Raises:
+            UnencodableMessageError: The message cannot be sent.
+        """
+        self._last_call_id += 1
+        call_id = self._last_call_id
+        item = pack(message, traceparent, call_id=call_id)
+        if self._end is not None:
+            return LinkError(self._end, may_have_arrived=False)
+        if not self._put(item):
+            return LinkError(LinkErrorReason.QUEUE_FULL, may_have_arrived=False)
+        reply = asyncio.get_running_loop().create_future()
+        self._waiters[call_id] = _Waiter(item, reply)
+        sent_s = self._parts.clock()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await reply
+        except TimeoutError:
+            return self._on_timeout(item, sent_s)
+        finally:
+            item.is_withdrawn = True
+            del self._waiters[call_id]
+            self._close_if_done()
+
+    def post(self, item: Outgoing) -> bool:
+        """Sends a frame; False if the queue is full or the link has ended."""
+        if not self._put(item):
+            return False
+        self._liveness.on_message_sent(self._parts.clock())
+        return True
+
+    def check(self, now_s: float) -> None:
+        """Pings, or ends, a link that has been silent or idle for long."""
+        action = self._liveness.check(now_s, is_reply_due=bool(self._waiters))
+        if action is LivenessAction.PING:
+            self._put(pack(Ping(), ""))
+        elif action is LivenessAction.LOST:
+            self._parts.counters.stalled += 1
+            _log.warning("link_stalled", ip=self._peer.ip, host=self._peer.host)
+            self.abort(LinkErrorReason.LOST, "silent, also after a ping")
+        elif action is LivenessAction.IDLE and not self._handling:
+            self.abort(LinkErrorReason.LOST, "idle")
+
+    def _on_timeout(self, item: Outgoing, sent_s: float) -> LinkError:
+        if item.is_written and self._liveness.heard_s < sent_s:
+            # Not a byte came since the call. If the connection has gone
+            # silent for good, the next call on it would be lost as well: it
+            # gets a new connection, while calls that still wait keep this.
+            self._is_retired = True
+        return LinkError(LinkErrorReason.TIMEOUT, item.is_written)
+
+    def _close_if_done(self) -> None:
+        if self._is_retired and not self._waiters:
+            self.abort(LinkErrorReason.LOST, "retired after a timeout")
+
+    def _put(self, item: Outgoing) -> bool:
+        return self._end is None and self._outbox.put(item)
+
+    async def _end_handlers(self) -> None:
+        # What a peer asked for is done to its end, also when its link is
+        # lost: a handler stopped between two steps could leave a half of
+        # them done. Only the end of the whole server stops them.
+        handling = tuple(self._handling)
+        try:
+            await asyncio.gather(*handling, return_exceptions=True)
+        except asyncio.CancelledError:
+            for task in handling:
+                task.cancel()
+            raise
+
+    async def _write(self) -> None:
+        counters = self._parts.counters
+        while True:
+            batch = await self._outbox.take()
+            for item in batch:
+                counters.count_sent(item.kind, len(item.frame))
+            try:
+                await self._stream.write(b"".join(i.frame for i in batch))
+            except StreamEndedError:
+                return
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                bodies = await self._stream.read_frames()
+                self._liveness.on_bytes(self._parts.clock())
+                for body in bodies:
+                    self._on_frame(body)
+        except StreamEndedError as error:
+            self.abort(LinkErrorReason.LOST, str(error))
+        except (FrameError, MalformedMessageError) as error:
+            _log.warning(
+                "link_rubbish",
+                ip=self._peer.ip,
+                host=self._peer.host,
+                error=str(error),
+            )
+            self.abort(LinkErrorReason.LOST, "the peer sent rubbish")
+
+    def _on_frame(self, body: bytes) -> None:
+        envelope = decode_as(Envelope, body)
+        message = decode(envelope.kind, envelope.body)
+        self._parts.counters.count_received(
+            kind_name(envelope.kind), HEADER_BYTES + len(body)
+        )
+        if envelope.reply_to:
+            self._on_reply(envelope.reply_to, message)
+        elif isinstance(message, Ping):
+            self._reply(pack(Pong(), ""))
+        elif not isinstance(message, Pong):
+            self._on_message(envelope, message)
+
+    def _on_reply(self, call_id: int, message: Any) -> None:
+        self._liveness.on_use(self._parts.clock())
+        waiter = self._waiters.get(call_id)
+        # A reply may come after its call timed out.
+        if waiter is not None and not waiter.reply.done():
+            waiter.reply.set_result(read_reply(message))
+
+    def _on_message(self, envelope: Envelope, message: Any) -> None:
+        self._liveness.on_use(self._parts.clock())
+        refusal = self._refusal_of(message)
+        if refusal is None:
+            task = asyncio.ensure_future(self._handle(envelope, message))
+            self._handling.add(task)
+            task.add_done_callback(self._handling.discard)
+        elif envelope.call_id:
+            self._refuse(envelope.call_id, refusal)
+
+    def _refusal_of(self, message: Any) -> CallRefusalReason | None:
+        if isinstance(message, Unknown):
+            return CallRefusalReason.UNKNOWN_KIND
+        if self._parts.handler is None:
+            return CallRefusalReason.NOT_SERVED
+        if len(self._handling) >= self._parts.limits.max_running:
+            return CallRefusalReason.OVERLOADED
+        return None
+
+    async def _handle(self, envelope: Envelope, message: Any) -> None:
+        handler = self._parts.handler
+        assert handler is not None
+        try:
+            reply = await handler(self._peer, message, envelope.traceparent)
+            if envelope.call_id and reply is not NoReply.NO_REPLY:
+                self._reply(pack(reply, "", reply_to=envelope.call_id))
+        except Exception:
+            # A handler's fault would otherwise end the task unseen and leave
+            # the caller to its timeout.
+            _log.exception("link_handler_failed", host=self._peer.host)
+            if envelope.call_id:
+                self._refuse(envelope.call_id, CallRefusalReason.FAILED)
+
+    def _refuse(self, call_id: int, reason: CallRefusalReason) -> None:
+        self._reply(pack(CallRefusal(reason), "", reply_to=call_id))
+
+    def _reply(self, item: Outgoing) -> None:
+        if not self._put(item):
+            self._parts.counters.dropped += 1
--- /dev/null
+++ b/packages/transport/src/hollyknot_transport/_links_outbox.py
@@ -0,0 +1,70 @@
+"""The bounded queue of frames that wait for a link's writer."""
+
+import asyncio
+import collections
+
+import attrs
+
+_BATCH_BYTES = 65_536
+
+
+@attrs.define(eq=False)
+class Outgoing:
+    """One frame on its way out.
+
+    Attributes:
+        kind: The message's name, for the counters.
+        frame: Its bytes.
+        is_written: Whether any byte may have left; set by the writer before
+            it hands the frame to the kernel.
+        is_withdrawn: Whether the sender gave up; the writer skips it.
+    """
+
+    kind: str
+    frame: bytes
+    is_written: bool = False
+    is_withdrawn: bool = False
+
+
+class Outbox:
+    """Frames for one writer task, in order."""
+
+    def __init__(self, max_messages: int, max_bytes: int) -> None:
+        self._max_messages = max_messages
+        self._max_bytes = max_bytes
+        self._items: collections.deque[Outgoing] = collections.deque()
+        self._bytes = 0
+        self._filled = asyncio.Event()
+
+    def put(self, item: Outgoing) -> bool:
+        """Adds a frame; False if there is no room."""
+        size = self._bytes + len(item.frame)
+        if len(self._items) >= self._max_messages or size > self._max_bytes:
+            return False
+        self._items.append(item)
+        self._bytes = size
+        self._filled.set()
+        return True
+
+    async def take(self) -> list[Outgoing]:
+        """Returns the next frames, one at least; marks them as written."""
+        while True:
+            await self._filled.wait()
+            batch = self._take_batch()
+            if batch:
+                return batch
+
+    def _take_batch(self) -> list[Outgoing]:
+        batch: list[Outgoing] = []
+        size = 0
+        while self._items and size < _BATCH_BYTES:
+            item = self._items.popleft()
+            self._bytes -= len(item.frame)
+            if item.is_withdrawn:
+                continue
+            item.is_written = True
+            size += len(item.frame)
+            batch.append(item)
+        if not self._items:
+            self._filled.clear()
+        return batch
--- /dev/null
+++ b/packages/transport/src/hollyknot_transport/_links_pool.py
@@ -0,0 +1,359 @@
+"""Dials links to other hosts on demand."""
+
+import asyncio
+import collections
+import random
+import time
+from types import TracebackType
+from typing import Any, Self
+
+import attrs
+import structlog
+
+from hollyknot_protocol import FrameError, MalformedMessageError
+from hollyknot_state import Address
+from hollyknot_transport._links import (
+    DEFAULT_LIMITS,
+    LinkCredentials,
+    LinkError,
+    LinkErrorReason,
+    LinkLimits,
+)
+from hollyknot_transport._links_counters import LinkCounters
+from hollyknot_transport._links_handshake import (
+    NotProvedError,
+    shake_as_dialler,
+)
+from hollyknot_transport._links_link import Clock, Link, LinkParts
+from hollyknot_transport._links_outbox import Outgoing
+from hollyknot_transport._links_packing import pack
+from hollyknot_transport._links_stream import (
+    FrameStream,
+    StreamEndedError,
+    StreamOptions,
+    dial_stream,
+)
+
+_log = structlog.get_logger()
+
+_BACKOFF_FACTOR = 2.0
+_MAX_DOUBLINGS = 16
+_FORGET_AFTER_S = 60.0
+
+
+_NOT_DIALLED = LinkError(LinkErrorReason.REFUSED, may_have_arrived=False)
+
+
+@attrs.frozen
+class _Waiting:
+    """A one-way message that waits for a dial to end."""
+
+    item: Outgoing
+    expected_host: str
+
+
+@attrs.define(eq=False)
+class _Peer:
+    """What the pool knows of one address."""
+
+    address: Address
+    link: Link | None = None
+    dial: "asyncio.Task[Link | LinkError] | None" = None
+    failures: int = 0
+    retry_s: float = 0.0
+    error: LinkError = _NOT_DIALLED
+    waiting: collections.deque[_Waiting] = attrs.Factory(collections.deque)
+
+
+class LinkPool:
+    """Calls and one-way messages to hosts, over one link to each.
+
+    An async context manager; leaving it closes all links.
+    """
+
+    def __init__(
+        self,
+        credentials: LinkCredentials,
+        rng: random.Random,
+        *,
+        limits: LinkLimits = DEFAULT_LIMITS,
+        counters: LinkCounters | None = None,
+        clock: Clock = time.monotonic,
+    ) -> None:
+        """Dials nothing yet.
+
+        Args:
+            credentials: How this host and its peers prove themselves.
+            rng: Spreads the dials that follow failed ones.
+            limits: Bounds.
+            counters: Where traffic is counted; a new one by default.
+            clock: Monotonic seconds.
+        """
+        self._credentials = credentials
+        self._rng = rng
+        self._limits = limits
+        self._counters = counters or LinkCounters()
+        self._clock = clock
+        self._parts = LinkParts(
+            limits, self._counters, clock, None, limits.idle_s
+        )
+        self._peers: dict[Address, _Peer] = {}
+        self._links: dict[Link, asyncio.Task[None]] = {}
+        self._sweeper: asyncio.Task[None] | None = None
+        self._is_closed = False
+
+    @property
+    def counters(self) -> LinkCounters:
+        """Traffic and events so far."""
+        return self._counters
+
+    @property
+    def open_links(self) -> int:
+        """Links that are open."""
+        return len(self._links)
+
+    async def __aenter__(self) -> Self:
+        """Starts to watch the links for silence."""
+        self._sweeper = asyncio.ensure_future(self._sweep())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Closes all links; calls that wait get `CLOSED`."""
+        self._is_closed = True
+        for link in self._links:
+            link.abort(LinkErrorReason.CLOSED)
+        dials = [p.dial for p in self._peers.values() if p.dial is not None]
+        ending = [*dials, self._sweeper] if self._sweeper else dials
+        for task in ending:
+            task.cancel()
+        await asyncio.gather(
+            *ending, *self._links.values(), return_exceptions=True
+        )
+
+    async def call(
+        self,
+        ip: str,
+        port: int,
+        message: Any,
+        timeout_s: float,
+        *,
+        traceparent: str = "",
+        expected_host: str = "",
+    ) -> Any | LinkError:
+        """Sends a message to a host and waits for the reply.
+
+        Args:
+            ip: The host's address.
+            port: Its port for links.
+            message: An instance of a registered class.
+            timeout_s: Seconds for the dial, if one is needed, and the reply.
+            traceparent: The W3C trace context; empty for none.
+            expected_host: The host's name, where the message is meant for
+                that host alone: addresses are used again by other hosts.
+
+        Returns:
+            The reply, or why there is none.
+
+        Raises:
+            UnencodableMessageError: The message cannot be sent.
+        """
+        deadline_s = self._clock() + timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                link = await self._link_to(Address(ip, port))
+        except TimeoutError:
+            return LinkError(
+                LinkErrorReason.TIMEOUT,
+                may_have_arrived=False,
+                detail="no connection in time",
+            )
+        if isinstance(link, LinkError):
+            return link
+        if expected_host not in ("", link.peer.host):
+            return LinkError(
+                LinkErrorReason.REJECTED,
+                may_have_arrived=False,
+                detail=f"{link.peer.host} answers there",
+            )
+        rest_s = deadline_s - self._clock()
+        return await link.call(message, rest_s, traceparent)
+
+    def post(
+        self,
+        ip: str,
+        port: int,
+        message: Any,
+        *,
+        traceparent: str = "",
+        expected_host: str = "",
+    ) -> None:
+        """Sends a one-way message, best effort; never waits.
+
+        It is dropped, and counted as dropped, if the queue is full or the
+        host cannot be reached. The arguments and errors are those of `call`.
+        """
+        peer = self._peer_at(Address(ip, port))
+        waiting = _Waiting(pack(message, traceparent), expected_host)
+        if peer.link is not None and peer.link.is_usable:
+            self._send(peer.link, waiting)
+        elif self._may_wait(peer):
+            peer.waiting.append(waiting)
+            self._start_dial(peer)
+        else:
+            self._counters.dropped += 1
+
+    def sweep(self, now_s: float) -> None:
+        """Pings or closes links that have been silent or idle for long."""
+        for link in tuple(self._links):
+            link.check(now_s)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(self._limits.sweep_s)
+            self.sweep(self._clock())
+
+    def _send(self, link: Link, waiting: _Waiting) -> None:
+        is_sent = waiting.expected_host in ("", link.peer.host) and link.post(
+            waiting.item
+        )
+        if not is_sent:
+            self._counters.dropped += 1
+
+    def _peer_at(self, address: Address) -> _Peer:
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = _Peer(address)
+        return peer
+
+    async def _link_to(self, address: Address) -> Link | LinkError:
+        if self._is_closed:
+            return LinkError(LinkErrorReason.CLOSED, may_have_arrived=False)
+        peer = self._peer_at(address)
+        if peer.link is not None and peer.link.is_usable:
+            return peer.link
+        if not self._may_dial(peer):
+            return peer.error
+        dial = self._start_dial(peer)
+        # Others wait for the same dial: one that gives up must not end it.
+        await asyncio.wait({dial})
+        if dial.cancelled():
+            return LinkError(LinkErrorReason.CLOSED, may_have_arrived=False)
+        return dial.result()
+
+    def _may_dial(self, peer: _Peer) -> bool:
+        return peer.dial is not None or self._clock() >= peer.retry_s
+
+    def _may_wait(self, peer: _Peer) -> bool:
+        has_room = len(peer.waiting) < self._limits.waiting_messages
+        return has_room and not self._is_closed and self._may_dial(peer)
+
+    def _start_dial(self, peer: _Peer) -> "asyncio.Task[Link | LinkError]":
+        if peer.dial is None:
+            peer.dial = asyncio.ensure_future(self._dial(peer))
+            self._forget_unused()
+        return peer.dial
+
+    async def _dial(self, peer: _Peer) -> Link | LinkError:
+        try:
+            result = await self._open_link(peer)
+            if isinstance(result, LinkError):
+                self._on_dial_failed(peer, result)
+            else:
+                self._on_dialled(peer, result)
+        finally:
+            peer.dial = None
+        return result
+
+    def _on_dialled(self, peer: _Peer, link: Link) -> None:
+        self._counters.dialled += 1
+        peer.link = link
+        peer.failures = 0
+        peer.error = _NOT_DIALLED
+        task = asyncio.ensure_future(link.run())
+        self._links[link] = task
+        task.add_done_callback(lambda _: self._on_ended(peer, link))
+        while peer.waiting:
+            self._send(link, peer.waiting.popleft())
+
+    def _on_dial_failed(self, peer: _Peer, error: LinkError) -> None:
+        self._counters.dropped += len(peer.waiting)
+        peer.waiting.clear()
+        peer.error = error
+        peer.retry_s = self._clock() + self._backoff_s(peer.failures)
+        peer.failures += 1
+        _log.info(
+            "link_dial_failed",
+            ip=peer.address.ip,
+            port=peer.address.port,
+            reason=error.reason.value,
+            error=error.detail,
+        )
+
+    def _on_ended(self, peer: _Peer, link: Link) -> None:
+        del self._links[link]
+        if peer.link is link:
+            peer.link = None
+
+    def _backoff_s(self, failures: int) -> float:
+        # Hosts that lost a peer at the same moment would dial it together
+        # again and again; half of each pause is random to spread them.
+        doublings = min(failures, _MAX_DOUBLINGS)
+        pause_s = self._limits.backoff_first_s * _BACKOFF_FACTOR**doublings
+        pause_s = min(pause_s, self._limits.backoff_max_s)
+        return pause_s * (0.5 + 0.5 * self._rng.random())
+
+    def _forget_unused(self) -> None:
+        # Hosts are replaced all day; records of those that are gone would
+        # pile up.
+        now_s = self._clock()
+        for address, peer in tuple(self._peers.items()):
+            is_unused = peer.link is None and peer.dial is None
+            if is_unused and now_s >= peer.retry_s + _FORGET_AFTER_S:
+                del self._peers[address]
+
+    async def _open_link(self, peer: _Peer) -> Link | LinkError:
+        limits = self._limits
+        try:
+            async with asyncio.timeout(limits.connect_s):
+                stream = await dial_stream(peer.address, self._options())
+        except (OSError, TimeoutError) as error:
+            return _dial_error(LinkErrorReason.REFUSED, error)
+        return await self._shake(stream)
+
+    def _options(self) -> StreamOptions:
+        return StreamOptions(
+            self._credentials.dial_tls,
+            self._limits.handshake_s,
+            self._limits.max_handshake_frame_bytes,
+        )
+
+    async def _shake(self, stream: FrameStream) -> Link | LinkError:
+        try:
+            async with asyncio.timeout(self._limits.handshake_s):
+                identity = await shake_as_dialler(
+                    stream, self._credentials, self._counters
+                )
+        except (
+            NotProvedError,
+            StreamEndedError,
+            FrameError,
+            MalformedMessageError,
+            TimeoutError,
+        ) as error:
+            stream.abort()
+            return _dial_error(LinkErrorReason.REJECTED, error)
+        except BaseException:
+            stream.abort()
+            raise
+        stream.set_limit(self._limits.max_frame_bytes)
+        return Link(stream, identity, self._parts)
+
+
+def _dial_error(reason: LinkErrorReason, error: Exception) -> LinkError:
+    detail = str(error) or type(error).__name__
+    return LinkError(reason, may_have_arrived=False, detail=detail)
