Test the checks, the paths and the classification

Cause: an unusable name of a customer stayed untold while its value had other mistakes too; the tables of mistakes showed it. Conclusion: reading a whole document is no step for every change on every host; a changed part has to be read by itself.

--- a/packages/coordination/src/hollyknot_coordination/classification/_classify.py
+++ b/packages/coordination/src/hollyknot_coordination/classification/_classify.py
@@ -3,6 +3,7 @@
 import enum
 
 import attrs
+
 from hollyknot_state import (
     CallPattern,
     Declarations,
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/classification/tests/test_classify.py
@@ -0,0 +1,214 @@
+"""Classification: who calls, in which class, and of what nature."""
+
+import hashlib
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hollyknot_coordination.classification import (
+    Absent,
+    Classification,
+    ClassReason,
+    ModelCall,
+    NatureReason,
+    ServiceCall,
+    authenticate,
+    classify,
+    index_keys,
+)
+from hollyknot_state import (
+    CallPattern,
+    ClassDeclaration,
+    CustomerDeclaration,
+    Declarations,
+    ModelDeclaration,
+    Nature,
+    Outcome,
+    Reason,
+    ServiceDeclaration,
+    Target,
+    Verdict,
+)
+
+_TARGET = Target(first_token_ms=800)
+_DECLARED = Declarations(
+    version=1,
+    classes={
+        "counter": ClassDeclaration(1, _TARGET),
+        "night": ClassDeclaration(3, Target(whole_answer_ms=60_000)),
+        "other": ClassDeclaration(2, _TARGET),
+    },
+    customers={
+        "desk": CustomerDeclaration(
+            hashlib.sha256(b"key").hexdigest(), ("counter", "night"), "night"
+        ),
+        "stale": CustomerDeclaration("0" * 64, ("gone",), "gone"),
+    },
+    models={"drafts": ModelDeclaration()},
+    services={
+        "permits": ServiceDeclaration(
+            non_idempotent=(
+                CallPattern("PUT", "/orders*"),
+                CallPattern("GET", "/next"),
+                CallPattern("POST", "/search/run"),
+            ),
+            idempotent=(CallPattern("POST", "/search*"),),
+            remember_s=600,
+        )
+    },
+)
+_ONCE = NatureReason.DECLARED_NON_IDEMPOTENT
+
+
+def _call(method: str, path: str) -> Classification | Verdict:
+    call = ServiceCall("permits", method, path)
+    return classify(_DECLARED, "desk", Absent.CLASS, call)
+
+
+class TestClass:
+    """The class of a request and its refusals."""
+
+    def test_named_and_default(self) -> None:
+        named = classify(_DECLARED, "desk", "counter", ModelCall("drafts"))
+        default = classify(_DECLARED, "desk", Absent.CLASS, ModelCall("drafts"))
+        assert isinstance(named, Classification)
+        assert isinstance(default, Classification)
+        assert (named.tier, named.target) == (1, _TARGET)
+        assert named.class_reason is ClassReason.NAMED
+        assert (default.request_class, default.tier) == ("night", 3)
+        assert default.class_reason is ClassReason.DEFAULT
+        assert default.nature is Nature.IDEMPOTENT
+        assert not default.needs_idempotency_key
+
+    @pytest.mark.parametrize(
+        ("customer", "name", "call", "reason"),
+        [
+            ("nobody", "counter", ModelCall("drafts"), Reason.BAD_KEY),
+            ("desk", "other", ModelCall("drafts"), Reason.UNKNOWN_CLASS),
+            ("desk", "", ModelCall("drafts"), Reason.UNKNOWN_CLASS),
+            ("stale", Absent.CLASS, ModelCall("drafts"), Reason.UNKNOWN_CLASS),
+            ("desk", "counter", ModelCall("permits"), Reason.UNKNOWN_MODEL),
+            (
+                "desk",
+                "counter",
+                ServiceCall("drafts", "GET", "/"),
+                Reason.UNKNOWN_SERVICE,
+            ),
+            (
+                "desk",
+                "counter",
+                ServiceCall("permits", "GET", "/a/../b"),
+                Reason.BAD_REQUEST,
+            ),
+        ],
+    )
+    def test_refusals_are_proved_not_run(
+        self,
+        customer: str,
+        name: str | Absent,
+        call: ModelCall | ServiceCall,
+        reason: Reason,
+    ) -> None:
+        verdict = classify(_DECLARED, customer, name, call)
+        assert isinstance(verdict, Verdict)
+        assert verdict.outcome is Outcome.NOT_RUN
+        assert verdict.reason is reason
+        assert verdict.detail
+
+
+class TestNature:
+    """Which calls of a service may run twice."""
+
+    @pytest.mark.parametrize(
+        ("method", "path", "reason", "pattern"),
+        [
+            ("GET", "/a", NatureReason.METHOD, ""),
+            ("DELETE", "/a", NatureReason.METHOD, ""),
+            ("PUT", "/a", NatureReason.METHOD, ""),
+            (
+                "POST",
+                "/search/x",
+                NatureReason.DECLARED_IDEMPOTENT,
+                "POST /search*",
+            ),
+        ],
+    )
+    def test_idempotent(
+        self, method: str, path: str, reason: NatureReason, pattern: str
+    ) -> None:
+        found = _call(method, path)
+        assert isinstance(found, Classification)
+        assert found.nature is Nature.IDEMPOTENT
+        assert (found.nature_reason, found.pattern) == (reason, pattern)
+        assert found.remember_s == 0
+
+    @pytest.mark.parametrize(
+        ("method", "path", "reason", "pattern"),
+        [
+            ("POST", "/a", NatureReason.METHOD, ""),
+            ("PATCH", "/a", NatureReason.METHOD, ""),
+            ("put", "/a", NatureReason.METHOD, ""),
+            ("MERGE", "/a", NatureReason.METHOD, ""),
+            ("PUT", "/orders/7", _ONCE, "PUT /orders*"),
+            ("POST", "/search/run", _ONCE, "POST /search/run"),
+            ("GET", "/next", _ONCE, "GET /next"),
+        ],
+    )
+    def test_non_idempotent(
+        self, method: str, path: str, reason: NatureReason, pattern: str
+    ) -> None:
+        found = _call(method, path)
+        assert isinstance(found, Classification)
+        assert found.needs_idempotency_key
+        assert (found.nature_reason, found.pattern) == (reason, pattern)
+        assert found.remember_s == 600
+
+    def test_another_spelling_is_the_same_call(self) -> None:
+        """A caller writes a declared path otherwise.
+
+        Symptom: an order that is declared non-idempotent runs twice.
+        Sequence: `PUT /%6frders/7` misses the pattern `/orders*`, counts as
+            idempotent and is retried; the service decodes it and runs both.
+        Cause: the pattern matched against the path as it was received.
+        """
+        found = _call("PUT", "/%6frders/7")
+        assert isinstance(found, Classification)
+        assert found.nature is Nature.NON_IDEMPOTENT
+
+    def test_head_runs_what_get_runs(self) -> None:
+        """A non-idempotent GET is called by HEAD.
+
+        Symptom: the next ticket is drawn twice by one caller.
+        Sequence: the service answers HEAD by the code of GET; HEAD counts as
+            idempotent and is retried.
+        Cause: patterns of GET that don't cover HEAD.
+        """
+        found = _call("HEAD", "/next")
+        assert isinstance(found, Classification)
+        assert found.nature is Nature.NON_IDEMPOTENT
+
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(method=st.text(max_size=8), path=st.text(max_size=20))
+    def test_anything_is_classified_or_refused(
+        self, method: str, path: str
+    ) -> None:
+        assert isinstance(_call(method, path), Classification | Verdict)
+
+
+class TestAuthenticate:
+    """Whose key a request carries."""
+
+    @pytest.mark.parametrize("header", ["Bearer key", "bearer  key "])
+    def test_a_known_key(self, header: str) -> None:
+        owners = index_keys(_DECLARED.customers)
+        assert authenticate(owners, header) == "desk"
+
+    @pytest.mark.parametrize(
+        "header", ["", "Bearer", "Bearer ", "Basic key", "key", "Bearer \udcff"]
+    )
+    def test_any_other_is_refused(self, header: str) -> None:
+        verdict = authenticate(index_keys(_DECLARED.customers), header)
+        assert isinstance(verdict, Verdict)
+        assert verdict.reason is Reason.BAD_KEY
+        assert verdict.is_proved_not_run
--- a/packages/state/src/hollyknot_state/_declarations.py
+++ b/packages/state/src/hollyknot_state/_declarations.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from hollyknot_state._problem import CheckError, Finding
 from hollyknot_state._validators import (
     each,
     each_key,
@@ -18,10 +19,12 @@
     is_pool_name,
     is_sha256,
     is_short,
+    is_usable_target,
 )
 
 MAX_TARGET_MS = 86_400_000
 MAX_REMEMBER_S = 604_800
+MAX_VERSION = 2**63 - 1
 
 TIERS = (1, 2, 3)
 """The service tiers, highest first."""
@@ -63,7 +66,7 @@
     """
 
     tier: int = attrs.field(validator=is_between(TIERS[0], TIERS[-1]))
-    target: Target
+    target: Target = attrs.field(validator=is_usable_target)
 
 
 @attrs.frozen
@@ -132,6 +135,20 @@
         default=86_400, validator=is_between(1, MAX_REMEMBER_S, "s")
     )
 
+    def __attrs_post_init__(self) -> None:
+        """Holds that no pattern is declared both ways."""
+        findings = [
+            Finding(
+                ("idempotent", index),
+                "is declared non-idempotent too",
+                "keep it in one of the two",
+            )
+            for index, pattern in enumerate(self.idempotent)
+            if pattern in self.non_idempotent
+        ]
+        if findings:
+            raise CheckError(findings)
+
 
 @attrs.frozen
 class Declarations:
@@ -146,7 +163,7 @@
         services: Plain services by name.
     """
 
-    version: int
+    version: int = attrs.field(validator=is_between(0, MAX_VERSION))
     data_centres: tuple[str, ...] = attrs.field(
         default=(), validator=[each(is_name), has_distinct_items]
     )
--- a/packages/state/src/hollyknot_state/_hosts.py
+++ b/packages/state/src/hollyknot_state/_hosts.py
@@ -9,6 +9,8 @@
 import attrs
 
 from hollyknot_state._validators import (
+    each,
+    has_distinct_names,
     is_between,
     is_ip,
     is_name,
@@ -53,7 +55,9 @@
     data_centre: str = attrs.field(validator=is_name)
     ip: str = attrs.field(validator=is_ip)
     port: int = attrs.field(validator=is_between(1, MAX_PORT))
-    pools: tuple[str, ...] = ()
+    pools: tuple[str, ...] = attrs.field(
+        default=(), validator=each(is_pool_name)
+    )
     state: EntryState = EntryState.LIVE
 
 
@@ -67,7 +71,9 @@
     """
 
     revision: int = attrs.field(validator=is_between(0, MAX_REVISION))
-    entries: tuple[HostListEntry, ...] = ()
+    entries: tuple[HostListEntry, ...] = attrs.field(
+        default=(), validator=has_distinct_names
+    )
 
     def hosts(self, data_centre: str) -> tuple[HostListEntry, ...]:
         """Returns the live hosts of hollyknot in a data centre."""
--- a/packages/state/src/hollyknot_state/_structure.py
+++ b/packages/state/src/hollyknot_state/_structure.py
@@ -195,7 +195,12 @@
     check = attribute.validator
 
     def hook(value: Any, kind: Any) -> Any:
-        built = build(value, kind)
+        try:
+            built = build(value, kind)
+        except BaseValidationError as e:
+            if check is not None and isinstance(value, dict):
+                _check_keys_too(e, check, attribute, value)
+            raise
         if check is not None:
             check(None, attribute, built)
         return built
@@ -203,6 +208,24 @@
     return hook
 
 
+def _check_keys_too(
+    error: BaseValidationError, check: Any, attribute: Any, value: Any
+) -> None:
+    """Runs a mapping's validator, which looks at its keys, beside an error.
+
+    Raises:
+        ClassValidationError: Both errors, if the validator finds one too.
+    """
+    if get_origin(attribute.type) is not dict:
+        return
+    try:
+        check(None, attribute, value)
+    except CheckError as e:
+        raise cattrs.ClassValidationError(
+            "keys and values", [error, e], dict
+        ) from None
+
+
 def _value_hook(kind: Any, converter: cattrs.Converter) -> Any:
     is_optional = type(None) in get_args(kind)
     inner = get_args(kind)[0] if is_optional else kind
--- a/packages/state/src/hollyknot_state/_validators.py
+++ b/packages/state/src/hollyknot_state/_validators.py
@@ -107,6 +107,24 @@
         raise CheckError(findings)
 
 
+def is_usable_target(_: Any, attribute: Any, value: Any) -> None:
+    """Holds that a target says how long a start of the answer is of use."""
+    del attribute
+    first, whole = value.first_token_ms, value.whole_answer_ms
+    # A mean between tokens alone gives no time by which to begin: every
+    # request of the class would look too late on arrival and be refused.
+    if not first and not whole:
+        raise refuse(
+            "says nothing of when the answer has to begin or end",
+            "give first_token_ms or whole_answer_ms",
+        )
+    if first and whole and first > whole:
+        raise refuse(
+            f"first_token_ms {first} is later than whole_answer_ms {whole}",
+            "give a whole_answer_ms above first_token_ms",
+        )
+
+
 def is_method(_: Any, attribute: Any, value: str) -> None:
     """Holds that a value is an HTTP method in capitals, or `*`."""
     del attribute
@@ -189,6 +207,24 @@
         raise CheckError(findings)
 
 
+def has_distinct_names(_: Any, attribute: Any, value: Iterable[Any]) -> None:
+    """Holds that no two items have one name."""
+    del attribute
+    # What is counted for an upstream is kept by its name: two of one name
+    # would share their counts, and the sign of one's end would hide the other.
+    seen: set[str] = set()
+    findings = []
+    for index, item in enumerate(value):
+        if item.name in seen:
+            path = (index, "name")
+            findings.append(
+                Finding(path, f"{shown(item.name)} stands twice", "rename one")
+            )
+        seen.add(item.name)
+    if findings:
+        raise CheckError(findings)
+
+
 def each(check: Validator) -> Validator:
     """Returns a validator that holds a check for each item of a sequence."""
 
