Spread documents, liveness and signals between hosts

Cause: a host has to learn declarations, the host list, its peers' liveness and soft signals, and no shared state may be written. Ruled out: a watch on the platform by each host (reads grow with the fleet); a watch that waits, by the readers (each would get the whole body at each change); versions told by hearsay (one that nobody holds any more would never fade). Change: PeerState joins document spread (versions, deltas, pages), SWIM-like membership and aged signals; thrift structs and kinds 200 to 206. Conclusion: a first working version; failure tests and measures follow.

--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/membership/_membership.py
@@ -0,0 +1,190 @@
+"""Liveness of the hosts of one data centre, after the SWIM protocol.
+
+It decides who is gossiped to and who reads from the platform. It does not
+decide who holds claims: the host list alone does that.
+"""
+
+import math
+import random
+
+from hollyknot_coordination._peer_commands import (
+    PeerCommand,
+    ReportMember,
+    Send,
+)
+from hollyknot_coordination._transmit_queue import TransmitQueue
+from hollyknot_coordination.membership._prober import ROUND_S, Prober
+from hollyknot_coordination.membership._table import MemberChange, MemberTable
+from hollyknot_state import (
+    Gossip,
+    IndirectProbe,
+    MemberState,
+    MemberUpdate,
+    Probe,
+    ProbeAck,
+)
+
+SUSPICION_ROUNDS = 4
+"""Rounds of suspicion, for each power of ten of the hosts."""
+
+MAX_UPDATES = 8
+"""Updates in one message."""
+
+PAUSE_S = 2 * ROUND_S
+"""A gap between ticks above this means that this process was paused."""
+
+
+class Membership:
+    """Probes peers, takes and gives updates, and keeps the view of peers."""
+
+    def __init__(self, host: str, rng: random.Random, now_s: float) -> None:
+        self._host = host
+        self._table = MemberTable(host)
+        self._prober = Prober(rng, now_s)
+        self._news: TransmitQueue[str] = TransmitQueue()
+        self._changed_s: dict[str, float] = {}
+        self._reports: list[PeerCommand] = []
+        self._last_tick_s = now_s
+        self._view: tuple[str, ...] = ()
+
+    @property
+    def alive(self) -> tuple[str, ...]:
+        """Peers that are neither suspect nor dead."""
+        return self._view
+
+    @property
+    def not_dead(self) -> tuple[str, ...]:
+        """Peers that are alive or suspect."""
+        return self._table.in_state(MemberState.ALIVE, MemberState.SUSPECT)
+
+    @property
+    def dead(self) -> tuple[str, ...]:
+        """Peers that are listed and believed dead."""
+        return self._table.in_state(MemberState.DEAD)
+
+    @property
+    def is_partition_suspected(self) -> bool:
+        """Whether too many peers are unreachable to have died."""
+        return self._table.is_partition_suspected
+
+    @property
+    def has_news(self) -> bool:
+        """Whether updates wait to be told."""
+        return bool(self._news)
+
+    def set_hosts(self, hosts: frozenset[str], now_s: float) -> None:
+        """Takes the live hosts of this data centre in the host list."""
+        self._table.set_hosts(hosts, now_s)
+        listed = {self._host, *self._table.hosts}
+        for host in [h for h in self._changed_s if h not in listed]:
+            del self._changed_s[host]
+            self._news.discard(host)
+        self._refresh()
+
+    def on_tick(self, now_s: float) -> list[PeerCommand]:
+        """Probes, suspects and buries; call it several times a round."""
+        gap_s = now_s - self._last_tick_s
+        self._last_tick_s = now_s
+        if gap_s > PAUSE_S:
+            # This process was paused: the answers to its probe lie unread in
+            # its sockets, and everyone would look dead to it. One would
+            # notice suspicions of healthy hosts right after each long pause.
+            self._prober.forget_round(now_s)
+            self._table.extend_suspicions(gap_s)
+        sends = self._prober.on_tick(
+            self._table.hosts,
+            self._view,
+            lambda host: self._note(
+                host, self._table.suspect(host, now_s), now_s
+            ),
+            now_s,
+        )
+        for host in self._table.expire(self._suspicion_s, now_s):
+            self._note(host, MemberChange.NEWS, now_s)
+        return [*self._take_reports(), *sends, *self._tell_blamed(sends)]
+
+    def on_updates(
+        self, peer: str, updates: tuple[MemberUpdate, ...], now_s: float
+    ) -> list[PeerCommand]:
+        """Takes what a peer believes, and refutes that this host is gone."""
+        commands: list[PeerCommand] = []
+        for update in updates:
+            change = self._table.merge(update, now_s)
+            self._note(update.host, change, now_s)
+            if change is MemberChange.REFUTED:
+                refutation = Gossip(members=(self._table.own,))
+                commands.append(Send(peer, refutation))
+        return [*self._take_reports(), *commands]
+
+    def on_probe(self, peer: str, probe: Probe) -> list[Send]:
+        """Answers a probe."""
+        return self._prober.on_probe(peer, probe)
+
+    def on_indirect(
+        self, peer: str, probe: IndirectProbe, now_s: float
+    ) -> list[Send]:
+        """Probes a listed host on behalf of a peer."""
+        if probe.target not in self._table:
+            return []
+        return self._prober.on_indirect(peer, probe, now_s)
+
+    def on_ack(self, ack: ProbeAck) -> list[Send]:
+        """Takes an answer to a probe."""
+        return self._prober.on_ack(ack)
+
+    def updates_for(self, peer: str) -> tuple[MemberUpdate, ...]:
+        """Returns the updates of one message to a peer and counts them.
+
+        A peer that is not believed alive is told so, whatever else is news:
+        it can then refute it, also when it was cut off while it was buried.
+        """
+        recency = self._changed_s
+        hosts = self._news.take(
+            MAX_UPDATES, len(self._table), lambda h: recency.get(h, 0.0)
+        )
+        is_blamed = (
+            peer in self._table
+            and self._table.state_of(peer) is not MemberState.ALIVE
+        )
+        if is_blamed and peer not in hosts:
+            hosts.append(peer)
+        return tuple(self._table.update_of(h) for h in hosts)
+
+    def is_blamed(self, peer: str) -> bool:
+        """Whether a listed peer is believed suspect or dead."""
+        if peer not in self._table:
+            return False
+        return self._table.state_of(peer) is not MemberState.ALIVE
+
+    def _tell_blamed(self, probes: list[Send]) -> list[Send]:
+        """Tells a probed peer that it is blamed, so that it can refute it.
+
+        After a cut has healed nobody would otherwise ever gossip to the hosts
+        of the other side, and each side would hold the other for dead.
+        """
+        return [
+            Send(send.peer, Gossip(members=(self._table.update_of(send.peer),)))
+            for send in probes
+            if isinstance(send.message, Probe) and self.is_blamed(send.peer)
+        ]
+
+    @property
+    def _suspicion_s(self) -> float:
+        scale = max(1.0, math.log10(len(self._table) + 1))
+        return SUSPICION_ROUNDS * ROUND_S * scale
+
+    def _note(self, host: str, change: MemberChange, now_s: float) -> None:
+        if change is MemberChange.KNOWN:
+            return
+        self._news.add(host)
+        self._changed_s[host] = now_s
+        if change is MemberChange.NEWS:
+            self._reports.append(ReportMember(host, self._table.state_of(host)))
+            self._refresh()
+
+    def _take_reports(self) -> list[PeerCommand]:
+        reports, self._reports = self._reports, []
+        return reports
+
+    def _refresh(self) -> None:
+        self._view = self._table.in_state(MemberState.ALIVE)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/signals/__init__.py
@@ -0,0 +1,20 @@
+"""Soft signals between the hosts of a data centre."""
+
+from hollyknot_coordination.signals._aged_table import Aged, AgedTable
+from hollyknot_coordination.signals._store import (
+    HEALTHY_MARGIN_S,
+    PRESSURE_TTL_S,
+    SIGN_TTL_S,
+    SUSPECT_TTL_S,
+    SignalStore,
+)
+
+__all__ = [
+    "HEALTHY_MARGIN_S",
+    "PRESSURE_TTL_S",
+    "SIGN_TTL_S",
+    "SUSPECT_TTL_S",
+    "Aged",
+    "AgedTable",
+    "SignalStore",
+]
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/spread/__init__.py
@@ -0,0 +1,42 @@
+"""How documents, liveness and signals spread between hosts."""
+
+from hollyknot_coordination._peer_commands import (
+    Apply,
+    PeerCommand,
+    Reject,
+    ReportConflict,
+    ReportMember,
+    ReportSignals,
+    Send,
+    StartWatching,
+    StopWatching,
+)
+from hollyknot_coordination.spread._document import (
+    Absent,
+    Candidate,
+    Check,
+    DocumentState,
+    Invalid,
+)
+from hollyknot_coordination.spread._peer_state import TICK_S, PeerState
+from hollyknot_coordination.spread._watching import READ_PAUSE_S
+
+__all__ = [
+    "READ_PAUSE_S",
+    "TICK_S",
+    "Absent",
+    "Apply",
+    "Candidate",
+    "Check",
+    "DocumentState",
+    "Invalid",
+    "PeerCommand",
+    "PeerState",
+    "Reject",
+    "ReportConflict",
+    "ReportMember",
+    "ReportSignals",
+    "Send",
+    "StartWatching",
+    "StopWatching",
+]
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/spread/_fetcher.py
@@ -0,0 +1,176 @@
+"""Fetches a newer version of a document from the hosts that said they hold it.
+
+Why a version that nobody can give does not block a host for ever: a version
+counts as heard of only while some source holds it. A source goes when it
+leaves the host list, is believed dead, or fails `MAX_FAILURES` requests in a
+row. When it tells of the version again it counts again.
+"""
+
+import random
+from collections.abc import Callable, Collection
+
+import attrs
+
+from hollyknot_coordination._peer_commands import Send
+from hollyknot_coordination.spread._pages import PageAssembly, PageError
+from hollyknot_coordination.spread._records import Records
+from hollyknot_state import (
+    DocumentKind,
+    DocumentPage,
+    DocumentVersion,
+    FetchDocument,
+)
+
+REQUEST_TIMEOUT_S = 1.0
+MAX_FAILURES = 3
+"""Requests in a row that a source may leave without an answer of use."""
+
+MAX_ASSEMBLY_FAILURES = 2
+"""Requests in a row after which begun pages are given up."""
+
+MAX_SOURCES = 256
+"""Sources kept; more would not make a fetch succeed sooner."""
+
+_NO_PEER = ""
+
+
+@attrs.define
+class _Source:
+    version: int
+    failures: int = 0
+
+
+class Fetcher:
+    """Who holds newer versions, and the one request that is under way."""
+
+    def __init__(self, document: DocumentKind, rng: random.Random) -> None:
+        self._document = document
+        self._rng = rng
+        self._sources: dict[str, _Source] = {}
+        self._peer = _NO_PEER
+        self._deadline_s = 0.0
+        self._assembly: PageAssembly | tuple[()] = ()
+        self._failures_in_row = 0
+
+    @property
+    def wanted(self) -> int:
+        """The highest version that a source holds; 0 if none is newer."""
+        return max((s.version for s in self._sources.values()), default=0)
+
+    def hear(self, peer: str, version: int) -> None:
+        """Takes that a peer holds a version that this host lacks.
+
+        A lower version than before is a message that was overtaken: what a
+        process holds never falls.
+        """
+        source = self._sources.get(peer)
+        if source is not None:
+            source.version = max(source.version, version)
+        elif len(self._sources) < MAX_SOURCES:
+            self._sources[peer] = _Source(version)
+
+    def drop(self, peer: str) -> None:
+        """Forgets a source."""
+        self._sources.pop(peer, None)
+        if self._peer == peer:
+            self._peer = _NO_PEER
+
+    def keep(self, peers: Collection[str]) -> None:
+        """Forgets the sources that are not among these hosts."""
+        for peer in [p for p in self._sources if p not in peers]:
+            self.drop(peer)
+
+    def settle(self, is_wanted: Callable[[int], bool]) -> None:
+        """Forgets what is not lacking any more, after a version came."""
+        for peer, source in list(self._sources.items()):
+            source.failures = 0
+            if not is_wanted(source.version):
+                self.drop(peer)
+        self._peer = _NO_PEER
+        if self._assembly and not is_wanted(self._assembly.version.version):
+            self._assembly = ()
+
+    def fail(self, peer: str) -> None:
+        """Counts a request that brought nothing of use."""
+        if self._peer == peer:
+            self._peer = _NO_PEER
+        self._failures_in_row += 1
+        if self._failures_in_row >= MAX_ASSEMBLY_FAILURES:
+            # All sources may have gone on to a newer version and let go of
+            # the pages of this one; asking on for them would never end.
+            self._assembly = ()
+        source = self._sources.get(peer)
+        if source is None:
+            return
+        source.failures += 1
+        if source.failures >= MAX_FAILURES:
+            self.drop(peer)
+
+    def take_page(
+        self, peer: str, page: DocumentPage
+    ) -> tuple[DocumentVersion, Records] | tuple[()]:
+        """Takes a page that is lacking.
+
+        Returns:
+            The version and its records with the last page, else nothing.
+        """
+        try:
+            if not self._add(page):
+                return ()
+            if self._peer == peer:
+                self._peer = _NO_PEER
+            self._failures_in_row = 0
+            if not self._assembly or not self._assembly.is_whole:
+                return ()
+            version = self._assembly.version
+            records = self._assembly.records()
+        except PageError:
+            self._assembly = ()
+            self.fail(peer)
+            return ()
+        self._assembly = ()
+        return version, records
+
+    def next_request(
+        self, bases: tuple[DocumentVersion, ...], now_s: float
+    ) -> list[Send]:
+        """Returns the request to send now, if one is due.
+
+        Args:
+            bases: Versions that a delta may start from.
+            now_s: Monotonic seconds.
+        """
+        if self._peer and now_s >= self._deadline_s:
+            self.fail(self._peer)
+        if self._peer or not self._sources:
+            return []
+        self._peer = self._choose()
+        self._deadline_s = now_s + REQUEST_TIMEOUT_S
+        return [Send(self._peer, self._request(bases))]
+
+    def _add(self, page: DocumentPage) -> bool:
+        """Adds a page that is lacking; tells whether it was."""
+        begun = self._assembly
+        if page.page > 0:
+            return begun.add(page) if begun else False
+        if begun and page.version.version <= begun.version.version:
+            return False
+        self._assembly = PageAssembly(page)
+        return True
+
+    def _choose(self) -> str:
+        wanted = self.wanted
+        holders = [p for p, s in self._sources.items() if s.version == wanted]
+        fewest = min(self._sources[p].failures for p in holders)
+        return self._rng.choice(
+            [p for p in holders if self._sources[p].failures == fewest]
+        )
+
+    def _request(self, bases: tuple[DocumentVersion, ...]) -> FetchDocument:
+        if not self._assembly:
+            return FetchDocument(self._document, bases)
+        return FetchDocument(
+            self._document,
+            version=self._assembly.version.version,
+            page=self._assembly.next_page,
+        )
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/spread/_peer_state.py
@@ -0,0 +1,340 @@
+"""Documents, liveness and signals of one host, in one class.
+
+The host's task gives it events and the time and executes its commands. It is
+deterministic for given events, times and random source.
+"""
+
+import random
+from collections.abc import Iterable, Mapping
+
+from hollyknot_coordination._peer_commands import (
+    Apply,
+    PeerCommand,
+    ReportMember,
+    Send,
+)
+from hollyknot_coordination.membership import Membership, choose_readers
+from hollyknot_coordination.signals import SignalStore
+from hollyknot_coordination.spread._document import Check, DocumentState
+from hollyknot_coordination.spread._readiness import CONTACTS, Readiness
+from hollyknot_coordination.spread._topology import Topology, sample_hosts
+from hollyknot_coordination.spread._watching import Watching
+from hollyknot_state import (
+    DocumentDelta,
+    DocumentKind,
+    DocumentPage,
+    DocumentVersion,
+    FetchDocument,
+    Gossip,
+    HostList,
+    IndirectProbe,
+    MemberState,
+    PeerMessage,
+    Probe,
+    ProbeAck,
+    SuspectRecord,
+    TierPressure,
+    UpstreamSign,
+)
+
+TICK_S = 0.2
+"""How often `on_tick` should be called, in seconds."""
+
+NEWS_ROUND_S = 0.5
+IDLE_ROUND_S = 1.0
+FANOUT = 2
+"""Peers of the data centre that a round of gossip reaches."""
+
+ANNOUNCE_FANOUT = 4
+"""Peers that a host tells at once of a version that came in force."""
+
+WAKE_S = 2.0
+"""A gap between calls above this is a pause of this process."""
+
+WAKE_KEEP_S = 1.0
+"""Seconds after a pause in which messages count as old as the pause."""
+
+
+class PeerState:
+    """What one host knows of documents, peers and signals."""
+
+    def __init__(
+        self,
+        host: str,
+        data_centre: str,
+        checks: Mapping[DocumentKind, Check],
+        rng: random.Random,
+        now_s: float,
+    ) -> None:
+        """Starts with nothing known.
+
+        Args:
+            host: This host's name in the host list.
+            data_centre: Where it runs.
+            checks: For each document. That of the host list returns a
+                `HostList` or `Invalid`.
+            rng: For all random choices.
+            now_s: Monotonic seconds.
+        """
+        self._host = host
+        self._data_centre = data_centre
+        self._rng = rng
+        self._documents = {
+            d: DocumentState(d, checks[d], rng) for d in DocumentKind
+        }
+        self._topology = Topology(host, data_centre)
+        self._membership = Membership(host, rng, now_s)
+        self._signals = SignalStore(rng, now_s)
+        self._readiness = Readiness()
+        self._watching = Watching(rng, now_s)
+        self._next_round_s = now_s
+        self._last_call_s = now_s
+        self._pause_s = 0.0
+        self._woke_s = now_s
+        self._readers: tuple[str, ...] = (host,)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the host may serve; once true it stays so."""
+        return self._readiness.is_ready
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether no version is heard of above those in force."""
+        return all(d.is_caught_up for d in self._documents.values())
+
+    @property
+    def is_partition_suspected(self) -> bool:
+        """Whether too many peers are unreachable to have died."""
+        return self._membership.is_partition_suspected
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this host reads the platform for its data centre."""
+        return self._host in self._readers
+
+    @property
+    def readers(self) -> tuple[str, ...]:
+        """The readers of this data centre, as this host sees it."""
+        return self._readers
+
+    @property
+    def signals(self) -> SignalStore:
+        """The soft signals, to read."""
+        return self._signals
+
+    @property
+    def versions(self) -> tuple[DocumentVersion, ...]:
+        """The versions in force."""
+        return tuple(d.version for d in self._documents.values())
+
+    def version_in_force(self, document: DocumentKind) -> int:
+        """Returns a document's version in force; 0 before there is one."""
+        return self._documents[document].version.version
+
+    def read_after(self, document: DocumentKind) -> int:
+        """Returns the version after which to ask the platform."""
+        return self._documents[document].read_after
+
+    def alive_peers(self, data_centre: str) -> tuple[str, ...]:
+        """Returns peers that are believed alive.
+
+        Of this data centre by probes; of others those of the host list, since
+        nobody probes across data centres.
+        """
+        if data_centre == self._data_centre:
+            return self._membership.alive
+        return self._topology.hosts_of(data_centre)
+
+    def on_tick(self, now_s: float) -> list[PeerCommand]:
+        """Does what is due; call it every `TICK_S`."""
+        self._note_time(now_s)
+        commands = self._after(self._membership.on_tick(now_s), now_s)
+        for document in self._documents.values():
+            commands += self._after(document.on_tick(now_s), now_s)
+        if now_s >= self._next_round_s:
+            commands += self._round(now_s)
+        held = frozenset(
+            d for d, s in self._documents.items() if s.version.version > 0
+        )
+        commands += self._watching.on_tick(held, self.is_reader, now_s)
+        self._check_ready(now_s)
+        return commands
+
+    def on_message(
+        self, peer: str, message: PeerMessage, now_s: float
+    ) -> list[PeerCommand]:
+        """Takes a message of an authenticated peer."""
+        self._note_time(now_s)
+        commands = self._after(self._dispatch(peer, message, now_s), now_s)
+        self._check_ready(now_s)
+        return commands
+
+    def on_platform_document(
+        self, document: DocumentKind, version: int, body: bytes, now_s: float
+    ) -> list[PeerCommand]:
+        """Takes a document that the platform gave.
+
+        Args:
+            document: Which document.
+            version: Its version or revision.
+            body: The value as JSON: the declarations without their version,
+                or the host list.
+            now_s: Monotonic seconds.
+        """
+        self._note_time(now_s)
+        state = self._documents[document]
+        commands = self._after(state.on_platform(version, body, now_s), now_s)
+        self._check_ready(now_s)
+        return commands
+
+    def note_signals(
+        self,
+        now_s: float,
+        *,
+        pressures: Iterable[TierPressure] = (),
+        signs: Iterable[UpstreamSign] = (),
+        suspects: Iterable[SuspectRecord] = (),
+    ) -> None:
+        """Takes signals that this host saw itself, to tell them."""
+        for pressure in pressures:
+            self._signals.note_pressure(pressure, now_s)
+        for sign in signs:
+            self._signals.note_sign(sign, now_s)
+        for record in suspects:
+            self._signals.note_suspect(record, now_s)
+
+    def _dispatch(
+        self, peer: str, message: PeerMessage, now_s: float
+    ) -> list[PeerCommand]:
+        match message:
+            case Gossip():
+                return self._on_gossip(peer, message, now_s)
+            case Probe():
+                return list(self._membership.on_probe(peer, message))
+            case ProbeAck():
+                return list(self._membership.on_ack(message))
+            case IndirectProbe():
+                return list(self._membership.on_indirect(peer, message, now_s))
+            case FetchDocument():
+                return self._on_fetch(peer, message, now_s)
+            case DocumentDelta():
+                document = self._documents[message.target.document]
+                return document.on_delta(peer, message, now_s)
+            case DocumentPage():
+                document = self._documents[message.version.document]
+                return document.on_page(peer, message, now_s)
+
+    def _on_gossip(
+        self, peer: str, gossip: Gossip, now_s: float
+    ) -> list[PeerCommand]:
+        commands: list[PeerCommand] = []
+        is_behind = False
+        for version in gossip.versions:
+            document = self._documents[version.document]
+            is_behind |= version.version < document.version.version
+            commands += document.on_version(peer, version, now_s)
+        self._readiness.hear(peer)
+        commands += self._membership.on_updates(peer, gossip.members, now_s)
+        delay_s = self._pause_s if self._is_waking(now_s) else 0.0
+        commands += self._signals.on_gossip(gossip, delay_s, now_s)
+        if is_behind or gossip.reply:
+            commands.append(Send(peer, self._gossip(peer, False, now_s)))
+        return commands
+
+    def _on_fetch(
+        self, peer: str, request: FetchDocument, now_s: float
+    ) -> list[PeerCommand]:
+        document = self._documents[request.document]
+        answer = document.on_fetch(peer, request, now_s)
+        if answer:
+            return list(answer)
+        return [Send(peer, self._gossip(peer, False, now_s))]
+
+    def _after(
+        self, commands: list[PeerCommand], now_s: float
+    ) -> list[PeerCommand]:
+        """Follows up on what came in force and on who died."""
+        followed = list(commands)
+        for command in commands:
+            match command:
+                case Apply(document=document, value=value):
+                    if document is DocumentKind.HOSTS:
+                        assert isinstance(value, HostList)
+                        self._set_hosts(value, now_s)
+                    followed += self._announce()
+                case ReportMember(host=host, state=state):
+                    if state is MemberState.DEAD:
+                        for document_state in self._documents.values():
+                            document_state.drop_source(host)
+                    self._choose_readers()
+        return followed
+
+    def _set_hosts(self, host_list: HostList, now_s: float) -> None:
+        self._topology.set_host_list(host_list)
+        own = frozenset(self._topology.own_ranked)
+        self._membership.set_hosts(own - {self._host}, now_s)
+        for document in self._documents.values():
+            document.keep_sources(self._topology.hosts)
+        self._choose_readers()
+        self._next_round_s = min(self._next_round_s, now_s)
+
+    def _choose_readers(self) -> None:
+        alive = frozenset((*self._membership.alive, self._host))
+        self._readers = choose_readers(self._topology.own_ranked, alive)
+
+    def _announce(self) -> list[PeerCommand]:
+        """Tells a few peers at once what is in force."""
+        targets = set(
+            sample_hosts(self._membership.alive, ANNOUNCE_FANOUT, self._rng)
+        )
+        if self.is_reader:
+            targets.update(self._readers)
+            targets.update(self._topology.remote_readers(self._rng))
+        targets.discard(self._host)
+        # In a fixed order: a set's order differs between runs of Python.
+        return [
+            Send(peer, Gossip(versions=self.versions))
+            for peer in sorted(targets)
+        ]
+
+    def _round(self, now_s: float) -> list[PeerCommand]:
+        has_news = self._signals.has_news or self._membership.has_news
+        pause_s = NEWS_ROUND_S if has_news else IDLE_ROUND_S
+        self._next_round_s = now_s + pause_s * self._rng.uniform(0.9, 1.1)
+        fanout = FANOUT if self.is_ready else max(FANOUT, CONTACTS)
+        targets = sample_hosts(self._membership.alive, fanout, self._rng)
+        if self.is_reader:
+            targets += self._topology.next_remote(self._rng)
+        reply = not self.is_ready
+        return [
+            Send(peer, self._gossip(peer, reply, now_s)) for peer in targets
+        ]
+
+    def _gossip(self, peer: str, reply: bool, now_s: float) -> Gossip:
+        if peer not in self._topology.own_ranked:
+            return Gossip(reply=reply, versions=self.versions)
+        hosts = len(self._topology.own_ranked)
+        news = self._signals.take_news(hosts, now_s)
+        return Gossip(
+            reply=reply,
+            versions=self.versions,
+            members=self._membership.updates_for(peer),
+            pressures=news.pressures,
+            signs=news.signs,
+            suspects=news.suspects,
+        )
+
+    def _check_ready(self, now_s: float) -> None:
+        peers = len(self._topology.own_ranked) - 1
+        self._readiness.check(self._documents.values(), peers, now_s)
+
+    def _note_time(self, now_s: float) -> None:
+        gap_s = now_s - self._last_call_s
+        self._last_call_s = now_s
+        if gap_s > WAKE_S:
+            self._pause_s = gap_s
+            self._woke_s = now_s
+
+    def _is_waking(self, now_s: float) -> bool:
+        return self._pause_s > 0 and now_s - self._woke_s < WAKE_KEEP_S
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/spread/_topology.py
@@ -0,0 +1,74 @@
+"""The host list as gossip needs it: hosts by data centre, and targets."""
+
+import random
+from collections.abc import Iterable
+
+from hollyknot_coordination.membership import READERS, rank_hosts
+from hollyknot_state import EntryState, HostList, Role
+
+
+class Topology:
+    """Hosts by data centre, from the host list in force."""
+
+    def __init__(self, host: str, data_centre: str) -> None:
+        self._host = host
+        self._data_centre = data_centre
+        self._ranked: dict[str, tuple[str, ...]] = {}
+        self._hosts: frozenset[str] = frozenset()
+        self._remote: tuple[str, ...] = ()
+        self._turn = 0
+
+    @property
+    def hosts(self) -> frozenset[str]:
+        """All live hosts of all data centres, this one too if listed."""
+        return self._hosts
+
+    @property
+    def own_ranked(self) -> tuple[str, ...]:
+        """This data centre's hosts by rendezvous hash, this host among them.
+
+        A host that the list does not have yet counts itself: it would
+        otherwise read nothing where it is the first of its data centre.
+        """
+        return self._ranked.get(self._data_centre, (self._host,))
+
+    def hosts_of(self, data_centre: str) -> tuple[str, ...]:
+        """Returns a data centre's live hosts by rendezvous hash."""
+        return self._ranked.get(data_centre, ())
+
+    def set_host_list(self, host_list: HostList) -> None:
+        """Takes the host list that is in force from now on."""
+        groups: dict[str, set[str]] = {self._data_centre: {self._host}}
+        for entry in host_list.entries:
+            if entry.role is Role.HOST and entry.state is EntryState.LIVE:
+                groups.setdefault(entry.data_centre, set()).add(entry.name)
+        self._ranked = {d: rank_hosts(hosts) for d, hosts in groups.items()}
+        self._hosts = frozenset(h for hosts in groups.values() for h in hosts)
+        self._remote = tuple(sorted(groups.keys() - {self._data_centre}))
+
+    def next_remote(self, rng: random.Random) -> tuple[str, ...]:
+        """Returns a random host of the next other data centre, in turn."""
+        if not self._remote:
+            return ()
+        self._turn += 1
+        data_centre = self._remote[self._turn % len(self._remote)]
+        return (rng.choice(self._ranked[data_centre]),)
+
+    def remote_readers(self, rng: random.Random) -> tuple[str, ...]:
+        """Returns one host of each other data centre that likely reads.
+
+        A reader that hears of a version at once does not read it again from
+        the platform, which would cost the whole body.
+        """
+        return tuple(
+            rng.choice(self._ranked[data_centre][:READERS])
+            for data_centre in self._remote
+        )
+
+
+def sample_hosts(
+    hosts: Iterable[str], count: int, rng: random.Random
+) -> tuple[str, ...]:
+    """Returns some hosts at random, all if there are not more."""
+    pool = tuple(hosts)
+    return tuple(rng.sample(pool, min(count, len(pool))))
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/spread/tests/network.py
@@ -0,0 +1,200 @@
+"""Hosts over a network in memory, under a virtual clock."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+import orjson
+
+from hollyknot_coordination.spread import (
+    TICK_S,
+    Apply,
+    Candidate,
+    Invalid,
+    PeerCommand,
+    PeerState,
+    Send,
+    StartWatching,
+    StopWatching,
+)
+from hollyknot_state import (
+    DocumentKind,
+    HostList,
+    HostListEntry,
+    PeerMessage,
+    Role,
+)
+
+LATENCY_S = 0.002
+DECLARATIONS = DocumentKind.DECLARATIONS
+HOSTS = DocumentKind.HOSTS
+
+
+def check_declarations(candidate: Candidate) -> object:
+    """Refuses declarations that say so."""
+    value = orjson.loads(candidate.body)
+    return Invalid("it says so") if value.get("invalid") else value
+
+
+def check_hosts(candidate: Candidate) -> object:
+    """Reads a host list of host names by data centre."""
+    value = orjson.loads(candidate.body)
+    entries = tuple(
+        HostListEntry(e["name"], Role.HOST, e["dc"], "127.0.0.1", 1)
+        for e in value["entries"]
+    )
+    return HostList(value["revision"], entries)
+
+
+CHECKS = {DECLARATIONS: check_declarations, HOSTS: check_hosts}
+
+
+@attrs.define
+class Platform:
+    """Both documents as the platform holds them now."""
+
+    documents: dict[DocumentKind, tuple[int, bytes]] = attrs.Factory(dict)
+    is_up: bool = True
+    reads: int = 0
+    bodies: int = 0
+
+    def publish(
+        self, document: DocumentKind, version: int, value: object
+    ) -> None:
+        """Puts a version in place, be it higher or lower."""
+        self.documents[document] = (version, orjson.dumps(value))
+
+    def publish_hosts(self, revision: int, hosts: dict[str, str]) -> None:
+        """Puts a host list in place, from names to data centres."""
+        entries = [{"name": n, "dc": d} for n, d in sorted(hosts.items())]
+        self.publish(HOSTS, revision, {"entries": entries})
+
+
+@attrs.define
+class Node:
+    """A host with what was observed of it."""
+
+    name: str
+    data_centre: str
+    state: PeerState
+    watching: set[DocumentKind] = attrs.Factory(set)
+    next_read_s: dict[DocumentKind, float] = attrs.Factory(dict)
+    applied: list[tuple[DocumentKind, int]] = attrs.Factory(list)
+    reports: list[PeerCommand] = attrs.Factory(list)
+    next_tick_s: float = 0.0
+    paused_until_s: float = 0.0
+    deferred: list[tuple[str, PeerMessage]] = attrs.Factory(list)
+
+
+class Network:
+    """Delivers messages late, twice, in another order or not at all."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        self.now_s = 100.0
+        self.platform = Platform()
+        self.nodes: dict[str, Node] = {}
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.jitter_s = 0.0
+        self.is_cut: Callable[[str, str], bool] = lambda _a, _b: False
+        self.is_platform_cut: Callable[[str], bool] = lambda _host: False
+        self.observe: Callable[[Node, str, PeerMessage], None] = (
+            lambda _node, _peer, _message: None
+        )
+        self.sent = 0
+        self._queue: list[tuple[float, int, str, str, PeerMessage]] = []
+        self._count = itertools.count()
+
+    def add(self, name: str, data_centre: str = "a") -> Node:
+        """Starts a host."""
+        rng = random.Random(self.rng.random())
+        state = PeerState(name, data_centre, CHECKS, rng, self.now_s)
+        node = Node(name, data_centre, state)
+        node.next_tick_s = self.now_s + rng.uniform(0, TICK_S)
+        self.nodes[name] = node
+        return node
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            tick_s = min(
+                (n.next_tick_s for n in self.nodes.values()), default=end_s
+            )
+            message_s = self._queue[0][0] if self._queue else end_s
+            self.now_s = min(end_s, max(self.now_s, min(tick_s, message_s)))
+            self._deliver()
+            for node in list(self.nodes.values()):
+                if self.now_s >= node.next_tick_s:
+                    node.next_tick_s = self.now_s + TICK_S
+                    self._tick(node)
+
+    def execute(self, node: Node, commands: list[PeerCommand]) -> None:
+        """Does what a host's commands say."""
+        for command in commands:
+            match command:
+                case Send(peer=peer, message=message):
+                    self._send(node.name, peer, message)
+                case Apply(document=document, version=version):
+                    node.applied.append((document, version))
+                case StartWatching(document=document):
+                    node.watching.add(document)
+                    node.next_read_s[document] = self.now_s
+                case StopWatching(document=document):
+                    node.watching.discard(document)
+                case _:
+                    node.reports.append(command)
+
+    def _send(self, sender: str, receiver: str, message: PeerMessage) -> None:
+        self.sent += 1
+        copies = 1 + (self.rng.random() < self.duplication)
+        for _ in range(copies):
+            if self.rng.random() < self.loss:
+                continue
+            at_s = self.now_s + LATENCY_S + self.rng.uniform(0, self.jitter_s)
+            item = (at_s, next(self._count), sender, receiver, message)
+            heapq.heappush(self._queue, item)
+
+    def _deliver(self) -> None:
+        while self._queue and self._queue[0][0] <= self.now_s:
+            _, _, sender, receiver, message = heapq.heappop(self._queue)
+            node = self.nodes.get(receiver)
+            if node is None or self.is_cut(sender, receiver):
+                continue
+            if node.paused_until_s > self.now_s:
+                node.deferred.append((sender, message))
+                continue
+            self._receive(node, sender, message)
+
+    def _receive(self, node: Node, sender: str, message: PeerMessage) -> None:
+        self.observe(node, sender, message)
+        self.execute(node, node.state.on_message(sender, message, self.now_s))
+
+    def _tick(self, node: Node) -> None:
+        if node.paused_until_s > self.now_s:
+            return
+        self.execute(node, node.state.on_tick(self.now_s))
+        deferred, node.deferred = node.deferred, []
+        for sender, message in deferred:
+            self._receive(node, sender, message)
+        for document in sorted(node.watching, key=lambda d: d.value):
+            if self.now_s >= node.next_read_s[document]:
+                self._read(node, document)
+
+    def _read(self, node: Node, document: DocumentKind) -> None:
+        node.next_read_s[document] = self.now_s + 3 * self.rng.uniform(0.5, 1.5)
+        if not self.platform.is_up or self.is_platform_cut(node.name):
+            return
+        self.platform.reads += 1
+        found = self.platform.documents.get(document)
+        if found is None or found[0] <= node.state.read_after(document):
+            return
+        self.platform.bodies += 1
+        version, body = found
+        commands = node.state.on_platform_document(
+            document, version, body, self.now_s
+        )
+        self.execute(node, commands)
--- a/packages/protocol/src/hollyknot_protocol/_kinds.py
+++ b/packages/protocol/src/hollyknot_protocol/_kinds.py
@@ -11,7 +11,9 @@
 
 import attrs
 
+import hollyknot_state as state
 from hollyknot_protocol import _peer
+from hollyknot_protocol.gen.gossip import ttypes as gossip
 from hollyknot_protocol.gen.peer import ttypes as peer
 
 
@@ -47,5 +49,12 @@
     Kind(1, _peer.Ping, peer.Ping),
     Kind(2, _peer.Pong, peer.Pong),
     Kind(3, _peer.CallRefusal, peer.CallRefusal),
+    Kind(200, state.Gossip, gossip.Gossip),
+    Kind(201, state.FetchDocument, gossip.FetchDocument),
+    Kind(202, state.DocumentDelta, gossip.DocumentDelta),
+    Kind(203, state.DocumentPage, gossip.DocumentPage),
+    Kind(204, state.Probe, gossip.Probe),
+    Kind(205, state.ProbeAck, gossip.ProbeAck),
+    Kind(206, state.IndirectProbe, gossip.IndirectProbe),
 )
 """What travels in an envelope."""
