Claim non-idempotent requests before they run

Cause: a caller sends again under the same key, through another host; the request must run at most once although hosts keep nothing on disk. A majority of up to five holders, chosen by rendezvous hashing, grants a key to one attempt ever; grants don't expire. An attempt that has, and can get, no majority is cancelled by a majority's promises. Keys are forgotten by their own time, behind a horizon that only rises. Learning of earlier holders is there, not yet tested. Ruled out: leases by time, since nobody can stop a paused host's late send.

--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/claims/_attempt.py
@@ -0,0 +1,257 @@
+"""One attempt to claim a key: its answers so far, and what follows from them.
+
+The attempt first asks every holder for a grant. If others stand in its way, it
+tries to cancel them: once a majority of the holders has promised never to
+grant an attempt, that attempt is proved never to run, and its grants can be
+released. Then the holders are asked again.
+"""
+
+import enum
+
+import attrs
+
+from hollyknot_coordination.claims._commands import SendClaim
+from hollyknot_coordination.claims._placement import group_digest, majority
+from hollyknot_state import (
+    Attempt,
+    CancelClaim,
+    ClaimAnswer,
+    ClaimAnswerKind,
+    ClaimOutcome,
+    GrantClaim,
+    HeldAttempt,
+    ReleaseClaim,
+)
+
+_PASSING = (ClaimAnswerKind.LEARNING, ClaimAnswerKind.BEHIND)
+"""Answers after which the same holder may grant later."""
+
+
+class Phase(enum.Enum):
+    """What an attempt waits for."""
+
+    ASKING = "asking"
+    CANCELLING = "cancelling"
+
+
+class Finding(enum.Enum):
+    """What follows from the answers so far."""
+
+    WAIT = "wait"
+    GRANTED = "granted"
+    OTHERS = "others"
+    """A majority can't be had while other attempts hold grants."""
+
+    CLEARED = "cleared"
+    """All the others that were found are proved never to run."""
+
+    HELD = "held"
+    """Another attempt may have a majority."""
+
+    NO_MAJORITY = "no-majority"
+    """A majority can't be had, and no other attempt was found."""
+
+
+@attrs.define
+class _Rival:
+    """Another attempt that holds a grant of the key.
+
+    Attributes:
+        outcome: How it ended, if a holder was told.
+        promised: Holders that have promised never to grant it.
+        holding: Holders that may have granted it.
+        is_dead: Whether it is proved never to run.
+    """
+
+    outcome: ClaimOutcome = ClaimOutcome.UNKNOWN
+    promised: set[str] = attrs.Factory(set)
+    holding: set[str] = attrs.Factory(set)
+    is_dead: bool = False
+
+
+@attrs.define
+class ClaimAttempt:
+    """One attempt of this host's coordinator to claim a key.
+
+    Attributes:
+        key: The claim key.
+        attempt: Its name.
+        group: The holders that are asked.
+        revision: The revision of the list that they come from.
+        phase: What it waits for.
+        rounds: How often others were cleared out of the way.
+        asked: Every host that was ever asked for a grant.
+    """
+
+    key: bytes
+    attempt: Attempt
+    group: tuple[str, ...]
+    revision: int
+    phase: Phase = Phase.ASKING
+    rounds: int = 0
+    asked: set[str] = attrs.Factory(set)
+    _digest: int = 0
+    _answers: dict[str, ClaimAnswer] = attrs.Factory(dict)
+    _rivals: dict[Attempt, _Rival] = attrs.Factory(dict)
+
+    def __attrs_post_init__(self) -> None:
+        self._digest = group_digest(self.group)
+
+    @property
+    def answers(self) -> tuple[ClaimAnswer, ...]:
+        """The holders' answers on grants in this round."""
+        return tuple(self._answers.values())
+
+    @property
+    def rival_outcome(self) -> ClaimOutcome | None:
+        """How a live rival ended; `None` if there is no live rival."""
+        live = [r.outcome for r in self._rivals.values() if not r.is_dead]
+        if not live:
+            return None
+        known = (o for o in live if o is not ClaimOutcome.UNKNOWN)
+        return next(known, ClaimOutcome.UNKNOWN)
+
+    def move_to(self, group: tuple[str, ...], revision: int) -> bool:
+        """Goes by newer holders; tells whether they differ.
+
+        Grants and promises are counted within one group only: majorities of
+        two groups need not have a host in common.
+        """
+        if revision <= self.revision:
+            return False
+        self.revision = revision
+        if group == self.group:
+            return False
+        self.group = group
+        self._digest = group_digest(group)
+        self._answers.clear()
+        for rival in self._rivals.values():
+            rival.promised.clear()
+            rival.holding.clear()
+        self.phase = Phase.ASKING
+        return True
+
+    def take(self, sender: str, answer: ClaimAnswer) -> bool:
+        """Takes a holder's answer; tells whether it changed the holders."""
+        if answer.kind is ClaimAnswerKind.NEWER:
+            return bool(answer.holders) and self.move_to(
+                answer.holders, answer.revision
+            )
+        if sender not in self.group or answer.group != self._digest:
+            return False
+        self._note_held(sender, answer.held)
+        if answer.attempt == self.attempt:
+            self._take_grant_answer(sender, answer)
+        elif answer.kind is ClaimAnswerKind.PROMISED:
+            rival = self._rivals.setdefault(answer.attempt, _Rival())
+            rival.promised.add(sender)
+        return False
+
+    def find(self) -> Finding:
+        """Returns what follows from the answers."""
+        if self._grants() >= majority(self.group):
+            return Finding.GRANTED
+        if self.phase is Phase.CANCELLING:
+            return self._find_cancelling()
+        if self._grants() + len(self._open()) >= majority(self.group):
+            return Finding.WAIT
+        return self.find_at_end()
+
+    def find_at_end(self) -> Finding:
+        """Returns what follows if no more answers are waited for."""
+        if self._live() and any(map(self._may_win, self._live().values())):
+            return Finding.HELD
+        return Finding.OTHERS if self._live() else Finding.NO_MAJORITY
+
+    def begin_cancelling(self) -> None:
+        """Goes over to cancelling the others that were found."""
+        self.phase = Phase.CANCELLING
+
+    def begin_round(self) -> list[SendClaim]:
+        """Releases the others, which are proved dead, and asks once more."""
+        releases = [
+            SendClaim(host, ReleaseClaim(self.key, attempt))
+            for attempt, rival in self._rivals.items()
+            if rival.is_dead
+            for host in self.group
+        ]
+        self.phase = Phase.ASKING
+        self.rounds += 1
+        self._answers = {
+            host: answer
+            for host, answer in self._answers.items()
+            if answer.kind is ClaimAnswerKind.GRANTED
+        }
+        return releases
+
+    def questions(self) -> list[SendClaim]:
+        """Returns the messages to holders that have not answered for good."""
+        if self.phase is Phase.CANCELLING:
+            return [
+                SendClaim(host, self._cancel(attempt))
+                for attempt, rival in self._live().items()
+                for host in self.group
+                if host not in rival.promised | rival.holding
+            ]
+        grant = GrantClaim(self.key, self.attempt, self.revision, self._digest)
+        hosts = self._open()
+        self.asked.update(hosts)
+        return [SendClaim(host, grant) for host in hosts]
+
+    def releases(self) -> list[SendClaim]:
+        """Returns what takes this attempt's grants back; it must never run."""
+        message = ReleaseClaim(self.key, self.attempt)
+        hosts = sorted(self.asked | set(self.group))
+        return [SendClaim(host, message) for host in hosts]
+
+    def _cancel(self, attempt: Attempt) -> CancelClaim:
+        return CancelClaim(
+            self.key, attempt, self.attempt, self.revision, self._digest
+        )
+
+    def _take_grant_answer(self, sender: str, answer: ClaimAnswer) -> None:
+        # A holder never takes a grant back unasked: a late refusal from
+        # before the grant must not hide it.
+        before = self._answers.get(sender)
+        if before is None or before.kind is not ClaimAnswerKind.GRANTED:
+            self._answers[sender] = answer
+
+    def _note_held(self, sender: str, held: tuple[HeldAttempt, ...]) -> None:
+        for one in held:
+            if one.attempt == self.attempt:
+                continue
+            rival = self._rivals.setdefault(one.attempt, _Rival())
+            rival.holding.add(sender)
+            if one.outcome is not ClaimOutcome.UNKNOWN:
+                rival.outcome = one.outcome
+
+    def _grants(self) -> int:
+        return sum(
+            answer.kind is ClaimAnswerKind.GRANTED
+            for answer in self._answers.values()
+        )
+
+    def _open(self) -> tuple[str, ...]:
+        """Returns the holders that may still grant in this round."""
+        return tuple(
+            host
+            for host in self.group
+            if host not in self._answers or self._answers[host].kind in _PASSING
+        )
+
+    def _live(self) -> dict[Attempt, _Rival]:
+        return {a: r for a, r in self._rivals.items() if not r.is_dead}
+
+    def _may_win(self, rival: _Rival) -> bool:
+        """Tells whether so many hold a rival that it can't be cancelled."""
+        left = len(self.group) - len(rival.holding)
+        is_ended = rival.outcome is not ClaimOutcome.UNKNOWN
+        return is_ended or left < majority(self.group)
+
+    def _find_cancelling(self) -> Finding:
+        for rival in self._live().values():
+            if len(rival.promised) >= majority(self.group):
+                rival.is_dead = True
+            elif self._may_win(rival):
+                return Finding.HELD
+        return Finding.WAIT if self._live() else Finding.CLEARED
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/claims/_coordinator.py
@@ -0,0 +1,245 @@
+"""The coordinator: claims the keys of the requests that this host has."""
+
+import random
+
+import attrs
+
+from hollyknot_coordination.claims._attempt import (
+    ClaimAttempt,
+    Finding,
+    Phase,
+)
+from hollyknot_coordination.claims._commands import (
+    ClaimCommand,
+    ClaimGranted,
+    ClaimRefused,
+    Instant,
+    SendClaim,
+)
+from hollyknot_coordination.claims._keys import slot_of
+from hollyknot_coordination.claims._options import ClaimOptions
+from hollyknot_coordination.claims._placement import Placement
+from hollyknot_coordination.claims._verdicts import refusal
+from hollyknot_state import (
+    Attempt,
+    ClaimAnswer,
+    ClaimOutcome,
+    Outcome,
+    Reason,
+    RecordClaim,
+    Verdict,
+)
+
+_OUTCOMES = {
+    Outcome.COMPLETE: ClaimOutcome.COMPLETE,
+    Outcome.FAILED: ClaimOutcome.FAILED,
+    Outcome.MAY_HAVE_RUN: ClaimOutcome.MAY_HAVE_RUN,
+}
+
+
+@attrs.define
+class _Claiming:
+    """An attempt with its times, in seconds of the monotonic clock.
+
+    Attributes:
+        attempt: The attempt.
+        cancel_s: When to stop waiting for silent holders and to try to cancel
+            others instead.
+        give_up_s: When to give up.
+        repeat_s: When to repeat unanswered messages.
+        wait_s: The time between repeats.
+    """
+
+    attempt: ClaimAttempt
+    cancel_s: float
+    give_up_s: float
+    repeat_s: float
+    wait_s: float
+
+
+@attrs.define
+class Coordinator:
+    """Claims keys on behalf of requests; has one attempt for a key at a time.
+
+    Holders rely on that: they refuse a coordinator's attempts up to a number
+    instead of one by one. A second request for the same key is therefore
+    refused here while the first is under way.
+
+    Attributes:
+        host: This host's name in the host list.
+        incarnation: A number that no earlier process of this name had.
+        rng: For spreading the times at which callers come back.
+        options: Times and limits.
+    """
+
+    host: str
+    incarnation: int
+    placement: Placement
+    rng: random.Random
+    options: ClaimOptions = attrs.Factory(ClaimOptions)
+    _number: int = 0
+    _claiming: dict[bytes, _Claiming] = attrs.Factory(dict)
+    _granted: dict[bytes, ClaimAttempt] = attrs.Factory(dict)
+
+    def update(self, placement: Placement, now: Instant) -> list[ClaimCommand]:
+        """Takes a newer host list, or newly declared data centres."""
+        if placement.revision < self.placement.revision:
+            return []
+        self.placement = placement
+        commands: list[ClaimCommand] = []
+        for claiming in self._claiming.values():
+            attempt = claiming.attempt
+            group = placement.group(slot_of(attempt.key))
+            if group and attempt.move_to(group, placement.revision):
+                commands += self._send(claiming, now)
+        return commands
+
+    def claim(
+        self, key: bytes, now: Instant, patience_s: float
+    ) -> list[ClaimCommand]:
+        """Begins to claim a key.
+
+        Args:
+            key: From `claim_key`.
+            now: The time.
+            patience_s: Seconds after which to give up.
+
+        Returns:
+            Messages to send; or at once a refusal. The end comes as a
+            `ClaimGranted` or `ClaimRefused` of the same key from one of
+            `claim`, `receive`, `update` and `poll`.
+        """
+        self._number += 1
+        name = Attempt(f"{self.host}/{self.incarnation}", self._number)
+        if key in self._claiming or key in self._granted:
+            verdict = Verdict(
+                Outcome.MAY_HAVE_RUN,
+                Reason.CLAIMED_BEFORE,
+                "an earlier request with this key is under way",
+                self._come_back_s(),
+            )
+            return [ClaimRefused(key, name, verdict)]
+        group = self.placement.group(slot_of(key))
+        attempt = ClaimAttempt(key, name, group, self.placement.revision)
+        claiming = _Claiming(
+            attempt,
+            now.now_s + patience_s / 2,
+            now.now_s + patience_s,
+            now.now_s,
+            self.options.first_retry_s,
+        )
+        self._claiming[key] = claiming
+        if not group:
+            return self._refuse(claiming)
+        return self._send(claiming, now)
+
+    def receive(
+        self, sender: str, answer: ClaimAnswer, now: Instant
+    ) -> list[ClaimCommand]:
+        """Takes a holder's answer."""
+        claiming = self._claiming.get(answer.key)
+        # An answer to an attempt that was given up must not revive it.
+        if claiming is None or claiming.attempt.attempt != answer.asker:
+            return []
+        if claiming.attempt.take(sender, answer):
+            return self._send(claiming, now)
+        return self._go_on(claiming, now)
+
+    def poll(self, now: Instant) -> list[ClaimCommand]:
+        """Repeats unanswered messages, and gives up what takes too long."""
+        commands: list[ClaimCommand] = []
+        for claiming in list(self._claiming.values()):
+            commands += self._go_on(claiming, now)
+            is_pending = claiming.attempt.key in self._claiming
+            if is_pending and now.now_s >= claiming.repeat_s:
+                commands += self._send(claiming, now)
+        return commands
+
+    def next_poll_s(self) -> float:
+        """Returns when to call `poll` at the latest, infinity if not at all."""
+        times = (min(c.give_up_s, c.repeat_s) for c in self._claiming.values())
+        return min(times, default=float("inf"))
+
+    def finish(self, key: bytes, outcome: Outcome) -> list[ClaimCommand]:
+        """Ends a claim, granted or not; the request must not run from now on.
+
+        Args:
+            key: The key.
+            outcome: How the request ended. `NOT_RUN` needs proof, since it
+                lets the key be granted again: that nothing was dispatched, or
+                the upstream's published refusal.
+        """
+        claiming = self._claiming.pop(key, None)
+        if claiming is not None:
+            return list(claiming.attempt.releases())
+        attempt = self._granted.pop(key, None)
+        if attempt is None:
+            return []
+        if outcome is Outcome.NOT_RUN:
+            return list(attempt.releases())
+        message = RecordClaim(key, attempt.attempt, _OUTCOMES[outcome])
+        return [SendClaim(host, message) for host in attempt.group]
+
+    def _send(self, claiming: _Claiming, now: Instant) -> list[ClaimCommand]:
+        claiming.repeat_s = now.now_s + claiming.wait_s
+        claiming.wait_s = min(claiming.wait_s * 2, self.options.last_retry_s)
+        return list(claiming.attempt.questions())
+
+    def _go_on(self, claiming: _Claiming, now: Instant) -> list[ClaimCommand]:
+        attempt = claiming.attempt
+        finding = attempt.find()
+        if finding is Finding.GRANTED:
+            del self._claiming[attempt.key]
+            self._granted[attempt.key] = attempt
+            return [ClaimGranted(attempt.key, attempt.attempt)]
+        if now.now_s >= claiming.give_up_s:
+            return self._refuse(claiming)
+        is_asking = attempt.phase is Phase.ASKING
+        if finding is Finding.WAIT and is_asking:
+            if now.now_s < claiming.cancel_s:
+                return []
+            finding = attempt.find_at_end()
+        if finding is Finding.OTHERS:
+            return self._cancel_others(claiming, now)
+        if finding is Finding.CLEARED:
+            return self._ask_again(claiming, now)
+        if finding is Finding.HELD and (
+            not is_asking or self._is_over(attempt)
+        ):
+            return self._refuse(claiming)
+        if finding is Finding.NO_MAJORITY and self._is_over(attempt):
+            return self._refuse(claiming)
+        return []
+
+    def _is_over(self, attempt: ClaimAttempt) -> bool:
+        """Tells whether no holder's further answer can bring a grant."""
+        return attempt.find() is not Finding.WAIT
+
+    def _cancel_others(
+        self, claiming: _Claiming, now: Instant
+    ) -> list[ClaimCommand]:
+        if claiming.attempt.rounds >= self.options.max_rounds:
+            return self._refuse(claiming)
+        claiming.attempt.begin_cancelling()
+        claiming.wait_s = self.options.first_retry_s
+        return self._send(claiming, now)
+
+    def _ask_again(
+        self, claiming: _Claiming, now: Instant
+    ) -> list[ClaimCommand]:
+        releases = claiming.attempt.begin_round()
+        claiming.wait_s = self.options.first_retry_s
+        return [*releases, *self._send(claiming, now)]
+
+    def _refuse(self, claiming: _Claiming) -> list[ClaimCommand]:
+        attempt = claiming.attempt
+        del self._claiming[attempt.key]
+        verdict = refusal(attempt, self._come_back_s())
+        earlier = attempt.rival_outcome or ClaimOutcome.UNKNOWN
+        refused = ClaimRefused(attempt.key, attempt.attempt, verdict, earlier)
+        return [*attempt.releases(), refused]
+
+    def _come_back_s(self) -> float:
+        # Two that split the votes must not come back at the same moment.
+        mean_s = self.options.come_back_s
+        return self.rng.uniform(mean_s / 2, mean_s * 3 / 2)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/claims/_placement.py
@@ -0,0 +1,87 @@
+"""Which data centre and which hosts hold the claims of a slot.
+
+All is computed from the platform's documents alone, so that every host that
+has the same documents computes the same.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from hollyknot_state import HostList
+
+GROUP_SIZE = 5
+"""Holders of a slot, or all hosts of the data centre if they are fewer."""
+
+_DIGEST_MASK = (1 << 63) - 1
+
+
+def _score(slot: int, name: str) -> tuple[int, str]:
+    # The name breaks a tie, so that equal hashes can't be ordered unalike.
+    return xxhash.xxh3_64_intdigest(f"{slot}/{name}".encode()), name
+
+
+def home(slot: int, data_centres: Iterable[str]) -> str:
+    """Returns the home data centre of a slot; empty if none is declared."""
+    return max(data_centres, key=lambda n: _score(slot, n), default="")
+
+
+def holders(slot: int, hosts: Iterable[str]) -> tuple[str, ...]:
+    """Returns the holders of a slot among a data centre's hosts, sorted."""
+    ranked = sorted(hosts, key=lambda n: _score(slot, n), reverse=True)
+    return tuple(sorted(ranked[:GROUP_SIZE]))
+
+
+def group_digest(group: tuple[str, ...]) -> int:
+    """Returns 63 bits that stand for a group of holders."""
+    # NUL can't be part of a name.
+    return xxhash.xxh3_64_intdigest("\0".join(group).encode()) & _DIGEST_MASK
+
+
+def majority(group: tuple[str, ...]) -> int:
+    """Returns how many grants of a group no two attempts can both have."""
+    return len(group) // 2 + 1
+
+
+@attrs.define
+class Placement:
+    """The holders of all slots by one host list; computed when asked for.
+
+    Attributes:
+        revision: The host list's revision.
+        data_centres: Names of all data centres, as declared.
+    """
+
+    revision: int
+    data_centres: tuple[str, ...]
+    _list: HostList
+    _hosts: dict[str, tuple[str, ...]] = attrs.Factory(dict)
+    _groups: dict[int, tuple[str, ...]] = attrs.Factory(dict)
+
+    def home(self, slot: int) -> str:
+        """Returns the home data centre of a slot."""
+        return home(slot, self.data_centres)
+
+    def hosts(self, data_centre: str) -> tuple[str, ...]:
+        """Returns the names of a data centre's live hosts."""
+        found = self._hosts.get(data_centre)
+        if found is None:
+            found = tuple(e.name for e in self._list.hosts(data_centre))
+            self._hosts[data_centre] = found
+        return found
+
+    def group(self, slot: int) -> tuple[str, ...]:
+        """Returns the holders of a slot in its home data centre."""
+        found = self._groups.get(slot)
+        if found is None:
+            found = holders(slot, self.hosts(self.home(slot)))
+            self._groups[slot] = found
+        return found
+
+
+def make_placement(
+    host_list: HostList, data_centres: tuple[str, ...]
+) -> Placement:
+    """Returns the placement by a host list and the declared data centres."""
+    return Placement(host_list.revision, tuple(data_centres), host_list)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/claims/_seal.py
@@ -0,0 +1,85 @@
+"""How a host takes a learner's question about a slot."""
+
+import attrs
+
+from hollyknot_coordination.claims._slot import Slot
+from hollyknot_state import (
+    ClaimRecord,
+    HolderEpoch,
+    SlotAnswer,
+    SlotAnswerKind,
+    SlotQuestion,
+    StoppedHolder,
+)
+
+
+def take_question(slot: Slot, question: SlotQuestion) -> SlotAnswerKind:
+    """Seals a slot at a learner's epoch, or finds why it can't be.
+
+    A slot that was sealed has `question.epoch` as its epoch afterwards.
+    """
+    asked, own = question.epoch, slot.epoch
+    if asked.revision < own.revision:
+        return SlotAnswerKind.NEWER
+    if asked.revision > own.revision:
+        is_same = asked.holders == own.holders
+        if is_same and own.revision >= question.oldest:
+            # Both have the same holders; one skipped a revision. Sealing would
+            # stop a working group for a change that is none.
+            return SlotAnswerKind.SAME
+        if not is_same and asked.revision < slot.seen:
+            return SlotAnswerKind.NEWER
+        slot.move_to(asked)
+    slot.promised = max(slot.promised, asked.revision)
+    return SlotAnswerKind.SEALED
+
+
+def slot_answer(
+    slot: Slot, question: SlotQuestion, kind: SlotAnswerKind, limit: int
+) -> SlotAnswer:
+    """Returns the answer to a question, with a page of records if sealed.
+
+    Args:
+        slot: The slot, after `take_question`.
+        question: The learner's question.
+        kind: What `take_question` found.
+        limit: The most records to give.
+    """
+    answer = SlotAnswer(
+        question.slot,
+        kind,
+        question.epoch,
+        epochs=_epochs(slot, question, kind),
+    )
+    if kind is not SlotAnswerKind.SEALED:
+        return answer
+    records = slot.records.page(question.after, limit + 1)
+    return attrs.evolve(
+        answer,
+        active=slot.active,
+        horizon_ms=slot.horizon_ms,
+        records=records[:limit],
+        after=_last_key(records[:limit]),
+        more=len(records) > limit,
+        stopped=tuple(
+            StoppedHolder(name, active) for name, active in slot.stopped.items()
+        ),
+    )
+
+
+def _epochs(
+    slot: Slot, question: SlotQuestion, kind: SlotAnswerKind
+) -> tuple[HolderEpoch, ...]:
+    if kind is SlotAnswerKind.NEWER:
+        if slot.epoch.revision > question.epoch.revision:
+            return (slot.epoch,)
+        # The epoch's own revision is older than the learner's, whose holders
+        # this host knows to be out of date all the same.
+        return (HolderEpoch(slot.seen, slot.epoch.holders),)
+    if kind is SlotAnswerKind.SAME:
+        return (slot.epoch,)
+    return tuple(HolderEpoch(r, h) for r, h in slot.epochs.items())
+
+
+def _last_key(records: tuple[ClaimRecord, ...]) -> bytes:
+    return records[-1].key if records else b""
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/claims/tests/_fleet.py
@@ -0,0 +1,211 @@
+"""Hosts with holders and coordinators over a network that the test plays."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from hollyknot_coordination.claims import (
+    ClaimGranted,
+    ClaimOptions,
+    ClaimRefused,
+    Coordinator,
+    Holder,
+    Instant,
+    SendClaim,
+    make_placement,
+)
+from hollyknot_state import (
+    ClaimAnswer,
+    HostList,
+    HostListEntry,
+    Outcome,
+    Role,
+)
+
+START_MS = 1_700_000_000_000
+OPTIONS = ClaimOptions(remember_s=600.0, first_retry_s=0.1, last_retry_s=0.4)
+
+
+def make_key(time_ms: int, number: int = 0, slot: int = 0) -> bytes:
+    """Returns a claim key of a slot."""
+    tail = number.to_bytes(9, "big") + bytes([slot])
+    return time_ms.to_bytes(6, "big") + tail
+
+
+def host_list(revision: int, names: tuple[str, ...]) -> HostList:
+    """Returns a list of hosts of one data centre."""
+    entries = (HostListEntry(n, Role.HOST, "dc", "127.0.0.1", 1) for n in names)
+    return HostList(revision, tuple(entries))
+
+
+@attrs.define
+class Host:
+    """One host: its two halves, and its wall clock's error."""
+
+    holder: Holder
+    coordinator: Coordinator
+    skew_ms: int = 0
+    granted: list[bytes] = attrs.Factory(list)
+    refused: list[ClaimRefused] = attrs.Factory(list)
+
+
+@attrs.define
+class Message:
+    """A message under way."""
+
+    sender: str
+    receiver: str
+    body: Any
+
+
+@attrs.define
+class Fleet:
+    """Hosts, messages under way, host lists, and what upstreams started."""
+
+    hosts: dict[str, Host] = attrs.Factory(dict)
+    network: list[Message] = attrs.Factory(list)
+    lists: list[tuple[str, ...]] = attrs.Factory(list)
+    started: Counter[bytes] = attrs.Factory(Counter)
+    now_s: float = 0.0
+    incarnations: int = 0
+
+    def at(self, host: Host) -> Instant:
+        wall_ms = START_MS + int(self.now_s * 1000) + host.skew_ms
+        return Instant(self.now_s, wall_ms)
+
+    def publish(self, *names: str) -> int:
+        """Adds a revision of the host list; nobody has seen it yet."""
+        self.lists.append(names)
+        return len(self.lists)
+
+    def start(self, name: str, revision: int = 0, skew_ms: int = 0) -> Host:
+        """Starts a host that reads a revision, the last one by default."""
+        self.incarnations += 1
+        placement = self._placement(revision)
+        number = self.incarnations
+        host = Host(
+            Holder(name, "dc", number, OPTIONS),
+            Coordinator(
+                name, number, placement, random.Random(number), OPTIONS
+            ),
+            skew_ms,
+        )
+        self.hosts[name] = host
+        self.see(name, revision)
+        return host
+
+    def kill(self, name: str) -> None:
+        """Ends a host with all that it knows."""
+        del self.hosts[name]
+
+    def see(self, name: str, revision: int = 0) -> None:
+        """Lets a host read a revision of the list."""
+        host = self.hosts[name]
+        placement = self._placement(revision)
+        self._run(name, host.holder.update(placement, self.at(host)))
+        self._run(name, host.coordinator.update(placement, self.at(host)))
+
+    def claim(self, name: str, key: bytes, patience_s: float = 2.0) -> None:
+        host = self.hosts[name]
+        commands = host.coordinator.claim(key, self.at(host), patience_s)
+        self._run(name, commands)
+
+    def deliver(self, message: Message) -> None:
+        """Delivers a message; one to a host that is gone is lost."""
+        host = self.hosts.get(message.receiver)
+        if host is None:
+            return
+        half = (
+            host.coordinator
+            if isinstance(message.body, ClaimAnswer)
+            else host.holder
+        )
+        commands = half.receive(message.sender, message.body, self.at(host))
+        self._run(message.receiver, commands)
+
+    def deliver_all(
+        self, passes: Callable[[Message], bool] = lambda _: True
+    ) -> None:
+        """Delivers until nothing is under way; what doesn't pass is lost."""
+        while self.network:
+            message = self.network.pop(0)
+            if passes(message):
+                self.deliver(message)
+
+    def poll(self, name: str) -> None:
+        host = self.hosts[name]
+        self._run(name, host.holder.poll(self.at(host)))
+        self._run(name, host.coordinator.poll(self.at(host)))
+
+    def settle(
+        self,
+        seconds: float,
+        passes: Callable[[Message], bool] = lambda _: True,
+    ) -> None:
+        """Lets time pass, with all timers and all messages that pass."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.deliver_all(passes)
+            self.now_s += 0.1
+            for name in tuple(self.hosts):
+                self.poll(name)
+        self.deliver_all(passes)
+
+    def dispatch(self, name: str, key: bytes) -> None:
+        """Sends a granted request to the upstream, perhaps long after."""
+        self.hosts[name].granted.remove(key)
+        self.started[key] += 1
+
+    def finish(self, name: str, key: bytes, outcome: Outcome) -> None:
+        self._run(name, self.hosts[name].coordinator.finish(key, outcome))
+
+    def try_key(self, name: str, key: bytes) -> str:
+        """Claims a key with a working network; dispatches it if granted.
+
+        Returns:
+            `granted`, or the refusal's outcome.
+        """
+        host = self.hosts[name]
+        before = len(host.refused)
+        self.claim(name, key)
+        self.settle(2.5)
+        if key in host.granted:
+            self.dispatch(name, key)
+            return "granted"
+        assert len(host.refused) == before + 1
+        return host.refused[-1].verdict.outcome.value
+
+    def _placement(self, revision: int) -> Any:
+        revision = revision or len(self.lists)
+        names = self.lists[revision - 1]
+        return make_placement(host_list(revision, names), ("dc",))
+
+    def _run(self, name: str, commands: list[Any]) -> None:
+        for command in commands:
+            match command:
+                case SendClaim():
+                    self.network.append(
+                        Message(name, command.host, command.message)
+                    )
+                case ClaimGranted():
+                    self.hosts[name].granted.append(command.key)
+                case ClaimRefused():
+                    self.hosts[name].refused.append(command)
+
+
+def make_fleet(*names: str) -> Fleet:
+    """Returns hosts that have read one list and become active."""
+    fleet = Fleet()
+    fleet.publish(*names)
+    for name in names:
+        fleet.start(name)
+    fleet.settle(6.0)
+    return fleet
+
+
+def fresh_key(fleet: Fleet, number: int = 0, slot: int = 0) -> bytes:
+    """Returns a key that a caller makes up now."""
+    return make_key(START_MS + int(fleet.now_s * 1000), number, slot)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/claims/tests/test_claims.py
@@ -0,0 +1,233 @@
+"""Claims among holders that stay the same."""
+
+import pytest
+
+from hollyknot_coordination.claims import KeyFault, claim_key, key_time_ms
+from hollyknot_coordination.claims.tests._fleet import (
+    fresh_key,
+    make_fleet,
+    make_key,
+)
+from hollyknot_state import ClaimOutcome, GrantClaim, Outcome, Reason
+
+UUID = "018bcfe5-6800-7000-8000-000000000001"
+
+
+class TestKeys:
+    """Claim keys, from what the caller sends."""
+
+    def test_key_starts_with_the_uuid_time(self) -> None:
+        key = claim_key("c", "s", UUID)
+        assert isinstance(key, bytes)
+        assert key_time_ms(key) == 1_700_000_000_000
+
+    @pytest.mark.parametrize(
+        ("customer", "service"), [("ab", "c"), ("a", "bc"), ("c", "ab")]
+    )
+    def test_customer_and_service_are_part(
+        self, customer: str, service: str
+    ) -> None:
+        others = {claim_key(c, s, UUID) for c, s in [("x", "y"), ("abc", "")]}
+        assert claim_key(customer, service, UUID) not in others
+        assert claim_key("a", "bc", UUID) != claim_key("ab", "c", UUID)
+
+    @pytest.mark.parametrize(
+        ("text", "fault"),
+        [
+            ("rubbish", KeyFault.NOT_A_UUID),
+            ("018bcfe5-6800-4000-8000-000000000001", KeyFault.NOT_VERSION_7),
+        ],
+    )
+    def test_other_keys_are_refused(self, text: str, fault: KeyFault) -> None:
+        assert claim_key("c", "s", text) is fault
+
+
+class TestGrant:
+    """Grants, releases and records."""
+
+    @pytest.mark.parametrize("size", [1, 2, 3, 4, 5, 8])
+    def test_a_fresh_key_is_granted_once(self, size: int) -> None:
+        names = tuple(f"h{i}" for i in range(size))
+        fleet = make_fleet(*names)
+        key = fresh_key(fleet)
+        assert fleet.try_key("h0", key) == "granted"
+        assert fleet.try_key(names[-1], key) == "may-have-run"
+        assert fleet.hosts[names[-1]].refused[-1].verdict.reason is (
+            Reason.CLAIMED_BEFORE
+        )
+
+    @pytest.mark.parametrize(
+        ("outcome", "earlier"),
+        [
+            (Outcome.COMPLETE, ClaimOutcome.COMPLETE),
+            (Outcome.FAILED, ClaimOutcome.FAILED),
+            (Outcome.MAY_HAVE_RUN, ClaimOutcome.MAY_HAVE_RUN),
+        ],
+    )
+    def test_a_retry_learns_the_recorded_end(
+        self, outcome: Outcome, earlier: ClaimOutcome
+    ) -> None:
+        fleet = make_fleet("a", "b", "c")
+        key = fresh_key(fleet)
+        fleet.try_key("a", key)
+        fleet.finish("a", key, outcome)
+        assert fleet.try_key("b", key) == "may-have-run"
+        assert fleet.hosts["b"].refused[-1].earlier is earlier
+
+    def test_what_was_proved_not_run_is_granted_again(self) -> None:
+        fleet = make_fleet("a", "b", "c")
+        key = fresh_key(fleet)
+        fleet.claim("a", key)
+        fleet.deliver_all()
+        fleet.finish("a", key, Outcome.NOT_RUN)
+        fleet.settle(0.1)
+        assert fleet.try_key("b", key) == "granted"
+
+    def test_a_late_request_of_a_released_attempt_is_refused(self) -> None:
+        """A key stays blocked although its attempt was given up.
+
+        The request for a grant overtakes nothing: it arrives after the
+        release. Without a mark the holder would grant it, for ever.
+        """
+        fleet = make_fleet("a", "b", "c")
+        key = fresh_key(fleet)
+        fleet.claim("a", key)
+        late = [m for m in fleet.network if isinstance(m.body, GrantClaim)]
+        fleet.network.clear()
+        fleet.finish("a", key, Outcome.NOT_RUN)
+        fleet.deliver_all()
+        fleet.network += late
+        fleet.deliver_all()
+        assert all(h.holder.records() == 1 for h in fleet.hosts.values())
+        assert fleet.try_key("b", key) == "granted"
+
+    def test_a_second_request_on_the_same_host_waits_for_the_first(
+        self,
+    ) -> None:
+        fleet = make_fleet("a", "b", "c")
+        key = fresh_key(fleet)
+        fleet.claim("a", key)
+        fleet.claim("a", key)
+        assert fleet.hosts["a"].refused[-1].verdict.retry_after_s > 0
+        fleet.deliver_all()
+        assert fleet.hosts["a"].granted == [key]
+
+
+class TestHalfFinished:
+    """Attempts that got no majority, or may have one."""
+
+    def test_a_retry_cancels_what_a_lost_host_left(self) -> None:
+        """A key is refused for ever after its first host died.
+
+        The host got one of five grants and was lost. No majority can come to
+        exist, yet each later attempt finds the grant in its way.
+        """
+        fleet = make_fleet("a", "b", "c", "d", "e", "f")
+        key = fresh_key(fleet)
+        fleet.claim("f", key)
+        fleet.deliver_all(lambda m: m.receiver in ("a", "f"))
+        fleet.kill("f")
+        assert fleet.try_key("b", key) == "granted"
+
+    def test_a_possible_majority_is_not_cancelled(self) -> None:
+        """A key runs twice although its first host is merely slow.
+
+        Two of three holders granted to a host that hasn't dispatched yet; the
+        second attempt must not clear these grants away.
+        """
+        fleet = make_fleet("a", "b", "c")
+        key = fresh_key(fleet)
+        fleet.claim("a", key)
+        fleet.deliver_all(lambda m: "c" not in (m.receiver, m.sender))
+        assert fleet.hosts["a"].granted == [key]
+        assert fleet.try_key("c", key) == "may-have-run"
+        fleet.dispatch("a", key)
+        assert fleet.started[key] == 1
+
+    def test_split_votes_end_without_a_second_run(self) -> None:
+        fleet = make_fleet("a", "b", "c", "d", "e")
+        key = fresh_key(fleet)
+        names = ("a", "b", "c")
+        for name in names:
+            fleet.claim(name, key)
+        reach = {"a": ("a", "b"), "b": ("c", "d"), "c": ("e",)}
+        fleet.deliver_all(
+            lambda m: (
+                not isinstance(m.body, GrantClaim)
+                or m.receiver in reach[m.sender]
+            )
+        )
+        fleet.settle(3.0)
+        for name in names:
+            for granted in tuple(fleet.hosts[name].granted):
+                fleet.dispatch(name, granted)
+        assert fleet.started[key] <= 1
+        if not fleet.started[key]:
+            assert fleet.try_key("d", key) == "granted"
+
+    def test_no_majority_is_not_run_come_back(self) -> None:
+        fleet = make_fleet("a", "b", "c")
+        key = fresh_key(fleet)
+        fleet.claim("a", key)
+        fleet.settle(3.0, lambda m: m.receiver == "a")
+        verdict = fleet.hosts["a"].refused[-1].verdict
+        assert verdict.reason is Reason.CLAIM_UNDECIDED
+        assert verdict.is_proved_not_run
+        assert verdict.retry_after_s > 0
+        assert fleet.try_key("b", key) == "granted"
+
+
+class TestTimes:
+    """Keys that are old, or ahead of the clock."""
+
+    @pytest.mark.parametrize(
+        ("offset_ms", "result", "reason"),
+        [
+            (-601_000, "may-have-run", Reason.KEY_EXPIRED),
+            (1_500, "granted", Reason.NONE),
+            (30_000, "not-run", Reason.IDEMPOTENCY_KEY),
+            (90_000, "not-run", Reason.IDEMPOTENCY_KEY),
+        ],
+    )
+    def test_key_times(
+        self, offset_ms: int, result: str, reason: Reason
+    ) -> None:
+        fleet = make_fleet("a", "b", "c")
+        fleet.now_s += 700
+        time_ms = key_time_ms(fresh_key(fleet)) + offset_ms
+        assert fleet.try_key("a", make_key(time_ms)) == result
+        refused = fleet.hosts["a"].refused
+        assert [r.verdict.reason for r in refused] == (
+            [] if reason is Reason.NONE else [reason]
+        )
+        if reason is Reason.IDEMPOTENCY_KEY:
+            comes_back = refused[0].verdict.retry_after_s > 0
+            assert comes_back == (offset_ms < 60_000)
+
+    def test_forgotten_keys_are_never_run(self) -> None:
+        """A caller that never gives up sees its order run twice.
+
+        Its first send ran; holders forgot it after a day; a later retry under
+        the same key finds nobody who remembers.
+        """
+        fleet = make_fleet("a", "b", "c")
+        key = fresh_key(fleet)
+        assert fleet.try_key("a", key) == "granted"
+        fleet.finish("a", key, Outcome.COMPLETE)
+        fleet.settle(0.2)
+        fleet.now_s += 800
+        fleet.settle(0.2)
+        assert all(h.holder.records() == 0 for h in fleet.hosts.values())
+        assert fleet.try_key("b", key) == "may-have-run"
+
+    def test_a_clock_set_back_revives_nothing(self) -> None:
+        """As above, but the holders' clocks go back after forgetting."""
+        fleet = make_fleet("a", "b", "c")
+        key = fresh_key(fleet)
+        assert fleet.try_key("a", key) == "granted"
+        fleet.now_s += 800
+        fleet.settle(0.2)
+        for host in fleet.hosts.values():
+            host.skew_ms = -800_000
+        fleet.finish("a", key, Outcome.COMPLETE)
+        assert fleet.try_key("b", key) == "may-have-run"
--- a/packages/protocol/idl/claims.thrift
+++ b/packages/protocol/idl/claims.thrift
@@ -57,7 +57,8 @@
 struct SlotQuestion {
   1: i32 slot,
   2: HolderEpoch epoch,
-  3: binary after,
+  3: i64 oldest,
+  4: binary after,
 }
 
 struct LearnSlots {
--- a/packages/protocol/src/hollyknot_protocol/_kinds.py
+++ b/packages/protocol/src/hollyknot_protocol/_kinds.py
@@ -13,6 +13,7 @@
 
 import hollyknot_state as state
 from hollyknot_protocol import _peer
+from hollyknot_protocol.gen.claims import ttypes as claims
 from hollyknot_protocol.gen.gossip import ttypes as gossip
 from hollyknot_protocol.gen.peer import ttypes as peer
 
@@ -49,6 +50,15 @@
     Kind(1, _peer.Ping, peer.Ping),
     Kind(2, _peer.Pong, peer.Pong),
     Kind(3, _peer.CallRefusal, peer.CallRefusal),
+    Kind(100, state.GrantClaim, claims.GrantClaim),
+    Kind(101, state.CancelClaim, claims.CancelClaim),
+    Kind(102, state.ReleaseClaim, claims.ReleaseClaim),
+    Kind(103, state.RecordClaim, claims.RecordClaim),
+    Kind(104, state.ClaimAnswer, claims.ClaimAnswer),
+    Kind(105, state.LearnSlots, claims.LearnSlots),
+    Kind(106, state.SlotAnswers, claims.SlotAnswers),
+    Kind(107, state.HandOverSlots, claims.HandOverSlots),
+    Kind(108, state.HandOverTaken, claims.HandOverTaken),
     Kind(200, state.Gossip, gossip.Gossip),
     Kind(201, state.FetchDocument, gossip.FetchDocument),
     Kind(202, state.DocumentDelta, gossip.DocumentDelta),
--- a/packages/state/src/hollyknot_state/_claim_messages.py
+++ b/packages/state/src/hollyknot_state/_claim_messages.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+from typing import Any
 
 import attrs
 from attrs import validators
@@ -16,10 +17,13 @@
 """Length of a claim key: 6 bytes of time in ms, 10 of a hash."""
 
 _not_negative = validators.ge(0)
-_is_key = [
-    validators.min_len(KEY_BYTES),
-    validators.max_len(KEY_BYTES),
-]
+
+
+def _is_key(_: Any, attribute: Any, value: bytes) -> None:
+    if len(value) != KEY_BYTES:
+        raise ValueError(
+            f"{attribute.name}: {len(value)} bytes; a claim key has {KEY_BYTES}"
+        )
 
 
 @attrs.frozen
@@ -207,14 +211,14 @@
         slot: The slot.
         epoch: The epoch that the learner wants to become active for; the
             receiver never again grants for an older one.
-        differs_at: The newest older revision at which the learner knows the
-            holders to have been others; 0 for none.
+        oldest: The oldest revision with the same holders that the learner
+            would take in place of the epoch's.
         after: Records up to this key were received before; empty for none.
     """
 
     slot: int = attrs.field(validator=_not_negative)
     epoch: HolderEpoch
-    differs_at: int = 0
+    oldest: int = 0
     after: bytes = b""
 
 
