Add hollyknotctl and the explanation of requests

Cause: operators have to see before publishing what is wrong, what changes for whom, and what would happen to a request.

--- a/packages/coordination/src/hollyknot_coordination/classification/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/classification/__init__.py
@@ -13,15 +13,23 @@
     ServiceCall,
     classify,
 )
+from hollyknot_coordination.classification._explain import (
+    Explanation,
+    PossibleRefusal,
+    explain,
+)
 
 __all__ = [
     "Absent",
     "ClassReason",
     "Classification",
+    "Explanation",
     "ModelCall",
     "NatureReason",
+    "PossibleRefusal",
     "ServiceCall",
     "authenticate",
     "classify",
+    "explain",
     "index_keys",
 ]
--- a/packages/coordination/src/hollyknot_coordination/classification/_authenticate.py
+++ b/packages/coordination/src/hollyknot_coordination/classification/_authenticate.py
@@ -6,6 +6,7 @@
 from hollyknot_state import CustomerDeclaration, Outcome, Reason, Verdict
 
 _SCHEME = "bearer"
+_BLANKS = " \t"
 
 
 def index_keys(customers: Mapping[str, CustomerDeclaration]) -> dict[str, str]:
@@ -31,10 +32,11 @@
     Returns:
         The customer's name, or the refusal.
     """
-    scheme, _, key = authorization.strip().partition(" ")
-    if scheme.lower() != _SCHEME or not key.strip():
+    scheme, _, key = authorization.strip(_BLANKS).partition(" ")
+    key = key.strip(_BLANKS)
+    if scheme.lower() != _SCHEME or not key:
         return _refusal("send the header 'Authorization: Bearer KEY'")
-    digest = hashlib.sha256(key.strip().encode("utf-8", "surrogateescape"))
+    digest = hashlib.sha256(key.encode("utf-8", "surrogateescape"))
     owner = owners.get(digest.hexdigest())
     if owner is None:
         return _refusal("the bearer key belongs to no customer")
--- a/packages/coordination/src/hollyknot_coordination/classification/tests/test_classify.py
+++ b/packages/coordination/src/hollyknot_coordination/classification/tests/test_classify.py
@@ -15,6 +15,7 @@
     ServiceCall,
     authenticate,
     classify,
+    explain,
     index_keys,
 )
 from hollyknot_state import (
@@ -212,3 +213,31 @@
         assert isinstance(verdict, Verdict)
         assert verdict.reason is Reason.BAD_KEY
         assert verdict.is_proved_not_run
+
+
+class TestExplain:
+    """What is said ahead of a request."""
+
+    @pytest.mark.parametrize(
+        ("method", "is_retried_if_lost"), [("GET", True), ("POST", False)]
+    )
+    def test_retries_follow_the_nature(
+        self, method: str, is_retried_if_lost: bool
+    ) -> None:
+        call = ServiceCall("permits", method, "/a")
+        found = explain(_DECLARED, "desk", Absent.CLASS, call)
+        assert found.is_retried_if_not_run
+        assert found.is_retried_if_lost is is_retried_if_lost
+
+    def test_every_reason_is_told(self) -> None:
+        call = ServiceCall("permits", "POST", "/a")
+        found = explain(_DECLARED, "desk", Absent.CLASS, call)
+        told = {refusal.reason for refusal in found.refusals}
+        by_classification = {
+            Reason.BAD_KEY,
+            Reason.UNKNOWN_CLASS,
+            Reason.UNKNOWN_MODEL,
+            Reason.UNKNOWN_SERVICE,
+        }
+        unanswered = {Reason.NONE, Reason.CALLER_GONE}
+        assert told == set(Reason) - by_classification - unanswered
--- /dev/null
+++ b/packages/ctl/src/hollyknot_ctl/_hash_key.py
@@ -0,0 +1,41 @@
+"""`hollyknotctl hash-key`."""
+
+import hashlib
+import sys
+
+import click
+
+from hollyknot_ctl._output import (
+    BAD_INPUT,
+    echo_json,
+    examples,
+    fail,
+    json_option,
+)
+
+_BLANKS = b" \t\r\n"
+
+
+@click.command(
+    "hash-key",
+    epilog=examples(
+        "hollyknotctl hash-key < key.txt",
+    ),
+)
+@json_option
+def hash_key(as_json: bool) -> None:
+    """Print the SHA-256 of the bearer key on standard input.
+
+    It goes into a customer's key_sha256. White space around the key is left
+    out, as hosts do with the header.
+    """
+    key = sys.stdin.buffer.read().strip(_BLANKS)
+    if not key:
+        fail("standard input holds no key", BAD_INPUT)
+    if len(key.split()) > 1:
+        fail("the key holds white space, which no header can", BAD_INPUT)
+    digest = hashlib.sha256(key).hexdigest()
+    if as_json:
+        echo_json({"key_sha256": digest})
+    else:
+        click.echo(digest)
--- /dev/null
+++ b/packages/ctl/src/hollyknot_ctl/_main.py
@@ -0,0 +1,43 @@
+"""The command line of `hollyknotctl`."""
+
+import sys
+
+import click
+
+from hollyknot_ctl._check import check
+from hollyknot_ctl._completion import completion
+from hollyknot_ctl._diff import diff
+from hollyknot_ctl._explain import explain_command
+from hollyknot_ctl._hash_key import hash_key
+from hollyknot_ctl._output import BAD_INPUT, examples, fail
+from hollyknot_ctl._status import status
+
+
+@click.group(
+    epilog=examples(
+        "hollyknotctl check declarations.json",
+    ),
+    context_settings={"help_option_names": ["-h", "--help"]},
+)
+@click.version_option(package_name="hollyknot-ctl")
+def cli() -> None:
+    """Check, compare and explain declarations; see how a host is doing.
+
+    Exits with 0 if all is well, 1 if a host can't be reached and 2 if the
+    input is bad.
+    """
+
+
+for _command in (check, diff, explain_command, status, hash_key, completion):
+    cli.add_command(_command)
+
+
+def main() -> None:
+    """Runs `hollyknotctl`; never ends in a traceback."""
+    try:
+        cli(prog_name="hollyknotctl")
+    except Exception as e:
+        # An operator in the midst of an incident needs one line that says
+        # what failed, not forty.
+        fail(f"a fault of the tool itself: {e!r}", BAD_INPUT)
+    sys.exit(0)
--- /dev/null
+++ b/packages/ctl/src/hollyknot_ctl/tests/test_commands.py
@@ -0,0 +1,421 @@
+"""The commands of hollyknotctl, run as an operator runs them."""
+
+import copy
+import hashlib
+import json
+import pathlib
+import socket
+import threading
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import click
+import pytest
+from click.testing import CliRunner, Result
+
+from hollyknot_ctl import _main
+from hollyknot_ctl._main import cli, main
+
+_DECLARED: dict[str, Any] = {
+    "data_centres": ["hall-a"],
+    "classes": {
+        "counter": {"tier": 1, "target": {"first_token_ms": 800}},
+        "night": {"tier": 3, "target": {"whole_answer_ms": 60_000}},
+    },
+    "customers": {
+        "desk": {
+            "key_sha256": hashlib.sha256(b"key").hexdigest(),
+            "classes": ["counter"],
+            "default_class": "counter",
+        }
+    },
+    "models": {"drafts": {}},
+    "services": {
+        "permits": {"non_idempotent": [{"method": "PUT", "path": "/orders*"}]}
+    },
+}
+_PERMITS = ["--customer", "desk", "--service", "permits"]
+
+
+def _run(*arguments: str, stdin: str = "") -> Result:
+    result = CliRunner().invoke(cli, arguments, input=stdin)
+    assert result.exception is None or isinstance(result.exception, SystemExit)
+    return result
+
+
+@pytest.fixture
+def good(tmp_path: pathlib.Path) -> str:
+    """A file of good declarations."""
+    path = tmp_path / "declarations.json"
+    path.write_text(json.dumps(_DECLARED))
+    return str(path)
+
+
+def _write_changed(folder: pathlib.Path, way: str, value: Any) -> str:
+    changed = copy.deepcopy(_DECLARED)
+    *steps, last = way.split("/")
+    item = changed
+    for step in steps:
+        item = item[step]
+    item[last] = value
+    path = folder / "changed.json"
+    path.write_text(json.dumps(changed))
+    return str(path)
+
+
+class TestCheck:
+    """`check`."""
+
+    def test_good(self, good: str) -> None:
+        result = _run("check", good)
+        assert (result.exit_code, result.stderr) == (0, "")
+        assert result.stdout == f"{good}: good declarations\n"
+
+    def test_one_line_a_mistake(
+        self, good: str, tmp_path: pathlib.Path
+    ) -> None:
+        bad = _write_changed(tmp_path, "classes/night", {"tire": 1})
+        result = _run("check", good, bad)
+        assert result.exit_code == 2
+        assert result.stderr.splitlines() == [
+            f"{bad}: classes.night.tier: is missing; add it",
+            f"{bad}: classes.night.target: is missing; add it",
+            f"{bad}: classes.night.tire: is an unknown field; did you mean"
+            ' "tier"?',
+        ]
+
+    @pytest.mark.parametrize(
+        ("text", "told"),
+        [
+            ('{"host": 1}', "host: 1 is not a string"),
+            ('{"revision": "1"}', "revision: "),
+            ("{", "not JSON at line 1"),
+            ("[" * 9_999, "deeper than"),
+        ],
+    )
+    def test_tells_the_kind_by_content(
+        self, tmp_path: pathlib.Path, text: str, told: str
+    ) -> None:
+        path = tmp_path / "a.json"
+        path.write_text(text)
+        result = _run("check", str(path))
+        assert result.exit_code == 2
+        assert told in result.stderr
+
+    def test_settings_that_name_a_missing_file(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        address = {"ip": "127.0.0.1", "port": 1}
+        value = {
+            "host": "a",
+            "data_centre": "hall-a",
+            "callers": address,
+            "links": address,
+            "operators": address,
+            "platform": {"configuration": [address], "host_list": [address]},
+            "link_keys": ["k" * 32],
+            "tls": {"certificate": "c.pem", "key": "k.pem", "authority": "a"},
+        }
+        for name in ("c.pem", "k.pem"):
+            (tmp_path / name).write_text("")
+        path = tmp_path / "settings.json"
+        path.write_text(json.dumps(value))
+        result = _run("check", "--json", str(path))
+        assert result.exit_code == 2
+        (checked,) = json.loads(result.stdout)
+        assert checked["kind"] == "settings"
+        assert [p["path"] for p in checked["problems"]] == ["tls.authority"]
+
+    def test_files_that_cannot_be_read(self, tmp_path: pathlib.Path) -> None:
+        result = _run("check", str(tmp_path), str(tmp_path / "none\x1b[2J"))
+        assert result.exit_code == 2
+        assert result.stderr.count("can't be read") == 2
+        assert "\x1b" not in result.stderr
+
+
+class TestDiff:
+    """`diff`."""
+
+    def test_no_differences(self, good: str) -> None:
+        assert _run("diff", good, good).stdout == "no differences\n"
+        assert json.loads(_run("diff", "--json", good, good).stdout) == []
+
+    @pytest.mark.parametrize(
+        ("way", "value", "lines"),
+        [
+            (
+                "classes/counter",
+                {"tier": 2, "target": {"whole_answer_ms": 9}},
+                [
+                    "classes.counter: tier lowered from 1 to 2 (for desk)",
+                    "classes.counter: first_token_ms 800 -> none (for desk)",
+                    "classes.counter: whole_answer_ms none -> 9 (for desk)",
+                ],
+            ),
+            (
+                "customers/desk",
+                {
+                    "key_sha256": "0" * 64,
+                    "classes": ["night"],
+                    "default_class": "night",
+                },
+                [
+                    "customers.desk: gains class night",
+                    "customers.desk: loses class counter",
+                    "customers.desk: default class counter -> night",
+                    "customers.desk: key changed: the old key is refused",
+                ],
+            ),
+            ("customers", {}, ["customers.desk: removed"]),
+            (
+                "models",
+                {"finds": {}},
+                ["models.finds: added", "models.drafts: removed"],
+            ),
+            (
+                "services/permits",
+                {
+                    "idempotent": [{"method": "POST", "path": "/search"}],
+                    "remember_s": 60,
+                },
+                [
+                    "services.permits: PUT /orders* is no longer declared"
+                    " non-idempotent",
+                    "services.permits: POST /search becomes declared"
+                    " idempotent",
+                    "services.permits: remember_s 86400 -> 60",
+                ],
+            ),
+            (
+                "data_centres",
+                ["hall-b"],
+                [
+                    "data_centres.hall-b: added: keys' homes move",
+                    "data_centres.hall-a: removed: keys' homes move",
+                ],
+            ),
+        ],
+    )
+    def test_what_changes_for_whom(
+        self,
+        good: str,
+        tmp_path: pathlib.Path,
+        way: str,
+        value: Any,
+        lines: list[str],
+    ) -> None:
+        new = _write_changed(tmp_path, way, value)
+        assert _run("diff", good, new).stdout.splitlines() == lines
+
+    def test_bad_input(self, good: str, tmp_path: pathlib.Path) -> None:
+        bad = _write_changed(tmp_path, "classes/counter/tier", 7)
+        result = _run("diff", good, bad)
+        assert (result.exit_code, result.stdout) == (2, "")
+        assert result.stderr.startswith(f"{bad}: classes.counter.tier: ")
+
+
+class TestExplain:
+    """`explain`."""
+
+    def test_non_idempotent_call(self, good: str) -> None:
+        result = _run(
+            *("explain", good, "--key", "--service", "permits"),
+            *("--method", "PUT", "--path", "/%6frders/7"),
+            stdin="key\n",
+        )
+        assert result.exit_code == 0
+        lines = result.stdout.splitlines()
+        assert "customer: desk" in lines
+        assert "class: counter (it is the customer's default)" in lines
+        assert (
+            "nature: non-idempotent (the service declares it non-idempotent"
+            " by PUT /orders*)"
+        ) in lines
+        assert "retried if proved not run: yes" in lines
+        assert "retried if it may have run: no" in lines
+        assert any("claimed-before" in line for line in lines)
+
+    def test_idempotent_call(self, good: str) -> None:
+        result = _run("explain", "--json", good, *_PERMITS)
+        found = json.loads(result.stdout)
+        assert found["result"]["nature"] == "idempotent"
+        assert found["is_retried_if_lost"] is True
+        reasons = {r["reason"] for r in found["refusals"]}
+        assert "shed" in reasons
+        assert "claimed-before" not in reasons
+
+    @pytest.mark.parametrize(
+        ("arguments", "told"),
+        [
+            ([*_PERMITS, "--class", "night"], "unknown-class (HTTP 403)"),
+            (["--customer", "x", "--model", "drafts"], "bad-key (HTTP 401)"),
+            (["--key", "--model", "drafts"], "bad-key (HTTP 401)"),
+            (["--customer", "desk", "--model", "x"], "unknown-model (HTTP 404"),
+            ([*_PERMITS, "--path", "/a//b"], "bad-request (HTTP 400)"),
+        ],
+    )
+    def test_refusals(self, good: str, arguments: list[str], told: str) -> None:
+        result = _run("explain", good, *arguments, stdin="wrong")
+        assert result.exit_code == 0
+        assert result.stdout.startswith("refused: not-run, ")
+        assert told in result.stdout
+
+    def test_needs_one_of_each(self, good: str) -> None:
+        for extra in ([], ["--key", *_PERMITS], [*_PERMITS, "--model", "m"]):
+            result = _run("explain", good, *extra)
+            assert result.exit_code == 2
+            assert "give one of" in result.stderr
+
+
+class TestHashKey:
+    """`hash-key`."""
+
+    def test_is_what_hosts_look_up(self) -> None:
+        expected = hashlib.sha256(b"key").hexdigest()
+        assert _run("hash-key", stdin=" key\n").stdout == expected + "\n"
+        as_json = _run("hash-key", "--json", stdin="key").stdout
+        assert json.loads(as_json) == {"key_sha256": expected}
+
+    @pytest.mark.parametrize("stdin", ["", " \n", "two keys"])
+    def test_no_key(self, stdin: str) -> None:
+        assert _run("hash-key", stdin=stdin).exit_code == 2
+
+
+@attrs.define
+class _Server:
+    """Answers one connection with fixed bytes."""
+
+    answer: bytes
+    address: str = ""
+
+    def serve(self, listener: socket.socket) -> None:
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(65_536)
+            connection.sendall(self.answer)
+
+
+def _answer(status: int, body: bytes) -> bytes:
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+@pytest.fixture
+def server(request: pytest.FixtureRequest) -> Iterator[_Server]:
+    """A listener that gives the answer of the test's parameter."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.settimeout(10)
+        port = listener.getsockname()[1]
+        served = _Server(request.param, f"127.0.0.1:{port}")
+        thread = threading.Thread(target=served.serve, args=(listener,))
+        thread.start()
+        yield served
+        thread.join()
+
+
+_STATUS = {
+    "host": "hall-a-1",
+    "ready": True,
+    "versions": {"declarations": 7, "hosts": 9},
+    "peers": [],
+    "upstreams": [
+        {"name": "e1\x1b[2J", "in_flight": 3},
+        {"name": "e2", "slowness": 0.123456},
+    ],
+    "classes": {"counter": {"attainment": 0.98, "arrived": 50}},
+}
+
+
+class TestStatus:
+    """`status`."""
+
+    @pytest.mark.parametrize(
+        "server", [_answer(200, json.dumps(_STATUS).encode())], indirect=True
+    )
+    def test_tables(self, server: _Server) -> None:
+        result = _run("status", server.address)
+        assert result.exit_code == 0, result.stderr
+        assert result.stdout.split("\n\n") == [
+            "host: hall-a-1\nready: yes",
+            "versions:\nname          value\ndeclarations  7\nhosts         9",
+            "peers:\nnone",
+            "upstreams:\nname       in_flight  slowness\n"
+            "e1\\x1b[2J  3\ne2                    0.1235",
+            "classes:\nname     attainment  arrived\ncounter  0.98        50\n",
+        ]
+
+    @pytest.mark.parametrize(
+        "server",
+        [
+            _answer(404, b"no"),
+            _answer(200, b"not json"),
+            _answer(200, b"[]"),
+            b"SSH-2.0-x\r\n",
+            b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\n{",
+            b"",
+        ],
+        indirect=True,
+    )
+    def test_no_host_there(self, server: _Server) -> None:
+        """Something else listens at the address, or the host breaks off.
+
+        Symptom: a traceback in the midst of an incident.
+        Sequence: the operator takes the port of the links for the operators'.
+        Cause: an answer that was taken for a status without a look.
+        """
+        result = _run("status", server.address)
+        assert (result.exit_code, result.stdout) == (1, "")
+        assert result.stderr.startswith(f"hollyknotctl: {server.address}: ")
+        assert result.stderr.count("\n") == 1
+
+    def test_refused_connection(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+        result = _run("status", address)
+        assert result.exit_code == 1
+        assert "can't be reached" in result.stderr
+
+    @pytest.mark.parametrize(
+        "address", ["host:80", "127.0.0.1", "127.0.0.1:", "::1:0", "1.1.1.1:x"]
+    )
+    def test_bad_address(self, address: str) -> None:
+        assert _run("status", address).exit_code == 2
+
+
+class TestTool:
+    """The tool as a whole."""
+
+    @pytest.mark.parametrize("name", sorted(cli.commands))
+    def test_help_gives_an_example(self, name: str) -> None:
+        result = _run(name, "--help")
+        assert f"Examples:\n    hollyknotctl {name}" in result.stdout
+        assert "--json" in result.stdout
+
+    @pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+    def test_completion(self, shell: str) -> None:
+        result = _run("completion", shell)
+        assert f"_HOLLYKNOTCTL_COMPLETE={shell}_complete" in result.stdout
+
+    def test_a_fault_is_one_line(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        """The tool itself has a fault.
+
+        Symptom: forty lines of traceback where one would tell what failed.
+        Sequence: a command raises what nobody thought of.
+        Cause: an exception that reaches the interpreter.
+        """
+
+        @click.command()
+        def broken() -> None:
+            raise RuntimeError("oh\nno")
+
+        monkeypatch.setattr(_main, "cli", broken)
+        monkeypatch.setattr("sys.argv", ["hollyknotctl"])
+        with pytest.raises(SystemExit) as ended:
+            main()
+        assert ended.value.code == 2
+        assert capsys.readouterr().err.count("\n") == 1
