Serve requests from end to end through separate host processes

Cause: the parts existed, but no process joined them. Ruled out: each host watching the platform by itself (the reads grow with the fleet); claims asked for before a slot is free (a shed request's claim would have to be given back).

--- /dev/null
+++ b/packages/daemon/src/hollyknot_daemon/_claims_task.py
@@ -0,0 +1,199 @@
+"""Claims on this host: as the coordinator of its requests and as a holder."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from hollyknot_coordination.claims import (
+    ClaimCommand,
+    ClaimGranted,
+    ClaimOptions,
+    ClaimRefused,
+    Coordinator,
+    Holder,
+    Instant,
+    KeyFault,
+    SendClaim,
+    claim_key,
+    make_placement,
+)
+from hollyknot_daemon._claiming import Granted
+from hollyknot_daemon._in_force import InForce
+from hollyknot_state import (
+    ClaimAnswer,
+    ClaimMessage,
+    Outcome,
+    Reason,
+    Settings,
+    Verdict,
+)
+
+PATIENCE_S = 2.0
+"""Seconds for a claim; the caller is then told when to come back."""
+
+_SETTLE_MAX_S = 10.0
+_NS_PER_MS = 1_000_000
+
+Send = Callable[[str, ClaimMessage], None]
+"""Sends a message to a host by name, best effort."""
+
+
+class ClaimsTask:
+    """Owns the coordinator and the holder of this host."""
+
+    def __init__(
+        self, settings: Settings, rng: random.Random, send: Send
+    ) -> None:
+        """Knows no hosts yet.
+
+        Args:
+            settings: Of this host.
+            rng: Spreads times to come back.
+            send: Sends to other hosts.
+        """
+        self._host = settings.host
+        self._send = send
+        self._clock = asyncio.get_running_loop().time
+        # No process may repeat another's number, or it could release, or take
+        # for its own, what that one was granted.
+        incarnation = time.time_ns()
+        placement = make_placement(InForce().hosts, ())
+        self._coordinator = Coordinator(
+            settings.host, incarnation, placement, rng
+        )
+        self._holder = Holder(settings.host, settings.data_centre, incarnation)
+        self._viewed_s = float("inf")
+        self._waiting: dict[bytes, asyncio.Future[Granted | Verdict]] = {}
+
+    @property
+    def records(self) -> int:
+        """Keys that this host remembers as a holder."""
+        return self._holder.records()
+
+    @property
+    def learning_slots(self) -> int:
+        """Slots that this host holds but may not grant for yet."""
+        return len(self._holder.learning_slots())
+
+    def is_settled(self) -> bool:
+        """Whether this host may serve non-idempotent requests.
+
+        It must have learnt its slots, and the time before which a new group
+        of holders refuses keys must be over. A slot that can't be learnt must
+        not keep the host from serving everything else, so that the wait is
+        bounded.
+        """
+        waited_s = self._clock() - self._viewed_s
+        if waited_s >= _SETTLE_MAX_S:
+            return True
+        is_open = waited_s > self._holder.options.opening_margin_s
+        return is_open and not self._holder.learning_slots()
+
+    def on_view(self, view: InForce) -> None:
+        """Takes a newer host list, or newly declared data centres."""
+        placement = make_placement(view.hosts, view.declarations.data_centres)
+        now = self._now()
+        if view.is_complete:
+            self._viewed_s = min(self._viewed_s, now.now_s)
+        services = view.declarations.services.values()
+        remember_s = max((s.remember_s for s in services), default=0)
+        if remember_s:
+            self._holder.options = ClaimOptions(remember_s=remember_s)
+        self._execute(self._holder.update(placement, now))
+        self._execute(self._coordinator.update(placement, now))
+
+    def on_message(self, sender: str, message: ClaimMessage) -> None:
+        """Takes a message of an authenticated host, or of this one."""
+        now = self._now()
+        if isinstance(message, ClaimAnswer):
+            self._execute(self._coordinator.receive(sender, message, now))
+        else:
+            self._execute(self._holder.receive(sender, message, now))
+
+    def tick(self) -> None:
+        """Repeats what is unanswered; called every 0.1 s or so."""
+        now = self._now()
+        if now.now_s >= self._coordinator.next_poll_s():
+            self._execute(self._coordinator.poll(now))
+        if now.now_s >= self._holder.next_poll_s():
+            self._execute(self._holder.poll(now))
+
+    def forget(self) -> None:
+        """Forgets keys that are too old; called every minute or so."""
+        self._execute(self._holder.poll(self._now()))
+
+    async def claim(
+        self, customer: str, service: str, idempotency_key: str
+    ) -> Granted | Verdict:
+        """Asks for the claim of a non-idempotent request.
+
+        Returns:
+            The grant, to be settled once; or why the request must not run.
+        """
+        key = claim_key(customer, service, idempotency_key)
+        if isinstance(key, KeyFault):
+            return _key_refusal(key, idempotency_key)
+        commands = self._coordinator.claim(key, self._now(), PATIENCE_S)
+        # A second request for a key that is under way here is refused at once
+        # and must not answer the first one's wait.
+        for command in commands:
+            if isinstance(command, ClaimRefused):
+                return command.verdict
+        waiting: asyncio.Future[Granted | Verdict] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting[key] = waiting
+        self._execute(commands)
+        try:
+            return await waiting
+        except asyncio.CancelledError:
+            # Nothing was dispatched: without giving the claim back, the
+            # caller's next attempt would be told that it may have run.
+            self._execute(self._coordinator.finish(key, Outcome.NOT_RUN))
+            raise
+        finally:
+            self._waiting.pop(key, None)
+
+    def _execute(self, commands: list[ClaimCommand] | list[SendClaim]) -> None:
+        for command in commands:
+            match command:
+                case SendClaim(host=host, message=message):
+                    self._deliver(host, message)
+                case ClaimGranted(key=key):
+                    self._answer(key, self._granted(key))
+                case ClaimRefused(key=key, verdict=verdict):
+                    self._answer(key, verdict)
+
+    def _deliver(self, host: str, message: ClaimMessage) -> None:
+        if host != self._host:
+            self._send(host, message)
+            return
+        # Later, not now: the decisions are not to be entered again while they
+        # give their commands.
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.on_message, self._host, message)
+
+    def _answer(self, key: bytes, answer: Granted | Verdict) -> None:
+        waiting = self._waiting.get(key)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+
+    def _granted(self, key: bytes) -> Granted:
+        def settle(verdict: Verdict) -> None:
+            self._execute(self._coordinator.finish(key, verdict.outcome))
+
+        return Granted(settle)
+
+    def _now(self) -> Instant:
+        return Instant(self._clock(), time.time_ns() // _NS_PER_MS)
+
+
+def _key_refusal(fault: KeyFault, idempotency_key: str) -> Verdict:
+    detail = fault.value
+    if not idempotency_key:
+        detail = (
+            "this call runs at most once: send 'Idempotency-Key' with a UUID"
+            " of version 7 and repeat it when you send the call again"
+        )
+    return Verdict(Outcome.NOT_RUN, Reason.IDEMPOTENCY_KEY, detail)
--- /dev/null
+++ b/packages/daemon/src/hollyknot_daemon/_control.py
@@ -0,0 +1,197 @@
+"""What this host shares with others: documents, signals and claims."""
+
+import contextlib
+import random
+from typing import Any
+
+import attrs
+
+from hollyknot_coordination.spread import ReportSignals
+from hollyknot_daemon._claiming import Granted
+from hollyknot_daemon._claims_task import ClaimsTask
+from hollyknot_daemon._dispatch import Dispatcher
+from hollyknot_daemon._documents import Documents
+from hollyknot_daemon._in_force import InForce
+from hollyknot_daemon._peers_task import PeersTask
+from hollyknot_state import (
+    ClaimMessage,
+    HostListEntry,
+    PeerMessage,
+    Role,
+    Settings,
+    Verdict,
+)
+from hollyknot_transport import (
+    LinkCounters,
+    LinkPool,
+    LinkServer,
+    NoReply,
+    PeerIdentity,
+    get_logger,
+    make_link_credentials,
+)
+
+_LOG = get_logger("daemon")
+
+
+class Control:
+    """Everything between this host, its peers and the platform."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        rng: random.Random,
+        documents: Documents,
+        dispatcher: Dispatcher,
+    ) -> None:
+        """Makes the parts; nothing listens yet.
+
+        Args:
+            settings: Of this host.
+            rng: For all random choices.
+            documents: Told of what comes in force.
+            dispatcher: Told of peers' signals, asked for this host's.
+
+        Raises:
+            OSError: A file of the TLS can't be read.
+        """
+        self._settings = settings
+        self._dispatcher = dispatcher
+        self._documents = documents
+        self._peers: dict[str, HostListEntry] = {}
+        self._stack = contextlib.AsyncExitStack()
+        self._counters = LinkCounters()
+        credentials = make_link_credentials(settings)
+        self._pool = LinkPool(credentials, rng, counters=self._counters)
+        self._server = LinkServer(
+            settings.links, credentials, self._receive, counters=self._counters
+        )
+        self._claims = ClaimsTask(settings, rng, self._send)
+        self._peers_task = PeersTask(
+            settings, rng, documents, self._send, self._on_signals
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this host knows enough to serve.
+
+        A list that does not name this host yet may be one from before the
+        upstreams that it should use were added. A host whose claims have not
+        settled would refuse fresh idempotency keys as too old.
+        """
+        view = self._documents.view
+        if not self._claims.is_settled():
+            return False
+        is_listed = any(
+            e.name == self._settings.host for e in view.hosts.entries
+        )
+        is_caught_up = self._peers_task.state.is_ready
+        return view.is_complete and is_listed and is_caught_up
+
+    @property
+    def links_port(self) -> int:
+        """The port on which other hosts are served."""
+        return self._server.port
+
+    @property
+    def counters(self) -> LinkCounters:
+        """Traffic of the links."""
+        return self._counters
+
+    async def __aenter__(self) -> "Control":
+        """Listens for other hosts.
+
+        Raises:
+            OSError: The address can't be listened on.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(self._pool)
+            await stack.enter_async_context(self._server)
+            stack.push_async_callback(self._peers_task.close)
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Closes all links."""
+        await self._stack.aclose()
+
+    def on_view(self, view: InForce) -> None:
+        """Takes a change of the documents in force."""
+        self._peers = {
+            e.name: e
+            for e in view.hosts.entries
+            if e.role is Role.HOST and e.name != self._settings.host
+        }
+        self._claims.on_view(view)
+
+    def tick(self) -> None:
+        """Does what is due; called every 0.1 s or so."""
+        self._peers_task.tick(
+            self._dispatcher.local_pressure(),
+            self._dispatcher.local_signs(),
+            self._dispatcher.local_suspects(),
+        )
+        self._claims.tick()
+
+    def forget(self) -> None:
+        """Forgets keys that are too old; called every minute or so."""
+        self._claims.forget()
+
+    async def claim(
+        self, customer: str, service: str, idempotency_key: str
+    ) -> Granted | Verdict:
+        """Asks for the claim of a non-idempotent request."""
+        return await self._claims.claim(customer, service, idempotency_key)
+
+    async def hand_over(self) -> None:
+        """Hands this host's claims to their next holders."""
+
+    def view(self) -> dict[str, object]:
+        """Returns what status pages show of this part."""
+        state = self._peers_task.state
+        alive = set(state.alive_peers(self._settings.data_centre))
+        return {
+            "peers": [
+                {
+                    "name": e.name,
+                    "data_centre": e.data_centre,
+                    "state": _state_of(e, alive, self._settings.data_centre),
+                }
+                for e in self._peers.values()
+            ],
+            "is_reader": state.is_reader,
+            "suspects_partition": state.is_partition_suspected,
+            "claims": {
+                "records": self._claims.records,
+                "learning_slots": self._claims.learning_slots,
+            },
+            "links": self._traffic(),
+        }
+
+    def _traffic(self) -> dict[str, object]:
+        return {t.kind: attrs.asdict(t) for t in self._counters.traffic()}
+
+    def _send(self, host: str, message: PeerMessage | ClaimMessage) -> None:
+        entry = self._peers.get(host)
+        if entry is not None:
+            self._pool.post(entry.ip, entry.port, message, expected_host=host)
+
+    async def _receive(
+        self, peer: PeerIdentity, message: Any, _traceparent: str
+    ) -> NoReply:
+        if isinstance(message, PeerMessage):
+            self._peers_task.on_message(peer.host, message)
+        elif isinstance(message, ClaimMessage):
+            self._claims.on_message(peer.host, message)
+        return NoReply.NO_REPLY
+
+    def _on_signals(self, signals: ReportSignals) -> None:
+        self._dispatcher.on_peer_signals(
+            signals.pressures, signals.signs, signals.suspects
+        )
+
+
+def _state_of(entry: HostListEntry, alive: set[str], here: str) -> str:
+    if entry.data_centre != here:
+        return "not-probed"
+    return "alive" if entry.name in alive else "unreachable"
--- /dev/null
+++ b/packages/daemon/src/hollyknot_daemon/_flow.py
@@ -0,0 +1,175 @@
+"""One request, from the caller to its verdict."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+import orjson
+from aiohttp import web
+
+from hollyknot_coordination.classification import (
+    Absent,
+    Classification,
+    authenticate,
+    classify,
+)
+from hollyknot_coordination.retries import http_status
+from hollyknot_daemon._claiming import Claim
+from hollyknot_daemon._in_force import InForce
+from hollyknot_daemon._tries import Job, Tries
+from hollyknot_state import Outcome, Reason, RequestInfo, Verdict
+from hollyknot_transport import (
+    MODEL_PATHS,
+    SERVICE_PREFIX,
+    CallerCall,
+    CallerResponse,
+    Readiness,
+    Refusal,
+    Tracing,
+    new_request_id,
+    read_call,
+)
+
+_MODELS_PATH = "/v1/models"
+_NOT_READY_RETRY_S = 2.0
+
+
+@attrs.frozen
+class FlowParts:
+    """What the flow is made of.
+
+    Attributes:
+        in_force: Returns the view of this moment.
+        readiness: Returns whether new work is taken.
+        tries: Runs an admitted request at upstreams.
+        claim: Asks for the claim of a non-idempotent request.
+        tracing: Records a span for each hop.
+        max_body_bytes: The largest body that is read.
+    """
+
+    in_force: Callable[[], InForce]
+    readiness: Callable[[], Readiness]
+    tries: Tries
+    claim: Claim
+    tracing: Tracing
+    max_body_bytes: int
+
+
+def caller_handler(
+    parts: FlowParts,
+) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
+    """Returns the handler of every caller's request."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        request_id = new_request_id()
+        path = request.path
+        is_model = not path.startswith(SERVICE_PREFIX)
+        response = CallerResponse(request, request_id, is_model)
+        if is_model and path not in MODEL_PATHS and path != _MODELS_PATH:
+            return response.refuse(_unknown_path())
+        ready = parts.readiness()
+        if not ready.is_ready:
+            return response.refuse(_not_ready(ready))
+        view = parts.in_force()
+        if path == _MODELS_PATH:
+            return _models(view, request, response)
+        arrived_s = asyncio.get_running_loop().time()
+        call = await read_call(request, request_id, parts.max_body_bytes)
+        if isinstance(call, Refusal):
+            return response.refuse(call)
+        return await _serve(parts, view, call, response, arrived_s)
+
+    return handle
+
+
+async def _serve(
+    parts: FlowParts,
+    view: InForce,
+    call: CallerCall,
+    response: CallerResponse,
+    arrived_s: float,
+) -> web.StreamResponse:
+    found = _classified(view, call)
+    if isinstance(found, Verdict):
+        return response.refuse(Refusal(http_status(found), found))
+    with parts.tracing.span(
+        "request",
+        call.traceparent,
+        request_id=call.request_id,
+        request_class=found.request_class,
+        pool=found.pool,
+    ) as traceparent:
+        job = Job(
+            call=call,
+            classification=found,
+            info=_info(call, found, arrived_s),
+            traceparent=traceparent,
+        )
+        result = await parts.tries.run(job, response.sink(), parts.claim)
+    verdict = result.verdict
+    refusal = Refusal(http_status(verdict), verdict)
+    if result.has_started:
+        return await response.finish(verdict, refusal)
+    if result.answer is not None:
+        return response.whole(result.answer, verdict)
+    return response.refuse(refusal)
+
+
+def _classified(view: InForce, call: CallerCall) -> Classification | Verdict:
+    customer = authenticate(view.customers_by_key, call.authorization)
+    if isinstance(customer, Verdict):
+        return customer
+    name = call.request_class or Absent.CLASS
+    return classify(view.declarations, customer, name, call.target)
+
+
+def _info(
+    call: CallerCall, found: Classification, arrived_s: float
+) -> RequestInfo:
+    return RequestInfo(
+        request_id=call.request_id,
+        customer=found.customer,
+        request_class=found.request_class,
+        tier=found.tier,
+        nature=found.nature,
+        pool=found.pool,
+        arrived_s=arrived_s,
+        budget_s=found.target.budget_s,
+        fingerprint=call.fingerprint,
+        prefix=call.prefix,
+        input_size=len(call.body),
+    )
+
+
+def _models(
+    view: InForce, request: web.BaseRequest, response: CallerResponse
+) -> web.Response:
+    header = request.headers.get("Authorization", "")
+    customer = authenticate(view.customers_by_key, header)
+    if isinstance(customer, Verdict):
+        return response.refuse(Refusal(http_status(customer), customer))
+    models = [
+        {"id": name, "object": "model", "created": 0, "owned_by": "hollyknot"}
+        for name in view.declarations.models
+    ]
+    return web.Response(
+        body=orjson.dumps({"object": "list", "data": models}),
+        content_type="application/json",
+    )
+
+
+def _unknown_path() -> Refusal:
+    verdict = Verdict(
+        Outcome.NOT_RUN,
+        Reason.BAD_REQUEST,
+        "Unknown path; see /v1/models, /v1/chat/completions, /v1/completions"
+        " and /v1/services/NAME/",
+    )
+    return Refusal(404, verdict)
+
+
+def _not_ready(ready: Readiness) -> Refusal:
+    verdict = Verdict(
+        Outcome.NOT_RUN, Reason.NOT_READY, ready.reason, _NOT_READY_RETRY_S
+    )
+    return Refusal(503, verdict)
--- /dev/null
+++ b/packages/daemon/src/hollyknot_daemon/_probes.py
@@ -0,0 +1,101 @@
+"""Asks upstreams for their load, and probes those under suspicion."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+import orjson
+
+from hollyknot_coordination.routing import (
+    PROBE_S,
+    Probe,
+    UpstreamTable,
+)
+from hollyknot_state import LoadReport
+
+REPORTS_A_SECOND = 2
+"""Load reports asked for by one host, whatever the number of upstreams: the
+rate is fixed, so that the cost for control does not grow with the fleet."""
+
+_LOAD_PATH = "/v1/load"
+_MAX_REPORT_BYTES = 4096
+
+
+class Probes:
+    """Owns the connections for probes; each probe makes a new one.
+
+    A connection in use can be silent for good while new ones work. Only a new
+    connection tells a lost connection from a lost upstream.
+    """
+
+    def __init__(
+        self, table: UpstreamTable, clock: Callable[[], float]
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._turn = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+            timeout=aiohttp.ClientTimeout(total=PROBE_S),
+            skip_auto_headers=("User-Agent", "Accept-Encoding"),
+        )
+
+    async def close(self) -> None:
+        """Ends all probes."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._session.close()
+
+    def start_due(self) -> None:
+        """Probes the upstreams that are due."""
+        for probe in self._table.probes_due(self._clock()):
+            self._spawn(probe, is_probe=True)
+
+    def start_reports(self) -> None:
+        """Asks the next few upstreams for their load; called each second."""
+        targets = self._table.report_targets()
+        for _ in range(min(REPORTS_A_SECOND, len(targets))):
+            self._turn = (self._turn + 1) % len(targets)
+            self._spawn(targets[self._turn], is_probe=False)
+
+    def _spawn(self, probe: Probe, is_probe: bool) -> None:
+        task = asyncio.ensure_future(self._run(probe, is_probe))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self, probe: Probe, is_probe: bool) -> None:
+        is_alive = False
+        url = f"http://{probe.ip}:{probe.port}{_LOAD_PATH}"
+        try:
+            async with self._session.get(url) as response:
+                body = await response.content.read(_MAX_REPORT_BYTES)
+            is_alive = True
+            self._take_report(probe, body)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            pass
+        # A lost report alone is no sign: it may be this host that is slow.
+        if is_probe:
+            self._table.on_probe(probe.upstream, is_alive, self._clock())
+
+    def _take_report(self, probe: Probe, body: bytes) -> None:
+        report = _parse_report(body)
+        if report is not None:
+            now = self._clock()
+            self._table.on_load_report(probe.upstream, report, now)
+
+
+def _parse_report(body: bytes) -> LoadReport | None:
+    """Returns the report, or None of a service that has none."""
+    try:
+        document = orjson.loads(body)
+        return LoadReport(
+            running=int(document["running"]),
+            queued=int(document["queued"]),
+            slots=int(document["slots"]),
+            draining=bool(document["draining"]),
+            measured_ms_ago=int(document["measured_ms_ago"]),
+        )
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
+        return None
--- a/packages/transport/src/hollyknot_transport/__init__.py
+++ b/packages/transport/src/hollyknot_transport/__init__.py
@@ -34,7 +34,6 @@
 from hollyknot_transport._metrics import Metrics, Waste
 from hollyknot_transport._operators import Readiness, operators_server
 from hollyknot_transport._platform import (
-    DocumentName,
     PlatformDocument,
     PlatformFailure,
     watch,
@@ -48,7 +47,6 @@
     "CallerCall",
     "CallerResponse",
     "CallerServer",
-    "DocumentName",
     "Exchanges",
     "Handler",
     "KindTraffic",
--- a/packages/transport/src/hollyknot_transport/_answers.py
+++ b/packages/transport/src/hollyknot_transport/_answers.py
@@ -5,6 +5,7 @@
 import attrs
 import orjson
 from aiohttp import web
+
 from hollyknot_state import Outcome, Reason, Verdict
 
 REQUEST_ID = "X-Request-Id"
--- a/packages/transport/src/hollyknot_transport/_caller_response.py
+++ b/packages/transport/src/hollyknot_transport/_caller_response.py
@@ -4,8 +4,8 @@
 
 import orjson
 from aiohttp import web
-from hollyknot_state import Outcome, Verdict
 
+from hollyknot_state import Outcome, Verdict
 from hollyknot_transport._answers import (
     REQUEST_ID,
     VERDICT,
--- a/packages/transport/src/hollyknot_transport/_caller_server.py
+++ b/packages/transport/src/hollyknot_transport/_caller_server.py
@@ -10,6 +10,7 @@
 import attrs
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
+
 from hollyknot_state import Address
 
 HEAD_TIMEOUT_S = 30.0
@@ -47,6 +48,8 @@
         self._known: dict[RequestHandler, _Connection] = {}
         self._in_work = 0
         self._is_stopping = False
+        self._idle = asyncio.Event()
+        self._idle.set()
 
     @property
     def in_work(self) -> int:
@@ -60,6 +63,10 @@
             if not connection.in_work:
                 connection.transport.close()
 
+    async def idle(self) -> None:
+        """Waits until no request is in work."""
+        await self._idle.wait()
+
     def connection_made(
         self, handler: RequestHandler, transport: asyncio.Transport
     ) -> None:
@@ -100,6 +107,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = self._known.get(request.protocol)
         self._in_work += 1
+        self._idle.clear()
         if connection is not None:
             connection.in_work += 1
         try:
@@ -108,6 +116,8 @@
             return response
         finally:
             self._in_work -= 1
+            if not self._in_work:
+                self._idle.set()
             if connection is not None:
                 connection.in_work -= 1
                 connection.idle_since = asyncio.get_running_loop().time()
--- a/packages/transport/src/hollyknot_transport/_calls.py
+++ b/packages/transport/src/hollyknot_transport/_calls.py
@@ -11,8 +11,9 @@
 import orjson
 import xxhash
 from aiohttp import web
-from hollyknot_state import Outcome, Reason, Verdict
 
+from hollyknot_coordination.classification import ModelCall, ServiceCall
+from hollyknot_state import Outcome, Reason, Verdict
 from hollyknot_transport._answers import Refusal, bad_request
 from hollyknot_transport._bounded import TooLarge, read_bounded
 
@@ -32,31 +33,12 @@
 
 
 @attrs.frozen
-class ModelCall:
-    """A call of a model.
+class _Target:
+    """What a call is for, with what only a model's body tells."""
 
-    Attributes:
-        model: The model's name.
-        is_streamed: Whether the answer is asked for as server-sent events.
-        prefix: A hash of the prompt's head, for prefix locality.
-    """
-
-    model: str
-    is_streamed: bool
-    prefix: int
-
-
-@attrs.frozen
-class ServiceCall:
-    """A call of a plain service.
-
-    Attributes:
-        service: The service's name.
-        path: The path below the service, with its slash, without the query.
-    """
-
-    service: str
-    path: str
+    call: ModelCall | ServiceCall
+    is_streamed: bool = False
+    prefix: int = 0
 
 
 @attrs.frozen
@@ -70,7 +52,9 @@
         headers: Those that are forwarded.
         body: The body, unchanged.
         target: The model or the service it is for.
-        bearer_key: The bearer key, empty if none.
+        is_streamed: Whether the answer is asked for as server-sent events.
+        prefix: A hash of the prompt's head, for prefix locality; 0 if none.
+        authorization: The header as sent, empty if none.
         request_class: The class that the caller names, empty if none.
         idempotency_key: As sent, empty if none.
         traceparent: As sent, empty if none.
@@ -83,7 +67,9 @@
     headers: dict[str, str]
     body: bytes
     target: ModelCall | ServiceCall
-    bearer_key: str
+    is_streamed: bool
+    prefix: int
+    authorization: str
     request_class: str
     idempotency_key: str
     traceparent: str
@@ -118,11 +104,13 @@
     return CallerCall(
         request_id=request_id,
         method=request.method,
-        upstream_path=_upstream_path(request, target),
+        upstream_path=_upstream_path(request, target.call),
         headers=_forwarded(request),
         body=body,
-        target=target,
-        bearer_key=_bearer_key(headers.get("Authorization", "")),
+        target=target.call,
+        is_streamed=target.is_streamed,
+        prefix=target.prefix,
+        authorization=headers.get("Authorization", ""),
         request_class=headers.get("X-Request-Class", "")[:_MAX_HEADER_CHARS],
         idempotency_key=headers.get("Idempotency-Key", ""),
         traceparent=headers.get("traceparent", ""),
@@ -157,29 +145,23 @@
     return Refusal(413, verdict)
 
 
-def _read_target(
-    request: web.BaseRequest, body: bytes
-) -> ModelCall | ServiceCall | Refusal:
+def _read_target(request: web.BaseRequest, body: bytes) -> _Target | Refusal:
     if request.path.startswith(SERVICE_PREFIX):
-        return _read_service(request.path)
+        return _read_service(request)
     if request.method != "POST":
         return bad_request(f"{request.path} takes POST only", 405)
     return _read_model(body)
 
 
-def _read_service(path: str) -> ServiceCall | Refusal:
-    name, slash, rest = path[len(SERVICE_PREFIX) :].partition("/")
+def _read_service(request: web.BaseRequest) -> _Target | Refusal:
+    raw_path = request.raw_path.partition("?")[0]
+    name, _, rest = raw_path[len(SERVICE_PREFIX) :].partition("/")
     if not name:
         return bad_request("The path names no service", 404)
-    segments = rest.split("/")
-    # A path with dot segments could match no declared pattern and still reach
-    # a call that may not be repeated, once the service resolves it.
-    if "." in segments or ".." in segments or "\\" in rest:
-        return bad_request("The path has dot segments; send it resolved")
-    return ServiceCall(name, "/" + rest if slash else "/")
+    return _Target(ServiceCall(name, request.method, "/" + rest))
 
 
-def _read_model(body: bytes) -> ModelCall | Refusal:
+def _read_model(body: bytes) -> _Target | Refusal:
     try:
         document = orjson.loads(body)
     except orjson.JSONDecodeError as error:
@@ -198,7 +180,7 @@
     prefix = xxhash.xxh3_64_intdigest(
         f"{model}\0{head}".encode("utf-8", "surrogatepass")
     )
-    return ModelCall(model, bool(stream), prefix)
+    return _Target(ModelCall(model), bool(stream), prefix)
 
 
 def _prompt_head(document: dict[str, object]) -> str | Refusal:
@@ -232,10 +214,3 @@
         if value is not None:
             headers[name] = value
     return headers
-
-
-def _bearer_key(authorization: str) -> str:
-    scheme, _, key = authorization.partition(" ")
-    if scheme.lower() != "bearer":
-        return ""
-    return key.strip()
--- a/packages/transport/src/hollyknot_transport/_exchange.py
+++ b/packages/transport/src/hollyknot_transport/_exchange.py
@@ -10,8 +10,8 @@
 
 import aiohttp
 import attrs
-from hollyknot_state import Nature, Outcome, Reason, Verdict
 
+from hollyknot_state import Nature, Outcome, Reason, Verdict
 from hollyknot_transport._answers import NOT_RUN, REQUEST_ID
 from hollyknot_transport._stall_guard import Phase, StallGuard, Watched
 
--- a/packages/transport/src/hollyknot_transport/_links_link.py
+++ b/packages/transport/src/hollyknot_transport/_links_link.py
@@ -5,17 +5,16 @@
 from typing import Any
 
 import attrs
-import structlog
 
 from hollyknot_protocol import (
     HEADER_BYTES,
+    CallRefusal,
+    CallRefusalReason,
     Envelope,
     FrameError,
     MalformedMessageError,
     Ping,
     Pong,
-    CallRefusal,
-    CallRefusalReason,
     Unknown,
     decode,
     decode_as,
@@ -34,8 +33,9 @@
 from hollyknot_transport._links_outbox import Outbox, Outgoing
 from hollyknot_transport._links_packing import pack, read_reply
 from hollyknot_transport._links_stream import FrameStream, StreamEndedError
+from hollyknot_transport._logging import get_logger
 
-_log = structlog.get_logger()
+_log = get_logger("links")
 
 Clock = Callable[[], float]
 """Gives monotonic seconds."""
@@ -170,7 +170,7 @@
             self._put(pack(Ping(), ""))
         elif action is LivenessAction.LOST:
             self._parts.counters.stalled += 1
-            _log.warning("link_stalled", ip=self._peer.ip, host=self._peer.host)
+            _log.warning("link_stalled", ip=self._peer.ip, peer=self._peer.host)
             self.abort(LinkErrorReason.LOST, "silent, also after a ping")
         elif action is LivenessAction.IDLE and not self._handling:
             self.abort(LinkErrorReason.LOST, "idle")
@@ -226,7 +226,7 @@
             _log.warning(
                 "link_rubbish",
                 ip=self._peer.ip,
-                host=self._peer.host,
+                peer=self._peer.host,
                 error=str(error),
             )
             self.abort(LinkErrorReason.LOST, "the peer sent rubbish")
@@ -280,7 +280,7 @@
         except Exception:
             # A handler's fault would otherwise end the task unseen and leave
             # the caller to its timeout.
-            _log.exception("link_handler_failed", host=self._peer.host)
+            _log.exception("link_handler_failed", peer=self._peer.host)
             if envelope.call_id:
                 self._refuse(envelope.call_id, CallRefusalReason.FAILED)
 
--- a/packages/transport/src/hollyknot_transport/_links_packing.py
+++ b/packages/transport/src/hollyknot_transport/_links_packing.py
@@ -3,10 +3,10 @@
 from typing import Any
 
 from hollyknot_protocol import (
-    Envelope,
-    FrameError,
     CallRefusal,
     CallRefusalReason,
+    Envelope,
+    FrameError,
     UnencodableMessageError,
     Unknown,
     encode,
--- a/packages/transport/src/hollyknot_transport/_links_pool.py
+++ b/packages/transport/src/hollyknot_transport/_links_pool.py
@@ -8,7 +8,6 @@
 from typing import Any, Self
 
 import attrs
-import structlog
 
 from hollyknot_protocol import FrameError, MalformedMessageError
 from hollyknot_state import Address
@@ -33,8 +32,9 @@
     StreamOptions,
     dial_stream,
 )
+from hollyknot_transport._logging import get_logger
 
-_log = structlog.get_logger()
+_log = get_logger("links")
 
 _BACKOFF_FACTOR = 2.0
 _MAX_DOUBLINGS = 16
--- a/packages/transport/src/hollyknot_transport/_links_server.py
+++ b/packages/transport/src/hollyknot_transport/_links_server.py
@@ -9,8 +9,6 @@
 from types import TracebackType
 from typing import Self
 
-import structlog
-
 from hollyknot_protocol import FrameError, MalformedMessageError
 from hollyknot_state import Address
 from hollyknot_transport._links import (
@@ -33,8 +31,9 @@
     StreamOptions,
     accept_stream,
 )
+from hollyknot_transport._logging import get_logger
 
-_log = structlog.get_logger()
+_log = get_logger("links")
 
 _BACKLOG = 1024
 _ACCEPT_RETRY_S = 0.1
--- a/packages/transport/src/hollyknot_transport/_platform.py
+++ b/packages/transport/src/hollyknot_transport/_platform.py
@@ -1,4 +1,4 @@
-"""Watches on the platform's documents: read only, counted, never trusted.
+"""Reads the platform's documents again and again; counted, never trusted.
 
 Each call, a waiting watch too, counts against the platform's limit on reads,
 so that a failing platform is asked with growing pauses, and only by the few
@@ -8,34 +8,25 @@
 import asyncio
 import enum
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import aiohttp
 import attrs
 import orjson
-from hollyknot_state import Address
 
+from hollyknot_state import Address, DocumentKind
 from hollyknot_transport._bounded import TooLarge, read_bounded
 
-WATCH_S = 30
-_MIN_PAUSE_S = 0.2
-_MAX_PAUSE_S = 5.0
-_READ_TIMEOUT_S = WATCH_S + 5.0
+_MAX_PAUSE_FACTOR = 8.0
+_READ_TIMEOUT_S = 5.0
 _MAX_DOCUMENT_BYTES = 16_777_216
 _NOT_MODIFIED = 304
 _OK = 200
 
 
-class DocumentName(enum.Enum):
-    """The platform's two documents."""
-
-    DECLARATIONS = "declarations"
-    HOSTS = "hosts"
-
-
 _PATHS = {
-    DocumentName.DECLARATIONS: "/v1/values/declarations",
-    DocumentName.HOSTS: "/v1/hosts",
+    DocumentKind.DECLARATIONS: "/v1/values/declarations",
+    DocumentKind.HOSTS: "/v1/hosts",
 }
 
 
@@ -49,7 +40,7 @@
         body: The value as JSON.
     """
 
-    name: DocumentName
+    name: DocumentKind
     version: int
     body: bytes
 
@@ -63,49 +54,48 @@
         detail: What went wrong.
     """
 
-    name: DocumentName
+    name: DocumentKind
     detail: str
 
 
-Deliver = Callable[[PlatformDocument | PlatformFailure], Awaitable[None]]
+Deliver = Callable[[PlatformDocument | PlatformFailure], None]
 
 
 async def watch(
-    name: DocumentName,
+    name: DocumentKind,
     addresses: tuple[Address, ...],
-    version_in_force: Callable[[], int],
+    read_after: Callable[[], int],
+    pause_s: float,
     deliver: Deliver,
     rng: random.Random,
 ) -> None:
-    """Watches one document until it is cancelled.
+    """Reads one document again and again until it is cancelled.
 
     Args:
         name: Which document.
         addresses: Where the platform answers; taken in turn after a failure.
-        version_in_force: The version after which to ask.
+        read_after: Returns the version after which to ask.
+        pause_s: Mean seconds between two reads.
         deliver: Takes each newer document and each failure.
         rng: Spreads the pauses after failures.
     """
     turn = rng.randrange(len(addresses))
-    pause_s = _MIN_PAUSE_S
+    factor = 1.0
     timeout = aiohttp.ClientTimeout(total=_READ_TIMEOUT_S, sock_connect=2.0)
     async with aiohttp.ClientSession(timeout=timeout) as session:
         while True:
             address = addresses[turn % len(addresses)]
-            found = await _read(session, name, address, version_in_force())
-            if isinstance(found, PlatformDocument):
-                pause_s = _MIN_PAUSE_S
-                await deliver(found)
-            if not isinstance(found, PlatformFailure):
-                # A platform that answers at once with what is known already
-                # (restored to an older version, say) must not be asked in a
-                # tight loop: it would spend the reads of all hosts.
-                await asyncio.sleep(_MIN_PAUSE_S)
-                continue
-            await deliver(found)
-            turn += 1
-            await asyncio.sleep(pause_s * rng.uniform(0.5, 1.5))
-            pause_s = min(_MAX_PAUSE_S, pause_s * 2)
+            found = await _read(session, name, address, read_after())
+            if isinstance(found, PlatformFailure):
+                turn += 1
+                # A platform that fails is slow to recover while all readers
+                # ask at their full rate.
+                factor = min(factor * 2, _MAX_PAUSE_FACTOR)
+            else:
+                factor = 1.0
+            if not isinstance(found, _Unchanged):
+                deliver(found)
+            await asyncio.sleep(pause_s * factor * rng.uniform(0.5, 1.5))
 
 
 class _Unchanged(enum.Enum):
@@ -114,12 +104,12 @@
 
 async def _read(
     session: aiohttp.ClientSession,
-    name: DocumentName,
+    name: DocumentKind,
     address: Address,
     after: int,
 ) -> PlatformDocument | PlatformFailure | _Unchanged:
     url = f"http://{address.ip}:{address.port}{_PATHS[name]}"
-    query = {"after": str(after), "wait_s": str(WATCH_S)}
+    query = {"after": str(after)}
     try:
         async with session.get(url, params=query) as response:
             if response.status == _NOT_MODIFIED:
@@ -135,7 +125,7 @@
 
 
 def _parse(
-    name: DocumentName, body: bytes
+    name: DocumentKind, body: bytes
 ) -> PlatformDocument | PlatformFailure:
     try:
         document = orjson.loads(body)
@@ -143,7 +133,7 @@
         return PlatformFailure(name, f"not JSON: {error}")
     if not isinstance(document, dict):
         return PlatformFailure(name, "not a JSON object")
-    if name is DocumentName.HOSTS:
+    if name is DocumentKind.HOSTS:
         version = document.get("revision")
         value = body
     else:
