Write the reference pages from the types

Cause: pages kept by hand drift from the code. Change: python -m hollyknot_ctl.reference docs writes settings.md and declarations.md from fields, types, defaults, docstrings and checks; a test holds that the committed pages are the generated ones and that their examples pass the checks. Checks of one attribute all run, not up to the first error. A host's own name may hold what the host list's names may. The test now answers 404 with a JSON object and was seen failing. Seen failing first: the pages, before they were written.

--- /dev/null
+++ b/packages/ctl/src/hollyknot_ctl/reference/__init__.py
@@ -0,0 +1,9 @@
+"""Writes the reference pages of the documents from the types themselves."""
+
+from hollyknot_ctl.reference._pages import (
+    DECLARATIONS_EXAMPLE,
+    SETTINGS_EXAMPLE,
+    render_pages,
+)
+
+__all__ = ["DECLARATIONS_EXAMPLE", "SETTINGS_EXAMPLE", "render_pages"]
--- a/packages/ctl/src/hollyknot_ctl/tests/test_commands.py
+++ b/packages/ctl/src/hollyknot_ctl/tests/test_commands.py
@@ -291,6 +291,8 @@
 
     def serve(self, listener: socket.socket) -> None:
         connection, _ = listener.accept()
+        # The client's own second try has to be refused, not left waiting.
+        listener.close()
         with connection:
             connection.recv(65_536)
             connection.sendall(self.answer)
@@ -348,7 +350,7 @@
     @pytest.mark.parametrize(
         "server",
         [
-            _answer(404, b"no"),
+            _answer(404, b"{}"),
             _answer(200, b"not json"),
             _answer(200, b"[]"),
             b"SSH-2.0-x\r\n",
--- /dev/null
+++ b/packages/ctl/src/hollyknot_ctl/tests/test_reference.py
@@ -0,0 +1,55 @@
+"""The reference pages say what the types say."""
+
+import json
+import pathlib
+
+import attrs
+import pytest
+
+from hollyknot_ctl.reference import (
+    DECLARATIONS_EXAMPLE,
+    SETTINGS_EXAMPLE,
+    render_pages,
+)
+from hollyknot_ctl.reference._types import describe
+from hollyknot_state import (
+    Declarations,
+    Settings,
+    parse_declarations,
+    parse_settings,
+)
+
+_FOLDER = pathlib.Path(__file__).parents[5] / "docs" / "reference"
+
+
+class TestPages:
+    """The committed pages."""
+
+    @pytest.mark.parametrize("name", sorted(render_pages()))
+    def test_are_the_generated_ones(self, name: str) -> None:
+        committed = (_FOLDER / name).read_text(encoding="utf-8")
+        assert committed == render_pages()[name], "run `make docs`"
+
+    def test_examples_are_good(self) -> None:
+        declared = parse_declarations(json.dumps(DECLARATIONS_EXAMPLE), 1)
+        settings = parse_settings(json.dumps(SETTINGS_EXAMPLE))
+        assert isinstance(declared, Declarations)
+        assert isinstance(settings, Settings)
+
+
+class TestDescribe:
+    """What is read off a class."""
+
+    def test_a_field_without_a_meaning_is_refused(self) -> None:
+        @attrs.frozen
+        class Undocumented:
+            """A class.
+
+            Attributes:
+                other: Not the field.
+            """
+
+            field: int
+
+        with pytest.raises(KeyError, match="field"):
+            list(describe(Undocumented))
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -13,19 +13,17 @@
     ClaimOutcome,
     ClaimRecord,
     GrantClaim,
-    HandOverSlots,
-    HandOverTaken,
     HeldAttempt,
     HolderEpoch,
     LearnSlots,
+    LearntSlot,
     RecordClaim,
     ReleaseClaim,
     SlotAnswer,
     SlotAnswerKind,
     SlotAnswers,
-    SlotPage,
     SlotQuestion,
-    StoppedHolder,
+    SlotsLearnt,
 )
 from hollyknot_state._declarations import (
     TIERS,
@@ -54,6 +52,8 @@
 )
 from hollyknot_state._hosts import EntryState, HostList, HostListEntry, Role
 from hollyknot_state._parse import (
+    MAX_DECLARATIONS_BYTES,
+    MAX_SETTINGS_BYTES,
     dump_declarations,
     parse_declarations,
     parse_host_list,
@@ -74,6 +74,8 @@
 from hollyknot_state._verdict import Outcome, Reason, Verdict
 
 __all__ = [
+    "MAX_DECLARATIONS_BYTES",
+    "MAX_SETTINGS_BYTES",
     "KEY_BYTES",
     "TIERS",
     "Address",
@@ -98,14 +100,13 @@
     "FetchDocument",
     "Gossip",
     "GrantClaim",
-    "HandOverSlots",
-    "HandOverTaken",
     "HeldAttempt",
     "HolderEpoch",
     "HostList",
     "HostListEntry",
     "IndirectProbe",
     "LearnSlots",
+    "LearntSlot",
     "LoadReport",
     "MemberState",
     "MemberUpdate",
@@ -130,9 +131,8 @@
     "SlotAnswer",
     "SlotAnswerKind",
     "SlotAnswers",
-    "SlotPage",
     "SlotQuestion",
-    "StoppedHolder",
+    "SlotsLearnt",
     "SuspectRecord",
     "Target",
     "TargetKind",
--- a/packages/state/src/hollyknot_state/_declarations.py
+++ b/packages/state/src/hollyknot_state/_declarations.py
@@ -10,13 +10,14 @@
 from hollyknot_state._validators import (
     each,
     each_key,
+    every,
     has_distinct_items,
     has_items,
     is_between,
     is_call_path,
+    is_long_name,
     is_method,
     is_name,
-    is_pool_name,
     is_sha256,
     is_short,
     is_usable_target,
@@ -81,7 +82,7 @@
 
     key_sha256: str = attrs.field(validator=is_sha256)
     classes: tuple[str, ...] = attrs.field(
-        validator=[has_items, has_distinct_items]
+        validator=every(has_items, has_distinct_items)
     )
     default_class: str
 
@@ -99,7 +100,7 @@
 
 @attrs.frozen
 class CallPattern:
-    """Calls of a service that may not be repeated.
+    """Some calls of a service, by method and path.
 
     Attributes:
         method: An HTTP method in capitals, or `*`.
@@ -165,7 +166,7 @@
 
     version: int = attrs.field(validator=is_between(0, MAX_VERSION))
     data_centres: tuple[str, ...] = attrs.field(
-        default=(), validator=[each(is_name), has_distinct_items]
+        default=(), validator=every(each(is_name), has_distinct_items)
     )
     classes: dict[str, ClassDeclaration] = attrs.field(
         factory=dict, validator=each_key(is_name)
@@ -174,7 +175,7 @@
         factory=dict, validator=each_key(is_name)
     )
     models: dict[str, ModelDeclaration] = attrs.field(
-        factory=dict, validator=each_key(is_pool_name)
+        factory=dict, validator=each_key(is_long_name)
     )
     services: dict[str, ServiceDeclaration] = attrs.field(
         factory=dict, validator=each_key(is_name)
--- a/packages/state/src/hollyknot_state/_hosts.py
+++ b/packages/state/src/hollyknot_state/_hosts.py
@@ -13,8 +13,8 @@
     has_distinct_names,
     is_between,
     is_ip,
+    is_long_name,
     is_name,
-    is_pool_name,
 )
 
 MAX_PORT = 65_535
@@ -50,13 +50,13 @@
         state: Live or leaving.
     """
 
-    name: str = attrs.field(validator=is_pool_name)
+    name: str = attrs.field(validator=is_long_name)
     role: Role
     data_centre: str = attrs.field(validator=is_name)
     ip: str = attrs.field(validator=is_ip)
     port: int = attrs.field(validator=is_between(1, MAX_PORT))
     pools: tuple[str, ...] = attrs.field(
-        default=(), validator=each(is_pool_name)
+        default=(), validator=each(is_long_name)
     )
     state: EntryState = EntryState.LIVE
 
--- a/packages/state/src/hollyknot_state/_settings.py
+++ b/packages/state/src/hollyknot_state/_settings.py
@@ -5,10 +5,12 @@
 from hollyknot_state._validators import (
     are_link_keys,
     each,
+    every,
     has_items,
     is_between,
     is_connectable,
     is_ip,
+    is_long_name,
     is_name,
 )
 
@@ -55,10 +57,10 @@
     """
 
     configuration: tuple[Address, ...] = attrs.field(
-        validator=[has_items, each(is_connectable)]
+        validator=every(has_items, each(is_connectable))
     )
     host_list: tuple[Address, ...] = attrs.field(
-        validator=[has_items, each(is_connectable)]
+        validator=every(has_items, each(is_connectable))
     )
 
 
@@ -83,7 +85,7 @@
             flight before it ends them; 0 for as long as they take.
     """
 
-    host: str = attrs.field(validator=is_name)
+    host: str = attrs.field(validator=is_long_name)
     data_centre: str = attrs.field(validator=is_name)
     callers: Address
     links: Address
--- a/packages/state/src/hollyknot_state/_validators.py
+++ b/packages/state/src/hollyknot_state/_validators.py
@@ -39,21 +39,21 @@
 
 
 def is_name(_: Any, attribute: Any, value: str) -> None:
-    """Holds that a value is a name safe in headers, metrics and logs."""
+    """Holds that it is letters, digits, `.`, `_` and `-`, 63 at most."""
     del attribute
     if not _NAME.fullmatch(value):
         raise refuse(f"{shown(value)} is not a usable name", _NAME_REMEDY)
 
 
-def is_pool_name(_: Any, attribute: Any, value: str) -> None:
-    """Holds that a value can be the name of a model or a service."""
+def is_long_name(_: Any, attribute: Any, value: str) -> None:
+    """Holds that it is letters, digits, `._-:/`, 127 at most."""
     del attribute
     if not _MODEL_NAME.fullmatch(value):
         raise refuse(f"{shown(value)} is not a usable name", _MODEL_NAME_REMEDY)
 
 
 def is_sha256(_: Any, attribute: Any, value: str) -> None:
-    """Holds that a value is a SHA-256 in lower-case hexadecimal."""
+    """Holds that it is a SHA-256 in lower-case hexadecimal."""
     del attribute
     if not _SHA256.fullmatch(value):
         # The value isn't shown: a key pasted here by mistake would be logged.
@@ -64,7 +64,7 @@
 
 
 def is_ip(_: Any, attribute: Any, value: str) -> None:
-    """Holds that a value is the literal of an IP address."""
+    """Holds that it is the literal of an IP address."""
     del attribute
     try:
         ipaddress.ip_address(value)
@@ -76,7 +76,7 @@
 
 
 def is_connectable(_: Any, attribute: Any, value: Any) -> None:
-    """Holds that an address has a port to connect to."""
+    """Holds that it has a port to connect to."""
     del attribute
     if value.port == 0:
         raise CheckError(
@@ -85,7 +85,7 @@
 
 
 def are_link_keys(_: Any, attribute: Any, value: tuple[str, ...]) -> None:
-    """Holds that there are one or two distinct keys of enough length."""
+    """Holds that they are one or two distinct keys of 32 characters or more."""
     del attribute
     if not 1 <= len(value) <= MAX_LINK_KEYS:
         raise refuse(
@@ -108,7 +108,7 @@
 
 
 def is_usable_target(_: Any, attribute: Any, value: Any) -> None:
-    """Holds that a target says how long a start of the answer is of use."""
+    """Holds that it has `first_token_ms`, `whole_answer_ms` or both."""
     del attribute
     first, whole = value.first_token_ms, value.whole_answer_ms
     # A mean between tokens alone gives no time by which to begin: every
@@ -126,7 +126,7 @@
 
 
 def is_method(_: Any, attribute: Any, value: str) -> None:
-    """Holds that a value is an HTTP method in capitals, or `*`."""
+    """Holds that it is an HTTP method in capitals, or `*`."""
     del attribute
     if not _METHOD.fullmatch(value):
         raise refuse(
@@ -136,7 +136,7 @@
 
 
 def is_call_path(_: Any, attribute: Any, value: str) -> None:
-    """Holds that a value is a path, with no `*` but at its end."""
+    """Holds that it is a path in its one spelling, with `*` at its end only."""
     del attribute
     body = value.removesuffix("*")
     normal = normalise_path(body)
@@ -166,10 +166,10 @@
         if not low <= value <= high:
             raise refuse(
                 f"{shown(value)} is out of range",
-                f"choose {low:,} to {high:,}{suffix}".replace(",", "_"),
+                f"choose {_limits(low, high)}{suffix}",
             )
 
-    check.__doc__ = f"{low:,} to {high:,}{suffix}".replace(",", "_")
+    check.__doc__ = f"Holds that it is {_limits(low, high)}{suffix}."
     return check
 
 
@@ -181,12 +181,12 @@
         if len(value) > limit:
             raise refuse(f"{len(value)} is too long", f"keep to {limit}")
 
-    check.__doc__ = f"at most {limit} long"
+    check.__doc__ = f"Holds that its length is {limit} at most."
     return check
 
 
 def has_items(_: Any, attribute: Any, value: Any) -> None:
-    """Holds that a string or sequence isn't empty."""
+    """Holds that it is not empty."""
     del attribute
     if not value:
         raise refuse("is empty", "give at least one")
@@ -231,7 +231,7 @@
     def check_items(instance: Any, attribute: Any, value: Any) -> None:
         _check_all(check, instance, attribute, enumerate(value))
 
-    check_items.__doc__ = f"each: {check.__doc__}"
+    check_items.__doc__ = f"For each item: {check.__doc__}"
     return check_items
 
 
@@ -241,10 +241,31 @@
     def check_keys(instance: Any, attribute: Any, value: Any) -> None:
         _check_all(check, instance, attribute, ((k, k) for k in value))
 
-    check_keys.__doc__ = f"each name: {check.__doc__}"
+    check_keys.__doc__ = f"For each name: {check.__doc__}"
     return check_keys
 
 
+def every(*checks: Validator) -> Validator:
+    """Returns a validator that holds all checks and tells all they find."""
+
+    def check_in_turn(instance: Any, attribute: Any, value: Any) -> None:
+        findings: list[Finding] = []
+        for check in checks:
+            try:
+                check(instance, attribute, value)
+            except CheckError as e:
+                findings += e.findings
+        if findings:
+            raise CheckError(findings)
+
+    check_in_turn.__doc__ = " ".join(c.__doc__ or "" for c in checks)
+    return check_in_turn
+
+
+def _limits(low: float, high: float) -> str:
+    return f"{low:,} to {high:,}".replace(",", "_")
+
+
 def _check_all(
     check: Validator,
     instance: Any,
