--- a/packages/daemon/src/hollyknot_daemon/_documents.py
+++ b/packages/daemon/src/hollyknot_daemon/_documents.py
@@ -2,18 +2,9 @@
 
 from collections.abc import Callable
 
-from hollyknot_coordination.spread import Candidate, Invalid
+from hollyknot_coordination.checks import check_declarations, check_hosts
 from hollyknot_daemon._in_force import InForce
-from hollyknot_state import (
-    Declarations,
-    DocumentKind,
-    HostList,
-    Problems,
-    parse_declarations,
-    parse_host_list,
-)
-
-_TOLD_PROBLEMS = 5
+from hollyknot_state import Declarations, DocumentKind, HostList
 
 
 class Documents:
@@ -46,27 +37,9 @@
             self._on_change(view)
 
 
-def _check_declarations(candidate: Candidate) -> Declarations | Invalid:
-    parsed = parse_declarations(candidate.body, candidate.version)
-    return _invalid(parsed) if isinstance(parsed, Problems) else parsed
-
-
-def _check_hosts(candidate: Candidate) -> HostList | Invalid:
-    parsed = parse_host_list(candidate.body)
-    return _invalid(parsed) if isinstance(parsed, Problems) else parsed
-
-
-def _invalid(problems: Problems) -> Invalid:
-    told = [str(p) for p in problems.problems[:_TOLD_PROBLEMS]]
-    rest = len(problems.problems) + problems.more - len(told)
-    if rest:
-        told.append(f"and {rest} more")
-    return Invalid(" | ".join(told))
-
-
 CHECKS = {
-    DocumentKind.DECLARATIONS: _check_declarations,
-    DocumentKind.HOSTS: _check_hosts,
+    DocumentKind.DECLARATIONS: check_declarations,
+    DocumentKind.HOSTS: check_hosts,
 }
 """How a newer version of each document is checked, whole, before it is in
 force."""
--- /dev/null
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_layers.py
@@ -0,0 +1,66 @@
+"""Tests of the import direction between the layers."""
+
+import ast
+import pathlib
+from collections.abc import Iterator
+
+import pytest
+
+_PACKAGES = pathlib.Path(__file__).parents[4]
+_ALLOWED = {
+    "state": set(),
+    "coordination": {"state"},
+    "protocol": {"state"},
+    "transport": {"state", "coordination", "protocol"},
+    "daemon": {"state", "coordination", "protocol", "transport"},
+    "ctl": {"state", "coordination", "protocol", "transport"},
+    "standins": set(),
+}
+_NOT_IN_DECISIONS = {"asyncio", "aiohttp", "time", "socket", "uvloop"}
+_NO_PROCESSES = {"subprocess", "multiprocessing"}
+
+
+def _imports(package: str) -> Iterator[tuple[pathlib.Path, str]]:
+    for path in (_PACKAGES / package / "src").rglob("*.py"):
+        if "tests" in path.parts or "gen" in path.parts:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Import):
+                for alias in node.names:
+                    yield path, alias.name
+            elif isinstance(node, ast.ImportFrom):
+                yield path, node.module or ""
+
+
+class TestLayers:
+    """Who may import whom."""
+
+    @pytest.mark.parametrize("package", sorted(_ALLOWED))
+    def test_direction(self, package: str) -> None:
+        allowed = {f"hollyknot_{n}" for n in _ALLOWED[package] | {package}}
+        found = list(_imports(package))
+        assert found
+        wrong = [
+            (path.name, name)
+            for path, name in found
+            if name.startswith("hollyknot_")
+            and name.split(".")[0] not in allowed
+        ]
+        assert wrong == []
+
+    def test_decisions_know_no_loop_socket_or_clock(self) -> None:
+        wrong = [
+            (path.name, name)
+            for path, name in _imports("coordination")
+            if name.split(".")[0] in _NOT_IN_DECISIONS
+        ]
+        assert wrong == []
+
+    @pytest.mark.parametrize("package", sorted(_ALLOWED))
+    def test_no_process_starts_a_process(self, package: str) -> None:
+        wrong = [
+            (path.name, name)
+            for path, name in _imports(package)
+            if name.split(".")[0] in _NO_PROCESSES
+        ]
+        assert wrong == []
