Choose upstreams, limit them and decide retries

Cause: a host has to choose an upstream by what it sees itself, since load reports and the host list lag, and has to follow one rule for what a verdict allows. Ruled out: weights set by operators; ejection by peers' word alone, which one cut-off host would turn on the whole data centre; a mean as the usual latency, which stragglers pull up to themselves.

Change: a table of upstreams with own counts, discounted reports, prefix locality under a bound, additive-increase limits, health by own signs and probes by new connections; one pure function for retries with a budget for each pool; statuses and times to come back by a table.

--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/limits/__init__.py
@@ -0,0 +1,16 @@
+"""How much at once each upstream is given, by what it delivers."""
+
+from hollyknot_coordination.limits._aimd import ConcurrencyLimit, LimitOptions
+from hollyknot_coordination.limits._latency import (
+    LatencyOptions,
+    Slowness,
+    UsualLatency,
+)
+
+__all__ = [
+    "ConcurrencyLimit",
+    "LatencyOptions",
+    "LimitOptions",
+    "Slowness",
+    "UsualLatency",
+]
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/limits/tests/test_limits.py
@@ -0,0 +1,94 @@
+"""Tests of limits and of measured slowness."""
+
+from hollyknot_coordination.limits import (
+    ConcurrencyLimit,
+    LatencyOptions,
+    LimitOptions,
+    Slowness,
+    UsualLatency,
+)
+
+
+class TestConcurrencyLimit:
+    """A limit moves by what is delivered."""
+
+    def test_starts_from_the_share_of_slots(self) -> None:
+        limit = ConcurrencyLimit(LimitOptions())
+        limit.on_slots(16, sharers=4)
+        assert limit.value == 8
+        limit.on_slots(16, sharers=1000)
+        assert limit.value == 1
+        limit.on_slots(16, sharers=1)
+        assert limit.value == 16
+
+    def test_slots_do_not_undo_what_was_learnt(self) -> None:
+        limit = ConcurrencyLimit(LimitOptions())
+        limit.on_refused(0.0)
+        limit.on_slots(100, sharers=1)
+        assert limit.value == 5
+
+    def test_grows_only_while_in_use(self) -> None:
+        limit = ConcurrencyLimit(LimitOptions())
+        for _ in range(100):
+            limit.on_good(in_flight=1)
+        assert limit.value == 8
+        for _ in range(9):
+            limit.on_good(in_flight=8)
+        assert limit.value == 9
+
+    def test_never_below_one_and_cuts_are_spaced(self) -> None:
+        limit = ConcurrencyLimit(LimitOptions())
+        for _ in range(10):
+            limit.on_refused(0.0)
+        assert limit.value == 5
+        for second in range(1, 50):
+            limit.on_refused(float(second))
+        assert limit.value == 1
+
+    def test_late_answers_alone_keep_a_quarter(self) -> None:
+        """Symptom: upstreams idle while work waits.
+
+        Sequence: answers miss their target for their own length, whatever
+        the limit; each miss cuts. Cause: a cut without a floor.
+        """
+        limit = ConcurrencyLimit(LimitOptions())
+        for second in range(50):
+            limit.on_late(float(second))
+        assert limit.value == 2
+
+    def test_restart_grows_fast_to_half(self) -> None:
+        limit = ConcurrencyLimit(LimitOptions(start=16))
+        limit.restart()
+        assert (limit.value, limit.is_restarting) == (1, True)
+        for _ in range(7):
+            limit.on_good(in_flight=limit.value)
+        assert (limit.value, limit.is_restarting) == (8, False)
+        limit.on_good(in_flight=8)
+        assert limit.value == 8
+
+
+class TestSlowness:
+    """Slowness is found by samples and fades without."""
+
+    def test_stragglers_do_not_become_usual(self) -> None:
+        """Symptom: a straggler keeps its share of the work.
+
+        Sequence: two of five upstreams slow down; the latency that counts as
+        usual follows them. Cause: a mean in place of a median.
+        """
+        usual = UsualLatency(LatencyOptions())
+        slow = Slowness(LatencyOptions())
+        for i in range(200):
+            for _ in range(3):
+                usual.ratio(0.1)
+            for _ in range(2):
+                slow.note(usual.ratio(0.4), i * 0.1)
+        assert slow.is_straggler(20.0)
+
+    def test_fades(self) -> None:
+        slow = Slowness(LatencyOptions())
+        for _ in range(20):
+            slow.note(5.0, 0.0)
+        assert slow.at(0.0) > 4.9
+        assert not slow.is_straggler(20.0)
+        assert slow.at(100.0) < 1.01
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/retries/_answers.py
@@ -0,0 +1,93 @@
+"""The caller's status code and its time to come back, from a verdict."""
+
+import random
+from http import HTTPStatus
+
+from hollyknot_state import Nature, Outcome, Reason, Verdict
+
+SPREAD = 1.0
+"""Callers that are told to come back after t seconds are told a time between
+t and t * (1 + SPREAD), so that a crowd does not return at once."""
+
+_NOT_RUN_STATUS = {
+    Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
+    Reason.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Reason.BAD_KEY: HTTPStatus.UNAUTHORIZED,
+    Reason.UNKNOWN_CLASS: HTTPStatus.FORBIDDEN,
+    Reason.UNKNOWN_MODEL: HTTPStatus.NOT_FOUND,
+    Reason.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
+    Reason.IDEMPOTENCY_KEY: HTTPStatus.BAD_REQUEST,
+    Reason.CLAIMED_BEFORE: HTTPStatus.CONFLICT,
+    Reason.KEY_EXPIRED: HTTPStatus.CONFLICT,
+    Reason.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+"""For any other reason 503: nothing is wrong with the request."""
+
+_MAY_HAVE_RUN_STATUS = {
+    Reason.CLAIMED_BEFORE: HTTPStatus.CONFLICT,
+    Reason.KEY_EXPIRED: HTTPStatus.CONFLICT,
+    Reason.UPSTREAM_SILENT: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+"""For any other reason 502."""
+
+_FINAL_REASONS = frozenset(_NOT_RUN_STATUS) - {Reason.INTERNAL}
+"""Reasons for which the same request would end the same again."""
+
+_RETRY_AFTER_S = {
+    Reason.NOT_READY: 1.0,
+    Reason.STOPPING: 0.5,
+    Reason.SHED: 2.0,
+    Reason.TARGET_UNREACHABLE: 2.0,
+    Reason.CLAIM_UNDECIDED: 1.0,
+    Reason.QUARANTINED: 60.0,
+}
+DEFAULT_RETRY_AFTER_S = 1.0
+
+
+def http_status(verdict: Verdict) -> int:
+    """Returns the status of the answer to the caller."""
+    match verdict.outcome:
+        case Outcome.COMPLETE:
+            return verdict.upstream_status or HTTPStatus.OK
+        case Outcome.NOT_RUN:
+            return _NOT_RUN_STATUS.get(
+                verdict.reason, HTTPStatus.SERVICE_UNAVAILABLE
+            )
+        case Outcome.MAY_HAVE_RUN:
+            return _MAY_HAVE_RUN_STATUS.get(
+                verdict.reason, HTTPStatus.BAD_GATEWAY
+            )
+        case Outcome.FAILED:
+            status = verdict.upstream_status
+            is_error = status >= HTTPStatus.BAD_REQUEST
+            return status if is_error else HTTPStatus.BAD_GATEWAY
+
+
+def retry_after_s(
+    verdict: Verdict, nature: Nature, rng: random.Random
+) -> float:
+    """Returns the seconds after which to come back, 0 for never.
+
+    A call that may not run twice and may have run gets none, since coming
+    back could only run it again or be refused. An upstream's own error gets
+    none either: what the upstream said of it goes to the caller as it is.
+    """
+    if not _is_return_useful(verdict, nature):
+        return 0.0
+    least_s = verdict.retry_after_s or _RETRY_AFTER_S.get(
+        verdict.reason, DEFAULT_RETRY_AFTER_S
+    )
+    return least_s * (1.0 + SPREAD * rng.random())
+
+
+def _is_return_useful(verdict: Verdict, nature: Nature) -> bool:
+    if verdict.reason in _FINAL_REASONS:
+        return False
+    match verdict.outcome:
+        case Outcome.NOT_RUN:
+            return True
+        case Outcome.MAY_HAVE_RUN:
+            return nature is Nature.IDEMPOTENT
+        case Outcome.COMPLETE | Outcome.FAILED:
+            return False
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/routing/__init__.py
@@ -0,0 +1,37 @@
+"""Which upstream gets a request, and which upstreams are fit to."""
+
+from hollyknot_coordination.routing._messages import (
+    Choice,
+    NoChoice,
+    NoChoiceReason,
+    Probe,
+    UpstreamState,
+    UpstreamView,
+)
+from hollyknot_coordination.routing._options import RoutingOptions
+from hollyknot_coordination.routing._subset import subset
+from hollyknot_coordination.routing._table import UpstreamTable
+from hollyknot_coordination.routing._timeouts import (
+    CONNECT_S,
+    IDLE_CONNECTION_S,
+    PROBE_S,
+    Timeouts,
+    timeouts,
+)
+
+__all__ = [
+    "CONNECT_S",
+    "IDLE_CONNECTION_S",
+    "PROBE_S",
+    "Choice",
+    "NoChoice",
+    "NoChoiceReason",
+    "Probe",
+    "RoutingOptions",
+    "Timeouts",
+    "UpstreamState",
+    "UpstreamTable",
+    "UpstreamView",
+    "subset",
+    "timeouts",
+]
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/routing/_candidates.py
@@ -0,0 +1,64 @@
+"""Who may be chosen for a request: the rule of what is used when.
+
+1. Usable upstreams of this data centre, below their limits. As long as one of
+   them exists, full or excluded, no other group is used, but for rule 5.
+2. Else usable upstreams of other data centres, below their limits.
+3. Else upstreams that wait for a probe, here and then elsewhere, one request
+   each.
+4. Else ejected upstreams, here and then elsewhere, one request each: a host
+   that ejected all is more likely wrong than all upstreams are.
+5. A host that suspects itself adds groups 3 and 4 where group 1 or 2 is full.
+
+Requests that may not run twice are never sent by rules 3 to 5: they could end
+as "may have run" for nothing. Draining and leaving upstreams never get work.
+"""
+
+from collections.abc import Iterable, Set
+
+from hollyknot_coordination.routing._messages import (
+    NoChoiceReason,
+    UpstreamState,
+)
+from hollyknot_coordination.routing._pools import Pool
+from hollyknot_coordination.routing._upstream import Upstream
+from hollyknot_state import Nature, RequestInfo
+
+Candidates = list[Upstream]
+
+
+def candidates(
+    pool: Pool, request: RequestInfo, exclude: Set[str], suspects_itself: bool
+) -> Candidates | NoChoiceReason:
+    """Returns upstreams that may take the request, or why there are none."""
+    usable = usable_group(pool)
+    open_ = [u for u in usable if u.has_room and _allows(u, request, exclude)]
+    if open_:
+        return open_
+    if request.nature is Nature.IDEMPOTENT and (not usable or suspects_itself):
+        for group in _trial_groups(pool):
+            open_ = [u for u in group if _allows(u, request, exclude)]
+            if open_:
+                return open_
+    if usable:
+        return NoChoiceReason.ALL_FULL
+    return NoChoiceReason.ALL_EJECTED
+
+
+def usable_group(pool: Pool) -> Candidates:
+    """Returns the usable upstreams here, or else elsewhere."""
+    here = [u for u in pool.here if u.is_usable]
+    return here or [u for u in pool.elsewhere if u.is_usable]
+
+
+def _trial_groups(pool: Pool) -> Iterable[Candidates]:
+    for state in (UpstreamState.CHECKING, UpstreamState.EJECTED):
+        for members in (pool.here, pool.elsewhere):
+            yield [u for u in members if u.state is state and not u.has_trial]
+
+
+def _allows(
+    upstream: Upstream, request: RequestInfo, exclude: Set[str]
+) -> bool:
+    if upstream.entry.name in exclude:
+        return False
+    return request.request_id not in upstream.flights
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/routing/_feedback.py
@@ -0,0 +1,81 @@
+"""What a first byte and the end of a try teach of an upstream."""
+
+import enum
+
+from hollyknot_coordination.limits import UsualLatency
+from hollyknot_coordination.routing._upstream import Flight, Upstream
+from hollyknot_state import Outcome, Reason, Verdict
+
+WAITED_SHARE = 0.5
+"""Part of a request's budget spent before its dispatch from which a missed
+target is not the upstream's fault."""
+
+ERROR_RATIO = 4.0
+"""The slowness that an error of the upstream's own counts for: an upstream
+that fails at once would else look the fastest and draw all requests."""
+
+SERVER_ERROR = 500
+
+
+class Effect(enum.Enum):
+    """What the end of a try says of the upstream's health."""
+
+    NONE = enum.auto()
+    REFUSED_CONNECTION = enum.auto()
+    LOST = enum.auto()
+    SILENT = enum.auto()
+    REFUSED_REQUEST = enum.auto()
+
+
+_EFFECTS = {
+    Reason.CONNECT_FAILED: Effect.REFUSED_CONNECTION,
+    Reason.UPSTREAM_LOST: Effect.LOST,
+    Reason.TRUNCATED: Effect.LOST,
+    Reason.UPSTREAM_SILENT: Effect.SILENT,
+    Reason.UPSTREAM_REFUSED: Effect.REFUSED_REQUEST,
+}
+
+
+def note_first_byte(
+    upstream: Upstream, flight: Flight, usual: UsualLatency, now_s: float
+) -> None:
+    """Takes in the time from dispatch to first byte."""
+    flight.first_byte_s = now_s
+    upstream.good_s = now_s
+    ratio = usual.ratio(now_s - flight.chosen_s)
+    upstream.slowness.note(ratio, now_s)
+    if upstream.slowness.is_straggler(now_s):
+        upstream.limit.on_refused(now_s)
+
+
+def note_end(
+    upstream: Upstream,
+    flight: Flight,
+    verdict: Verdict,
+    met_target: bool,
+    now_s: float,
+) -> Effect:
+    """Moves the limit by the end of a try, whose flight is still counted."""
+    effect = _EFFECTS.get(verdict.reason, Effect.NONE)
+    if effect is Effect.REFUSED_REQUEST:
+        upstream.limit.on_refused(now_s)
+    elif verdict.outcome is Outcome.COMPLETE:
+        _note_complete(upstream, flight, met_target, now_s)
+    elif verdict.upstream_status >= SERVER_ERROR:
+        upstream.slowness.note(ERROR_RATIO, now_s)
+        upstream.limit.on_late(now_s)
+    return effect
+
+
+def _note_complete(
+    upstream: Upstream, flight: Flight, met_target: bool, now_s: float
+) -> None:
+    upstream.good_s = now_s
+    upstream.losses = 0
+    if met_target:
+        upstream.limit.on_good(upstream.in_flight)
+        return
+    request = flight.request
+    waited_s = flight.chosen_s - request.arrived_s
+    if waited_s < WAITED_SHARE * request.budget_s:
+        upstream.limit.on_late(now_s)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/routing/_pools.py
@@ -0,0 +1,116 @@
+"""Which upstreams serve each pool for this host, after a host list."""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from hollyknot_coordination.routing._options import RoutingOptions
+from hollyknot_coordination.routing._subset import subset
+from hollyknot_coordination.routing._upstream import Upstream
+from hollyknot_state import EntryState, HostList, HostListEntry, Role
+
+
+@attrs.define
+class Pool:
+    """The upstreams of a pool that this host uses.
+
+    Attributes:
+        here: In this host's data centre.
+        elsewhere: In all other data centres.
+        mean_others: Others' load at a usual upstream of the pool.
+    """
+
+    here: tuple[Upstream, ...] = ()
+    elsewhere: tuple[Upstream, ...] = ()
+    mean_others: float = 0.0
+
+    @property
+    def members(self) -> tuple[Upstream, ...]:
+        """All of them."""
+        return self.here + self.elsewhere
+
+    def on_report(self) -> None:
+        """Follows the reports, once one of its upstreams has a new one."""
+        members = self.here or self.elsewhere
+        total = sum(u.others for u in members)
+        self.mean_others = total / len(members)
+
+
+@attrs.frozen
+class Members:
+    """What a host uses of one pool.
+
+    Attributes:
+        here: Names in its data centre.
+        elsewhere: Names in other data centres.
+        sharers: Hosts that use an upstream here, about.
+    """
+
+    here: tuple[str, ...]
+    elsewhere: tuple[str, ...]
+    sharers: int
+
+
+def live_upstreams(host_list: HostList) -> dict[str, HostListEntry]:
+    """Returns the live upstreams by name."""
+    return {
+        e.name: e
+        for e in host_list.entries
+        if e.role is not Role.HOST and e.state is EntryState.LIVE
+    }
+
+
+def members_by_pool(
+    host_list: HostList,
+    live: Mapping[str, HostListEntry],
+    host: str,
+    data_centre: str,
+    options: RoutingOptions,
+) -> dict[str, Members]:
+    """Chooses what this host uses of each pool."""
+    hosts = tuple(e.name for e in host_list.hosts(data_centre))
+    here = _names_by_pool(
+        e for e in live.values() if e.data_centre == data_centre
+    )
+    elsewhere = _names_by_pool(
+        e for e in live.values() if e.data_centre != data_centre
+    )
+    return {
+        pool: _members(
+            pool,
+            here.get(pool, ()),
+            elsewhere.get(pool, ()),
+            host,
+            hosts,
+            options,
+        )
+        for pool in here.keys() | elsewhere.keys()
+    }
+
+
+def _members(
+    pool: str,
+    here: Iterable[str],
+    elsewhere: Iterable[str],
+    host: str,
+    hosts: tuple[str, ...],
+    options: RoutingOptions,
+) -> Members:
+    near = tuple(here)
+    size = options.subset_size
+    chosen = subset(host, hosts, near, pool, size, options.sharers_min)
+    # Not all upstreams elsewhere need to be reached from here: their own data
+    # centre does that, and this one uses them only in need.
+    far = subset(host, hosts, tuple(elsewhere), pool, size, 0)
+    uses = max(1, len(hosts)) * len(chosen)
+    return Members(chosen, far, -(-uses // max(1, len(near))))
+
+
+def _names_by_pool(
+    entries: Iterable[HostListEntry],
+) -> dict[str, list[str]]:
+    names: dict[str, list[str]] = {}
+    for entry in entries:
+        for pool in entry.pools:
+            names.setdefault(pool, []).append(entry.name)
+    return names
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/routing/_timeouts.py
@@ -0,0 +1,83 @@
+"""How long to wait for an upstream, by class and nature.
+
+A connection can go silent for good while its two ends believe in it, so each
+wait is bounded. A bound is generous against the target: giving up wastes what
+the upstream did, and for a call that may not run twice it ends in "may have
+run", which nothing can repair.
+"""
+
+import attrs
+
+from hollyknot_state import Nature, Target
+
+CONNECT_S = 1.0
+"""To connect within a region; packets lost once are sent again by then."""
+
+IDLE_CONNECTION_S = 30.0
+"""Age since last use at which an idle connection is closed: something between
+its ends may have forgotten it, and a request would find out by silence."""
+
+PROBE_S = 1.0
+"""For a probe by a new connection, from connecting to the whole answer."""
+
+FIRST_BYTE_FACTOR = 4.0
+FIRST_BYTE_MIN_S = 2.0
+FIRST_BYTE_MAX_S = 60.0
+
+WHOLE_FACTOR = 2.0
+WHOLE_MIN_S = 10.0
+WHOLE_MAX_S = 900.0
+
+NO_TARGET_S = 120.0
+
+BETWEEN_FACTOR = 40.0
+BETWEEN_MIN_S = 2.0
+BETWEEN_MAX_S = 30.0
+
+NON_IDEMPOTENT_FACTOR = 2.0
+
+
+@attrs.frozen
+class Timeouts:
+    """Bounds of waiting for one try at an upstream, in seconds.
+
+    Attributes:
+        connect_s: Until the connection stands.
+        first_byte_s: From the request's last byte to the answer's first.
+        between_bytes_s: From one piece of the answer to the next.
+    """
+
+    connect_s: float
+    first_byte_s: float
+    between_bytes_s: float
+
+
+def timeouts(target: Target, nature: Nature) -> Timeouts:
+    """Returns the bounds for a class's target and a request's nature."""
+    factor = NON_IDEMPOTENT_FACTOR if nature is Nature.NON_IDEMPOTENT else 1.0
+    return Timeouts(
+        connect_s=CONNECT_S,
+        first_byte_s=factor * _first_byte_s(target),
+        between_bytes_s=factor * _between_bytes_s(target),
+    )
+
+
+def _first_byte_s(target: Target) -> float:
+    if target.first_token_ms:
+        wanted = FIRST_BYTE_FACTOR * target.first_token_ms / 1000
+        return _between(FIRST_BYTE_MIN_S, wanted, FIRST_BYTE_MAX_S)
+    if target.whole_answer_ms:
+        wanted = WHOLE_FACTOR * target.whole_answer_ms / 1000
+        return _between(WHOLE_MIN_S, wanted, WHOLE_MAX_S)
+    return NO_TARGET_S
+
+
+def _between_bytes_s(target: Target) -> float:
+    if not target.between_tokens_ms:
+        return BETWEEN_MAX_S
+    wanted = BETWEEN_FACTOR * target.between_tokens_ms / 1000
+    return _between(BETWEEN_MIN_S, wanted, BETWEEN_MAX_S)
+
+
+def _between(least: float, value: float, most: float) -> float:
+    return min(max(least, value), most)
