Test the whole path of one host in process

Cause: the path was only shown by the demo. Change: a rig of stand-ins around one host; tables of refusals, a published client library unchanged, at-most-once calls, lost upstreams, configuration that never falls back, traces, graceful stop. The times of claims can be passed to a host.

--- a/packages/daemon/src/hollyknot_daemon/_claims_task.py
+++ b/packages/daemon/src/hollyknot_daemon/_claims_task.py
@@ -5,6 +5,8 @@
 import time
 from collections.abc import Callable
 
+import attrs
+
 from hollyknot_coordination.claims import (
     ClaimCommand,
     ClaimGranted,
@@ -43,7 +45,11 @@
     """Owns the coordinator and the holder of this host."""
 
     def __init__(
-        self, settings: Settings, rng: random.Random, send: Send
+        self,
+        settings: Settings,
+        rng: random.Random,
+        send: Send,
+        options: ClaimOptions,
     ) -> None:
         """Knows no hosts yet.
 
@@ -51,6 +57,7 @@
             settings: Of this host.
             rng: Spreads times to come back.
             send: Sends to other hosts.
+            options: Times; `remember_s` follows the declarations.
         """
         self._host = settings.host
         self._send = send
@@ -60,9 +67,11 @@
         incarnation = time.time_ns()
         placement = make_placement(InForce().hosts, ())
         self._coordinator = Coordinator(
-            settings.host, incarnation, placement, rng
+            settings.host, incarnation, placement, rng, options
+        )
+        self._holder = Holder(
+            settings.host, settings.data_centre, incarnation, options
         )
-        self._holder = Holder(settings.host, settings.data_centre, incarnation)
         self._viewed_s = float("inf")
         self._waiting: dict[bytes, asyncio.Future[Granted | Verdict]] = {}
 
@@ -99,7 +108,9 @@
         services = view.declarations.services.values()
         remember_s = max((s.remember_s for s in services), default=0)
         if remember_s:
-            self._holder.options = ClaimOptions(remember_s=remember_s)
+            self._holder.options = attrs.evolve(
+                self._holder.options, remember_s=remember_s
+            )
         self._execute(self._holder.update(placement, now))
         self._execute(self._coordinator.update(placement, now))
 
--- a/packages/daemon/src/hollyknot_daemon/_control.py
+++ b/packages/daemon/src/hollyknot_daemon/_control.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from hollyknot_coordination.claims import ClaimOptions
 from hollyknot_coordination.spread import ReportSignals
 from hollyknot_daemon._claiming import Granted
 from hollyknot_daemon._claims_task import ClaimsTask
@@ -43,6 +44,7 @@
         rng: random.Random,
         documents: Documents,
         dispatcher: Dispatcher,
+        claim_options: ClaimOptions,
     ) -> None:
         """Makes the parts; nothing listens yet.
 
@@ -51,6 +53,7 @@
             rng: For all random choices.
             documents: Told of what comes in force.
             dispatcher: Told of peers' signals, asked for this host's.
+            claim_options: Times of the claims.
 
         Raises:
             OSError: A file of the TLS can't be read.
@@ -66,7 +69,7 @@
         self._server = LinkServer(
             settings.links, credentials, self._receive, counters=self._counters
         )
-        self._claims = ClaimsTask(settings, rng, self._send)
+        self._claims = ClaimsTask(settings, rng, self._send, claim_options)
         self._peers_task = PeersTask(
             settings, rng, documents, self._send, self._on_signals
         )
--- a/packages/daemon/src/hollyknot_daemon/_host.py
+++ b/packages/daemon/src/hollyknot_daemon/_host.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Coroutine
 
+from hollyknot_coordination.claims import ClaimOptions
 from hollyknot_daemon._control import Control
 from hollyknot_daemon._dispatch import Dispatcher
 from hollyknot_daemon._documents import Documents
@@ -27,6 +28,7 @@
     start_server,
 )
 
+DEFAULT_CLAIM_OPTIONS = ClaimOptions()
 _LOG = get_logger("daemon")
 _TICK_S = 0.1
 _SWEEP_S = 1.0
@@ -44,13 +46,20 @@
             await host.stopped()
     """
 
-    def __init__(self, settings: Settings, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        rng: random.Random,
+        claim_options: ClaimOptions = DEFAULT_CLAIM_OPTIONS,
+    ) -> None:
         """Makes the parts; nothing listens yet.
 
         Args:
             settings: Checked settings.
             rng: The source of all random choices of this host.
+            claim_options: Times of the claims, to shorten them in tests.
         """
+        self._claim_options = claim_options
         self._settings = settings
         self._rng = rng
         self._stack = contextlib.AsyncExitStack()
@@ -121,6 +130,18 @@
         """Waits for the end of a graceful stop."""
         await self._stopped.wait()
 
+    def status(self) -> dict[str, object]:
+        """Returns what `GET /status` shows."""
+        clock = asyncio.get_running_loop().time
+        return status_document(
+            self._settings,
+            self.readiness,
+            self._documents.view,
+            self._dispatcher.table.view(clock()),
+            self._recorder.tallies,
+            self._control.view(),
+        )
+
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         settings = self._settings
         clock = asyncio.get_running_loop().time
@@ -139,7 +160,11 @@
         self._probes = Probes(dispatcher.table, clock)
         stack.push_async_callback(self._probes.close)
         self._control = Control(
-            settings, self._rng, self._documents, dispatcher
+            settings,
+            self._rng,
+            self._documents,
+            dispatcher,
+            self._claim_options,
         )
         await stack.enter_async_context(self._control)
         tries = Tries(
@@ -166,7 +191,7 @@
         self, stack: contextlib.AsyncExitStack, parts: FlowParts
     ) -> None:
         operators = operators_server(
-            self._metrics, lambda: self.readiness, self._status
+            self._metrics, lambda: self.readiness, self.status
         )
         runner, port = await start_server(operators, self._settings.operators)
         stack.push_async_callback(runner.cleanup)
@@ -229,14 +254,3 @@
             labels = {"upstream": upstream.name}
             self._metrics.in_flight.set(labels, upstream.in_flight)
             self._metrics.limit.set(labels, upstream.limit)
-
-    def _status(self) -> dict[str, object]:
-        clock = asyncio.get_running_loop().time
-        return status_document(
-            self._settings,
-            self.readiness,
-            self._documents.view,
-            self._dispatcher.table.view(clock()),
-            self._recorder.tallies,
-            self._control.view(),
-        )
--- /dev/null
+++ b/packages/daemon/src/hollyknot_daemon/tests/rig.py
@@ -0,0 +1,172 @@
+"""One host between in-process stand-ins, for tests of the whole path."""
+
+import asyncio
+import contextlib
+import hashlib
+import random
+import secrets
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import attrs
+
+from hollyknot_coordination.claims import ClaimOptions
+from hollyknot_daemon import Host
+from hollyknot_standins import (
+    ConfigurationControl,
+    ConfigurationOptions,
+    EngineControl,
+    EngineOptions,
+    HostListControl,
+    HostListOptions,
+    ServiceControl,
+    Standin,
+    start_configuration,
+    start_engine,
+    start_host_list,
+    start_service,
+)
+from hollyknot_standins import ServiceOptions as ServiceStandinOptions
+from hollyknot_state import Address, Platform, Settings
+
+IP = "127.0.0.1"
+KEY = "a-bearer-key-of-the-tests"
+_POLL_S = 0.02
+
+
+def declarations() -> dict[str, Any]:
+    """Returns declarations with one class of each tier."""
+    return {
+        "data_centres": ["hall-a"],
+        "classes": {
+            "counter": {
+                "tier": 1,
+                "target": {"first_token_ms": 1100, "between_tokens_ms": 68},
+            },
+            "lookup": {"tier": 2, "target": {"whole_answer_ms": 2000}},
+        },
+        "customers": {
+            "caseworkers": {
+                "key_sha256": hashlib.sha256(KEY.encode()).hexdigest(),
+                "classes": ["counter"],
+                "default_class": "counter",
+            }
+        },
+        "models": {"tariff": {"description": ""}, "unserved": {}},
+        "services": {"permits": {}},
+    }
+
+
+@attrs.frozen
+class Rig:
+    """What a test drives.
+
+    Attributes:
+        host: The host under test.
+        engines: Engines that serve the model `tariff`.
+        service: Serves `permits`.
+        configuration: The configuration service.
+        host_list: The host list.
+        session: An HTTP client.
+    """
+
+    host: Host
+    engines: list[Standin[EngineControl]]
+    service: Standin[ServiceControl]
+    configuration: Standin[ConfigurationControl]
+    host_list: Standin[HostListControl]
+    session: aiohttp.ClientSession
+
+    @property
+    def url(self) -> str:
+        """Where the host serves callers."""
+        return f"http://{IP}:{self.host.callers_port}"
+
+    async def ask(
+        self, path: str, key: str = KEY, **request: Any
+    ) -> tuple[aiohttp.ClientResponse, bytes]:
+        """Sends a request with a bearer key and reads the answer."""
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        headers |= request.pop("headers", {})
+        method = request.pop("method", "POST")
+        async with self.session.request(
+            method, self.url + path, headers=headers, **request
+        ) as response:
+            return response, await response.read()
+
+    async def until_ready(self) -> None:
+        """Waits until the host takes work."""
+        await self.until(lambda: self.host.readiness.is_ready)
+
+    async def until(self, condition: Any) -> None:
+        """Waits for a condition; the test's own time limit bounds it."""
+        while not condition():
+            await asyncio.sleep(_POLL_S)
+
+
+def entry(name: str, role: str, port: int, *pools: str) -> dict[str, Any]:
+    """Returns an entry of the host list."""
+    return {
+        "name": name,
+        "role": role,
+        "data_centre": "hall-a",
+        "ip": IP,
+        "port": port,
+        "pools": list(pools),
+        "state": "live",
+    }
+
+
+def _settings(
+    configuration: Standin[Any], host_list: Standin[Any], trace_file: str
+) -> Settings:
+    def address(standin: Standin[Any]) -> Address:
+        return Address(standin.address.ip, standin.address.port)
+
+    any_port = Address(IP, 0)
+    return Settings(
+        host="host-1",
+        data_centre="hall-a",
+        callers=any_port,
+        links=any_port,
+        operators=any_port,
+        platform=Platform((address(configuration),), (address(host_list),)),
+        link_keys=(secrets.token_hex(32),),
+        max_body_bytes=65_536,
+        trace_file=trace_file,
+    )
+
+
+@contextlib.asynccontextmanager
+async def running_rig(
+    engines: int = 2,
+    engine_options: EngineOptions | None = None,
+    trace_file: str = "",
+) -> AsyncIterator[Rig]:
+    """Runs a host and its surroundings until the context ends."""
+    quick = ClaimOptions(ahead_s=0.05, skew_s=0.01)
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        configuration = await enter(
+            start_configuration(ConfigurationOptions(value=declarations()))
+        )
+        host_list = await enter(start_host_list(HostListOptions()))
+        options = engine_options or EngineOptions()
+        started = [await enter(start_engine(options)) for _ in range(engines)]
+        service = await enter(start_service(ServiceStandinOptions()))
+        settings = _settings(configuration, host_list, trace_file)
+        host = await enter(Host(settings, random.Random(7), quick))
+        entries = [
+            entry("host-1", "host", host.links_port),
+            entry("service-1", "service", service.address.port, "permits"),
+        ]
+        entries += [
+            entry(f"engine-{n}", "engine", e.address.port, "tariff")
+            for n, e in enumerate(started)
+        ]
+        host_list.control.set_entries(entries)
+        session = await enter(aiohttp.ClientSession())
+        rig = Rig(host, started, service, configuration, host_list, session)
+        await rig.until_ready()
+        yield rig
--- /dev/null
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_path.py
@@ -0,0 +1,442 @@
+"""Tests of the whole path through one host, in process."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from typing import Any
+
+import openai
+import orjson
+import pytest
+
+from hollyknot_bench.demo import new_idempotency_key
+from hollyknot_daemon.tests.rig import KEY, Rig, declarations, running_rig
+from hollyknot_standins import EngineOptions
+
+_CHAT = "/v1/chat/completions"
+_LIMIT_S = 60.0
+
+Drive = Callable[[Callable[[Rig], Awaitable[None]]], None]
+
+
+def _body(text: str = "rate?", **more: Any) -> dict[str, Any]:
+    message = {"role": "user", "content": text}
+    return {"model": "tariff", "messages": [message], **more}
+
+
+@contextlib.contextmanager
+def _driver(**options: Any) -> Iterator[Drive]:
+    """Runs a rig in a loop of its own and tests in that loop."""
+    with asyncio.Runner() as runner:
+        stack = contextlib.AsyncExitStack()
+        rig = runner.run(stack.enter_async_context(running_rig(**options)))
+
+        async def bounded(test: Callable[[Rig], Awaitable[None]]) -> None:
+            async with asyncio.timeout(_LIMIT_S):
+                await test(rig)
+
+        yield lambda test: runner.run(bounded(test))
+        runner.run(stack.aclose())
+
+
+@pytest.fixture(name="drive", scope="module")
+def _drive() -> Iterator[Drive]:
+    with _driver() as drive:
+        yield drive
+
+
+class TestModelCalls:
+    """Whole and streamed answers, by a published client library."""
+
+    def test_openai_client_works_unchanged(self, drive: Drive) -> None:
+        async def test(rig: Rig) -> None:
+            async with openai.AsyncOpenAI(
+                base_url=rig.url + "/v1", api_key=KEY, max_retries=0
+            ) as client:
+                models = [m.id async for m in client.models.list()]
+                whole = await client.chat.completions.create(**_body("whole"))
+                stream = await client.chat.completions.create(
+                    **_body("streamed", stream=True)
+                )
+                parts = [c async for c in stream]
+                legacy = await client.completions.create(
+                    model="tariff", prompt="legacy"
+                )
+            assert models == ["tariff", "unserved"]
+            assert "whole" in str(whole.choices[0].message.content)
+            assert whole.usage is not None
+            text = "".join(
+                p.choices[0].delta.content or "" for p in parts if p.choices
+            )
+            assert "streamed" in text
+            assert parts[-1].usage is not None
+            assert "legacy" in legacy.choices[0].text
+
+        drive(test)
+
+    def test_every_answer_has_its_id_and_verdict(self, drive: Drive) -> None:
+        async def test(rig: Rig) -> None:
+            response, _ = await rig.ask(_CHAT, json=_body())
+            assert response.headers["X-Verdict"] == "complete"
+            request_id = response.headers["X-Request-Id"]
+            ran = [e.control.ran[request_id] for e in rig.engines]
+            assert sum(ran) == 1
+            _, raw = await rig.ask(_CHAT, json=_body(stream=True))
+            assert raw.endswith(b": verdict=complete\n\n")
+
+        drive(test)
+
+
+_REFUSALS: dict[str, tuple[dict[str, Any], int, str]] = {
+    "no key": ({"json": _body(), "key": ""}, 401, "bad-key"),
+    "wrong key": ({"json": _body(), "key": "nobody's"}, 401, "bad-key"),
+    "a class that is not the customer's": (
+        {"json": _body(), "headers": {"X-Request-Class": "lookup"}},
+        403,
+        "unknown-class",
+    ),
+    "hostile class": (
+        {"json": _body(), "headers": {"X-Request-Class": "a=b\u00e9" * 900}},
+        403,
+        "unknown-class",
+    ),
+    "unknown model": (
+        {"json": _body() | {"model": "x"}},
+        404,
+        "unknown-model",
+    ),
+    "no upstream": (
+        {"json": _body() | {"model": "unserved"}},
+        503,
+        "no-upstream",
+    ),
+    "not JSON": ({"data": b"{"}, 400, "bad-request"),
+    "not an object": ({"data": b"[]"}, 400, "bad-request"),
+    "deep JSON": ({"data": b"[" * 60_000}, 400, "bad-request"),
+    "model of a wrong type": ({"json": {"model": 7}}, 400, "bad-request"),
+    "stream of a wrong type": (
+        {"json": _body(stream="yes")},
+        400,
+        "bad-request",
+    ),
+    "messages of a wrong type": (
+        {"json": {"model": "tariff", "messages": "hi"}},
+        400,
+        "bad-request",
+    ),
+    "GET": ({"method": "GET"}, 405, "bad-request"),
+    "too large": ({"data": b"x" * 65_537}, 413, "too-large"),
+}
+
+
+async def _endless() -> AsyncIterator[bytes]:
+    for _ in range(1_000):
+        yield b"x" * 4_096
+
+
+class TestRefusals:
+    """Each mistake has a clear answer that says it was not run."""
+
+    @pytest.mark.parametrize(
+        ("request_", "status", "reason"), _REFUSALS.values(), ids=_REFUSALS
+    )
+    def test_table(
+        self,
+        drive: Drive,
+        request_: dict[str, Any],
+        status: int,
+        reason: str,
+    ) -> None:
+        async def test(rig: Rig) -> None:
+            response, raw = await rig.ask(_CHAT, **request_)
+            assert response.status == status
+            assert response.headers["X-Verdict"] == "not-run"
+            assert response.headers["X-Reason"] == reason
+            error = orjson.loads(raw)["error"]
+            assert error["code"] == reason
+            assert "not run" in error["message"]
+            has_time = "Retry-After" in response.headers
+            assert has_time == (status == 503)
+
+        drive(test)
+
+    def test_chunked_body_is_bounded_too(self, drive: Drive) -> None:
+        """A body without a stated length is cut off at the limit.
+
+        Symptom: a host's memory grows with what one caller sends.
+        Sequence: a caller sends a body in chunks, which states no length.
+        Cause: only the stated length was compared with the limit.
+        """
+
+        async def test(rig: Rig) -> None:
+            response, _ = await rig.ask(_CHAT, data=_endless())
+            assert response.status == 413
+
+        drive(test)
+
+    def test_services_answer_in_problem_details(self, drive: Drive) -> None:
+        async def test(rig: Rig) -> None:
+            path = "/v1/services/unheard-of/x"
+            response, raw = await rig.ask(path, method="GET")
+            assert response.status == 404
+            assert response.content_type == "application/problem+json"
+            problem = orjson.loads(raw)
+            assert problem["verdict"] == "not-run"
+            assert problem["status"] == 404
+
+        drive(test)
+
+    def test_dot_segments_reach_no_service(self, drive: Drive) -> None:
+        """A path that resolves to another call is refused.
+
+        Symptom: an order runs twice although POST /orders is declared.
+        Sequence: a caller sends GET-like path /x/%2e%2e/orders; no pattern
+        matches; the service resolves it to /orders.
+        Cause: patterns were matched against the path as sent.
+        """
+
+        async def test(rig: Rig) -> None:
+            before = len(rig.service.control.calls)
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", rig.host.callers_port
+            )
+            writer.write(
+                b"GET /v1/services/permits/x/%2e%2e/orders HTTP/1.1\r\n"
+                b"Host: h\r\nAuthorization: Bearer "
+                + KEY.encode()
+                + b"\r\nConnection: close\r\n\r\n"
+            )
+            answer = await reader.read()
+            writer.close()
+            assert answer.startswith(b"HTTP/1.1 400")
+            assert len(rig.service.control.calls) == before
+
+        drive(test)
+
+
+class TestNonIdempotent:
+    """A non-idempotent call runs at most once."""
+
+    @pytest.mark.parametrize(
+        "key", ["", "x", "7d444840-9dc0-11d1-b245-5ffdce74fad2"]
+    )
+    def test_needs_a_key_with_a_time(self, drive: Drive, key: str) -> None:
+        async def test(rig: Rig) -> None:
+            headers = {"Idempotency-Key": key} if key else {}
+            response, _ = await rig.ask(
+                "/v1/services/permits/decisions", headers=headers
+            )
+            assert response.status == 400
+            assert response.headers["X-Reason"] == "idempotency-key"
+
+        drive(test)
+
+    def test_second_send_is_refused_and_not_run(self, drive: Drive) -> None:
+        async def test(rig: Rig) -> None:
+            key = new_idempotency_key()
+            statuses = []
+            for _ in range(3):
+                response, _ = await rig.ask(
+                    "/v1/services/permits/decisions",
+                    headers={"Idempotency-Key": key},
+                    json={"household": 7},
+                )
+                statuses.append(response.status)
+            assert statuses == [200, 409, 409]
+            assert _times(rig, key) == 1
+
+        drive(test)
+
+    def test_refused_by_the_upstream_it_may_come_back(
+        self, drive: Drive
+    ) -> None:
+        """A call that a service refused runs when it is sent again.
+
+        Symptom: a decision is never posted, each retry gets 409.
+        Sequence: the claim is granted; the service drains and refuses; the
+        caller comes back with the same key.
+        Cause: the claim was not given back on proof that nothing ran.
+        """
+
+        async def test(rig: Rig) -> None:
+            key = new_idempotency_key()
+            path = "/v1/services/permits/decisions"
+            headers = {"Idempotency-Key": key}
+            rig.service.control.draining = True
+            response, _ = await rig.ask(path, headers=headers)
+            assert response.status == 503
+            assert response.headers["X-Verdict"] == "not-run"
+            assert "Retry-After" in response.headers
+            rig.service.control.draining = False
+            while response.status == 503:
+                response, _ = await rig.ask(path, headers=headers)
+            assert response.status == 200
+            assert _times(rig, key) == 1
+
+        drive(test)
+
+
+def _times(rig: Rig, key: str) -> int:
+    calls = rig.service.control.calls
+    return sum(call.idempotency_key == key for call in calls)
+
+
+class TestLostUpstream:
+    """Engines and services that are lost in the midst of a call."""
+
+    def test_idempotent_call_is_tried_elsewhere(self) -> None:
+        """A whole answer that was cut off is tried at another engine.
+
+        Symptom: a caller gets 502 though another engine could answer.
+        Sequence: the engine cuts its answer; nothing was relayed yet.
+        Cause: the verdict "may have run" was answered without a retry.
+        """
+        with _driver() as drive:
+
+            async def test(rig: Rig) -> None:
+                rig.engines[0].control.truncate = 3
+                for number in range(8):
+                    response, raw = await rig.ask(
+                        _CHAT, json=_body(f"n{number}")
+                    )
+                    assert response.status == 200
+                    assert f"n{number}" in raw.decode()
+
+            drive(test)
+
+    def test_lost_after_the_call_ran_is_never_run_again(self) -> None:
+        """A service that dies after recording a call is not called again.
+
+        Symptom: a crew is ordered twice.
+        Sequence: the service records the order and dies before it answers;
+        the caller sends the same key again.
+        Cause: a lost connection was taken for "not run".
+        """
+        with _driver() as drive:
+
+            async def test(rig: Rig) -> None:
+                control = rig.service.control
+                control.restart_after_s = 0.01
+                control.crash = "after"
+                key = new_idempotency_key()
+                path = "/v1/services/permits/crews"
+                headers = {"Idempotency-Key": key}
+                response, _ = await rig.ask(path, headers=headers)
+                assert response.headers["X-Verdict"] == "may-have-run"
+                assert "Retry-After" not in response.headers
+                for _ in range(3):
+                    response, _ = await rig.ask(path, headers=headers)
+                    assert response.headers["X-Verdict"] != "complete"
+                assert _times(rig, key) == 1
+
+            drive(test)
+
+
+class TestConfiguration:
+    """Versions only rise; a bad one never replaces a good one."""
+
+    def test_bad_and_restored_versions_change_nothing(self) -> None:
+        """An invalid or restored version leaves the last good one in force.
+
+        Symptom: a host without customers, or a revoked key that works again.
+        Sequence: operators publish a document with a mistake; then the
+        service is restored from a copy and offers version 1.
+        Cause: whatever was read last was put in force.
+        """
+        with _driver() as drive:
+
+            async def test(rig: Rig) -> None:
+                good = declarations()
+                good["models"]["second"] = {}
+                control = rig.configuration.control
+                control.publish(good)
+                await rig.until(lambda: _version(rig) == 2)
+                control.publish(good | {"weights": {}})
+                control.publish_raw("{")
+                reads = control.reads
+                await rig.until(lambda: control.reads >= reads + 2)
+                control.stale = 1
+                reads = control.reads
+                await rig.until(lambda: control.reads >= reads + 2)
+                assert _version(rig) == 2
+                response, raw = await rig.ask("/v1/models", method="GET")
+                assert response.status == 200
+                assert b"second" in raw
+
+            drive(test)
+
+
+def _version(rig: Rig) -> int:
+    versions = rig.host.status()["versions"]
+    assert isinstance(versions, dict)
+    number: int = versions["declarations"]
+    return number
+
+
+class TestTraces:
+    """A span for each hop, joined to the caller's trace."""
+
+    def test_spans_of_a_request(self, tmp_path: pathlib.Path) -> None:
+        path = tmp_path / "spans.jsonl"
+        trace_id = "0af7651916cd43dd8448eb211c80319c"
+        with _driver(trace_file=str(path)) as drive:
+
+            async def test(rig: Rig) -> None:
+                parent = f"00-{trace_id}-b7ad6b7169203331-01"
+                response, _ = await rig.ask(
+                    "/v1/services/permits/decisions",
+                    headers={
+                        "traceparent": parent,
+                        "Idempotency-Key": new_idempotency_key(),
+                    },
+                )
+                assert response.status == 200
+
+            drive(test)
+        spans = [json.loads(line) for line in path.read_text().splitlines()]
+        ours = [s for s in spans if s["trace_id"] == trace_id]
+        names = {s["name"] for s in ours}
+        assert {"request", "admission", "claim", "upstream"} <= names
+        root = next(s for s in ours if s["name"] == "request")
+        assert root["parent_id"] == "b7ad6b7169203331"
+        rest = [s for s in ours if s["name"] in ("admission", "upstream")]
+        assert {s["parent_id"] for s in rest} == {root["span_id"]}
+
+
+class TestStop:
+    """A planned stop interrupts no request in flight."""
+
+    def test_streams_in_flight_end_and_new_work_is_refused(self) -> None:
+        """A stop lets a stream run to its end.
+
+        Symptom: answers are cut off whenever a host is replaced.
+        Sequence: a stream is half way; the host is told to stop.
+        Cause: the listening sockets' end took the open connections along.
+        """
+        options = EngineOptions(interval_s=0.02, min_tokens=40, max_tokens=40)
+        with _driver(engine_options=options) as drive:
+
+            async def test(rig: Rig) -> None:
+                request = asyncio.ensure_future(
+                    rig.ask(_CHAT, json=_body(stream=True))
+                )
+                await rig.until(lambda: sum(_running(rig)) == 1)
+                stopping = asyncio.ensure_future(rig.host.stop())
+                await rig.until(lambda: not rig.host.readiness.is_ready)
+                refused, _ = await rig.ask(_CHAT, json=_body())
+                assert refused.status == 503
+                assert refused.headers["X-Verdict"] == "not-run"
+                assert not request.done()
+                assert not stopping.done()
+                response, raw = await request
+                assert response.status == 200
+                assert b"data: [DONE]" in raw
+                await stopping
+
+            drive(test)
+
+
+def _running(rig: Rig) -> list[int]:
+    return [len(engine.control.ran) for engine in rig.engines]
