Find and refuse requests that crash upstreams

Cause: an engine runs many requests at once, so a crash has many suspects and one culprit, whose caller sends it again through any host. Ruled out: a count of losses by fingerprint alone, which blames a batch alike; refusing by one host's view at once, which blames an innocent that stands alone there.

Change: evidence by intersection over crashes merged between hosts, suspects kept apart, cleared when they end in an answer, refused as proved not run.

--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_register.py
@@ -0,0 +1,187 @@
+"""The register of suspects of one host, fed by its own losses and by peers."""
+
+from collections import Counter
+
+from hollyknot_coordination.suspects._evidence import Crash, Evidence
+from hollyknot_coordination.suspects._messages import (
+    Clear,
+    Gate,
+    Isolate,
+    Refuse,
+    SuspectOptions,
+)
+from hollyknot_state import Outcome, Reason, SuspectRecord, Verdict
+
+NO_FINGERPRINT = 0
+"""Of a request that has none; it is never a suspect."""
+
+AGAIN_S = 1.0
+"""When to come back if the same suspect is in flight already."""
+
+_LOSSES = frozenset({Reason.UPSTREAM_LOST, Reason.TRUNCATED})
+"""Ends that a crash has. Silence is left out: it is a connection's far more
+often than a crash, and would blame long requests."""
+
+
+class SuspectRegister:
+    """Tells which requests may have crashed upstreams, and refuses culprits."""
+
+    def __init__(self, options: SuspectOptions) -> None:
+        """Suspects nobody."""
+        self._options = options
+        self._evidence = Evidence(options)
+        self._in_flight: dict[str, Counter[int]] = {}
+        self._refused: dict[int, float] = {}
+
+    def gate(self, fingerprint: int, now_s: float) -> Gate:
+        """Says how a request may be sent, before each try.
+
+        A culprit is refused at once. So is a suspect while it is in flight
+        here already: sent again by its caller, it would crash a second
+        upstream before the first crash has told anything.
+        """
+        crashes = self._evidence.crashes(fingerprint)
+        if fingerprint == NO_FINGERPRINT or not crashes:
+            return Clear()
+        if self._is_culprit(fingerprint, crashes):
+            return self._refuse(fingerprint, crashes, now_s)
+        running = self._upstreams_of(fingerprint)
+        if running:
+            return _refusal("the same request is being tried", AGAIN_S)
+        return Isolate(self._upstreams_with_suspects())
+
+    def on_dispatch(self, fingerprint: int, upstream: str) -> None:
+        """Notes a try; `on_end` must follow once."""
+        self._in_flight.setdefault(upstream, Counter())[fingerprint] += 1
+
+    def on_end(
+        self, fingerprint: int, upstream: str, verdict: Verdict, now_s: float
+    ) -> None:
+        """Notes the end of a try.
+
+        A request that ended in an answer of any kind is cleared: the upstream
+        survived it. One that was lost is a suspect, and so are all others
+        that were in flight there, until they end otherwise.
+        """
+        there = self._in_flight.get(upstream, Counter())
+        if verdict.outcome in (Outcome.COMPLETE, Outcome.FAILED):
+            if fingerprint != NO_FINGERPRINT:
+                self._evidence.clear(fingerprint, now_s)
+                self._refused.pop(fingerprint, None)
+        elif verdict.reason in _LOSSES:
+            self._on_loss(fingerprint, upstream, there, now_s)
+        there[fingerprint] -= 1
+        if there[fingerprint] <= 0:
+            del there[fingerprint]
+        if not there:
+            self._in_flight.pop(upstream, None)
+
+    def on_records(
+        self, records: tuple[SuspectRecord, ...], now_s: float
+    ) -> None:
+        """Takes in peers' evidence; telling it twice changes nothing."""
+        for record in records:
+            at_s = now_s - record.age_ms / 1000
+            size = record.companions + 1
+            if record.fingerprint != NO_FINGERPRINT:
+                self._evidence.add(
+                    record.fingerprint, record.upstream, size, at_s
+                )
+
+    def records(self, now_s: float) -> tuple[SuspectRecord, ...]:
+        """Returns evidence to tell peers.
+
+        That is this host's own while it is fresh, and all against refused
+        requests for as long as they are refused: a host that has just started
+        would else run each of them again.
+        """
+        told: list[SuspectRecord] = []
+        for crash in self._evidence.all_crashes():
+            is_fresh = now_s - crash.at_s <= self._options.tell_s
+            own = crash.own & crash.suspects if is_fresh else set()
+            wanted = own | (self._refused.keys() & crash.suspects)
+            told += [_record(f, crash, now_s) for f in sorted(wanted)]
+        return tuple(told[: self._options.told_max])
+
+    def expire(self, now_s: float) -> None:
+        """Forgets old evidence; to be called every few seconds."""
+        self._evidence.expire(now_s, set(self._refused))
+        self._refused = {
+            f: at_s
+            for f, at_s in self._refused.items()
+            if self._evidence.crashes(f)
+        }
+
+    def is_suspect(self, fingerprint: int) -> bool:
+        """Whether any evidence is held against a fingerprint."""
+        return bool(self._evidence.crashes(fingerprint))
+
+    def score(self, fingerprint: int) -> float:
+        """Returns the blame summed over crashes."""
+        share = self._options.new_share
+        crashes = self._evidence.crashes(fingerprint)
+        return sum(c.blame(fingerprint, share) for c in crashes)
+
+    def _is_culprit(self, fingerprint: int, crashes: list[Crash]) -> bool:
+        if fingerprint in self._refused:
+            return True
+        singles = sum(c.is_single(fingerprint) for c in crashes)
+        if singles >= self._options.refuse_singles:
+            return True
+        return self.score(fingerprint) >= self._options.refuse_score
+
+    def _refuse(
+        self, fingerprint: int, crashes: list[Crash], now_s: float
+    ) -> Refuse:
+        age_s = now_s - max(c.at_s for c in crashes)
+        if age_s < self._options.settle_s:
+            # Peers may not have told yet who else was in the last crash, so
+            # an innocent could stand alone. It is asked to come back, and is
+            # refused for long only if it still stands alone by then.
+            wait_s = self._options.settle_s - age_s
+            return _refusal("evidence against it is being gathered", wait_s)
+        self._refused.setdefault(fingerprint, now_s)
+        left_s = max(AGAIN_S, self._options.quarantine_s - age_s)
+        return _refusal("upstreams that ran it have crashed", left_s)
+
+    def _on_loss(
+        self,
+        fingerprint: int,
+        upstream: str,
+        there: Counter[int],
+        now_s: float,
+    ) -> None:
+        size = there.total()
+        for other in {fingerprint, *there} - {NO_FINGERPRINT}:
+            crash = self._evidence.add(other, upstream, size, now_s)
+            if crash is not None:
+                crash.own.add(other)
+
+    def _upstreams_of(self, fingerprint: int) -> list[str]:
+        return [
+            u for u, there in self._in_flight.items() if fingerprint in there
+        ]
+
+    def _upstreams_with_suspects(self) -> frozenset[str]:
+        return frozenset(
+            upstream
+            for upstream, there in self._in_flight.items()
+            if any(self._evidence.crashes(f) for f in there)
+        )
+
+
+def _record(fingerprint: int, crash: Crash, now_s: float) -> SuspectRecord:
+    age_ms = max(0, int((now_s - crash.at_s) * 1000))
+    others = max(crash.size, len(crash.suspects) + crash.cleared) - 1
+    return SuspectRecord(fingerprint, crash.upstream, others, age_ms)
+
+
+def _refusal(detail: str, retry_after_s: float) -> Refuse:
+    return Refuse(
+        Verdict(
+            Outcome.NOT_RUN,
+            Reason.QUARANTINED,
+            f"Not sent: {detail}.",
+            retry_after_s,
+        )
+    )
