Test the stand-ins and their faults; split off the OpenAI shapes

Ruled out: writing tokens by the response's own write, which waits for a slow reader and would hold up the batch.

Change: steps keep to their grid; the text is built only when it is sent; silence holds also after a handler; the shapes live in _openai. The switch for a frozen load report went, load_lag_s does the same.

Not tested: straggle, prefill times, load_lag_s and cache_lag_s, which only change times.

--- a/packages/standins/src/hollyknot_standins/__init__.py
+++ b/packages/standins/src/hollyknot_standins/__init__.py
@@ -6,6 +6,7 @@
     start_engine,
 )
 from hollyknot_standins._main import main
+from hollyknot_standins._openai import expected_text
 from hollyknot_standins._platform import (
     ConfigurationControl,
     ConfigurationOptions,
@@ -14,7 +15,6 @@
     start_configuration,
     start_host_list,
 )
-from hollyknot_standins._scheduler import expected_text
 from hollyknot_standins._server import BoundAddress, ServerOptions, Standin
 from hollyknot_standins._service import (
     ServiceCall,
--- a/packages/standins/src/hollyknot_standins/_engine.py
+++ b/packages/standins/src/hollyknot_standins/_engine.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import time
-import zlib
 from collections import Counter
 from collections.abc import AsyncIterator
 from typing import Any, cast
@@ -12,12 +11,12 @@
 import orjson
 from aiohttp import web
 
+from hollyknot_standins._openai import Prompt
 from hollyknot_standins._prefix_cache import PrefixCache
 from hollyknot_standins._scheduler import (
     Emit,
     End,
     Pace,
-    Prompt,
     Scheduler,
     Sequence,
 )
@@ -84,7 +83,6 @@
         straggle: A factor on all its times.
         truncate: The token after which answers are cut; 0 for none.
         crash_on: Text in a body whose start crashes the engine.
-        load_frozen: The load report is no longer measured.
         ran: How often each request was started, by its id.
         resumed: How often each request was resumed, by its id.
     """
@@ -93,7 +91,6 @@
     straggle: float = number(1.0)
     truncate: int = number(0)
     crash_on: str = text()
-    load_frozen: bool = flag()
     ran: Counter[str] = attrs.field(factory=Counter)
     resumed: Counter[str] = attrs.field(factory=Counter)
 
@@ -134,7 +131,7 @@
         """The load report, measured anew if it is old enough."""
         now_s = time.monotonic()
         age_s = now_s - self.load_at_s
-        if not self.control.load_frozen and age_s >= self.options.load_lag_s:
+        if age_s >= self.options.load_lag_s:
             self.load_at_s = now_s
             self.load = {
                 "running": self.scheduler.running,
@@ -147,35 +144,24 @@
         return {**self.load, "measured_ms_ago": age_ms}
 
     async def run(
-        self,
-        request: web.Request,
-        prompt: Prompt,
-        priority: int,
-        after: int,
-        streams: bool,
+        self, request: web.Request, prompt: Prompt, after: int, streams: bool
     ) -> web.StreamResponse:
         """Runs a prompt from a token on and answers it."""
-        if self.control.draining:
-            return refused("draining")
         if self.scheduler.is_full:
             return refused("full")
-        prompt_bytes = prompt.text.encode()
-        cached = self.cache.hit(prompt_bytes)
-        fresh_kib = (len(prompt_bytes) - cached) / 1024
-        prefill_s = (
-            self.options.first_token_s
-            + fresh_kib * self.options.prefill_s_per_kib
+        cached = self.cache.hit(prompt.text.encode())
+        response = web.StreamResponse(
+            headers={"Content-Type": "text/event-stream"}
         )
-        response = _stream_response(prompt) if streams else None
-        if response is not None:
+        response.enable_chunked_encoding()
+        if streams:
             await response.prepare(request)
-        emit = self._stream(request, prompt) if streams else _ignore
         sequence = Sequence(
             prompt=prompt,
-            priority=priority,
+            priority=int(request.headers.get("X-Priority", LOWEST_PRIORITY)),
             position=after,
-            prefill_s=prefill_s * self.control.straggle,
-            emit=emit,
+            prefill_s=self._prefill_s(prompt, cached),
+            emit=self._emit(request, prompt) if streams else _emit_nothing,
             done=asyncio.get_running_loop().create_future(),
         )
         self.scheduler.submit(sequence)
@@ -186,28 +172,29 @@
             raise
         if self.standin.is_silent(request):
             await hang()
-        usage = _usage(prompt, cached)
-        if response is not None:
-            last = _stream_end(prompt, usage) if end is End.COMPLETE else b""
-            await response.write_eof(last)
-            return response
-        return await _whole(request, prompt, usage, end)
-
-    def _stream(self, request: web.Request, prompt: Prompt) -> Emit:
+        if not streams:
+            return await _whole(request, prompt, cached, end)
+        is_complete = end is End.COMPLETE
+        await response.write_eof(
+            prompt.stream_end(cached) if is_complete else b""
+        )
+        return response
+
+    def _prefill_s(self, prompt: Prompt, cached: int) -> float:
+        fresh_kib = (len(prompt.text.encode()) - cached) / 1024
+        fresh_s = fresh_kib * self.options.prefill_s_per_kib
+        return (self.options.first_token_s + fresh_s) * self.control.straggle
+
+    def _emit(self, request: web.Request, prompt: Prompt) -> Emit:
         transport = cast(asyncio.Transport, request.transport)
-        head, tail = _token_frame(prompt)
+        head, tail = prompt.token_frame()
 
         def emit(start: int, stop: int) -> bool:
             if transport.get_write_buffer_size() > UNREAD_BYTES:
                 return False
             if transport.is_closing() or self.standin.is_silent(request):
                 return True
-            tokens = [
-                head
-                + (b" t%d" % i if i else orjson.dumps(prompt.token(0))[1:-1])
-                + tail
-                for i in range(start, stop)
-            ]
+            tokens = [head + prompt.token(i) + tail for i in range(start, stop)]
             data = b"".join(tokens)
             # Written to the transport and not by the response, whose write is
             # a coroutine that waits for a slow reader: one slow reader would
@@ -218,93 +205,20 @@
         return emit
 
 
-def _ignore(_start: int, _stop: int) -> bool:
+def _emit_nothing(_start: int, _stop: int) -> bool:
     return True
 
 
-def _stream_response(prompt: Prompt) -> web.StreamResponse:
-    response = web.StreamResponse(
-        headers={
-            "Content-Type": "text/event-stream",
-            "X-Request-Id": prompt.request_id,
-        }
-    )
-    response.enable_chunked_encoding()
-    return response
-
-
-def _event(prompt: Prompt, choices: list[Any], **more: Any) -> bytes:
-    kind = "chat.completion.chunk" if prompt.is_chat else "text_completion"
-    event = {
-        "id": prompt.request_id,
-        "object": kind,
-        "model": prompt.model,
-        "choices": choices,
-        **more,
-    }
-    return b"data: " + orjson.dumps(event) + b"\n\n"
-
-
-def _choice(prompt: Prompt, token: str, finish: str | None) -> dict[str, Any]:
-    content: dict[str, Any] = (
-        {"delta": {"content": token}} if prompt.is_chat else {"text": token}
-    )
-    return {"index": 0, **content, "finish_reason": finish}
-
-
-def _token_frame(prompt: Prompt) -> tuple[bytes, bytes]:
-    mark = "@token@"
-    event = _event(prompt, [_choice(prompt, mark, None)])
-    head, _, tail = event.rpartition(mark.encode())
-    return head, tail
-
-
-def _stream_end(prompt: Prompt, usage: dict[str, Any]) -> bytes:
-    last = _event(prompt, [_choice(prompt, "", "stop")])
-    return last + _event(prompt, [], usage=usage) + b"data: [DONE]\n\n"
-
-
-def _usage(prompt: Prompt, cached: int) -> dict[str, Any]:
-    tokens = len(prompt.text) // 4
-    return {
-        "prompt_tokens": tokens,
-        "completion_tokens": prompt.length,
-        "total_tokens": tokens + prompt.length,
-        "prompt_tokens_details": {"cached_tokens": cached // 4},
-    }
-
-
 async def _whole(
-    request: web.Request, prompt: Prompt, usage: dict[str, Any], end: End
+    request: web.Request, prompt: Prompt, cached: int, end: End
 ) -> web.StreamResponse:
     if end is End.CANCELLED:
         return json_body({"error": {"message": "cancelled"}}, CANCELLED_STATUS)
-    answer = prompt.answer()
-    content: dict[str, Any] = (
-        {"message": {"role": "assistant", "content": answer}}
-        if prompt.is_chat
-        else {"text": answer}
-    )
-    response = json_body(
-        {
-            "id": prompt.request_id,
-            "object": "chat.completion"
-            if prompt.is_chat
-            else "text_completion",
-            "model": prompt.model,
-            "choices": [{"index": 0, **content, "finish_reason": "stop"}],
-            "usage": usage,
-        }
-    )
-    response.headers["X-Request-Id"] = prompt.request_id
-    if end is End.TRUNCATED:
-        return await _cut(request, response)
-    return response
-
-
-async def _cut(request: web.Request, whole: web.Response) -> web.StreamResponse:
-    """Sends half of a body under the whole's length and closes."""
-    body = cast(bytes, whole.body)
+    answer = prompt.whole(cached)
+    if end is End.COMPLETE:
+        return json_body(answer)
+    # A truncated answer: half of a body under the whole's length.
+    body = orjson.dumps(answer)
     response = web.StreamResponse(headers={"Content-Length": str(len(body))})
     await response.prepare(request)
     await response.write(body[: len(body) // 2])
@@ -312,100 +226,57 @@
     return response
 
 
-def _routes(engine: _Engine) -> web.RouteTableDef:
-    routes = web.RouteTableDef()
-    options = engine.options
+def _unknown_request() -> web.Response:
+    return json_body({"error": {"message": "unknown request"}}, 404)
 
-    def prompt_of(request: web.Request, body: dict[str, Any]) -> Prompt:
-        is_chat = "messages" in body
-        messages = body.get("messages") or [
-            {"role": "user", "content": body.get("prompt", "")}
-        ]
-        whole = "\n".join(f"{m['role']}:{m['content']}" for m in messages)
-        spread = options.max_tokens - options.min_tokens + 1
-        length = options.min_tokens + zlib.crc32(whole.encode()) % spread
-        return Prompt(
-            request_id=request.headers.get(
-                "X-Request-Id", f"none-{id(request)}"
-            ),
-            model=str(body.get("model", "")),
-            text=whole,
-            message=str(messages[-1]["content"]),
-            length=max(min(length, int(body.get("max_tokens") or length)), 1),
-            is_chat=is_chat,
-        )
+
+def _answer_routes(engine: _Engine, routes: web.RouteTableDef) -> None:
+    options = engine.options
+    scheduler = engine.scheduler
 
     @routes.post("/v1/chat/completions")
     @routes.post("/v1/completions")
     async def complete(request: web.Request) -> web.StreamResponse:
+        if engine.control.draining:
+            return refused("draining")
+        request_id = request.headers.get("X-Request-Id", f"none-{id(request)}")
         try:
             body = orjson.loads(await request.read())
-            prompt = prompt_of(request, body)
-        except (
-            orjson.JSONDecodeError,
-            AttributeError,
-            KeyError,
-            TypeError,
-        ) as error:
+            prompt = Prompt.parse(
+                body, request_id, options.min_tokens, options.max_tokens
+            )
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
             return json_body({"error": {"message": repr(error)}}, 400)
-        priority = int(request.headers.get("X-Priority", LOWEST_PRIORITY))
-        streams = bool(body.get("stream"))
-        return await engine.run(request, prompt, priority, 0, streams)
+        return await engine.run(request, prompt, 0, bool(body.get("stream")))
 
     @routes.get("/v1/resume/{request_id}")
     async def resume(request: web.Request) -> web.StreamResponse:
         request_id = request.match_info["request_id"]
-        prompt = engine.scheduler.remembered(request_id)
+        prompt = scheduler.remembered(request_id)
         after = int(request.query.get("after", "0"))
         if prompt is None or not 0 <= after <= prompt.length:
-            return json_body({"error": {"message": "unknown request"}}, 404)
-        engine.scheduler.cancel_request(request_id)
-        priority = int(request.headers.get("X-Priority", LOWEST_PRIORITY))
-        return await engine.run(request, prompt, priority, after, True)
+            return _unknown_request()
+        scheduler.cancel_request(request_id)
+        return await engine.run(request, prompt, after, True)
 
     @routes.post("/v1/cancel/{request_id}")
     async def cancel(request: web.Request) -> web.Response:
-        request_id = request.match_info["request_id"]
-        return json_body(
-            {"cancelled": engine.scheduler.cancel_request(request_id)}
-        )
+        count = scheduler.cancel_request(request.match_info["request_id"])
+        return json_body({"cancelled": count})
 
-    @routes.get("/v1/load")
-    async def load(_request: web.Request) -> web.Response:
-        return json_body(engine.measured_load())
 
+def _cache_routes(engine: _Engine, routes: web.RouteTableDef) -> None:
     @routes.get("/v1/cache-events")
     async def cache_events(request: web.Request) -> web.Response:
         after = int(request.query.get("after", "0"))
-        events = engine.cache.events(after, options.cache_lag_s)
-        return json_body(
-            {
-                "events": [
-                    {"seq": e.seq, "kind": e.kind, "prefix": e.prefix}
-                    for e in events
-                ]
-            }
-        )
-
-    @routes.post("/v1/orders")
-    async def post_order(request: web.Request) -> web.Response:
-        order = orjson.loads(await request.read())
-        if options.is_fenced and order["fence"] < engine.order["fence"]:
-            return json_body(engine.order, 409)
-        engine.order = {**engine.order, **order}
-        return json_body(engine.order)
-
-    @routes.get("/v1/orders")
-    async def get_order(_request: web.Request) -> web.Response:
-        return json_body(engine.order)
+        events = engine.cache.events(after, engine.options.cache_lag_s)
+        return json_body({"events": [attrs.asdict(e) for e in events]})
 
     @routes.post("/v1/kv/export")
     async def kv_export(request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
         prompt = engine.scheduler.remembered(body["request_id"])
-        if prompt is None:
-            return json_body({"error": {"message": "unknown request"}}, 404)
-        return json_body(attrs.asdict(prompt))
+        return json_body(attrs.asdict(prompt)) if prompt else _unknown_request()
 
     @routes.post("/v1/kv/import")
     async def kv_import(request: web.Request) -> web.Response:
@@ -414,17 +285,29 @@
         engine.cache.hit(prompt.text.encode())
         return json_body({})
 
+
+def _operator_routes(engine: _Engine, routes: web.RouteTableDef) -> None:
+    @routes.get("/v1/load")
+    async def load(_request: web.Request) -> web.Response:
+        return json_body(engine.measured_load())
+
+    @routes.get("/v1/orders")
+    async def get_order(_request: web.Request) -> web.Response:
+        return json_body(engine.order)
+
+    @routes.post("/v1/orders")
+    async def post_order(request: web.Request) -> web.Response:
+        order = orjson.loads(await request.read())
+        if engine.options.is_fenced and order["fence"] < engine.order["fence"]:
+            return json_body(engine.order, 409)
+        engine.order = {**engine.order, **order}
+        return json_body(engine.order)
+
     @routes.get("/control/ran")
     async def ran(_request: web.Request) -> web.Response:
-        return json_body(
-            {
-                "ran": engine.control.ran,
-                "resumed": engine.control.resumed,
-                "tokens": engine.scheduler.tokens,
-            }
-        )
-
-    return routes
+        control = engine.control
+        counts = {"ran": control.ran, "resumed": control.resumed}
+        return json_body({**counts, "tokens": engine.scheduler.tokens})
 
 
 @contextlib.asynccontextmanager
@@ -433,5 +316,9 @@
 ) -> AsyncIterator[Standin[EngineControl]]:
     """Serves an engine until the context ends."""
     engine = _Engine(options)
-    async with serving(engine.standin, options, _routes(engine)) as standin:
-        yield standin
+    routes = web.RouteTableDef()
+    _answer_routes(engine, routes)
+    _cache_routes(engine, routes)
+    _operator_routes(engine, routes)
+    async with serving(engine.standin, options, routes):
+        yield engine.standin
--- /dev/null
+++ b/packages/standins/src/hollyknot_standins/_openai.py
@@ -0,0 +1,107 @@
+"""Prompts, and the OpenAI shapes of their deterministic answers."""
+
+import zlib
+from typing import Any
+
+import attrs
+import orjson
+
+_MARK = "@token@"
+
+
+@attrs.frozen
+class Prompt:
+    """What is needed to generate an answer, again or elsewhere.
+
+    Attributes:
+        request_id: The caller's; the `id` of the answer.
+        model: Echoed in the answer.
+        text: The whole prompt.
+        message: The last user message, echoed in the answer.
+        length: Tokens of the whole answer.
+        is_chat: Whether answers have the chat shape.
+    """
+
+    request_id: str
+    model: str
+    text: str
+    message: str
+    length: int
+    is_chat: bool
+
+    @classmethod
+    def parse(
+        cls, body: dict[str, Any], request_id: str, shortest: int, longest: int
+    ) -> "Prompt":
+        """Reads a request; the prompt's hash decides the answer's length."""
+        messages = body.get("messages") or [
+            {"role": "user", "content": body["prompt"]}
+        ]
+        text = "\n".join(f"{m['role']}:{m['content']}" for m in messages)
+        spread = longest - shortest + 1
+        length = shortest + zlib.crc32(text.encode()) % spread
+        return cls(
+            request_id=request_id,
+            model=str(body.get("model", "")),
+            text=text,
+            message=str(messages[-1]["content"]),
+            length=max(min(length, int(body.get("max_tokens") or length)), 1),
+            is_chat="messages" in body,
+        )
+
+    def token(self, index: int) -> bytes:
+        """One token's text, escaped as within a JSON string."""
+        if index:
+            return b" t%d" % index
+        return orjson.dumps(f"echo:{self.message}")[1:-1]
+
+    def usage(self, cached_bytes: int) -> dict[str, Any]:
+        """The usage part of an answer, at four bytes a token."""
+        tokens = len(self.text) // 4
+        return {
+            "prompt_tokens": tokens,
+            "completion_tokens": self.length,
+            "total_tokens": tokens + self.length,
+            "prompt_tokens_details": {"cached_tokens": cached_bytes // 4},
+        }
+
+    def token_frame(self) -> tuple[bytes, bytes]:
+        """What stands before and after the token in a stream's event."""
+        event = self._event([self._delta(_MARK, None)])
+        head, _, tail = event.rpartition(_MARK.encode())
+        return head, tail
+
+    def stream_end(self, cached_bytes: int) -> bytes:
+        """The last events of a complete stream."""
+        last = self._event([self._delta("", "stop")])
+        usage = self._event([], usage=self.usage(cached_bytes))
+        return last + usage + b"data: [DONE]\n\n"
+
+    def whole(self, cached_bytes: int) -> dict[str, Any]:
+        """The complete answer in one piece."""
+        answer = expected_text(self.message, self.length)
+        message = {"role": "assistant", "content": answer}
+        content = {"message": message} if self.is_chat else {"text": answer}
+        return {
+            "id": self.request_id,
+            "object": "chat.completion" if self.is_chat else "text_completion",
+            "model": self.model,
+            "choices": [{"index": 0, **content, "finish_reason": "stop"}],
+            "usage": self.usage(cached_bytes),
+        }
+
+    def _event(self, choices: list[Any], **more: Any) -> bytes:
+        chunk = "chat.completion.chunk" if self.is_chat else "text_completion"
+        head = {"id": self.request_id, "object": chunk, "model": self.model}
+        event = {**head, "choices": choices, **more}
+        return b"data: " + orjson.dumps(event) + b"\n\n"
+
+    def _delta(self, token: str, finish: str | None) -> dict[str, Any]:
+        delta = {"delta": {"content": token}}
+        content = delta if self.is_chat else {"text": token}
+        return {"index": 0, **content, "finish_reason": finish}
+
+
+def expected_text(message: str, length: int) -> str:
+    """The answer that the engine gives to a message in so many tokens."""
+    return f"echo:{message}" + "".join(f" t{i}" for i in range(1, length))
--- a/packages/standins/src/hollyknot_standins/_prefix_cache.py
+++ b/packages/standins/src/hollyknot_standins/_prefix_cache.py
@@ -19,13 +19,14 @@
         kind: `stored` or `evicted`.
         prefix: Hexadecimal BLAKE2b-64 of all of the prompt's bytes up to the
             block's end.
-        at_s: When it happened.
     """
 
     seq: int
     kind: str
     prefix: str
-    at_s: float
+
+
+_TimedEvent = tuple[float, CacheEvent]
 
 
 class PrefixCache:
@@ -38,7 +39,9 @@
         self._gap = gap
         self._now_s = now_s
         self._blocks: OrderedDict[str, None] = OrderedDict()
-        self._events: deque[CacheEvent] = deque(maxlen=EVENTS_KEPT)
+        self._events: deque[tuple[float, CacheEvent]] = deque(
+            maxlen=EVENTS_KEPT
+        )
         self._seq = 0
 
     @property
@@ -62,7 +65,9 @@
     def events(self, after: int, lag_s: float) -> list[CacheEvent]:
         """Returns the events after a number that are old enough to be told."""
         until_s = self._now_s() - lag_s
-        return [e for e in self._events if e.seq > after and e.at_s <= until_s]
+        return [
+            e for at_s, e in self._events if e.seq > after and at_s <= until_s
+        ]
 
     def clear(self) -> None:
         """Loses everything, without events, as a crash does."""
@@ -83,4 +88,5 @@
         self._seq += 1
         if self._gap and self._seq % self._gap == 0:
             return
-        self._events.append(CacheEvent(self._seq, kind, prefix, self._now_s()))
+        event = CacheEvent(self._seq, kind, prefix)
+        self._events.append((self._now_s(), event))
--- a/packages/standins/src/hollyknot_standins/_scheduler.py
+++ b/packages/standins/src/hollyknot_standins/_scheduler.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from hollyknot_standins._openai import Prompt
+
 BURST_TOKENS = 32
 """Tokens a step for each sequence when the interval is 0."""
 STALLED_WAIT_S = 0.001
@@ -26,40 +28,6 @@
     TRUNCATED = "truncated"
 
 
-@attrs.frozen
-class Prompt:
-    """What is needed to generate an answer, again or elsewhere.
-
-    Attributes:
-        request_id: The caller's.
-        model: Echoed in the answer.
-        text: The whole prompt.
-        message: The last user message, echoed in the answer.
-        length: Tokens of the whole answer.
-        is_chat: Whether answers have the chat shape.
-    """
-
-    request_id: str
-    model: str
-    text: str
-    message: str
-    length: int
-    is_chat: bool
-
-    def token(self, index: int) -> str:
-        """The text of one token."""
-        return f" t{index}" if index else f"echo:{self.message}"
-
-    def answer(self) -> str:
-        """The text of the whole answer."""
-        return expected_text(self.message, self.length)
-
-
-def expected_text(message: str, length: int) -> str:
-    """The answer that the engine gives to a message in so many tokens."""
-    return f"echo:{message}" + "".join(f" t{i}" for i in range(1, length))
-
-
 Emit = Callable[[int, int], bool]
 """Takes tokens from an index up to another; False if the reader is slow."""
 
@@ -184,13 +152,12 @@
             self.remember(sequence.prompt)
             self._on_start(sequence.prompt, sequence.position)
         if self._running and self._timer is None:
-            self._schedule(self._pace().interval_s)
+            now_s = asyncio.get_running_loop().time()
+            self._schedule(now_s + self._pace().interval_s)
 
-    def _schedule(self, after_s: float) -> None:
+    def _schedule(self, due_s: float) -> None:
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(
-            after_s, self._step, loop.time() + after_s
-        )
+        self._timer = loop.call_at(due_s, self._step, due_s)
 
     def _step(self, due_s: float) -> None:
         self._timer = None
@@ -206,10 +173,10 @@
         if interval_s:
             # Steps keep to their grid, so that a late timer does not lower
             # the rate; a grid that is a whole step behind starts anew.
-            late_s = now_s - due_s
-            self._schedule(max(interval_s - late_s, 0.0))
+            self._schedule(max(due_s + interval_s, now_s))
         else:
-            self._schedule(0.0 if self.tokens > before else STALLED_WAIT_S)
+            progressed = self.tokens > before
+            self._schedule(now_s if progressed else now_s + STALLED_WAIT_S)
 
     def _advance(self, sequence: Sequence, burst: int, truncate: int) -> None:
         start = sequence.position
--- a/packages/standins/src/hollyknot_standins/_server.py
+++ b/packages/standins/src/hollyknot_standins/_server.py
@@ -183,9 +183,14 @@
     async def _hang_if_silent(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
-        if not request.path.startswith("/control") and self.is_silent(request):
+        if request.path.startswith("/control"):
+            return await handler(request)
+        if self.is_silent(request):
             await hang()
-        return await handler(request)
+        response = await handler(request)
+        if self.is_silent(request):
+            await hang()
+        return response
 
     async def _on_control(self, request: web.Request) -> web.Response:
         commands = orjson.loads(await request.read())
--- /dev/null
+++ b/packages/standins/src/hollyknot_standins/tests/test_engine.py
@@ -0,0 +1,366 @@
+"""The engine: answers, batching, the prefix cache, orders and faults."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import aiohttp
+import attrs
+import orjson
+import pytest
+
+from hollyknot_standins import (
+    EngineControl,
+    EngineOptions,
+    Standin,
+    expected_text,
+    start_engine,
+)
+
+FOREVER = EngineOptions(slots=1, queue=0, min_tokens=10**9, max_tokens=10**9)
+Engine = Standin[EngineControl]
+
+
+class Client:
+    """Speaks to one engine."""
+
+    def __init__(self, engine: Engine, session: aiohttp.ClientSession) -> None:
+        self.engine = engine
+        self.session = session
+        self.url = f"http://127.0.0.1:{engine.address.port}"
+
+    async def send(
+        self, method: str, path: str, body: Any = None
+    ) -> tuple[int, Any]:
+        """Sends a request and reads the JSON answer."""
+        async with self.session.request(
+            method, self.url + path, json=body
+        ) as answer:
+            return answer.status, orjson.loads(await answer.read())
+
+    async def until(self, part: str, value: int) -> None:
+        """Reads the load until a part of it has a value."""
+        load: dict[str, Any] = {}
+        while load.get(part) != value:
+            _, load = await self.send("GET", "/v1/load")
+
+    async def refuses(self, request_id: str) -> None:
+        """Asks, and checks that the answer proves that nothing ran."""
+        async with self.ask(request_id) as answer:
+            assert answer.status == 503
+            assert answer.headers["X-Not-Run"] == "true"
+
+    def ask(
+        self,
+        request_id: str,
+        message: str = "hello",
+        stream: bool = False,
+        priority: int = 1,
+    ) -> Any:
+        """Opens a chat request."""
+        body = {
+            "stream": stream,
+            "messages": [{"role": "user", "content": message}],
+        }
+        headers = {"X-Request-Id": request_id, "X-Priority": str(priority)}
+        return self.session.post(
+            self.url + "/v1/chat/completions", json=body, headers=headers
+        )
+
+
+@contextlib.asynccontextmanager
+async def client_of(options: EngineOptions) -> AsyncIterator[Client]:
+    """Starts an engine with a client to it."""
+    async with (
+        start_engine(options) as engine,
+        aiohttp.ClientSession() as session,
+    ):
+        yield Client(engine, session)
+
+
+def play(
+    options: EngineOptions, scene: Callable[[Client], Awaitable[None]]
+) -> None:
+    """Runs a scene against an engine."""
+
+    async def run() -> None:
+        async with asyncio.timeout(20), client_of(options) as client:
+            await scene(client)
+
+    asyncio.run(run())
+
+
+def events_of(body: bytes) -> list[Any]:
+    """Reads the events of a stream; `[DONE]` stays a string."""
+    lines = [part[6:] for part in body.split(b"\n\n") if part]
+    return ["[DONE]" if x == b"[DONE]" else orjson.loads(x) for x in lines]
+
+
+def text_of(events: list[Any]) -> str:
+    """Joins the tokens of a stream's events."""
+    choices = [
+        e["choices"][0] for e in events if e != "[DONE]" and e["choices"]
+    ]
+    return "".join(choice["delta"]["content"] for choice in choices)
+
+
+class TestAnswers:
+    """The OpenAI shapes, whole, streamed and resumed."""
+
+    @pytest.mark.parametrize("interval_s", [0.0, 0.001])
+    def test_stream_has_the_whole_answer(self, interval_s: float) -> None:
+        async def scene(client: Client) -> None:
+            async with client.ask("r1", 'hé "you"', stream=True) as answer:
+                events = events_of(await answer.read())
+            assert text_of(events) == expected_text('hé "you"', 40)
+            assert {e["id"] for e in events[:-1]} == {"r1"}
+            assert events[-2]["usage"]["completion_tokens"] == 40
+            assert events[-1] == "[DONE]"
+
+        options = EngineOptions(
+            interval_s=interval_s, min_tokens=40, max_tokens=40
+        )
+        play(options, scene)
+
+    def test_whole_answer_and_what_ran(self) -> None:
+        async def scene(client: Client) -> None:
+            async with client.ask("r1") as answer:
+                body = await answer.json()
+            text = body["choices"][0]["message"]["content"]
+            assert text == expected_text("hello", 16)
+            status, ran = await client.send("GET", "/control/ran")
+            assert status == 200
+            assert ran == {"ran": {"r1": 1}, "resumed": {}, "tokens": 16}
+
+        play(EngineOptions(), scene)
+
+    def test_completions_and_bad_bodies(self) -> None:
+        async def scene(client: Client) -> None:
+            body = {"prompt": "hi", "max_tokens": 2}
+            status, answer = await client.send("POST", "/v1/completions", body)
+            assert (status, answer["choices"][0]["text"]) == (200, "echo:hi t1")
+            status, _ = await client.send("POST", "/v1/completions", {})
+            assert status == 400
+
+        play(EngineOptions(), scene)
+
+    def test_resume_gives_the_rest(self) -> None:
+        """Resuming works after a cut and on an engine that imported it.
+
+        Symptom: an answer ends midway. Sequence: the stream is cut after
+        three tokens; the reader resumes after those. Cause: the fault.
+        """
+
+        async def scene(client: Client) -> None:
+            client.engine.control.truncate = 3
+            async with client.ask("r1", stream=True) as answer:
+                first = events_of(await answer.read())
+            assert "[DONE]" not in first
+            client.engine.control.truncate = 0
+            path = "/v1/resume/r1?after=3"
+            async with client.session.get(client.url + path) as answer:
+                rest = events_of(await answer.read())
+            assert text_of(first) + text_of(rest) == expected_text("hello", 16)
+            body = {"request_id": "r1"}
+            _, exported = await client.send("POST", "/v1/kv/export", body)
+            async with client_of(EngineOptions()) as other:
+                assert (await other.send("GET", path))[0] == 404
+                await other.send("POST", "/v1/kv/import", exported)
+                async with other.session.get(other.url + path) as answer:
+                    assert events_of(await answer.read()) == rest
+                assert other.engine.control.resumed == {"r1": 1}
+
+        play(EngineOptions(), scene)
+
+
+class TestBatch:
+    """Slots, the queue, cancelling and refusals."""
+
+    def test_draining_and_full_refuse(self) -> None:
+        async def scene(client: Client) -> None:
+            async with client.ask("r1", stream=True):
+                await client.send("POST", "/control", {"draining": True})
+                await client.refuses("r2")
+                _, load = await client.send("GET", "/v1/load")
+                assert (load["running"], load["draining"]) == (1, True)
+                await client.send("POST", "/control", {"draining": False})
+                async with client.ask("r3", stream=True):
+                    await client.refuses("r4")
+            assert client.engine.control.ran == {"r1": 1, "r3": 1}
+
+        play(attrs.evolve(FOREVER, slots=2), scene)
+
+    @pytest.mark.parametrize("way", ["cancel", "close"])
+    def test_ending_frees_the_slot(self, way: str) -> None:
+        async def scene(client: Client) -> None:
+            async with client.ask("r1", stream=True) as answer:
+                await answer.content.readany()
+                if way == "cancel":
+                    await client.send("POST", "/v1/cancel/r1")
+                    assert not (await answer.read()).endswith(b"[DONE]\n\n")
+                else:
+                    answer.close()
+            await client.until("running", 0)
+
+        play(FOREVER, scene)
+
+    def test_queue_goes_by_priority(self) -> None:
+        async def scene(client: Client) -> None:
+            async def ask(request_id: str, priority: int) -> None:
+                async with client.ask(request_id, priority=priority) as answer:
+                    assert answer.status == 499
+
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(ask("first", 3))
+                await client.until("running", 1)
+                tasks.create_task(ask("low", 3))
+                await client.until("queued", 1)
+                tasks.create_task(ask("high", 1))
+                await client.until("queued", 2)
+                for request_id, queued in [("first", 1), ("high", 0)]:
+                    await client.send("POST", f"/v1/cancel/{request_id}")
+                    await client.until("queued", queued)
+                await client.send("POST", "/v1/cancel/low")
+            ran = list(client.engine.control.ran)
+            assert ran == ["first", "high", "low"]
+
+        play(attrs.evolve(FOREVER, queue=2), scene)
+
+
+class TestCacheAndOrders:
+    """What the prefix cache tells, and fencing."""
+
+    def test_events_have_gaps_and_evictions(self) -> None:
+        async def scene(client: Client) -> None:
+            cached = []
+            for message in ("a" * 300, "a" * 300, "b" * 900, "a" * 300):
+                async with client.ask("r", message) as answer:
+                    usage = (await answer.json())["usage"]
+                details = usage["prompt_tokens_details"]
+                cached.append(details["cached_tokens"] * 4)
+            assert cached == [0, 256, 0, 0]
+            _, body = await client.send("GET", "/v1/cache-events?after=1")
+            told = [(e["seq"], e["kind"]) for e in body["events"]]
+            stored, evicted = "stored", "evicted"
+            first = [(2, stored), (4, evicted), (5, stored)]
+            assert told == [*first, (7, stored), (8, evicted)]
+
+        play(EngineOptions(cache_blocks=2, cache_gap=3), scene)
+
+    @pytest.mark.parametrize(("is_fenced", "late"), [(True, 409), (False, 200)])
+    def test_late_order(self, is_fenced: bool, late: int) -> None:
+        async def scene(client: Client) -> None:
+            orders = [
+                {"fence": 2, "model": "new"},
+                {"fence": 1, "model": "old"},
+            ]
+            sent = [await client.send("POST", "/v1/orders", o) for o in orders]
+            assert [status for status, _ in sent] == [200, late]
+            _, state = await client.send("GET", "/v1/orders")
+            assert state["model"] == ("new" if is_fenced else "old")
+
+        play(EngineOptions(is_fenced=is_fenced), scene)
+
+
+class TestFaults:
+    """Faults on command."""
+
+    def test_poison_crashes_and_is_recorded(self) -> None:
+        """A poison request takes the engine's other requests with it.
+
+        Symptom: all streams of an engine end and it refuses connections.
+        Sequence: a stream runs; a request with the marker starts. Cause: the
+        marker in its body.
+        """
+
+        async def scene(client: Client) -> None:
+            client.engine.control.crash_on = "poison"
+            async with client.ask("r1", stream=True) as answer:
+                with pytest.raises(aiohttp.ClientError):
+                    async with client.ask("r2", "some poison") as other:
+                        await other.read()
+                with pytest.raises(aiohttp.ClientError):
+                    await answer.read()
+            with pytest.raises(aiohttp.ClientConnectorError):
+                await client.send("GET", "/v1/load")
+            assert client.engine.control.ran == {"r1": 1, "r2": 1}
+            await client.engine.restart()
+            _, load = await client.send("GET", "/v1/load")
+            assert load["running"] == 0
+
+        play(attrs.evolve(FOREVER, slots=2), scene)
+
+    def test_open_connections_go_silent(self) -> None:
+        """An old connection is silent for good while a new one works.
+
+        Symptom: a stream stands still, unbroken. Sequence: a stream runs; the
+        open connections are silenced; its answer ends unseen; a new request
+        is answered. Cause: the fault.
+        """
+
+        async def scene(client: Client) -> None:
+            async with client.ask("r1", stream=True) as answer:
+                await answer.content.readany()
+                client.engine.silence_open()
+                reading = asyncio.create_task(answer.read())
+                await client.until("running", 0)
+                async with client.ask("r2", stream=True) as other:
+                    assert (await other.read()).endswith(b"[DONE]\n\n")
+                assert not reading.done()
+                reading.cancel()
+
+        play(EngineOptions(interval_s=0.001), scene)
+
+    def test_all_silent_and_crash_with_restart(self) -> None:
+        """A silent engine crashes, and comes back with its faults undone.
+
+        Symptom: a request hangs, then its connection breaks; later ones are
+        answered. Sequence: the engine goes silent, crashes and restarts by
+        itself. Cause: the faults.
+        """
+
+        async def scene(client: Client) -> None:
+            await client.send("POST", "/control", {"silent": True})
+            asking = asyncio.create_task(client.send("POST", "/v1/cancel/r1"))
+            # Lets the request take the pooled connection, so that it is sent
+            # before the crash is, which has to open a new one.
+            await asyncio.sleep(0)
+            commands = {"crash": True, "restart_after_s": 0.001}
+            with contextlib.suppress(aiohttp.ClientError):
+                await client.send("POST", "/control", commands)
+            with pytest.raises(aiohttp.ServerDisconnectedError):
+                await asking
+            status = 0
+            while status != 200:
+                with contextlib.suppress(aiohttp.ClientError):
+                    command = {"silent": False}
+                    status, _ = await client.send("POST", "/control", command)
+            await client.until("running", 0)
+
+        play(EngineOptions(), scene)
+
+    def test_truncated_whole_answer_is_no_answer(self) -> None:
+        """A whole answer is cut below its stated length.
+
+        Symptom: the reader's library reports a short body. Sequence: a whole
+        request ends at its third token. Cause: the fault.
+        """
+
+        async def scene(client: Client) -> None:
+            client.engine.control.truncate = 3
+            with pytest.raises(aiohttp.ClientPayloadError):
+                async with client.ask("r1") as answer:
+                    await answer.read()
+
+        play(EngineOptions(), scene)
+
+    @pytest.mark.parametrize(
+        "command", [{"no_such": 1}, {"draining": 1}, {"ran": {}}]
+    )
+    def test_wrong_commands_are_refused(self, command: Any) -> None:
+        async def scene(client: Client) -> None:
+            status, _ = await client.send("POST", "/control", command)
+            assert status == 400
+
+        play(EngineOptions(), scene)
--- /dev/null
+++ b/packages/standins/src/hollyknot_standins/tests/test_others.py
@@ -0,0 +1,157 @@
+"""The plain service, the platform's two services, and the processes."""
+
+import asyncio
+import contextlib
+import signal
+import subprocess
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import aiohttp
+import pytest
+
+from hollyknot_standins import (
+    ConfigurationOptions,
+    HostListOptions,
+    ServiceOptions,
+    start_configuration,
+    start_host_list,
+    start_service,
+)
+
+VALUES = "/v1/values/declarations"
+Get = Callable[[str], Coroutine[Any, Any, tuple[int, Any]]]
+
+
+def play(start: Any, options: Any, scene: Callable[[Any, Get], Any]) -> None:
+    """Runs a scene against a stand-in, with a reader of JSON."""
+
+    async def run() -> None:
+        async with (
+            asyncio.timeout(20),
+            start(options) as standin,
+            aiohttp.ClientSession() as session,
+        ):
+
+            async def get(path: str) -> tuple[int, Any]:
+                url = f"http://127.0.0.1:{standin.address.port}{path}"
+                async with session.get(url) as answer:
+                    if answer.status == 304:
+                        return answer.status, None
+                    return answer.status, await answer.json()
+
+            await scene(standin, get)
+
+    asyncio.run(run())
+
+
+class TestService:
+    """Calls are recorded exactly when they run."""
+
+    @pytest.mark.parametrize(("when", "count"), [("before", 0), ("after", 1)])
+    def test_crash(self, when: str, count: int) -> None:
+        """A crash leaves the caller unsure and the record exact.
+
+        Symptom: the connection breaks without an answer. Sequence: a call
+        arrives; the service crashes before or after it runs. Cause: the fault.
+        """
+
+        async def scene(service: Any, get: Get) -> None:
+            service.control.crash = when
+            with pytest.raises(aiohttp.ClientError):
+                await get("/crews?a=1")
+            assert len(service.control.calls) == count
+            await service.restart()
+            status, call = await get("/crews?a=1")
+            assert (status, call["path"]) == (200, "/crews?a=1")
+            _, record = await get("/control/calls")
+            assert len(record["calls"]) == count + 1
+
+        play(start_service, ServiceOptions(), scene)
+
+    def test_draining_does_not_run(self) -> None:
+        async def scene(service: Any, get: Get) -> None:
+            service.control.draining = True
+            assert (await get("/x"))[0] == 503
+            assert service.control.calls == []
+
+        play(start_service, ServiceOptions(), scene)
+
+
+class TestConfiguration:
+    """Reads, watches, and the ways in which they fail."""
+
+    def test_watch_is_one_read(self) -> None:
+        async def scene(service: Any, get: Get) -> None:
+            watch = asyncio.create_task(get(f"{VALUES}?after=1&wait_s=10"))
+            while not (await get("/control/reads"))[1]["reads"]:
+                pass
+            service.control.publish({"a": 1})
+            assert await watch == (200, {"version": 2, "value": {"a": 1}})
+            assert (await get(f"{VALUES}?after=2&wait_s=0.01"))[0] == 304
+            assert (await get("/control/reads"))[1]["reads"] == 2
+
+        play(start_configuration, ConfigurationOptions(), scene)
+
+    def test_down_and_stale(self) -> None:
+        """A watcher feels an outage, and is then offered an older version.
+
+        Symptom: a watch ends with 503; later reads give version 1 again.
+        Sequence: version 2 is published; the service goes down, and comes
+        back restored from an old copy. Cause: the faults.
+        """
+
+        async def scene(service: Any, get: Get) -> None:
+            service.control.publish({"a": 1})
+            watch = asyncio.create_task(get(f"{VALUES}?after=2&wait_s=10"))
+            while not (await get("/control/reads"))[1]["reads"]:
+                pass
+            service.control.command("down", True)
+            assert (await watch)[0] == 503
+            service.control.command("down", False)
+            service.control.command("stale", 1)
+            _, old = await get(f"{VALUES}?after=2&wait_s=10")
+            assert old == {"version": 1, "value": {}}
+
+        play(start_configuration, ConfigurationOptions(), scene)
+
+
+class TestHostList:
+    """Entries are set and patched, at once or late."""
+
+    def test_patch_and_lag(self) -> None:
+        async def scene(hosts: Any, get: Get) -> None:
+            a, b, c = ({"name": name} for name in "abc")
+            hosts.control.command("set", [a, b])
+            hosts.control.lag_s = 3600.0
+            hosts.control.command("patch", {"remove": ["b"]})
+            _, before = await get("/v1/hosts")
+            assert before == {"revision": 2, "entries": [a, b]}
+            hosts.control.lag_s = 0.001
+            hosts.control.command("patch", {"put": [c], "remove": ["a"]})
+            _, after = await get("/v1/hosts?after=2&wait_s=10")
+            assert after == {"revision": 3, "entries": [b, c]}
+
+        play(start_host_list, HostListOptions(), scene)
+
+
+class TestProcess:
+    """Each stand-in as a process."""
+
+    @pytest.mark.parametrize(
+        "kind", ["engine", "service", "configuration", "host-list"]
+    )
+    def test_starts_and_stops(self, kind: str) -> None:
+        code = "from hollyknot_standins import main; main()"
+        command = [sys.executable, "-c", code, kind, "--port", "0"]
+        with contextlib.ExitStack() as stack:
+            process = stack.enter_context(
+                subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+            )
+            stack.callback(process.kill)
+            assert process.stdout is not None
+            line = process.stdout.readline()
+            assert line.startswith("ready ip=127.0.0.1 port=")
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(20) == 0
