Learn the claims of earlier holders before granting

Change: a new holder seals earlier holders and takes over what they know, page by page; old holders forget once a majority of the new ones is active, which is also what a planned stop waits for. First holders ask every listed host. Ruled out, each by a sequence that starts a key twice: holders that stay in a group and don't learn; a read of fewer than a majority where a revision was skipped; forgetting after one successor; handing a stopping holder's answer to several hosts, since two learners then meet in no host that remembers a seal.

--- a/packages/coordination/src/hollyknot_coordination/claims/_coordinator.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_coordinator.py
@@ -194,26 +194,24 @@
             return [ClaimGranted(attempt.key, attempt.attempt)]
         if now.now_s >= claiming.give_up_s:
             return self._refuse(claiming)
-        is_asking = attempt.phase is Phase.ASKING
-        if finding is Finding.WAIT and is_asking:
-            if now.now_s < claiming.cancel_s:
+        if finding is Finding.WAIT:
+            if not self._is_time_to_cancel(claiming, now):
                 return []
-            finding = attempt.find_at_end()
+            finding = Finding.OTHERS
         if finding is Finding.OTHERS:
             return self._cancel_others(claiming, now)
         if finding is Finding.CLEARED:
             return self._ask_again(claiming, now)
-        if finding is Finding.HELD and (
-            not is_asking or self._is_over(attempt)
-        ):
-            return self._refuse(claiming)
-        if finding is Finding.NO_MAJORITY and self._is_over(attempt):
-            return self._refuse(claiming)
-        return []
+        return self._refuse(claiming)
 
-    def _is_over(self, attempt: ClaimAttempt) -> bool:
-        """Tells whether no holder's further answer can bring a grant."""
-        return attempt.find() is not Finding.WAIT
+    def _is_time_to_cancel(self, claiming: _Claiming, now: Instant) -> bool:
+        """Tells whether others are cancelled though holders are silent."""
+        attempt = claiming.attempt
+        return (
+            attempt.phase is Phase.ASKING
+            and now.now_s >= claiming.cancel_s
+            and attempt.find_at_end() is Finding.OTHERS
+        )
 
     def _cancel_others(
         self, claiming: _Claiming, now: Instant
--- a/packages/coordination/src/hollyknot_coordination/claims/_holder.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_holder.py
@@ -6,12 +6,13 @@
 
 from hollyknot_coordination.claims import _grants, _seal
 from hollyknot_coordination.claims._commands import Instant, SendClaim
+from hollyknot_coordination.claims._handovers import Handovers
 from hollyknot_coordination.claims._keys import SLOTS, slot_of
-from hollyknot_coordination.claims._learner import Progress, next_step
-from hollyknot_coordination.claims._learning import Learning, question
+from hollyknot_coordination.claims._learners import Learners
 from hollyknot_coordination.claims._options import ClaimOptions
 from hollyknot_coordination.claims._placement import Placement
 from hollyknot_coordination.claims._records import CoordinatorTable, SlotRecords
+from hollyknot_coordination.claims._seen import SeenRange
 from hollyknot_coordination.claims._slot import Slot
 from hollyknot_state import (
     CancelClaim,
@@ -21,7 +22,6 @@
     LearnSlots,
     RecordClaim,
     ReleaseClaim,
-    SlotAnswer,
     SlotAnswerKind,
     SlotAnswers,
     SlotQuestion,
@@ -40,23 +40,42 @@
     Attributes:
         host: This host's name in the host list.
         data_centre: This host's data centre.
-        incarnation: A number that no earlier process of this name had.
+        incarnation: A number below 2**63 that no earlier process of this name
+            had.
         options: Times and limits.
-        is_name_reused: Whether another host has met another process under
-            this host's name. Such a host may have forgotten grants, so that it
-            never becomes active; it has to be listed under a new name.
     """
 
     host: str
     data_centre: str
     incarnation: int
     options: ClaimOptions = attrs.Factory(ClaimOptions)
-    is_name_reused: bool = False
-    _placement: Placement | None = None
     _coordinators: CoordinatorTable = attrs.Factory(CoordinatorTable)
     _slots: dict[int, Slot] = attrs.Factory(dict)
-    _learning: dict[int, Learning] = attrs.Factory(dict)
     _met: dict[str, int] = attrs.Factory(dict)
+    _learners: Learners = attrs.field(init=False)
+    _handovers: Handovers = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._learners = Learners(self.host, self.data_centre, self.options)
+        self._handovers = Handovers(self.host, self.options)
+
+    @property
+    def is_name_reused(self) -> bool:
+        """Whether another process had this host's name.
+
+        Such a host may have forgotten grants, so that it never becomes
+        active; it has to be listed under a new name.
+        """
+        return self._learners.is_name_reused
+
+    @property
+    def pending_handovers(self) -> int:
+        """How many slots would be lost with this host.
+
+        A planned stop waits for 0, or as long as it can: once the host list
+        says that this host is leaving, new holders learn its slots.
+        """
+        return sum(slot.active > 0 for slot in self._slots.values())
 
     def active_slots(self) -> tuple[int, ...]:
         """Returns the slots for which this host may grant."""
@@ -64,7 +83,7 @@
 
     def learning_slots(self) -> tuple[int, ...]:
         """Returns the slots that this host holds but doesn't yet know."""
-        return tuple(self._learning)
+        return self._learners.slots()
 
     def records(self) -> int:
         """Returns how many keys are remembered."""
@@ -72,14 +91,26 @@
 
     def update(self, placement: Placement, now: Instant) -> list[SendClaim]:
         """Takes a newer host list, or newly declared data centres."""
-        known = self._placement
+        known = self._learners.placement
         if known is not None and placement.revision < known.revision:
             return []
-        self._placement = placement
+        # A change of homes between is as a revision that was missed.
+        is_same_homes = (
+            known is not None and placement.data_centres == known.data_centres
+        )
+        revision = placement.revision
+        self._learners.seen = (
+            self._learners.seen.extend(revision)
+            if is_same_homes
+            else SeenRange(revision, revision)
+        )
+        self._learners.placement = placement
         for number in range(SLOTS):
-            self._place(number, placement, now)
-        for number in tuple(self._learning):
-            self._go_on(number, now)
+            if placement.home(number) == self.data_centre:
+                self._place(number, placement, now)
+            else:
+                self._close(number, revision)
+        self._learners.go_on(now)
         return self._ask(now)
 
     def receive(
@@ -97,9 +128,7 @@
             case LearnSlots():
                 return self._answer_questions(sender, message, now)
             case SlotAnswers():
-                for answer in message.answers:
-                    self._take_answer(sender, answer, now)
-                return self._ask(now)
+                return self._take_answers(sender, message, now)
         return []
 
     def poll(self, now: Instant) -> list[SendClaim]:
@@ -107,8 +136,7 @@
         for slot in self._slots.values():
             self._raise_horizon(slot, now)
             slot.records.forget(slot.horizon_ms)
-        for number in tuple(self._learning):
-            self._go_on(number, now)
+        self._learners.go_on(now)
         return self._ask(now)
 
     def next_poll_s(self) -> float:
@@ -116,10 +144,7 @@
 
         Forgetting may be up to a minute late without harm.
         """
-        if self.is_name_reused:
-            return float("inf")
-        times = (learning.next_due_s() for learning in self._learning.values())
-        return min(times, default=float("inf"))
+        return min(self._learners.next_due_s(), self._handovers.next_due_s())
 
     def _slot(self, number: int) -> Slot:
         slot = self._slots.get(number)
@@ -134,18 +159,21 @@
 
     def _place(self, number: int, placement: Placement, now: Instant) -> None:
         """Takes the holders of one slot in a new placement."""
-        if placement.home(number) != self.data_centre:
-            self._close(number, placement.revision)
-            return
         epoch = HolderEpoch(placement.revision, placement.group(number))
         slot = self._slot(number)
-        if epoch.holders == slot.epoch.holders:
-            slot.seen = max(slot.seen, epoch.revision)
-        elif epoch.revision >= max(slot.seen, slot.epoch.revision):
-            slot.move_to(epoch)
-            self._begin(number, now)
-        else:
+        if epoch.revision < slot.seen:
+            # Another host has told of newer holders already.
             slot.note(epoch)
+        elif epoch.holders == slot.epoch.holders:
+            slot.seen = epoch.revision
+        else:
+            slot.move_to(epoch)
+            self._begin(number, slot, now)
+
+    def _begin(self, number: int, slot: Slot, now: Instant) -> None:
+        """Does what follows when a slot has new holders."""
+        self._learners.begin(number, slot, now)
+        self._handovers.watch(number, slot, now)
 
     def _close(self, number: int, revision: int) -> None:
         """Stops granting for a slot whose home is another data centre."""
@@ -153,72 +181,7 @@
         if slot is not None and slot.epoch.holders:
             revision = max(revision, slot.epoch.revision)
             slot.move_to(HolderEpoch(revision, ()))
-            # Nobody can answer for no holders: to keep it among the epochs
-            # would leave the slot closed for good if it came home again.
-            slot.epochs.pop(revision, None)
-            self._learning.pop(number, None)
-
-    def _begin(self, number: int, now: Instant) -> None:
-        """Begins to learn a slot for its new epoch, if it is held here."""
-        slot = self._slots[number]
-        self._learning.pop(number, None)
-        if self.host in slot.epoch.holders and not slot.is_active:
-            answers = {**slot.stopped, self.host: slot.active}
-            self._learning[number] = Learning(slot.epoch, answers)
-            self._go_on(number, now)
-
-    def _go_on(self, number: int, now: Instant) -> None:
-        """Activates a slot, or finds whom to ask next."""
-        slot, learning = self._slots[number], self._learning[number]
-        step = next_step(
-            slot.epoch, slot.epochs, learning.answers, self._hosts(slot)
-        )
-        if step.progress is Progress.FIRST:
-            if not self._may_be_first(slot):
-                return
-            margin_ms = int(self.options.opening_margin_s * _MS)
-            slot.raise_horizon(now.wall_ms + margin_ms)
-        if step.progress is Progress.ASKING:
-            first_s = self.options.first_retry_s
-            learning.want(step.ask, now.now_s, first_s)
-            return
-        self._raise_horizon(slot, now)
-        slot.activate()
-        del self._learning[number]
-
-    def _hosts(self, slot: Slot) -> tuple[str, ...]:
-        if self._placement is None:
-            return slot.epoch.holders
-        return self._placement.hosts(self.data_centre)
-
-    def _may_be_first(self, slot: Slot) -> bool:
-        """Tells whether this host's list is good enough to open a slot by.
-
-        An older list than the epoch's may lack the very host that knows of
-        earlier holders.
-        """
-        placement = self._placement
-        return (
-            placement is not None and placement.revision >= slot.epoch.revision
-        )
-
-    def _ask(self, now: Instant) -> list[SendClaim]:
-        """Returns the questions that are due, in few messages a host."""
-        if self.is_name_reused:
-            return []
-        questions: dict[str, list[SlotQuestion]] = {}
-        for number, learning in self._learning.items():
-            slot = self._slots[number]
-            due = learning.due(now.now_s, self.options.last_retry_s)
-            for host, after in due:
-                one = question(number, slot, learning, after)
-                questions.setdefault(host, []).append(one)
-        size = self.options.questions_a_message
-        return [
-            SendClaim(host, LearnSlots(self.incarnation, part))
-            for host, found in questions.items()
-            for part in _parts(found, size)
-        ]
+            self._learners.end(number)
 
     def _answer_claim(
         self, sender: str, message: GrantClaim | CancelClaim, now: Instant
@@ -243,8 +206,7 @@
     def _answer_questions(
         self, sender: str, message: LearnSlots, now: Instant
     ) -> list[SendClaim]:
-        met = self._met.setdefault(sender, message.incarnation)
-        is_reused = met != message.incarnation
+        is_reused = self._is_reused(sender, message.incarnation)
         room = self.options.records_a_message
         answers = []
         for one in message.questions:
@@ -254,73 +216,51 @@
             if not is_reused:
                 kind = self._take_question(one, slot, now)
             limit = max(room, _LEAST_PAGE)
-            answer = _seal.slot_answer(slot, one, kind, limit)
+            answer = _seal.slot_answer(
+                slot, one, kind, self._learners.seen, limit
+            )
             room -= len(answer.records)
             answers.append(answer)
         # A seal may have made this host a learner of the new epoch.
         return [SendClaim(sender, SlotAnswers(tuple(answers))), *self._ask(now)]
 
+    def _is_reused(self, name: str, incarnation: int) -> bool:
+        """Tells whether this host has met another process of a name.
+
+        A restarted process has forgotten its grants. In its old place it
+        would complete a second majority.
+        """
+        return self._met.setdefault(name, incarnation) != incarnation
+
+    def _take_answers(
+        self, sender: str, message: SlotAnswers, now: Instant
+    ) -> list[SendClaim]:
+        for answer in message.answers:
+            self._learners.take(sender, answer, now)
+            self._handovers.take(sender, answer, self._slot(answer.slot))
+        return self._ask(now)
+
     def _take_question(
         self, one: SlotQuestion, slot: Slot, now: Instant
     ) -> SlotAnswerKind:
         before = slot.epoch
         kind = _seal.take_question(slot, one)
         if slot.epoch != before:
-            self._begin(one.slot, now)
+            self._begin(one.slot, slot, now)
         return kind
 
-    def _take_answer(
-        self, sender: str, answer: SlotAnswer, now: Instant
-    ) -> None:
-        learning = self._learning.get(answer.slot)
-        if learning is None or answer.question != learning.epoch:
-            return
-        if answer.kind is SlotAnswerKind.NAME_REUSED:
-            self.is_name_reused = True
-        elif answer.kind is SlotAnswerKind.NEWER:
-            self._take_newer(answer, now)
-        elif answer.kind is SlotAnswerKind.SAME:
-            self._take_same(answer, now)
-        else:
-            self._take_sealed(sender, answer, now)
-
-    def _take_newer(self, answer: SlotAnswer, now: Instant) -> None:
-        """Goes by the newer holders that another host knows."""
-        slot = self._slots[answer.slot]
-        newest = max(answer.epochs, key=lambda e: e.revision)
-        if newest.revision > slot.epoch.revision:
-            slot.move_to(newest)
-            self._begin(answer.slot, now)
-
-    def _take_same(self, answer: SlotAnswer, now: Instant) -> None:
-        """Takes an older revision at which the holders were the same already.
-
-        Not if this host has sealed for a newer one: whoever asked for that
-        seal counts on it.
-        """
-        slot = self._slots[answer.slot]
-        older = answer.epochs[0]
-        if slot.promised <= older.revision:
-            seen = slot.seen
-            slot.move_to(older)
-            slot.seen = seen
-            self._begin(answer.slot, now)
-
-    def _take_sealed(
-        self, sender: str, answer: SlotAnswer, now: Instant
-    ) -> None:
-        slot, learning = self._slots[answer.slot], self._learning[answer.slot]
-        slot.raise_horizon(answer.horizon_ms)
-        for record in answer.records:
-            slot.records.merge(record)
-        for epoch in answer.epochs:
-            slot.note(epoch)
-        learning.take_page(sender, answer, now.now_s)
-        if not answer.more:
-            for one in answer.stopped:
-                slot.stopped[one.name] = one.active
-                learning.answers[one.name] = one.active
-        self._go_on(answer.slot, now)
+    def _ask(self, now: Instant) -> list[SendClaim]:
+        """Returns the questions that are due, in few messages a host."""
+        questions: dict[str, list[SlotQuestion]] = {}
+        due = [*self._learners.due(now), *self._handovers.due(now)]
+        for host, one in due:
+            questions.setdefault(host, []).append(one)
+        size = self.options.questions_a_message
+        return [
+            SendClaim(host, LearnSlots(self.incarnation, part))
+            for host, found in questions.items()
+            for part in _parts(found, size)
+        ]
 
 
 def _parts(
--- a/packages/coordination/src/hollyknot_coordination/claims/_learner.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_learner.py
@@ -2,18 +2,24 @@
 
 It asks hosts to seal the slot: never again to grant for an older epoch. The
 epochs before its own are gone through, newest first. An epoch is settled once
-a majority of its holders have sealed: if one of these was active for it, they
-know between them every attempt that has, or can still get, a majority; if
-none was, nobody has or gets a majority there, and the next older epoch counts.
-A holder that is active for the learner's own epoch has done all this already,
-so that its answer alone is enough.
+enough of its holders have sealed: if one of these was active for it, they know
+between them every attempt that has, or can still get, a majority; if none was,
+nobody has or gets a majority there, and the next older epoch counts. A holder
+that is active for the learner's own epoch has done all this already, so that
+its answer alone is enough.
+
+How many are enough? To meet every majority of grants, so many that the rest is
+no majority. But an epoch between, of which the learner never heard, may have
+been learnt from others of the same holders. To hear of it a majority has to
+answer, since any two majorities meet. Where all revisions between are known,
+the former is enough: one of two holders, two of four.
 """
 
 import enum
 
 import attrs
 
-from hollyknot_coordination.claims._placement import majority
+from hollyknot_coordination.claims._placement import blocking, majority
 from hollyknot_state import HolderEpoch
 
 
@@ -48,6 +54,7 @@
     epochs: dict[int, tuple[str, ...]],
     answers: dict[str, int],
     hosts: tuple[str, ...],
+    known_from: int,
 ) -> Step:
     """Returns what a learner needs next.
 
@@ -56,7 +63,8 @@
         epochs: All known epochs, by revision.
         answers: For each host that has sealed and told all its records, the
             newest revision for which it was active, 0 for none.
-        hosts: All hosts of the data centre that the learner knows of.
+        hosts: All hosts of the data centre that are listed, live or leaving.
+        known_from: The revision from which on `epochs` lacks none.
     """
     if epoch.revision in answers.values():
         return Step(Progress.LEARNT)
@@ -64,7 +72,9 @@
     for revision in older:
         holders = epochs[revision]
         answered = [name for name in holders if name in answers]
-        if len(answered) < majority(holders):
+        is_known = known_from <= revision
+        enough = blocking(holders) if is_known else majority(holders)
+        if len(answered) < enough:
             return Step(Progress.ASKING, _missing(holders, answers))
         if any(answers[name] == revision for name in answered):
             return Step(Progress.LEARNT)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/claims/_learners.py
@@ -0,0 +1,164 @@
+"""The slots that one host holds but doesn't yet know, and whom it asks."""
+
+import attrs
+
+from hollyknot_coordination.claims._commands import Instant
+from hollyknot_coordination.claims._learner import Progress, next_step
+from hollyknot_coordination.claims._learning import Learning, question
+from hollyknot_coordination.claims._options import ClaimOptions
+from hollyknot_coordination.claims._placement import Placement
+from hollyknot_coordination.claims._seen import SeenRange
+from hollyknot_coordination.claims._slot import Slot
+from hollyknot_state import (
+    HolderEpoch,
+    SlotAnswer,
+    SlotAnswerKind,
+    SlotQuestion,
+)
+
+_MS = 1000
+
+
+@attrs.define
+class Learners:
+    """Learns slots until this host is active for them.
+
+    Attributes:
+        host: This host's name.
+        data_centre: This host's data centre.
+        options: Times and limits.
+        placement: By the newest host list that was seen, if any.
+        seen: The revisions that were seen without a gap.
+        is_name_reused: Whether another host has met another process under
+            this host's name.
+    """
+
+    host: str
+    data_centre: str
+    options: ClaimOptions
+    placement: Placement | None = None
+    seen: SeenRange = attrs.Factory(SeenRange)
+    is_name_reused: bool = False
+    _learning: dict[int, Learning] = attrs.Factory(dict)
+    _slots: dict[int, Slot] = attrs.Factory(dict)
+
+    def slots(self) -> tuple[int, ...]:
+        """Returns the slots that are being learnt."""
+        return tuple(self._learning)
+
+    def begin(self, number: int, slot: Slot, now: Instant) -> None:
+        """Begins to learn a slot for its epoch, if it is held here."""
+        self.end(number)
+        if self.is_name_reused or self.host not in slot.epoch.holders:
+            return
+        if slot.is_active:
+            return
+        answers = {self.host: slot.active}
+        revision = slot.epoch.revision
+        self._learning[number] = Learning(slot.epoch, answers, revision)
+        self._slots[number] = slot
+        self._go_on(number, now)
+
+    def end(self, number: int) -> None:
+        """Gives up learning a slot."""
+        self._learning.pop(number, None)
+        self._slots.pop(number, None)
+
+    def go_on(self, now: Instant) -> None:
+        """Looks again whether slots can be activated, and whom to ask."""
+        for number in tuple(self._learning):
+            self._go_on(number, now)
+
+    def take(self, sender: str, answer: SlotAnswer, now: Instant) -> None:
+        """Takes a host's answer on one slot."""
+        learning = self._learning.get(answer.slot)
+        if learning is None or answer.question != learning.epoch:
+            return
+        slot = self._slots[answer.slot]
+        match answer.kind:
+            case SlotAnswerKind.NAME_REUSED:
+                self.is_name_reused = True
+                self._learning.clear()
+            case SlotAnswerKind.NEWER:
+                self._take_newer(answer, slot, now)
+            case SlotAnswerKind.SAME:
+                self._take_same(answer, slot, now)
+            case SlotAnswerKind.SEALED:
+                slot.merge(answer)
+                learning.take_page(sender, answer, now.now_s)
+                self._go_on(answer.slot, now)
+
+    def due(self, now: Instant) -> list[tuple[str, SlotQuestion]]:
+        """Returns the questions to put now, with whom to ask."""
+        found = []
+        for number, learning in self._learning.items():
+            slot = self._slots[number]
+            due = learning.due(now.now_s, self.options.last_retry_s)
+            for host, after in due:
+                found.append((host, question(number, slot, learning, after)))
+        return found
+
+    def next_due_s(self) -> float:
+        """Returns when something is due, infinity if nothing is."""
+        times = (learning.next_due_s() for learning in self._learning.values())
+        return min(times, default=float("inf"))
+
+    def _go_on(self, number: int, now: Instant) -> None:
+        slot, learning = self._slots[number], self._learning[number]
+        step = next_step(
+            slot.epoch,
+            slot.epochs,
+            learning.answers,
+            self._listed(),
+            self._known_from(learning),
+        )
+        if step.progress is Progress.ASKING:
+            first_s = self.options.first_retry_s
+            learning.want(step.ask, now.now_s, first_s)
+            return
+        if step.progress is Progress.FIRST:
+            if not self._may_be_first(slot):
+                return
+            margin_ms = int(self.options.opening_margin_s * _MS)
+            slot.raise_horizon(now.wall_ms + margin_ms)
+        slot.activate()
+        self.end(number)
+
+    def _listed(self) -> tuple[str, ...]:
+        if self.placement is None:
+            return ()
+        return self.placement.listed(self.data_centre)
+
+    def _known_from(self, learning: Learning) -> int:
+        if self.seen.last >= learning.epoch.revision:
+            return min(learning.known_from, self.seen.first)
+        return learning.known_from
+
+    def _may_be_first(self, slot: Slot) -> bool:
+        """Tells whether this host's list is good enough to open a slot by.
+
+        An older list than the epoch's may lack the very host that knows of
+        earlier holders.
+        """
+        placement = self.placement
+        return (
+            placement is not None and placement.revision >= slot.epoch.revision
+        )
+
+    def _take_newer(self, answer: SlotAnswer, slot: Slot, now: Instant) -> None:
+        """Goes by the newer holders that another host knows."""
+        newest = answer.epochs[0]
+        if newest.revision > slot.epoch.revision:
+            slot.move_to(newest)
+            self.begin(answer.slot, slot, now)
+
+    def _take_same(self, answer: SlotAnswer, slot: Slot, now: Instant) -> None:
+        """Takes an older revision at which the holders were the same already.
+
+        Not if this host has sealed for a newer one since it asked: whoever
+        asked for that seal counts on it.
+        """
+        older: HolderEpoch = answer.epochs[0]
+        if slot.promised <= older.revision:
+            slot.move_to(older)
+            self.begin(answer.slot, slot, now)
--- a/packages/coordination/src/hollyknot_coordination/claims/_learning.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_learning.py
@@ -29,10 +29,13 @@
         epoch: The epoch to become active for.
         answers: For each host that has told all, the newest revision for
             which it was active.
+        known_from: The revision from which on every change of the holders, up
+            to `epoch`, is known.
     """
 
     epoch: HolderEpoch
     answers: dict[str, int]
+    known_from: int
     _asked: dict[str, _Asked] = attrs.Factory(dict)
 
     def want(
@@ -62,6 +65,8 @@
 
     def take_page(self, host: str, answer: SlotAnswer, now_s: float) -> None:
         """Takes one page of a host's records."""
+        if answer.seen_to >= self.epoch.revision:
+            self.known_from = min(self.known_from, answer.seen_from)
         asked = self._asked.get(host)
         if not answer.more:
             self.answers[host] = answer.active
--- a/packages/coordination/src/hollyknot_coordination/claims/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_placement.py
@@ -9,7 +9,7 @@
 import attrs
 import xxhash
 
-from hollyknot_state import HostList
+from hollyknot_state import HostList, Role
 
 GROUP_SIZE = 5
 """Holders of a slot, or all hosts of the data centre if they are fewer."""
@@ -44,6 +44,11 @@
     return len(group) // 2 + 1
 
 
+def blocking(group: tuple[str, ...]) -> int:
+    """Returns how many of a group have to refuse to prevent a majority."""
+    return len(group) - majority(group) + 1
+
+
 @attrs.define
 class Placement:
     """The holders of all slots by one host list; computed when asked for.
@@ -56,6 +61,7 @@
     revision: int
     data_centres: tuple[str, ...]
     _list: HostList
+    _listed: dict[str, tuple[str, ...]] = attrs.Factory(dict)
     _hosts: dict[str, tuple[str, ...]] = attrs.Factory(dict)
     _groups: dict[int, tuple[str, ...]] = attrs.Factory(dict)
 
@@ -71,6 +77,18 @@
             self._hosts[data_centre] = found
         return found
 
+    def listed(self, data_centre: str) -> tuple[str, ...]:
+        """Returns a data centre's hosts, with those that are leaving."""
+        found = self._listed.get(data_centre)
+        if found is None:
+            found = tuple(
+                e.name
+                for e in self._list.entries
+                if e.role is Role.HOST and e.data_centre == data_centre
+            )
+            self._listed[data_centre] = found
+        return found
+
     def group(self, slot: int) -> tuple[str, ...]:
         """Returns the holders of a slot in its home data centre."""
         found = self._groups.get(slot)
--- a/packages/coordination/src/hollyknot_coordination/claims/_seal.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_seal.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from hollyknot_coordination.claims._seen import SeenRange
 from hollyknot_coordination.claims._slot import Slot
 from hollyknot_state import (
     ClaimRecord,
@@ -9,7 +10,6 @@
     SlotAnswer,
     SlotAnswerKind,
     SlotQuestion,
-    StoppedHolder,
 )
 
 
@@ -35,7 +35,11 @@
 
 
 def slot_answer(
-    slot: Slot, question: SlotQuestion, kind: SlotAnswerKind, limit: int
+    slot: Slot,
+    question: SlotQuestion,
+    kind: SlotAnswerKind,
+    seen: SeenRange,
+    limit: int,
 ) -> SlotAnswer:
     """Returns the answer to a question, with a page of records if sealed.
 
@@ -43,12 +47,14 @@
         slot: The slot, after `take_question`.
         question: The learner's question.
         kind: What `take_question` found.
+        seen: The revisions that this host has seen.
         limit: The most records to give.
     """
     answer = SlotAnswer(
         question.slot,
         kind,
         question.epoch,
+        active=slot.active,
         epochs=_epochs(slot, question, kind),
     )
     if kind is not SlotAnswerKind.SEALED:
@@ -56,14 +62,12 @@
     records = slot.records.page(question.after, limit + 1)
     return attrs.evolve(
         answer,
-        active=slot.active,
+        seen_from=seen.first,
+        seen_to=seen.last,
         horizon_ms=slot.horizon_ms,
         records=records[:limit],
         after=_last_key(records[:limit]),
         more=len(records) > limit,
-        stopped=tuple(
-            StoppedHolder(name, active) for name, active in slot.stopped.items()
-        ),
     )
 
 
--- a/packages/coordination/src/hollyknot_coordination/claims/_slot.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_slot.py
@@ -4,7 +4,7 @@
 
 from hollyknot_coordination.claims._placement import group_digest
 from hollyknot_coordination.claims._records import SlotRecords
-from hollyknot_state import HolderEpoch
+from hollyknot_state import HolderEpoch, SlotAnswer
 
 NO_EPOCH = HolderEpoch(0, ())
 """Stands for no epoch at all; real revisions are above 0."""
@@ -16,7 +16,7 @@
 
     Attributes:
         records: What is remembered of its keys.
-        epoch: The newest epoch that this host knows. It never grants for an
+        epoch: The newest epoch that this host goes by. It never grants for an
             older one.
         seen: The newest revision of a host list by which `epoch` still has
             the right holders.
@@ -26,8 +26,6 @@
             none. It grants only while this is the epoch's.
         horizon_ms: Keys of this time and before are never granted.
         epochs: Holders by revision, from the one it was active for on.
-        stopped: Hosts whose last knowledge has been taken in, with the
-            revision that each was active for.
     """
 
     records: SlotRecords
@@ -37,7 +35,6 @@
     active: int = 0
     horizon_ms: int = 0
     epochs: dict[int, tuple[str, ...]] = attrs.Factory(dict)
-    stopped: dict[str, int] = attrs.Factory(dict)
     _digest: int = 0
 
     @property
@@ -53,20 +50,27 @@
     def move_to(self, epoch: HolderEpoch) -> None:
         """Takes an epoch; from now on no older one is granted for."""
         self.epoch = epoch
+        self.seen = max(self.seen, epoch.revision)
         self.epochs = {
             r: h for r, h in self.epochs.items() if r < epoch.revision
         }
-        self.seen = max(self.seen, epoch.revision)
         self.note(epoch)
         self._digest = group_digest(epoch.holders)
 
-    def note(self, epoch: HolderEpoch) -> bool:
-        """Remembers an epoch that matters still; tells whether it's news."""
-        if epoch.revision < max(self.active, 1):
-            return False
-        is_news = epoch.revision not in self.epochs
-        self.epochs[epoch.revision] = epoch.holders
-        return is_news
+    def note(self, epoch: HolderEpoch) -> None:
+        """Remembers an epoch, unless it is too old to matter."""
+        # Nobody can answer for no holders: such an epoch, of a slot whose
+        # home was elsewhere, would keep the slot closed for good.
+        if epoch.holders and epoch.revision >= self.active:
+            self.epochs[epoch.revision] = epoch.holders
+
+    def merge(self, answer: SlotAnswer) -> None:
+        """Takes in what another host knows of the slot."""
+        self.raise_horizon(answer.horizon_ms)
+        for record in answer.records:
+            self.records.merge(record)
+        for epoch in answer.epochs:
+            self.note(epoch)
 
     def activate(self) -> None:
         """Begins to grant for the epoch."""
@@ -75,6 +79,12 @@
         # for, so that older ones are never looked at again.
         self.epochs = {r: h for r, h in self.epochs.items() if r >= self.active}
 
+    def forget_all(self) -> None:
+        """Forgets the records and what this host was active for."""
+        self.records = SlotRecords(self.records.coordinators)
+        self.active = 0
+        self.epochs = {self.epoch.revision: self.epoch.holders}
+
     def raise_horizon(self, horizon_ms: int) -> None:
         """Raises the horizon; a lower value, as by a clock set back, is not."""
         self.horizon_ms = max(self.horizon_ms, horizon_ms)
--- a/packages/coordination/src/hollyknot_coordination/claims/tests/_fleet.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/tests/_fleet.py
@@ -19,6 +19,7 @@
 )
 from hollyknot_state import (
     ClaimAnswer,
+    EntryState,
     HostList,
     HostListEntry,
     Outcome,
@@ -36,11 +37,26 @@
 
 
 def host_list(revision: int, names: tuple[str, ...]) -> HostList:
-    """Returns a list of hosts of one data centre."""
-    entries = (HostListEntry(n, Role.HOST, "dc", "127.0.0.1", 1) for n in names)
+    """Returns a list of hosts of one data centre; `~` marks one as leaving."""
+    entries = (
+        HostListEntry(
+            name.removeprefix("~"),
+            Role.HOST,
+            "dc",
+            "127.0.0.1",
+            1,
+            state=EntryState.LEAVING if name[0] == "~" else EntryState.LIVE,
+        )
+        for name in names
+    )
     return HostList(revision, tuple(entries))
 
 
+def only(*names: str) -> Callable[["Message"], bool]:
+    """Returns a filter that passes what goes between some hosts."""
+    return lambda m: m.sender in names and m.receiver in names
+
+
 @attrs.define
 class Host:
     """One host: its two halves, and its wall clock's error."""
@@ -154,6 +170,13 @@
                 self.poll(name)
         self.deliver_all(passes)
 
+    def dispatch_granted(self) -> int:
+        """Sends all granted requests; returns the most starts of one key."""
+        for name, host in self.hosts.items():
+            for key in tuple(host.granted):
+                self.dispatch(name, key)
+        return max(self.started.values(), default=0)
+
     def dispatch(self, name: str, key: bytes) -> None:
         """Sends a granted request to the upstream, perhaps long after."""
         self.hosts[name].granted.remove(key)
--- a/packages/protocol/idl/claims.thrift
+++ b/packages/protocol/idl/claims.thrift
@@ -72,37 +72,20 @@
   3: list<Attempt> refused,
 }
 
-struct StoppedHolder {
-  1: string name,
-  2: i64 active,
-}
-
 struct SlotAnswer {
   1: i32 slot,
   2: string kind,
   3: HolderEpoch question,
   4: i64 active,
   5: list<HolderEpoch> epochs,
-  6: i64 horizon_ms,
-  7: list<ClaimRecord> records,
-  8: binary after,
-  9: bool more,
-  10: list<StoppedHolder> stopped,
+  6: i64 seen_from,
+  7: i64 seen_to,
+  8: i64 horizon_ms,
+  9: list<ClaimRecord> records,
+  10: binary after,
+  11: bool more,
 }
 
 struct SlotAnswers {
   1: list<SlotAnswer> answers,
 }
-
-struct HandOverSlots {
-  1: list<SlotAnswer> answers,
-}
-
-struct SlotPage {
-  1: i32 slot,
-  2: binary after,
-}
-
-struct HandOverTaken {
-  1: list<SlotPage> pages,
-}
--- a/packages/protocol/src/hollyknot_protocol/_kinds.py
+++ b/packages/protocol/src/hollyknot_protocol/_kinds.py
@@ -57,8 +57,6 @@
     Kind(104, state.ClaimAnswer, claims.ClaimAnswer),
     Kind(105, state.LearnSlots, claims.LearnSlots),
     Kind(106, state.SlotAnswers, claims.SlotAnswers),
-    Kind(107, state.HandOverSlots, claims.HandOverSlots),
-    Kind(108, state.HandOverTaken, claims.HandOverTaken),
     Kind(200, state.Gossip, gossip.Gossip),
     Kind(201, state.FetchDocument, gossip.FetchDocument),
     Kind(202, state.DocumentDelta, gossip.DocumentDelta),
--- a/packages/protocol/src/hollyknot_protocol/gen/claims/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/claims/ttypes.py
@@ -1149,86 +1149,6 @@
         return not (self == other)
 
 
-class StoppedHolder(object):
-    """
-    Attributes:
-     - name
-     - active
-
-    """
-
-    __slots__ = (
-        'name',
-        'active',
-    )
-
-
-    def __init__(self, name=None, active=None,):
-        self.name = name
-        self.active = active
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.active = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('StoppedHolder')
-        if self.name is not None:
-            oprot.writeFieldBegin('name', TType.STRING, 1)
-            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
-            oprot.writeFieldEnd()
-        if self.active is not None:
-            oprot.writeFieldBegin('active', TType.I64, 2)
-            oprot.writeI64(self.active)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class SlotAnswer(object):
     """
     Attributes:
@@ -1237,11 +1157,12 @@
      - question
      - active
      - epochs
+     - seen_from
+     - seen_to
      - horizon_ms
      - records
      - after
      - more
-     - stopped
 
     """
 
@@ -1251,25 +1172,27 @@
         'question',
         'active',
         'epochs',
+        'seen_from',
+        'seen_to',
         'horizon_ms',
         'records',
         'after',
         'more',
-        'stopped',
     )
 
 
-    def __init__(self, slot=None, kind=None, question=None, active=None, epochs=None, horizon_ms=None, records=None, after=None, more=None, stopped=None,):
+    def __init__(self, slot=None, kind=None, question=None, active=None, epochs=None, seen_from=None, seen_to=None, horizon_ms=None, records=None, after=None, more=None,):
         self.slot = slot
         self.kind = kind
         self.question = question
         self.active = active
         self.epochs = epochs
+        self.seen_from = seen_from
+        self.seen_to = seen_to
         self.horizon_ms = horizon_ms
         self.records = records
         self.after = after
         self.more = more
-        self.stopped = stopped
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1314,10 +1237,20 @@
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.I64:
-                    self.horizon_ms = iprot.readI64()
+                    self.seen_from = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
+                if ftype == TType.I64:
+                    self.seen_to = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.horizon_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
                 if ftype == TType.LIST:
                     self.records = []
                     (_etype51, _size48) = iprot.readListBegin()
@@ -1328,27 +1261,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
+            elif fid == 10:
                 if ftype == TType.STRING:
                     self.after = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
+            elif fid == 11:
                 if ftype == TType.BOOL:
                     self.more = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.LIST:
-                    self.stopped = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = StoppedHolder()
-                        _elem59.read(iprot)
-                        self.stopped.append(_elem59)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1378,36 +1300,37 @@
         if self.epochs is not None:
             oprot.writeFieldBegin('epochs', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.epochs))
-            for iter60 in self.epochs:
-                iter60.write(oprot)
+            for iter54 in self.epochs:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.seen_from is not None:
+            oprot.writeFieldBegin('seen_from', TType.I64, 6)
+            oprot.writeI64(self.seen_from)
+            oprot.writeFieldEnd()
+        if self.seen_to is not None:
+            oprot.writeFieldBegin('seen_to', TType.I64, 7)
+            oprot.writeI64(self.seen_to)
+            oprot.writeFieldEnd()
         if self.horizon_ms is not None:
-            oprot.writeFieldBegin('horizon_ms', TType.I64, 6)
+            oprot.writeFieldBegin('horizon_ms', TType.I64, 8)
             oprot.writeI64(self.horizon_ms)
             oprot.writeFieldEnd()
         if self.records is not None:
-            oprot.writeFieldBegin('records', TType.LIST, 7)
+            oprot.writeFieldBegin('records', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter61 in self.records:
-                iter61.write(oprot)
+            for iter55 in self.records:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.after is not None:
-            oprot.writeFieldBegin('after', TType.STRING, 8)
+            oprot.writeFieldBegin('after', TType.STRING, 10)
             oprot.writeBinary(self.after)
             oprot.writeFieldEnd()
         if self.more is not None:
-            oprot.writeFieldBegin('more', TType.BOOL, 9)
+            oprot.writeFieldBegin('more', TType.BOOL, 11)
             oprot.writeBool(self.more)
             oprot.writeFieldEnd()
-        if self.stopped is not None:
-            oprot.writeFieldBegin('stopped', TType.LIST, 10)
-            oprot.writeListBegin(TType.STRUCT, len(self.stopped))
-            for iter62 in self.stopped:
-                iter62.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1460,11 +1383,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.answers = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = SlotAnswer()
-                        _elem68.read(iprot)
-                        self.answers.append(_elem68)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = SlotAnswer()
+                        _elem61.read(iprot)
+                        self.answers.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1481,242 +1404,8 @@
         if self.answers is not None:
             oprot.writeFieldBegin('answers', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter69 in self.answers:
-                iter69.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class HandOverSlots(object):
-    """
-    Attributes:
-     - answers
-
-    """
-
-    __slots__ = (
-        'answers',
-    )
-
-
-    def __init__(self, answers=None,):
-        self.answers = answers
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.LIST:
-                    self.answers = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = SlotAnswer()
-                        _elem75.read(iprot)
-                        self.answers.append(_elem75)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('HandOverSlots')
-        if self.answers is not None:
-            oprot.writeFieldBegin('answers', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter76 in self.answers:
-                iter76.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class SlotPage(object):
-    """
-    Attributes:
-     - slot
-     - after
-
-    """
-
-    __slots__ = (
-        'slot',
-        'after',
-    )
-
-
-    def __init__(self, slot=None, after=None,):
-        self.slot = slot
-        self.after = after
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I32:
-                    self.slot = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.after = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('SlotPage')
-        if self.slot is not None:
-            oprot.writeFieldBegin('slot', TType.I32, 1)
-            oprot.writeI32(self.slot)
-            oprot.writeFieldEnd()
-        if self.after is not None:
-            oprot.writeFieldBegin('after', TType.STRING, 2)
-            oprot.writeBinary(self.after)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class HandOverTaken(object):
-    """
-    Attributes:
-     - pages
-
-    """
-
-    __slots__ = (
-        'pages',
-    )
-
-
-    def __init__(self, pages=None,):
-        self.pages = pages
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.LIST:
-                    self.pages = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = SlotPage()
-                        _elem82.read(iprot)
-                        self.pages.append(_elem82)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('HandOverTaken')
-        if self.pages is not None:
-            oprot.writeFieldBegin('pages', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.pages))
-            for iter83 in self.pages:
-                iter83.write(oprot)
+            for iter62 in self.answers:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1824,12 +1513,6 @@
     (2, TType.LIST, 'held', (TType.STRUCT, [HeldAttempt, None], False), None, ),  # 2
     (3, TType.LIST, 'refused', (TType.STRUCT, [Attempt, None], False), None, ),  # 3
 )
-all_structs.append(StoppedHolder)
-StoppedHolder.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'active', None, None, ),  # 2
-)
 all_structs.append(SlotAnswer)
 SlotAnswer.thrift_spec = (
     None,  # 0
@@ -1838,32 +1521,17 @@
     (3, TType.STRUCT, 'question', [HolderEpoch, None], None, ),  # 3
     (4, TType.I64, 'active', None, None, ),  # 4
     (5, TType.LIST, 'epochs', (TType.STRUCT, [HolderEpoch, None], False), None, ),  # 5
-    (6, TType.I64, 'horizon_ms', None, None, ),  # 6
-    (7, TType.LIST, 'records', (TType.STRUCT, [ClaimRecord, None], False), None, ),  # 7
-    (8, TType.STRING, 'after', 'BINARY', None, ),  # 8
-    (9, TType.BOOL, 'more', None, None, ),  # 9
-    (10, TType.LIST, 'stopped', (TType.STRUCT, [StoppedHolder, None], False), None, ),  # 10
+    (6, TType.I64, 'seen_from', None, None, ),  # 6
+    (7, TType.I64, 'seen_to', None, None, ),  # 7
+    (8, TType.I64, 'horizon_ms', None, None, ),  # 8
+    (9, TType.LIST, 'records', (TType.STRUCT, [ClaimRecord, None], False), None, ),  # 9
+    (10, TType.STRING, 'after', 'BINARY', None, ),  # 10
+    (11, TType.BOOL, 'more', None, None, ),  # 11
 )
 all_structs.append(SlotAnswers)
 SlotAnswers.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'answers', (TType.STRUCT, [SlotAnswer, None], False), None, ),  # 1
 )
-all_structs.append(HandOverSlots)
-HandOverSlots.thrift_spec = (
-    None,  # 0
-    (1, TType.LIST, 'answers', (TType.STRUCT, [SlotAnswer, None], False), None, ),  # 1
-)
-all_structs.append(SlotPage)
-SlotPage.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'slot', None, None, ),  # 1
-    (2, TType.STRING, 'after', 'BINARY', None, ),  # 2
-)
-all_structs.append(HandOverTaken)
-HandOverTaken.thrift_spec = (
-    None,  # 0
-    (1, TType.LIST, 'pages', (TType.STRUCT, [SlotPage, None], False), None, ),  # 1
-)
 fix_spec(all_structs)
 del all_structs
--- a/packages/state/src/hollyknot_state/_claim_messages.py
+++ b/packages/state/src/hollyknot_state/_claim_messages.py
@@ -268,19 +268,6 @@
     refused: tuple[Attempt, ...] = ()
 
 
-@attrs.frozen
-class StoppedHolder:
-    """A holder that has stopped and never grants again.
-
-    Attributes:
-        name: The host's name.
-        active: The newest revision for which it was active; 0 for none.
-    """
-
-    name: str
-    active: int = 0
-
-
 @attrs.frozen
 class SlotAnswer:
     """What a host knows of one slot.
@@ -291,12 +278,13 @@
         question: The epoch of the question.
         active: The newest revision for which it was active; 0 for none.
         epochs: Epochs that it knows, the one that it was active for and later.
+        seen_from: With `seen_to`, a range of revisions of the host list all
+            of which it has seen, so that `epochs` has every change in it.
+        seen_to: The end of the range; 0 for none.
         horizon_ms: Keys of this time and before are never granted.
         records: A page of its records, by rising key.
         after: The last key of the page; ask with it for the next.
         more: Whether there are further pages.
-        stopped: Hosts whose last knowledge is part of this answer, with the
-            revision for which each was active.
     """
 
     slot: int = attrs.field(validator=_not_negative)
@@ -304,11 +292,12 @@
     question: HolderEpoch
     active: int = 0
     epochs: tuple[HolderEpoch, ...] = ()
+    seen_from: int = 0
+    seen_to: int = 0
     horizon_ms: int = 0
     records: tuple[ClaimRecord, ...] = ()
     after: bytes = b""
     more: bool = False
-    stopped: tuple[StoppedHolder, ...] = ()
 
 
 @attrs.frozen
@@ -323,41 +312,6 @@
     answers: tuple[SlotAnswer, ...]
 
 
-@attrs.frozen
-class HandOverSlots:
-    """A stopping host's last knowledge, which it sends unasked.
-
-    Attributes:
-        answers: One or more pages; a slot counts when its last page came.
-    """
-
-    answers: tuple[SlotAnswer, ...]
-
-
-@attrs.frozen
-class SlotPage:
-    """Names a page of records.
-
-    Attributes:
-        slot: The slot.
-        after: The last key of the page; empty for a page without records.
-    """
-
-    slot: int
-    after: bytes = b""
-
-
-@attrs.frozen
-class HandOverTaken:
-    """Says that the pages of a `HandOverSlots` were taken in.
-
-    Attributes:
-        pages: The slot and last key of each page that was taken.
-    """
-
-    pages: tuple[SlotPage, ...]
-
-
 ClaimMessage = (
     GrantClaim
     | CancelClaim
@@ -366,7 +320,5 @@
     | ClaimAnswer
     | LearnSlots
     | SlotAnswers
-    | HandOverSlots
-    | HandOverTaken
 )
 """Every message of this module that travels by itself."""
