Measure what a host costs with make cost

Cause: nothing told what a request, a streamed token, an open stream or control cost a host.

Change: 'make cost' drives real processes over loopback. Load generators are processes of their own and take the host's CPU time from /proc at the very edges of their window; requests go in turn by the host and straight to the stand-in, so that both see the same moments.

--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/_cost_condense.py
@@ -0,0 +1,86 @@
+"""Condenses the rounds of loads on one host into measures."""
+
+import operator
+from collections.abc import Callable, Iterator
+
+from hollyknot_bench._cost_messages import StreamResult, WholeResult
+from hollyknot_bench._cost_runner import Measure, busiest
+
+HOST = "host"
+DIRECT = "direct"
+"""Names under which load generators report the two ways to an upstream."""
+
+
+def joined(results: list[StreamResult]) -> StreamResult:
+    """Returns the sum of load generators that ran side by side."""
+    cpu_s = {
+        name: max(r.cpu_s[name] for r in results) for name in results[0].cpu_s
+    }
+    return StreamResult(
+        tokens=sum(r.tokens for r in results),
+        parts=sum(r.parts for r in results),
+        failed=sum(r.failed for r in results),
+        cpu_s=cpu_s,
+        elapsed_s=max(r.elapsed_s for r in results),
+    )
+
+
+def whole_measures(kind: str, results: list[WholeResult]) -> Iterator[Measure]:
+    """Yields the cost and the added latency of whole answers.
+
+    Args:
+        kind: Of the requests, the measures' prefix.
+        results: Of each round.
+    """
+    cpu = [r.cpu_s[HOST] / r.latencies[HOST].count * 1e6 for r in results]
+    failed = sum(r.failed for r in results)
+    note = f"{failed} failed; {_busiest(results[-1])}"
+    yield Measure(f"{kind}_cpu", "us/request", tuple(cpu), 0, note)
+    for part in ("p50", "p95", "p99"):
+        of = operator.attrgetter(part)
+        added = [
+            (of(r.latencies[HOST]) - of(r.latencies[DIRECT])) / 1000
+            for r in results
+        ]
+        yield Measure(f"{kind}_added_latency_{part}", "ms", tuple(added))
+
+
+def stream_measures(
+    prefix: str, results: list[StreamResult]
+) -> Iterator[Measure]:
+    """Yields the cost of streamed tokens, and what limited their number.
+
+    Args:
+        prefix: Of the measures.
+        results: Of each round.
+    """
+
+    def by_round(value: Callable[[StreamResult], float]) -> tuple[float, ...]:
+        return tuple(value(r) for r in results)
+
+    failed = sum(r.failed for r in results)
+    parts = sum(r.parts for r in results) / sum(r.tokens for r in results)
+    yield Measure(
+        f"{prefix}streamed_token_cpu",
+        "us/token",
+        by_round(lambda r: r.cpu_s[HOST] / r.tokens * 1e6),
+        1,
+        f"{parts:.2f} parts a token, {failed} streams failed",
+    )
+    yield Measure(
+        f"{prefix}streamed_tokens",
+        "tokens/s",
+        by_round(lambda r: r.tokens / r.elapsed_s),
+        0,
+        _busiest(results[-1]),
+    )
+    yield Measure(
+        f"{prefix}streaming_host_cpu",
+        "cores",
+        by_round(lambda r: r.cpu_s[HOST] / r.elapsed_s),
+    )
+
+
+def _busiest(result: WholeResult | StreamResult) -> str:
+    shares = {n: cpu / result.elapsed_s for n, cpu in result.cpu_s.items()}
+    return busiest(shares)
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/_cost_control.py
@@ -0,0 +1,131 @@
+"""Measures what hosts spend on control: their links, probes and timers."""
+
+import asyncio
+
+import aiohttp
+import attrs
+import click
+import orjson
+
+from hollyknot_bench._cost_messages import QUOTE, Target, WholeLoad
+from hollyknot_bench._cost_process import cpu_of
+from hollyknot_bench._cost_runner import Measure, run_whole
+from hollyknot_bench._cost_sizes import Sizes
+from hollyknot_bench._fleet import SERVICE, Fleet, FleetOptions, running_fleet
+from hollyknot_bench.demo import headers, until_ready
+
+_SETTLE_S = 5.0
+"""Seconds after the start in which hosts still fetch documents."""
+
+
+@attrs.frozen
+class _Traffic:
+    sent: int
+    received: int
+
+
+@attrs.frozen
+class _Spent:
+    """What one host spent in one window, by second."""
+
+    sent: float
+    received: float
+    cores: float
+
+
+async def measure_control(sizes: Sizes, seed: int) -> list[Measure]:
+    """Runs two data centres of two hosts, idle and under load.
+
+    Args:
+        sizes: How much is measured.
+        seed: Of the arrivals.
+    """
+    async with (
+        running_fleet(FleetOptions()) as fleet,
+        aiohttp.ClientSession() as session,
+    ):
+        await until_ready(session, fleet)
+        await asyncio.sleep(_SETTLE_S)
+        idle = await _windows(session, fleet, sizes, "idle")
+        load = _load(fleet, sizes, seed)
+        running = asyncio.ensure_future(run_whole(load))
+        loaded = await _windows(session, fleet, sizes, "loaded")
+        await running
+    cores = [s.cores * 100 for s in idle]
+    return [
+        Measure("control_cpu_idle", "% of a core a host", tuple(cores)),
+        *_traffic_measures("idle", idle),
+        *_traffic_measures("loaded", loaded),
+    ]
+
+
+def _traffic_measures(state: str, spent: list[_Spent]) -> list[Measure]:
+    unit = "bytes/s a host"
+    sent = tuple(s.sent for s in spent)
+    received = tuple(s.received for s in spent)
+    note = "frames on links, without TLS, TCP and the platform's watch"
+    return [
+        Measure(f"control_sent_{state}", unit, sent, 0, note),
+        Measure(f"control_received_{state}", unit, received, 0, note),
+    ]
+
+
+def _load(fleet: Fleet, sizes: Sizes, seed: int) -> WholeLoad:
+    targets = [
+        Target(
+            host,
+            f"{fleet.callers_url(host)}/v1/services/{SERVICE}/quote",
+            headers("caseworkers", "lookup"),
+            QUOTE,
+        )
+        for host in fleet.hosts
+    ]
+    # It outlasts the windows, each of which asks for a status twice.
+    duration_s = sizes.control_rounds * (sizes.control_seconds + 0.5)
+    return WholeLoad(tuple(targets), sizes.rate, duration_s, seed)
+
+
+async def _windows(
+    session: aiohttp.ClientSession, fleet: Fleet, sizes: Sizes, state: str
+) -> list[_Spent]:
+    spent: list[_Spent] = []
+    for number in range(sizes.control_rounds):
+        click.echo(f"control, {state}, round {number + 1} ...", err=True)
+        spent += await _window(session, fleet, sizes.control_seconds)
+    return spent
+
+
+async def _window(
+    session: aiohttp.ClientSession, fleet: Fleet, seconds: float
+) -> list[_Spent]:
+    pids = {name: host.pid for name, host in fleet.hosts.items()}
+    clock = asyncio.get_running_loop().time
+    # The CPU's window lies within that of the traffic, so that the cost of
+    # asking for the status isn't counted.
+    before = await _traffic(session, fleet)
+    cpu_before, began_s = cpu_of(pids), clock()
+    await asyncio.sleep(seconds)
+    cpu_after, took_s = cpu_of(pids), clock() - began_s
+    after = await _traffic(session, fleet)
+    return [
+        _Spent(
+            (after[name].sent - before[name].sent) / took_s,
+            (after[name].received - before[name].received) / took_s,
+            (cpu_after[name] - cpu_before[name]) / took_s,
+        )
+        for name in pids
+    ]
+
+
+async def _traffic(
+    session: aiohttp.ClientSession, fleet: Fleet
+) -> dict[str, _Traffic]:
+    found = {}
+    for name in fleet.hosts:
+        async with session.get(fleet.operators_url(name) + "/status") as got:
+            links = orjson.loads(await got.read())["links"].values()
+        found[name] = _Traffic(
+            sum(kind["sent_bytes"] for kind in links),
+            sum(kind["received_bytes"] for kind in links),
+        )
+    return found
--- a/packages/bench/src/hollyknot_bench/_fleet.py
+++ b/packages/bench/src/hollyknot_bench/_fleet.py
@@ -66,6 +66,8 @@
         data_centres: Names of the data centres.
         token_interval_s: The engines' time between tokens.
         slots: The engines' batch size.
+        engine_tokens: The length of the engines' answers, unless a request's
+            `max_tokens` is less.
         trace_dir: Where hosts write their spans; nowhere if absent.
         log_dir: Where the output of all processes goes besides.
     """
@@ -76,6 +78,7 @@
     data_centres: tuple[str, ...] = DATA_CENTRES
     token_interval_s: float = 0.005
     slots: int = 64
+    engine_tokens: int = 16
     trace_dir: pathlib.Path | None = None
     log_dir: pathlib.Path | None = None
 
@@ -193,6 +196,10 @@
                 name,
                 "--slots",
                 str(options.slots),
+                "--min-tokens",
+                str(options.engine_tokens),
+                "--max-tokens",
+                str(options.engine_tokens),
                 "--interval-s",
                 str(options.token_interval_s),
             )
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/cost.py
@@ -0,0 +1,46 @@
+"""`make cost`: what a host costs, from real processes over loopback.
+
+Prints one JSON object a line; progress goes to standard error.
+"""
+
+import asyncio
+
+import click
+
+from hollyknot_bench._cost_control import measure_control
+from hollyknot_bench._cost_data_path import measure_data_path
+from hollyknot_bench._cost_sizes import FULL, QUICK, Sizes
+
+
+async def _measure_all(sizes: Sizes, seed: int, only: str) -> None:
+    if only in ("all", "data"):
+        async for found in measure_data_path(sizes, seed):
+            click.echo(found.line())
+    if only in ("all", "control"):
+        for found in await measure_control(sizes, seed):
+            click.echo(found.line())
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="Of the arrivals.")
+@click.option("--quick", is_flag=True, help="One short round of each.")
+@click.option(
+    "--only",
+    type=click.Choice(("all", "data", "control")),
+    default="all",
+    show_default=True,
+    help="Which part to measure.",
+)
+def main(seed: int, quick: bool, only: str) -> None:
+    """Measures what a host costs and prints a JSON object a line.
+
+    Each value is the median of some rounds, with their spread. All processes
+    share this machine, so that figures of a busy one are too high.
+
+    Example: python -m hollyknot_bench.cost --quick --only data
+    """
+    asyncio.run(_measure_all(QUICK if quick else FULL, seed, only))
+
+
+if __name__ == "__main__":
+    main()
