--- a/packages/protocol/src/hollyknot_protocol/_codec.py
+++ b/packages/protocol/src/hollyknot_protocol/_codec.py
@@ -155,9 +155,10 @@
 
 
 def _read(entry: _Entry, body: bytes) -> Any:
-    # Every string and container element takes a byte at least, so a length
-    # above the body's is a lie. Unchecked, a list of five bytes that claims
-    # two thousand million elements would make the decoder reserve 16 GB.
+    # Every string byte and container element takes a byte at least, so a
+    # length above the body's is a lie. The decoder would meet the end of the
+    # bytes anyhow; the limit refuses at once, and does not lean on how much a
+    # version of the decoder reserves before that.
     limit = max(1, len(body))
     buffer = TMemoryBuffer(body)
     protocol = TCompactProtocolAccelerated(
--- a/packages/transport/src/hollyknot_transport/_links_link.py
+++ b/packages/transport/src/hollyknot_transport/_links_link.py
@@ -111,7 +111,8 @@
             self.abort(LinkErrorReason.LOST)
             for task in tasks:
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            results = await asyncio.gather(*tasks, return_exceptions=True)
+            self._log_faults(results)
         await self._end_handlers()
 
     def abort(self, reason: LinkErrorReason, detail: str = "") -> None:
@@ -190,6 +191,18 @@
     def _put(self, item: Outgoing) -> bool:
         return self._end is None and self._outbox.put(item)
 
+    def _log_faults(self, results: list[BaseException | None]) -> None:
+        # A fault of this program in one of the tasks ends the link like any
+        # loss; without a line nobody would learn of it.
+        for result in results:
+            if isinstance(result, Exception):
+                _log.error(
+                    "link_failed",
+                    ip=self._peer.ip,
+                    peer=self._peer.host,
+                    exc_info=result,
+                )
+
     async def _end_handlers(self) -> None:
         # What a peer asked for is done to its end, also when its link is
         # lost: a handler stopped between two steps could leave a half of
