Test spread, membership and signals under faults, and mend what fell

The tests found: a suspect heard of it from nobody and died after a cut had healed; suspicions that timed out during a suspected partition all fell due at its end; one host back from a cut told that all others were suspect; a lost request let a new host serve below the version it had heard of. Ruled out: to count what is heard only while a source can be asked (a request lost three times in a row would unblock), and to keep suspicions to oneself in any partition (readers beyond the cut would be replaced too slowly). State machine with loss, duplicates, reordering, cuts, pauses, replaced hosts and a platform that is down, older or invalid.

--- a/packages/coordination/src/hollyknot_coordination/membership/_membership.py
+++ b/packages/coordination/src/hollyknot_coordination/membership/_membership.py
@@ -57,6 +57,11 @@
         """Peers that are alive or suspect."""
         return self._table.in_state(MemberState.ALIVE, MemberState.SUSPECT)
 
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """Peers that are suspect."""
+        return self._table.in_state(MemberState.SUSPECT)
+
     @property
     def dead(self) -> tuple[str, ...]:
         """Peers that are listed and believed dead."""
@@ -116,6 +121,13 @@
                 commands.append(Send(peer, refutation))
         return [*self._take_reports(), *commands]
 
+    def hear(self, peer: str) -> list[PeerCommand]:
+        """Takes that any message of a peer came."""
+        if not self._table.hear(peer):
+            return []
+        self._refresh()
+        return [ReportMember(peer, MemberState.ALIVE)]
+
     def on_probe(self, peer: str, probe: Probe) -> list[Send]:
         """Answers a probe."""
         return self._prober.on_probe(peer, probe)
@@ -178,6 +190,11 @@
             return
         self._news.add(host)
         self._changed_s[host] = now_s
+        if self._table.is_isolated:
+            # A host that was cut off by itself would tell, when it is back,
+            # that all others are suspect. One would notice each data centre
+            # losing its readers for seconds whenever one host's link heals.
+            self._news.clear()
         if change is MemberChange.NEWS:
             self._reports.append(ReportMember(host, self._table.state_of(host)))
             self._refresh()
--- a/packages/coordination/src/hollyknot_coordination/membership/_table.py
+++ b/packages/coordination/src/hollyknot_coordination/membership/_table.py
@@ -24,6 +24,9 @@
 by one. A cut leaves at least one side with a larger share unreachable.
 """
 
+ISOLATION_SHARE = 0.9
+"""The share of unreachable peers from which this host itself is cut off."""
+
 PARTITION_MIN_PEERS = 2
 """One lost peer of several is a crash, however few there are."""
 
@@ -81,6 +84,12 @@
         least = max(PARTITION_MIN_PEERS, peers * PARTITION_SHARE)
         return peers > 0 and self._unreachable >= min(peers, least)
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether hardly any peer is reachable: this host is cut off."""
+        peers = len(self._members)
+        return peers > 0 and self._unreachable >= peers * ISOLATION_SHARE
+
     def state_of(self, host: str) -> MemberState:
         """Returns the belief about a listed peer."""
         return self._members[host].state
@@ -137,6 +146,24 @@
             MemberUpdate(host, MemberState.SUSPECT, member.incarnation), now_s
         )
 
+    def hear(self, host: str) -> bool:
+        """Takes that a peer's message came; tells whether it was a suspect.
+
+        What came from it is evidence enough for this host. A dead one has to
+        refute all the same, since all others hold it for dead too. A host that
+        was isolated begins anew with all suspects: it could tell nobody of
+        them, so that none could refute it.
+        """
+        member = self._members.get(host)
+        if member is None or member.state is not MemberState.SUSPECT:
+            return False
+        cleared = self._members.values() if self.is_isolated else (member,)
+        for suspect in cleared:
+            if suspect.state is MemberState.SUSPECT:
+                suspect.state = MemberState.ALIVE
+        self._count()
+        return True
+
     def expire(self, timeout_s: float, now_s: float) -> tuple[str, ...]:
         """Turns old suspicions into deaths, but not in a suspected partition.
 
@@ -144,6 +171,10 @@
             The hosts that are believed dead from now on.
         """
         if self.is_partition_suspected:
+            # Timers begin anew when it ends: the first hosts to answer after
+            # a cut would otherwise let all others die at that moment.
+            for member in self._members.values():
+                member.since_s = now_s
             return ()
         dead = []
         for host, member in self._members.items():
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/membership/tests/test_membership.py
@@ -0,0 +1,201 @@
+"""Liveness under crashes, pauses and cuts, over the in-memory network."""
+
+import random
+
+import pytest
+
+from hollyknot_coordination.membership import (
+    MemberChange,
+    Membership,
+    MemberTable,
+    choose_readers,
+    rank_hosts,
+)
+from hollyknot_coordination.spread.tests.network import Network
+from hollyknot_state import MemberState, MemberUpdate, ProbeAck
+
+HOSTS = {f"h{i}": "a" for i in range(16)}
+ALIVE, SUSPECT, DEAD = MemberState
+
+
+def make_network() -> Network:
+    """Starts sixteen hosts of one data centre that know each other."""
+    network = Network()
+    network.platform.publish_hosts(1, HOSTS)
+    for name in HOSTS:
+        network.add(name, "a")
+    network.run(10)
+    return network
+
+
+def seen_alive(network: Network, host: str) -> list[bool]:
+    """Returns for each other host whether it believes a host alive."""
+    return [
+        host in n.state.alive_peers("a")
+        for n in network.nodes.values()
+        if n.name != host
+    ]
+
+
+class TestMembership:
+    """What hosts believe of each other."""
+
+    def test_a_crashed_host_is_found_by_all(self) -> None:
+        network = make_network()
+        assert all(seen_alive(network, "h3"))
+        del network.nodes["h3"]
+        network.run(40)
+        assert not any(seen_alive(network, "h3"))
+        assert not network.nodes["h0"].state.is_partition_suspected
+
+    def test_a_host_that_one_peer_cannot_reach_stays_alive(self) -> None:
+        """Symptom: a healthy host flaps between alive and suspect.
+
+        One peer's link to it has gone silent. Cause: suspicion by one's own
+        probe alone.
+        """
+        network = make_network()
+        network.is_cut = lambda a, b: {a, b} == {"h3", "h4"}
+        for _ in range(40):
+            network.run(1)
+            assert all(seen_alive(network, "h3"))
+
+    def test_a_paused_host_refutes_its_death(self) -> None:
+        """Symptom: a host that was paused gets no gossip any more.
+
+        It is believed dead, and its links were closed while it slept, so that
+        it has not heard so. Cause: a dead host that nobody probes any more.
+        """
+        network = make_network()
+        network.nodes["h3"].paused_until_s = network.now_s + 60
+        network.run(50)
+        assert not any(seen_alive(network, "h3"))
+        network.run(9)
+        network.nodes["h3"].deferred.clear()
+        network.run(40)
+        assert all(seen_alive(network, "h3"))
+
+    def test_a_host_that_was_cut_off_is_found_again(self) -> None:
+        """Symptom: a data centre loses its readers when one link heals.
+
+        One host was cut off for a minute, suspects all others and tells them
+        so when it is back. Cause: news of a host that was itself cut off.
+        """
+        network = make_network()
+        network.is_cut = lambda a, b: "h3" in (a, b)
+        network.run(60)
+        assert not any(seen_alive(network, "h3"))
+        network.is_cut = lambda _a, _b: False
+        for _ in range(80):
+            network.run(0.5)
+            for node in network.nodes.values():
+                # h3 itself may be missing, and the target of the probe that
+                # h3 had under way when its link healed.
+                if node.name != "h3":
+                    assert len(node.state.alive_peers("a")) >= 13
+        assert all(seen_alive(network, "h3"))
+        assert len(network.nodes["h3"].state.alive_peers("a")) == 15
+
+    def test_a_host_that_wakes_blames_nobody(self) -> None:
+        """Symptom: suspicions of healthy hosts after each long pause.
+
+        A host sends a probe, is paused and looks at its clock first when it
+        wakes; the answer lies unread. Cause: time that passed while it slept.
+        """
+        membership = Membership("h0", random.Random(1), 0.0)
+        membership.set_hosts(frozenset({"h1", "h2"}), 0.0)
+        membership.on_tick(1.0)
+        membership.on_tick(31.0)
+        assert membership.alive == ("h1", "h2")
+        membership.on_ack(ProbeAck(1))
+        membership.on_tick(31.9)
+        assert membership.alive == ("h1", "h2")
+
+    def test_a_cut_is_not_taken_for_a_mass_death(self) -> None:
+        """Symptom: after a cut each half holds the other for dead.
+
+        A data centre is cut in halves for a minute, then heals. Cause:
+        suspicions that turn into deaths whatever their number.
+        """
+        network = make_network()
+        half = {f"h{i}" for i in range(8)}
+        network.is_cut = lambda a, b: (a in half) != (b in half)
+        network.run(60)
+        for node in network.nodes.values():
+            assert node.state.is_partition_suspected
+            same = {h for h in HOSTS if (h in half) == (node.name in half)}
+            assert set(node.state.alive_peers("a")) == same - {node.name}
+            assert set(node.state.readers) <= same
+        network.is_cut = lambda _a, _b: False
+        network.run(40)
+        for node in network.nodes.values():
+            states = {r.state for r in node.reports if hasattr(r, "state")}
+            assert DEAD not in states
+            assert not node.state.is_partition_suspected
+            assert len(node.state.alive_peers("a")) == 15
+
+    def test_the_host_list_ends_a_suspected_partition(self) -> None:
+        """Symptom: a partition is reported for ever after a rack has burnt.
+
+        The platform takes the lost hosts off its list. Cause: waiting for
+        hosts that will not answer.
+        """
+        network = make_network()
+        lost = [f"h{i}" for i in range(6)]
+        for name in lost:
+            del network.nodes[name]
+        network.run(40)
+        assert network.nodes["h9"].state.is_partition_suspected
+        kept = {h: d for h, d in HOSTS.items() if h not in lost}
+        network.platform.publish_hosts(2, kept)
+        network.run(10)
+        assert not network.nodes["h9"].state.is_partition_suspected
+
+
+class TestMemberTable:
+    """The order of beliefs."""
+
+    @pytest.mark.parametrize(
+        ("first", "second", "believed"),
+        [
+            ((ALIVE, 1), (SUSPECT, 1), SUSPECT),
+            ((SUSPECT, 1), (ALIVE, 1), SUSPECT),
+            ((SUSPECT, 1), (ALIVE, 2), ALIVE),
+            ((DEAD, 1), (SUSPECT, 1), DEAD),
+            ((DEAD, 1), (ALIVE, 2), ALIVE),
+            ((ALIVE, 2), (DEAD, 1), ALIVE),
+        ],
+    )
+    def test_the_order_of_arrival_does_not_matter(
+        self,
+        first: tuple[MemberState, int],
+        second: tuple[MemberState, int],
+        believed: MemberState,
+    ) -> None:
+        for pair in ((first, second), (second, first)):
+            table = MemberTable("h0")
+            table.set_hosts(frozenset({"h1", "h2", "h3"}), 0.0)
+            for state, incarnation in pair:
+                table.merge(MemberUpdate("h1", state, incarnation), 0.0)
+            assert table.state_of("h1") is believed
+
+    def test_a_host_refutes_with_a_higher_incarnation(self) -> None:
+        table = MemberTable("h0")
+        blame = MemberUpdate("h0", DEAD, 4)
+        assert table.merge(blame, 0.0) is MemberChange.REFUTED
+        assert table.own == MemberUpdate("h0", ALIVE, 5)
+        assert table.merge(blame, 0.0) is MemberChange.KNOWN
+
+
+class TestReaders:
+    """Rendezvous hashing of readers."""
+
+    def test_a_lost_reader_changes_no_other(self) -> None:
+        ranked = rank_hosts(HOSTS)
+        before = choose_readers(ranked, frozenset(HOSTS))
+        after = choose_readers(ranked, frozenset(HOSTS) - {before[0]})
+        assert after[:2] == before[1:]
+
+    def test_hosts_with_different_lists_rank_alike(self) -> None:
+        kept = tuple(h for h in rank_hosts(HOSTS) if h != "h5")
+        assert rank_hosts(HOSTS.keys() - {"h5"}) == kept
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/signals/tests/test_signals.py
@@ -0,0 +1,172 @@
+"""Soft signals: which one wins, how they age, how they spread."""
+
+import itertools
+import random
+
+import attrs
+import pytest
+
+from hollyknot_coordination.signals import SignalStore
+from hollyknot_coordination.signals._store import MESSAGE_ENTRIES
+from hollyknot_coordination.spread.tests.network import Network
+from hollyknot_state import (
+    Gossip,
+    SignKind,
+    SuspectRecord,
+    TierPressure,
+    UpstreamSign,
+)
+
+HEALTHY, LOST = SignKind.HEALTHY, SignKind.LOST
+
+
+def make_store(now_s: float = 100.0) -> SignalStore:
+    """Returns an empty store."""
+    return SignalStore(random.Random(1), now_s)
+
+
+def kinds(store: SignalStore, now_s: float) -> list[SignKind]:
+    """Returns the kinds of all signs."""
+    return [s.kind for s in store.signs(now_s)]
+
+
+class TestSigns:
+    """Signs of upstreams."""
+
+    @pytest.mark.parametrize(
+        ("healthy_ms", "lost_ms", "kind"),
+        [
+            (500, 3_000, HEALTHY),
+            (2_000, 3_000, LOST),
+            (3_000, 500, LOST),
+            (1_000, 1_000, LOST),
+        ],
+    )
+    def test_a_healthy_sign_must_be_clearly_younger(
+        self, healthy_ms: int, lost_ms: int, kind: SignKind
+    ) -> None:
+        """Symptom: work is sent to an upstream that was just lost.
+
+        A healthy sign from before the loss lay in a paused host's socket and
+        arrives with an age that is too small. Cause: the youngest wins.
+        """
+        signs = (
+            UpstreamSign("u", HEALTHY, healthy_ms),
+            UpstreamSign("u", LOST, lost_ms),
+        )
+        for order in itertools.permutations(signs):
+            store = make_store()
+            for sign in order:
+                store.note_sign(sign, 100.0)
+            assert kinds(store, 100.0) == [kind]
+
+    def test_what_lay_unread_in_a_pause_is_as_old_as_the_pause(self) -> None:
+        """Symptom: a lost upstream counts as healthy after a pause.
+
+        A healthy sign waits for eight seconds in this host's own socket while
+        the host is paused. Cause: ages that stand still there.
+        """
+        store = make_store()
+        store.note_sign(UpstreamSign("u", LOST, 3_000), 100.0)
+        gossip = Gossip(signs=(UpstreamSign("u", HEALTHY, 0),))
+        store.on_gossip(gossip, 8.0, 100.0)
+        assert kinds(store, 100.0) == [LOST]
+
+    def test_a_sign_expires(self) -> None:
+        store = make_store()
+        store.note_sign(UpstreamSign("u", LOST, 0), 100.0)
+        assert kinds(store, 129.0) == [LOST]
+        assert kinds(store, 131.0) == []
+        assert store.has_news
+        assert store.take_news(278, 131.0).signs == ()
+        assert not store.has_news
+        assert not store.note_sign(UpstreamSign("u", LOST, 40_000), 131.0)
+
+
+class TestPressures:
+    """Pressures of tiers."""
+
+    def test_the_least_age_wins(self) -> None:
+        store = make_store()
+        for age_ms in (4_000, 1_000, 2_000):
+            store.note_pressure(TierPressure("p", 1, age_ms), 100.0)
+        assert store.pressure_age_s("p", 1, 100.0) == 1.0
+        assert store.pressure_age_s("p", 2, 100.0) == float("inf")
+
+    def test_ages_never_shrink_by_hops(self) -> None:
+        """Symptom: a pressure that is over never ends.
+
+        Hosts tell it to each other in turn. Cause: ages that are rounded down
+        or that leave out the way, so that it grows younger at each hop.
+        """
+        now_s = 100.0
+        stores = [make_store(), make_store()]
+        stores[0].note_pressure(TierPressure("p", 1, 0), now_s)
+        for hop in range(300):
+            teller, hearer = stores[hop % 2], stores[1 - hop % 2]
+            gossip = Gossip(pressures=teller.pressures(now_s))
+            now_s += 0.0499
+            hearer.on_gossip(gossip, 0.0, now_s)
+        assert now_s > 100.0 + 10.0
+        assert [s.pressures(now_s) for s in stores] == [(), ()]
+
+    def test_lasting_pressure_is_told_once_a_second(self) -> None:
+        store = make_store()
+        told = 0
+        for step in range(100):
+            now_s = 100.0 + step / 10
+            told += store.note_pressure(TierPressure("p", 1, 0), now_s)
+        assert 9 <= told <= 11
+
+
+class TestMessages:
+    """What one message carries."""
+
+    def test_a_message_is_bounded_and_takes_the_most_recent_first(self) -> None:
+        store = make_store()
+        for i in range(100):
+            store.note_pressure(TierPressure(f"p{i}", 1, 50 * i), 100.0)
+        news = store.take_news(278, 100.0)
+        assert len(news.pressures) == MESSAGE_ENTRIES
+        assert max(p.age_ms for p in news.pressures) == 50 * 15
+        following = store.take_news(278, 100.0)
+        assert not set(following.pressures) & set(news.pressures)
+
+    def test_news_reaches_all_hosts_and_dies_out(self) -> None:
+        """Symptom: a poison request crashes an upstream in each host's hands.
+
+        One host saw the crash. Cause: a record that is told too few times.
+        """
+        network = Network()
+        hosts = {f"h{i}": "a" for i in range(24)}
+        network.platform.publish_hosts(1, hosts)
+        for name in hosts:
+            network.add(name, "a")
+        network.run(10)
+        record = SuspectRecord(2**64 - 1, "u1", 3, 0)
+        pressure = TierPressure("p", 1, 0)
+        network.nodes["h0"].state.note_signals(
+            network.now_s, suspects=(record,), pressures=(pressure,)
+        )
+        network.run(6)
+        for node in network.nodes.values():
+            (known,) = node.state.signals.suspects(network.now_s)
+            assert attrs.evolve(known, age_ms=0) == record
+            assert known.age_ms >= 6_000
+            assert node.state.signals.pressures(network.now_s)
+        network.run(6)
+        for node in network.nodes.values():
+            assert not node.state.signals.pressures(network.now_s)
+
+    def test_a_cut_off_host_sees_nothing_rather_than_old_signals(self) -> None:
+        """Symptom: a cut-off host sheds work for a pressure long past.
+
+        It heard of the pressure, then no more. Cause: signals that stay.
+        """
+        store = make_store()
+        store.on_gossip(
+            Gossip(pressures=(TierPressure("p", 1, 0),)), 0.0, 100.0
+        )
+        assert store.pressures(105.0)
+        assert not store.pressures(110.0)
+        assert store.silence_s(110.0) == 10.0
--- a/packages/coordination/src/hollyknot_coordination/spread/_document.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_document.py
@@ -21,6 +21,7 @@
 )
 from hollyknot_coordination.spread._delta_log import DeltaLog
 from hollyknot_coordination.spread._fetcher import Fetcher
+from hollyknot_coordination.spread._heard import HeardVersion
 from hollyknot_coordination.spread._pages import PagedDocument, PageError
 from hollyknot_coordination.spread._records import (
     Change,
@@ -107,6 +108,7 @@
         self._conflict = 0
         self._log = DeltaLog()
         self._fetcher = Fetcher(document, rng)
+        self._heard = HeardVersion()
         self._must_fetch_whole = False
         self._paged: PagedDocument | Absent = Absent.ABSENT
         self._paged_used_s = 0.0
@@ -126,15 +128,11 @@
         rejected = max((v.version for v in self._rejected), default=0)
         return max(self.version.version, rejected)
 
-    @property
-    def is_caught_up(self) -> bool:
+    def is_caught_up(self, now_s: float) -> bool:
         """Whether a version is in force and none above it is heard of."""
-        return self.version.version > 0 and not self._fetcher.wanted
-
-    @property
-    def wanted(self) -> int:
-        """The highest version heard of that is lacking; 0 for none."""
-        return self._fetcher.wanted
+        in_force = self.version.version
+        wanted = self._fetcher.wanted
+        return in_force > 0 and not self._heard.blocks(in_force, wanted, now_s)
 
     def on_platform(
         self, version: int, body: bytes, now_s: float
@@ -167,6 +165,7 @@
                 ReportConflict(self._document, version.version, peer)
             )
         if self._is_lacking(version):
+            self._heard.note(version.version, now_s)
             self._fetcher.hear(peer, version.version)
         commands.extend(self._next_request(now_s))
         return commands
@@ -255,6 +254,7 @@
             self._log.append(self._in_force, snapshot)
             self._in_force = snapshot
             self._value = value
+            self._heard.progress()
             self._must_fetch_whole = False
             version = snapshot.version.version
             commands = [Apply(self._document, version, value)]
@@ -271,6 +271,7 @@
         self, version: DocumentVersion, problems: str
     ) -> list[PeerCommand]:
         self._rejected[version] = None
+        self._heard.reject(version.version)
         while len(self._rejected) > MAX_REJECTED:
             del self._rejected[min(self._rejected, key=lambda v: v.version)]
         return [Reject(self._document, version.version, problems)]
--- a/packages/coordination/src/hollyknot_coordination/spread/_fetcher.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_fetcher.py
@@ -1,9 +1,8 @@
 """Fetches a newer version of a document from the hosts that said they hold it.
 
-Why a version that nobody can give does not block a host for ever: a version
-counts as heard of only while some source holds it. A source goes when it
-leaves the host list, is believed dead, or fails `MAX_FAILURES` requests in a
-row. When it tells of the version again it counts again.
+A source goes when it leaves the host list, is believed dead, or fails
+`MAX_FAILURES` requests in a row; when it tells of the version again it counts
+again. So a version that nobody can give any more is not asked for for ever.
 """
 
 import random
--- a/packages/coordination/src/hollyknot_coordination/spread/_peer_state.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_peer_state.py
@@ -98,10 +98,9 @@
         """Whether the host may serve; once true it stays so."""
         return self._readiness.is_ready
 
-    @property
-    def is_caught_up(self) -> bool:
+    def is_caught_up(self, now_s: float) -> bool:
         """Whether no version is heard of above those in force."""
-        return all(d.is_caught_up for d in self._documents.values())
+        return all(d.is_caught_up(now_s) for d in self._documents.values())
 
     @property
     def is_partition_suspected(self) -> bool:
@@ -166,7 +165,9 @@
     ) -> list[PeerCommand]:
         """Takes a message of an authenticated peer."""
         self._note_time(now_s)
-        commands = self._after(self._dispatch(peer, message, now_s), now_s)
+        heard = self._membership.hear(peer)
+        dispatched = self._dispatch(peer, message, now_s)
+        commands = self._after([*heard, *dispatched], now_s)
         self._check_ready(now_s)
         return commands
 
@@ -304,6 +305,9 @@
         self._next_round_s = now_s + pause_s * self._rng.uniform(0.9, 1.1)
         fanout = FANOUT if self.is_ready else max(FANOUT, CONTACTS)
         targets = sample_hosts(self._membership.alive, fanout, self._rng)
+        # A suspect that hears of it can refute it; it would otherwise die of
+        # a probe that was lost, as soon as nobody gossips to it any more.
+        targets += sample_hosts(self._membership.suspects, 1, self._rng)
         if self.is_reader:
             targets += self._topology.next_remote(self._rng)
         reply = not self.is_ready
--- a/packages/coordination/src/hollyknot_coordination/spread/_readiness.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_readiness.py
@@ -53,4 +53,4 @@
         waited_s = now_s - self._held_since_s
         has_contacts = len(self._contacts) >= min(CONTACTS, peers)
         if has_contacts or waited_s >= CONTACT_TIMEOUT_S:
-            self._is_ready = all(d.is_caught_up for d in states)
+            self._is_ready = all(d.is_caught_up(now_s) for d in states)
--- a/packages/coordination/src/hollyknot_coordination/spread/tests/network.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/tests/network.py
@@ -57,6 +57,7 @@
 
     documents: dict[DocumentKind, tuple[int, bytes]] = attrs.Factory(dict)
     is_up: bool = True
+    ignores_after: bool = False
     reads: int = 0
     bodies: int = 0
 
@@ -86,6 +87,8 @@
     next_tick_s: float = 0.0
     paused_until_s: float = 0.0
     deferred: list[tuple[str, PeerMessage]] = attrs.Factory(list)
+    ready_s: float = float("inf")
+    held_at_ready: dict[DocumentKind, int] = attrs.Factory(dict)
 
 
 class Network:
@@ -134,6 +137,11 @@
 
     def execute(self, node: Node, commands: list[PeerCommand]) -> None:
         """Does what a host's commands say."""
+        if node.state.is_ready and not node.held_at_ready:
+            node.ready_s = self.now_s
+            node.held_at_ready = {
+                d: node.state.version_in_force(d) for d in DocumentKind
+            }
         for command in commands:
             match command:
                 case Send(peer=peer, message=message):
@@ -190,7 +198,10 @@
             return
         self.platform.reads += 1
         found = self.platform.documents.get(document)
-        if found is None or found[0] <= node.state.read_after(document):
+        if found is None:
+            return
+        is_known = found[0] <= node.state.read_after(document)
+        if is_known and not self.platform.ignores_after:
             return
         self.platform.bodies += 1
         version, body = found
