Make the test of bad configuration able to fail

Cause: the test's bad version held an empty object, which is no record, and a broken JSON text right after it, so that the host never read an invalid body: with the check broken on a scratch copy the test still passed. Ruled out: a fault in the product; with the check in place both versions are refused. Change: one version with an unknown part, read before the restore; the rig is closed also when a test fails. The restored older version is guarded twice; with one guard taken out the test passes, so that half is not seen failing here.

--- a/packages/daemon/src/hollyknot_daemon/tests/test_path.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_path.py
@@ -37,8 +37,10 @@
             async with asyncio.timeout(_LIMIT_S):
                 await test(rig)
 
-        yield lambda test: runner.run(bounded(test))
-        runner.run(stack.aclose())
+        try:
+            yield lambda test: runner.run(bounded(test))
+        finally:
+            runner.run(stack.aclose())
 
 
 @pytest.fixture(name="drive", scope="module")
@@ -353,13 +355,11 @@
                 control = rig.configuration.control
                 control.publish(good)
                 await rig.until(lambda: _version(rig) == 2)
-                control.publish(good | {"weights": {}})
-                control.publish_raw("{")
-                reads = control.reads
-                await rig.until(lambda: control.reads >= reads + 2)
+                control.publish(good | {"weights": {"engine-0": 3}})
+                await _until_read(rig)
+                assert _version(rig) == 2
                 control.stale = 1
-                reads = control.reads
-                await rig.until(lambda: control.reads >= reads + 2)
+                await _until_read(rig)
                 assert _version(rig) == 2
                 response, raw = await rig.ask("/v1/models", method="GET")
                 assert response.status == 200
@@ -368,6 +368,12 @@
             drive(test)
 
 
+async def _until_read(rig: Rig) -> None:
+    """Waits until the host has taken in what is published now."""
+    reads = rig.configuration.control.reads
+    await rig.until(lambda: rig.configuration.control.reads >= reads + 2)
+
+
 def _version(rig: Rig) -> int:
     versions = rig.host.status()["versions"]
     assert isinstance(versions, dict)
