Keep suspects apart and refuse culprits on the path

Cause: the register of suspects was tested but no request went by it. Ruled out: asking it only when a request arrives: others may be lost while it waits for a slot, so it is asked again before the dispatch. Change: the dispatcher asks before each try, tells ends, takes peers' records and gives its own to gossip.

--- a/packages/daemon/src/hollyknot_daemon/_dispatch.py
+++ b/packages/daemon/src/hollyknot_daemon/_dispatch.py
@@ -23,6 +23,12 @@
     RoutingOptions,
     UpstreamTable,
 )
+from hollyknot_coordination.suspects import (
+    Isolate,
+    SuspectOptions,
+    SuspectRegister,
+)
+from hollyknot_coordination.suspects import Refuse as RefuseSuspect
 from hollyknot_state import (
     HostList,
     Outcome,
@@ -69,6 +75,7 @@
         self._rng = rng
         self._queue = AdmissionQueue(AdmissionOptions(), rng)
         self._table = UpstreamTable(RoutingOptions(), host, data_centre, rng)
+        self._suspects = SuspectRegister(SuspectOptions())
         self._waiting: dict[str, _Waiting] = {}
 
     @property
@@ -102,6 +109,9 @@
         """
         if not self._table.knows(info.pool):
             return self._no_upstream(info)
+        gate = self._suspects.gate(info.fingerprint, self._clock())
+        if isinstance(gate, RefuseSuspect):
+            return gate.verdict
         future: asyncio.Future[Place] = (
             asyncio.get_running_loop().create_future()
         )
@@ -128,6 +138,7 @@
     ) -> None:
         """Frees a slot; called once for each place that was given."""
         now = self._clock()
+        self._suspects.on_end(info.fingerprint, choice.upstream, verdict, now)
         self._table.on_finished(
             choice.upstream, info.request_id, verdict, now, met_target
         )
@@ -147,10 +158,10 @@
         suspects: tuple[SuspectRecord, ...],
     ) -> None:
         """Takes peers' soft signals in."""
-        del suspects
         now = self._clock()
         self._queue.on_peer_pressure(pressures, now)
         self._table.on_signs(signs, now)
+        self._suspects.on_records(suspects, now)
         self._pump_all()
 
     def local_pressure(self) -> tuple[TierPressure, ...]:
@@ -163,7 +174,11 @@
 
     def local_suspects(self) -> tuple[SuspectRecord, ...]:
         """Returns the evidence against requests to tell peers of."""
-        return ()
+        return self._suspects.records(self._clock())
+
+    def expire(self) -> None:
+        """Forgets old evidence; called every second or so."""
+        self._suspects.expire(self._clock())
 
     def tick(self) -> None:
         """Does what has become due by time alone."""
@@ -194,14 +209,18 @@
     def _choose(self, waiting: _Waiting) -> Place:
         now = self._clock()
         info = waiting.info
-        found = self._table.choose(info, now, waiting.excluded)
-        if isinstance(found, Choice):
-            return found
-        # Every other upstream was tried or is full: one tried before is
-        # better than none, since its refusal may have passed.
-        if waiting.excluded:
-            found = self._table.choose(info, now)
+        # Again, since other requests may have been lost while it waited.
+        gate = self._suspects.gate(info.fingerprint, now)
+        if isinstance(gate, RefuseSuspect):
+            self._queue.withdraw(info.request_id, now)
+            return gate.verdict
+        kept_apart = gate.exclude if isinstance(gate, Isolate) else frozenset()
+        # Every other upstream may have been tried or be full: one tried
+        # before is better than none, since its refusal may have passed.
+        for excluded in dict.fromkeys((waiting.excluded, frozenset[str]())):
+            found = self._table.choose(info, now, excluded | kept_apart)
             if isinstance(found, Choice):
+                self._suspects.on_dispatch(info.fingerprint, found.upstream)
                 return found
         self._queue.withdraw(info.request_id, now)
         return self._no_upstream(info)
--- a/packages/daemon/src/hollyknot_daemon/_host.py
+++ b/packages/daemon/src/hollyknot_daemon/_host.py
@@ -249,6 +249,7 @@
     def _sweep(self, now_s: float) -> None:
         self._guard.sweep(now_s)
         self._callers.sweep(now_s)
+        self._dispatcher.expire()
         self._probes.start_reports()
         self._metrics.queued.set({}, self._dispatcher.queued)
         for upstream in self._dispatcher.table.view(now_s):
--- a/packages/daemon/src/hollyknot_daemon/tests/test_path.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_path.py
@@ -336,6 +336,38 @@
             drive(test)
 
 
+class TestPoison:
+    """A request that crashes each engine that runs it."""
+
+    def test_is_refused_and_others_are_served(self) -> None:
+        """The request is found and refused; innocent ones still complete.
+
+        Symptom: engine after engine restarts, all callers get errors.
+        Sequence: one request crashes its engine; its caller sends it again
+        and again, and each host tries it elsewhere, too.
+        Cause: nothing remembered which requests ran when an engine crashed.
+        """
+        with _driver(engines=4) as drive:
+
+            async def test(rig: Rig) -> None:
+                for engine in rig.engines:
+                    engine.control.crash_on = "poison"
+                    engine.control.restart_after_s = 0.01
+                reason = ""
+                while reason != "quarantined":
+                    response, _ = await rig.ask(_CHAT, json=_body("poison"))
+                    assert response.headers["X-Verdict"] != "complete"
+                    reason = response.headers["X-Reason"]
+                crashes = sum(sum(e.control.ran.values()) for e in rig.engines)
+                assert crashes <= 4
+                response = (await rig.ask(_CHAT, json=_body("innocent")))[0]
+                while response.status == 503:
+                    response, _ = await rig.ask(_CHAT, json=_body("innocent"))
+                assert response.status == 200
+
+            drive(test)
+
+
 class TestConfiguration:
     """Versions only rise; a bad one never replaces a good one."""
 
