Test the bounds on slow callers

Cause: the bounds on heads and bodies that never end had no test. Change: five tests over a real connection. Conclusion: both bounds hold; a closed connection may show as a reset.

--- /dev/null
+++ b/packages/transport/src/hollyknot_transport/tests/test_caller_server.py
@@ -0,0 +1,113 @@
+"""Tests of the callers' server against slow and idle connections."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from aiohttp import web
+
+from hollyknot_state import Address
+from hollyknot_transport import (
+    CallerServer,
+    Refusal,
+    _calls,
+    read_call,
+    start_server,
+)
+from hollyknot_transport._caller_server import HEAD_TIMEOUT_S
+
+_IP = "127.0.0.1"
+_HEAD = b"POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+Test = Callable[[CallerServer, Connection], Awaitable[None]]
+
+
+async def _answer(request: web.BaseRequest) -> web.Response:
+    found = await read_call(request, "req-1", 1024)
+    status = found.status if isinstance(found, Refusal) else 200
+    return web.Response(status=status)
+
+
+def _run(test: Test) -> None:
+    async def main() -> None:
+        server = CallerServer(_answer)
+        runner, port = await start_server(server, Address(_IP, 0))
+        reader, writer = await asyncio.open_connection(_IP, port)
+        try:
+            async with asyncio.timeout(20):
+                while not server.connections:
+                    await asyncio.sleep(0)
+                await test(server, (reader, writer))
+        finally:
+            writer.close()
+            await runner.cleanup()
+
+    asyncio.run(main())
+
+
+async def _is_closed(reader: asyncio.StreamReader) -> bool:
+    """Tells whether the connection ended without an answer."""
+    try:
+        return await reader.read() == b""
+    except ConnectionResetError:
+        return True
+
+
+def _later() -> float:
+    return asyncio.get_running_loop().time() + HEAD_TIMEOUT_S + 1
+
+
+class TestSlowCallers:
+    """Connections that hold a descriptor and do nothing."""
+
+    @pytest.mark.parametrize("head", [b"", _HEAD, _HEAD + b"X-A: "])
+    def test_head_that_never_ends_is_closed(self, head: bytes) -> None:
+        """A connection without a whole head is closed after a bound.
+
+        Symptom: the host accepts no more callers: no file descriptor is left.
+        Sequence: callers open connections and send their heads a byte a
+        second, or not at all.
+        Cause: the library bounds idle connections only after a first request.
+        """
+
+        async def test(server: CallerServer, connection: Connection) -> None:
+            reader, writer = connection
+            writer.write(head)
+            await writer.drain()
+            assert server.sweep(asyncio.get_running_loop().time()) == 0
+            assert server.sweep(_later()) == 1
+            assert await _is_closed(reader)
+
+        _run(test)
+
+    def test_request_in_work_is_left_alone(self) -> None:
+        async def test(server: CallerServer, connection: Connection) -> None:
+            reader, writer = connection
+            writer.write(_HEAD + b"Content-Length: 2\r\n\r\n{")
+            while not server.in_work:
+                await asyncio.sleep(0)
+            assert server.sweep(_later()) == 0
+            writer.write(b"}")
+            assert b" 400 " in await reader.readline()
+
+        _run(test)
+
+    def test_body_that_never_ends_is_refused(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A body that does not arrive in time is answered by 408.
+
+        Symptom: requests pile up that never reach admission.
+        Sequence: a caller states a length and sends a byte a second.
+        Cause: a bound on the size alone, not on the time.
+        """
+        monkeypatch.setattr(_calls, "BODY_TIMEOUT_S", 0.01)
+
+        async def test(server: CallerServer, connection: Connection) -> None:
+            del server
+            reader, writer = connection
+            writer.write(_HEAD + b"Content-Length: 9\r\n\r\n{")
+            assert b" 408 " in await reader.readline()
+
+        _run(test)
