Probe and gossip with a few neighbours instead of all peers

Cause: with all peers of a data centre in turn, a pair of 256 hosts met every 73 s, longer than a link may idle, so that 1.6 links were dialled a second and host. Ruled out: longer idle times (each host would hold a link to each other one), and random neighbours alone (some host would have none). Change: four next hosts in rank order and eight by the hash of the pair; three fixed hosts of each other data centre for a reader. A partition is suspected from the share of unreachable neighbours too. The telling of suspects at each round and the renewed timers made the special care of an isolated host needless; it is gone. Membership's tests now start from ready hosts: before, hosts that asked for answers hid two faults that the tests are there for.

--- a/packages/coordination/src/hollyknot_coordination/_transmit_queue.py
+++ b/packages/coordination/src/hollyknot_coordination/_transmit_queue.py
@@ -37,10 +37,6 @@
         """Forgets a key."""
         self._told.pop(key, None)
 
-    def clear(self) -> None:
-        """Forgets all keys."""
-        self._told.clear()
-
     def take(
         self, limit: int, hosts: int, recency: Callable[[K], float]
     ) -> list[K]:
--- a/packages/coordination/src/hollyknot_coordination/membership/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/membership/__init__.py
@@ -1,6 +1,10 @@
 """Which hosts of the data centre are alive, and which read the platform."""
 
 from hollyknot_coordination.membership._membership import Membership
+from hollyknot_coordination.membership._neighbours import (
+    choose_neighbours,
+    closest_hosts,
+)
 from hollyknot_coordination.membership._prober import ROUND_S
 from hollyknot_coordination.membership._readers import (
     READERS,
@@ -15,6 +19,8 @@
     "MemberChange",
     "MemberTable",
     "Membership",
+    "choose_neighbours",
     "choose_readers",
+    "closest_hosts",
     "rank_hosts",
 ]
--- a/packages/coordination/src/hollyknot_coordination/membership/_membership.py
+++ b/packages/coordination/src/hollyknot_coordination/membership/_membership.py
@@ -6,6 +6,7 @@
 
 import math
 import random
+from collections.abc import Sequence
 
 from hollyknot_coordination._peer_commands import (
     PeerCommand,
@@ -13,6 +14,7 @@
     Send,
 )
 from hollyknot_coordination._transmit_queue import TransmitQueue
+from hollyknot_coordination.membership._neighbours import choose_neighbours
 from hollyknot_coordination.membership._prober import ROUND_S, Prober
 from hollyknot_coordination.membership._table import MemberChange, MemberTable
 from hollyknot_state import (
@@ -27,6 +29,9 @@
 SUSPICION_ROUNDS = 4
 """Rounds of suspicion, for each power of ten of the hosts."""
 
+MIN_NEIGHBOURS = 3
+"""Alive neighbours below which a host gossips with any peer."""
+
 MAX_UPDATES = 8
 """Updates in one message."""
 
@@ -46,27 +51,19 @@
         self._reports: list[PeerCommand] = []
         self._last_tick_s = now_s
         self._view: tuple[str, ...] = ()
+        self._neighbours: frozenset[str] = frozenset()
+        self._probed: tuple[str, ...] = ()
 
     @property
     def alive(self) -> tuple[str, ...]:
         """Peers that are neither suspect nor dead."""
         return self._view
 
-    @property
-    def not_dead(self) -> tuple[str, ...]:
-        """Peers that are alive or suspect."""
-        return self._table.in_state(MemberState.ALIVE, MemberState.SUSPECT)
-
     @property
     def suspects(self) -> tuple[str, ...]:
         """Peers that are suspect."""
         return self._table.in_state(MemberState.SUSPECT)
 
-    @property
-    def dead(self) -> tuple[str, ...]:
-        """Peers that are listed and believed dead."""
-        return self._table.in_state(MemberState.DEAD)
-
     @property
     def is_partition_suspected(self) -> bool:
         """Whether too many peers are unreachable to have died."""
@@ -77,9 +74,23 @@
         """Whether updates wait to be told."""
         return bool(self._news)
 
-    def set_hosts(self, hosts: frozenset[str], now_s: float) -> None:
-        """Takes the live hosts of this data centre in the host list."""
-        self._table.set_hosts(hosts, now_s)
+    @property
+    def targets(self) -> tuple[str, ...]:
+        """Whom to gossip with: neighbours that are alive, else all alive."""
+        near = tuple(h for h in self._view if h in self._neighbours)
+        return near if len(near) >= MIN_NEIGHBOURS else self._view
+
+    def set_hosts(self, ranked: Sequence[str], now_s: float) -> None:
+        """Takes the live hosts of this data centre in the host list.
+
+        Args:
+            ranked: From `rank_hosts`, this host among them.
+            now_s: Monotonic seconds.
+        """
+        self._neighbours = choose_neighbours(self._host, ranked)
+        self._probed = tuple(sorted(self._neighbours))
+        hosts = frozenset(ranked) - {self._host}
+        self._table.set_hosts(hosts, self._neighbours, now_s)
         listed = {self._host, *self._table.hosts}
         for host in [h for h in self._changed_s if h not in listed]:
             del self._changed_s[host]
@@ -97,7 +108,7 @@
             self._prober.forget_round(now_s)
             self._table.extend_suspicions(gap_s)
         sends = self._prober.on_tick(
-            self._table.hosts,
+            self._probed,
             self._view,
             lambda host: self._note(
                 host, self._table.suspect(host, now_s), now_s
@@ -121,13 +132,6 @@
                 commands.append(Send(peer, refutation))
         return [*self._take_reports(), *commands]
 
-    def hear(self, peer: str) -> list[PeerCommand]:
-        """Takes that any message of a peer came."""
-        if not self._table.hear(peer):
-            return []
-        self._refresh()
-        return [ReportMember(peer, MemberState.ALIVE)]
-
     def on_probe(self, peer: str, probe: Probe) -> list[Send]:
         """Answers a probe."""
         return self._prober.on_probe(peer, probe)
@@ -154,11 +158,7 @@
         hosts = self._news.take(
             MAX_UPDATES, len(self._table), lambda h: recency.get(h, 0.0)
         )
-        is_blamed = (
-            peer in self._table
-            and self._table.state_of(peer) is not MemberState.ALIVE
-        )
-        if is_blamed and peer not in hosts:
+        if self.is_blamed(peer) and peer not in hosts:
             hosts.append(peer)
         return tuple(self._table.update_of(h) for h in hosts)
 
@@ -190,11 +190,6 @@
             return
         self._news.add(host)
         self._changed_s[host] = now_s
-        if self._table.is_isolated:
-            # A host that was cut off by itself would tell, when it is back,
-            # that all others are suspect. One would notice each data centre
-            # losing its readers for seconds whenever one host's link heals.
-            self._news.clear()
         if change is MemberChange.NEWS:
             self._reports.append(ReportMember(host, self._table.state_of(host)))
             self._refresh()
--- a/packages/coordination/src/hollyknot_coordination/membership/_prober.py
+++ b/packages/coordination/src/hollyknot_coordination/membership/_prober.py
@@ -54,8 +54,8 @@
         """Goes on with the round.
 
         Args:
-            listed: All peers; each is probed once in two turns of the ring at
-                most, so that a dead one which comes back is found too.
+            listed: Peers to probe; each is probed once in two turns of the
+                ring at most, also a dead one, so that it is found again.
             alive: Peers that may be asked to help.
             suspect: Called with a peer that nobody reached in the round.
             now_s: Monotonic seconds.
--- a/packages/coordination/src/hollyknot_coordination/membership/_table.py
+++ b/packages/coordination/src/hollyknot_coordination/membership/_table.py
@@ -24,9 +24,6 @@
 by one. A cut leaves at least one side with a larger share unreachable.
 """
 
-ISOLATION_SHARE = 0.9
-"""The share of unreachable peers from which this host itself is cut off."""
-
 PARTITION_MIN_PEERS = 2
 """One lost peer of several is a crash, however few there are."""
 
@@ -53,7 +50,9 @@
         self._host = host
         self._incarnation = 0
         self._members: dict[str, _Member] = {}
+        self._neighbours: frozenset[str] = frozenset()
         self._unreachable = 0
+        self._unreachable_neighbours = 0
 
     def __contains__(self, host: str) -> bool:
         """Whether a host is a listed peer."""
@@ -77,18 +76,13 @@
     def is_partition_suspected(self) -> bool:
         """Whether too many peers are unreachable to have died.
 
-        It ends when enough of them answer again, or when the host list, which
-        the platform makes, no longer has them.
+        Of all peers, or of those that this host probes: when it is cut off by
+        itself nobody tells it of the others. It ends when enough answer again,
+        or when the host list, which the platform makes, no longer has them.
         """
-        peers = len(self._members)
-        least = max(PARTITION_MIN_PEERS, peers * PARTITION_SHARE)
-        return peers > 0 and self._unreachable >= min(peers, least)
-
-    @property
-    def is_isolated(self) -> bool:
-        """Whether hardly any peer is reachable: this host is cut off."""
-        peers = len(self._members)
-        return peers > 0 and self._unreachable >= peers * ISOLATION_SHARE
+        return _is_many(self._unreachable, len(self._members)) or _is_many(
+            self._unreachable_neighbours, len(self._neighbours)
+        )
 
     def state_of(self, host: str) -> MemberState:
         """Returns the belief about a listed peer."""
@@ -105,8 +99,17 @@
         """Returns the peers of which any of these is believed."""
         return tuple(h for h, m in self._members.items() if m.state in states)
 
-    def set_hosts(self, hosts: frozenset[str], now_s: float) -> None:
-        """Takes the hosts that the host list has in this data centre."""
+    def set_hosts(
+        self, hosts: frozenset[str], neighbours: frozenset[str], now_s: float
+    ) -> None:
+        """Takes the hosts that the host list has in this data centre.
+
+        Args:
+            hosts: All of them.
+            neighbours: Those that this host probes itself.
+            now_s: Monotonic seconds.
+        """
+        self._neighbours = neighbours
         for host in [h for h in self._members if h not in hosts]:
             del self._members[host]
         for host in sorted(hosts - self._members.keys() - {self._host}):
@@ -146,24 +149,6 @@
             MemberUpdate(host, MemberState.SUSPECT, member.incarnation), now_s
         )
 
-    def hear(self, host: str) -> bool:
-        """Takes that a peer's message came; tells whether it was a suspect.
-
-        What came from it is evidence enough for this host. A dead one has to
-        refute all the same, since all others hold it for dead too. A host that
-        was isolated begins anew with all suspects: it could tell nobody of
-        them, so that none could refute it.
-        """
-        member = self._members.get(host)
-        if member is None or member.state is not MemberState.SUSPECT:
-            return False
-        cleared = self._members.values() if self.is_isolated else (member,)
-        for suspect in cleared:
-            if suspect.state is MemberState.SUSPECT:
-                suspect.state = MemberState.ALIVE
-        self._count()
-        return True
-
     def expire(self, timeout_s: float, now_s: float) -> tuple[str, ...]:
         """Turns old suspicions into deaths, but not in a suspected partition.
 
@@ -200,6 +185,15 @@
         return MemberChange.REFUTED
 
     def _count(self) -> None:
-        self._unreachable = sum(
-            m.state is not MemberState.ALIVE for m in self._members.values()
-        )
+        lost = {
+            h
+            for h, m in self._members.items()
+            if m.state is not MemberState.ALIVE
+        }
+        self._unreachable = len(lost)
+        self._unreachable_neighbours = len(lost & self._neighbours)
+
+
+def _is_many(unreachable: int, peers: int) -> bool:
+    least = max(PARTITION_MIN_PEERS, peers * PARTITION_SHARE)
+    return peers > 0 and unreachable >= min(peers, least)
--- a/packages/coordination/src/hollyknot_coordination/membership/tests/test_membership.py
+++ b/packages/coordination/src/hollyknot_coordination/membership/tests/test_membership.py
@@ -1,6 +1,7 @@
 """Liveness under crashes, pauses and cuts, over the in-memory network."""
 
 import random
+from collections import Counter
 
 import pytest
 
@@ -8,11 +9,13 @@
     MemberChange,
     Membership,
     MemberTable,
+    choose_neighbours,
     choose_readers,
     rank_hosts,
 )
-from hollyknot_coordination.spread.tests.network import Network
-from hollyknot_state import MemberState, MemberUpdate, ProbeAck
+from hollyknot_coordination.spread import Send
+from hollyknot_coordination.spread.tests.network import DECLARATIONS, Network
+from hollyknot_state import Gossip, MemberState, MemberUpdate, ProbeAck
 
 HOSTS = {f"h{i}": "a" for i in range(16)}
 ALIVE, SUSPECT, DEAD = MemberState
@@ -22,9 +25,12 @@
     """Starts sixteen hosts of one data centre that know each other."""
     network = Network()
     network.platform.publish_hosts(1, HOSTS)
+    network.platform.publish(DECLARATIONS, 1, {})
     for name in HOSTS:
         network.add(name, "a")
-    network.run(10)
+    network.run(15)
+    # A host that is not ready asks for answers, which would hide a fault.
+    assert all(n.state.is_ready for n in network.nodes.values())
     return network
 
 
@@ -60,6 +66,41 @@
             network.run(1)
             assert all(seen_alive(network, "h3"))
 
+    def test_lost_probes_alone_kill_nobody(self) -> None:
+        """Symptom: healthy hosts are believed dead on a lossy network.
+
+        Three messages in ten are lost, so that suspicions are frequent. Cause:
+        a suspect that nobody gossips to and that hears of it too late.
+        """
+        network = make_network()
+        network.loss = 0.3
+        network.run(60)
+        for node in network.nodes.values():
+            states = [r.state for r in node.reports if hasattr(r, "state")]
+            assert SUSPECT in states
+            assert DEAD not in states
+
+    def test_a_suspect_hears_of_it_at_each_round(self) -> None:
+        """Symptom: a healthy host with few probers is believed dead.
+
+        It was suspected by a lost probe, and is probed again only after the
+        suspicion has run out. Cause: gossip to hosts that are alive only.
+        """
+        network = make_network()
+        network.is_cut = lambda _a, b: b == "h3"
+        node = network.nodes["h0"]
+        suspicion = MemberUpdate("h3", SUSPECT, 0)
+        blame = Gossip(members=(suspicion,))
+        node.state.on_message("h1", blame, network.now_s)
+        told = 0
+        for _ in range(10):
+            network.now_s += 0.2
+            for command in node.state.on_tick(network.now_s):
+                if isinstance(command, Send) and command.peer == "h3":
+                    members = getattr(command.message, "members", ())
+                    told += suspicion in members
+        assert told >= 3
+
     def test_a_paused_host_refutes_its_death(self) -> None:
         """Symptom: a host that was paused gets no gossip any more.
 
@@ -103,7 +144,7 @@
         wakes; the answer lies unread. Cause: time that passed while it slept.
         """
         membership = Membership("h0", random.Random(1), 0.0)
-        membership.set_hosts(frozenset({"h1", "h2"}), 0.0)
+        membership.set_hosts(("h0", "h1", "h2"), 0.0)
         membership.on_tick(1.0)
         membership.on_tick(31.0)
         assert membership.alive == ("h1", "h2")
@@ -174,7 +215,8 @@
     ) -> None:
         for pair in ((first, second), (second, first)):
             table = MemberTable("h0")
-            table.set_hosts(frozenset({"h1", "h2", "h3"}), 0.0)
+            hosts = frozenset({"h1", "h2", "h3"})
+            table.set_hosts(hosts, hosts, 0.0)
             for state, incarnation in pair:
                 table.merge(MemberUpdate("h1", state, incarnation), 0.0)
             assert table.state_of("h1") is believed
@@ -187,6 +229,27 @@
         assert table.merge(blame, 0.0) is MemberChange.KNOWN
 
 
+class TestNeighbours:
+    """The few peers that a host probes and gossips with."""
+
+    def test_each_host_is_a_neighbour_of_four_and_all_are_connected(
+        self,
+    ) -> None:
+        """Symptom: a host hears no news and nobody notices its death.
+
+        Nobody has chosen it. Cause: neighbours at random alone.
+        """
+        ranked = rank_hosts(f"host-{i}" for i in range(278))
+        chosen = {h: choose_neighbours(h, ranked) for h in ranked}
+        assert all(len(n) <= 12 and h not in n for h, n in chosen.items())
+        asked = Counter(p for n in chosen.values() for p in n)
+        assert min(asked[h] for h in ranked) >= 4
+        reached = [ranked[0]]
+        for host in reached:
+            reached.extend(chosen[host] - set(reached))
+        assert len(reached) == 278
+
+
 class TestReaders:
     """Rendezvous hashing of readers."""
 
--- a/packages/coordination/src/hollyknot_coordination/spread/_peer_state.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_peer_state.py
@@ -165,9 +165,7 @@
     ) -> list[PeerCommand]:
         """Takes a message of an authenticated peer."""
         self._note_time(now_s)
-        heard = self._membership.hear(peer)
-        dispatched = self._dispatch(peer, message, now_s)
-        commands = self._after([*heard, *dispatched], now_s)
+        commands = self._after(self._dispatch(peer, message, now_s), now_s)
         self._check_ready(now_s)
         return commands
 
@@ -273,8 +271,7 @@
 
     def _set_hosts(self, host_list: HostList, now_s: float) -> None:
         self._topology.set_host_list(host_list)
-        own = frozenset(self._topology.own_ranked)
-        self._membership.set_hosts(own - {self._host}, now_s)
+        self._membership.set_hosts(self._topology.own_ranked, now_s)
         for document in self._documents.values():
             document.keep_sources(self._topology.hosts)
         self._choose_readers()
@@ -287,7 +284,7 @@
     def _announce(self) -> list[PeerCommand]:
         """Tells a few peers at once what is in force."""
         targets = set(
-            sample_hosts(self._membership.alive, ANNOUNCE_FANOUT, self._rng)
+            sample_hosts(self._membership.targets, ANNOUNCE_FANOUT, self._rng)
         )
         if self.is_reader:
             targets.update(self._readers)
@@ -304,7 +301,7 @@
         pause_s = NEWS_ROUND_S if has_news else IDLE_ROUND_S
         self._next_round_s = now_s + pause_s * self._rng.uniform(0.9, 1.1)
         fanout = FANOUT if self.is_ready else max(FANOUT, CONTACTS)
-        targets = sample_hosts(self._membership.alive, fanout, self._rng)
+        targets = sample_hosts(self._membership.targets, fanout, self._rng)
         # A suspect that hears of it can refute it; it would otherwise die of
         # a probe that was lost, as soon as nobody gossips to it any more.
         targets += sample_hosts(self._membership.suspects, 1, self._rng)
--- a/packages/coordination/src/hollyknot_coordination/spread/_topology.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_topology.py
@@ -3,9 +3,12 @@
 import random
 from collections.abc import Iterable
 
-from hollyknot_coordination.membership import READERS, rank_hosts
+from hollyknot_coordination.membership import READERS, closest_hosts, rank_hosts
 from hollyknot_state import EntryState, HostList, Role
 
+REMOTE_TARGETS = 3
+"""Hosts of each other data centre that a reader gossips with."""
+
 
 class Topology:
     """Hosts by data centre, from the host list in force."""
@@ -16,6 +19,7 @@
         self._ranked: dict[str, tuple[str, ...]] = {}
         self._hosts: frozenset[str] = frozenset()
         self._remote: tuple[str, ...] = ()
+        self._remote_hosts: dict[str, tuple[str, ...]] = {}
         self._turn = 0
 
     @property
@@ -45,14 +49,21 @@
         self._ranked = {d: rank_hosts(hosts) for d, hosts in groups.items()}
         self._hosts = frozenset(h for hosts in groups.values() for h in hosts)
         self._remote = tuple(sorted(groups.keys() - {self._data_centre}))
+        self._remote_hosts = {
+            d: closest_hosts(self._host, self._ranked[d], REMOTE_TARGETS)
+            for d in self._remote
+        }
 
     def next_remote(self, rng: random.Random) -> tuple[str, ...]:
-        """Returns a random host of the next other data centre, in turn."""
+        """Returns a host of the next other data centre, in turn.
+
+        One of a few that stay the same, so that links are used again.
+        """
         if not self._remote:
             return ()
         self._turn += 1
         data_centre = self._remote[self._turn % len(self._remote)]
-        return (rng.choice(self._ranked[data_centre]),)
+        return (rng.choice(self._remote_hosts[data_centre]),)
 
     def remote_readers(self, rng: random.Random) -> tuple[str, ...]:
         """Returns one host of each other data centre that likely reads.
