Answer blame of an older incarnation, too

Cause: a host passed over blame of an incarnation below its own. If its one refutation was lost, the blaming peer held it for dead for good. Seen with host processes: a peer stayed dead in one host's view for 80 s while both ran. Ruled out: broken links (both answered callers' claims meanwhile). Change: blame is always refuted; the incarnation rises only for blame that is as new as it. One assertion held the fault (repeated blame is 'known'); it now holds that the refutation is repeated, that the incarnation does not rise again and that no other news follows from praise.

--- a/packages/coordination/src/hollyknot_coordination/membership/_table.py
+++ b/packages/coordination/src/hollyknot_coordination/membership/_table.py
@@ -177,11 +177,12 @@
 
     def _refute(self, update: MemberUpdate) -> MemberChange:
         is_alive = update.state is MemberState.ALIVE
-        if update.incarnation < self._incarnation or (
-            is_alive and update.incarnation == self._incarnation
-        ):
+        if is_alive and update.incarnation <= self._incarnation:
             return MemberChange.KNOWN
-        self._incarnation = update.incarnation + 1
+        # Blame of an older incarnation is answered too: the refutation may
+        # have been lost, and that peer would hold this host for dead for good.
+        if update.incarnation >= self._incarnation:
+            self._incarnation = update.incarnation + 1
         return MemberChange.REFUTED
 
     def _count(self) -> None:
