Wake admission when the first signal of pressure expires

Cause: next_deadline looked at the newest signal, so work held by an older one could wait before free slots until another event.

--- a/packages/coordination/src/hollyknot_coordination/admission/_pool.py
+++ b/packages/coordination/src/hollyknot_coordination/admission/_pool.py
@@ -143,9 +143,10 @@
             return math.inf
         if waiting[0] <= self._held_above(now_s):
             return now_s
-        fresh_until_s = max(self._peer_pressed_s.values())
-        fresh_until_s += self._options.pressure_fresh_s
-        return min(fresh_until_s, *(self._due_s(tier) for tier in waiting))
+        fresh_s = self._options.pressure_fresh_s
+        ends_s = (at_s + fresh_s for at_s in self._peer_pressed_s.values())
+        next_end_s = min((e for e in ends_s if e > now_s), default=math.inf)
+        return min(next_end_s, *(self._due_s(tier) for tier in waiting))
 
     def _held_above(self, now_s: float) -> int:
         """Returns the tier below which peers' pressure holds tiers back."""
--- a/packages/coordination/src/hollyknot_coordination/admission/tests/test_order.py
+++ b/packages/coordination/src/hollyknot_coordination/admission/tests/test_order.py
@@ -271,6 +271,21 @@
         assert host.queue.next_deadline() == pytest.approx(3.0)
         assert len(host.queue.tick(3.0)) == 2
 
+    def test_next_deadline_is_the_first_signal_to_expire(self) -> None:
+        """Work is held for longer than the signal that holds it is fresh.
+
+        Symptom: tier 2 waits before free slots after tier 1's pressure ended.
+        Sequence: pressure of tier 1, then a newer one of tier 2, is heard.
+        Cause: the wake-up is set for the end of the newest.
+        """
+        host = Host()
+        ages = (TierPressure(POOL, 1, 2500), TierPressure(POOL, 2, 0))
+        host.queue.on_peer_pressure(ages, 0.0)
+        for _ in range(3):
+            host.offer(build_request(2, budget_s=0))
+        assert len(host.take(3)) == 1
+        assert host.queue.next_deadline() == pytest.approx(0.5)
+
     @pytest.mark.parametrize(
         ("budget_s", "now_s", "is_pressed"),
         [(10, 4.9, False), (10, 5.0, True), (10, 99.0, True), (0, 99.0, False)],
