Keep records small and take deltas at the cost of what they change

Cause: orjson leaves its bytes in a buffer of 4 KB, so that each record kept that much; and each delta compared all records three times. Ruled out: one body for the whole document (each delta would rewrite it). Change: records are copied to their own size; the change of a delta from the version in force is the delta itself.

--- a/packages/coordination/src/hollyknot_coordination/spread/_delta_log.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_delta_log.py
@@ -13,7 +13,7 @@
     Change,
     Snapshot,
     apply_change,
-    find_change,
+    invert_change,
 )
 from hollyknot_state import DocumentDelta, DocumentRecord, DocumentVersion
 
@@ -49,15 +49,13 @@
         self._steps: list[_Step] = []
         self._size = 0
 
-    def append(self, old: Snapshot, new: Snapshot) -> None:
-        """Adds the change from the snapshot in force to the next one."""
-        step = _Step(
-            old.version,
-            new.version,
-            find_change(old.records, new.records),
-            find_change(new.records, old.records),
-        )
-        if old.version.version == 0 or step.forward.size > MAX_DELTA_BYTES:
+    def append(
+        self, old: Snapshot, new: DocumentVersion, change: Change
+    ) -> None:
+        """Adds the change from the snapshot in force to the next version."""
+        back = invert_change(change, old.records)
+        step = _Step(old.version, new, change, back)
+        if old.version.version == 0 or change.size > MAX_DELTA_BYTES:
             # A gap: what is kept must lead to the snapshot in force.
             self._steps.clear()
             self._size = 0
--- a/packages/coordination/src/hollyknot_coordination/spread/_document.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_document.py
@@ -182,7 +182,13 @@
                 base, delta.target.version, delta.changed, delta.removed
             )
             if snapshot.version == delta.target:
-                return self._take(snapshot, now_s)
+                if delta.base != self.version:
+                    return self._take(snapshot, now_s)
+                # Comparing all records would be most of a change's cost.
+                held = base.records
+                removed = tuple(p for p in delta.removed if p in held)
+                change = Change(delta.changed, removed)
+                return self._judge(snapshot, change, now_s)
             # The two hosts hold different bodies under the base's digest, or
             # one computes wrongly. The whole document settles it.
             self._must_fetch_whole = True
@@ -245,13 +251,18 @@
         return list(self._fetcher.next_request(bases, now_s))
 
     def _take(self, snapshot: Snapshot, now_s: float) -> list[PeerCommand]:
-        """Checks a newer snapshot and puts it in force or rejects it."""
         change = find_change(self._in_force.records, snapshot.records)
+        return self._judge(snapshot, change, now_s)
+
+    def _judge(
+        self, snapshot: Snapshot, change: Change, now_s: float
+    ) -> list[PeerCommand]:
+        """Checks a newer snapshot and puts it in force or rejects it."""
         value = self._check(Candidate(snapshot, change, self._value))
         if isinstance(value, Invalid):
             commands = self._reject(snapshot.version, value.problems)
         else:
-            self._log.append(self._in_force, snapshot)
+            self._log.append(self._in_force, snapshot.version, change)
             self._in_force = snapshot
             self._value = value
             self._heard.progress()
--- a/packages/coordination/src/hollyknot_coordination/spread/_pages.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_pages.py
@@ -9,7 +9,11 @@
 
 import orjson
 
-from hollyknot_coordination.spread._records import Records, Snapshot
+from hollyknot_coordination.spread._records import (
+    Records,
+    Snapshot,
+    dump_record,
+)
 from hollyknot_state import DocumentPage, DocumentVersion
 
 PAGE_BYTES = 131_072
@@ -110,9 +114,7 @@
             raise PageError(f"the pages are no JSON: {error}") from error
         if not isinstance(value, dict):
             raise PageError("the pages are no JSON object")
-        dump = orjson.dumps
-        keys = orjson.OPT_SORT_KEYS
-        return {path: dump(body, option=keys) for path, body in value.items()}
+        return {path: dump_record(body) for path, body in value.items()}
 
 
 def _canonical(records: Mapping[str, bytes]) -> bytes:
--- a/packages/coordination/src/hollyknot_coordination/spread/_records.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_records.py
@@ -7,7 +7,7 @@
 Peers are authenticated, so that the hash need not resist forgery.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import attrs
@@ -117,6 +117,24 @@
     return orjson.dumps(value)
 
 
+def dump_record(value: Any) -> bytes:
+    """Returns a record's body: JSON with sorted keys.
+
+    The copy is not idle: orjson gives bytes in a buffer of 4 KB and leaves it
+    so. One would notice a host growing by 70 MB with 18,000 customers.
+    """
+    written = orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+    return bytes(bytearray(written))
+
+
+def invert_change(change: Change, old: Mapping[str, bytes]) -> Change:
+    """Returns what leads back to old records after a change of them."""
+    paths = (*(r.path for r in change.changed), *change.removed)
+    changed = (DocumentRecord(p, old[p]) for p in paths if p in old)
+    added = (r.path for r in change.changed if r.path not in old)
+    return Change(tuple(changed), tuple(added))
+
+
 def find_change(old: Mapping[str, bytes], new: Mapping[str, bytes]) -> Change:
     """Returns what leads from old records to new ones."""
     changed = (
@@ -171,19 +189,14 @@
 
 
 def _flatten(value: dict[str, Any]) -> Records:
-    dump: Callable[[Any], bytes] = _dump
     records: Records = {}
     for section, content in value.items():
         if "/" in section:
             raise UnreadableError(f"{section}: has a slash; rename the field")
         if isinstance(content, dict):
             records.update(
-                (f"{section}/{k}", dump(v)) for k, v in content.items()
+                (f"{section}/{k}", dump_record(v)) for k, v in content.items()
             )
         else:
-            records[section] = dump(content)
+            records[section] = dump_record(content)
     return records
-
-
-def _dump(value: Any) -> bytes:
-    return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
--- a/packages/coordination/src/hollyknot_coordination/spread/tests/test_peer_state.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/tests/test_peer_state.py
@@ -1,12 +1,14 @@
 """Documents between hosts: spreading, catching up, and what must not happen."""
 
 import random
+import tracemalloc
 from unittest.mock import ANY
 
 import orjson
 import pytest
 
-from hollyknot_coordination.spread import PeerState, Reject, Send
+from hollyknot_coordination.spread import Candidate, PeerState, Reject, Send
+from hollyknot_coordination.spread._records import Change, read_records
 from hollyknot_coordination.spread.tests.network import (
     CHECKS,
     DECLARATIONS,
@@ -306,6 +308,20 @@
         whole = sum(len(c) + 110 for c in customers) // 131_072 + 2
         assert pages <= whole + 2
 
+    def test_records_take_little_more_memory_than_their_bytes(self) -> None:
+        """Symptom: a host grows by 70 MB with 18,000 customers.
+
+        Cause: each record keeps the buffer in which it was written.
+        """
+        customers = {f"c{i}": {"key": f"{i:0100}"} for i in range(4_000)}
+        body = orjson.dumps({"customers": customers})
+        tracemalloc.start()
+        records = read_records(DECLARATIONS, body)
+        kept, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert len(records) == 4_000
+        assert kept < 3 * len(body)
+
     def test_hosts_that_skipped_different_versions_use_deltas(self) -> None:
         """Symptom: whole documents are sent at each change.
 
@@ -318,6 +334,31 @@
         assert sent == ["Gossip", "FetchDocument", "DocumentDelta"]
         assert second.version_in_force(DECLARATIONS) == 7
 
+    def test_a_check_sees_only_what_differs(self) -> None:
+        """Symptom: a check fails on a customer that it does not know.
+
+        c1 was added and removed between the two versions. Cause: a delta over
+        several versions that names what its base never had.
+        """
+        first = make_state("h0", (5,))
+        for version, customers in ((6, b'"c1":{}'), (7, b'"c0":{"n":7}')):
+            body = b'{"customers":{%b}}' % customers
+            first.on_platform_document(DECLARATIONS, version, body, 0.0)
+        seen: list[Change] = []
+
+        def check(candidate: Candidate) -> object:
+            seen.append(candidate.change)
+            return {}
+
+        second = PeerState(
+            "h1", "a", {**CHECKS, DECLARATIONS: check}, random.Random(1), 0.0
+        )
+        body = b'{"customers":{"c0":{"n":5}}}'
+        second.on_platform_document(DECLARATIONS, 5, body, 0.0)
+        exchange(first, second)
+        assert [r.path for r in seen[-1].changed] == ["customers/c0"]
+        assert seen[-1].removed == ()
+
     def test_one_version_with_two_bodies_is_settled_by_the_next(self) -> None:
         """Symptom: two hosts have one version in force and differ for ever.
 
