Count trials as free slots

Cause: a queue that sends when slots are free never sent the one request that an ejected upstream may have when none is usable, since only usable upstreams were counted: requests would wait until they were shed. Ruled out: sending without regard to free slots, which the limits are for.

The state machine now holds that a request that may run twice is placed if and only if there is a free slot.

--- a/packages/coordination/src/hollyknot_coordination/routing/_candidates.py
+++ b/packages/coordination/src/hollyknot_coordination/routing/_candidates.py
@@ -50,6 +50,19 @@
     return here or [u for u in pool.elsewhere if u.is_usable]
 
 
+def free_slots(pool: Pool, suspects_itself: bool) -> int:
+    """Returns how many requests that may run twice could be sent now.
+
+    Trials count: a queue that waits for a free slot would else never send the
+    request by which rules 3 to 5 are followed.
+    """
+    usable = usable_group(pool)
+    free = sum(max(0, u.limit.value - u.in_flight) for u in usable)
+    if free or (usable and not suspects_itself):
+        return free
+    return sum(len(group) for group in _trial_groups(pool))
+
+
 def _trial_groups(pool: Pool) -> Iterable[Candidates]:
     for state in (UpstreamState.CHECKING, UpstreamState.EJECTED):
         for members in (pool.here, pool.elsewhere):
--- a/packages/coordination/src/hollyknot_coordination/routing/_table.py
+++ b/packages/coordination/src/hollyknot_coordination/routing/_table.py
@@ -7,7 +7,7 @@
 from hollyknot_coordination.routing import _health
 from hollyknot_coordination.routing._candidates import (
     candidates,
-    usable_group,
+    free_slots,
 )
 from hollyknot_coordination.routing._feedback import (
     Effect,
@@ -230,13 +230,10 @@
 
     def free_slots(self, pool: str, now_s: float) -> int:
         """Returns how many requests of a pool could be sent now."""
-        del now_s
         known = self._pools.get(pool)
         if known is None:
             return 0
-        return sum(
-            max(0, u.limit.value - u.in_flight) for u in usable_group(known)
-        )
+        return free_slots(known, self.suspects_itself(now_s))
 
     def view(self, now_s: float) -> tuple[UpstreamView, ...]:
         """Returns all upstreams in use, for status pages."""
--- a/packages/coordination/src/hollyknot_coordination/routing/tests/test_machine.py
+++ b/packages/coordination/src/hollyknot_coordination/routing/tests/test_machine.py
@@ -107,6 +107,7 @@
     def choose(self, nature: Nature, prefix: int, exclude: set[str]) -> None:
         before = {v.name: v for v in self.table.view(self.now_s)}
         suspects_itself = self.table.suspects_itself(self.now_s)
+        free = self.table.free_slots("m", self.now_s)
         self.count += 1
         name = f"r{self.count}"
         choice = self.table.choose(
@@ -114,6 +115,8 @@
         )
         usable = {n for n, v in before.items() if v.state in USABLE}
         group = usable & HERE or usable
+        if nature is Nature.IDEMPOTENT and not exclude:
+            assert isinstance(choice, Choice) == (free > 0)
         if isinstance(choice, NoChoice):
             known = choice.reason is not NoChoiceReason.NONE_KNOWN
             assert known == bool(self.listed)
--- a/packages/coordination/src/hollyknot_coordination/routing/tests/test_routing.py
+++ b/packages/coordination/src/hollyknot_coordination/routing/tests/test_routing.py
@@ -166,12 +166,29 @@
         bench.end("e2", CONNECT_FAILED, 1.5)
         assert bench.table.suspects_itself(1.5)
         assert bench.table.local_signs(1.5) == ()
-        found = [bench.choose(2.0)[0] for _ in range(11)]
+        found = [bench.choose(2.0)[0] for _ in range(8)]
+        assert bench.table.free_slots("m", 2.0) == 3
+        found += [bench.choose(2.0)[0] for _ in range(3)]
         assert found.count("e3") == 8
         assert set(found[8:]) == {"e0", "e1", "e2"}
         assert bench.choose(2.0)[0] == NoChoiceReason.ALL_FULL.value
         assert not bench.table.suspects_itself(7.0)
 
+    def test_trials_count_as_free_slots(self) -> None:
+        """Symptom: requests wait though rule 3 or 4 would send them.
+
+        Sequence: all upstreams are ejected, the queue waits for a free slot.
+        Cause: free slots counted over usable upstreams only.
+        """
+        bench = Bench(2)
+        for name in ("e0", "e1"):
+            bench.end(name, CONNECT_FAILED)
+        assert bench.table.free_slots("m", 9.0) == 2
+        bench.choose(9.0)
+        assert bench.table.free_slots("m", 9.0) == 1
+        bench.choose(9.0)
+        assert bench.table.free_slots("m", 9.0) == 0
+
     def test_leaving_upstream_keeps_its_requests_and_then_goes(self) -> None:
         bench = Bench(2)
         _, name = bench.choose(only="e0")
