--- a/packages/protocol/src/hollyknot_protocol/__init__.py
+++ b/packages/protocol/src/hollyknot_protocol/__init__.py
@@ -30,13 +30,13 @@
 from hollyknot_protocol._peer import (
     LINK_VERSION,
     NONCE_BYTES,
+    CallRefusal,
+    CallRefusalReason,
     Envelope,
     Hello,
     Ping,
     Pong,
     Proof,
-    CallRefusal,
-    CallRefusalReason,
 )
 
 __all__ = [
