Show that each predicate of admission can fail

Cause: floor-cap and the honesty of a refusal had no run that breaks them, so nothing showed that their checks find anything. Change: four more runs in the table.

--- a/packages/coordination/src/hollyknot_coordination/admission/tests/test_refusals.py
+++ b/packages/coordination/src/hollyknot_coordination/admission/tests/test_refusals.py
@@ -6,6 +6,7 @@
     AdmissionOptions,
     Admitted,
     Offered,
+    PressureHeard,
     Refused,
     Rule,
     RunEvent,
@@ -18,7 +19,7 @@
     Host,
     build_request,
 )
-from hollyknot_state import Outcome, Reason, Verdict
+from hollyknot_state import Outcome, Reason, TierPressure, Verdict
 
 _SMALL = AdmissionOptions(
     max_waiting=4, max_waiting_bytes=4000, room=1, room_bytes=1000
@@ -185,14 +186,19 @@
 
 
 def _refuse(
-    events: list[RunEvent], index: int, reason: Reason, at_s: float = 0.0
+    events: list[RunEvent],
+    index: int,
+    reason: Reason,
+    at_s: float = 0.0,
+    back_s: float = 1.0,
 ) -> list[RunEvent]:
     ids = [e.request.request_id for e in events if isinstance(e, Offered)]
-    verdict = Verdict(Outcome.NOT_RUN, reason, "", 1.0)
+    verdict = Verdict(Outcome.NOT_RUN, reason, "", back_s)
     return [*events, Refused(ids[index], verdict, at_s)]
 
 
 _END = SlotsOffered(POOL, 0, 0.0)
+_PRESSED = PressureHeard((TierPressure(POOL, 1, 0),), 0.0)
 _PASSED = floor_gap(3) + 1
 
 
@@ -231,6 +237,16 @@
             ),
             ([*_run(1), SlotsOffered(POOL, 1, 0.0)], {Rule.WORK_CONSERVING}),
             (_run(*(1,) * 6), {Rule.BOUNDED}),
+            (_admit([*_run(3, 3), _PRESSED], 0, 1), set()),
+            (_admit([*_run(3, 3, 3), _PRESSED], 0, 1, 2), {Rule.FLOOR_CAP}),
+            (
+                [*_run(1), Refused("r", Verdict(Outcome.FAILED), 0.0)],
+                {Rule.ONE_ANSWER},
+            ),
+            (
+                _refuse(_run(1, 1), 1, Reason.SHED, 0.0, 0.0),
+                {Rule.HONEST_REFUSAL},
+            ),
         ],
     )
     def test_finds(self, events: list[RunEvent], broken: set[Rule]) -> None:
