--- a/packages/coordination/src/hollyknot_coordination/spread/tests/network.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/tests/network.py
@@ -209,3 +209,40 @@
             document, version, body, self.now_s
         )
         self.execute(node, commands)
+
+
+ONE_CENTRE = {f"h{i}": "a" for i in range(6)}
+TWO_CENTRES = {f"h{i}": "ab"[i % 2] for i in range(12)}
+
+
+def make_network(hosts: dict[str, str], seed: int = 1) -> Network:
+    """Starts listed hosts over a platform that has version 5 and settles."""
+    network = Network(seed)
+    network.platform.publish_hosts(1, hosts)
+    publish(network, 5)
+    for name, data_centre in hosts.items():
+        network.add(name, data_centre)
+    network.run(15)
+    return network
+
+
+def publish(network: Network, version: int, **extra: object) -> None:
+    """Publishes declarations whose customer names the version."""
+    value = {"customers": {"c0": {"n": version}}, **extra}
+    network.platform.publish(DECLARATIONS, version, value)
+
+
+def in_force(network: Network) -> set[int]:
+    """Returns the versions of declarations that are in force somewhere."""
+    return {
+        n.state.version_in_force(DECLARATIONS) for n in network.nodes.values()
+    }
+
+
+def make_state(name: str, versions: tuple[int, ...]) -> PeerState:
+    """Returns a host that read these versions of declarations."""
+    state = PeerState(name, "a", CHECKS, random.Random(1), 0.0)
+    for version in versions:
+        body = b'{"customers":{"c0":{"n":%d}}}' % version
+        state.on_platform_document(DECLARATIONS, version, body, 0.0)
+    return state
--- a/packages/coordination/src/hollyknot_coordination/spread/tests/test_peer_state.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/tests/test_peer_state.py
@@ -1,56 +1,26 @@
 """Documents between hosts: spreading, catching up, and what must not happen."""
 
-import random
-import tracemalloc
 from unittest.mock import ANY
 
 import orjson
 import pytest
 
-from hollyknot_coordination.spread import Candidate, PeerState, Reject, Send
-from hollyknot_coordination.spread._records import Change, read_records
+from hollyknot_coordination.spread import Reject
 from hollyknot_coordination.spread.tests.network import (
-    CHECKS,
     DECLARATIONS,
     HOSTS,
-    Network,
+    ONE_CENTRE,
+    TWO_CENTRES,
+    in_force,
+    make_network,
+    make_state,
+    publish,
 )
 from hollyknot_state import (
-    DocumentDelta,
-    DocumentRecord,
     DocumentVersion,
-    FetchDocument,
     Gossip,
-    PeerMessage,
 )
 
-ONE_CENTRE = {f"h{i}": "a" for i in range(6)}
-TWO_CENTRES = {f"h{i}": "ab"[i % 2] for i in range(12)}
-
-
-def make_network(hosts: dict[str, str], seed: int = 1) -> Network:
-    """Starts listed hosts over a platform that has version 5 and settles."""
-    network = Network(seed)
-    network.platform.publish_hosts(1, hosts)
-    publish(network, 5)
-    for name, data_centre in hosts.items():
-        network.add(name, data_centre)
-    network.run(15)
-    return network
-
-
-def publish(network: Network, version: int, **extra: object) -> None:
-    """Publishes declarations whose customer names the version."""
-    value = {"customers": {"c0": {"n": version}}, **extra}
-    network.platform.publish(DECLARATIONS, version, value)
-
-
-def in_force(network: Network) -> set[int]:
-    """Returns the versions of declarations that are in force somewhere."""
-    return {
-        n.state.version_in_force(DECLARATIONS) for n in network.nodes.values()
-    }
-
 
 class TestSpread:
     """Documents reach all hosts, and few hosts read the platform."""
@@ -272,142 +242,3 @@
         new = network.add("new", "a")
         network.run(10)
         assert new.state.is_ready
-
-
-class TestWholeDocument:
-    """Large documents in pages, small changes as deltas."""
-
-    def test_a_new_host_takes_pages_while_its_source_dies(self) -> None:
-        """Symptom: a new host begins at page 0 again and again.
-
-        Each of the hosts that it asks is stopped after a page. Cause: pages
-        that only the host which gave the first can give.
-        """
-        network = make_network(ONE_CENTRE)
-        customers = {f"c{i}": {"key": f"{i:0100}"} for i in range(6_000)}
-        value = {"customers": customers}
-        network.platform.publish(DECLARATIONS, 6, value)
-        network.run(8)
-        network.platform.publish_hosts(2, {**ONE_CENTRE, "new": "a"})
-        new = network.add("new", "a")
-        pages = 0
-
-        def stop_source(peer: str) -> None:
-            nonlocal pages
-            pages += 1
-            if pages in (2, 4):
-                network.is_cut = lambda a, b: peer in (a, b)
-
-        network.observe = lambda node, peer, message: (
-            stop_source(peer)
-            if node is new and hasattr(message, "pages")
-            else None
-        )
-        network.run(12)
-        assert new.state.version_in_force(DECLARATIONS) == 6
-        whole = sum(len(c) + 110 for c in customers) // 131_072 + 2
-        assert pages <= whole + 2
-
-    def test_records_take_little_more_memory_than_their_bytes(self) -> None:
-        """Symptom: a host grows by 70 MB with 18,000 customers.
-
-        Cause: each record keeps the buffer in which it was written.
-        """
-        customers = {f"c{i}": {"key": f"{i:0100}"} for i in range(4_000)}
-        body = orjson.dumps({"customers": customers})
-        tracemalloc.start()
-        records = read_records(DECLARATIONS, body)
-        kept, _ = tracemalloc.get_traced_memory()
-        tracemalloc.stop()
-        assert len(records) == 4_000
-        assert kept < 3 * len(body)
-
-    def test_hosts_that_skipped_different_versions_use_deltas(self) -> None:
-        """Symptom: whole documents are sent at each change.
-
-        h0 went from 5 to 7, h1 from 5 over 6. Cause: deltas between
-        neighbouring versions only.
-        """
-        first = make_state("h0", (5, 7))
-        second = make_state("h1", (5, 6))
-        sent = exchange(first, second)
-        assert sent == ["Gossip", "FetchDocument", "DocumentDelta"]
-        assert second.version_in_force(DECLARATIONS) == 7
-
-    def test_a_check_sees_only_what_differs(self) -> None:
-        """Symptom: a check fails on a customer that it does not know.
-
-        c1 was added and removed between the two versions. Cause: a delta over
-        several versions that names what its base never had.
-        """
-        first = make_state("h0", (5,))
-        for version, customers in ((6, b'"c1":{}'), (7, b'"c0":{"n":7}')):
-            body = b'{"customers":{%b}}' % customers
-            first.on_platform_document(DECLARATIONS, version, body, 0.0)
-        seen: list[Change] = []
-
-        def check(candidate: Candidate) -> object:
-            seen.append(candidate.change)
-            return {}
-
-        second = PeerState(
-            "h1", "a", {**CHECKS, DECLARATIONS: check}, random.Random(1), 0.0
-        )
-        body = b'{"customers":{"c0":{"n":5}}}'
-        second.on_platform_document(DECLARATIONS, 5, body, 0.0)
-        exchange(first, second)
-        assert [r.path for r in seen[-1].changed] == ["customers/c0"]
-        assert seen[-1].removed == ()
-
-    def test_one_version_with_two_bodies_is_settled_by_the_next(self) -> None:
-        """Symptom: two hosts have one version in force and differ for ever.
-
-        The platform, restored, gave out version 5 twice; each host got another
-        body. Cause: a delta from a base that only has the same number.
-        """
-        first = make_state("h0", (4, 5, 6))
-        second = make_state("h1", (4,))
-        body = b'{"customers":{"c0":{"n":5},"c1":{"n":0}}}'
-        second.on_platform_document(DECLARATIONS, 5, body, 0.0)
-        exchange(first, second)
-        assert first.versions == second.versions
-
-    def test_a_wrong_delta_makes_the_host_ask_for_the_whole(self) -> None:
-        """Symptom: a host's declarations differ from all others'.
-
-        A delta leads to another result than its sender has. Cause: a delta
-        that is applied without a check of its result.
-        """
-        state = make_state("h0", (5,))
-        base = state.versions[0]
-        target = DocumentVersion(DECLARATIONS, 6, base.digest + 1)
-        state.on_message("h1", Gossip(versions=(target,)), 0.0)
-        record = DocumentRecord("customers/c0", b"{}")
-        delta = DocumentDelta(base, target, (record,))
-        commands = state.on_message("h1", delta, 0.0)
-        assert state.version_in_force(DECLARATIONS) == 5
-        assert commands == [Send("h1", FetchDocument(DECLARATIONS))]
-
-
-def make_state(name: str, versions: tuple[int, ...]) -> PeerState:
-    """Returns a host that read these versions of declarations."""
-    state = PeerState(name, "a", CHECKS, random.Random(1), 0.0)
-    for version in versions:
-        body = b'{"customers":{"c0":{"n":%d}}}' % version
-        state.on_platform_document(DECLARATIONS, version, body, 0.0)
-    return state
-
-
-def exchange(teller: PeerState, learner: PeerState) -> list[str]:
-    """Tells one host of another's versions; returns the kinds of messages."""
-    states = {"teller": teller, "learner": learner}
-    told = Gossip(versions=teller.versions)
-    queue: list[tuple[str, str, PeerMessage]] = [("learner", "teller", told)]
-    kinds: list[str] = []
-    while queue:
-        receiver, sender, message = queue.pop(0)
-        kinds.append(type(message).__name__)
-        for command in states[receiver].on_message(sender, message, 0.0):
-            if isinstance(command, Send) and command.peer in states:
-                queue.append((command.peer, receiver, command.message))
-    return kinds
