Look for double starts with a state machine; end a livelock of learners

Cause: sequences thought up by hand find only the faults one thought of. Found by the machine: two holders that date the same holders by different revisions sent a learner to and fro, as fast as they answered, and the slot stayed closed. The symptom was a test that never ended. Change: a learner that was sent to a newer revision doesn't take an older one again.

--- a/packages/coordination/src/hollyknot_coordination/claims/_learners.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_learners.py
@@ -150,6 +150,9 @@
         newest = answer.epochs[0]
         if newest.revision > slot.epoch.revision:
             slot.move_to(newest)
+            # Were it to take an older revision of the same holders again, two
+            # hosts could send it to and fro for ever, as fast as they answer.
+            slot.promised = max(slot.promised, newest.revision)
             self.begin(answer.slot, slot, now)
 
     def _take_same(self, answer: SlotAnswer, slot: Slot, now: Instant) -> None:
--- a/packages/coordination/src/hollyknot_coordination/claims/_slot.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_slot.py
@@ -21,7 +21,7 @@
         seen: The newest revision of a host list by which `epoch` still has
             the right holders.
         promised: The newest revision at which this host sealed the slot for
-            another; it never goes back below.
+            another, or was told of by another; it never goes back below.
         active: The newest revision for which this host was active; 0 for
             none. It grants only while this is the epoch's.
         horizon_ms: Keys of this time and before are never granted.
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/claims/tests/test_machine.py
@@ -0,0 +1,243 @@
+"""A state machine that looks for a sequence by which a key starts twice."""
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from hollyknot_coordination.claims import _holder, _placement
+from hollyknot_coordination.claims.tests import test_rules
+from hollyknot_coordination.claims.tests._fleet import (
+    Fleet,
+    fresh_key,
+    only,
+)
+from hollyknot_state import Attempt, Outcome
+
+ANCHOR = "a"
+"""Listed and up at all times: what happens when every host of a data centre
+is gone at once, unseen, is not promised."""
+
+NAMES = ("a", "b", "c", "d", "e", "f", "g", "h")
+MOST_LISTED = 5
+picks = st.integers(0, 10_000)
+subsets = st.integers(1, 2 ** len(NAMES) - 1)
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Hosts, lists, messages and pauses, in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet()
+        self.fleet.publish(*NAMES[:3])
+        for name in NAMES[:3]:
+            self.fleet.start(name)
+        self.fleet.settle(1.0)
+        self.fleet.now_s += 5.0
+        self.keys = [fresh_key(self.fleet, number) for number in range(2)]
+        self.seen = dict.fromkeys(NAMES[:3], 1)
+        self.spare = list(NAMES[3:])
+        self.killed: set[str] = set()
+        self.outstanding: dict[bytes, set[Attempt]] = {
+            key: set() for key in self.keys
+        }
+
+    def pick(self, number: int) -> str:
+        names = sorted(self.fleet.hosts)
+        return names[number % len(names)]
+
+    def some(self, mask: int) -> list[str]:
+        """Returns the hosts that reach each other, the anchor mostly."""
+        names = sorted(self.fleet.hosts)
+        return [n for i, n in enumerate(names) if mask >> i & 1] or [ANCHOR]
+
+    @rule(host=picks, key=st.integers(0, 1), patience=st.sampled_from([1, 9]))
+    def claim(self, host: int, key: int, patience: int) -> None:
+        self.fleet.claim(self.pick(host), self.keys[key], patience)
+
+    @rule(host=picks, key=st.integers(0, 1), mask=subsets)
+    def claim_in_part(self, host: int, key: int, mask: int) -> None:
+        self.fleet.claim(self.pick(host), self.keys[key], 9)
+        self.run_part(mask, 4)
+
+    @precondition(lambda self: self.fleet.network)
+    @rule(message=picks, keep=st.booleans())
+    def deliver(self, message: int, keep: bool) -> None:
+        """Delivers any message, first or last; it may come again."""
+        network = self.fleet.network
+        chosen = network[message % len(network)]
+        if not keep:
+            network.remove(chosen)
+        self.fleet.deliver(chosen)
+
+    @precondition(lambda self: self.fleet.network)
+    @rule(mask=subsets)
+    def lose(self, mask: int) -> None:
+        passes = only(*self.some(mask))
+        network = self.fleet.network
+        self.fleet.network = [m for m in network if passes(m)]
+
+    @rule(mask=subsets, rounds=st.sampled_from([1, 4, 20]))
+    def run_part(self, mask: int, rounds: int) -> None:
+        """Some hosts work and reach each other; all else waits."""
+        names = self.some(mask)
+        passes = only(*names)
+        for _ in range(rounds):
+            self.fleet.now_s += 0.1
+            for name in names:
+                self.fleet.poll(name)
+            waiting = [m for m in self.fleet.network if not passes(m)]
+            self.fleet.network = [m for m in self.fleet.network if passes(m)]
+            for _ in range(200):
+                if not self.fleet.network:
+                    break
+                self.fleet.deliver(self.fleet.network.pop(0))
+                fresh = [m for m in self.fleet.network if not passes(m)]
+                waiting += fresh
+                for message in fresh:
+                    self.fleet.network.remove(message)
+            self.fleet.network += waiting
+        del self.fleet.network[:-60]
+
+    @rule(mask=subsets, added=st.integers(0, 2))
+    def publish(self, mask: int, added: int) -> None:
+        listed = self.fleet.lists[-1]
+        kept = [n for i, n in enumerate(listed) if mask >> i & 1]
+        kept = [ANCHOR, *(n for n in kept if n != ANCHOR)]
+        fresh = [n for n in self.spare if n not in kept][:added]
+        self.fleet.publish(*(kept + fresh)[:MOST_LISTED])
+
+    @rule(mask=subsets, added=st.integers(0, 2), aware=subsets)
+    def change(self, mask: int, added: int, aware: int) -> None:
+        """A change of the list that some hosts hear of at once."""
+        self.publish(mask, added)
+        for name in self.fleet.lists[-1]:
+            if name in self.spare:
+                self.spare.remove(name)
+                self.fleet.start(name)
+                self.seen[name] = len(self.fleet.lists)
+        for name in self.some(aware):
+            self.fleet.see(name)
+            self.seen[name] = len(self.fleet.lists)
+        self.run_part(aware, 4)
+
+    @rule(host=picks, step=st.sampled_from([1, 1, 2, 3]))
+    def see(self, host: int, step: int) -> None:
+        """A host reads a newer list, perhaps after skipping some."""
+        name = self.pick(host)
+        revision = min(self.seen[name] + step, len(self.fleet.lists))
+        if revision > self.seen[name]:
+            self.fleet.see(name, revision)
+            self.seen[name] = revision
+
+    @rule(back=st.integers(0, 1), skew_ms=st.sampled_from([0, -900, 900]))
+    def start(self, back: int, skew_ms: int) -> None:
+        revision = max(1, len(self.fleet.lists) - back)
+        for name in self.fleet.lists[revision - 1]:
+            if name in self.spare:
+                self.spare.remove(name)
+                self.fleet.start(name, revision, skew_ms)
+                self.seen[name] = revision
+                return
+
+    @rule(host=picks)
+    def kill(self, host: int) -> None:
+        name = self.pick(host)
+        if name != ANCHOR:
+            self.fleet.kill(name)
+            self.killed.add(name)
+
+    @rule(host=picks, key=st.integers(0, 1), not_run=st.booleans())
+    def finish(self, host: int, key: int, not_run: bool) -> None:
+        """A granted request goes out, long after perhaps, and ends."""
+        name, claimed = self.pick(host), self.keys[key]
+        granted = self.fleet.hosts[name].coordinator._granted.get(claimed)
+        if granted is None:
+            return
+        if not_run and not self.fleet.started[claimed]:
+            self.outstanding[claimed].discard(granted.attempt)
+            self.fleet.finish(name, claimed, Outcome.NOT_RUN)
+            return
+        self.fleet.started[claimed] += 1
+        self.fleet.finish(name, claimed, Outcome.COMPLETE)
+
+    @rule(host=picks, skew_ms=st.sampled_from([-700_000, 700_000]))
+    def set_clock(self, host: int, skew_ms: int) -> None:
+        self.fleet.hosts[self.pick(host)].skew_ms += skew_ms
+
+    @invariant()
+    def at_most_one_may_run(self) -> None:
+        """Every attempt that was granted and not released may yet start."""
+        for host in self.fleet.hosts.values():
+            for key, attempt in host.coordinator._granted.items():
+                self.outstanding[key].add(attempt.attempt)
+        assert all(len(found) <= 1 for found in self.outstanding.values())
+        assert all(count <= 1 for count in self.fleet.started.values())
+
+    def teardown(self) -> None:
+        """A quiet, connected system that lost no host grants a fresh key."""
+        listed = {name for names in self.fleet.lists for name in names}
+        if listed & self.killed:
+            return
+        for name in sorted(listed.intersection(self.spare)):
+            self.fleet.start(name)
+        for name, host in self.fleet.hosts.items():
+            host.skew_ms = 0
+            self.fleet.see(name)
+        self.fleet.settle(15.0)
+        self.fleet.now_s += 20_000.0
+        key = fresh_key(self.fleet, 9)
+        assert self.fleet.try_key(ANCHOR, key) == "granted"
+
+
+class TestClaimMachine:
+    """The machine on the real code, and on code that is broken."""
+
+    @pytest.fixture(autouse=True)
+    def _small(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(_holder, "SLOTS", 1)
+        monkeypatch.setattr(_placement, "GROUP_SIZE", 3)
+
+    def run(self, examples: int, steps: int) -> None:
+        run_state_machine_as_test(
+            ClaimMachine,
+            settings=settings(
+                derandomize=True,
+                database=None,
+                deadline=None,
+                max_examples=examples,
+                stateful_step_count=steps,
+                # What was found needn't be made small: that takes minutes.
+                phases=[Phase.generate],
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
+
+    def test_a_key_starts_at_most_once(self) -> None:
+        self.run(300, 40)
+
+    @pytest.mark.parametrize(
+        "switch_off",
+        [
+            test_rules.with_two_of_five,
+            test_rules.without_abstaining,
+            test_rules.without_proof,
+        ],
+    )
+    def test_the_machine_finds_a_missing_rule(
+        self,
+        switch_off: Callable[[pytest.MonkeyPatch], None],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        switch_off(monkeypatch)
+        with pytest.raises(AssertionError):
+            self.run(300, 40)
