Tell admission what a request's budget is spent on

Cause: admission reserves a whole answer's own service time, but the flow told it that every budget is for a first token. Ruled out: a default by pool; the class's target says it. Change: the flow sets target_kind from the class's target. Conclusion: wired.

--- a/packages/daemon/src/hollyknot_daemon/_flow.py
+++ b/packages/daemon/src/hollyknot_daemon/_flow.py
@@ -17,7 +17,13 @@
 from hollyknot_daemon._claiming import Claim
 from hollyknot_daemon._in_force import InForce
 from hollyknot_daemon._tries import Job, Tries
-from hollyknot_state import Outcome, Reason, RequestInfo, Verdict
+from hollyknot_state import (
+    Outcome,
+    Reason,
+    RequestInfo,
+    TargetKind,
+    Verdict,
+)
 from hollyknot_transport import (
     MODEL_PATHS,
     SERVICE_PREFIX,
@@ -135,6 +141,11 @@
         pool=found.pool,
         arrived_s=arrived_s,
         budget_s=found.target.budget_s,
+        target_kind=(
+            TargetKind.FIRST_TOKEN
+            if found.target.first_token_ms
+            else TargetKind.WHOLE_ANSWER
+        ),
         fingerprint=call.fingerprint,
         prefix=call.prefix,
         input_size=len(call.body),
