--- a/packages/daemon/src/hollyknot_daemon/tests/faults/relay.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/faults/relay.py
@@ -48,6 +48,11 @@
         """Where it listens."""
         return self._port
 
+    @property
+    def sources(self) -> set[str]:
+        """Sources with an open connection."""
+        return set(self._open.values())
+
     def set(self, flow: Flow, *sources: str) -> None:
         """Sets the flow of some sources, of those that name none by default."""
         for source in sources or ("",):
--- a/packages/daemon/src/hollyknot_daemon/tests/faults/test_at_most_once.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/faults/test_at_most_once.py
@@ -86,6 +86,7 @@
         async def test(fleet: FaultFleet) -> None:
             keys = _keys()
             first, second, _ = fleet.at(A)
+            await fleet.warm(first)
             _hold_answers(fleet, first, Flow.HOLD)
             calls = _begin(fleet, first, keys)
             await _until_granted(fleet, first, keys)
@@ -184,6 +185,7 @@
         async def test(fleet: FaultFleet) -> None:
             keys = _keys()
             first, second, _ = fleet.at(A)
+            await fleet.warm(first)
             _hold_answers(fleet, first, Flow.HOLD)
             calls = _begin(fleet, first, keys)
             await _until_granted(fleet, first, keys)
@@ -209,6 +211,7 @@
         async def test(fleet: FaultFleet) -> None:
             keys = _keys()
             first, second, third = fleet.at(A)
+            await fleet.warm(first)
             others = [h for h in fleet.hosts.values() if h is not first]
             for host in others:
                 host.links.set(Flow.HOLD, first.name)
--- /dev/null
+++ b/packages/daemon/src/hollyknot_daemon/tests/faults/test_stop.py
@@ -0,0 +1,146 @@
+"""Tests of a planned stop, and of a second signal."""
+
+import asyncio
+import signal
+
+import pytest
+
+from hollyknot_daemon.tests.faults.fleet import (
+    SLOW,
+    A,
+    B,
+    Drive,
+    FaultFleet,
+    HostProcess,
+    key_at,
+)
+from hollyknot_daemon.tests.faults.ledger import Answer
+from hollyknot_daemon.tests.faults.relay import IP
+
+_GRACEFUL = "a planned stop interrupts no request in flight"
+_OK = 200
+
+
+async def _begin(
+    fleet: FaultFleet, host: HostProcess, keys: list[str], slow_s: float
+) -> list[asyncio.Task[Answer]]:
+    """Has calls of each kind in flight at a host."""
+    for engine in fleet.engines.values():
+        engine.control.straggle = SLOW
+    for service in fleet.services.values():
+        service.control.slow_s = slow_s
+    before = fleet.ran()
+    calls = [asyncio.create_task(fleet.order(host, key)) for key in keys]
+    calls += [
+        asyncio.create_task(fleet.chat(host, f"in flight {n}", n % 2 == 0))
+        for n in range(4)
+    ]
+    await fleet.until(lambda: fleet.ran() == before + len(calls))
+    return calls
+
+
+async def _is_ready(fleet: FaultFleet, host: HostProcess) -> bool:
+    url = f"http://{IP}:{host.port('operators_port')}/readyz"
+    async with fleet.session.get(url) as response:
+        return response.status == _OK
+
+
+class TestStop:
+    """SIGTERM, once and twice."""
+
+    @pytest.mark.fault(fault="host leave", step="mid-stream", rule=_GRACEFUL)
+    def test_all_in_flight_completes(self, drive: Drive) -> None:
+        """A planned stop ends nothing before its time.
+
+        Symptom: answers are cut off whenever a host is replaced.
+        Sequence: streams, whole answers and orders are in flight; SIGTERM.
+        Cause: the process ended once its listeners were closed.
+        """
+
+        async def test(fleet: FaultFleet) -> None:
+            host, second, _ = fleet.at(A)
+            keys = [key_at(A), key_at(B)]
+            calls = await _begin(fleet, host, keys, 3.0)
+            host.send(signal.SIGTERM)
+            while await _is_ready(fleet, host):
+                await asyncio.sleep(0)
+            refused = await fleet.order(host, key_at(A))
+            assert (refused.status, refused.verdict) == (503, "not-run")
+            assert refused.retry_after
+            assert host.is_running
+            answers = await asyncio.gather(*calls)
+            assert {a.verdict for a in answers} == {"complete"}
+            assert host.process is not None
+            assert await host.process.wait() == 0
+            again = [await fleet.order(second, key) for key in keys]
+            assert {a.verdict for a in again} == {"may-have-run"}
+            await fleet.heal()
+            again = [await fleet.order(fleet.at(A)[-1], key) for key in keys]
+            assert {a.verdict for a in again} == {"may-have-run"}
+
+        drive(test)
+
+    @pytest.mark.fault(
+        fault="host leave",
+        step="sent",
+        rule="a second signal ends a host at once, and nothing runs twice",
+    )
+    def test_second_signal_ends_it_at_once(self, drive: Drive) -> None:
+        """A second SIGTERM ends the host, and no answer looks whole.
+
+        Symptom: a host can't be ended, or a cut answer is taken for whole.
+        Sequence: calls are in flight; SIGTERM; SIGTERM; the caller sends its
+        orders again.
+        Cause: a stop that can't be hurried; a stream's end that looks like
+        any other.
+        """
+
+        async def test(fleet: FaultFleet) -> None:
+            host, second, _ = fleet.at(A)
+            keys = [key_at(A), key_at(B)]
+            calls = await _begin(fleet, host, keys, 600.0)
+            host.send(signal.SIGTERM)
+            while await _is_ready(fleet, host):
+                await asyncio.sleep(0)
+            host.send(signal.SIGTERM)
+            assert host.process is not None
+            assert await host.process.wait() != 0
+            answers = await asyncio.gather(*calls)
+            assert not any(a.is_complete for a in answers)
+            again = [await fleet.order(second, key) for key in keys]
+            assert {a.verdict for a in again} == {"may-have-run"}
+
+        drive(test)
+
+    @pytest.mark.fault(
+        fault="host replace",
+        step="claimed",
+        rule="a non-idempotent request runs at most once",
+    )
+    def test_all_hosts_of_a_home_leave_in_turn(self, drive: Drive) -> None:
+        """A rolling replacement forgets no key.
+
+        Symptom: a crew is ordered twice after an upgrade of all hosts.
+        Sequence: calls run; each host is listed as leaving, stops, and is
+        replaced; the caller sends again.
+        Cause: the claims of a stopped host went with it.
+        """
+
+        async def test(fleet: FaultFleet) -> None:
+            keys = [key_at(A), key_at(B)]
+            first = fleet.at(B)[0]
+            assert all(
+                [(await fleet.order(first, k)).is_complete for k in keys]
+            )
+            for host in fleet.at(A):
+                fleet.list_hosts(leaving=(host.name,))
+                host.send(signal.SIGTERM)
+                assert host.process is not None
+                assert await host.process.wait() == 0
+                new = await fleet.replace_lost()
+                await fleet.settled()
+                for sender in (first, *new):
+                    again = [await fleet.order(sender, key) for key in keys]
+                    assert {a.verdict for a in again} == {"may-have-run"}
+
+        drive(test)
--- a/packages/transport/src/hollyknot_transport/_caller_server.py
+++ b/packages/transport/src/hollyknot_transport/_caller_server.py
@@ -16,6 +16,11 @@
 HEAD_TIMEOUT_S = 30.0
 """Seconds that a connection may be without a request in work."""
 
+END_S = 0.1
+"""Seconds that requests get to end once a server is closed. A planned stop has
+waited for them before; the library's minute would make a process that is to
+end at once wait for its slowest request."""
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -150,7 +155,7 @@
     Raises:
         OSError: The address can't be listened on.
     """
-    runner = web.ServerRunner(server)
+    runner = web.ServerRunner(server, shutdown_timeout=END_S)
     await runner.setup()
     site = web.TCPSite(runner, address.ip, address.port, backlog=1024)
     await site.start()
