Spread claims over 1,024 slots

Cause: 256 slots of five holders give 2,500 hosts half a slot each; most would hold none, and the others' memory would bound the whole. Conclusion: the number is fixed by every host alike; it can't change in service.

--- a/packages/coordination/src/hollyknot_coordination/claims/_keys.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_keys.py
@@ -10,11 +10,16 @@
 import hashlib
 import uuid
 
-SLOTS = 256
-"""Keys are spread over this many slots; every host must use the same number."""
+SLOTS = 1024
+"""Keys are spread over this many slots; every host must use the same number.
+
+A host list of 2,500 hosts then gives a host two slots on average. Fewer slots
+would leave most hosts without any and fill the memory of the rest.
+"""
 
 _HASH_BYTES = 10
 _TIME_BYTES = 6
+_SLOT_BYTES = 2
 _UUID_TIME_SHIFT = 80
 _UUID_VERSION = 7
 
@@ -58,4 +63,4 @@
 
 def slot_of(key: bytes) -> int:
     """Returns the slot that a key belongs to."""
-    return key[-1] % SLOTS
+    return int.from_bytes(key[-_SLOT_BYTES:], "big") % SLOTS
--- a/packages/coordination/src/hollyknot_coordination/claims/tests/_fleet.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/tests/_fleet.py
@@ -32,7 +32,7 @@
 
 def make_key(time_ms: int, number: int = 0, slot: int = 0) -> bytes:
     """Returns a claim key of a slot."""
-    tail = number.to_bytes(9, "big") + bytes([slot])
+    tail = number.to_bytes(8, "big") + slot.to_bytes(2, "big")
     return time_ms.to_bytes(6, "big") + tail
 
 
--- a/packages/coordination/src/hollyknot_coordination/claims/tests/test_changes.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/tests/test_changes.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hollyknot_coordination.claims import _holder
+from hollyknot_coordination.claims import SLOTS, _holder
 from hollyknot_coordination.claims._records import SlotRecords
 from hollyknot_coordination.claims.tests._fleet import (
     OPTIONS,
@@ -23,11 +23,6 @@
 )
 
 
-@pytest.fixture
-def _one_slot(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(_holder, "SLOTS", 1)
-
-
 def replace(fleet: Fleet, old: str, new: str) -> None:
     """Replaces a host as the platform does, and waits for the handover."""
     names = [n for n in fleet.lists[-1] if n != old]
@@ -44,7 +39,6 @@
     fleet.settle(1.0)
 
 
-@pytest.mark.usefixtures("_one_slot")
 class TestReplacement:
     """Hosts that are replaced one after another."""
 
@@ -110,7 +104,6 @@
         assert fleet.try_key("d", key) == "granted"
 
 
-@pytest.mark.usefixtures("_one_slot")
 class TestViews:
     """Hosts whose lists lag, or skipped revisions."""
 
@@ -186,7 +179,10 @@
         fleet.settle(3.0, note)
         return sum(isinstance(body, kind) for body in bodies)
 
-    def test_questions_of_many_slots_share_messages(self) -> None:
+    def test_questions_of_many_slots_share_messages(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(_holder, "SLOTS", SLOTS)
         fleet = make_fleet("a", "b", "c")
         fleet.publish("a", "b", "c", "d")
         for name in "abc":
@@ -194,10 +190,10 @@
         fleet.start("d")
         slots_a_message = OPTIONS.questions_a_message
         pairs = 4 * 3
-        at_most = 2 * pairs * -(-256 // slots_a_message)
+        at_most = 2 * pairs * -(-SLOTS // slots_a_message)
         assert self.count(fleet, LearnSlots) <= at_most
         assert all(
-            len(h.holder.active_slots()) == 256 for h in fleet.hosts.values()
+            len(h.holder.active_slots()) == SLOTS for h in fleet.hosts.values()
         )
 
     def test_an_unchanged_group_asks_nobody(self) -> None:
@@ -207,10 +203,7 @@
             fleet.see(name)
         assert self.count(fleet, LearnSlots) == 0
 
-    def test_many_records_go_in_pages(
-        self, monkeypatch: pytest.MonkeyPatch
-    ) -> None:
-        monkeypatch.setattr(_holder, "SLOTS", 1)
+    def test_many_records_go_in_pages(self) -> None:
         fleet = make_fleet("a")
         holder = fleet.hosts["a"].holder
         attempt = Attempt("a/1", 1)
@@ -279,7 +272,6 @@
         assert len(records) == 14
 
 
-@pytest.mark.usefixtures("_one_slot")
 class TestFirstHolders:
     """A data centre whose hosts all start empty."""
 
--- a/packages/coordination/src/hollyknot_coordination/claims/tests/test_machine.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/tests/test_machine.py
@@ -13,7 +13,7 @@
     run_state_machine_as_test,
 )
 
-from hollyknot_coordination.claims import _holder, _placement
+from hollyknot_coordination.claims import _placement
 from hollyknot_coordination.claims.tests import test_rules
 from hollyknot_coordination.claims.tests._fleet import (
     Fleet,
@@ -204,7 +204,6 @@
 
     @pytest.fixture(autouse=True)
     def _small(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        monkeypatch.setattr(_holder, "SLOTS", 1)
         monkeypatch.setattr(_placement, "GROUP_SIZE", 3)
 
     def run(self, examples: int, steps: int) -> None:
--- a/packages/coordination/src/hollyknot_coordination/claims/tests/test_rules.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/tests/test_rules.py
@@ -15,7 +15,6 @@
     _attempt,
     _grants,
     _handovers,
-    _holder,
     _learner,
     _seal,
 )
@@ -44,11 +43,6 @@
 Patch = pytest.MonkeyPatch
 
 
-@pytest.fixture(autouse=True)
-def _one_slot(monkeypatch: Patch) -> None:
-    monkeypatch.setattr(_holder, "SLOTS", 1)
-
-
 def claim_within(fleet: Fleet, name: str, key: bytes, *names: str) -> None:
     """Claims a key while only some hosts reach one another."""
     fleet.claim(name, key)
