Measure how costs grow, and work out the plan's size from it

Cause: the design is decided by 2,500 hosts, and no page said what each mechanism costs there.

Ruled out: figures by hand (page and measures drift apart), and one fit for all (a logarithm promises less growth, so it is taken only where its residual is clearly smaller).

Change: `python -m hollyknot_bench.slopes` measures decisions under a virtual clock with real wire sizes, links, load reports and host processes over loopback; it writes docs/capacity/slopes.json and the tables of docs/CAPACITY.md. A test compares the page with the slopes; it was seen failing on one changed digit of the page.

--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/slopes/_claims_fleet.py
@@ -0,0 +1,180 @@
+"""Holders and coordinators of one data centre, with their messages counted."""
+
+import random
+import time
+from typing import Any
+
+import attrs
+
+from hollyknot_bench.slopes._documents import PLAN_CENTRES, host_list
+from hollyknot_bench.slopes._wire import frame_of, read_back, wire_bytes
+from hollyknot_coordination.claims import (
+    SLOTS,
+    ClaimGranted,
+    ClaimOptions,
+    ClaimRefused,
+    Coordinator,
+    Holder,
+    Instant,
+    Placement,
+    SendClaim,
+    make_placement,
+    slot_of,
+)
+from hollyknot_state import ClaimAnswer
+
+START_MS = 1_700_000_000_000
+CENTRE = PLAN_CENTRES[0]
+STEP_S = 0.1
+SETTLE_LIMIT_S = 300.0
+
+
+@attrs.define
+class Spent:
+    """What all hosts spent: messages to others, bytes and processor time."""
+
+    messages: int = 0
+    wire_bytes: int = 0
+    cpu_s: float = 0.0
+
+
+@attrs.define
+class _Host:
+    holder: Holder
+    coordinator: Coordinator
+    ended: list[Any] = attrs.Factory(list)
+
+
+class ClaimsFleet:
+    """The hosts of the first of the plan's data centres."""
+
+    def __init__(self, names: list[str]) -> None:
+        """Starts all at the same moment."""
+        self.now_s = 0.0
+        self.spent = Spent()
+        self.revision = 0
+        self.placement: Placement = make_placement(
+            host_list(0, {}, {}), PLAN_CENTRES
+        )
+        self.hosts: dict[str, _Host] = {}
+        self.steps = 0
+        self._under_way: list[tuple[str, str, Any]] = []
+        self.publish(names)
+        for name in names:
+            self.start(name)
+            self.see(name)
+
+    @property
+    def own_slots(self) -> list[int]:
+        """The slots whose home is this data centre."""
+        return [n for n in range(SLOTS) if self.placement.home(n) == CENTRE]
+
+    def publish(self, names: list[str]) -> None:
+        """Makes a newer host list, which no host has seen yet."""
+        self.revision += 1
+        hosts = dict.fromkeys(names, CENTRE)
+        self.placement = make_placement(
+            host_list(self.revision, hosts, {}), PLAN_CENTRES
+        )
+
+    def start(self, name: str) -> None:
+        """Starts a host that knows no list yet."""
+        number = len(self.hosts) + 1
+        options = ClaimOptions()
+        self.hosts[name] = _Host(
+            Holder(name, CENTRE, number, options),
+            Coordinator(
+                name, number, self.placement, random.Random(number), options
+            ),
+        )
+
+    def see(self, name: str) -> None:
+        """Lets a host read the newest list."""
+        host = self.hosts[name]
+        self._timed(name, host.holder.update, self.placement, self.now())
+        self._timed(name, host.coordinator.update, self.placement, self.now())
+
+    def now(self) -> Instant:
+        """Returns the time of all hosts."""
+        return Instant(self.now_s, START_MS + int(self.now_s * 1000))
+
+    def key(self, number: int, slot: int) -> bytes:
+        """Returns a key of this moment and of a slot."""
+        time_ms = self.now().wall_ms
+        key = time_ms.to_bytes(6, "big") + number.to_bytes(9, "big")
+        key += slot.to_bytes(1, "big")
+        if slot_of(key) != slot:
+            raise RuntimeError("claim keys have another layout; adapt 'key'")
+        return key
+
+    def claim(self, name: str, key: bytes) -> bool:
+        """Claims a key and delivers all messages; tells whether it was had."""
+        host = self.hosts[name]
+        host.ended.clear()
+        self._timed(name, host.coordinator.claim, key, self.now(), 2.0)
+        self.deliver()
+        return any(isinstance(e, ClaimGranted) for e in host.ended)
+
+    def finish(self, name: str, key: bytes, outcome: Any) -> None:
+        """Ends a claim and delivers what follows."""
+        self._timed(name, self.hosts[name].coordinator.finish, key, outcome)
+        self.deliver()
+
+    def settle(self) -> float:
+        """Lets time pass until no host learns; returns how long that took."""
+        began_s = self.now_s
+        self.deliver()
+        while self.now_s - began_s < SETTLE_LIMIT_S:
+            if not any(h.holder.learning_slots() for h in self.hosts.values()):
+                break
+            self.now_s += STEP_S
+            for name, host in self.hosts.items():
+                if host.holder.next_poll_s() <= self.now_s:
+                    self._timed(name, host.holder.poll, self.now())
+            self.deliver()
+        return self.now_s - began_s
+
+    def take_spent(self) -> Spent:
+        """Returns what was spent since the last call."""
+        spent, self.spent = self.spent, Spent()
+        return spent
+
+    def deliver(self) -> None:
+        """Delivers until nothing is under way."""
+        while self._under_way:
+            # What is sent meanwhile arrives one transit later.
+            arriving, self._under_way = self._under_way, []
+            self.steps += 1
+            for sender, receiver, message in arriving:
+                self._receive(sender, receiver, message)
+
+    def _receive(self, sender: str, receiver: str, message: Any) -> None:
+        host = self.hosts.get(receiver)
+        if host is None:
+            return
+        half = (
+            host.coordinator
+            if isinstance(message, ClaimAnswer)
+            else host.holder
+        )
+        self._timed(receiver, half.receive, sender, message, self.now())
+
+    def _timed(self, name: str, call: Any, *args: Any) -> None:
+        began_s = time.process_time()
+        commands = call(*args)
+        self.spent.cpu_s += time.process_time() - began_s
+        for command in commands:
+            if isinstance(command, SendClaim):
+                self._send(name, command.host, command.message)
+            elif isinstance(command, ClaimGranted | ClaimRefused):
+                self.hosts[name].ended.append(command)
+
+    def _send(self, sender: str, receiver: str, message: Any) -> None:
+        if sender != receiver:
+            began_s = time.process_time()
+            size = len(frame_of(message))
+            message = read_back(message)
+            self.spent.cpu_s += time.process_time() - began_s
+            self.spent.messages += 1
+            self.spent.wire_bytes += wire_bytes(size)
+        self._under_way.append((sender, receiver, message))
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/slopes/_document_host.py
@@ -0,0 +1,136 @@
+"""One host that takes documents, with the processor time of each step."""
+
+import random
+from typing import Any
+
+import attrs
+
+from hollyknot_bench.slopes._documents import PLAN_CENTRES
+from hollyknot_bench.slopes._measure import cpu_once_us
+from hollyknot_bench.slopes._wire import frame_of, read_back, wire_bytes
+from hollyknot_coordination.checks import check_declarations, check_hosts
+from hollyknot_coordination.spread import Apply, PeerCommand, PeerState, Send
+from hollyknot_daemon._in_force import InForce
+from hollyknot_state import (
+    Declarations,
+    DocumentKind,
+    DocumentPage,
+    DocumentVersion,
+    FetchDocument,
+    Gossip,
+    HostList,
+)
+
+CENTRE = PLAN_CENTRES[0]
+
+
+def new_host(name: str) -> "DocumentHost":
+    """Returns a host that knows nothing, with the real checks."""
+    checks = {
+        DocumentKind.DECLARATIONS: check_declarations,
+        DocumentKind.HOSTS: check_hosts,
+    }
+    state = PeerState(name, CENTRE, checks, random.Random(1), 0.0)
+    return DocumentHost(name, state)
+
+
+class DocumentHost:
+    """A peer state with the view that its host would serve by."""
+
+    def __init__(self, name: str, state: PeerState) -> None:
+        """Takes a state that knows nothing."""
+        self.name = name
+        self.state = state
+        self._view = InForce()
+        self._now_s = 0.0
+
+    def read(self, document: DocumentKind, version: int, body: bytes) -> None:
+        """Takes a document from the platform."""
+        self._now_s += 1.0
+        self._apply(
+            self.state.on_platform_document(
+                document, version, body, self._now_s
+            )
+        )
+
+    def take(self, peer: str, message: Any) -> list[Any]:
+        """Takes a message; returns what is sent."""
+        commands = self.state.on_message(peer, message, self._now_s)
+        self._apply(commands)
+        return [c.message for c in commands if isinstance(c, Send)]
+
+    def take_encoded(self, peer: str, message: Any) -> list[Any]:
+        """Takes a message, after it was encoded and decoded."""
+        return self.take(peer, read_back(message))
+
+    def answer(
+        self, peer: str, question: Any, kind: type[Any], took_us: list[float]
+    ) -> Any:
+        """Returns the one answer of a kind; notes its processor time."""
+        found: list[Any] = []
+
+        def answer() -> None:
+            found.extend(self.take(peer, question))
+            for message in found:
+                frame_of(message)
+
+        took_us.append(cpu_once_us(answer))
+        wanted = [m for m in found if isinstance(m, kind)]
+        if len(wanted) != 1:
+            raise RuntimeError(f"{kind.__name__}: {len(wanted)}, not one")
+        return wanted[0]
+
+    def version(self, document: DocumentKind) -> DocumentVersion:
+        """Returns the version in force."""
+        return next(v for v in self.state.versions if v.document is document)
+
+    def _apply(self, commands: list[PeerCommand]) -> None:
+        for command in commands:
+            if not isinstance(command, Apply):
+                continue
+            if isinstance(command.value, Declarations):
+                self._view = self._view.with_declarations(command.value)
+            elif isinstance(command.value, HostList):
+                self._view = self._view.with_hosts(command.value)
+
+
+@attrs.frozen
+class Transfer:
+    """A whole document given to a new host.
+
+    Attributes:
+        wire_bytes: Of pages and requests.
+        give_us: Processor time of the host that gives.
+        take_us: Of the new host.
+    """
+
+    wire_bytes: int
+    give_us: float
+    take_us: float
+
+
+def transfer(
+    document: DocumentKind, source: DocumentHost, new: DocumentHost
+) -> Transfer:
+    """Gives a document in pages to a host that has none."""
+    wanted = source.version(document)
+    size, page, pages = 0, 0, 1
+    give_us: list[float] = []
+    take_us = cpu_once_us(
+        lambda: new.take(source.name, Gossip(versions=(wanted,)))
+    )
+    while page < pages:
+        ask = FetchDocument(document, version=wanted.version, page=page)
+        found = source.answer(new.name, ask, DocumentPage, give_us)
+        pages = found.pages
+        size += wire_bytes(len(frame_of(found)))
+        size += wire_bytes(len(frame_of(ask)))
+        take_us += _taken_us(new, source.name, found)
+        page += 1
+    if new.version(document) != wanted:
+        raise RuntimeError(f"{document.value}: the pages made no document")
+    return Transfer(size, sum(give_us), take_us)
+
+
+def _taken_us(new: DocumentHost, peer: str, message: Any) -> float:
+    return cpu_once_us(lambda: new.take_encoded(peer, message))
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/slopes/_documents.py
@@ -0,0 +1,110 @@
+"""Documents of the plan's shape, of any size."""
+
+import hashlib
+
+import orjson
+
+from hollyknot_state import HostList, parse_host_list
+
+MODELS = 21
+DATA_CENTRES = tuple(f"dc-{number}" for number in range(1, 17))
+"""More than the plan's, so that the number can be varied."""
+
+PLAN_CENTRES = DATA_CENTRES[:9]
+CLASSES = {
+    "counter": {
+        "tier": 1,
+        "target": {"first_token_ms": 1100, "between_tokens_ms": 68},
+    },
+    "lookup": {"tier": 2, "target": {"whole_answer_ms": 2000}},
+    "overnight": {"tier": 3, "target": {"whole_answer_ms": 3_600_000}},
+}
+
+
+def model(number: int) -> str:
+    """Returns a model's name."""
+    return f"model-{number % MODELS:02d}"
+
+
+def customer(number: int) -> str:
+    """Returns a customer's name."""
+    return f"customer-{number:05d}"
+
+
+def declarations(customers: int, generation: int = 0) -> bytes:
+    """Returns declarations; each generation differs in one customer."""
+    entries = {
+        customer(n): _customer(n, generation if n == 0 else 0)
+        for n in range(customers)
+    }
+    return orjson.dumps(
+        {
+            "data_centres": PLAN_CENTRES,
+            "classes": CLASSES,
+            "customers": entries,
+            "models": {model(n): {} for n in range(MODELS)},
+            "services": {"permits": {}},
+        }
+    )
+
+
+def _customer(number: int, generation: int) -> dict[str, object]:
+    key = hashlib.sha256(f"{number}/{generation}".encode()).hexdigest()
+    names = list(CLASSES)
+    return {"key_sha256": key, "classes": names, "default_class": names[0]}
+
+
+def hosts_body(
+    revision: int,
+    hosts: dict[str, str],
+    upstreams: dict[str, str] | None = None,
+    leaving: str = "",
+) -> bytes:
+    """Returns a host list's body, from names to data centres.
+
+    Upstreams are dealt to the models in turn; one entry may be leaving.
+    """
+    entries = [
+        _entry(name, "host", centre, n, [], leaving)
+        for n, (name, centre) in enumerate(hosts.items())
+    ]
+    entries += [
+        _entry(
+            name, "engine", centre, n, [model(n // len(PLAN_CENTRES))], leaving
+        )
+        for n, (name, centre) in enumerate((upstreams or {}).items())
+    ]
+    return orjson.dumps({"revision": revision, "entries": entries})
+
+
+def _entry(
+    name: str,
+    role: str,
+    data_centre: str,
+    number: int,
+    pools: list[str],
+    leaving: str,
+) -> dict[str, object]:
+    return {
+        "name": name,
+        "role": role,
+        "data_centre": data_centre,
+        "ip": f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}",
+        "port": 7000,
+        "pools": pools,
+        "state": "leaving" if name == leaving else "live",
+    }
+
+
+def spread_names(kind: str, count: int, centres: int) -> dict[str, str]:
+    """Returns names, dealt to the first data centres in turn."""
+    return {f"{kind}-{n:05d}": DATA_CENTRES[n % centres] for n in range(count)}
+
+
+def host_list(
+    revision: int, hosts: dict[str, str], upstreams: dict[str, str]
+) -> HostList:
+    """Returns a checked host list."""
+    found = parse_host_list(hosts_body(revision, hosts, upstreams))
+    assert isinstance(found, HostList), found
+    return found
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/slopes/_limit_tables.py
@@ -0,0 +1,132 @@
+"""Tables of limits beside a host's budget: platform, claims, data path."""
+
+from hollyknot_bench.slopes._cost import CENTRE, records_a_slot
+from hollyknot_bench.slopes._lookup import Lookup
+from hollyknot_bench.slopes._markdown import NOTHING, figure, table
+from hollyknot_bench.slopes._plan import ASSUMED, BUDGET, HOLDERS, PLAN, SLOTS
+from hollyknot_bench.slopes._series import Slopes
+
+_CORE = 100.0
+WAITING = 1_024.0
+
+
+def platform_table(slopes: Slopes) -> str:
+    """Returns changes' time and the platform's reads next to the budget."""
+    look = Lookup(slopes)
+    seconds = look.at(
+        f"spread/change everywhere worst/{CENTRE}", PLAN.hosts_a_centre
+    )
+    one = look.take_basis()
+    several = look.at(
+        "spread/change everywhere worst/data centres", PLAN.centres
+    )
+    centres = look.take_basis("8 hosts a data centre")
+    taken = look.at("declarations/delta taken cpu/customers", PLAN.customers)
+    parse = look.take_basis("4 hops, each waits for the check")
+    reads = look.at("spread/reads/data centres", PLAN.centres)
+    read_basis = look.take_basis()
+    body = look.at("declarations/body/customers", PLAN.customers)
+    body_basis = look.take_basis()
+    hops = 4 * taken / 1e6
+    rows = [
+        _limit("a change in one data centre, the worst of 8", "s", seconds,
+               BUDGET.change_s, one),
+        _limit("a change in 9 data centres, the worst of 5", "s", several,
+               BUDGET.change_s, centres),
+        _limit("besides: the checks on the way", "s", hops,
+               BUDGET.change_s, parse),
+        _limit("reads of the platform, all hosts", "reads/s", reads,
+               BUDGET.reads_s, read_basis),
+        _limit("the declarations' value", "bytes", body,
+               BUDGET.value_bytes, body_basis),
+    ]  # fmt: skip
+    return table(("what", "value", "budget", "fits", "basis"), rows)
+
+
+def _limit(
+    name: str, unit: str, value: float, budget: float, basis: str
+) -> tuple[str, ...]:
+    fits = "yes" if value <= budget else "no"
+    return (name, f"{figure(value)} {unit}", figure(budget), fits, basis)
+
+
+def claims_table(slopes: Slopes) -> str:
+    """Returns the claims' memory for several shares."""
+    look = Lookup(slopes)
+    each = look.slope("claims/memory/records held") * 1e6
+    rows = []
+    for share in (0.001, 0.01, 0.05):
+        factor = share / ASSUMED.non_idempotent_share
+        records = records_a_slot() * factor * SLOTS * HOLDERS / PLAN.hosts
+        memory = records * each / 1e6
+        rows.append((f"{share:.1%}", f"{records:,.0f}", figure(memory)))
+    head = ("non-idempotent share", "records at the mean host", "MB")
+    return f"A record takes {each:.0f} bytes.\n\n{table(head, rows)}"
+
+
+def data_path_table(slopes: Slopes) -> str:
+    """Returns what a host's requests and tokens cost against one core."""
+    look = Lookup(slopes)
+    rows = [
+        *_data_path(look, "mean", 1.0, ""),
+        *_data_path(
+            look,
+            "worst",
+            ASSUMED.worst_load,
+            f"{ASSUMED.worst_load:g} times the mean",
+        ),
+    ]
+    decisions = (
+        look.at("admission/request cpu/requests waiting", WAITING)
+        + look.at("routing/request cpu/upstreams", PLAN.replicas)
+        + look.at("fingerprints/request cpu/requests in flight", WAITING)
+    )
+    rows.append(
+        (
+            "a request's admission, routing and fingerprint (part of it)",
+            f"{decisions:.0f} us",
+            NOTHING,
+            look.take_basis(f"{WAITING:.0f} requests wait"),
+        )
+    )
+    stream = look.slope("processes/resident memory/open streams") * 1e3
+    rows.append(
+        ("an open stream", f"{stream:.1f} KB", NOTHING, look.take_basis())
+    )
+    head = ("data path", "cost a host", "against one core", "basis")
+    return table(head, rows)
+
+
+def _data_path(
+    look: Lookup, name: str, load: float, assumed: str
+) -> list[tuple[str, ...]]:
+    tokens = PLAN.tokens_a_host_s * load
+    relayed = look.at("processes/stream cpu/tokens/s", tokens)
+    relayed_basis = look.take_basis(assumed)
+    requests = PLAN.requests_a_host_s * load
+    begun = look.at("processes/request cpu/requests/s", requests)
+    begun_basis = look.take_basis(assumed)
+    return [
+        (
+            f"{name} host: {tokens:,.0f} tokens/s relayed",
+            f"{relayed:.1f}% of a core",
+            _core(relayed),
+            relayed_basis,
+        ),
+        (
+            f"{name} host: {requests:.0f} requests/s begun and ended",
+            f"{begun:.1f}% of a core",
+            _core(begun),
+            begun_basis,
+        ),
+        (
+            f"{name} host: both",
+            f"{relayed + begun:.1f}% of a core",
+            _core(relayed + begun),
+            "sum",
+        ),
+    ]
+
+
+def _core(percent: float) -> str:
+    return "fits" if percent <= _CORE else f"{percent / _CORE:.2g} cores"
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/slopes/_links.py
@@ -0,0 +1,85 @@
+"""Counts the dials and pings that messages between hosts cause.
+
+It follows the rules of the transport's links: one link each way, closed by its
+dialler after `idle_s` without a message, and pinged when nothing came back on
+it for `one_way_ping_after_s`. One-way messages are never answered on the link
+that they came by, so that each burst of them ends in a ping.
+"""
+
+from collections.abc import Callable
+
+import attrs
+
+from hollyknot_bench.slopes._wire import (
+    SEGMENT_HEADER_BYTES,
+    wire_bytes,
+    wire_bytes_of,
+)
+from hollyknot_protocol import (
+    LINK_VERSION,
+    NONCE_BYTES,
+    Hello,
+    Ping,
+    Pong,
+    Proof,
+    Side,
+    encode,
+    make_mac,
+    pack_frame,
+)
+from hollyknot_transport import LinkLimits
+
+SETUP_SEGMENTS = 7
+"""Of TCP to open a connection (3) and to close it (4)."""
+
+
+@attrs.define
+class _LinkTimes:
+    used_s: float
+    unanswered_s: float
+
+
+class LinkLedger:
+    """The links of all hosts, by sender and receiver."""
+
+    def __init__(
+        self, on_dial: Callable[[], None], on_ping: Callable[[], None]
+    ) -> None:
+        """Starts without links.
+
+        Args:
+            on_dial: Called for each link that is opened.
+            on_ping: Called for each ping, which a pong answers.
+        """
+        self._limits = LinkLimits()
+        self._on_dial = on_dial
+        self._on_ping = on_ping
+        self._links: dict[tuple[str, str], _LinkTimes] = {}
+
+    def on_message(self, sender: str, receiver: str, now_s: float) -> None:
+        """Takes a one-way message."""
+        link = self._links.get((sender, receiver))
+        if link is None or now_s - link.used_s >= self._limits.idle_s:
+            self._on_dial()
+            self._on_ping()
+            self._links[sender, receiver] = _LinkTimes(now_s, now_s)
+            return
+        if now_s - link.unanswered_s >= self._limits.one_way_ping_after_s:
+            # The ping of the earlier messages was answered since.
+            self._on_ping()
+            link.unanswered_s = now_s
+        link.used_s = now_s
+
+
+def dial_wire_bytes() -> int:
+    """Returns the bytes of a link's handshake, without TLS, and its end."""
+    hello = Hello(LINK_VERSION, "dc-1-host-00001", "dc-1", bytes(NONCE_BYTES))
+    mac = make_mac(b"key", Side.DIALLER, b"", b"")
+    frames = (hello, hello, Proof(mac), Proof(mac))
+    bodies = sum(wire_bytes(len(pack_frame(encode(f)))) for f in frames)
+    return bodies + SETUP_SEGMENTS * SEGMENT_HEADER_BYTES
+
+
+def ping_wire_bytes() -> int:
+    """Returns the bytes of a ping and its pong."""
+    return wire_bytes_of(Ping()) + wire_bytes_of(Pong())
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/slopes/_measure.py
@@ -0,0 +1,53 @@
+"""Takes processor time and memory of calls."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import TypeVar
+
+from hollyknot_bench.slopes._series import Series
+
+T = TypeVar("T")
+
+MICRO = 1e6
+MEGA = 1e6
+
+Measurement = Callable[[bool], list[Series]]
+"""Measures one mechanism; told whether to be quick."""
+
+
+def cpu_us(call: Callable[[], object], count: int, rounds: int = 5) -> float:
+    """Returns the processor time of a call in microseconds.
+
+    The least of some rounds: on a busy machine other processes' use of the
+    caches only adds.
+    """
+    best = float("inf")
+    for _ in range(rounds):
+        began_s = time.process_time()
+        for _ in range(count):
+            call()
+        best = min(best, time.process_time() - began_s)
+    return best / count * MICRO
+
+
+def cpu_once_us(call: Callable[[], object]) -> float:
+    """Returns the processor time of one call that can't be repeated."""
+    began_s = time.process_time()
+    call()
+    return (time.process_time() - began_s) * MICRO
+
+
+def traced(make: Callable[[], T]) -> tuple[T, int]:
+    """Returns what a call makes, and the bytes that it keeps."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        value = make()
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    return value, after - before
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/slopes/_page.py
@@ -0,0 +1,35 @@
+"""Puts the tables into the page, between their markers."""
+
+import re
+
+from hollyknot_bench.slopes._series import Slopes
+from hollyknot_bench.slopes._tables import TABLES
+
+_PART = re.compile(
+    r"(<!-- table ([a-z-]+) -->\n).*?(<!-- end of \2 -->)", re.DOTALL
+)
+
+
+def render_page(page: str, slopes: Slopes) -> str:
+    """Returns the page with its tables worked out from slopes.
+
+    Args:
+        page: The page as it is.
+        slopes: Measured.
+
+    Raises:
+        ValueError: The page lacks a table, or has one that is unknown.
+    """
+    found = [match.group(2) for match in _PART.finditer(page)]
+    if sorted(found) != sorted(TABLES):
+        raise ValueError(
+            f"docs/CAPACITY.md has the tables {found}; write the markers"
+            f" '<!-- table NAME -->' and '<!-- end of NAME -->' of each of"
+            f" {list(TABLES)} once"
+        )
+
+    def replace(match: re.Match[str]) -> str:
+        table = TABLES[match.group(2)](slopes)
+        return f"{match.group(1)}\n{table}\n\n{match.group(3)}"
+
+    return _PART.sub(replace, page)
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/slopes/_real_hosts.py
@@ -0,0 +1,105 @@
+"""Real host processes: memory, processor time and traffic at rest."""
+
+import asyncio
+import signal
+
+import aiohttp
+import attrs
+import click
+import orjson
+
+from hollyknot_bench._cost_process import cpu_s, resident_bytes
+from hollyknot_bench._fleet import Fleet, FleetOptions, running_fleet
+from hollyknot_bench.demo import until_ready
+from hollyknot_bench.slopes._real_data_path import measure_data_path
+from hollyknot_bench.slopes._series import Series, make_series
+
+HOSTS = (1, 2, 4, 8, 16)
+QUICK_SECONDS = 2.0
+SECONDS = 6.0
+SETTLE_S = 3.0
+MEGA = 1e6
+CENTRE = "hall-a"
+
+
+@attrs.frozen
+class _Rest:
+    hosts: int
+    resident_mb: float
+    core_percent: float
+    sent: float
+    messages: float
+
+
+def measure(is_quick: bool) -> list[Series]:
+    """Measures hosts at rest, then the data path of one."""
+    return asyncio.run(_measure(is_quick))
+
+
+async def _measure(is_quick: bool) -> list[Series]:
+    seconds = QUICK_SECONDS if is_quick else SECONDS
+    found = []
+    for hosts in HOSTS:
+        click.echo(f"{hosts} host processes ...", err=True)
+        found.append(await _rest(hosts, seconds))
+    named = (
+        ("resident memory", "MB", "resident_mb"),
+        ("cpu at rest", "% of a core", "core_percent"),
+        ("sent at rest", "bytes/s a host, frames alone", "sent"),
+        ("messages at rest", "messages/s a host", "messages"),
+    )
+    rest = [
+        make_series(
+            "processes",
+            name,
+            "hosts of a data centre",
+            unit,
+            [(r.hosts, getattr(r, field)) for r in found],
+        )
+        for name, unit, field in named
+    ]
+    return [*rest, *await measure_data_path()]
+
+
+async def _rest(hosts: int, seconds: float) -> _Rest:
+    options = FleetOptions(
+        hosts=hosts, engines=1, services=0, data_centres=(CENTRE,)
+    )
+    async with (
+        running_fleet(options) as fleet,
+        aiohttp.ClientSession() as session,
+    ):
+        await until_ready(session, fleet)
+        await asyncio.sleep(SETTLE_S)
+        before = await _traffic(session, fleet)
+        pids = [h.pid for h in fleet.hosts.values()]
+        cpu_before = sum(cpu_s(pid) for pid in pids)
+        clock = asyncio.get_running_loop().time
+        began_s = clock()
+        await asyncio.sleep(seconds)
+        spent = sum(cpu_s(pid) for pid in pids) - cpu_before
+        each = (clock() - began_s) * hosts
+        after = await _traffic(session, fleet)
+        resident = sum(resident_bytes(pid) for pid in pids) / hosts
+        # All at once: the fleet would wait for one after the other.
+        for host in fleet.hosts.values():
+            host.send(signal.SIGTERM)
+    return _Rest(
+        hosts,
+        resident / MEGA,
+        spent / each * 100,
+        (after[0] - before[0]) / each,
+        (after[1] - before[1]) / each,
+    )
+
+
+async def _traffic(
+    session: aiohttp.ClientSession, fleet: Fleet
+) -> tuple[int, int]:
+    size = messages = 0
+    for name in fleet.hosts:
+        async with session.get(fleet.operators_url(name) + "/status") as got:
+            links = orjson.loads(await got.read())["links"].values()
+        size += sum(kind["sent_bytes"] for kind in links)
+        messages += sum(kind["sent_messages"] for kind in links)
+    return size, messages
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/slopes/_real_links.py
@@ -0,0 +1,117 @@
+"""Real links over loopback: what a dial and a message cost both ends."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import click
+import uvloop
+
+from hollyknot_bench.slopes._series import Series, make_series
+from hollyknot_state import Address, Gossip
+from hollyknot_transport import (
+    LinkCredentials,
+    LinkPool,
+    LinkServer,
+    NoReply,
+)
+
+DIALS = (8, 16, 32, 64, 128)
+MESSAGES = (250, 500, 1_000, 2_000, 4_000)
+ROUNDS = 3
+IP = "127.0.0.1"
+_KEY = b"a key of links over loopback only"
+_US = 1e6
+_WAIT_S = 10.0
+
+
+def measure(is_quick: bool) -> list[Series]:
+    """Measures dials, messages and open links."""
+    del is_quick
+    click.echo("links over loopback ...", err=True)
+    return uvloop.run(_measure())
+
+
+async def _measure() -> list[Series]:
+    # The first use of a code path costs more than any later one.
+    await _dials(DIALS[0])
+    dials = [(n, await _least(_dials, n)) for n in DIALS]
+    messages = [(n, await _least(_messages, n)) for n in MESSAGES]
+    return [
+        make_series("links", "dial cpu", "dials", "us, both ends", dials),
+        make_series(
+            "links", "message cpu", "messages", "us, both ends", messages
+        ),
+    ]
+
+
+async def _least(
+    measure_one: Callable[[int], Awaitable[float]], count: int
+) -> float:
+    return min([await measure_one(count) for _ in range(ROUNDS)])
+
+
+class _Ends:
+    """Counts what arrives."""
+
+    def __init__(self) -> None:
+        self.received = 0
+        self._came = asyncio.Event()
+
+    async def handle(
+        self, _peer: object, _message: object, _trace: str
+    ) -> NoReply:
+        self.received += 1
+        self._came.set()
+        return NoReply.NO_REPLY
+
+    async def until(self, count: int) -> None:
+        async with asyncio.timeout(_WAIT_S):
+            while self.received < count:
+                self._came.clear()
+                await self._came.wait()
+
+
+async def _dials(count: int) -> float:
+    """Returns the processor time of so many links, each to its own server."""
+    ends = _Ends()
+    async with contextlib.AsyncExitStack() as stack:
+        ports = [await _listen(stack, ends, n) for n in range(count)]
+        pool = await stack.enter_async_context(_pool())
+        began_s = time.process_time()
+        for port in ports:
+            pool.post(IP, port, Gossip())
+        await ends.until(count)
+        return (time.process_time() - began_s) * _US
+
+
+async def _messages(count: int) -> float:
+    """Returns the processor time of so many messages on one link."""
+    ends = _Ends()
+    async with contextlib.AsyncExitStack() as stack:
+        port = await _listen(stack, ends, 0)
+        pool = await stack.enter_async_context(_pool())
+        pool.post(IP, port, Gossip())
+        await ends.until(1)
+        began_s = time.process_time()
+        for number in range(count):
+            pool.post(IP, port, Gossip())
+            # One at a time, as gossip comes; a burst would share its system
+            # calls.
+            await ends.until(number + 2)
+        return (time.process_time() - began_s) * _US
+
+
+async def _listen(
+    stack: contextlib.AsyncExitStack, ends: _Ends, number: int
+) -> int:
+    credentials = LinkCredentials(f"host-{number}", "dc-1", (_KEY,))
+    server = LinkServer(Address(IP, 0), credentials, ends.handle)
+    await stack.enter_async_context(server)
+    return server.port
+
+
+def _pool() -> LinkPool:
+    return LinkPool(LinkCredentials("host", "dc-1", (_KEY,)), random.Random(1))
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/slopes/_reports.py
@@ -0,0 +1,119 @@
+"""Load reports over HTTP: what one costs the host that asks."""
+
+import asyncio
+import random
+import time
+
+import click
+import uvloop
+
+from hollyknot_bench.slopes._documents import PLAN_CENTRES
+from hollyknot_bench.slopes._series import Series, make_series
+from hollyknot_bench.slopes._wire import SEGMENT_HEADER_BYTES
+from hollyknot_coordination.routing import RoutingOptions, UpstreamTable
+from hollyknot_daemon._probes import Probes
+from hollyknot_state import HostList, HostListEntry, Role
+
+REPORTS = (16, 32, 64, 128, 256)
+SEGMENTS = 9
+"""Of TCP for one exchange: 3 to open, the request, the answer, 4 to close."""
+
+_BODY = (
+    b'{"running":31,"queued":0,"slots":64,"kv_used":0.52,"draining":false,'
+    b'"measured_ms_ago":250}'
+)
+_HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json; charset=utf-8\r\n"
+    b"Content-Length: %d\r\nDate: Wed, 02 Dec 2026 18:00:00 GMT\r\n"
+    b"Server: engine\r\n\r\n"
+)
+_ANSWER = _HEAD % len(_BODY) + _BODY
+_US = 1e6
+_WAIT_S = 20.0
+_AT_ONCE = 2
+ROUNDS = 3
+
+
+def measure(is_quick: bool) -> list[Series]:
+    """Measures the processor time and bytes of load reports."""
+    del is_quick
+    click.echo("load reports over loopback ...", err=True)
+    return uvloop.run(_measure())
+
+
+class _Engine:
+    """Answers each connection once, and counts the requests' bytes."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+        self.received = 0
+        self._came = asyncio.Event()
+
+    async def until(self, asked: int) -> None:
+        """Waits until so many reports were asked for."""
+        while self.asked < asked:
+            self._came.clear()
+            await self._came.wait()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.received += len(await reader.readuntil(b"\r\n\r\n"))
+        self.asked += 1
+        self._came.set()
+        writer.write(_ANSWER)
+        writer.close()
+
+
+async def _measure() -> list[Series]:
+    engine = _Engine()
+    server = await asyncio.start_server(engine.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    clock = asyncio.get_running_loop().time
+    probes = Probes(_table(port), clock)
+    cpu, size = [], []
+    try:
+        await _ask(probes, engine, REPORTS[0])
+        for count in REPORTS:
+            spent = []
+            for _ in range(ROUNDS):
+                engine.received = 0
+                began_s = time.process_time()
+                await _ask(probes, engine, count)
+                spent.append((time.process_time() - began_s) * _US)
+            cpu.append((count, min(spent)))
+            each = len(_ANSWER) + SEGMENTS * SEGMENT_HEADER_BYTES
+            size.append((count, engine.received + count * each))
+    finally:
+        await probes.close()
+        server.close()
+        await server.wait_closed()
+    return [
+        make_series(
+            "load reports", "cpu", "reports", "us, with a trivial engine", cpu
+        ),
+        make_series("load reports", "bytes", "reports", "bytes", size),
+    ]
+
+
+def _table(port: int) -> UpstreamTable:
+    centre = PLAN_CENTRES[0]
+    entries = tuple(
+        HostListEntry(
+            f"engine-{n}", Role.ENGINE, centre, "127.0.0.1", port, ("m",)
+        )
+        for n in range(_AT_ONCE)
+    )
+    table = UpstreamTable(RoutingOptions(), "host", centre, random.Random(1))
+    table.on_host_list(HostList(1, entries), 0.0)
+    return table
+
+
+async def _ask(probes: Probes, engine: _Engine, count: int) -> None:
+    """Asks for so many reports, as many at once as a host does."""
+    wanted = engine.asked + count
+    async with asyncio.timeout(_WAIT_S):
+        while engine.asked < wanted:
+            seen = engine.asked
+            probes.start_reports()
+            await engine.until(seen + _AT_ONCE)
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/slopes/_tables.py
@@ -0,0 +1,195 @@
+"""The tables of `docs/CAPACITY.md`, as Markdown."""
+
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from hollyknot_bench.slopes._cost import (
+    Cost,
+    Row,
+)
+from hollyknot_bench.slopes._faults import faults
+from hollyknot_bench.slopes._limit_tables import (
+    claims_table,
+    data_path_table,
+    platform_table,
+)
+from hollyknot_bench.slopes._lookup import Lookup
+from hollyknot_bench.slopes._markdown import figure, table
+from hollyknot_bench.slopes._plan import (
+    ASSUMED,
+    BUDGET,
+    PLAN,
+)
+from hollyknot_bench.slopes._remedies import remedies
+from hollyknot_bench.slopes._roles import roles
+from hollyknot_bench.slopes._series import Slopes
+
+Table = Callable[[Slopes], str]
+
+
+def size_table(slopes: Slopes) -> str:
+    """Returns the plan's sizes for a host, and what is assumed."""
+    machine = slopes.machine
+    rows = [
+        ("hosts of a data centre", f"{PLAN.hosts_a_centre:.0f}", "plan"),
+        ("requests/s a host", f"{PLAN.requests_a_host_s:.0f}", "plan"),
+        ("tokens/s a host", f"{PLAN.tokens_a_host_s:,.0f}", "plan"),
+        ("changes/s of the declarations", f"{PLAN.changes_s:.3f}", "plan"),
+        (
+            "revisions/s of the host list",
+            f"{PLAN.revisions_s(ASSUMED):.3f}",
+            "assumed: replicas are replaced as often as hosts,"
+            f" {ASSUMED.revisions_a_process:.0f} revisions each",
+        ),
+        (
+            "non-idempotent requests",
+            f"{ASSUMED.non_idempotent_share:.0%}",
+            "assumed",
+        ),
+        (
+            "remember_s",
+            f"{ASSUMED.remember_s:,.0f}",
+            "assumed: the declarations' default",
+        ),
+        (
+            "hosts of a rack",
+            f"{ASSUMED.rack_hosts:.0f}",
+            "assumed: 1 in 16 of a data centre",
+        ),
+        ("one way between hosts", f"{ASSUMED.transit_s * 1e3:g} ms", "assumed"),
+        (
+            "measured on",
+            f"{machine.cores} cores, Python {machine.python}",
+            "shared with other work",
+        ),
+    ]
+    return table(("what", "value", "from"), rows)
+
+
+def roles_table(slopes: Slopes) -> str:
+    """Returns what each role costs a host that has it."""
+    rows = [
+        (
+            row.role,
+            row.state,
+            figure(row.one.messages_s),
+            figure(row.one.bytes_s),
+            figure(row.one.core_percent),
+            figure(row.one.memory_mb),
+            row.bound,
+            row.basis,
+        )
+        for row in roles(Lookup(slopes))
+    ]
+    head = (
+        "role",
+        "state and mechanism",
+        "messages/s",
+        "bytes/s",
+        "% of a core",
+        "MB",
+        "bounded by",
+        "basis",
+    )
+    return table(head, rows)
+
+
+def _sum(rows: Iterable[Row], cost_of: Callable[[Row], Cost]) -> Cost:
+    total = Cost()
+    for row in rows:
+        total = total.plus(cost_of(row))
+    return total
+
+
+def budget_table(slopes: Slopes) -> str:
+    """Returns the mean and the worst host next to the budget."""
+    rows = roles(Lookup(slopes))
+    mean = _sum(rows, lambda row: row.mean)
+    worst = _sum(rows, lambda row: row.one)
+    lines = [
+        _budget_line(
+            "% of a core", "core_percent", mean, worst, BUDGET.core_percent
+        ),
+        _budget_line("MB", "memory_mb", mean, worst, BUDGET.memory_mb),
+        _budget_line("bytes/s", "bytes_s", mean, worst, BUDGET.bytes_s),
+    ]
+    head = ("for control", "mean host", "worst host", "budget", "fits")
+    return table(head, lines)
+
+
+def _budget_line(
+    name: str, field: str, mean: Cost, worst: Cost, budget: float
+) -> tuple[str, ...]:
+    of_mean = float(attrs.asdict(mean)[field])
+    of_worst = float(attrs.asdict(worst)[field])
+    return (
+        name,
+        figure(of_mean),
+        figure(of_worst),
+        figure(budget),
+        _verdict(of_mean, of_worst, budget),
+    )
+
+
+def _verdict(mean: float, worst: float, budget: float) -> str:
+    if worst <= budget:
+        return "yes"
+    if mean <= budget:
+        return "the mean host does, the worst does not"
+    return "no"
+
+
+def faults_table(slopes: Slopes) -> str:
+    """Returns the effects of faults."""
+    rows = [
+        (e.fault, e.mechanism, e.messages, e.settles, e.basis)
+        for e in faults(Lookup(slopes))
+    ]
+    head = ("fault", "mechanism", "messages", "until settled", "basis")
+    return table(head, rows)
+
+
+def remedies_table(slopes: Slopes) -> str:
+    """Returns what does not fit, with the change that would."""
+    rows = [
+        (r.mechanism, r.today, r.change, r.after, r.basis)
+        for r in remedies(Lookup(slopes))
+    ]
+    head = ("mechanism", "today", "change, on paper", "then", "basis")
+    return table(head, rows)
+
+
+def slopes_table(slopes: Slopes) -> str:
+    """Returns all fits."""
+    rows = [
+        (
+            s.mechanism,
+            s.measure,
+            s.against,
+            f"{s.sizes[0]:g} to {s.sizes[-1]:g}",
+            s.fit.kind.value,
+            f"{s.fit.slope:.3g}",
+            f"{s.fit.intercept:.3g}",
+            s.unit,
+            f"{s.fit.residual:.1%}",
+        )
+        for s in slopes.slopes
+    ]
+    head = ("mechanism", "measure", "against", "sizes", "fit", "slope",
+            "intercept", "unit", "residual")  # fmt: skip
+    return table(head, rows)
+
+
+TABLES: dict[str, Table] = {
+    "size": size_table,
+    "budget": budget_table,
+    "roles": roles_table,
+    "platform": platform_table,
+    "claims": claims_table,
+    "data-path": data_path_table,
+    "faults": faults_table,
+    "remedies": remedies_table,
+    "slopes": slopes_table,
+}
+"""By the names of their markers in the page."""
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/slopes/_whole_documents.py
@@ -0,0 +1,163 @@
+"""Documents of up to the plan's size at single hosts, with the real checks."""
+
+import functools
+import sys
+from collections.abc import Callable
+
+import attrs
+import click
+
+from hollyknot_bench.slopes._document_host import new_host, transfer
+from hollyknot_bench.slopes._documents import (
+    PLAN_CENTRES,
+    declarations,
+    hosts_body,
+    spread_names,
+)
+from hollyknot_bench.slopes._measure import MEGA, cpu_once_us, traced
+from hollyknot_bench.slopes._series import Series, make_series
+from hollyknot_bench.slopes._wire import frame_of, wire_bytes
+from hollyknot_coordination.spread._records import Records, read_records
+from hollyknot_state import DocumentDelta, DocumentKind, FetchDocument
+
+DECLARATIONS, HOSTS = DocumentKind.DECLARATIONS, DocumentKind.HOSTS
+CUSTOMERS = (1_125, 2_250, 4_500, 9_000, 18_000)
+UPSTREAMS = (625, 1_250, 2_500, 5_000, 10_000)
+PLAN_HOSTS = 2_500
+QUICK_FACTOR = 16
+ROUNDS = 2
+READER, PEER, NEW = "host-00000", "host-00009", "host-00018"
+
+Body = Callable[[int], bytes]
+"""Returns the body of a generation; each differs in one record."""
+
+
+@attrs.frozen
+class _Found:
+    """What one size showed."""
+
+    size: int
+    body_bytes: int
+    memory_mb: float
+    read_us: float
+    answer_us: float
+    delta_us: float
+    delta_bytes: int
+    whole_bytes: int
+    whole_give_us: float
+    whole_take_us: float
+
+
+def measure(is_quick: bool) -> list[Series]:
+    """Measures both documents at several sizes."""
+    factor = QUICK_FACTOR if is_quick else 1
+    found = []
+    for size in CUSTOMERS:
+        found.append(_measure_declarations(size // factor))
+    listed = []
+    for size in UPSTREAMS:
+        listed.append(_measure_hosts(size // factor, PLAN_HOSTS // factor))
+    return [
+        *_series("declarations", "customers", found),
+        *_series("host list", "upstreams", listed),
+        *_bodies(factor),
+    ]
+
+
+def _measure_declarations(customers: int) -> _Found:
+    click.echo(f"declarations of {customers} customers ...", err=True)
+    return _measure(
+        DECLARATIONS, customers, lambda g: declarations(customers, g)
+    )
+
+
+def _measure_hosts(upstreams: int, hosts: int) -> _Found:
+    click.echo(f"host list of {upstreams} upstreams ...", err=True)
+    centres = len(PLAN_CENTRES)
+    named = spread_names("host", hosts, centres)
+    engines = spread_names("engine", upstreams, centres)
+
+    def body(generation: int) -> bytes:
+        leaving = f"engine-{generation - 1:05d}" if generation > 1 else ""
+        return hosts_body(generation, named, engines, leaving)
+
+    return _measure(HOSTS, upstreams, body)
+
+
+def _measure(document: DocumentKind, size: int, body: Body) -> _Found:
+    first = body(1)
+    reader, peer = new_host(READER), new_host(PEER)
+    reader.read(document, 1, first)
+    _, memory = traced(functools.partial(peer.read, document, 1, first))
+    read_us, answer_us, delta_us = [], [], []
+    delta_bytes = 0
+    for generation in range(2, 2 + ROUNDS):
+        changed = body(generation)
+        read = functools.partial(reader.read, document, generation, changed)
+        read_us.append(cpu_once_us(read))
+        ask = FetchDocument(document, (peer.version(document),))
+        answered: list[float] = []
+        delta = reader.answer(PEER, ask, DocumentDelta, answered)
+        answer_us.append(answered[0])
+        take = functools.partial(peer.take_encoded, READER, delta)
+        delta_us.append(cpu_once_us(take))
+        delta_bytes = wire_bytes(len(frame_of(delta)))
+    whole = transfer(document, reader, new_host(NEW))
+    return _Found(
+        size=size,
+        body_bytes=len(first),
+        memory_mb=memory / MEGA,
+        read_us=min(read_us),
+        answer_us=min(answer_us),
+        delta_us=min(delta_us),
+        delta_bytes=delta_bytes,
+        whole_bytes=whole.wire_bytes,
+        whole_give_us=whole.give_us,
+        whole_take_us=whole.take_us,
+    )
+
+
+def _series(mechanism: str, against: str, found: list[_Found]) -> list[Series]:
+    named = (
+        ("body", "bytes", "body_bytes"),
+        ("memory in force", "MB", "memory_mb"),
+        ("read of a change cpu", "us a change", "read_us"),
+        ("answer with a delta cpu", "us an answer", "answer_us"),
+        ("delta taken cpu", "us a change", "delta_us"),
+        ("delta", "bytes a change", "delta_bytes"),
+        ("whole in pages", "bytes a new host", "whole_bytes"),
+        ("whole given cpu", "us a new host", "whole_give_us"),
+        ("whole taken cpu", "us a new host", "whole_take_us"),
+    )
+    return [
+        make_series(
+            mechanism,
+            measure_,
+            against,
+            unit,
+            [(f.size, getattr(f, field)) for f in found],
+        )
+        for measure_, unit, field in named
+    ]
+
+
+def _bodies(factor: int) -> list[Series]:
+    """Measures the memory of records' bodies, as written and copied."""
+    kept, copied = [], []
+    for size in CUSTOMERS:
+        body = declarations(size // factor)
+        read = functools.partial(read_records, DECLARATIONS, body)
+        records, as_kept = traced(read)
+        _, as_copied = traced(functools.partial(_copies, records))
+        paths = sum(sys.getsizeof(path) for path in records)
+        kept.append((size // factor, as_kept - paths))
+        copied.append((size // factor, as_copied))
+    return [
+        make_series("records", "bodies as kept", "records", "bytes", kept),
+        make_series("records", "bodies copied", "records", "bytes", copied),
+    ]
+
+
+def _copies(records: Records) -> list[bytes]:
+    # bytes(b) of bytes would be the same object.
+    return [bytes(bytearray(body)) for body in records.values()]
