Check changed entries of the host list alone; rebuild only what follows from it

Ruled out: fewer revisions (leaving upstreams would be seen later). Change: changed entries are checked and merged into the list in force; routing, addresses and placement follow the list's revision, placement also the declared data centres. A differential property test over random edits passes, and fails if removed entries are kept.

--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/checks/tests/test_hosts.py
@@ -0,0 +1,100 @@
+"""Tests that the check of changed entries is the check of the whole list."""
+
+import copy
+from typing import Any
+
+import orjson
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hollyknot_coordination.checks import check_hosts
+from hollyknot_coordination.spread import Candidate, Invalid
+from hollyknot_coordination.spread._records import (
+    find_change,
+    make_snapshot,
+    read_records,
+)
+from hollyknot_state import (
+    DocumentKind,
+    HostList,
+    Problems,
+    parse_host_list,
+)
+
+_KIND = DocumentKind.HOSTS
+
+
+def _entry(name: str, **fields: Any) -> dict[str, Any]:
+    entry = {
+        "name": name,
+        "role": "engine",
+        "data_centre": "hall-a",
+        "ip": "127.0.0.1",
+        "port": 7,
+        "pools": ["tariff"],
+        "state": "live",
+    }
+    return entry | fields
+
+
+_BEFORE = {"entries": [_entry("a"), _entry("b"), _entry("c", role="host")]}
+_EDITS = st.lists(
+    st.tuples(
+        st.sampled_from("abcd"),
+        st.sampled_from(
+            [
+                {"state": "leaving"},
+                {"state": "gone"},
+                {"port": 0},
+                {"port": "7"},
+                {"ip": "localhost"},
+                {"pools": []},
+                {"later_field": 1},
+                "remove",
+            ]
+        ),
+    ),
+    max_size=4,
+)
+
+
+def _edited(edits: list[tuple[str, Any]]) -> dict[str, Any]:
+    entries = {e["name"]: e for e in copy.deepcopy(_BEFORE["entries"])}
+    for name, edit in edits:
+        if edit == "remove":
+            entries.pop(name, None)
+        else:
+            entries[name] = entries.get(name, _entry(name)) | edit
+    return {"entries": list(entries.values())}
+
+
+def _sorted(found: HostList) -> list[str]:
+    return sorted(str(e) for e in found.entries)
+
+
+class TestCheckHosts:
+    """The same verdict and the same entries as the check of the whole."""
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=300)
+    @given(edits=_EDITS)
+    def test_equals_the_whole_check(self, edits: list[tuple[str, Any]]) -> None:
+        """A host that learns by changes has the list of one that reads all.
+
+        Symptom: hosts with the same revision send to different upstreams.
+        Sequence: an entry goes and one comes; one host learns by the change.
+        Cause: a removed entry that was kept, or a bad one that was taken.
+        """
+        after = _edited(edits)
+        old = read_records(_KIND, orjson.dumps(_BEFORE))
+        new = read_records(_KIND, orjson.dumps(after))
+        previous = parse_host_list(orjson.dumps(_BEFORE | {"revision": 1}))
+        candidate = Candidate(
+            make_snapshot(_KIND, 2, new), find_change(old, new), previous
+        )
+        whole = parse_host_list(orjson.dumps(after | {"revision": 2}))
+        found = check_hosts(candidate)
+        assert isinstance(found, Invalid) == isinstance(whole, Problems)
+        if isinstance(whole, HostList):
+            assert isinstance(found, HostList)
+            assert _sorted(found) == _sorted(whole)
+            assert found.revision == 2
--- a/packages/daemon/src/hollyknot_daemon/_claims_task.py
+++ b/packages/daemon/src/hollyknot_daemon/_claims_task.py
@@ -73,6 +73,7 @@
             settings.host, settings.data_centre, incarnation, options
         )
         self._viewed_s = float("inf")
+        self._placed_by: tuple[int, tuple[str, ...]] = (0, ())
         self._is_settled = False
         self._handed_over = asyncio.Event()
         self._handed_over.set()
@@ -102,14 +103,17 @@
         """
         return self._is_settled
 
-    def on_view(self, view: InForce) -> None:
-        """Takes a newer host list, or newly declared data centres."""
-        placement = make_placement(view.hosts, view.declarations.data_centres)
+    def on_view(self, view: InForce, is_listed: bool) -> None:
+        """Takes a newer host list, or newly declared data centres.
+
+        Args:
+            view: The documents in force.
+            is_listed: Whether the host list names this host.
+        """
         now = self._now()
         # A list from before this host was added gives it no slots to learn: it
         # would look settled, and refuse the first keys as too old.
-        names = {e.name for e in view.hosts.entries}
-        if view.is_complete and self._host in names:
+        if view.is_complete and is_listed:
             self._viewed_s = min(self._viewed_s, now.now_s)
         services = view.declarations.services.values()
         remember_s = max((s.remember_s for s in services), default=0)
@@ -117,6 +121,13 @@
             self._holder.options = attrs.evolve(
                 self._holder.options, remember_s=remember_s
             )
+        data_centres = view.declarations.data_centres
+        placed_by = (view.hosts.revision, data_centres)
+        # Most changes of the declarations move no holder.
+        if placed_by == self._placed_by:
+            return
+        self._placed_by = placed_by
+        placement = make_placement(view.hosts, data_centres)
         self._execute(self._holder.update(placement, now))
         self._execute(self._coordinator.update(placement, now))
 
--- a/packages/daemon/src/hollyknot_daemon/_control.py
+++ b/packages/daemon/src/hollyknot_daemon/_control.py
@@ -19,6 +19,7 @@
 from hollyknot_state import (
     ClaimMessage,
     EntryState,
+    HostList,
     HostListEntry,
     PeerMessage,
     Role,
@@ -73,6 +74,7 @@
         # Kept, since each request asks whether the host is ready, and a list
         # names some 12,500 hosts and upstreams.
         self._is_listed = False
+        self._listed_revision = 0
         self._stack = contextlib.AsyncExitStack()
         self._counters = LinkCounters()
         credentials = make_link_credentials(settings)
@@ -128,16 +130,16 @@
 
     def on_view(self, view: InForce) -> None:
         """Takes a change of the documents in force."""
-        self._is_listed = any(
-            e.name == self._settings.host for e in view.hosts.entries
-        )
-        self._peers = {
-            e.name: e
-            for e in view.hosts.entries
-            if e.role is Role.HOST and e.name != self._settings.host
-        }
-        self._delisted.note(self._peers)
-        self._claims.on_view(view)
+        if view.hosts.revision != self._listed_revision:
+            self._listed_revision = view.hosts.revision
+            self._on_hosts(view.hosts)
+        self._claims.on_view(view, self._is_listed)
+
+    def _on_hosts(self, hosts: HostList) -> None:
+        listed = {e.name: e for e in hosts.entries if e.role is Role.HOST}
+        self._is_listed = listed.pop(self._settings.host, None) is not None
+        self._peers = listed
+        self._delisted.note(listed)
 
     def tick(self) -> None:
         """Does what is due; called every 0.1 s or so."""
--- a/packages/daemon/src/hollyknot_daemon/_host.py
+++ b/packages/daemon/src/hollyknot_daemon/_host.py
@@ -65,6 +65,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._metrics = Metrics()
         self._guard = StallGuard()
+        self._listed_revision = 0
         self._is_stopping = False
         self._stopped = asyncio.Event()
 
@@ -216,7 +217,11 @@
         stack.push_async_callback(end)
 
     def _on_change(self, view: InForce) -> None:
-        self._dispatcher.on_host_list(view.hosts)
+        # Declarations change far more often than the host list, and the
+        # upstreams don't follow from them.
+        if view.hosts.revision != self._listed_revision:
+            self._listed_revision = view.hosts.revision
+            self._dispatcher.on_host_list(view.hosts)
         self._control.on_view(view)
         versions = {
             "declarations": view.declarations.version,
