Count plainly, hand the counters over at a scrape; count tries and parts

Cause: each addition to a counter made a JSON key of its labels and checked their names, five times a request. Besides, upstream tries and relayed parts were declared and never counted. Change: counters are plain numbers by label values until a scrape. Names, labels and the rendered text are as before. Tries and the parts of streams are counted at a try's end, by pool, so that a stream costs nothing more by token. The tests failed with the calls, the hand-over and the quoting taken out.

--- a/packages/daemon/src/hollyknot_daemon/_record.py
+++ b/packages/daemon/src/hollyknot_daemon/_record.py
@@ -58,7 +58,7 @@
     def record(self, ended: Ended) -> None:
         """Counts one request and logs it."""
         name = ended.classification.request_class
-        self._count(ended, {"class": name})
+        self._count(ended, name)
         self._tallies.record(
             name,
             ended.verdict,
@@ -81,26 +81,26 @@
             took_ms=round((timing.ended_s - timing.arrived_s) * 1000, 1),
         )
 
-    def _count(self, ended: Ended, labels: dict[str, str]) -> None:
+    def tried(self, pool: str, parts: int) -> None:
+        """Counts a try at an upstream and the parts of a stream it relayed."""
+        self._metrics.tries.add(pool)
+        if parts:
+            self._metrics.relayed_chunks.add(pool, amount=parts)
+
+    def _count(self, ended: Ended, name: str) -> None:
         metrics = self._metrics
         verdict = ended.verdict
-        metrics.requests.inc(
-            {
-                **labels,
-                "verdict": verdict.outcome.value,
-                "reason": verdict.reason.value,
-            }
-        )
-        if ended.timing.first_byte_s:
-            waited = ended.timing.first_byte_s - ended.timing.arrived_s
-            metrics.first_byte.observe(labels, waited)
+        metrics.requests.add(name, verdict.outcome.value, verdict.reason.value)
+        timing = ended.timing
+        if timing.first_byte_s:
+            metrics.first_byte(name, timing.first_byte_s - timing.arrived_s)
         if ended.met_target:
-            metrics.within_target.inc(labels)
-            metrics.goodput_bytes.add(labels, ended.size)
+            metrics.within_target.add(name)
+            metrics.goodput_bytes.add(name, amount=ended.size)
         kinds = [Waste.DUPLICATED] * ended.wasted_tries
         kinds += _waste_of_last(ended)
         for kind in kinds:
-            metrics.wasted.inc({**labels, "kind": kind.value})
+            metrics.wasted.add(name, kind.value)
 
 
 def _waste_of_last(ended: Ended) -> list[Waste]:
--- a/packages/daemon/src/hollyknot_daemon/_tries.py
+++ b/packages/daemon/src/hollyknot_daemon/_tries.py
@@ -232,6 +232,8 @@
                 result = await self._exchanges.run(request, noted)
                 return result
         finally:
+            parts = result.parts if job.call.is_streamed else 0
+            self._recorder.tried(job.info.pool, parts)
             self._free(job, place, result, self._clock() - started_s)
 
     def _noting(self, job: Job, place: Choice, sink: Sink) -> Sink:
--- a/packages/daemon/src/hollyknot_daemon/tests/test_path.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_path.py
@@ -12,7 +12,7 @@
 import pytest
 
 from hollyknot_bench.demo import new_idempotency_key
-from hollyknot_daemon.tests.rig import KEY, Rig, declarations, running_rig
+from hollyknot_daemon.tests.rig import IP, KEY, Rig, declarations, running_rig
 from hollyknot_standins import EngineOptions
 
 _CHAT = "/v1/chat/completions"
@@ -90,6 +90,32 @@
 
         drive(test)
 
+    def test_tries_and_parts_are_counted(self, drive: Drive) -> None:
+        async def test(rig: Rig) -> None:
+            before = await _counted(rig)
+            await rig.ask(_CHAT, json=_body())
+            whole = await _counted(rig)
+            assert whole == (before[0] + 1, before[1])
+            await rig.ask(_CHAT, json=_body(stream=True))
+            streamed = await _counted(rig)
+            assert streamed[0] == whole[0] + 1
+            assert streamed[1] > whole[1]
+
+        drive(test)
+
+
+async def _counted(rig: Rig) -> tuple[int, int]:
+    """Returns the tries at the model's upstreams and the parts relayed."""
+    url = f"http://{IP}:{rig.host.operators_port}/metrics"
+    async with rig.session.get(url) as response:
+        text = await response.text()
+    found = dict(line.rsplit(" ", 1) for line in text.splitlines())
+    names = ("hollyknot_upstream_tries", "hollyknot_relayed_chunks")
+    tries, parts = (
+        int(found.get(name + '_total{pool="tariff"}', 0)) for name in names
+    )
+    return tries, parts
+
 
 _REFUSALS: dict[str, tuple[dict[str, Any], int, str]] = {
     "no key": ({"json": _body(), "key": ""}, 401, "bad-key"),
@@ -361,6 +387,11 @@
 class TestPoison:
     """A request that crashes each engine that runs it."""
 
+    @pytest.mark.fault(
+        fault="poison request",
+        step="sent",
+        rule="a request that crashes upstreams is refused",
+    )
     def test_is_refused_and_others_are_served(self) -> None:
         """The request is found and refused; innocent ones still complete.
 
--- a/packages/transport/src/hollyknot_transport/_metrics.py
+++ b/packages/transport/src/hollyknot_transport/_metrics.py
@@ -8,6 +8,7 @@
 import enum
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.histogram import Histogram as HistogramData
 from aioprometheus.renderer import render
 
 _LATENCY_BUCKETS = [0.05, 0.1, 0.25, 0.5, 1.1, 2.0, 5.0, 15.0, 60.0, 3600.0]
@@ -21,31 +22,74 @@
     LATE = "late"
 
 
+class Count:
+    """A counter by labels, handed to the registry at a scrape only.
+
+    The library's own makes a JSON key of the labels and checks their names at
+    each addition, several times a request.
+    """
+
+    def __init__(self, counter: Counter, labels: tuple[str, ...]) -> None:
+        """Starts at nothing.
+
+        Args:
+            counter: Filled at a scrape.
+            labels: The names of the labels.
+        """
+        self._counter = counter
+        self._labels = labels
+        self._values: dict[tuple[str, ...], int] = {}
+
+    def add(self, *labels: str, amount: int = 1) -> None:
+        """Counts; the labels' values are in the order of their names."""
+        self._values[labels] = self._values.get(labels, 0) + amount
+
+    def fill(self) -> None:
+        """Hands the values to the registry."""
+        for labels, value in self._values.items():
+            named = dict(zip(self._labels, labels, strict=True))
+            self._counter.set(named, value)
+
+
 class Metrics:
     """All metrics of one host, with their registry."""
 
     def __init__(self) -> None:
         self._registry = Registry()
-        counter = self._counter
-        self.requests = counter(
-            "hollyknot_requests_total", "Requests by class and verdict."
+        self._counts: list[Count] = []
+        self._first_bytes: dict[str, HistogramData] = {}
+        self.requests = self._count(
+            "hollyknot_requests_total",
+            "Requests by class and verdict.",
+            "class",
+            "verdict",
+            "reason",
         )
-        self.within_target = counter(
+        self.within_target = self._count(
             "hollyknot_requests_within_target_total",
             "Complete requests that met their class's target.",
+            "class",
         )
-        self.goodput_bytes = counter(
+        self.goodput_bytes = self._count(
             "hollyknot_goodput_bytes_total",
             "Answer bytes of requests that met their target, by class.",
+            "class",
         )
-        self.wasted = counter(
-            "hollyknot_wasted_total", "Tries at upstreams wasted, by kind."
+        self.wasted = self._count(
+            "hollyknot_wasted_total",
+            "Tries at upstreams wasted, by kind.",
+            "class",
+            "kind",
         )
-        self.tries = counter(
-            "hollyknot_upstream_tries_total", "Tries at upstreams, by pool."
+        self.tries = self._count(
+            "hollyknot_upstream_tries_total",
+            "Tries at upstreams, by pool.",
+            "pool",
         )
-        self.relayed_chunks = counter(
-            "hollyknot_relayed_chunks_total", "Parts of streams relayed."
+        self.relayed_chunks = self._count(
+            "hollyknot_relayed_chunks_total",
+            "Parts of streams relayed, by pool; counted at a try's end.",
+            "pool",
         )
         self.queued = self._gauge("hollyknot_queued", "Requests that wait.")
         self.in_flight = self._gauge(
@@ -57,25 +101,33 @@
         self.version = self._gauge(
             "hollyknot_document_version", "Versions in force, by document."
         )
-        self.first_byte = Histogram(
+        self._first_byte = Histogram(
             "hollyknot_first_byte_seconds",
             "Arrival to the first byte of the answer, by class.",
             buckets=_LATENCY_BUCKETS,
             registry=self._registry,
         )
 
-    @property
-    def registry(self) -> Registry:
-        """The registry that is rendered."""
-        return self._registry
+    def first_byte(self, request_class: str, waited_s: float) -> None:
+        """Notes the seconds from a request's arrival to its first byte."""
+        data = self._first_bytes.get(request_class)
+        if data is None:
+            data = HistogramData(*_LATENCY_BUCKETS)
+            self._first_byte.set_value({"class": request_class}, data)
+            self._first_bytes[request_class] = data
+        data.observe(waited_s)
 
-    def _counter(self, name: str, doc: str) -> Counter:
-        return Counter(name, doc, registry=self._registry)
+    def _count(self, name: str, doc: str, *labels: str) -> Count:
+        count = Count(Counter(name, doc, registry=self._registry), labels)
+        self._counts.append(count)
+        return count
 
     def _gauge(self, name: str, doc: str) -> Gauge:
         return Gauge(name, doc, registry=self._registry)
 
     def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
         """Returns the text of a scrape and its headers."""
+        for count in self._counts:
+            count.fill()
         content, headers = render(self._registry, [accept or "text/plain"])
         return content, dict(headers)
