Answer with "Server: hollyknot", errors of the library too

Cause: answers to callers and operators named the interpreter, the library and their versions. Ruled out: the header on our own answers, which leaves those to requests that the library can't parse. Change: servers make requests whose hook, the one place that all answers pass, sets the header. The cost was not measured.

--- a/packages/daemon/src/hollyknot_daemon/tests/test_path.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_path.py
@@ -85,8 +85,10 @@
             request_id = response.headers["X-Request-Id"]
             ran = [e.control.ran[request_id] for e in rig.engines]
             assert sum(ran) == 1
-            _, raw = await rig.ask(_CHAT, json=_body(stream=True))
+            assert response.headers.getall("Server") == ["hollyknot"]
+            response, raw = await rig.ask(_CHAT, json=_body(stream=True))
             assert raw.endswith(b": verdict=complete\n\n")
+            assert response.headers.getall("Server") == ["hollyknot"]
 
         drive(test)
 
@@ -109,6 +111,7 @@
     url = f"http://{IP}:{rig.host.operators_port}/metrics"
     async with rig.session.get(url) as response:
         text = await response.text()
+        assert response.headers.getall("Server") == ["hollyknot"]
     found = dict(line.rsplit(" ", 1) for line in text.splitlines())
     names = ("hollyknot_upstream_tries", "hollyknot_relayed_chunks")
     tries, parts = (
--- a/packages/transport/src/hollyknot_transport/_operators.py
+++ b/packages/transport/src/hollyknot_transport/_operators.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from hollyknot_transport._metrics import Metrics
+from hollyknot_transport._named_request import named_request
 
 _OK = 200
 _UNAVAILABLE = 503
@@ -71,4 +72,4 @@
             return web.Response(status=404, text=f"Known paths: {known}\n")
         return route(request)
 
-    return web.Server(handle, access_log=None)
+    return web.Server(handle, access_log=None, request_factory=named_request)
--- a/packages/transport/src/hollyknot_transport/tests/test_caller_server.py
+++ b/packages/transport/src/hollyknot_transport/tests/test_caller_server.py
@@ -58,6 +58,29 @@
     return asyncio.get_running_loop().time() + HEAD_TIMEOUT_S + 1
 
 
+class TestServerHeader:
+    """What answers tell of the server."""
+
+    @pytest.mark.parametrize(
+        ("sent", "status"),
+        [
+            (_HEAD + b"Content-Length: 2\r\n\r\n{}", b" 400 "),
+            (b"no request\r\n\r\n", b" 400 "),
+            (_HEAD + b"Content-Length: x\r\n\r\n", b" 400 "),
+            (_HEAD + b"X-Long: " + b"x" * 20_000 + b"\r\n\r\n", b" 400 "),
+        ],
+    )
+    def test_names_no_library(self, sent: bytes, status: bytes) -> None:
+        async def test(_: CallerServer, connection: Connection) -> None:
+            reader, writer = connection
+            writer.write(sent)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert status in head.partition(b"\r\n")[0]
+            assert b"\r\nServer: hollyknot\r\n" in head
+
+        _run(test)
+
+
 class TestSlowCallers:
     """Connections that hold a descriptor and do nothing."""
 
