Read an answer's usage once, and do less for a first complete try

Ruled out: skipping the queue's look at capacity when nobody waits: it also notes the free slots, by which waits are predicted. That connections are used again for idempotent calls alone, and what headers upstreams get, is now tested; the tests pass with the code before too, and failed with one session for both natures and with the library's headers.

--- a/packages/daemon/src/hollyknot_daemon/_record.py
+++ b/packages/daemon/src/hollyknot_daemon/_record.py
@@ -133,7 +133,8 @@
 
 
 def _tokens_in(result: Result) -> int:
-    if result.answer is None or not result.answer.body:
+    # Most calls of services tell no usage, and needn't be parsed to find out.
+    if result.answer is None or b'"usage"' not in result.answer.body:
         return 0
     try:
         document = orjson.loads(result.answer.body)
--- a/packages/daemon/src/hollyknot_daemon/_tries.py
+++ b/packages/daemon/src/hollyknot_daemon/_tries.py
@@ -7,6 +7,7 @@
 import attrs
 
 from hollyknot_coordination.classification import Classification
+from hollyknot_coordination.outcomes import Timing
 from hollyknot_coordination.retries import (
     Answer,
     Attempt,
@@ -38,6 +39,9 @@
 """The least wait for an answer of a model that is not streamed: its output's
 length is not known."""
 
+_NO_TRY = Result(Verdict(Outcome.NOT_RUN))
+_NO_TIMING = Timing(0.0, 0.0, 0.0, 0, False)
+
 _BEGAN = (Outcome.MAY_HAVE_RUN, Outcome.FAILED)
 
 
@@ -66,7 +70,8 @@
     wasted: int = 0
     may_have_run: bool = False
     excluded: frozenset[str] = frozenset()
-    last: Result = attrs.field(factory=lambda: Result(Verdict(Outcome.NOT_RUN)))
+    last: Result = _NO_TRY
+    timing: Timing = _NO_TIMING
 
 
 class Tries:
@@ -196,8 +201,10 @@
                 if isinstance(found, Verdict):
                     return self._whole(job, history, Result(found))
                 place = found
-            result = await self._try(job, sink, place)
+            result = await self._try(job, sink, place, history)
             self._note(history, place, result)
+            if result.verdict.is_complete:
+                return result
             attempt = _attempt(job, history)
             step = next_step(
                 result.verdict,
@@ -218,7 +225,9 @@
         with self._tracing.span("admission", job.traceparent):
             return await self._dispatcher.place(job.info, history.excluded)
 
-    async def _try(self, job: Job, sink: Sink, place: Choice) -> Result:
+    async def _try(
+        self, job: Job, sink: Sink, place: Choice, history: _History
+    ) -> Result:
         started_s = self._clock()
         result = Result(_CALLER_GONE)
         try:
@@ -232,7 +241,8 @@
         finally:
             parts = result.parts if job.call.is_streamed else 0
             self._recorder.tried(job.info.pool, parts)
-            self._free(job, place, result, self._clock() - started_s)
+            took_s = self._clock() - started_s
+            history.timing = self._free(job, place, result, took_s)
 
     def _noting(self, job: Job, place: Choice, sink: Sink) -> Sink:
         """Returns a sink that tells the decisions of the first byte."""
@@ -245,7 +255,8 @@
 
     def _free(
         self, job: Job, place: Choice, result: Result, took_s: float
-    ) -> None:
+    ) -> Timing:
+        """Gives a place back and returns the timing of what it was used for."""
         timing = timing_of(
             result, job.info.arrived_s, self._clock(), job.call.is_streamed
         )
@@ -257,6 +268,7 @@
             timing.tokens,
             took_s,
         )
+        return timing
 
     def _note(self, history: _History, place: Choice, result: Result) -> None:
         history.tries += 1
@@ -270,9 +282,11 @@
         return _with_verdict(result, verdict)
 
     def _record(self, job: Job, history: _History, result: Result) -> None:
-        timing = timing_of(
-            result, job.info.arrived_s, self._clock(), job.call.is_streamed
-        )
+        timing = history.timing
+        if result.answer is None or not history.tries:
+            timing = timing_of(
+                result, job.info.arrived_s, self._clock(), job.call.is_streamed
+            )
         ended = Ended(
             request_id=job.info.request_id,
             classification=job.classification,
--- a/packages/transport/src/hollyknot_transport/_exchange.py
+++ b/packages/transport/src/hollyknot_transport/_exchange.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import aiohttp
 import attrs
@@ -193,13 +193,25 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         read_bufsize=_READ_BUFFER_BYTES,
-        skip_auto_headers=("User-Agent", "Accept-Encoding"),
+        request_class=_OwnHeadersRequest,
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         ),
     )
 
 
+class _OwnHeadersRequest(aiohttp.ClientRequest):
+    """A request with the caller's headers and no more than the least."""
+
+    def update_auto_headers(self, _: Iterable[str] | None) -> None:
+        """Adds none of the library's names and encodings.
+
+        The session's `skip_auto_headers` does so too, but copies all headers
+        for it at each request.
+        """
+        self.headers.setdefault("Accept", "*/*")
+
+
 class _Attempt:
     """The state of one try."""
 
--- /dev/null
+++ b/packages/transport/src/hollyknot_transport/tests/test_upstream_requests.py
@@ -0,0 +1,91 @@
+"""Tests of what an upstream sees of a host's client."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from hollyknot_state import Address, Nature, Outcome
+from hollyknot_transport import (
+    Exchanges,
+    Sink,
+    StallGuard,
+    UpstreamAnswer,
+    UpstreamRequest,
+    start_server,
+)
+
+_IP = "127.0.0.1"
+
+
+async def _never(_: UpstreamAnswer | bytes) -> None:
+    raise AssertionError("a small whole answer is not relayed")
+
+
+_SINK = Sink(start=_never, write=_never, write_now=lambda _: False)
+
+
+async def _ask_twice(
+    nature: Nature, headers: dict[str, str]
+) -> list[web.BaseRequest]:
+    """Returns two requests, one after the other, as an upstream got them."""
+    seen: list[web.BaseRequest] = []
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        seen.append(request)
+        return web.Response(body=b"{}")
+
+    runner, port = await start_server(web.Server(answer), Address(_IP, 0))
+    exchanges = Exchanges(StallGuard())
+    request = UpstreamRequest(
+        url=f"http://{_IP}:{port}/a%2Fb?q=%20x",
+        method="POST",
+        headers=headers,
+        body=b"{}",
+        request_id="req-1",
+        nature=nature,
+        is_streamed=False,
+        first_byte_s=20.0,
+        next_bytes_s=20.0,
+    )
+    try:
+        for _ in range(2):
+            result = await exchanges.run(request, _SINK)
+            assert result.verdict.outcome is Outcome.COMPLETE
+    finally:
+        await exchanges.close()
+        await runner.cleanup()
+    return seen
+
+
+class TestUpstreamRequests:
+    """Connections and headers."""
+
+    @pytest.mark.parametrize(
+        ("nature", "connections"),
+        [(Nature.IDEMPOTENT, 1), (Nature.NON_IDEMPOTENT, 2)],
+    )
+    def test_only_idempotent_calls_share_a_connection(
+        self, nature: Nature, connections: int
+    ) -> None:
+        seen = asyncio.run(_ask_twice(nature, {}))
+        assert len({request.protocol for request in seen}) == connections
+
+    @pytest.mark.parametrize(
+        ("sent", "accepted"),
+        [({}, "*/*"), ({"Accept": "text/x"}, "text/x")],
+    )
+    def test_no_names_or_encodings_are_added(
+        self, sent: dict[str, str], accepted: str
+    ) -> None:
+        sent = {**sent, "X-Request-Id": "req-1"}
+        got, _ = asyncio.run(_ask_twice(Nature.IDEMPOTENT, sent))
+        assert got.raw_path == "/a%2Fb?q=%20x"
+        headers = {name.lower(): got.headers[name] for name in got.headers}
+        assert headers.pop("host").startswith(_IP)
+        assert headers == {
+            "x-request-id": "req-1",
+            "accept": accepted,
+            "content-length": "2",
+            "content-type": "application/octet-stream",
+        }
