--- a/packages/bench/src/hollyknot_bench/slopes/__main__.py
+++ b/packages/bench/src/hollyknot_bench/slopes/__main__.py
@@ -75,7 +75,9 @@
 
 
 @click.group(invoke_without_command=True)
-@click.option("--quick", is_flag=True, help="Small sizes; writes no file.")
+@click.option(
+    "--quick", is_flag=True, help="Smaller sizes; writes no file but the plots."
+)
 @click.option(
     "--only",
     type=click.Choice(("all", *SIDE_BY_SIDE, *ALONE)),
