Keep a part without entries as a record, so that the check sees it

Cause: a version {"weights": {}} had no records at all, passed the check as empty declarations, and removed all customers from every host in force. Ruled out: the check itself, which refuses the same text when it reads it whole. Change: an empty part is a record of its own; its going doesn't take the first entry along.

--- a/packages/coordination/src/hollyknot_coordination/spread/_records.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_records.py
@@ -94,7 +94,9 @@
         raise UnreadableError("the body is no JSON object; publish an object")
     value.pop(_VERSION_FIELDS[document], None)
     if document is DocumentKind.HOSTS:
-        value[_HOST_ENTRIES] = _by_name(value.get(_HOST_ENTRIES))
+        named = _by_name(value.pop(_HOST_ENTRIES, None))
+        if named:
+            value[_HOST_ENTRIES] = named
     return _flatten(value)
 
 
@@ -193,7 +195,10 @@
     for section, content in value.items():
         if "/" in section:
             raise UnreadableError(f"{section}: has a slash; rename the field")
-        if isinstance(content, dict):
+        # A part without entries stays a record of its own. Dropped here, an
+        # unknown one would never be seen by the check: a version that has
+        # nothing else would pass as empty and remove all customers.
+        if isinstance(content, dict) and content:
             records.update(
                 (f"{section}/{k}", dump_record(v)) for k, v in content.items()
             )
--- a/packages/state/src/hollyknot_state/_update.py
+++ b/packages/state/src/hollyknot_state/_update.py
@@ -85,7 +85,9 @@
     nothing = Declarations(version=0)
     for path in removed:
         section, slash, name = path.partition("/")
-        if not slash and hasattr(nothing, section):
+        # A part that had no entries goes as a whole when its first entry comes.
+        is_given = section in sections
+        if not slash and hasattr(nothing, section) and not is_given:
             values[section] = getattr(nothing, section)
         old = getattr(previous, section, None)
         if slash and isinstance(old, dict):
--- a/packages/state/src/hollyknot_state/tests/test_update.py
+++ b/packages/state/src/hollyknot_state/tests/test_update.py
@@ -33,7 +33,7 @@
 def _records(document: dict[str, Any]) -> dict[str, bytes]:
     records = {}
     for section, content in document.items():
-        if isinstance(content, dict):
+        if isinstance(content, dict) and content:
             for name, value in content.items():
                 records[f"{section}/{name}"] = json.dumps(value).encode()
         else:
@@ -41,10 +41,12 @@
     return records
 
 
-def _update(new: dict[str, Any]) -> Declarations | Problems:
-    previous = parse_declarations(json.dumps(_BASE), 1)
+def _update(
+    new: dict[str, Any], base: dict[str, Any] = _BASE
+) -> Declarations | Problems:
+    previous = parse_declarations(json.dumps(base), 1)
     assert isinstance(previous, Declarations)
-    old_records, new_records = _records(_BASE), _records(new)
+    old_records, new_records = _records(base), _records(new)
     changed = [
         DocumentRecord(path, body)
         for path, body in new_records.items()
@@ -110,16 +112,24 @@
         new = copy.deepcopy(_BASE)
         for section, name, value in edits:
             _edit(new, section, name, copy.deepcopy(value))
-        # An empty object has no records: nothing tells it from a lacking one.
-        whole = parse_declarations(
-            json.dumps({s: c for s, c in new.items() if c != {}}), 2
-        )
+        whole = parse_declarations(json.dumps(new), 2)
         updated = _update(new)
         if isinstance(whole, Problems):
             assert isinstance(updated, Problems)
         else:
             assert updated == whole
 
+    def test_first_and_last_entry_of_a_part(self) -> None:
+        """A part's first entry is not lost with its being empty.
+
+        Symptom: a first customer has no access on hosts that learn by changes.
+        Sequence: a version has no customers; the next has one.
+        Cause: the record of the empty part goes, and took the new entry along.
+        """
+        empty = _BASE | {"customers": {}}
+        assert _update(_BASE, empty) == parse_declarations(json.dumps(_BASE), 2)
+        assert _update(empty) == parse_declarations(json.dumps(empty), 2)
+
     @settings(derandomize=True, deadline=None, database=None)
     @given(
         records=st.lists(
