Repeat releases of claims until every holder has taken them

Cause: a cut that loses the holders' answers makes the attempt fail and loses its releases too; the holders kept the grant, and each later attempt with the key was told for ever that the call may have run, though it never did. Ruled out: grants that expire (a paused host would wake and send); asking the attempt's host when its grant is met (one more question to each claim's path). A coordinator that is itself lost with a majority's grants leaves the key at may-have-run, as decided.

--- a/packages/coordination/src/hollyknot_coordination/claims/_coordinator.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_coordinator.py
@@ -19,10 +19,12 @@
 from hollyknot_coordination.claims._keys import slot_of
 from hollyknot_coordination.claims._options import ClaimOptions
 from hollyknot_coordination.claims._placement import Placement
+from hollyknot_coordination.claims._releases import Releases
 from hollyknot_coordination.claims._verdicts import refusal
 from hollyknot_state import (
     Attempt,
     ClaimAnswer,
+    ClaimAnswerKind,
     ClaimOutcome,
     Outcome,
     Reason,
@@ -80,6 +82,7 @@
     _number: int = 0
     _claiming: dict[bytes, _Claiming] = attrs.Factory(dict)
     _granted: dict[bytes, ClaimAttempt] = attrs.Factory(dict)
+    _releases: Releases = attrs.Factory(Releases)
 
     def update(self, placement: Placement, now: Instant) -> list[ClaimCommand]:
         """Takes a newer host list, or newly declared data centres."""
@@ -137,6 +140,9 @@
         self, sender: str, answer: ClaimAnswer, now: Instant
     ) -> list[ClaimCommand]:
         """Takes a holder's answer."""
+        if answer.kind is ClaimAnswerKind.RELEASED:
+            self._releases.take(sender, answer)
+            return []
         claiming = self._claiming.get(answer.key)
         # An answer to an attempt that was given up must not revive it.
         if claiming is None or claiming.attempt.attempt != answer.asker:
@@ -147,7 +153,7 @@
 
     def poll(self, now: Instant) -> list[ClaimCommand]:
         """Repeats unanswered messages, and gives up what takes too long."""
-        commands: list[ClaimCommand] = []
+        commands: list[ClaimCommand] = [*self._releases.due(now.now_s)]
         for claiming in list(self._claiming.values()):
             commands += self._go_on(claiming, now)
             is_pending = claiming.attempt.key in self._claiming
@@ -157,8 +163,8 @@
 
     def next_poll_s(self) -> float:
         """Returns when to call `poll` at the latest, infinity if not at all."""
-        times = (min(c.give_up_s, c.repeat_s) for c in self._claiming.values())
-        return min(times, default=float("inf"))
+        times = [min(c.give_up_s, c.repeat_s) for c in self._claiming.values()]
+        return min([*times, self._releases.next_s()])
 
     def finish(self, key: bytes, outcome: Outcome) -> list[ClaimCommand]:
         """Ends a claim, granted or not; the request must not run from now on.
@@ -171,12 +177,12 @@
         """
         claiming = self._claiming.pop(key, None)
         if claiming is not None:
-            return list(claiming.attempt.releases())
+            return [*self._releases.send(claiming.attempt)]
         attempt = self._granted.pop(key, None)
         if attempt is None:
             return []
         if outcome is Outcome.NOT_RUN:
-            return list(attempt.releases())
+            return [*self._releases.send(attempt)]
         message = RecordClaim(key, attempt.attempt, _OUTCOMES[outcome])
         return [SendClaim(host, message) for host in attempt.group]
 
@@ -235,7 +241,7 @@
         verdict = refusal(attempt, self._come_back_s())
         earlier = attempt.rival_outcome or ClaimOutcome.UNKNOWN
         refused = ClaimRefused(attempt.key, attempt.attempt, verdict, earlier)
-        return [*attempt.releases(), refused]
+        return [*self._releases.send(attempt), refused]
 
     def _come_back_s(self) -> float:
         # Two that split the votes must not come back at the same moment.
--- a/packages/coordination/src/hollyknot_coordination/claims/_holder.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_holder.py
@@ -16,6 +16,8 @@
 from hollyknot_coordination.claims._slot import Slot
 from hollyknot_state import (
     CancelClaim,
+    ClaimAnswer,
+    ClaimAnswerKind,
     ClaimMessage,
     GrantClaim,
     HolderEpoch,
@@ -132,8 +134,10 @@
         match message:
             case GrantClaim() | CancelClaim():
                 return self._answer_claim(sender, message, now)
-            case ReleaseClaim() | RecordClaim():
-                self._take_fact(message)
+            case ReleaseClaim():
+                return self._take_release(sender, message)
+            case RecordClaim():
+                _grants.take_outcome(self._slot(slot_of(message.key)), message)
             case LearnSlots():
                 return self._answer_questions(sender, message, now)
             case SlotAnswers():
@@ -205,12 +209,18 @@
             answer = _grants.answer_cancel(self.host, slot, message)
         return [SendClaim(sender, answer)]
 
-    def _take_fact(self, message: ReleaseClaim | RecordClaim) -> None:
-        slot = self._slot(slot_of(message.key))
-        if isinstance(message, ReleaseClaim):
-            _grants.take_release(slot, message)
-        else:
-            _grants.take_outcome(slot, message)
+    def _take_release(
+        self, sender: str, message: ReleaseClaim
+    ) -> list[SendClaim]:
+        _grants.take_release(self._slot(slot_of(message.key)), message)
+        taken = ClaimAnswer(
+            message.key,
+            message.attempt,
+            message.attempt,
+            ClaimAnswerKind.RELEASED,
+            0,
+        )
+        return [SendClaim(sender, taken)]
 
     def _answer_questions(
         self, sender: str, message: LearnSlots, now: Instant
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/claims/tests/test_releases.py
@@ -0,0 +1,75 @@
+"""Tests that a release reaches every holder in the end, and then stops."""
+
+from collections.abc import Callable
+
+import pytest
+
+from hollyknot_coordination.claims import _releases
+from hollyknot_coordination.claims.tests._fleet import (
+    Fleet,
+    Message,
+    fresh_key,
+    make_fleet,
+)
+from hollyknot_state import ClaimAnswer, ReleaseClaim
+
+_CUT_S = 30.0
+
+
+def _no_answers(message: Message) -> bool:
+    """Holders hear the coordinator; their answers are lost."""
+    return not isinstance(message.body, ClaimAnswer | ReleaseClaim)
+
+
+def _claim_in_a_cut(fleet: Fleet, passes: Callable[[Message], bool]) -> bytes:
+    key = fresh_key(fleet)
+    fleet.claim("a", key)
+    fleet.settle(_CUT_S, passes)
+    assert key not in fleet.hosts["a"].granted
+    return key
+
+
+def _sends_of(fleet: Fleet, name: str) -> int:
+    """Counts what a host sends in two minutes in which nothing happens."""
+    count = 0
+    for _ in range(1_200):
+        fleet.now_s += 0.1
+        fleet.poll(name)
+        count += len(fleet.network)
+        fleet.deliver_all()
+    return count
+
+
+class TestReleases:
+    """Releases that a cut has lost."""
+
+    @pytest.mark.parametrize("names", ["abc", "abcde"])
+    def test_lost_releases_are_repeated(self, names: str) -> None:
+        """A key whose grant was given up in a cut can be claimed after it.
+
+        Symptom: each later attempt is told that the call may have run, and it
+        never runs.
+        Sequence: all holders grant; their answers are lost; the coordinator
+        gives up and says "not run"; its releases are lost, too.
+        Cause: a release was sent once.
+        """
+        fleet = make_fleet(*names)
+        key = _claim_in_a_cut(fleet, _no_answers)
+        fleet.settle(_releases.LAST_REPEAT_S)
+        assert fleet.try_key("b", key) == "granted"
+        assert fleet.started[key] == 1
+
+    def test_taken_releases_are_not_repeated(self) -> None:
+        fleet = make_fleet("a", "b", "c")
+        _claim_in_a_cut(fleet, _no_answers)
+        fleet.settle(_releases.LAST_REPEAT_S)
+        assert _sends_of(fleet, "a") == 0
+
+    def test_a_holder_that_is_gone_is_given_up(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(_releases, "REPEATS_MAX", 3)
+        fleet = make_fleet("a", "b", "c")
+        fleet.kill("c")
+        _claim_in_a_cut(fleet, _no_answers)
+        assert _sends_of(fleet, "a") == 0
--- a/packages/state/src/hollyknot_state/_claim_messages.py
+++ b/packages/state/src/hollyknot_state/_claim_messages.py
@@ -105,7 +105,7 @@
 
     Only the attempt's own coordinator sends it, before any dispatch or with
     the upstream's proof of refusal; or who holds a majority's promises never
-    to grant the attempt. It isn't answered.
+    to grant the attempt. It is answered by `RELEASED`.
 
     Attributes:
         key: The claim key.
@@ -161,10 +161,13 @@
     NEWER = "newer"
     """The holder's list is newer; see `revision` and `holders`."""
 
+    RELEASED = "released"
+    """The holder has taken a `ReleaseClaim`; nothing is to be repeated."""
+
 
 @attrs.frozen
 class ClaimAnswer:
-    """A holder's answer to `GrantClaim` or `CancelClaim`.
+    """A holder's answer to `GrantClaim`, `CancelClaim` or `ReleaseClaim`.
 
     Attributes:
         key: The claim key.
