Rank holders again only where hosts changed

Ruled out: ranking when a key is claimed (the cost moves into a request). Change: a placement takes homes and groups over from the one before where the data centre's live hosts are the same and the declared data centres too.

--- a/packages/coordination/src/hollyknot_coordination/claims/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_placement.py
@@ -63,11 +63,16 @@
     _list: HostList
     _listed: dict[str, tuple[str, ...]] = attrs.Factory(dict)
     _hosts: dict[str, tuple[str, ...]] = attrs.Factory(dict)
+    _homes: dict[int, str] = attrs.Factory(dict)
     _groups: dict[int, tuple[str, ...]] = attrs.Factory(dict)
 
     def home(self, slot: int) -> str:
         """Returns the home data centre of a slot."""
-        return home(slot, self.data_centres)
+        found = self._homes.get(slot)
+        if found is None:
+            found = home(slot, self.data_centres)
+            self._homes[slot] = found
+        return found
 
     def hosts(self, data_centre: str) -> tuple[str, ...]:
         """Returns the names of a data centre's live hosts."""
@@ -99,7 +104,31 @@
 
 
 def make_placement(
-    host_list: HostList, data_centres: tuple[str, ...]
+    host_list: HostList,
+    data_centres: tuple[str, ...],
+    previous: Placement | None = None,
 ) -> Placement:
-    """Returns the placement by a host list and the declared data centres."""
-    return Placement(host_list.revision, tuple(data_centres), host_list)
+    """Returns the placement by a host list and the declared data centres.
+
+    Args:
+        host_list: The list in force.
+        data_centres: As declared.
+        previous: An earlier placement. What can't have changed since is taken
+            from it: most lists change one host of one data centre, or an
+            upstream, and ranking the hosts for every slot costs far more.
+    """
+    placement = Placement(host_list.revision, tuple(data_centres), host_list)
+    if previous is None or previous.data_centres != placement.data_centres:
+        return placement
+    placement._homes = previous._homes
+    unchanged = {
+        name
+        for name in placement.data_centres
+        if placement.hosts(name) == previous.hosts(name)
+    }
+    placement._groups = {
+        slot: group
+        for slot, group in previous._groups.items()
+        if previous.home(slot) in unchanged
+    }
+    return placement
--- a/packages/daemon/src/hollyknot_daemon/_claims_task.py
+++ b/packages/daemon/src/hollyknot_daemon/_claims_task.py
@@ -127,7 +127,9 @@
         if placed_by == self._placed_by:
             return
         self._placed_by = placed_by
-        placement = make_placement(view.hosts, data_centres)
+        placement = make_placement(
+            view.hosts, data_centres, self._coordinator.placement
+        )
         self._execute(self._holder.update(placement, now))
         self._execute(self._coordinator.update(placement, now))
 
