--- a/packages/bench/src/hollyknot_bench/tests/test_models.py
+++ b/packages/bench/src/hollyknot_bench/tests/test_models.py
@@ -13,6 +13,12 @@
 class TestHerding:
     """Hosts that see the same late reports do not draw together."""
 
+    @pytest.mark.fault(
+        fault="load reports late",
+        step="accepted",
+        rule="hosts that see the same late report do not herd",
+        seen_failing="hosts go by reports only (in the test itself)",
+    )
     @pytest.mark.parametrize("hosts", [8, 64])
     def test_load_is_spread(self, hosts: int) -> None:
         """Symptom: engines take turns at being overloaded.
@@ -47,6 +53,11 @@
 class TestStraggler:
     """An engine that is slow and reports no load is found and comes back."""
 
+    @pytest.mark.fault(
+        fault="upstream straggle",
+        step="queued",
+        rule="each class meets its target as often as capacity allows",
+    )
     def test_limits_follow(self) -> None:
         scenario = RoutingScenario(
             slow_factor=5.0, slow_from_s=20.0, slow_to_s=50.0, use=0.6
@@ -61,6 +72,12 @@
 class TestSuspects:
     """A request that crashes upstreams is stopped."""
 
+    @pytest.mark.fault(
+        fault="poison request",
+        step="queued",
+        rule="a request that crashes upstreams is stopped, no other is refused",
+        seen_failing="the defence is off (in the test itself)",
+    )
     @pytest.mark.parametrize(("hosts", "batch"), [(1, 8), (8, 8), (4, 64)])
     def test_is_stopped_and_no_innocent_is_refused(
         self, hosts: int, batch: int
--- a/packages/coordination/src/hollyknot_coordination/admission/tests/test_order.py
+++ b/packages/coordination/src/hollyknot_coordination/admission/tests/test_order.py
@@ -20,12 +20,22 @@
 class TestTiers:
     """The order of the tiers on one host."""
 
+    @pytest.mark.fault(
+        fault="burst",
+        step="queued",
+        rule="a higher tier goes before a lower one",
+    )
     def test_higher_tier_goes_first(self) -> None:
         host = Host()
         for tier in (3, 2, 1, 3, 2, 1):
             host.offer(build_request(tier))
         assert _tiers(host.take(4)) == [1, 1, 2, 2]
 
+    @pytest.mark.fault(
+        fault="burst",
+        step="queued",
+        rule="no class starves",
+    )
     @pytest.mark.parametrize(
         ("tier", "high_s", "low_s", "every"),
         [
--- a/packages/coordination/src/hollyknot_coordination/admission/tests/test_refusals.py
+++ b/packages/coordination/src/hollyknot_coordination/admission/tests/test_refusals.py
@@ -29,6 +29,11 @@
 class TestBound:
     """The bound on what waits."""
 
+    @pytest.mark.fault(
+        fault="burst",
+        step="accepted",
+        rule="a higher tier is never shed to serve a lower one",
+    )
     @pytest.mark.parametrize(
         ("offered", "refused"),
         [
--- a/packages/coordination/src/hollyknot_coordination/claims/tests/test_machine.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/tests/test_machine.py
@@ -221,6 +221,18 @@
             ),
         )
 
+    @pytest.mark.fault(
+        fault="host list late",
+        step="claimed",
+        rule="a non-idempotent request runs at most once",
+        seen_failing="each of three rules is switched off (in the next test)",
+    )
+    @pytest.mark.fault(
+        fault="host replace",
+        step="claimed",
+        rule="a non-idempotent request runs at most once",
+        seen_failing="each of three rules is switched off (in the next test)",
+    )
     def test_a_key_starts_at_most_once(self) -> None:
         self.run(300, 40)
 
--- a/packages/coordination/src/hollyknot_coordination/claims/tests/test_rules.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/tests/test_rules.py
@@ -381,6 +381,12 @@
 class TestRule:
     """Sequences in which one rule alone prevents a second start."""
 
+    @pytest.mark.fault(
+        fault="host pause",
+        step="claimed",
+        rule="a non-idempotent request runs at most once",
+        seen_failing="the one rule of each case is off (in the next test)",
+    )
     def test_key_starts_at_most_once(self, case: Case) -> None:
         fleet = make_fleet(*case.hosts)
         case.sequence(fleet)
--- a/packages/coordination/src/hollyknot_coordination/routing/tests/test_routing.py
+++ b/packages/coordination/src/hollyknot_coordination/routing/tests/test_routing.py
@@ -228,6 +228,11 @@
 class TestLoad:
     """What is counted as load, and by how much."""
 
+    @pytest.mark.fault(
+        fault="load reports late",
+        step="queued",
+        rule="no upstream draws the crowd by what it said long ago",
+    )
     @pytest.mark.parametrize("running", [0, 8])
     def test_old_report_draws_no_more_than_a_usual_share(
         self, running: int
