--- a/packages/coordination/src/hollyknot_coordination/outcomes/_tally.py
+++ b/packages/coordination/src/hollyknot_coordination/outcomes/_tally.py
@@ -1,6 +1,7 @@
 """Counts of what became of requests, by class."""
 
 import attrs
+
 from hollyknot_state import Outcome, Verdict
 
 
--- a/packages/coordination/src/hollyknot_coordination/outcomes/_targets.py
+++ b/packages/coordination/src/hollyknot_coordination/outcomes/_targets.py
@@ -1,6 +1,7 @@
 """Whether an answer met its class's target."""
 
 import attrs
+
 from hollyknot_state import Target
 
 
--- a/packages/coordination/src/hollyknot_coordination/outcomes/tests/test_outcomes.py
+++ b/packages/coordination/src/hollyknot_coordination/outcomes/tests/test_outcomes.py
@@ -1,9 +1,9 @@
 """Tests of targets and tallies."""
 
 import pytest
-from hollyknot_state import Outcome, Target, Verdict
 
 from hollyknot_coordination.outcomes import Tallies, Timing, met_target
+from hollyknot_state import Outcome, Target, Verdict
 
 _TOKENS = Target(first_token_ms=1100, between_tokens_ms=68)
 _WHOLE = Target(whole_answer_ms=2000)
