Send a claim's trace over the links, as said before

Ruled out: the links (they pass a traceparent on) and the tracer (the span of the claim is current when the message is made).

--- a/packages/daemon/src/hollyknot_daemon/_control.py
+++ b/packages/daemon/src/hollyknot_daemon/_control.py
@@ -211,7 +211,13 @@
     def _send(self, host: str, message: PeerMessage | ClaimMessage) -> None:
         entry = self._peers.get(host) or self._delisted.find(host)
         if entry is not None:
-            self._pool.post(entry.ip, entry.port, message, expected_host=host)
+            self._pool.post(
+                entry.ip,
+                entry.port,
+                message,
+                traceparent=self._tracing.current(),
+                expected_host=host,
+            )
 
     async def _receive(
         self, peer: PeerIdentity, message: Any, traceparent: str
