See two more tests of faults fail; let one fail by its verdicts

Cause: two tests had not been seen failing, and one failed on broken code only by running into its limit. Ruled out: barring versions after an invalid one as the break for operators' races (the test passed: peers bring the version to the hosts that are barred).

--- a/packages/daemon/src/hollyknot_daemon/tests/faults/test_at_most_once.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/faults/test_at_most_once.py
@@ -164,6 +164,8 @@
             await fleet.until(lambda: min(_runs(fleet, keys)) >= 1)
             await first.kill()
             await asyncio.gather(*calls)
+            for service in fleet.services.values():
+                service.control.slow_s = 0.0
             answers = await _again(fleet, keys, second, fleet.at(B)[0])
             await fleet.heal()
             answers += await _again(fleet, keys, *fleet.hosts.values())
--- a/packages/daemon/src/hollyknot_daemon/tests/faults/test_configuration.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/faults/test_configuration.py
@@ -176,14 +176,19 @@
 
         drive(test)
 
-    @pytest.mark.fault(fault="operator races", step="accepted", rule=_SPREADS)
+    @pytest.mark.fault(
+        fault="operator races",
+        step="accepted",
+        rule=_SPREADS,
+        seen_failing="only the very next version is taken",
+    )
     def test_last_of_several_versions_wins(self, drive: Drive) -> None:
         """Versions in quick succession end in the last good one everywhere.
 
         Symptom: hosts of one data centre serve by different versions.
         Sequence: operators publish good and invalid versions at one moment,
         while hosts read and tell each other of those between.
-        Cause: an invalid version barred those that came after it.
+        Cause: a host that missed a version between took no later one.
         """
 
         async def test(fleet: FaultFleet) -> None:
--- a/packages/daemon/src/hollyknot_daemon/tests/faults/test_cuts.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/faults/test_cuts.py
@@ -228,7 +228,10 @@
         drive(test)
 
     @pytest.mark.fault(
-        fault="cut between data centres", step="accepted", rule=_SERVES
+        fault="cut between data centres",
+        step="accepted",
+        rule=_SERVES,
+        seen_failing="a failed read of the platform ends readiness",
     )
     @pytest.mark.parametrize("side", [A, B])
     def test_each_side_serves_alone(self, drive: Drive, side: str) -> None:
