--- a/packages/coordination/src/hollyknot_coordination/claims/_verdicts.py
+++ b/packages/coordination/src/hollyknot_coordination/claims/_verdicts.py
@@ -52,8 +52,9 @@
     return Verdict(
         Outcome.NOT_RUN,
         Reason.CLAIM_UNDECIDED,
-        "no majority of the holders of this key could grant it; come back"
-        " with the same Idempotency-Key",
+        "no majority of the holders of this key could grant it, or say what"
+        " became of an earlier request with it; come back with the same"
+        " Idempotency-Key",
         come_back_s,
     )
 
