Ask for a body that a caller announces by Expect

Cause: the low-level server doesn't answer "Expect: 100-continue"; common clients then wait about a second before they send a large body, or give up. Ruled out: the application server, which answers it and costs more a request. Change: the head is answered before the body is read, after the check of its size.

--- a/packages/transport/src/hollyknot_transport/_calls.py
+++ b/packages/transport/src/hollyknot_transport/_calls.py
@@ -22,6 +22,7 @@
 BODY_TIMEOUT_S = 30.0
 """Seconds for a whole body; a caller that sends a byte a second is cut off."""
 
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _MAX_PREFIX_CHARS = 2048
 _MAX_HEADER_CHARS = 200
 _FORWARDED_REQUEST_HEADERS = (
@@ -120,11 +121,25 @@
     )
 
 
+async def _ask_for_body(request: web.BaseRequest) -> None:
+    """Answers a caller that waits to be asked before it sends its body.
+
+    The low-level server leaves this to us. Unasked, such callers send the body
+    after a second or so, or never.
+    """
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(_CONTINUE)
+        # The library counts this as a part of the answer, whose head would
+        # then look as if it had been sent.
+        request.writer.output_size = 0
+
+
 async def _read_body(
     request: web.BaseRequest, max_body_bytes: int
 ) -> bytes | Refusal:
     if (request.content_length or 0) > max_body_bytes:
         return _too_large(max_body_bytes)
+    await _ask_for_body(request)
     content = request.content
     try:
         # A body mostly comes with its head, and needs no timer then.
--- a/packages/transport/src/hollyknot_transport/tests/test_caller_server.py
+++ b/packages/transport/src/hollyknot_transport/tests/test_caller_server.py
@@ -116,6 +116,27 @@
 
         _run(test)
 
+    def test_caller_that_waits_to_be_asked_is_asked(self) -> None:
+        """A body announced by `Expect` is asked for.
+
+        Symptom: large requests of common clients take a second longer, or
+        time out.
+        Sequence: the caller sends its head alone and waits for "100 Continue".
+        Cause: the low-level server doesn't answer it.
+        """
+
+        async def test(server: CallerServer, connection: Connection) -> None:
+            del server
+            reader, writer = connection
+            expect = b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+            writer.write(_HEAD + expect)
+            assert b" 100 " in await reader.readline()
+            assert await reader.readline() == b"\r\n"
+            writer.write(b"{}")
+            assert b" 400 " in await reader.readline()
+
+        _run(test)
+
     def test_body_that_never_ends_is_refused(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
