Refuse with the reason 'stopping' while a host stops

Cause: the operators' guide and hollyknotctl explain name the reason 'stopping', but a stopping host answered 'not-ready'; read as a newcomer, the sentinel had no use. Change: readiness says by which reason callers are refused. Conclusion: guide and answer agree.

--- a/packages/daemon/src/hollyknot_daemon/_flow.py
+++ b/packages/daemon/src/hollyknot_daemon/_flow.py
@@ -181,6 +181,6 @@
 
 def _not_ready(ready: Readiness) -> Refusal:
     verdict = Verdict(
-        Outcome.NOT_RUN, Reason.NOT_READY, ready.reason, _NOT_READY_RETRY_S
+        Outcome.NOT_RUN, ready.refusal, ready.reason, _NOT_READY_RETRY_S
     )
     return Refusal(503, verdict)
--- a/packages/daemon/src/hollyknot_daemon/_host.py
+++ b/packages/daemon/src/hollyknot_daemon/_host.py
@@ -15,7 +15,7 @@
 from hollyknot_daemon._record import Recorder
 from hollyknot_daemon._status import status_document
 from hollyknot_daemon._tries import Tries
-from hollyknot_state import Settings
+from hollyknot_state import Reason, Settings
 from hollyknot_transport import (
     CallerServer,
     Exchanges,
@@ -35,7 +35,7 @@
 _FORGET_S = 60.0
 _READY = Readiness(True, "ready")
 _LEARNING = Readiness(False, "This host has not learnt its configuration yet")
-_STOPPING = Readiness(False, "This host is stopping")
+_STOPPING = Readiness(False, "This host is stopping", Reason.STOPPING)
 
 
 class Host:
--- a/packages/daemon/src/hollyknot_daemon/tests/test_path.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_path.py
@@ -515,6 +515,7 @@
                 refused, _ = await rig.ask(_CHAT, json=_body())
                 assert refused.status == 503
                 assert refused.headers["X-Verdict"] == "not-run"
+                assert refused.headers["X-Reason"] == "stopping"
                 assert not request.done()
                 assert not stopping.done()
                 response, raw = await request
--- a/packages/transport/src/hollyknot_transport/_operators.py
+++ b/packages/transport/src/hollyknot_transport/_operators.py
@@ -6,6 +6,7 @@
 import orjson
 from aiohttp import web
 
+from hollyknot_state import Reason
 from hollyknot_transport._metrics import Metrics
 from hollyknot_transport._named_request import named_request
 
@@ -20,10 +21,12 @@
     Attributes:
         is_ready: True if the balancer may send callers here.
         reason: A sentence.
+        refusal: The reason that callers are given meanwhile.
     """
 
     is_ready: bool
     reason: str
+    refusal: Reason = Reason.NOT_READY
 
 
 def operators_server(
