--- a/packages/daemon/src/hollyknot_daemon/tests/test_path.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_path.py
@@ -394,6 +394,7 @@
         fault="poison request",
         step="sent",
         rule="a request that crashes upstreams is refused",
+        seen_failing="no request goes by the register of suspects",
     )
     def test_is_refused_and_others_are_served(self) -> None:
         """The request is found and refused; innocent ones still complete.
