Forward calls by routes, and translate the users' platform to it

Cause: the product knew model classes and its own headers only; the users' platform asks for any HTTP call by host and path prefix, with what may be repeated, customers' keys, and upstreams by incarnation. Ruled out: the library's client (it sends idempotent methods again by itself, and takes bytes that come late on a kept connection for the next answer), and its server (several coroutines for each part of an answer). Change: package gateway (connections on the library's parsers, one try with its verdict, the flow, the follower of a store), state.routes, coordination.forwarding, and the folder platform with names and documents only. A torn event is dropped before another upstream goes on with a stream. Tests: cutting of events (the torn one fails without the change), boundary, layers.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := state protocol coordination transport daemon ctl standins bench
-SOURCES := $(foreach p,$(PACKAGES),packages/$(p)/src)
+PACKAGES := state protocol coordination transport gateway daemon ctl standins bench
+PROJECTS := $(foreach p,$(PACKAGES),packages/$(p)) platform
+SOURCES := $(foreach p,$(PROJECTS),$(p)/src)
+CODE := packages platform conftest.py
 
 .PHONY: help install test lint format demo cost slopes scenario matrix generate docs clean
 
@@ -12,23 +14,23 @@
 
 install: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+$(VENV)/.installed: requirements.txt $(foreach p,$(PROJECTS),$(p)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt
-	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,$(PROJECTS),-e $(p))
 	@touch $@
 
 test: install
 	$(BIN)/python -m pytest
 
 lint: install
-	$(BIN)/ruff format --check packages conftest.py
-	$(BIN)/ruff check packages conftest.py
+	$(BIN)/ruff format --check $(CODE)
+	$(BIN)/ruff check $(CODE)
 	$(BIN)/mypy $(SOURCES)
 
 format: install
-	$(BIN)/ruff format packages conftest.py
-	$(BIN)/ruff check --fix packages conftest.py
+	$(BIN)/ruff format $(CODE)
+	$(BIN)/ruff check --fix $(CODE)
 
 demo: install
 	$(BIN)/python -m hollyknot_bench.demo
--- a/conftest.py
+++ b/conftest.py
@@ -60,7 +60,7 @@
     listed = {red.test for red in _known_red()}
     passed_over = [item for item in items if item.nodeid in listed]
     names = {item.nodeid for item in passed_over}
-    asked_for_all = config.args in ([], ["packages"])
+    asked_for_all = config.args in ([], ["packages", "platform"])
     if asked_for_all and listed != names:
         missing = ", ".join(sorted(listed - names))
         raise pytest.UsageError(f"KNOWN-RED.txt: no such test: {missing}")
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
@@ -0,0 +1,79 @@
+"""Finds the route of a request: by host, then by the longest path prefix."""
+
+import enum
+
+from hollyknot_state.routes import KeyOwner, Route, RouteTable
+
+
+class NoRoute(enum.Enum):
+    """The table has no route for a request."""
+
+    UNKNOWN = "no-route"
+
+
+class NoOwner(enum.Enum):
+    """Nobody holds the key that a route asks for."""
+
+    UNKNOWN = "unknown-key"
+    NOT_NEEDED = "no-key-needed"
+
+
+class RouteIndex:
+    """The routes of one version, made once for each version.
+
+    A lookup costs a dictionary access for each slash of the path, whatever
+    the number of routes.
+    """
+
+    def __init__(self, table: RouteTable) -> None:
+        """Indexes a table."""
+        self._table = table
+        self._by_host: dict[str, dict[str, Route]] = {}
+        self._longest = 0
+        for route in table.routes:
+            prefixes = self._by_host.setdefault(route.host.lower(), {})
+            prefixes[route.prefix] = route
+            self._longest = max(self._longest, len(route.prefix))
+
+    @property
+    def table(self) -> RouteTable:
+        """The indexed version."""
+        return self._table
+
+    def find(self, host: str, path: str) -> Route | NoRoute:
+        """Returns the route of a request.
+
+        Args:
+            host: The `Host` header; a port is left out of the comparison.
+            path: The request's path, with or without a query.
+        """
+        prefixes = self._by_host.get(host.partition(":")[0].lower())
+        if prefixes is None:
+            return NoRoute.UNKNOWN
+        rest = path.partition("?")[0]
+        # A path of thousands of slashes would else be cut thousands of times.
+        end = rest.rfind("/", 0, self._longest)
+        while end >= 0:
+            route = prefixes.get(rest[: end + 1])
+            if route is not None:
+                return route
+            end = rest.rfind("/", 0, end)
+        return NoRoute.UNKNOWN
+
+    def owner(self, route: Route, key: str) -> KeyOwner | NoOwner:
+        """Returns who sends a request."""
+        if not self._table.owners_by_key or not route.needs_key:
+            return NoOwner.NOT_NEEDED
+        return self._table.owners_by_key.get(key, NoOwner.UNKNOWN)
+
+
+def urgency(route: Route, owner: KeyOwner | NoOwner) -> int:
+    """Returns the priority that a request has everywhere; 0 is the first.
+
+    Every host has to come to the same figure: engines take the most urgent
+    first and drop the least urgent, so that two hosts that differ would let a
+    less urgent request push out a more urgent one.
+    """
+    if isinstance(owner, KeyOwner) and owner.priority is not None:
+        return owner.priority
+    return route.priority
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_events.py
@@ -0,0 +1,43 @@
+"""Tests of cutting a stream into whole events."""
+
+import pytest
+
+from hollyknot_coordination.forwarding import EventCutter
+
+
+class TestEventCutter:
+    """Bytes in, whole events out."""
+
+    def test_holds_a_torn_event_back(self) -> None:
+        cutter = EventCutter()
+        assert cutter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == (
+            b"id: 1\ndata: a\n\n"
+        )
+        assert cutter.last_id == "1"
+        assert cutter.has_torn_event
+
+    def test_joins_parts_of_one_event(self) -> None:
+        cutter = EventCutter()
+        assert cutter.feed(b"id: 7\n") == b""
+        assert cutter.feed(b"data: a\n\n") == b"id: 7\ndata: a\n\n"
+        assert not cutter.has_torn_event
+
+    @pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n", b"\r\r"])
+    def test_knows_each_line_end(self, end: bytes) -> None:
+        cutter = EventCutter()
+        assert cutter.feed(b"data: a" + end + b"data") == b"data: a" + end
+
+    def test_torn_event_is_not_joined_to_the_next_upstreams(self) -> None:
+        """A caller reads a piece that no upstream sent.
+
+        Sequence: an upstream crashes within an event; the stream goes on at
+        another one. Cause: the torn event was kept and put before the first
+        bytes of the other upstream.
+        """
+        cutter = EventCutter()
+        cutter.feed(b"id: 1\ndata: a\n\nid: 2\ndata: to")
+        cutter.drop_torn()
+        assert cutter.feed(b"id: 2\ndata: torn\n\n") == (
+            b"id: 2\ndata: torn\n\n"
+        )
+        assert cutter.last_id == "2"
--- a/packages/daemon/src/hollyknot_daemon/tests/test_layers.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_layers.py
@@ -12,6 +12,7 @@
     "coordination": {"state"},
     "protocol": {"state"},
     "transport": {"state", "coordination", "protocol"},
+    "gateway": {"state", "coordination"},
     "daemon": {"state", "coordination", "protocol", "transport"},
     "ctl": {"state", "coordination", "protocol", "transport"},
     "standins": set(),
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/__init__.py
@@ -0,0 +1,34 @@
+"""A host that forwards HTTP calls by routes, for any platform's interfaces."""
+
+from hollyknot_gateway._fetch import Document, FetchFailure, fetch
+from hollyknot_gateway._host import Host, Ports
+from hollyknot_gateway._pool import Pool
+from hollyknot_gateway._ports import (
+    Changes,
+    Compacted,
+    Dialect,
+    Fields,
+    Headers,
+    Listing,
+    Source,
+    SourceFailure,
+)
+from hollyknot_gateway._run import run
+
+__all__ = [
+    "Changes",
+    "Compacted",
+    "Dialect",
+    "Document",
+    "FetchFailure",
+    "Fields",
+    "Headers",
+    "Host",
+    "Listing",
+    "Pool",
+    "Ports",
+    "Source",
+    "SourceFailure",
+    "fetch",
+    "run",
+]
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -0,0 +1,383 @@
+"""One HTTP connection of a caller, on the library's parser.
+
+The library's own server answers through several coroutines for each part of an
+answer, and closes idle connections as it likes. Here an answer is written at
+once, and a connection is closed only between two requests or to tell that an
+answer is cut short.
+"""
+
+import asyncio
+import http
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any, cast
+
+import attrs
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_exceptions import (
+    BadHttpMessage,
+    HttpProcessingError,
+    LineTooLong,
+)
+from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
+from aiohttp.http_writer import HttpVersion11
+
+from hollyknot_gateway._headers import CONTENT_LENGTH, write_head
+from hollyknot_gateway._ports import Fields, Headers
+from hollyknot_gateway._upstream_connection import set_socket_options
+from hollyknot_state.routes import CallerLimits
+
+_BODY_BUFFER_BYTES = 65_536
+_QUEUED_REQUESTS = 16
+"""Requests that a caller may send ahead of their answers."""
+
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_LAST_CHUNK = b"0\r\n\r\n"
+_NO_BODY = frozenset({204, 304})
+_BAD_REQUEST = 400
+_TOO_LARGE = 413
+_HEAD_TOO_LARGE = 431
+
+
+@attrs.frozen
+class CallerRequest:
+    """A request that was read in full.
+
+    Attributes:
+        method: In capitals.
+        target: Path and query, as they were sent.
+        headers: As they were sent.
+        fields: The same, by name.
+        body: Without its framing.
+        has_body: Whether its framing announced one, even an empty one.
+        arrived_s: When its head was read, on the loop's clock.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    fields: Fields
+    body: bytes
+    has_body: bool
+    arrived_s: float
+
+
+class Reply:
+    """The one answer to one request."""
+
+    def __init__(
+        self, connection: "CallerConnection", method: str, *, is_modern: bool
+    ) -> None:
+        """Nothing is sent yet."""
+        self._connection = connection
+        self._method = method
+        self._is_modern = is_modern
+        self._has_begun = False
+        self._has_ended = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the answer has been written."""
+        return self._has_begun
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the answer has been written in full, or cut."""
+        return self._has_ended
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether the caller takes its answer more slowly than it comes."""
+        return self._connection.writing_paused
+
+    async def drained(self) -> None:
+        """Waits until the caller has taken most of what was written."""
+        await self._connection.drained()
+
+    def whole(
+        self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Writes an answer."""
+        self._has_begun = self._has_ended = True
+        framed = list(headers)
+        if status not in _NO_BODY and self._method != "HEAD":
+            framed.append((b"Content-Length", b"%d" % len(body)))
+        head = self._head(status, framed)
+        if self._method == "HEAD" or status in _NO_BODY:
+            body = b""
+        self._connection.write(head + body)
+
+    def start(
+        self, status: int, headers: Iterable[tuple[bytes, bytes]], data: bytes
+    ) -> None:
+        """Writes the head of an answer of unknown length, and a first part."""
+        self._has_begun = True
+        framed = list(headers)
+        if self._is_modern:
+            framed.append((b"Transfer-Encoding", b"chunked"))
+        else:
+            self._connection.close_after_answer()
+        head = self._head(status, framed)
+        self._connection.write(head + self._framed(data))
+
+    def write(self, data: bytes) -> None:
+        """Writes a part."""
+        self._connection.write(self._framed(data))
+
+    def finish(self) -> None:
+        """Marks the answer as complete."""
+        self._has_ended = True
+        if self._is_modern:
+            self._connection.write(_LAST_CHUNK)
+
+    def cut(self) -> None:
+        """Breaks off an answer, so that it can't be taken for a whole one.
+
+        A close would do that for a body in chunks only: one that ends with
+        its connection looks whole unless the connection is reset.
+        """
+        self._has_ended = True
+        self._connection.abort()
+
+    def _head(
+        self, status: int, headers: Iterable[tuple[bytes, bytes]]
+    ) -> bytes:
+        try:
+            phrase = http.HTTPStatus(status).phrase.encode()
+        except ValueError:
+            phrase = b"Unknown"
+        line = b"HTTP/1.1 %d %s" % (status, phrase)
+        if self._connection.closes_after_answer:
+            headers = (*headers, (b"Connection", b"close"))
+        return write_head(line, headers)
+
+    def _framed(self, data: bytes) -> bytes:
+        if not self._is_modern:
+            return data
+        return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+
+
+Handler = Callable[[CallerRequest, Reply], Awaitable[None]]
+
+
+class CallerConnection(BaseProtocol):
+    """Reads requests one after the other and hands them to the handler."""
+
+    __slots__ = (
+        "_closes",
+        "_handler",
+        "_has_request",
+        "_idle_since",
+        "_is_reading_body",
+        "_limits",
+        "_on_lost",
+        "_queue",
+        "_task",
+        "_waiting_head",
+    )
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: CallerLimits,
+        on_lost: Callable[["CallerConnection"], None],
+    ) -> None:
+        """Waits for a caller.
+
+        Args:
+            handler: Answers each request; cancelled if the caller goes away.
+            limits: Of this connection's requests.
+            on_lost: Told when the connection has ended.
+        """
+        loop = asyncio.get_running_loop()
+        super().__init__(loop)
+        self._handler = handler
+        self._limits = limits
+        self._on_lost = on_lost
+        self._parser = HttpRequestParser(
+            self,
+            loop,
+            _BODY_BUFFER_BYTES,
+            max_line_size=limits.max_head_bytes,
+            max_field_size=limits.max_head_bytes,
+            auto_decompress=False,
+        )
+        self._queue: list[tuple[RawRequestMessage, Any]] = []
+        self._task: asyncio.Task[None] | None = None
+        self._has_request = False
+        self._is_reading_body = False
+        self._closes = False
+        self._idle_since = loop.time()
+        self._waiting_head = False
+
+    @property
+    def has_request(self) -> bool:
+        """Whether a request is being read or answered."""
+        return self._has_request
+
+    @property
+    def closes_after_answer(self) -> bool:
+        """Whether the answer being written is the connection's last."""
+        return self._closes
+
+    def close_after_answer(self) -> None:
+        """Takes no more requests after the one in work."""
+        self._closes = True
+
+    def write(self, data: bytes) -> None:
+        """Writes bytes; those to a caller that has gone are dropped."""
+        if self.transport is not None and data:
+            self.transport.write(data)
+
+    def abort(self) -> None:
+        """Resets the connection."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def close(self) -> None:
+        """Closes an idle connection."""
+        if self.transport is not None:
+            self.transport.close()
+
+    async def drained(self) -> None:
+        """Waits until the caller has taken most of what was written."""
+        if self.transport is not None:
+            await self._drain_helper()
+
+    def is_overdue(self, now_s: float) -> bool:
+        """Whether the caller has been silent for too long.
+
+        A caller that sends its head a byte a second would else keep its
+        connection for ever: such connections pile up until no file descriptor
+        is left.
+        """
+        if self._has_request:
+            return False
+        limits = self._limits
+        most_s = (
+            limits.head_timeout_s
+            if self._waiting_head
+            else limits.idle_timeout_s
+        )
+        return now_s - self._idle_since > most_s
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sets the socket's options."""
+        super().connection_made(transport)
+        set_socket_options(cast(asyncio.Transport, transport))
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends the work on the caller's request."""
+        super().connection_lost(exc)
+        self._queue.clear()
+        if self._task is not None:
+            self._task.cancel()
+        self._on_lost(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses requests."""
+        assert self._parser is not None
+        try:
+            messages, is_upgraded, _ = self._parser.feed_data(data)
+        except HttpProcessingError as error:
+            self._refuse_unparsed(error)
+            return
+        if is_upgraded:
+            self._refuse_unparsed(BadHttpMessage("upgrade"))
+            return
+        self._queue.extend(messages)
+        if len(self._queue) > _QUEUED_REQUESTS:
+            self.abort()
+            return
+        if not messages and data and not self._has_request:
+            if not self._waiting_head:
+                self._idle_since = self._loop.time()
+            self._waiting_head = True
+        self._next()
+
+    def _next(self) -> None:
+        if self._has_request or not self._queue or self.transport is None:
+            return
+        message, payload = self._queue.pop(0)
+        self._has_request = True
+        self._waiting_head = False
+        self._task = self._loop.create_task(self._serve(message, payload))
+
+    async def _serve(self, message: RawRequestMessage, payload: Any) -> None:
+        arrived_s = self._loop.time()
+        if message.should_close:
+            self._closes = True
+        is_modern = message.version >= HttpVersion11
+        reply = Reply(self, message.method, is_modern=is_modern)
+        self._is_reading_body = True
+        body = await self._body(message, payload)
+        self._is_reading_body = False
+        if body is None:
+            self._closes = True
+            reply.whole(_TOO_LARGE, (), b"The body is too large.\n")
+        else:
+            request = CallerRequest(
+                method=message.method,
+                target=message.path,
+                headers=message.raw_headers,
+                fields=message.headers,
+                body=body,
+                has_body=message.chunked
+                or any(
+                    n.lower() == CONTENT_LENGTH for n, _ in message.raw_headers
+                ),
+                arrived_s=arrived_s,
+            )
+            await self._answer(request, reply)
+        self._ended()
+
+    async def _answer(self, request: CallerRequest, reply: Reply) -> None:
+        try:
+            await self._handler(request, reply)
+        except Exception:
+            # A caller that is left without an answer would wait for its whole
+            # time limit. The error goes on to the loop, which logs it.
+            self.abort()
+            raise
+
+    def _ended(self) -> None:
+        self._has_request = False
+        self._task = None
+        self._idle_since = self._loop.time()
+        if self._closes:
+            self.close()
+        else:
+            self._next()
+
+    async def _body(
+        self, message: RawRequestMessage, payload: Any
+    ) -> bytes | None:
+        """Returns a request's body, or None if it is too large."""
+        most = self._limits.max_body_bytes
+        announced = message.headers.get("Content-Length", "0")
+        if int(announced) > most:
+            return None
+        if message.headers.get("Expect", "").lower() == "100-continue":
+            self.write(_CONTINUE)
+        parts = []
+        size = 0
+        while part := await payload.readany():
+            size += len(part)
+            if size > most:
+                return None
+            parts.append(part)
+        return b"".join(parts)
+
+    def _refuse_unparsed(self, error: HttpProcessingError) -> None:
+        """Answers what isn't a request; nothing after it can be understood."""
+        self._closes = True
+        if self._has_request and not self._is_reading_body:
+            # Its own answer comes first. The rest of the connection is lost.
+            self._queue.clear()
+            return
+        if self._task is not None:
+            self._task.cancel()
+        is_long = isinstance(error, LineTooLong)
+        reply = Reply(self, "GET", is_modern=True)
+        status = _HEAD_TOO_LARGE if is_long else _BAD_REQUEST
+        reply.whole(status, (), b"The request can't be parsed.\n")
+        self.close()
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_fetch.py
@@ -0,0 +1,99 @@
+"""A small HTTP client for documents, over the connections to upstreams."""
+
+import asyncio
+import enum
+
+import attrs
+
+from hollyknot_gateway._headers import write_head
+from hollyknot_gateway._pool import ConnectFailure, Pool
+from hollyknot_gateway._upstream_connection import Head, Lost
+from hollyknot_state import Address
+
+
+class FetchFailure(enum.Enum):
+    """Why a document was not read."""
+
+    CONNECT = "connect-failed"
+    TIMEOUT = "timeout"
+    LOST = "connection-lost"
+
+
+@attrs.frozen
+class Document:
+    """An answer that was read in full.
+
+    Attributes:
+        status: The HTTP status.
+        body: All of it.
+    """
+
+    status: int
+    body: bytes
+
+
+class _Collector:
+    def __init__(self) -> None:
+        self._status = 0
+        self._parts: list[bytes] = []
+        loop = asyncio.get_running_loop()
+        self.done: asyncio.Future[Document | FetchFailure] = (
+            loop.create_future()
+        )
+
+    def on_head(self, head: Head) -> None:
+        self._status = head.status
+
+    def on_data(self, data: bytes) -> None:
+        self._parts.append(data)
+
+    def on_end(self) -> None:
+        self._set(Document(self._status, b"".join(self._parts)))
+
+    def on_lost(self, _: Lost) -> None:
+        self._set(FetchFailure.LOST)
+
+    def _set(self, found: Document | FetchFailure) -> None:
+        if not self.done.done():
+            self.done.set_result(found)
+
+
+async def fetch(
+    pool: Pool, name: str, address: Address, target: str, timeout_s: float
+) -> Document | FetchFailure:
+    """Reads a document by GET.
+
+    Args:
+        pool: Keeps the connections.
+        name: Of the server, by which its connections are kept.
+        address: Where it answers.
+        target: Path and query.
+        timeout_s: The longest wait, a new connection included.
+
+    Returns:
+        The answer, or why there is none. A connection on which an answer did
+        not come in time is never used again: it may be silent for good.
+    """
+    connection = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            connection = await pool.take(name, address, timeout_s)
+            if isinstance(connection, ConnectFailure):
+                return FetchFailure.CONNECT
+            collector = _Collector()
+            host = f"{address.ip}:{address.port}".encode()
+            line = f"GET {target} HTTP/1.1".encode("latin-1")
+            head = write_head(line, [(b"Host", host)])
+            connection.send(head, collector, is_head=False)
+            found = await collector.done
+            pool.give_back(name, connection)
+            return found
+    except TimeoutError:
+        return FetchFailure.TIMEOUT
+    finally:
+        if (
+            connection is not None
+            and not isinstance(connection, ConnectFailure)
+            and not connection.is_reusable
+        ):
+            connection.abandon()
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -0,0 +1,400 @@
+"""One request, from its head to its verdict."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+
+from hollyknot_coordination.forwarding import (
+    GiveUp,
+    NoOwner,
+    NoPlace,
+    NoRoute,
+    Placement,
+    RetryBudget,
+    TryState,
+    Work,
+    next_step,
+    urgency,
+)
+from hollyknot_gateway._caller_connection import CallerRequest, Reply
+from hollyknot_gateway._exchange import Exchange, Result, StreamState
+from hollyknot_gateway._headers import CONTENT_LENGTH, end_to_end, write_head
+from hollyknot_gateway._in_force import InForce
+from hollyknot_gateway._log import Log
+from hollyknot_gateway._pool import ConnectFailure, Pool
+from hollyknot_gateway._ports import Dialect
+from hollyknot_gateway._upstream_connection import UpstreamConnection
+from hollyknot_state import Outcome, Reason, Verdict
+from hollyknot_state.routes import (
+    CallTraits,
+    Dispatch,
+    KeyOwner,
+    Route,
+    RouteKind,
+    Service,
+    UpstreamEntry,
+)
+
+RETRY_AFTER_S = 0.5
+"""When a refused caller is told to come back, on the mean: long enough for a
+replica to be tried again, short against every time limit met so far."""
+
+_NOT_FOUND = 404
+_UNAUTHORISED = 401
+_UNAVAILABLE = 503
+_TIMEOUT = 504
+_BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
+_CALLER_GONE = Verdict(Outcome.MAY_HAVE_RUN, Reason.CALLER_GONE)
+
+
+@attrs.define
+class Job:
+    """A request whose route and customer are known, and its tries so far.
+
+    Attributes:
+        request: As the caller sent it.
+        reply: Its answer.
+        call: What its headers say.
+        route: Where it goes.
+        service: The service that this request was given to.
+        owner: Whose it is.
+        deadline_s: When it times out, on the loop's clock.
+        stream: What the caller has got of a stream.
+        sent: Upstreams that it was sent to.
+        may_have_run: Whether one of them may have run it.
+        ran_before: The same without the try in work.
+        tried: Those upstreams, and those that could not be connected to.
+    """
+
+    request: CallerRequest
+    reply: Reply
+    call: CallTraits
+    route: Route
+    service: Service
+    owner: KeyOwner | NoOwner
+    deadline_s: float
+    stream: StreamState = attrs.Factory(StreamState)
+    sent: int = 0
+    may_have_run: bool = False
+    ran_before: bool = False
+    tried: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class FlowParts:
+    """What the flow is made of.
+
+    Attributes:
+        dialect: Reads and writes headers.
+        in_force: Routes and upstreams.
+        placement: Chooses upstreams.
+        budget: Bounds retries.
+        pool: Connections to upstreams.
+        log: Takes a line for each decision.
+        rng: Spreads times to come back and the shares of a split.
+        clock: The loop's monotonic clock, in seconds.
+    """
+
+    dialect: Dialect
+    in_force: InForce
+    placement: Placement
+    budget: RetryBudget
+    pool: Pool
+    log: Log
+    rng: random.Random
+    clock: Callable[[], float]
+
+
+class Flow:
+    """Answers each request once."""
+
+    def __init__(self, parts: FlowParts) -> None:
+        """Wires the parts."""
+        self._parts = parts
+        self._detached: set[asyncio.Task[None]] = set()
+
+    async def handle(self, request: CallerRequest, reply: Reply) -> None:
+        """Takes one request to its end."""
+        call = self._parts.dialect.read_call(request.fields)
+        job = self._admit(request, reply, call)
+        if isinstance(job, GiveUp):
+            self._refuse(reply, call, job)
+            return
+        try:
+            async with asyncio.timeout_at(job.deadline_s):
+                await self._run(job)
+        except TimeoutError:
+            self._time_out(job)
+
+    def _admit(
+        self, request: CallerRequest, reply: Reply, call: CallTraits
+    ) -> Job | GiveUp:
+        index = self._parts.in_force.index
+        if index is None or not self._parts.in_force.has_fleet:
+            return _not_run(_UNAVAILABLE, Reason.NOT_READY)
+        host = request.fields.get("Host", "")
+        route = index.find(host, request.target)
+        if isinstance(route, NoRoute):
+            return _not_run(_NOT_FOUND, Reason.NO_ROUTE)
+        owner = index.owner(route, call.key)
+        if owner is NoOwner.UNKNOWN:
+            return _not_run(_UNAUTHORISED, Reason.BAD_KEY)
+        service = self._service(route, index.table.services)
+        limit_s = route.timeout_s
+        if call.budget_s:
+            limit_s = min(limit_s, call.budget_s)
+        return Job(
+            request=request,
+            reply=reply,
+            call=call,
+            route=route,
+            service=service,
+            owner=owner,
+            deadline_s=request.arrived_s + limit_s,
+        )
+
+    def _service(self, route: Route, services: dict[str, Service]) -> Service:
+        shares = route.shares
+        share = shares[0]
+        if len(shares) > 1:
+            weights = [s.weight for s in shares]
+            share = self._parts.rng.choices(shares, weights)[0]
+        return services.get(share.service) or Service(share.service, 0)
+
+    async def _run(self, job: Job) -> None:
+        parts = self._parts
+        parts.budget.on_first_try(job.service.name, parts.clock())
+        result = Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
+        while True:
+            entry = self._choose(job)
+            if isinstance(entry, UpstreamEntry):
+                result = await self._try(job, entry)
+                self._note(job, entry, result)
+                if self._is_answered(job, result):
+                    return
+            step = next_step(job.route, result.verdict, self._state(job))
+            if isinstance(step, GiveUp):
+                self._give_up(job, result, step)
+                return
+            if step.is_retry:
+                parts.budget.spend(job.service.name, parts.clock())
+
+    def _choose(self, job: Job) -> UpstreamEntry | NoPlace:
+        parts = self._parts
+        candidates = parts.in_force.fleet.usable(
+            job.service.name, parts.clock()
+        )
+        return parts.placement.choose(
+            job.service, candidates, job.call, job.tried
+        )
+
+    def _state(self, job: Job) -> TryState:
+        parts = self._parts
+        now = parts.clock()
+        usable = parts.in_force.fleet.usable(job.service.name, now)
+        return TryState(
+            sent=job.sent,
+            may_have_run=job.may_have_run,
+            has_begun=job.reply.has_begun,
+            left_s=job.deadline_s - now,
+            budget_left=parts.budget.left(job.service.name, now),
+            candidates=sum(e.incarnation not in job.tried for e in usable),
+        )
+
+    async def _try(self, job: Job, entry: UpstreamEntry) -> Result:
+        parts = self._parts
+        work = Work(entry.incarnation, job.call.prompt_tokens)
+        parts.placement.begin(work)
+        is_detached = False
+        try:
+            left_s = job.deadline_s - parts.clock()
+            connection = await parts.pool.take(
+                entry.incarnation, entry.address, left_s
+            )
+            if isinstance(connection, ConnectFailure):
+                verdict = Verdict(
+                    Outcome.NOT_RUN, Reason.CONNECT_FAILED, connection.value
+                )
+                return Result(verdict)
+            if not parts.in_force.fleet.is_usable(
+                entry.incarnation, parts.clock()
+            ):
+                # It has begun to leave while the connection was made.
+                connection.close()
+                return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
+            exchange = self._send(job, entry, connection)
+            try:
+                result = await asyncio.shield(exchange.done)
+            except asyncio.CancelledError:
+                is_detached = self._leave(job, work, connection, exchange)
+                raise
+            parts.pool.give_back(entry.incarnation, connection)
+            if not connection.is_reusable:
+                connection.abandon()
+            return result
+        finally:
+            if not is_detached:
+                parts.placement.end(work)
+
+    def _send(
+        self, job: Job, entry: UpstreamEntry, connection: UpstreamConnection
+    ) -> Exchange:
+        parts = self._parts
+        stream = job.stream
+        stream.cutter.drop_torn()
+        stream.resumes_after = stream.cutter.last_id or job.call.last_event_id
+        exchange = Exchange(
+            parts.dialect,
+            job.call.attempt_id,
+            job.reply,
+            stream,
+            connection,
+            parts.clock,
+            lambda: None,
+        )
+        data = self._request_bytes(job, entry)
+        job.sent += 1
+        # From here on the request may run, whatever happens to this task.
+        job.may_have_run = True
+        is_head = job.request.method == "HEAD"
+        connection.send(data, exchange, is_head=is_head)
+        return exchange
+
+    def _request_bytes(self, job: Job, entry: UpstreamEntry) -> bytes:
+        request = job.request
+        owner = job.owner
+        dispatch = Dispatch(
+            incarnation=entry.incarnation,
+            left_s=job.deadline_s - self._parts.clock(),
+            customer=owner.name if isinstance(owner, KeyOwner) else "",
+            urgency=urgency(job.route, owner),
+            last_event_id=job.stream.resumes_after,
+            is_engine=job.service.engine is not None,
+        )
+        headers = self._parts.dialect.upstream_headers(
+            end_to_end(request.headers), dispatch
+        )
+        if request.has_body or request.method in _BODY_METHODS:
+            headers.append((CONTENT_LENGTH.title(), b"%d" % len(request.body)))
+        line = f"{request.method} {request.target} HTTP/1.1"
+        return write_head(line.encode("latin-1"), headers) + request.body
+
+    def _leave(
+        self,
+        job: Job,
+        work: Work,
+        connection: UpstreamConnection,
+        exchange: Exchange,
+    ) -> bool:
+        """Ends a try whose caller has gone or whose time is up.
+
+        Returns:
+            Whether the work goes on upstream and is counted until its end.
+        """
+        is_call = job.route.kind is RouteKind.NON_IDEMPOTENT
+        if not is_call or self._parts.clock() >= job.deadline_s:
+            connection.abandon()
+            return False
+        # What can't be repeated is not broken off half-way either: its end is
+        # awaited, so that the upstream's slot is counted as taken.
+        task = asyncio.ensure_future(
+            self._await_end(job, work, connection, exchange)
+        )
+        self._detached.add(task)
+        task.add_done_callback(self._detached.discard)
+        return True
+
+    async def _await_end(
+        self,
+        job: Job,
+        work: Work,
+        connection: UpstreamConnection,
+        exchange: Exchange,
+    ) -> None:
+        try:
+            async with asyncio.timeout_at(job.deadline_s):
+                await exchange.done
+            self._parts.pool.give_back(work.incarnation, connection)
+        except TimeoutError:
+            connection.abandon()
+        finally:
+            self._parts.placement.end(work)
+
+    def _note(self, job: Job, entry: UpstreamEntry, result: Result) -> None:
+        verdict = result.verdict
+        job.tried |= {entry.incarnation}
+        if verdict.is_proved_not_run:
+            job.may_have_run = job.ran_before
+        else:
+            job.ran_before = True
+        if verdict.reason is Reason.WRONG_UPSTREAM:
+            self._parts.in_force.fleet.mark_gone(entry.incarnation)
+            self._parts.pool.drop(entry.incarnation)
+        self._parts.log.line(
+            "try",
+            request=job.call.attempt_id,
+            route=job.route.name,
+            upstream=entry.incarnation,
+            sent=job.sent,
+            outcome=verdict.outcome.value,
+            reason=verdict.reason.value,
+            status=verdict.upstream_status,
+            detail=verdict.detail,
+        )
+
+    def _is_answered(self, job: Job, result: Result) -> bool:
+        """Answers the caller if this try has settled its request."""
+        if job.reply.has_ended:
+            return True
+        verdict = result.verdict
+        if not verdict.is_complete or result.answer is None:
+            return False
+        answer = result.answer
+        job.reply.whole(answer.status, answer.headers, answer.body)
+        return True
+
+    def _give_up(self, job: Job, result: Result, step: GiveUp) -> None:
+        if job.reply.has_begun:
+            job.reply.cut()
+        elif result.answer is not None:
+            answer = result.answer
+            job.reply.whole(answer.status, answer.headers, answer.body)
+        else:
+            self._refuse(job.reply, job.call, step)
+
+    def _time_out(self, job: Job) -> None:
+        if job.reply.has_begun:
+            job.reply.cut()
+            return
+        outcome = Outcome.MAY_HAVE_RUN if job.may_have_run else Outcome.NOT_RUN
+        status = _TIMEOUT if job.may_have_run else _UNAVAILABLE
+        self._refuse(
+            job.reply,
+            job.call,
+            GiveUp(status, Verdict(outcome, Reason.TIMEOUT)),
+        )
+
+    def _refuse(self, reply: Reply, call: CallTraits, step: GiveUp) -> None:
+        verdict = step.verdict
+        headers = [(b"Content-Type", b"text/plain")]
+        if call.attempt_id:
+            name = self._parts.dialect.attempt_header
+            headers.append((name, call.attempt_id.encode("latin-1")))
+        if step.status == _UNAVAILABLE:
+            after_s = RETRY_AFTER_S * self._parts.rng.uniform(0.5, 1.5)
+            headers.append((b"Retry-After", b"%.2f" % after_s))
+        reply.whole(step.status, headers, verdict.reason.value.encode() + b"\n")
+        self._parts.log.line(
+            "refused",
+            request=call.attempt_id,
+            status=step.status,
+            outcome=verdict.outcome.value,
+            reason=verdict.reason.value,
+            detail=verdict.detail,
+        )
+
+
+def _not_run(status: int, reason: Reason) -> GiveUp:
+    return GiveUp(status, Verdict(Outcome.NOT_RUN, reason))
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_follower.py
@@ -0,0 +1,166 @@
+"""Keeps up with a collection by listing and watching it.
+
+A source may be slow, refuse, lose answers, forget its history or fall silent
+on an open connection. Whatever it does, what was learnt is kept, and reading
+goes on with pauses that grow to a bound.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+import attrs
+
+from hollyknot_gateway._log import Log
+from hollyknot_gateway._ports import (
+    Changes,
+    Compacted,
+    Listing,
+    Source,
+    SourceFailure,
+)
+
+T = TypeVar("T")
+
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 0.8
+"""Between failed reads: short enough that a version is in force within its
+bound once the source is back, long enough that refusals stay few."""
+
+
+@attrs.frozen
+class FollowOptions:
+    """How a collection is watched.
+
+    Attributes:
+        wait_s: How long a watch waits for a change.
+        pause_s: Between a watch that told changes and the next.
+        settle_s: After a failure, how long removals may only be lapses.
+    """
+
+    wait_s: float
+    pause_s: float
+    settle_s: float
+
+
+class Follower(Generic[T]):
+    """Reads one source for ever."""
+
+    def __init__(
+        self,
+        source: Source[T],
+        options: FollowOptions,
+        on_listing: Callable[[Listing[T], bool], None],
+        on_changes: Callable[[Changes[T], bool], None],
+        log: Log,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        """Wires the parts.
+
+        Args:
+            source: What to read.
+            options: How.
+            on_listing: Takes a whole list, and whether what it lacks may only
+                have lapsed while the source was away.
+            on_changes: Takes changes, likewise.
+            log: Told when the source is lost and regained.
+            rng: Spreads pauses.
+            clock: Seconds.
+        """
+        self._source = source
+        self._options = options
+        self._on_listing = on_listing
+        self._on_changes = on_changes
+        self._log = log
+        self._rng = rng
+        self._clock = clock
+        self._revision = 0
+        self._failures = 0
+        self._failed_at = float("-inf")
+
+    @property
+    def revision(self) -> int:
+        """The newest revision that was read."""
+        return self._revision
+
+    async def run(self) -> None:
+        """Reads until it is cancelled."""
+        while True:
+            if await self._list():
+                await self._watch()
+
+    async def _list(self) -> bool:
+        found = await self._source.list()
+        if isinstance(found, SourceFailure):
+            await self._failed(found)
+            return False
+        may_have_lapsed = self._is_settling()
+        self._succeeded()
+        if found.revision < self._revision:
+            self._log.line(
+                "stale_read",
+                source=self._source.name,
+                revision=found.revision,
+                known=self._revision,
+            )
+            await self._pause(_FIRST_PAUSE_S)
+            return False
+        self._revision = found.revision
+        self._on_listing(found, may_have_lapsed)
+        return True
+
+    async def _watch(self) -> None:
+        """Follows changes until the list has to be read again."""
+        options = self._options
+        needs_second_list = self._is_settling()
+        while True:
+            found = await self._source.watch(self._revision, options.wait_s)
+            if isinstance(found, SourceFailure):
+                await self._failed(found)
+                needs_second_list = True
+                continue
+            if found is Compacted.COMPACTED:
+                self._log.line("history_lost", source=self._source.name)
+                self._failed_at = self._clock()
+                return
+            may_have_lapsed = self._is_settling()
+            self._succeeded()
+            self._revision = max(self._revision, found.revision)
+            if found.items or found.removed:
+                self._on_changes(found, may_have_lapsed)
+                await self._pause(options.pause_s)
+            if needs_second_list and not self._is_settling():
+                return
+
+    def _is_settling(self) -> bool:
+        return self._clock() - self._failed_at < self._options.settle_s
+
+    def _succeeded(self) -> None:
+        if self._failures:
+            self._log.line(
+                "source_regained",
+                source=self._source.name,
+                after_failures=self._failures,
+                revision=self._revision,
+            )
+        self._failures = 0
+
+    async def _failed(self, failure: SourceFailure) -> None:
+        self._failures += 1
+        self._failed_at = self._clock()
+        if self._failures == 1:
+            self._log.line(
+                "source_lost",
+                source=self._source.name,
+                reason=failure.reason,
+                detail=failure.detail,
+                revision=self._revision,
+            )
+        factor = 2 ** min(self._failures - 1, 8)
+        await self._pause(min(_FIRST_PAUSE_S * factor, _LONGEST_PAUSE_S))
+
+    async def _pause(self, seconds: float) -> None:
+        if seconds > 0:
+            await asyncio.sleep(seconds * self._rng.uniform(0.75, 1.25))
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -0,0 +1,278 @@
+"""One host that forwards by routes: its tasks, its stop, its readiness."""
+
+import asyncio
+import contextlib
+import os
+import random
+import time
+from collections.abc import Callable, Coroutine
+from types import TracebackType
+from typing import Any, Self
+
+import attrs
+
+from hollyknot_coordination.forwarding import Fleet, Placement, RetryBudget
+from hollyknot_gateway._caller_connection import CallerRequest, Reply
+from hollyknot_gateway._caller_server import CallerServer
+from hollyknot_gateway._flow import Flow, FlowParts
+from hollyknot_gateway._follower import Follower, FollowOptions
+from hollyknot_gateway._in_force import InForce
+from hollyknot_gateway._log import Log
+from hollyknot_gateway._pool import Pool
+from hollyknot_gateway._ports import Changes, Dialect, Listing, Source
+from hollyknot_state.routes import (
+    CallerLimits,
+    GatewaySettings,
+    RouteTable,
+    UpstreamEntry,
+)
+
+SWEEP_S = 0.25
+"""Between two looks at timers that need no precision."""
+
+FLUSH_S = 0.1
+"""Between two writes of log lines."""
+
+ROTATION_S = 3.0
+"""How long a stopping host still takes new connections: the balancer asks once
+a second and takes a host out after two misses."""
+
+STOP_MARGIN_S = 0.8
+"""Before the host is killed, work that is left is ended by the host itself."""
+
+LAPSE_S = 1.7
+"""How long an upstream keeps its work whose entry has gone while the directory
+was away: entries that only lapsed are back within two seconds."""
+
+WATCH_S = 2.0
+"""How long one watch waits: a connection that fell silent hides a new version
+for no longer than this and the slack of a read."""
+
+
+@attrs.frozen
+class Ports:
+    """What a platform plugs in.
+
+    Attributes:
+        dialect: Headers of callers and upstreams.
+        tables: Makes the source of route tables.
+        upstreams: Makes the source of upstreams.
+    """
+
+    dialect: Dialect
+    tables: Callable[[Pool], Source[RouteTable]]
+    upstreams: Callable[[Pool], Source[UpstreamEntry]]
+
+
+class Host:
+    """A host from its start to its end; an asynchronous context manager."""
+
+    def __init__(
+        self, settings: GatewaySettings, ports: Ports, rng: random.Random
+    ) -> None:
+        """Wires the parts.
+
+        Args:
+            settings: Of this process.
+            ports: Of its platform.
+            rng: For ties, splits and spread pauses.
+        """
+        clock = asyncio.get_running_loop().time
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._log = Log(settings.host, settings.data_centre, 1)
+        self._pool = Pool(clock)
+        self._in_force = InForce(Fleet(LAPSE_S))
+        self._budget = RetryBudget(settings.bounds)
+        flow = Flow(
+            FlowParts(
+                dialect=ports.dialect,
+                in_force=self._in_force,
+                placement=Placement(rng),
+                budget=self._budget,
+                pool=self._pool,
+                log=self._log,
+                rng=rng,
+                clock=clock,
+            )
+        )
+        self._callers = CallerServer(flow.handle, self._limits)
+        self._readiness = CallerServer(self._answer_readiness, CallerLimits)
+        self._ports = ports
+        self._is_stopping = False
+        self._stack = contextlib.AsyncExitStack()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return self._in_force.is_known and not self._is_stopping
+
+    async def __aenter__(self) -> Self:
+        """Starts all servers and tasks.
+
+        Raises:
+            OSError: An address can't be listened on.
+        """
+        stack = self._stack
+        stack.callback(self._log.flush)
+        stack.callback(self._pool.close)
+        for server, address in (
+            (self._callers, self._settings.callers),
+            (self._readiness, self._settings.readiness),
+        ):
+            await server.start(address)
+            stack.callback(server.close)
+        for follower in (self._follow_tables(), self._follow_upstreams()):
+            self._spawn(follower.run())
+        self._spawn(self._sweep())
+        self._spawn(self._flush())
+        self._log.line("start", pid=os.getpid())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Ends all that is left."""
+        self._log.line("end", in_work=self._callers.in_work)
+        await self._stack.__aexit__(kind, error, trace)
+
+    async def stop(self) -> None:
+        """Stops gracefully: requests in flight end first."""
+        began_s = self._clock()
+        self._is_stopping = True
+        self._log.line("stop", in_work=self._callers.in_work)
+        self._callers.announce_close()
+        grace_s = self._settings.bounds.grace_s
+        last_s = began_s + grace_s - min(STOP_MARGIN_S, grace_s / 2)
+        await asyncio.sleep(min(ROTATION_S, grace_s / 2))
+        while self._clock() < last_s:
+            self._callers.close_idle()
+            if not self._callers.in_work:
+                break
+            await asyncio.sleep(SWEEP_S / 2)
+
+    def reload(self) -> None:
+        """Notes that the settings may have changed."""
+        self._log.line("reload")
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._stack.push_async_callback(_cancel, task)
+
+    def _limits(self) -> CallerLimits:
+        index = self._in_force.index
+        return index.table.limits if index is not None else CallerLimits()
+
+    async def _answer_readiness(self, _: CallerRequest, reply: Reply) -> None:
+        status = 200 if self.is_ready else 503
+        reply.whole(status, (), b"")
+
+    def _options(self, pause_s: float) -> FollowOptions:
+        return FollowOptions(
+            wait_s=WATCH_S,
+            pause_s=pause_s,
+            settle_s=self._settings.bounds.contact_s,
+        )
+
+    def _follow_tables(self) -> Follower[RouteTable]:
+        return Follower(
+            self._ports.tables(self._pool),
+            self._options(0.0),
+            lambda listing, _: self._take_tables(listing.items),
+            lambda changes, _: self._take_tables(changes.items),
+            self._log,
+            self._rng,
+            self._clock,
+        )
+
+    def _follow_upstreams(self) -> Follower[UpstreamEntry]:
+        return Follower(
+            self._ports.upstreams(self._pool),
+            # Entries are renewed all the time, so that a watch ends at once:
+            # without a pause each renewal would cost a read. A quarter of the
+            # bound for leaving upstreams is left to notice one.
+            self._options(self._settings.bounds.drain_s / 4),
+            self._take_listing,
+            self._take_changes,
+            self._log,
+            self._rng,
+            self._clock,
+        )
+
+    def _take_tables(self, tables: dict[str, RouteTable]) -> None:
+        for table in tables.values():
+            began = time.perf_counter()
+            is_new = self._in_force.take_table(table)
+            self._log.line(
+                "routes",
+                version=table.version,
+                in_force=is_new,
+                routes=len(table.routes),
+                ms=round((time.perf_counter() - began) * 1000, 2),
+            )
+
+    def _take_listing(
+        self, listing: Listing[UpstreamEntry], may_have_lapsed: bool
+    ) -> None:
+        self._in_force.fleet.replace(
+            listing.items.values(),
+            self._clock(),
+            may_have_lapsed=may_have_lapsed,
+        )
+        self._in_force.has_fleet = True
+        self._log.line(
+            "upstreams",
+            listed=len(listing.items),
+            known=len(self._in_force.fleet),
+            revision=listing.revision,
+        )
+
+    def _take_changes(
+        self, changes: Changes[UpstreamEntry], may_have_lapsed: bool
+    ) -> None:
+        fleet = self._in_force.fleet
+        for entry in changes.items.values():
+            if fleet.put(entry):
+                self._log.line(
+                    "upstream",
+                    upstream=entry.incarnation,
+                    service=entry.service,
+                    draining=entry.is_draining,
+                    revision=changes.revision,
+                )
+            if entry.is_draining:
+                self._pool.drop(entry.incarnation)
+        for incarnation in changes.removed:
+            fleet.remove(
+                incarnation, self._clock(), may_have_lapsed=may_have_lapsed
+            )
+            self._log.line(
+                "upstream_gone",
+                upstream=incarnation,
+                lapsed=may_have_lapsed,
+                revision=changes.revision,
+            )
+            if incarnation not in fleet:
+                self._pool.drop(incarnation)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self._callers.sweep(self._clock())
+            self._readiness.sweep(self._clock())
+            self._pool.sweep()
+
+    async def _flush(self) -> None:
+        while True:
+            await asyncio.sleep(FLUSH_S)
+            self._log.flush()
+
+
+async def _cancel(task: "asyncio.Task[None]") -> None:
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_in_force.py
@@ -0,0 +1,40 @@
+"""What a host believes at this moment: its routes and its upstreams."""
+
+import attrs
+
+from hollyknot_coordination.forwarding import Fleet, RouteIndex
+from hollyknot_state.routes import RouteTable
+
+
+@attrs.define
+class InForce:
+    """The newest route table and the upstreams.
+
+    Attributes:
+        fleet: The upstreams.
+        index: Of the newest table; None until one is known.
+        has_fleet: Whether the upstreams have been listed once.
+    """
+
+    fleet: Fleet
+    index: RouteIndex | None = None
+    has_fleet: bool = False
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a request can be judged by what is known."""
+        return self.index is not None and self.has_fleet
+
+    def take_table(self, table: RouteTable) -> bool:
+        """Puts a version in force, unless it is older.
+
+        A slow read may end after a newer one: going back to it would run
+        requests by routes and keys that operators have taken away.
+
+        Returns:
+            Whether it is in force now and was not before.
+        """
+        if self.index is not None and table.version <= self.index.table.version:
+            return False
+        self.index = RouteIndex(table)
+        return True
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_ports.py
@@ -0,0 +1,103 @@
+"""Where another interface or platform is plugged in: four sets of functions.
+
+The gateway itself knows no header's name, no document's shape and no store.
+Each set below is given at the start; `hollyknot_gateway.own` has the product's.
+"""
+
+import enum
+from collections.abc import Awaitable, Callable
+from typing import Any, Generic, TypeVar
+
+import attrs
+
+from hollyknot_state.routes import AnswerTraits, CallTraits, Dispatch
+
+Headers = tuple[tuple[bytes, bytes], ...]
+"""As they were received, in order."""
+
+Fields = Any
+"""A mapping from header names, without regard to case, to texts."""
+
+T = TypeVar("T")
+
+
+@attrs.frozen
+class Dialect:
+    """The names that callers, hosts and upstreams use in headers.
+
+    Attributes:
+        read_call: Returns what a request says of itself.
+        upstream_headers: Returns the headers that an upstream gets, from the
+            caller's, without those of the connection.
+        read_answer: Returns what an answer's head says of itself.
+        attempt_header: Names the request in answers of the host's own.
+    """
+
+    read_call: Callable[[Fields], CallTraits]
+    upstream_headers: Callable[[Headers, Dispatch], list[tuple[bytes, bytes]]]
+    read_answer: Callable[[int, Fields], AnswerTraits]
+    attempt_header: bytes
+
+
+@attrs.frozen
+class Listing(Generic[T]):
+    """A whole collection.
+
+    Attributes:
+        items: By key.
+        revision: From which to watch.
+    """
+
+    items: dict[str, T]
+    revision: int
+
+
+@attrs.frozen
+class Changes(Generic[T]):
+    """What has changed in a collection.
+
+    Attributes:
+        items: Written, by key.
+        removed: Keys that are gone.
+        revision: From which to go on.
+    """
+
+    items: dict[str, T]
+    removed: tuple[str, ...]
+    revision: int
+
+
+class Compacted(enum.Enum):
+    """The history since the revision asked for is no longer kept."""
+
+    COMPACTED = "compacted"
+
+
+@attrs.frozen
+class SourceFailure:
+    """A read that told nothing.
+
+    Attributes:
+        reason: A slug for logs.
+        detail: What went wrong.
+    """
+
+    reason: str
+    detail: str = ""
+
+
+@attrs.frozen
+class Source(Generic[T]):
+    """A collection that can be listed and watched.
+
+    Attributes:
+        name: For logs.
+        list: Reads all of it.
+        watch: Waits for changes after a revision, for some seconds at most.
+    """
+
+    name: str
+    list: Callable[[], Awaitable[Listing[T] | SourceFailure]]
+    watch: Callable[
+        [int, float], Awaitable[Changes[T] | Compacted | SourceFailure]
+    ]
--- /dev/null
+++ b/packages/state/src/hollyknot_state/routes/__init__.py
@@ -0,0 +1,43 @@
+"""Typed data of a host that forwards HTTP calls by routes."""
+
+from hollyknot_state.routes._calls import (
+    AnswerTraits,
+    CallTraits,
+    Dispatch,
+    PromptPart,
+)
+from hollyknot_state.routes._gateway_settings import (
+    Bounds,
+    GatewaySettings,
+    parse_gateway_settings,
+)
+from hollyknot_state.routes._table import (
+    CallerLimits,
+    Engine,
+    KeyOwner,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    Share,
+)
+from hollyknot_state.routes._upstreams import UpstreamEntry
+
+__all__ = [
+    "AnswerTraits",
+    "Bounds",
+    "CallTraits",
+    "CallerLimits",
+    "Dispatch",
+    "Engine",
+    "GatewaySettings",
+    "KeyOwner",
+    "PromptPart",
+    "Route",
+    "RouteKind",
+    "RouteTable",
+    "Service",
+    "Share",
+    "UpstreamEntry",
+    "parse_gateway_settings",
+]
