--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -2,11 +2,17 @@
 
 from hollyknot_coordination.forwarding._events import EventCutter
 from hollyknot_coordination.forwarding._fleet import Fleet
+from hollyknot_coordination.forwarding._health import Health
+from hollyknot_coordination.forwarding._lanes import Demand, Lanes, Tolerance
+from hollyknot_coordination.forwarding._loads import Load, Loads
+from hollyknot_coordination.forwarding._peers import Peers
 from hollyknot_coordination.forwarding._placement import (
+    Choice,
     NoPlace,
     Placement,
     Work,
 )
+from hollyknot_coordination.forwarding._reachability import Reachability
 from hollyknot_coordination.forwarding._retry_budget import RetryBudget
 from hollyknot_coordination.forwarding._route_index import (
     NoOwner,
@@ -24,15 +30,24 @@
 
 __all__ = [
     "Again",
+    "Choice",
+    "Demand",
     "EventCutter",
     "Fleet",
     "GiveUp",
+    "Health",
+    "Lanes",
+    "Load",
+    "Loads",
     "NoOwner",
     "NoPlace",
     "NoRoute",
+    "Peers",
     "Placement",
+    "Reachability",
     "RetryBudget",
     "RouteIndex",
+    "Tolerance",
     "TryState",
     "Work",
     "give_up",
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_health.py
@@ -0,0 +1,134 @@
+"""Keeps work from upstreams that fail much of it and call themselves good.
+
+The evidence is what becomes of real requests: a health check of an upstream
+that fails every second request may pass each time, and costs a place. An
+upstream that fails far more often than the others of its service gets none for
+a while, then some again.
+"""
+
+from collections import deque
+from collections.abc import Sequence
+
+import attrs
+
+from hollyknot_state.routes import UpstreamEntry
+
+WINDOW_S = 5.0
+"""How long an outcome counts."""
+
+LEAST_FAILURES = 3
+"""Fewer in a window may be chance."""
+
+LEAST_SHARE = 0.25
+"""Of an upstream's requests that failed, beyond the share that fail at the
+others: some calls fail on their own account, wherever they run."""
+
+FIRST_EJECTION_S = 1.5
+LONGEST_EJECTION_S = 8.0
+"""How long an upstream gets no work, doubled each time in a row."""
+
+MOST_EJECTED = 0.5
+"""Of a service's upstreams; more than that fail for a reason that ejecting
+them does not cure, and the rest could not carry the load."""
+
+
+@attrs.define
+class _Record:
+    outcomes: deque[tuple[float, bool]] = attrs.Factory(deque)
+    failures: int = 0
+    ejected_until: float = float("-inf")
+    pause_s: float = FIRST_EJECTION_S
+
+    def add(self, now_s: float, *, is_good: bool) -> None:
+        self.outcomes.append((now_s, is_good))
+        self.failures += not is_good
+        self.forget(now_s)
+
+    def forget(self, now_s: float) -> None:
+        while self.outcomes and self.outcomes[0][0] < now_s - WINDOW_S:
+            _, was_good = self.outcomes.popleft()
+            self.failures -= not was_good
+
+    def clear(self) -> None:
+        self.outcomes.clear()
+        self.failures = 0
+
+
+class Health:
+    """Outcomes of requests by upstream, as one host has seen them."""
+
+    def __init__(self) -> None:
+        """All are taken to be healthy."""
+        self._records: dict[str, _Record] = {}
+
+    def note(
+        self,
+        entry: UpstreamEntry,
+        entries: Sequence[UpstreamEntry],
+        now_s: float,
+        *,
+        is_good: bool,
+    ) -> bool:
+        """Notes an outcome.
+
+        Args:
+            entry: The upstream.
+            entries: All upstreams of its service.
+            now_s: The time.
+            is_good: Whether the request got what it came for.
+
+        Returns:
+            Whether the upstream is ejected by it.
+        """
+        record = self._records.setdefault(entry.incarnation, _Record())
+        record.add(now_s, is_good=is_good)
+        if is_good:
+            if now_s > record.ejected_until + LONGEST_EJECTION_S:
+                record.pause_s = FIRST_EJECTION_S
+            return False
+        if record.failures < LEAST_FAILURES or now_s < record.ejected_until:
+            return False
+        share = record.failures / len(record.outcomes)
+        if share < LEAST_SHARE + self._share_of_others(entry, entries, now_s):
+            return False
+        ejected = sum(self._is_ejected(e.incarnation, now_s) for e in entries)
+        if ejected + 1 > len(entries) * MOST_EJECTED:
+            return False
+        record.ejected_until = now_s + record.pause_s
+        record.pause_s = min(record.pause_s * 2, LONGEST_EJECTION_S)
+        record.clear()
+        return True
+
+    def ejected(
+        self, entries: Sequence[UpstreamEntry], now_s: float
+    ) -> frozenset[str]:
+        """Returns the incarnations that get no work at the moment."""
+        return frozenset(
+            entry.incarnation
+            for entry in entries
+            if self._is_ejected(entry.incarnation, now_s)
+        )
+
+    def forget(self, incarnation: str) -> None:
+        """Notes that an upstream has left for good."""
+        self._records.pop(incarnation, None)
+
+    def _is_ejected(self, incarnation: str, now_s: float) -> bool:
+        record = self._records.get(incarnation)
+        return record is not None and now_s < record.ejected_until
+
+    def _share_of_others(
+        self,
+        entry: UpstreamEntry,
+        entries: Sequence[UpstreamEntry],
+        now_s: float,
+    ) -> float:
+        failures = total = 0
+        for other in entries:
+            record = self._records.get(other.incarnation)
+            if record is None or other.incarnation == entry.incarnation:
+                continue
+            record.forget(now_s)
+            failures += record.failures
+            total += len(record.outcomes)
+        return failures / total if total else 0.0
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
@@ -0,0 +1,171 @@
+"""Keeps streams that bear long pauses and those that don't on upstreams apart.
+
+An engine reads a long prompt in pieces between the tokens of all that run
+beside it. Each piece takes as long as many tokens, so that streams beside it
+pause for longer than their callers accept. Routes say which pause a stream may
+have: those that may have long ones get upstreams of their own, and with them
+the long prompts that they send.
+
+Which routes those are follows from the routes alone. How many upstreams they
+get follows from the prompt tokens that all hosts send, smoothed, so that hosts
+that hear each other come to the same number, and a burst shifts it.
+"""
+
+import itertools
+import math
+from collections.abc import Iterable, Sequence
+
+import attrs
+
+from hollyknot_state import LaneDemand
+from hollyknot_state.routes import Route, RouteKind, UpstreamEntry
+
+LEAST_RATIO = 2.0
+"""Between the accepted pauses of two groups of routes; closer ones are one
+group, since what the one bears the other bears too."""
+
+TIGHT_USE = 0.6
+"""How busy upstreams of tight streams are to be, as a share of how busy the
+others are: a stream is late by one pause, a long prompt only by its sum."""
+
+SMOOTHING_S = 4.0
+"""Over which demand is averaged: shorter than a burst, longer than the gap
+between two long prompts at one host."""
+
+HYSTERESIS = 0.3
+"""How far, in upstreams, the wanted number has to be from the present one: a
+session whose upstream changes is read in again."""
+
+
+class Tolerance:
+    """From which accepted pause on a route's streams are loose."""
+
+    def __init__(self, routes: Iterable[Route], service: str) -> None:
+        """Finds the widest gap between the pauses that routes accept."""
+        pauses = sorted(
+            {
+                route.gap_target_s
+                for route in routes
+                if route.kind is RouteKind.STREAM
+                and route.gap_target_s > 0
+                and any(share.service == service for share in route.shares)
+            }
+        )
+        self._from_s = math.inf
+        widest = LEAST_RATIO
+        for shorter, longer in itertools.pairwise(pauses):
+            if longer / shorter >= widest:
+                widest = longer / shorter
+                self._from_s = longer
+
+    @property
+    def has_two_lanes(self) -> bool:
+        """Whether the service's routes differ enough to be kept apart."""
+        return self._from_s < math.inf
+
+    def is_loose(self, route: Route) -> bool:
+        """Whether a route's streams bear long pauses."""
+        return not route.gap_target_s or route.gap_target_s >= self._from_s
+
+
+@attrs.define
+class _Rate:
+    value: float = 0.0
+    at_s: float = 0.0
+
+    def add(self, amount: float, now_s: float) -> None:
+        self.value = self.at(now_s) + amount / SMOOTHING_S
+        self.at_s = now_s
+
+    def at(self, now_s: float) -> float:
+        return self.value * math.exp(-(now_s - self.at_s) / SMOOTHING_S)
+
+
+class Demand:
+    """Prompt tokens a second by service and lane, of all hosts."""
+
+    def __init__(self) -> None:
+        """Nothing was asked for yet."""
+        self._own: dict[tuple[str, bool], _Rate] = {}
+        self._peers: dict[tuple[str, bool], float] = {}
+
+    def add(
+        self, service: str, tokens: int, now_s: float, *, is_loose: bool
+    ) -> None:
+        """Notes tokens that this host sends to be read in."""
+        rate = self._own.setdefault((service, is_loose), _Rate(0.0, now_s))
+        rate.add(tokens, now_s)
+
+    def take(self, reported: Iterable[LaneDemand]) -> None:
+        """Replaces what peers told before."""
+        sums: dict[tuple[str, bool], float] = {}
+        for demand in reported:
+            for is_loose, value in (
+                (True, demand.loose_tokens_s),
+                (False, demand.tight_tokens_s),
+            ):
+                key = (demand.pool, is_loose)
+                sums[key] = sums.get(key, 0.0) + value
+        self._peers = sums
+
+    def told(self, now_s: float) -> tuple[LaneDemand, ...]:
+        """Returns this host's own demand, for its report."""
+        services = sorted({service for service, _ in self._own})
+        return tuple(
+            LaneDemand(
+                service,
+                int(self._own_at(service, True, now_s)),
+                int(self._own_at(service, False, now_s)),
+            )
+            for service in services
+        )
+
+    def share_of_loose(self, service: str, now_s: float) -> float:
+        """Returns the part of a service's upstreams that loose streams need."""
+        loose = self._at(service, True, now_s)
+        tight = self._at(service, False, now_s) / TIGHT_USE
+        return loose / (loose + tight) if loose + tight > 1.0 else 0.5
+
+    def _at(self, service: str, is_loose: bool, now_s: float) -> float:
+        told = self._peers.get((service, is_loose), 0.0)
+        return told + self._own_at(service, is_loose, now_s)
+
+    def _own_at(self, service: str, is_loose: bool, now_s: float) -> float:
+        rate = self._own.get((service, is_loose))
+        return rate.at(now_s) if rate is not None else 0.0
+
+
+class Lanes:
+    """How the upstreams of each service are divided."""
+
+    def __init__(self, demand: Demand) -> None:
+        """Divides by demand."""
+        self._demand = demand
+        self._loose_count: dict[str, int] = {}
+
+    def of(
+        self,
+        service: str,
+        entries: Sequence[UpstreamEntry],
+        now_s: float,
+        *,
+        is_loose: bool,
+    ) -> Sequence[UpstreamEntry]:
+        """Returns the upstreams of one lane.
+
+        Args:
+            service: The service.
+            entries: Its upstreams, in an order that all hosts share.
+            now_s: The time.
+            is_loose: Which lane.
+        """
+        count = len(entries)
+        if count == 1:
+            return entries
+        wanted = count * self._demand.share_of_loose(service, now_s)
+        known = self._loose_count.get(service)
+        if known is None or abs(wanted - known) > 0.5 + HYSTERESIS:
+            known = round(wanted)
+        known = min(max(known, 1), count - 1)
+        self._loose_count[service] = known
+        return entries[:known] if is_loose else entries[known:]
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
@@ -2,20 +2,35 @@
 
 import enum
 import random
-import zlib
 from collections.abc import Sequence
 
 import attrs
 
+from hollyknot_coordination.forwarding._cached_parts import CachedParts
+from hollyknot_coordination.forwarding._lanes import Demand, Lanes
+from hollyknot_coordination.forwarding._loads import Loads
 from hollyknot_state.routes import CallTraits, Service, UpstreamEntry
 
-LONG_PROMPT_TOKENS = 3000
-"""From here on a prompt is long: reading it in stalls the tokens of all that
-run beside it, so that long and short prompts are kept on upstreams apart."""
+REREAD_WEIGHT = 10.0
+"""What a token costs that is read in again although another upstream has it
+cached, beside the time to read it: an upstream has to be busier by this many
+tokens before work that was done is done again."""
 
-_SPREAD = 1.25
-"""How much busier than the mean an upstream may be that has a prompt's parts
-cached, before another one reads them again."""
+RUNNING_TOKENS = 30
+"""What a running stream counts, in tokens to be read in: each makes each step
+of its engine a little longer."""
+
+TIGHT_SPILL_TOKENS = 40_000
+"""How much more waiting work the lane of tight streams has to have before one
+goes to the other lane: some hundreds of milliseconds of reading in."""
+
+LOOSE_SPILL_TOKENS = 200_000
+"""The same for loose streams. Each of their long prompts makes most streams
+late that it is put beside, so that they wait for seconds rather."""
+
+FULL_TOKENS = 40_000
+"""What each request beyond an upstream's slots counts: it waits for another
+one to end."""
 
 
 class NoPlace(enum.Enum):
@@ -25,34 +40,65 @@
 
 
 @attrs.frozen
+class Choice:
+    """Where a request is to go.
+
+    Attributes:
+        entry: The upstream.
+        tokens: Of its prompt, those that are likely to be read in there.
+        ahead: What was in flight there, in tokens.
+    """
+
+    entry: UpstreamEntry
+    tokens: int
+    ahead: int
+
+
+@attrs.define
 class Work:
-    """What one request asks of an upstream.
+    """One request at one upstream.
 
     Attributes:
-        incarnation: Where it is.
-        prompt_tokens: To be read in.
+        incarnation: The upstream.
+        tokens: To be read in before its first event.
+        has_started: Whether its first event is out.
     """
 
     incarnation: str
-    prompt_tokens: int
+    tokens: int
+    has_started: bool = False
 
 
-@attrs.define
-class _Load:
-    requests: int = 0
+@attrs.frozen
+class _Offer:
+    cost: float
+    choice: Choice
 
 
 class Placement:
-    """Own work in flight by upstream, and the choice that follows from it."""
+    """The choice of an upstream, and the loads that it follows from."""
 
-    def __init__(self, rng: random.Random) -> None:
-        """Starts with nothing in flight.
+    def __init__(
+        self,
+        loads: Loads,
+        demand: Demand,
+        data_centre: str,
+        rng: random.Random,
+    ) -> None:
+        """Starts with nothing learnt.
 
         Args:
+            loads: Work in flight.
+            demand: Prompt tokens that are sent, by lane.
+            data_centre: This host's; preferred where nothing else decides.
             rng: Breaks ties, so that hosts do not all choose the same.
         """
+        self._loads = loads
+        self._data_centre = data_centre
         self._rng = rng
-        self._loads: dict[str, _Load] = {}
+        self._demand = demand
+        self._lanes = Lanes(demand)
+        self._cached = CachedParts()
 
     def choose(
         self,
@@ -60,7 +106,10 @@
         candidates: Sequence[UpstreamEntry],
         call: CallTraits,
         excluded: frozenset[str],
-    ) -> UpstreamEntry | NoPlace:
+        now_s: float,
+        *,
+        is_loose: bool,
+    ) -> Choice | NoPlace:
         """Returns where a request is to go.
 
         Args:
@@ -69,57 +118,103 @@
                 the same at all hosts.
             call: The request.
             excluded: Incarnations that it was sent to before.
+            now_s: The time.
+            is_loose: Whether its stream bears long pauses.
         """
+        if service.engine is not None and call.prompt and candidates:
+            return self._engine(
+                service.name, candidates, call, excluded, now_s, is_loose
+            )
+        return self._least_busy(candidates, excluded)
+
+    def begin(
+        self, choice: Choice, call: CallTraits, now_s: float, *, is_loose: bool
+    ) -> Work:
+        """Notes that a request was sent."""
+        incarnation = choice.entry.incarnation
+        if choice.tokens:
+            self._demand.add(
+                choice.entry.service, choice.tokens, now_s, is_loose=is_loose
+            )
+        work = Work(incarnation, choice.tokens)
+        self._loads.begin(incarnation, work.tokens)
+        self._cached.note(incarnation, call.prompt, now_s)
+        return work
+
+    def start(self, work: Work) -> None:
+        """Notes that its first event is out."""
+        if not work.has_started:
+            work.has_started = True
+            self._loads.start(work.incarnation, work.tokens)
+
+    def end(self, work: Work) -> None:
+        """Notes that it has ended."""
+        self._loads.end(
+            work.incarnation, work.tokens, has_started=work.has_started
+        )
+
+    def _least_busy(
+        self, candidates: Sequence[UpstreamEntry], excluded: frozenset[str]
+    ) -> Choice | NoPlace:
         open_ones = [c for c in candidates if c.incarnation not in excluded]
         if not open_ones:
             return NoPlace.NONE_KNOWN
-        if service.engine is None or not call.prompt:
-            return self._least_busy(open_ones)
-        lane = _lane(open_ones, call.prompt_tokens)
-        return self._with_prefix(lane, call)
 
-    def begin(self, work: Work) -> None:
-        """Notes that a request was sent."""
-        self._load(work.incarnation).requests += 1
+        def cost(entry: UpstreamEntry) -> tuple[float, bool, float]:
+            load = self._loads.at(entry.incarnation)
+            is_far = entry.data_centre != self._data_centre
+            busy = load.requests / max(1, entry.slots)
+            return busy, is_far, self._rng.random()
 
-    def end(self, work: Work) -> None:
-        """Notes that it ended."""
-        load = self._load(work.incarnation)
-        load.requests -= 1
-        if load.requests <= 0:
-            del self._loads[work.incarnation]
-
-    def _load(self, incarnation: str) -> _Load:
-        return self._loads.setdefault(incarnation, _Load())
-
-    def _busy(self, entry: UpstreamEntry) -> float:
-        load = self._loads.get(entry.incarnation)
-        return load.requests / max(1, entry.slots) if load else 0.0
-
-    def _least_busy(self, entries: Sequence[UpstreamEntry]) -> UpstreamEntry:
-        return min(entries, key=lambda e: (self._busy(e), self._rng.random()))
-
-    def _with_prefix(
-        self, entries: Sequence[UpstreamEntry], call: CallTraits
-    ) -> UpstreamEntry:
-        shared = call.prompt[:-1] or call.prompt
-        name = "/".join(part.name for part in shared)
-        ranked = sorted(entries, key=lambda e: _weight(name, e.incarnation))
-        total = sum(self._busy(e) for e in entries)
-        slot = 1.0 / max(1, entries[0].slots)
-        bound = (total + slot) / len(entries) * _SPREAD + slot
-        for entry in ranked:
-            if self._busy(entry) + slot <= bound:
-                return entry
-        return self._least_busy(entries)
-
-
-def _lane(entries: list[UpstreamEntry], tokens: int) -> list[UpstreamEntry]:
-    if len(entries) == 1:
-        return entries
-    half = len(entries) // 2
-    return entries[:half] if tokens >= LONG_PROMPT_TOKENS else entries[half:]
-
-
-def _weight(name: str, incarnation: str) -> int:
-    return zlib.crc32(f"{name}|{incarnation}".encode())
+        best = min(open_ones, key=cost)
+        return Choice(best, 0, self._loads.at(best.incarnation).requests)
+
+    def _engine(
+        self,
+        service: str,
+        candidates: Sequence[UpstreamEntry],
+        call: CallTraits,
+        excluded: frozenset[str],
+        now_s: float,
+        is_loose: bool,
+    ) -> Choice | NoPlace:
+        def cheapest(is_loose: bool) -> _Offer | None:
+            entries = self._lanes.of(
+                service, candidates, now_s, is_loose=is_loose
+            )
+            return self._cheapest(entries, call, excluded, now_s)
+
+        own = cheapest(is_loose)
+        other = cheapest(not is_loose)
+        if own is None or other is None:
+            found = own or other
+            return found.choice if found is not None else NoPlace.NONE_KNOWN
+        spill = LOOSE_SPILL_TOKENS if is_loose else TIGHT_SPILL_TOKENS
+        return other.choice if own.cost > other.cost + spill else own.choice
+
+    def _cheapest(
+        self,
+        entries: Sequence[UpstreamEntry],
+        call: CallTraits,
+        excluded: frozenset[str],
+        now_s: float,
+    ) -> _Offer | None:
+        missing = self._cached.missing(entries, call.prompt, now_s)
+        last = call.prompt[-1].tokens
+        best: _Offer | None = None
+        for entry in entries:
+            if entry.incarnation in excluded:
+                continue
+            lacks = missing[entry.incarnation]
+            tokens = last + lacks
+            ahead = self._busy(entry)
+            cost = tokens + lacks * REREAD_WEIGHT + ahead
+            if best is None or cost < best.cost:
+                best = _Offer(cost, Choice(entry, tokens, ahead))
+        return best
+
+    def _busy(self, entry: UpstreamEntry) -> int:
+        """Returns what is in flight at an upstream, in tokens."""
+        load = self._loads.at(entry.incarnation)
+        full = max(0, load.requests + 1 - entry.slots) * FULL_TOKENS
+        return load.waiting_tokens + load.running * RUNNING_TOKENS + full
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from hollyknot_coordination.forwarding._lanes import Tolerance
 from hollyknot_state.routes import KeyOwner, Route, RouteTable
 
 
@@ -30,6 +31,7 @@
         self._table = table
         self._by_host: dict[str, dict[str, Route]] = {}
         self._longest = 0
+        self._tolerances: dict[str, Tolerance] = {}
         for route in table.routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route
@@ -60,6 +62,14 @@
             end = rest.rfind("/", 0, end)
         return NoRoute.UNKNOWN
 
+    def is_loose(self, route: Route, service: str) -> bool:
+        """Whether a route's streams bear longer pauses than most."""
+        tolerance = self._tolerances.get(service)
+        if tolerance is None:
+            tolerance = Tolerance(self._table.routes, service)
+            self._tolerances[service] = tolerance
+        return tolerance.is_loose(route)
+
     def owner(self, route: Route, key: str) -> KeyOwner | NoOwner:
         """Returns who sends a request."""
         if not self._table.owners_by_key or not route.needs_key:
--- a/packages/daemon/src/hollyknot_daemon/tests/test_layers.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_layers.py
@@ -12,7 +12,7 @@
     "coordination": {"state"},
     "protocol": {"state"},
     "transport": {"state", "coordination", "protocol"},
-    "gateway": {"state", "coordination"},
+    "gateway": {"state", "coordination", "protocol"},
     "daemon": {"state", "coordination", "protocol", "transport"},
     "ctl": {"state", "coordination", "protocol", "transport"},
     "standins": set(),
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -65,13 +65,15 @@
         verdict: Whether it ran.
         answer: To be handed on; None if there is none, or if it has been
             relayed.
-        first_byte_s: When the first byte arrived, on the loop's clock; 0 for
-            never.
+        first_s: Seconds from the sending to the head of the answer, of a
+            stream to its first event; 0 if it never came.
+        gap_s: The longest pause between two parts of a stream.
     """
 
     verdict: Verdict
     answer: Answer | None = None
-    first_byte_s: float = 0.0
+    first_s: float = 0.0
+    gap_s: float = 0.0
 
 
 @attrs.define
@@ -122,8 +124,10 @@
         self._traits: AnswerTraits | None = None
         self._parts: list[bytes] = []
         self._size = 0
-        self._first_byte_s = 0.0
-        self._last_byte_s = clock()
+        self._sent_s = clock()
+        self._first_s = 0.0
+        self._gap_s = 0.0
+        self._last_byte_s = self._sent_s
         self._is_relayed = False
         self._is_held = False
         self._resumer: asyncio.Task[None] | None = None
@@ -144,7 +148,8 @@
     def on_head(self, head: Head) -> None:
         """Takes the head of the answer."""
         self._head = head
-        self._first_byte_s = self._last_byte_s = self._clock()
+        self._last_byte_s = self._clock()
+        self._first_s = self._last_byte_s - self._sent_s
         traits = self._dialect.read_answer(head.status, head.fields)
         self._traits = traits
         self._connection.keeps_s = traits.keeps_s
@@ -164,7 +169,10 @@
 
     def on_data(self, data: bytes) -> None:
         """Takes a part of the body."""
-        self._last_byte_s = self._clock()
+        now_s = self._clock()
+        if self._is_relayed and self._reply.has_begun:
+            self._gap_s = max(self._gap_s, now_s - self._last_byte_s)
+        self._last_byte_s = now_s
         if self.done.done():
             return
         if self._is_relayed:
@@ -186,6 +194,10 @@
         assert self._traits is not None
         self._set(self._judge(self._head, self._traits))
 
+    def give_up(self) -> None:
+        """Ends a try that has been silent for too long."""
+        self._fail(Reason.UPSTREAM_SILENT, "no byte in time")
+
     def on_lost(self, lost: Lost) -> None:
         """The answer will not be whole."""
         self._fail(_REASONS[lost], lost.value)
@@ -221,7 +233,7 @@
         detail: str = "",
     ) -> Result:
         verdict = Verdict(outcome, reason, detail, upstream_status=status)
-        return Result(verdict, answer, self._first_byte_s)
+        return Result(verdict, answer, self._first_s, self._gap_s)
 
     def _relay(self, data: bytes) -> None:
         whole = self._stream.cutter.feed(data)
@@ -232,6 +244,7 @@
     def _pass_on(self, data: bytes) -> None:
         assert self._head is not None
         if not self._reply.has_begun:
+            self._first_s = self._clock() - self._sent_s
             self._on_first_event()
             self._reply.start(
                 self._head.status, end_to_end(self._head.headers), data
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -7,11 +7,14 @@
 import attrs
 
 from hollyknot_coordination.forwarding import (
+    Choice,
     GiveUp,
+    Health,
     NoOwner,
     NoPlace,
     NoRoute,
     Placement,
+    Reachability,
     RetryBudget,
     TryState,
     Work,
@@ -25,6 +28,7 @@
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._ports import Dialect
+from hollyknot_gateway._stalls import Stalls
 from hollyknot_gateway._upstream_connection import UpstreamConnection
 from hollyknot_state import Outcome, Reason, Verdict
 from hollyknot_state.routes import (
@@ -60,6 +64,7 @@
         route: Where it goes.
         service: The service that this request was given to.
         owner: Whose it is.
+        is_loose: Whether its stream bears long pauses.
         deadline_s: When it times out, on the loop's clock.
         stream: What the caller has got of a stream.
         sent: Upstreams that it was sent to.
@@ -74,6 +79,7 @@
     route: Route
     service: Service
     owner: KeyOwner | NoOwner
+    is_loose: bool
     deadline_s: float
     stream: StreamState = attrs.Factory(StreamState)
     sent: int = 0
@@ -90,6 +96,9 @@
         dialect: Reads and writes headers.
         in_force: Routes and upstreams.
         placement: Chooses upstreams.
+        reachability: Knows which upstreams can't be connected to.
+        health: Knows which upstreams fail much of their work.
+        stalls: Ends tries that hang.
         budget: Bounds retries.
         pool: Connections to upstreams.
         log: Takes a line for each decision.
@@ -100,6 +109,9 @@
     dialect: Dialect
     in_force: InForce
     placement: Placement
+    reachability: Reachability
+    health: Health
+    stalls: Stalls
     budget: RetryBudget
     pool: Pool
     log: Log
@@ -152,6 +164,7 @@
             route=route,
             service=service,
             owner=owner,
+            is_loose=index.is_loose(route, service.name),
             deadline_s=request.arrived_s + limit_s,
         )
 
@@ -168,10 +181,10 @@
         parts.budget.on_first_try(job.service.name, parts.clock())
         result = Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
         while True:
-            entry = self._choose(job)
-            if isinstance(entry, UpstreamEntry):
-                result = await self._try(job, entry)
-                self._note(job, entry, result)
+            choice = self._choose(job)
+            if isinstance(choice, Choice):
+                result = await self._try(job, choice)
+                self._note(job, choice, result)
                 if self._is_answered(job, result):
                     return
             step = next_step(job.route, result.verdict, self._state(job))
@@ -181,14 +194,27 @@
             if step.is_retry:
                 parts.budget.spend(job.service.name, parts.clock())
 
-    def _choose(self, job: Job) -> UpstreamEntry | NoPlace:
+    def _choose(self, job: Job) -> Choice | NoPlace:
         parts = self._parts
-        candidates = parts.in_force.fleet.usable(
-            job.service.name, parts.clock()
-        )
-        return parts.placement.choose(
-            job.service, candidates, job.call, job.tried
-        )
+        now = parts.clock()
+        usable = parts.in_force.fleet.usable(job.service.name, now)
+        away = parts.reachability.away(usable)
+        ejected = parts.health.ejected(usable, now)
+        found: Choice | NoPlace = NoPlace.NONE_KNOWN
+        # One that fails often, or could not be reached lately, is better than
+        # none at all.
+        for kept_away in (away | ejected, away, frozenset[str]()):
+            found = parts.placement.choose(
+                job.service,
+                usable,
+                job.call,
+                job.tried | kept_away,
+                now,
+                is_loose=job.is_loose,
+            )
+            if isinstance(found, Choice):
+                break
+        return found
 
     def _state(self, job: Job) -> TryState:
         parts = self._parts
@@ -203,10 +229,12 @@
             candidates=sum(e.incarnation not in job.tried for e in usable),
         )
 
-    async def _try(self, job: Job, entry: UpstreamEntry) -> Result:
+    async def _try(self, job: Job, choice: Choice) -> Result:
         parts = self._parts
-        work = Work(entry.incarnation, job.call.prompt_tokens)
-        parts.placement.begin(work)
+        entry = choice.entry
+        work = parts.placement.begin(
+            choice, job.call, parts.clock(), is_loose=job.is_loose
+        )
         is_detached = False
         try:
             left_s = job.deadline_s - parts.clock()
@@ -214,6 +242,7 @@
                 entry.incarnation, entry.address, left_s
             )
             if isinstance(connection, ConnectFailure):
+                self._note_unreachable(entry, connection.value)
                 verdict = Verdict(
                     Outcome.NOT_RUN, Reason.CONNECT_FAILED, connection.value
                 )
@@ -224,12 +253,15 @@
                 # It has begun to leave while the connection was made.
                 connection.close()
                 return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
-            exchange = self._send(job, entry, connection)
+            exchange = self._send(job, entry, connection, work)
+            parts.stalls.add(exchange, job.route)
             try:
                 result = await asyncio.shield(exchange.done)
             except asyncio.CancelledError:
                 is_detached = self._leave(job, work, connection, exchange)
                 raise
+            finally:
+                parts.stalls.discard(exchange)
             parts.pool.give_back(entry.incarnation, connection)
             if not connection.is_reusable:
                 connection.abandon()
@@ -239,7 +271,11 @@
                 parts.placement.end(work)
 
     def _send(
-        self, job: Job, entry: UpstreamEntry, connection: UpstreamConnection
+        self,
+        job: Job,
+        entry: UpstreamEntry,
+        connection: UpstreamConnection,
+        work: Work,
     ) -> Exchange:
         parts = self._parts
         stream = job.stream
@@ -252,7 +288,7 @@
             stream,
             connection,
             parts.clock,
-            lambda: None,
+            lambda: parts.placement.start(work),
         )
         data = self._request_bytes(job, entry)
         job.sent += 1
@@ -322,8 +358,10 @@
         finally:
             self._parts.placement.end(work)
 
-    def _note(self, job: Job, entry: UpstreamEntry, result: Result) -> None:
+    def _note(self, job: Job, choice: Choice, result: Result) -> None:
+        entry = choice.entry
         verdict = result.verdict
+        self._note_health(entry, verdict)
         job.tried |= {entry.incarnation}
         if verdict.is_proved_not_run:
             job.may_have_run = job.ran_before
@@ -342,8 +380,34 @@
             reason=verdict.reason.value,
             status=verdict.upstream_status,
             detail=verdict.detail,
+            first_ms=_ms(result.first_s),
+            gap_ms=_ms(result.gap_s),
+            tokens=job.call.prompt_tokens,
+            read=choice.tokens,
+            ahead=choice.ahead,
+            loose=job.is_loose,
         )
 
+    def _note_unreachable(self, entry: UpstreamEntry, detail: str) -> None:
+        if self._parts.reachability.failed(entry, self._parts.clock()):
+            self._parts.log.line(
+                "unreachable", upstream=entry.incarnation, detail=detail
+            )
+
+    def _note_health(self, entry: UpstreamEntry, verdict: Verdict) -> None:
+        parts = self._parts
+        if verdict.reason in (Reason.CONNECT_FAILED, Reason.NO_UPSTREAM):
+            return
+        now = parts.clock()
+        usable = parts.in_force.fleet.usable(entry.service, now)
+        is_good = verdict.outcome is Outcome.COMPLETE
+        if parts.health.note(entry, usable, now, is_good=is_good):
+            parts.log.line(
+                "ejected",
+                upstream=entry.incarnation,
+                reason=verdict.reason.value,
+            )
+
     def _is_answered(self, job: Job, result: Result) -> bool:
         """Answers the caller if this try has settled its request."""
         if job.reply.has_ended:
@@ -396,5 +460,9 @@
         )
 
 
+def _ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
+
+
 def _not_run(status: int, reason: Reason) -> GiveUp:
     return GiveUp(status, Verdict(Outcome.NOT_RUN, reason))
--- a/packages/gateway/src/hollyknot_gateway/_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/_follower.py
@@ -24,10 +24,15 @@
 T = TypeVar("T")
 
 _FIRST_PAUSE_S = 0.1
-_LONGEST_PAUSE_S = 0.8
+_LONGEST_PAUSE_S = 0.4
 """Between failed reads: short enough that a version is in force within its
 bound once the source is back, long enough that refusals stay few."""
 
+_PROBE_WAIT_S = 0.05
+"""How long a watch waits after a failed one. A silent source swallows a long
+watch, and one would learn of its return only when that has timed out: a
+version that was published meanwhile would be late."""
+
 
 @attrs.frozen
 class FollowOptions:
@@ -116,7 +121,8 @@
         options = self._options
         needs_second_list = self._is_settling()
         while True:
-            found = await self._source.watch(self._revision, options.wait_s)
+            wait_s = _PROBE_WAIT_S if self._failures else options.wait_s
+            found = await self._source.watch(self._revision, wait_s)
             if isinstance(found, SourceFailure):
                 await self._failed(found)
                 needs_second_list = True
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -11,15 +11,27 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding import Fleet, Placement, RetryBudget
+from hollyknot_coordination.forwarding import (
+    Demand,
+    Fleet,
+    Health,
+    Loads,
+    Peers,
+    Placement,
+    Reachability,
+    RetryBudget,
+)
 from hollyknot_gateway._caller_connection import CallerRequest, Reply
 from hollyknot_gateway._caller_server import CallerServer
 from hollyknot_gateway._flow import Flow, FlowParts
 from hollyknot_gateway._follower import Follower, FollowOptions
 from hollyknot_gateway._in_force import InForce
 from hollyknot_gateway._log import Log
-from hollyknot_gateway._pool import Pool
+from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._ports import Changes, Dialect, Listing, Source
+from hollyknot_gateway._reports import ReportSocket
+from hollyknot_gateway._stalls import Stalls
+from hollyknot_state import HostReport
 from hollyknot_state.routes import (
     CallerLimits,
     GatewaySettings,
@@ -27,6 +39,17 @@
     UpstreamEntry,
 )
 
+REPORT_S = 0.1
+"""Between two reports to peers. Their work in flight changes within tens of
+milliseconds, and a report costs some tens of microseconds."""
+
+REPORTED_PEERS = 16
+"""Peers that get each report; of more, as many are chosen at random, so that a
+host's bytes do not grow with the number of hosts."""
+
+REACH_TIMEOUT_S = 0.5
+"""For a connection in the background to an upstream that was away."""
+
 SWEEP_S = 0.25
 """Between two looks at timers that need no precision."""
 
@@ -85,11 +108,25 @@
         self._pool = Pool(clock)
         self._in_force = InForce(Fleet(LAPSE_S))
         self._budget = RetryBudget(settings.bounds)
+        self._loads = Loads()
+        self._demand = Demand()
+        self._reachability = Reachability()
+        self._health = Health()
+        self._stalls = Stalls(clock)
+        self._peers = Peers(settings.peers, settings.seeds, rng)
+        self._socket = ReportSocket(self._take_report, self._log)
+        self._incarnation = rng.getrandbits(62)
+        self._sequence = 0
         flow = Flow(
             FlowParts(
                 dialect=ports.dialect,
                 in_force=self._in_force,
-                placement=Placement(rng),
+                placement=Placement(
+                    self._loads, self._demand, settings.data_centre, rng
+                ),
+                reachability=self._reachability,
+                health=self._health,
+                stalls=self._stalls,
                 budget=self._budget,
                 pool=self._pool,
                 log=self._log,
@@ -101,6 +138,7 @@
         self._readiness = CallerServer(self._answer_readiness, CallerLimits)
         self._ports = ports
         self._is_stopping = False
+        self._reaching: set[asyncio.Task[None]] = set()
         self._stack = contextlib.AsyncExitStack()
 
     @property
@@ -123,10 +161,14 @@
         ):
             await server.start(address)
             stack.callback(server.close)
+        await self._socket.open(self._settings.peers)
+        stack.callback(self._socket.close)
         for follower in (self._follow_tables(), self._follow_upstreams()):
             self._spawn(follower.run())
         self._spawn(self._sweep())
         self._spawn(self._flush())
+        self._spawn(self._report())
+        self._spawn(self._reach())
         self._log.line("start", pid=os.getpid())
         return self
 
@@ -258,14 +300,73 @@
             )
             if incarnation not in fleet:
                 self._pool.drop(incarnation)
+                self._reachability.forget(incarnation)
+                self._health.forget(incarnation)
 
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
+            self._stalls.sweep()
             self._callers.sweep(self._clock())
             self._readiness.sweep(self._clock())
             self._pool.sweep()
 
+    async def _report(self) -> None:
+        """Tells peers of this host's work, and counts theirs."""
+        while True:
+            await asyncio.sleep(REPORT_S)
+            now = self._clock()
+            for host in self._peers.expire(now):
+                self._log.line("peer_lost", peer=host)
+            fresh = self._peers.fresh(now)
+            self._loads.take_reports(fresh)
+            self._demand.take(d for report in fresh for d in report.demands)
+            self._budget.set_hosts(self._peers.count + 1)
+            targets = self._peers.targets(now, REPORTED_PEERS)
+            self._sequence += 1
+            self._socket.send(self._own_report(), targets)
+
+    def _own_report(self) -> HostReport:
+        index = self._in_force.index
+        return HostReport(
+            host=self._settings.host,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            address=self._settings.peers,
+            data_centre=self._settings.data_centre,
+            table_version=index.table.version if index is not None else 0,
+            is_stopping=self._is_stopping,
+            uses=self._loads.uses(),
+            demands=self._demand.told(self._clock()),
+            contacts=self._peers.contacts(),
+        )
+
+    def _take_report(self, report: HostReport) -> None:
+        if self._peers.take(report, self._clock()):
+            self._log.line(
+                "peer_met", peer=report.host, data_centre=report.data_centre
+            )
+
+    async def _reach(self) -> None:
+        """Tries to connect to upstreams that could not be reached."""
+        while True:
+            await asyncio.sleep(SWEEP_S / 2)
+            for entry in self._reachability.due(self._clock()):
+                task = asyncio.create_task(self._reach_one(entry))
+                self._reaching.add(task)
+                task.add_done_callback(self._reaching.discard)
+
+    async def _reach_one(self, entry: UpstreamEntry) -> None:
+        found = await self._pool.take(
+            entry.incarnation, entry.address, REACH_TIMEOUT_S
+        )
+        if isinstance(found, ConnectFailure):
+            self._reachability.failed(entry, self._clock())
+            return
+        self._pool.give_back(entry.incarnation, found)
+        if self._reachability.succeeded(entry.incarnation):
+            self._log.line("reachable", upstream=entry.incarnation)
+
     async def _flush(self) -> None:
         while True:
             await asyncio.sleep(FLUSH_S)
--- a/packages/gateway/src/hollyknot_gateway/_pool.py
+++ b/packages/gateway/src/hollyknot_gateway/_pool.py
@@ -7,9 +7,9 @@
 from hollyknot_gateway._upstream_connection import UpstreamConnection
 from hollyknot_state import Address
 
-CONNECT_TIMEOUT_S = 1.0
-"""A new connection in a data centre or a region takes milliseconds; a lost
-opening packet is sent again after a second."""
+CONNECT_TIMEOUT_S = 0.4
+"""A new connection in a data centre or a region takes milliseconds. A lost
+opening packet is sent again only after a second: another upstream is sooner."""
 
 IDLE_S = 4.0
 """How long a connection is kept if its upstream does not say how long."""
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_stalls.py
@@ -0,0 +1,81 @@
+"""Ends tries that have fallen silent, while another one can still be in time.
+
+An upstream that hangs holds its connection open, so that nothing ends the try
+before the request's own timeout. Only what may be repeated is ended early: the
+silence of a request that can't be proves nothing and is waited for.
+"""
+
+from collections.abc import Callable
+
+import attrs
+
+from hollyknot_gateway._exchange import Exchange
+from hollyknot_state.routes import Route, RouteKind
+
+FIRST_PATIENCE = 3.0
+"""Of a route's target, before an answer that has not begun is given up."""
+
+LEAST_FIRST_S = 0.5
+"""A busy engine answers after some hundreds of milliseconds; ending its work
+then would throw away what it has read in."""
+
+GAP_PATIENCE = 5.0
+"""Of a route's pause target, before a stream is taken to hang."""
+
+LEAST_GAP_S = 0.8
+"""Callers leave a silent stream after two seconds; this leaves time to go on
+with it elsewhere."""
+
+
+@attrs.frozen
+class _Watched:
+    exchange: Exchange
+    first_s: float
+    gap_s: float
+
+    def is_stalled(self, now_s: float) -> bool:
+        limit_s = self.gap_s if self.exchange.has_head else self.first_s
+        return now_s - self.exchange.last_byte_s > limit_s
+
+
+class Stalls:
+    """All tries that may be ended early."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Watches none.
+
+        Args:
+            clock: The loop's monotonic clock, in seconds.
+        """
+        self._clock = clock
+        self._watched: dict[Exchange, _Watched] = {}
+
+    def add(self, exchange: Exchange, route: Route) -> None:
+        """Watches a try, if its request may be sent again."""
+        if not route.is_repeatable or route.max_attempts <= 1:
+            return
+        gap_s = max(GAP_PATIENCE * route.gap_target_s, LEAST_GAP_S)
+        first_s = max(FIRST_PATIENCE * route.target_s, LEAST_FIRST_S)
+        if route.kind is not RouteKind.STREAM:
+            gap_s = first_s
+        self._watched[exchange] = _Watched(exchange, first_s, gap_s)
+
+    def discard(self, exchange: Exchange) -> None:
+        """Watches a try no longer."""
+        self._watched.pop(exchange, None)
+
+    def sweep(self) -> int:
+        """Ends the tries that have been silent for too long.
+
+        Returns:
+            How many.
+        """
+        now_s = self._clock()
+        stalled = [
+            watched.exchange
+            for watched in self._watched.values()
+            if watched.is_stalled(now_s)
+        ]
+        for exchange in stalled:
+            exchange.give_up()
+        return len(stalled)
--- a/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
@@ -20,7 +20,7 @@
 MAX_HEAD_BYTES = 65_536
 """Of an answer; more is taken for rubbish."""
 
-USER_TIMEOUT_MS = 2_000
+USER_TIMEOUT_MS = 1_000
 """Sent bytes that no one acknowledges for so long end a connection: behind a
 cut no reset ever arrives, and the request would wait for its whole timeout."""
 
--- /dev/null
+++ b/packages/protocol/idl/report.thrift
@@ -0,0 +1,43 @@
+// What hosts that forward by routes tell each other in datagrams. The attrs
+// classes of the same names are in hollyknot_state/_host_report.py.
+
+struct Address {
+  1: string ip
+  2: i32 port
+}
+
+struct UpstreamUse {
+  1: string upstream
+  2: i64 waiting_tokens
+  3: i32 waiting
+  4: i32 running
+}
+
+struct LaneDemand {
+  1: string pool
+  2: i64 loose_tokens_s
+  3: i64 tight_tokens_s
+}
+
+// As in gossip.thrift: an include would need a package prefix that the
+// compiler leaves out.
+struct SuspectRecord {
+  1: binary fingerprint     // unsigned 64 bits, big endian
+  2: string upstream
+  3: i32 companions
+  4: i64 age_ms
+}
+
+struct HostReport {
+  1: string host
+  2: i64 incarnation
+  3: i64 sequence
+  4: Address address
+  5: string data_centre
+  6: i64 table_version
+  7: bool is_stopping
+  8: list<UpstreamUse> uses
+  9: list<SuspectRecord> suspects
+  10: list<Address> contacts
+  11: list<LaneDemand> demands
+}
--- a/packages/protocol/src/hollyknot_protocol/_kinds.py
+++ b/packages/protocol/src/hollyknot_protocol/_kinds.py
@@ -16,6 +16,7 @@
 from hollyknot_protocol.gen.claims import ttypes as claims
 from hollyknot_protocol.gen.gossip import ttypes as gossip
 from hollyknot_protocol.gen.peer import ttypes as peer
+from hollyknot_protocol.gen.report import ttypes as report
 
 
 @attrs.frozen
@@ -43,6 +44,7 @@
     Kind(0, _peer.Hello, peer.Hello),
     Kind(0, _peer.Proof, peer.Proof),
     Kind(0, _peer.Envelope, peer.Envelope),
+    Kind(0, state.HostReport, report.HostReport),
 )
 """What travels without an envelope."""
 
--- /dev/null
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -48,6 +48,7 @@
     Probe,
     ProbeAck,
 )
+from hollyknot_state._host_report import HostReport, LaneDemand, UpstreamUse
 from hollyknot_state._hosts import EntryState, HostList, HostListEntry, Role
 from hollyknot_state._parse import (
     MAX_DECLARATIONS_BYTES,
@@ -102,6 +103,9 @@
     "HeldAttempt",
     "HolderEpoch",
     "HostList",
+    "HostReport",
+    "LaneDemand",
+    "UpstreamUse",
     "HostListEntry",
     "IndirectProbe",
     "LearnSlots",
--- /dev/null
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -0,0 +1,73 @@
+"""What a host that forwards by routes tells its peers, several times a second.
+
+A report is soft: late, lost or doubled ones do no harm. It replaces the last
+one of the same host, so that nothing has to be undone when one is missed.
+"""
+
+import attrs
+
+from hollyknot_state._settings import Address
+from hollyknot_state._signals import SuspectRecord
+
+
+@attrs.frozen
+class UpstreamUse:
+    """A host's own work in flight at one upstream.
+
+    Attributes:
+        upstream: Its incarnation.
+        waiting_tokens: Of prompts that were sent and not yet answered.
+        waiting: Requests that were sent and not yet answered.
+        running: Streams that have begun.
+    """
+
+    upstream: str
+    waiting_tokens: int
+    waiting: int
+    running: int
+
+
+@attrs.frozen
+class LaneDemand:
+    """Prompt tokens a second that a host sends to a service, smoothed.
+
+    Attributes:
+        pool: The service; thrift does not allow that word.
+        loose_tokens_s: Of streams that bear long pauses.
+        tight_tokens_s: Of the others.
+    """
+
+    pool: str
+    loose_tokens_s: int
+    tight_tokens_s: int
+
+
+@attrs.frozen
+class HostReport:
+    """One report.
+
+    Attributes:
+        host: Who tells.
+        incarnation: Of its process; a restart has another one.
+        sequence: Rises within an incarnation.
+        address: Where it takes reports.
+        data_centre: Where it runs.
+        table_version: Of the routes that it has in force; 0 for none.
+        is_stopping: Whether it is about to end.
+        uses: Its work in flight; upstreams without any are left out.
+        demands: Prompt tokens that it sends.
+        suspects: Evidence against requests that may crash upstreams.
+        contacts: Some addresses of peers that it has heard of lately.
+    """
+
+    host: str
+    incarnation: int
+    sequence: int
+    address: Address
+    data_centre: str
+    table_version: int
+    is_stopping: bool
+    uses: tuple[UpstreamUse, ...] = ()
+    demands: tuple[LaneDemand, ...] = ()
+    suspects: tuple[SuspectRecord, ...] = ()
+    contacts: tuple[Address, ...] = ()
