Tell cuts, crashes and lost answers apart by new connections

Ruled out: blaming every lost answer (a reset on the way would refuse its innocent request for an hour). Change: a data centre whose hosts all fall silent, or one upstream that times out, has its upstreams probed by new connections at once; tries that hang there are ended; a loss counts as a crash only if a new connection is refused, and the register of suspects, whose records now go with the reports, refuses culprits.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
@@ -124,6 +124,14 @@
         assert self._by_service is not None
         return self._by_service.get(service, [])
 
+    def all_usable(self, now_s: float) -> list[UpstreamEntry]:
+        """Returns the upstreams of all services that may get work."""
+        return [
+            known.entry
+            for incarnation, known in self._known.items()
+            if self.is_usable(incarnation, now_s)
+        ]
+
     def _index(self, now_s: float) -> None:
         by_service: dict[str, list[UpstreamEntry]] = {}
         until = float("inf")
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
@@ -15,6 +15,10 @@
 FRESH_S = 1.0
 """Age from which a peer's load is no longer counted: its work has changed."""
 
+SILENT_S = 0.4
+"""Silence of a data centre after which it is looked at: four reports of each
+of its hosts, while some in a hundred datagrams are lost."""
+
 FORGET_S = 5.0
 """Silence after which a peer is taken to be gone."""
 
@@ -89,6 +93,22 @@
             if now_s - peer.heard_s <= FRESH_S
         ]
 
+    def silent_data_centres(self, now_s: float) -> frozenset[str]:
+        """Returns data centres all of whose peers have just fallen silent.
+
+        Such a data centre may have been cut off, which its upstreams' open
+        connections would tell seconds later.
+        """
+        last_s: dict[str, float] = {}
+        for peer in self._peers.values():
+            name = peer.report.data_centre
+            last_s[name] = max(last_s.get(name, peer.heard_s), peer.heard_s)
+        return frozenset(
+            name
+            for name, heard_s in last_s.items()
+            if now_s - heard_s > SILENT_S
+        )
+
     def targets(self, now_s: float, most: int) -> list[Address]:
         """Returns to whom to send a report now.
 
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -1,6 +1,7 @@
 """One request, from its head to its verdict."""
 
 import asyncio
+import hashlib
 import random
 from collections.abc import Callable
 
@@ -18,15 +19,24 @@
     RetryBudget,
     TryState,
     Work,
+    give_up,
     next_step,
 )
+from hollyknot_coordination.suspects import (
+    Clear,
+    Isolate,
+    Refuse,
+    SuspectRegister,
+)
 from hollyknot_gateway._caller_connection import CallerRequest, Reply
 from hollyknot_gateway._exchange import Exchange, Result, StreamState
 from hollyknot_gateway._headers import CONTENT_LENGTH, end_to_end, write_head
 from hollyknot_gateway._in_force import InForce
 from hollyknot_gateway._log import Log
+from hollyknot_gateway._losses import Losses
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._ports import Dialect
+from hollyknot_gateway._prober import Prober
 from hollyknot_gateway._stalls import Stalls
 from hollyknot_gateway._upstream_connection import UpstreamConnection
 from hollyknot_state import Outcome, Reason, Verdict
@@ -63,11 +73,13 @@
         route: Where it goes.
         service: The service that this request was given to.
         owner: Whose it is.
+        fingerprint: Of its method, target, customer and body.
         urgency: The same at all hosts; 0 is the first.
         is_loose: Whether its stream bears long pauses.
         deadline_s: When it times out, on the loop's clock.
         stream: What the caller has got of a stream.
         sent: Upstreams that it was sent to.
+        sent_before: The same without the try in work.
         may_have_run: Whether one of them may have run it.
         ran_before: The same without the try in work.
         tried: Those upstreams, and those that could not be connected to.
@@ -79,11 +91,13 @@
     route: Route
     service: Service
     owner: KeyOwner | NoOwner
+    fingerprint: int
     urgency: int
     is_loose: bool
     deadline_s: float
     stream: StreamState = attrs.Factory(StreamState)
     sent: int = 0
+    sent_before: int = 0
     may_have_run: bool = False
     ran_before: bool = False
     tried: frozenset[str] = frozenset()
@@ -99,6 +113,9 @@
         placement: Chooses upstreams.
         reachability: Knows which upstreams can't be connected to.
         health: Knows which upstreams fail much of their work.
+        prober: Finds that out by new connections.
+        suspects: Knows which requests may crash upstreams.
+        losses: Tells it how tries ended.
         stalls: Ends tries that hang.
         budget: Bounds retries.
         pool: Connections to upstreams.
@@ -112,6 +129,9 @@
     placement: Placement
     reachability: Reachability
     health: Health
+    prober: Prober
+    suspects: SuspectRegister
+    losses: Losses
     stalls: Stalls
     budget: RetryBudget
     pool: Pool
@@ -165,6 +185,7 @@
             route=route,
             service=service,
             owner=owner,
+            fingerprint=_fingerprint(request, call),
             urgency=index.urgency(route, owner),
             is_loose=index.is_loose(route, service.name),
             deadline_s=request.arrived_s + limit_s,
@@ -183,7 +204,12 @@
         parts.budget.on_first_try(job.service.name, parts.clock())
         result = Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
         while True:
-            choice = self._choose(job)
+            gate = parts.suspects.gate(job.fingerprint, parts.clock())
+            if isinstance(gate, Refuse):
+                verdict = gate.verdict
+                self._give_up(job, result, give_up(verdict, self._state(job)))
+                return
+            choice = self._choose(job, gate)
             if isinstance(choice, Choice):
                 result = await self._try(job, choice)
                 self._note(job, choice, result)
@@ -196,11 +222,13 @@
             if step.is_retry:
                 parts.budget.spend(job.service.name, parts.clock())
 
-    def _choose(self, job: Job) -> Choice | NoPlace:
+    def _choose(self, job: Job, gate: Clear | Isolate) -> Choice | NoPlace:
         parts = self._parts
         now = parts.clock()
         usable = parts.in_force.fleet.usable(job.service.name, now)
         away = parts.reachability.away(usable)
+        if isinstance(gate, Isolate):
+            away |= gate.exclude
         ejected = parts.health.ejected(usable, now)
         found: Choice | NoPlace = NoPlace.NONE_KNOWN
         # One that fails often, or could not be reached lately, is better than
@@ -244,7 +272,7 @@
                 entry.incarnation, entry.address, left_s
             )
             if isinstance(connection, ConnectFailure):
-                self._note_unreachable(entry, connection.value)
+                parts.prober.failed(entry, connection)
                 verdict = Verdict(
                     Outcome.NOT_RUN, Reason.CONNECT_FAILED, connection.value
                 )
@@ -256,11 +284,13 @@
                 connection.close()
                 return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
             exchange = self._send(job, entry, connection, work)
-            parts.stalls.add(exchange, job.route)
+            parts.stalls.add(exchange, entry.incarnation, job.route)
             try:
                 result = await asyncio.shield(exchange.done)
             except asyncio.CancelledError:
-                is_detached = self._leave(job, work, connection, exchange)
+                is_detached = self._leave(
+                    job, choice, work, connection, exchange
+                )
                 raise
             finally:
                 parts.stalls.discard(exchange)
@@ -294,6 +324,7 @@
         )
         data = self._request_bytes(job, entry)
         job.sent += 1
+        parts.suspects.on_dispatch(job.fingerprint, entry.incarnation)
         # From here on the request may run, whatever happens to this task.
         job.may_have_run = True
         is_head = job.request.method == "HEAD"
@@ -322,6 +353,7 @@
     def _leave(
         self,
         job: Job,
+        choice: Choice,
         work: Work,
         connection: UpstreamConnection,
         exchange: Exchange,
@@ -334,11 +366,14 @@
         is_call = job.route.kind is RouteKind.NON_IDEMPOTENT
         if not is_call or self._parts.clock() >= job.deadline_s:
             connection.abandon()
+            self._parts.losses.ended(
+                choice.entry, job.fingerprint, _CALLER_GONE
+            )
             return False
         # What can't be repeated is not broken off half-way either: its end is
         # awaited, so that the upstream's slot is counted as taken.
         task = asyncio.ensure_future(
-            self._await_end(job, work, connection, exchange)
+            self._await_end(job, choice, work, connection, exchange)
         )
         self._detached.add(task)
         task.add_done_callback(self._detached.discard)
@@ -347,23 +382,29 @@
     async def _await_end(
         self,
         job: Job,
+        choice: Choice,
         work: Work,
         connection: UpstreamConnection,
         exchange: Exchange,
     ) -> None:
+        verdict = _CALLER_GONE
         try:
             async with asyncio.timeout_at(job.deadline_s):
-                await exchange.done
+                verdict = (await exchange.done).verdict
             self._parts.pool.give_back(work.incarnation, connection)
         except TimeoutError:
             connection.abandon()
         finally:
             self._parts.placement.end(work)
+            self._parts.losses.ended(choice.entry, job.fingerprint, verdict)
 
     def _note(self, job: Job, choice: Choice, result: Result) -> None:
         entry = choice.entry
         verdict = result.verdict
         self._note_health(entry, verdict)
+        if job.sent > job.sent_before:
+            job.sent_before = job.sent
+            self._parts.losses.ended(entry, job.fingerprint, verdict)
         job.tried |= {entry.incarnation}
         if verdict.is_proved_not_run:
             job.may_have_run = job.ran_before
@@ -390,12 +431,6 @@
             loose=job.is_loose,
         )
 
-    def _note_unreachable(self, entry: UpstreamEntry, detail: str) -> None:
-        if self._parts.reachability.failed(entry, self._parts.clock()):
-            self._parts.log.line(
-                "unreachable", upstream=entry.incarnation, detail=detail
-            )
-
     def _note_health(self, entry: UpstreamEntry, verdict: Verdict) -> None:
         parts = self._parts
         if verdict.reason in (Reason.CONNECT_FAILED, Reason.NO_UPSTREAM):
@@ -462,6 +497,14 @@
         )
 
 
+def _fingerprint(request: CallerRequest, call: CallTraits) -> int:
+    """Returns what is equal when a request comes again, at any host."""
+    head = f"{request.method} {request.target} {call.key}\n"
+    digest = hashlib.blake2b(head.encode("utf-8", "replace"), digest_size=8)
+    digest.update(request.body)
+    return int.from_bytes(digest.digest(), "big")
+
+
 def _ms(seconds: float) -> float:
     return round(seconds * 1000, 1)
 
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -21,14 +21,17 @@
     Reachability,
     RetryBudget,
 )
+from hollyknot_coordination.suspects import SuspectOptions, SuspectRegister
 from hollyknot_gateway._caller_connection import CallerRequest, Reply
 from hollyknot_gateway._caller_server import CallerServer
 from hollyknot_gateway._flow import Flow, FlowParts
 from hollyknot_gateway._follower import Follower, FollowOptions
 from hollyknot_gateway._in_force import InForce
 from hollyknot_gateway._log import Log
+from hollyknot_gateway._losses import Losses
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._ports import Changes, Dialect, Listing, Source
+from hollyknot_gateway._prober import Prober
 from hollyknot_gateway._reports import ReportSocket
 from hollyknot_gateway._stalls import Stalls
 from hollyknot_state import HostReport
@@ -47,9 +50,6 @@
 """Peers that get each report; of more, as many are chosen at random, so that a
 host's bytes do not grow with the number of hosts."""
 
-REACH_TIMEOUT_S = 0.5
-"""For a connection in the background to an upstream that was away."""
-
 SWEEP_S = 0.25
 """Between two looks at timers that need no precision."""
 
@@ -113,6 +113,14 @@
         self._reachability = Reachability()
         self._health = Health()
         self._stalls = Stalls(clock)
+        self._prober = Prober(
+            self._pool,
+            self._reachability,
+            self._upstream_away,
+            self._log,
+            clock,
+        )
+        self._suspects = SuspectRegister(SuspectOptions())
         self._peers = Peers(settings.peers, settings.seeds, rng)
         self._socket = ReportSocket(self._take_report, self._log)
         self._incarnation = rng.getrandbits(62)
@@ -126,6 +134,9 @@
                 ),
                 reachability=self._reachability,
                 health=self._health,
+                prober=self._prober,
+                suspects=self._suspects,
+                losses=Losses(self._suspects, self._prober, self._log, clock),
                 stalls=self._stalls,
                 budget=self._budget,
                 pool=self._pool,
@@ -138,7 +149,7 @@
         self._readiness = CallerServer(self._answer_readiness, CallerLimits)
         self._ports = ports
         self._is_stopping = False
-        self._reaching: set[asyncio.Task[None]] = set()
+        self._silent: frozenset[str] = frozenset()
         self._stack = contextlib.AsyncExitStack()
 
     @property
@@ -155,6 +166,7 @@
         stack = self._stack
         stack.callback(self._log.flush)
         stack.callback(self._pool.close)
+        stack.push_async_callback(self._prober.close)
         for server, address in (
             (self._callers, self._settings.callers),
             (self._readiness, self._settings.readiness),
@@ -320,6 +332,7 @@
                 self._log.line("peer_lost", peer=host)
             fresh = self._peers.fresh(now)
             self._loads.take_reports(fresh)
+            self._look_at_silence(now)
             self._demand.take(d for report in fresh for d in report.demands)
             self._budget.set_hosts(self._peers.count + 1)
             targets = self._peers.targets(now, REPORTED_PEERS)
@@ -338,11 +351,14 @@
             is_stopping=self._is_stopping,
             uses=self._loads.uses(),
             demands=self._demand.told(self._clock()),
+            suspects=self._suspects.records(self._clock()),
             contacts=self._peers.contacts(),
         )
 
     def _take_report(self, report: HostReport) -> None:
-        if self._peers.take(report, self._clock()):
+        now = self._clock()
+        self._suspects.on_records(report.suspects, now)
+        if self._peers.take(report, now):
             self._log.line(
                 "peer_met", peer=report.host, data_centre=report.data_centre
             )
@@ -351,21 +367,38 @@
         """Tries to connect to upstreams that could not be reached."""
         while True:
             await asyncio.sleep(SWEEP_S / 2)
-            for entry in self._reachability.due(self._clock()):
-                task = asyncio.create_task(self._reach_one(entry))
-                self._reaching.add(task)
-                task.add_done_callback(self._reaching.discard)
-
-    async def _reach_one(self, entry: UpstreamEntry) -> None:
-        found = await self._pool.take(
-            entry.incarnation, entry.address, REACH_TIMEOUT_S
-        )
-        if isinstance(found, ConnectFailure):
-            self._reachability.failed(entry, self._clock())
+            self._prober.check_all(self._reachability.due(self._clock()))
+            self._suspects.expire(self._clock())
+
+    def _look_at_silence(self, now_s: float) -> None:
+        """Probes the upstreams of data centres that have just gone silent."""
+        silent = self._peers.silent_data_centres(now_s)
+        for data_centre in silent - self._silent:
+            self._log.line("data_centre_silent", silent=data_centre)
+            self._prober.check_all(
+                entry
+                for entry in self._in_force.fleet.all_usable(now_s)
+                if entry.data_centre == data_centre
+            )
+        self._silent = silent
+
+    def _upstream_away(
+        self, entry: UpstreamEntry, failure: ConnectFailure
+    ) -> None:
+        """Ends what hangs at an upstream, and looks at those beside it."""
+        self._stalls.upstream_away(entry.incarnation)
+        if failure is not ConnectFailure.TIMEOUT:
             return
-        self._pool.give_back(entry.incarnation, found)
-        if self._reachability.succeeded(entry.incarnation):
-            self._log.line("reachable", upstream=entry.incarnation)
+        away = self._reachability.away
+        beside = [
+            other
+            for other in self._in_force.fleet.all_usable(self._clock())
+            if other.data_centre == entry.data_centre
+        ]
+        known = away(beside)
+        self._prober.check_all(
+            other for other in beside if other.incarnation not in known
+        )
 
     async def _flush(self) -> None:
         while True:
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_losses.py
@@ -0,0 +1,86 @@
+"""Finds out whether a lost answer was a crash, and which requests were in it.
+
+A request that crashes each upstream that runs it comes again through any host.
+But most lost answers are no crashes: a reset on the way loses an answer too,
+and blaming its request would refuse an innocent. A crashed process refuses new
+connections; that tells the two apart.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from hollyknot_coordination.suspects import SuspectRegister
+from hollyknot_gateway._log import Log
+from hollyknot_gateway._pool import ConnectFailure
+from hollyknot_gateway._prober import Prober
+from hollyknot_state import Outcome, Reason, Verdict
+from hollyknot_state.routes import UpstreamEntry
+
+SETTLE_S = 0.03
+"""From a loss to the probe: a process that crashes closes its connections one
+after the other, and its listening socket with them."""
+
+_LOST = frozenset({Reason.UPSTREAM_LOST, Reason.TRUNCATED, Reason.GARBLED})
+_NO_CRASH = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT)
+_CRASH = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
+
+
+class Losses:
+    """Tells the register of suspects how each try ended."""
+
+    def __init__(
+        self,
+        suspects: SuspectRegister,
+        prober: Prober,
+        log: Log,
+        clock: Callable[[], float],
+    ) -> None:
+        """Waits for losses.
+
+        Args:
+            suspects: Weighs the evidence.
+            prober: Tells a crash by a refused connection.
+            log: Told of crashes.
+            clock: The loop's monotonic clock, in seconds.
+        """
+        self._suspects = suspects
+        self._prober = prober
+        self._log = log
+        self._clock = clock
+        self._pending: dict[str, list[int]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def ended(
+        self, entry: UpstreamEntry, fingerprint: int, verdict: Verdict
+    ) -> None:
+        """Takes in the end of a try that was sent."""
+        if verdict.reason not in _LOST:
+            self._tell(entry, fingerprint, verdict)
+            return
+        pending = self._pending.get(entry.incarnation)
+        if pending is not None:
+            pending.append(fingerprint)
+            return
+        self._pending[entry.incarnation] = [fingerprint]
+        task = asyncio.create_task(self._judge(entry))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _judge(self, entry: UpstreamEntry) -> None:
+        await asyncio.sleep(SETTLE_S)
+        found = await self._prober.check(entry)
+        lost = self._pending.pop(entry.incarnation)
+        is_crash = found is ConnectFailure.REFUSED
+        if is_crash:
+            self._log.line(
+                "crash", upstream=entry.incarnation, requests=len(lost)
+            )
+        for fingerprint in lost:
+            self._tell(entry, fingerprint, _CRASH if is_crash else _NO_CRASH)
+
+    def _tell(
+        self, entry: UpstreamEntry, fingerprint: int, verdict: Verdict
+    ) -> None:
+        self._suspects.on_end(
+            fingerprint, entry.incarnation, verdict, self._clock()
+        )
--- a/packages/gateway/src/hollyknot_gateway/_pool.py
+++ b/packages/gateway/src/hollyknot_gateway/_pool.py
@@ -7,7 +7,7 @@
 from hollyknot_gateway._upstream_connection import UpstreamConnection
 from hollyknot_state import Address
 
-CONNECT_TIMEOUT_S = 0.4
+CONNECT_TIMEOUT_S = 0.3
 """A new connection in a data centre or a region takes milliseconds. A lost
 opening packet is sent again only after a second: another upstream is sooner."""
 
@@ -59,7 +59,7 @@
             if connection.is_reusable and self._is_fresh(connection):
                 return connection
             connection.close()
-        return await self._open(address, min(timeout_s, CONNECT_TIMEOUT_S))
+        return await self.open(address, min(timeout_s, CONNECT_TIMEOUT_S))
 
     def give_back(
         self, incarnation: str, connection: UpstreamConnection
@@ -97,9 +97,10 @@
         limit_s = max(kept_s - _MARGIN_S, kept_s * _KEPT_PART)
         return self._clock() - connection.idle_since < limit_s
 
-    async def _open(
+    async def open(
         self, address: Address, timeout_s: float
     ) -> UpstreamConnection | ConnectFailure:
+        """Makes a new connection."""
         loop = asyncio.get_running_loop()
         self._opened += 1
         try:
--- a/packages/gateway/src/hollyknot_gateway/_stalls.py
+++ b/packages/gateway/src/hollyknot_gateway/_stalls.py
@@ -26,10 +26,15 @@
 """Callers leave a silent stream after two seconds; this leaves time to go on
 with it elsewhere."""
 
+AWAY_SILENCE_S = 0.2
+"""Silence after which a try at an upstream that can't be reached is cut off
+too: a connection that still carries bytes is better than a new try."""
+
 
 @attrs.frozen
 class _Watched:
     exchange: Exchange
+    incarnation: str
     first_s: float
     gap_s: float
 
@@ -50,7 +55,7 @@
         self._clock = clock
         self._watched: dict[Exchange, _Watched] = {}
 
-    def add(self, exchange: Exchange, route: Route) -> None:
+    def add(self, exchange: Exchange, incarnation: str, route: Route) -> None:
         """Watches a try, if its request may be sent again."""
         if not route.is_repeatable or route.max_attempts <= 1:
             return
@@ -58,12 +63,31 @@
         first_s = max(FIRST_PATIENCE * route.target_s, LEAST_FIRST_S)
         if route.kind is not RouteKind.STREAM:
             gap_s = first_s
-        self._watched[exchange] = _Watched(exchange, first_s, gap_s)
+        self._watched[exchange] = _Watched(
+            exchange, incarnation, first_s, gap_s
+        )
 
     def discard(self, exchange: Exchange) -> None:
         """Watches a try no longer."""
         self._watched.pop(exchange, None)
 
+    def upstream_away(self, incarnation: str) -> int:
+        """Ends the silent tries at an upstream that can't be reached.
+
+        Returns:
+            How many.
+        """
+        since_s = self._clock() - AWAY_SILENCE_S
+        cut_off = [
+            watched.exchange
+            for watched in self._watched.values()
+            if watched.incarnation == incarnation
+            and watched.exchange.last_byte_s < since_s
+        ]
+        for exchange in cut_off:
+            exchange.give_up()
+        return len(cut_off)
+
     def sweep(self) -> int:
         """Ends the tries that have been silent for too long.
 
