Give slow upstreams to the streams that bear long pauses

Change: the fifth shortest of the newest quiet intervals is an upstream's pace; hosts tell theirs; clearly slower ones come first in the lane of loose streams.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -5,6 +5,7 @@
 from hollyknot_coordination.forwarding._health import Health
 from hollyknot_coordination.forwarding._lanes import Demand, Lanes, Tolerance
 from hollyknot_coordination.forwarding._loads import Load, Loads
+from hollyknot_coordination.forwarding._paces import Paces
 from hollyknot_coordination.forwarding._peers import Peers
 from hollyknot_coordination.forwarding._placement import (
     Choice,
@@ -41,6 +42,7 @@
     "NoOwner",
     "NoPlace",
     "NoRoute",
+    "Paces",
     "Peers",
     "Placement",
     "Reachability",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
@@ -9,6 +9,7 @@
 from hollyknot_coordination.forwarding._cached_parts import CachedParts
 from hollyknot_coordination.forwarding._lanes import Demand, Lanes
 from hollyknot_coordination.forwarding._loads import Loads
+from hollyknot_coordination.forwarding._paces import Paces
 from hollyknot_state.routes import CallTraits, Service, UpstreamEntry
 
 REREAD_WEIGHT = 10.0
@@ -82,6 +83,7 @@
         self,
         loads: Loads,
         demand: Demand,
+        paces: Paces,
         data_centre: str,
         rng: random.Random,
     ) -> None:
@@ -90,6 +92,7 @@
         Args:
             loads: Work in flight.
             demand: Prompt tokens that are sent, by lane.
+            paces: How fast upstreams are.
             data_centre: This host's; preferred where nothing else decides.
             rng: Breaks ties, so that hosts do not all choose the same.
         """
@@ -97,6 +100,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self._demand = demand
+        self._paces = paces
         self._lanes = Lanes(demand)
         self._cached = CachedParts()
 
@@ -178,11 +182,15 @@
         now_s: float,
         is_loose: bool,
     ) -> Choice | NoPlace:
+        ratios = self._paces.ratios(candidates)
+        # Slow ones first: the lane of loose streams begins there.
+        ordered = sorted(
+            candidates, key=lambda e: not self._paces.is_slow(e.incarnation)
+        )
+
         def cheapest(is_loose: bool) -> _Offer | None:
-            entries = self._lanes.of(
-                service, candidates, now_s, is_loose=is_loose
-            )
-            return self._cheapest(entries, call, excluded, now_s)
+            entries = self._lanes.of(service, ordered, now_s, is_loose=is_loose)
+            return self._cheapest(entries, call, excluded, now_s, ratios)
 
         own = cheapest(is_loose)
         other = cheapest(not is_loose)
@@ -198,6 +206,7 @@
         call: CallTraits,
         excluded: frozenset[str],
         now_s: float,
+        ratios: dict[str, float],
     ) -> _Offer | None:
         missing = self._cached.missing(entries, call.prompt, now_s)
         last = call.prompt[-1].tokens
@@ -208,7 +217,8 @@
             lacks = missing[entry.incarnation]
             tokens = last + lacks
             ahead = self._busy(entry)
-            cost = tokens + lacks * REREAD_WEIGHT + ahead
+            ratio = ratios.get(entry.incarnation, 1.0)
+            cost = (tokens + ahead) * ratio + lacks * REREAD_WEIGHT
             if best is None or cost < best.cost:
                 best = _Offer(cost, Choice(entry, tokens, ahead))
         return best
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -101,6 +101,7 @@
         connection: UpstreamConnection,
         clock: Callable[[], float],
         on_first_event: Callable[[], None],
+        on_interval: Callable[[float], None],
     ) -> None:
         """Waits for the answer.
 
@@ -112,6 +113,7 @@
             connection: Held back while the caller is slow.
             clock: The loop's monotonic clock, in seconds.
             on_first_event: Told when the first event of a stream is in.
+            on_interval: Told the seconds between two parts of a stream.
         """
         self._dialect = dialect
         self._attempt_id = attempt_id
@@ -120,6 +122,7 @@
         self._connection = connection
         self._clock = clock
         self._on_first_event = on_first_event
+        self._on_interval = on_interval
         self._head: Head | None = None
         self._traits: AnswerTraits | None = None
         self._parts: list[bytes] = []
@@ -171,7 +174,9 @@
         """Takes a part of the body."""
         now_s = self._clock()
         if self._is_relayed and self._reply.has_begun:
-            self._gap_s = max(self._gap_s, now_s - self._last_byte_s)
+            interval_s = now_s - self._last_byte_s
+            self._gap_s = max(self._gap_s, interval_s)
+            self._on_interval(interval_s)
         self._last_byte_s = now_s
         if self.done.done():
             return
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -11,9 +11,11 @@
     Choice,
     GiveUp,
     Health,
+    Loads,
     NoOwner,
     NoPlace,
     NoRoute,
+    Paces,
     Placement,
     Reachability,
     RetryBudget,
@@ -111,6 +113,8 @@
         dialect: Reads and writes headers.
         in_force: Routes and upstreams.
         placement: Chooses upstreams.
+        loads: Work in flight.
+        paces: Learns how fast upstreams are.
         reachability: Knows which upstreams can't be connected to.
         health: Knows which upstreams fail much of their work.
         prober: Finds that out by new connections.
@@ -127,6 +131,8 @@
     dialect: Dialect
     in_force: InForce
     placement: Placement
+    loads: Loads
+    paces: Paces
     reachability: Reachability
     health: Health
     prober: Prober
@@ -321,6 +327,9 @@
             connection,
             parts.clock,
             lambda: parts.placement.start(work),
+            lambda interval_s: parts.paces.note(
+                entry.incarnation, interval_s, parts.loads.at(entry.incarnation)
+            ),
         )
         data = self._request_bytes(job, entry)
         job.sent += 1
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -16,6 +16,7 @@
     Fleet,
     Health,
     Loads,
+    Paces,
     Peers,
     Placement,
     Reachability,
@@ -67,6 +68,10 @@
 """How long an upstream keeps its work whose entry has gone while the directory
 was away: entries that only lapsed are back within two seconds."""
 
+NOTICE_PART = 0.4
+"""Of the bound for leaving upstreams, the pause between two reads of them. The
+rest is for the read itself and for what is on its way."""
+
 WATCH_S = 2.0
 """How long one watch waits: a connection that fell silent hides a new version
 for no longer than this and the slack of a read."""
@@ -110,6 +115,7 @@
         self._budget = RetryBudget(settings.bounds)
         self._loads = Loads()
         self._demand = Demand()
+        self._paces = Paces()
         self._reachability = Reachability()
         self._health = Health()
         self._stalls = Stalls(clock)
@@ -130,8 +136,14 @@
                 dialect=ports.dialect,
                 in_force=self._in_force,
                 placement=Placement(
-                    self._loads, self._demand, settings.data_centre, rng
+                    self._loads,
+                    self._demand,
+                    self._paces,
+                    settings.data_centre,
+                    rng,
                 ),
+                loads=self._loads,
+                paces=self._paces,
                 reachability=self._reachability,
                 health=self._health,
                 prober=self._prober,
@@ -150,6 +162,7 @@
         self._ports = ports
         self._is_stopping = False
         self._silent: frozenset[str] = frozenset()
+        self._slow: frozenset[str] = frozenset()
         self._stack = contextlib.AsyncExitStack()
 
     @property
@@ -247,9 +260,9 @@
         return Follower(
             self._ports.upstreams(self._pool),
             # Entries are renewed all the time, so that a watch ends at once:
-            # without a pause each renewal would cost a read. A quarter of the
+            # without a pause each renewal would cost a read. Two fifths of the
             # bound for leaving upstreams is left to notice one.
-            self._options(self._settings.bounds.drain_s / 4),
+            self._options(self._settings.bounds.drain_s * NOTICE_PART),
             self._take_listing,
             self._take_changes,
             self._log,
@@ -314,6 +327,7 @@
                 self._pool.drop(incarnation)
                 self._reachability.forget(incarnation)
                 self._health.forget(incarnation)
+                self._paces.forget(incarnation)
 
     async def _sweep(self) -> None:
         while True:
@@ -332,7 +346,9 @@
                 self._log.line("peer_lost", peer=host)
             fresh = self._peers.fresh(now)
             self._loads.take_reports(fresh)
+            self._paces.take(p for report in fresh for p in report.paces)
             self._look_at_silence(now)
+            self._log_slow()
             self._demand.take(d for report in fresh for d in report.demands)
             self._budget.set_hosts(self._peers.count + 1)
             targets = self._peers.targets(now, REPORTED_PEERS)
@@ -351,6 +367,7 @@
             is_stopping=self._is_stopping,
             uses=self._loads.uses(),
             demands=self._demand.told(self._clock()),
+            paces=self._paces.told(),
             suspects=self._suspects.records(self._clock()),
             contacts=self._peers.contacts(),
         )
@@ -370,6 +387,12 @@
             self._prober.check_all(self._reachability.due(self._clock()))
             self._suspects.expire(self._clock())
 
+    def _log_slow(self) -> None:
+        slow = self._paces.slow
+        if slow != self._slow:
+            self._log.line("slow_upstreams", now=",".join(sorted(slow)))
+        self._slow = slow
+
     def _look_at_silence(self, now_s: float) -> None:
         """Probes the upstreams of data centres that have just gone silent."""
         silent = self._peers.silent_data_centres(now_s)
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -292,6 +292,86 @@
         return not (self == other)
 
 
+class UpstreamPace(object):
+    """
+    Attributes:
+     - upstream
+     - interval_us
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'interval_us',
+    )
+
+
+    def __init__(self, upstream=None, interval_us=None,):
+        self.upstream = upstream
+        self.interval_us = interval_us
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.interval_us = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamPace')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.interval_us is not None:
+            oprot.writeFieldBegin('interval_us', TType.I64, 2)
+            oprot.writeI64(self.interval_us)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SuspectRecord(object):
     """
     Attributes:
@@ -410,6 +490,7 @@
      - suspects
      - contacts
      - demands
+     - paces
 
     """
 
@@ -425,10 +506,11 @@
         'suspects',
         'contacts',
         'demands',
+        'paces',
     )
 
 
-    def __init__(self, host=None, incarnation=None, sequence=None, address=None, data_centre=None, table_version=None, is_stopping=None, uses=None, suspects=None, contacts=None, demands=None,):
+    def __init__(self, host=None, incarnation=None, sequence=None, address=None, data_centre=None, table_version=None, is_stopping=None, uses=None, suspects=None, contacts=None, demands=None, paces=None,):
         self.host = host
         self.incarnation = incarnation
         self.sequence = sequence
@@ -440,6 +522,7 @@
         self.suspects = suspects
         self.contacts = contacts
         self.demands = demands
+        self.paces = paces
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -530,6 +613,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.paces = []
+                    (_etype27, _size24) = iprot.readListBegin()
+                    for _i28 in range(_size24):
+                        _elem29 = UpstreamPace()
+                        _elem29.read(iprot)
+                        self.paces.append(_elem29)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -571,29 +665,36 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter24 in self.uses:
-                iter24.write(oprot)
+            for iter30 in self.uses:
+                iter30.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter25 in self.suspects:
-                iter25.write(oprot)
+            for iter31 in self.suspects:
+                iter31.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.contacts is not None:
             oprot.writeFieldBegin('contacts', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.contacts))
-            for iter26 in self.contacts:
-                iter26.write(oprot)
+            for iter32 in self.contacts:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter27 in self.demands:
-                iter27.write(oprot)
+            for iter33 in self.demands:
+                iter33.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.paces is not None:
+            oprot.writeFieldBegin('paces', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.paces))
+            for iter34 in self.paces:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -640,6 +741,12 @@
     (2, TType.I64, 'loose_tokens_s', None, None, ),  # 2
     (3, TType.I64, 'tight_tokens_s', None, None, ),  # 3
 )
+all_structs.append(UpstreamPace)
+UpstreamPace.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'interval_us', None, None, ),  # 2
+)
 all_structs.append(SuspectRecord)
 SuspectRecord.thrift_spec = (
     None,  # 0
@@ -662,6 +769,7 @@
     (9, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 9
     (10, TType.LIST, 'contacts', (TType.STRUCT, [Address, None], False), None, ),  # 10
     (11, TType.LIST, 'demands', (TType.STRUCT, [LaneDemand, None], False), None, ),  # 11
+    (12, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -48,7 +48,12 @@
     Probe,
     ProbeAck,
 )
-from hollyknot_state._host_report import HostReport, LaneDemand, UpstreamUse
+from hollyknot_state._host_report import (
+    HostReport,
+    LaneDemand,
+    UpstreamPace,
+    UpstreamUse,
+)
 from hollyknot_state._hosts import EntryState, HostList, HostListEntry, Role
 from hollyknot_state._parse import (
     MAX_DECLARATIONS_BYTES,
@@ -105,6 +110,7 @@
     "HostList",
     "HostReport",
     "LaneDemand",
+    "UpstreamPace",
     "UpstreamUse",
     "HostListEntry",
     "IndirectProbe",
--- a/packages/state/src/hollyknot_state/_host_report.py
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -42,6 +42,20 @@
     tight_tokens_s: int
 
 
+@attrs.frozen
+class UpstreamPace:
+    """How fast an upstream is, as a host has seen it.
+
+    Attributes:
+        upstream: Its incarnation.
+        interval_us: The usual time between two events of a stream while
+            little else is at work there, in microseconds.
+    """
+
+    upstream: str
+    interval_us: int
+
+
 @attrs.frozen
 class HostReport:
     """One report.
@@ -56,6 +70,7 @@
         is_stopping: Whether it is about to end.
         uses: Its work in flight; upstreams without any are left out.
         demands: Prompt tokens that it sends.
+        paces: How fast upstreams are.
         suspects: Evidence against requests that may crash upstreams.
         contacts: Some addresses of peers that it has heard of lately.
     """
@@ -69,5 +84,6 @@
     is_stopping: bool
     uses: tuple[UpstreamUse, ...] = ()
     demands: tuple[LaneDemand, ...] = ()
+    paces: tuple[UpstreamPace, ...] = ()
     suspects: tuple[SuspectRecord, ...] = ()
     contacts: tuple[Address, ...] = ()
