Spread sessions by a real hash; test the decisions

Cause: a new test found 50 sessions on two of three upstreams: the home of a session was the highest checksum of its name and the upstream's, and a checksum is linear, so that the order of two upstreams hangs on one bit of the name. Change: a cryptographic hash.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_cached_parts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_cached_parts.py
@@ -5,7 +5,7 @@
 likely to have them; and a host remembers where it sent what itself.
 """
 
-import zlib
+import hashlib
 from collections import OrderedDict
 from collections.abc import Sequence
 
@@ -77,5 +77,11 @@
     return names
 
 
-def _weight(name: str, incarnation: str) -> int:
-    return zlib.crc32(f"{name}|{incarnation}".encode())
+def _weight(name: str, incarnation: str) -> bytes:
+    """Returns a hash whose order for two upstreams depends on all of the name.
+
+    A checksum would not do: it is linear, so that the order of two upstreams
+    hangs on one bit of the name, and of three upstreams one may never be first.
+    """
+    text = f"{name}|{incarnation}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/_builders.py
@@ -0,0 +1,111 @@
+"""Builds the values that the tests of this package need, with few words."""
+
+from hollyknot_state import Address, HostReport
+from hollyknot_state.routes import (
+    CallTraits,
+    Engine,
+    KeyOwner,
+    PromptPart,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    Share,
+    UpstreamEntry,
+)
+
+ENGINES = Service("engines", 100, Engine(slots=8, cache_tokens=100_000))
+PLAIN = Service("plain", 100)
+
+
+def upstream(
+    name: str,
+    service: str = "engines",
+    port: int = 0,
+    *,
+    is_draining: bool = False,
+    data_centre: str = "north",
+) -> UpstreamEntry:
+    """Returns an entry whose address follows from its name."""
+    return UpstreamEntry(
+        incarnation=name,
+        service=service,
+        address=Address("127.0.0.1", port or 1000 + sum(name.encode())),
+        data_centre=data_centre,
+        slots=8,
+        is_draining=is_draining,
+    )
+
+
+def route(
+    name: str = "r",
+    prefix: str = "/a/",
+    host: str = "h.example",
+    kind: RouteKind = RouteKind.STREAM,
+    priority: int = 0,
+    gap_s: float = 0.2,
+    attempts: int = 1,
+    *,
+    may_resume: bool = False,
+) -> Route:
+    """Returns a route to the engines."""
+    return Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        kind=kind,
+        shares=(Share("engines", 1),),
+        timeout_s=5.0,
+        target_s=0.3,
+        gap_target_s=gap_s,
+        priority=priority,
+        max_attempts=attempts,
+        may_resume=may_resume,
+    )
+
+
+def table(*routes: Route, **owners: int | None) -> RouteTable:
+    """Returns a table; owners are given as key=priority."""
+    return RouteTable(
+        version=1,
+        routes=routes,
+        services={"engines": ENGINES},
+        owners_by_key={
+            key: KeyOwner(f"customer-{key}", priority)
+            for key, priority in owners.items()
+        },
+    )
+
+
+def call(*parts: tuple[str, int]) -> CallTraits:
+    """Returns a request whose prompt has these parts."""
+    return CallTraits(
+        attempt_id="a1",
+        prompt=tuple(PromptPart(name, tokens) for name, tokens in parts),
+        prompt_tokens=sum(tokens for _, tokens in parts),
+    )
+
+
+def report(
+    host: str,
+    sequence: int = 1,
+    incarnation: int = 1,
+    data_centre: str = "north",
+    contacts: tuple[Address, ...] = (),
+) -> HostReport:
+    """Returns a report without work in flight."""
+    return HostReport(
+        host=host,
+        incarnation=incarnation,
+        sequence=sequence,
+        address=address_of(host),
+        data_centre=data_centre,
+        table_version=1,
+        is_stopping=False,
+        contacts=contacts,
+    )
+
+
+def address_of(host: str) -> Address:
+    """Returns where a host of this name takes reports."""
+    return Address("127.0.0.1", 2000 + sum(host.encode()))
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_fleet.py
@@ -0,0 +1,83 @@
+"""Tests of which upstreams may get work."""
+
+from hollyknot_coordination.forwarding import Fleet
+from hollyknot_coordination.forwarding.tests._builders import upstream
+
+LAPSE_S = 1.7
+
+
+def _names(fleet: Fleet, now_s: float = 0.0) -> list[str]:
+    return [e.incarnation for e in fleet.usable("engines", now_s)]
+
+
+class TestFleet:
+    """Entries that come, drain, lapse and go."""
+
+    def test_order_is_the_same_whatever_order_entries_came_in(self) -> None:
+        one, other = Fleet(LAPSE_S), Fleet(LAPSE_S)
+        for name in ("b", "a", "c"):
+            one.put(upstream(name))
+        for name in ("c", "b", "a"):
+            other.put(upstream(name))
+        assert _names(one) == _names(other) == ["a", "b", "c"]
+
+    def test_a_draining_upstream_gets_no_work(self) -> None:
+        fleet = Fleet(LAPSE_S)
+        fleet.put(upstream("a"))
+        assert fleet.put(upstream("a", is_draining=True))
+        assert _names(fleet) == []
+        assert not fleet.is_usable("a", 0.0)
+
+    def test_renewing_an_entry_changes_nothing(self) -> None:
+        fleet = Fleet(LAPSE_S)
+        assert fleet.put(upstream("a"))
+        assert not fleet.put(upstream("a"))
+
+    def test_a_removed_upstream_gets_no_work_at_once(self) -> None:
+        fleet = Fleet(LAPSE_S)
+        fleet.put(upstream("a"))
+        assert fleet.remove("a", 0.0, may_have_lapsed=False)
+        assert _names(fleet) == []
+
+    def test_entries_that_lapse_with_the_directory_keep_their_work(
+        self,
+    ) -> None:
+        """All requests are refused just after the directory has come back.
+
+        Sequence: the directory is down for longer than entries live; on its
+        return all are gone, and come back within two seconds. Cause: an entry
+        that is gone was taken for an upstream that is gone.
+        """
+        fleet = Fleet(LAPSE_S)
+        fleet.put(upstream("a"))
+        fleet.put(upstream("b"))
+        fleet.replace([], 10.0, may_have_lapsed=True)
+        assert _names(fleet, 10.1) == ["a", "b"]
+        fleet.put(upstream("a"))
+        assert _names(fleet, 10.0 + LAPSE_S) == ["a"]
+        assert _names(fleet, 99.0) == ["a"]
+
+    def test_a_draining_entry_that_is_gone_did_not_lapse(self) -> None:
+        fleet = Fleet(LAPSE_S)
+        fleet.put(upstream("a", is_draining=True))
+        fleet.remove("a", 0.0, may_have_lapsed=True)
+        assert "a" not in fleet
+
+    def test_an_address_that_is_given_to_another_ends_the_first(self) -> None:
+        """A request of one service runs at another.
+
+        Sequence: an upstream crashes, its address is given to an upstream of
+        another service, its own entry has not lapsed yet. Cause: two entries
+        with one address were both believed.
+        """
+        fleet = Fleet(LAPSE_S)
+        fleet.put(upstream("a", port=7))
+        fleet.put(upstream("b", service="plain", port=7))
+        assert _names(fleet) == []
+
+    def test_another_incarnation_at_the_address_ends_it_for_good(self) -> None:
+        fleet = Fleet(LAPSE_S)
+        fleet.put(upstream("a"))
+        fleet.mark_gone("a")
+        fleet.put(upstream("a"))
+        assert _names(fleet) == []
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_lanes.py
@@ -0,0 +1,55 @@
+"""Tests of dividing a service's upstreams."""
+
+from hollyknot_coordination.forwarding import Demand, Lanes
+from hollyknot_coordination.forwarding.tests._builders import upstream
+from hollyknot_state import LaneDemand
+
+POOL = [upstream(name) for name in ("a", "b", "c", "d", "e", "f")]
+
+
+def _sizes(lanes: Lanes, now_s: float, count: int = 6) -> tuple[int, int]:
+    pool = POOL[:count]
+    loose = lanes.of("engines", pool, now_s, is_loose=True)
+    tight = lanes.of("engines", pool, now_s, is_loose=False)
+    return len(loose), len(tight)
+
+
+class TestLanes:
+    """As many upstreams as the demand asks for."""
+
+    def test_follow_the_demand_of_all_hosts(self) -> None:
+        demand = Demand()
+        lanes = Lanes(demand)
+        assert _sizes(lanes, 0.0) == (3, 3)
+        demand.take([LaneDemand("engines", 90_000, 9_000)])
+        assert _sizes(lanes, 0.0) == (5, 1)
+
+    def test_each_lane_keeps_one(self) -> None:
+        demand = Demand()
+        demand.take([LaneDemand("engines", 90_000, 0)])
+        assert _sizes(Lanes(demand), 0.0, count=2) == (1, 1)
+
+    def test_one_upstream_serves_both(self) -> None:
+        assert _sizes(Lanes(Demand()), 0.0, count=1) == (1, 1)
+
+    def test_small_changes_move_nothing(self) -> None:
+        demand = Demand()
+        lanes = Lanes(demand)
+        demand.take([LaneDemand("engines", 50_000, 30_000)])
+        before = _sizes(lanes, 0.0)
+        demand.take([LaneDemand("engines", 55_000, 30_000)])
+        assert _sizes(lanes, 0.0) == before
+
+    def test_hosts_that_hear_each_other_agree(self) -> None:
+        demands = [Demand() for _ in range(4)]
+        for index, demand in enumerate(demands):
+            for step in range(20):
+                demand.add("engines", 900 * (index + 1), step, is_loose=True)
+                demand.add("engines", 700, step, is_loose=False)
+        told = [demand.told(20.0) for demand in demands]
+        shares = []
+        for index, demand in enumerate(demands):
+            others = [t for i, t in enumerate(told) if i != index]
+            demand.take(d for report in others for d in report)
+            shares.append(round(demand.share_of_loose("engines", 20.0), 2))
+        assert len(set(shares)) == 1
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_placement.py
@@ -0,0 +1,149 @@
+"""Tests of choosing an upstream."""
+
+import random
+
+from hollyknot_coordination.forwarding import (
+    Choice,
+    Demand,
+    Loads,
+    NoPlace,
+    Paces,
+    Placement,
+)
+from hollyknot_coordination.forwarding.tests._builders import (
+    ENGINES,
+    PLAIN,
+    call,
+    upstream,
+)
+from hollyknot_state import UpstreamPace
+from hollyknot_state.routes import CallTraits
+
+POOL = [upstream(name) for name in ("a", "b", "c", "d", "e", "f")]
+
+
+class _Host:
+    """The placement of one host, with its parts."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.loads = Loads()
+        self.demand = Demand()
+        self.paces = Paces()
+        self.placement = Placement(
+            self.loads, self.demand, self.paces, "north", random.Random(seed)
+        )
+
+    def choose(
+        self, request: CallTraits, now_s: float = 0.0, *, is_loose: bool
+    ) -> Choice:
+        found = self.placement.choose(
+            ENGINES, POOL, request, frozenset(), now_s, is_loose=is_loose
+        )
+        assert isinstance(found, Choice)
+        return found
+
+    def send(
+        self, request: CallTraits, now_s: float = 0.0, *, is_loose: bool
+    ) -> str:
+        choice = self.choose(request, now_s, is_loose=is_loose)
+        self.placement.begin(choice, request, now_s, is_loose=is_loose)
+        return choice.entry.incarnation
+
+
+class TestEngines:
+    """Lanes, shared parts and loads."""
+
+    def test_hosts_send_a_session_to_the_same_upstream(self) -> None:
+        chosen = {
+            _Host(seed)
+            .choose(
+                call(("sys", 500), ("s1", 4000), (f"q{seed}", 50)),
+                is_loose=True,
+            )
+            .entry.incarnation
+            for seed in range(8)
+        }
+        assert len(chosen) == 1
+
+    def test_sessions_are_spread(self) -> None:
+        """An upstream of a lane gets no session at all.
+
+        Sequence: three upstreams share a lane; each session's home is the one
+        with the highest hash. Cause: the hash was a checksum, whose order for
+        two upstreams hangs on one bit of the session's name.
+        """
+        host = _Host()
+        chosen = {
+            host.choose(
+                call((f"s{i}", 4000), ("q", 50)), is_loose=True
+            ).entry.incarnation
+            for i in range(50)
+        }
+        assert len(chosen) == 3
+
+    def test_loose_and_tight_streams_share_no_upstream(self) -> None:
+        host = _Host()
+        loose, tight = set(), set()
+        for i in range(100):
+            prompt = call((f"s{i}", 2000), ("q", 2000))
+            long_one = host.choose(prompt, i * 0.2, is_loose=True)
+            short = call((f"t{i}", 100), ("q", 1100))
+            short_one = host.choose(short, i * 0.2, is_loose=False)
+            host.demand.add("engines", 4000, i * 0.2, is_loose=True)
+            host.demand.add("engines", 1200, i * 0.2, is_loose=False)
+            # Until then the lanes follow the demand that is being learnt.
+            if i >= 50:
+                loose.add(long_one.entry.incarnation)
+                tight.add(short_one.entry.incarnation)
+        assert loose.isdisjoint(tight)
+
+    def test_a_busy_home_is_left_only_for_much_waiting_work(self) -> None:
+        host = _Host()
+        prompt = call(("sys", 500), ("s1", 4000), ("q", 50))
+        home = host.choose(prompt, is_loose=True).entry.incarnation
+        host.loads.begin(home, 20_000)
+        assert host.choose(prompt, is_loose=True).entry.incarnation == home
+        host.loads.begin(home, 60_000)
+        assert host.choose(prompt, is_loose=True).entry.incarnation != home
+
+    def test_a_slow_upstream_goes_to_the_loose_streams(self) -> None:
+        host = _Host()
+        host.paces.take(
+            [UpstreamPace(e.incarnation, 12000) for e in POOL[:-1]]
+            + [UpstreamPace("f", 15600)]
+        )
+        tight = {
+            host.choose(
+                call((f"t{i}", 100), ("q", 50)), is_loose=False
+            ).entry.incarnation
+            for i in range(50)
+        }
+        assert "f" not in tight
+
+    def test_an_excluded_upstream_is_not_chosen(self) -> None:
+        host = _Host()
+        everywhere = frozenset(e.incarnation for e in POOL)
+        found = host.placement.choose(
+            ENGINES, POOL, call(("q", 9)), everywhere, 0.0, is_loose=True
+        )
+        assert found is NoPlace.NONE_KNOWN
+
+
+class TestPlainServices:
+    """The least busy, near ones first."""
+
+    def test_prefers_the_least_busy_then_the_near(self) -> None:
+        host = _Host()
+        near = upstream("near", "plain")
+        far = upstream("far", "plain", data_centre="south")
+        found = host.placement.choose(
+            PLAIN, [far, near], call(), frozenset(), 0.0, is_loose=True
+        )
+        assert isinstance(found, Choice)
+        assert found.entry is near
+        host.placement.begin(found, call(), 0.0, is_loose=True)
+        other = host.placement.choose(
+            PLAIN, [far, near], call(), frozenset(), 0.0, is_loose=True
+        )
+        assert isinstance(other, Choice)
+        assert other.entry is far
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_route_index.py
@@ -0,0 +1,123 @@
+"""Tests of finding routes, owners and urgency."""
+
+import pytest
+
+from hollyknot_coordination.forwarding import NoOwner, NoRoute, RouteIndex
+from hollyknot_coordination.forwarding.tests._builders import route, table
+from hollyknot_state.routes import KeyOwner, RouteKind
+
+
+class TestFind:
+    """By host, then by the longest prefix."""
+
+    @pytest.mark.parametrize(
+        ("host", "path", "name"),
+        [
+            ("h.example", "/a/", "short"),
+            ("h.example", "/a/x", "short"),
+            ("h.example", "/a/b/", "long"),
+            ("h.example", "/a/b/c?d=/a/", "long"),
+            ("H.Example:8080", "/a/b/c", "long"),
+            ("other.example", "/a/b/c", "other"),
+        ],
+    )
+    def test_longest_prefix_of_the_host(
+        self, host: str, path: str, name: str
+    ) -> None:
+        index = RouteIndex(
+            table(
+                route("short", "/a/"),
+                route("long", "/a/b/"),
+                route("other", "/", "other.example"),
+            )
+        )
+        found = index.find(host, path)
+        assert not isinstance(found, NoRoute)
+        assert found.name == name
+
+    @pytest.mark.parametrize("path", ["/a", "/", "/b/a/", "", "/a?/a/"])
+    def test_no_prefix(self, path: str) -> None:
+        index = RouteIndex(table(route("short", "/a/")))
+        assert index.find("h.example", path) is NoRoute.UNKNOWN
+
+    def test_many_slashes_cost_no_more_than_the_longest_prefix(self) -> None:
+        index = RouteIndex(table(route("short", "/a/")))
+        assert index.find("h.example", "/" * 100_000) is NoRoute.UNKNOWN
+
+
+class TestOwner:
+    """Who holds a key."""
+
+    def test_known_unknown_and_not_needed(self) -> None:
+        index = RouteIndex(table(route(), k1=None))
+        found = index.find("h.example", "/a/")
+        assert not isinstance(found, NoRoute)
+        assert index.owner(found, "k1") == KeyOwner("customer-k1", None)
+        assert index.owner(found, "k2") is NoOwner.UNKNOWN
+        open_index = RouteIndex(table(route()))
+        assert open_index.owner(found, "") is NoOwner.NOT_NEEDED
+
+
+class TestUrgency:
+    """The same figure at all hosts."""
+
+    def test_route_first_then_customer(self) -> None:
+        """Questions are dropped from an engine while reviews run on.
+
+        Sequence: memory runs out at an engine; all customers but one have the
+        same priority. Cause: urgency by the customer alone, or by the customer
+        first, ranks reviews of one before questions of the others.
+        """
+        question, review = route("q", "/q/"), route("r", "/r/", priority=2)
+        index = RouteIndex(table(question, review, first=0, usual=1))
+        first, usual = KeyOwner("f", 0), KeyOwner("u", 1)
+        ranks = [
+            index.urgency(question, first),
+            index.urgency(question, usual),
+            index.urgency(review, first),
+            index.urgency(review, usual),
+        ]
+        assert ranks == sorted(set(ranks))
+
+    def test_does_not_follow_from_which_priorities_are_in_use(self) -> None:
+        """Running requests have numbers of another scale than new ones.
+
+        Sequence: the only key of a customer of priority 0 is revoked. Cause:
+        urgencies were numbered by the priorities that the table had.
+        """
+        usual = KeyOwner("u", 1)
+        before = RouteIndex(table(route(), first=0, usual=1))
+        after = RouteIndex(table(route(), usual=1))
+        assert before.urgency(route(), usual) == after.urgency(route(), usual)
+
+    def test_routes_alone_where_no_customer_has_a_priority(self) -> None:
+        index = RouteIndex(table(route(priority=4), k1=None))
+        owner = KeyOwner("customer-k1", None)
+        assert index.urgency(route(priority=4), owner) == 4
+
+
+class TestLooseStreams:
+    """Which routes bear long pauses."""
+
+    def test_splits_at_the_widest_gap(self) -> None:
+        routes = [
+            route("a", "/a/", gap_s=0.2),
+            route("b", "/b/", gap_s=0.3),
+            route("c", "/c/", gap_s=0.8),
+        ]
+        index = RouteIndex(table(*routes))
+        assert [index.is_loose(r, "engines") for r in routes] == [
+            False,
+            False,
+            True,
+        ]
+
+    def test_routes_that_are_alike_share_one_lane(self) -> None:
+        routes = [route("a", "/a/", gap_s=0.2), route("b", "/b/", gap_s=0.3)]
+        index = RouteIndex(table(*routes))
+        assert not any(index.is_loose(r, "engines") for r in routes)
+
+    def test_a_route_without_a_pause_target_is_loose(self) -> None:
+        plain = route("p", "/p/", kind=RouteKind.IDEMPOTENT, gap_s=0.0)
+        index = RouteIndex(table(plain, route("a", "/a/")))
+        assert index.is_loose(plain, "engines")
