Serve counters and latency histograms on the metrics address

Cause: on-call engineers have logs and metrics only; a host by routes had none. Ruled out: the library's counters on the way of each request (a JSON key a count); importing it at the start (a host that nobody scrapes keeps the memory). Change: plain counts, rendered by the library at a scrape; requests and tries by reason, first event, longest pause, whole answer, added time, and gauges.

--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -30,6 +30,7 @@
     Refuse,
     SuspectRegister,
 )
+from hollyknot_gateway import _metrics as metrics
 from hollyknot_gateway._caller_connection import CallerRequest, Reply
 from hollyknot_gateway._exchange import Exchange, Result, StreamState
 from hollyknot_gateway._headers import CONTENT_LENGTH, end_to_end, write_head
@@ -60,6 +61,10 @@
 _UNAUTHORISED = 401
 _UNAVAILABLE = 503
 _TIMEOUT = 504
+_OK = 200
+_CUT = 0
+"""Counted as the status of an answer that was broken off."""
+
 _BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 _CALLER_GONE = Verdict(Outcome.MAY_HAVE_RUN, Reason.CALLER_GONE)
 
@@ -124,6 +129,7 @@
         budget: Bounds retries.
         pool: Connections to upstreams.
         log: Takes a line for each decision.
+        metrics: Counts ends and times.
         rng: Spreads times to come back and the shares of a split.
         clock: The loop's monotonic clock, in seconds.
     """
@@ -142,6 +148,7 @@
     budget: RetryBudget
     pool: Pool
     log: Log
+    metrics: metrics.Metrics
     rng: random.Random
     clock: Callable[[], float]
 
@@ -159,13 +166,18 @@
         call = self._parts.dialect.read_call(request.fields)
         job = self._admit(request, reply, call)
         if isinstance(job, GiveUp):
-            self._refuse(reply, call, job)
+            self._refuse(reply, call, job, "")
             return
         try:
             async with asyncio.timeout_at(job.deadline_s):
                 await self._run(job)
         except TimeoutError:
             self._time_out(job)
+        self._observe(job)
+
+    def _observe(self, job: Job) -> None:
+        took_s = self._parts.clock() - job.request.arrived_s
+        self._parts.metrics.observe(metrics.WHOLE, took_s, route=job.route.name)
 
     def _admit(
         self, request: CallerRequest, reply: Reply, call: CallTraits
@@ -220,6 +232,7 @@
                 result = await self._try(job, choice)
                 self._note(job, choice, result)
                 if self._is_answered(job, result):
+                    self._count(job.route.name, result.verdict, _OK)
                     return
             step = next_step(job.route, result.verdict, self._state(job))
             if isinstance(step, GiveUp):
@@ -332,6 +345,10 @@
             ),
         )
         data = self._request_bytes(job, entry)
+        if not job.sent:
+            parts.metrics.observe(
+                metrics.ADDED, parts.clock() - job.request.arrived_s
+            )
         job.sent += 1
         parts.suspects.on_dispatch(job.fingerprint, entry.incarnation)
         # From here on the request may run, whatever happens to this task.
@@ -422,6 +439,7 @@
         if result.is_other_upstream:
             self._parts.in_force.fleet.mark_gone(entry.incarnation)
             self._parts.pool.drop(entry.incarnation)
+        self._observe_try(job, result)
         self._parts.log.line(
             "try",
             request=job.call.attempt_id,
@@ -440,6 +458,24 @@
             loose=job.is_loose,
         )
 
+    def _observe_try(self, job: Job, result: Result) -> None:
+        parts = self._parts
+        verdict = result.verdict
+        parts.metrics.count(
+            metrics.TRIES,
+            service=job.service.name,
+            outcome=verdict.outcome.value,
+            reason=verdict.reason.value,
+        )
+        if result.first_s:
+            parts.metrics.observe(
+                metrics.FIRST, result.first_s, route=job.route.name
+            )
+        if result.gap_s:
+            parts.metrics.observe(
+                metrics.GAP, result.gap_s, route=job.route.name
+            )
+
     def _note_health(self, entry: UpstreamEntry, verdict: Verdict) -> None:
         parts = self._parts
         if verdict.reason in (Reason.CONNECT_FAILED, Reason.NO_UPSTREAM):
@@ -468,15 +504,19 @@
     def _give_up(self, job: Job, result: Result, step: GiveUp) -> None:
         if job.reply.has_begun:
             job.reply.cut()
+            self._count(job.route.name, step.verdict, _CUT)
         elif result.answer is not None:
             answer = result.answer
             job.reply.whole(answer.status, answer.headers, answer.body)
+            self._count(job.route.name, result.verdict, answer.status)
         else:
-            self._refuse(job.reply, job.call, step)
+            self._refuse(job.reply, job.call, step, job.route.name)
 
     def _time_out(self, job: Job) -> None:
         if job.reply.has_begun:
             job.reply.cut()
+            verdict = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT)
+            self._count(job.route.name, verdict, _CUT)
             return
         late = "the time that the route or the caller gives is over"
         if job.may_have_run:
@@ -486,9 +526,21 @@
         else:
             verdict = Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM, late)
         status = _TIMEOUT if job.may_have_run else _UNAVAILABLE
-        self._refuse(job.reply, job.call, GiveUp(status, verdict))
+        self._refuse(
+            job.reply, job.call, GiveUp(status, verdict), job.route.name
+        )
 
-    def _refuse(self, reply: Reply, call: CallTraits, step: GiveUp) -> None:
+    def _count(self, route: str, verdict: Verdict, status: int) -> None:
+        self._parts.metrics.count(
+            metrics.REQUESTS,
+            route=route,
+            status=str(status),
+            reason=verdict.reason.value,
+        )
+
+    def _refuse(
+        self, reply: Reply, call: CallTraits, step: GiveUp, route: str
+    ) -> None:
         verdict = step.verdict
         headers = [(b"Content-Type", b"text/plain")]
         if call.attempt_id:
@@ -498,9 +550,11 @@
             after_s = RETRY_AFTER_S * self._parts.rng.uniform(0.5, 1.5)
             headers.append((b"Retry-After", b"%.2f" % after_s))
         reply.whole(step.status, headers, verdict.reason.value.encode() + b"\n")
+        self._count(route, verdict, step.status)
         self._parts.log.line(
             "refused",
             request=call.attempt_id,
+            route=route,
             status=step.status,
             outcome=verdict.outcome.value,
             reason=verdict.reason.value,
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -30,6 +30,7 @@
 from hollyknot_gateway._in_force import InForce
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._losses import Losses
+from hollyknot_gateway._metrics import Metrics
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._ports import Changes, Dialect, Listing, Source
 from hollyknot_gateway._prober import Prober
@@ -112,6 +113,7 @@
         self._log = Log(settings.host, settings.data_centre, 1)
         self._pool = Pool(clock)
         self._in_force = InForce(Fleet(LAPSE_S))
+        self._metrics = Metrics()
         self._budget = RetryBudget(settings.bounds)
         self._loads = Loads()
         self._demand = Demand()
@@ -153,13 +155,16 @@
                 budget=self._budget,
                 pool=self._pool,
                 log=self._log,
+                metrics=self._metrics,
                 rng=rng,
                 clock=clock,
             )
         )
         self._callers = CallerServer(flow.handle, self._limits)
         self._readiness = CallerServer(self._answer_readiness, CallerLimits)
+        self._scrapes = CallerServer(self._answer_scrape, CallerLimits)
         self._ports = ports
+        self._add_gauges()
         self._is_stopping = False
         self._silent: frozenset[str] = frozenset()
         self._slow: frozenset[str] = frozenset()
@@ -198,6 +203,9 @@
         ):
             await server.start(address)
             stack.callback(server.close)
+        if self._settings.metrics is not None:
+            await self._scrapes.start(self._settings.metrics)
+            stack.callback(self._scrapes.close)
         await self._socket.open(self._settings.peers)
         stack.callback(self._socket.close)
         for follower in (self._follow_tables(), self._follow_upstreams()):
@@ -250,6 +258,30 @@
         status = 200 if self.is_ready else 503
         reply.whole(status, (), b"")
 
+    async def _answer_scrape(self, _: CallerRequest, reply: Reply) -> None:
+        kind = (b"Content-Type", b"text/plain; version=0.0.4")
+        reply.whole(200, (kind,), self._metrics.render())
+
+    def _add_gauges(self) -> None:
+        gauge = self._metrics.gauge
+        gauge("hollyknot_ready", lambda: float(self.is_ready))
+        gauge("hollyknot_routes_version", lambda: float(self.table_version))
+        gauge("hollyknot_upstreams_usable", lambda: float(len(self.upstreams)))
+        gauge("hollyknot_peers_heard", lambda: float(self._peers.count))
+        gauge(
+            "hollyknot_requests_in_work", lambda: float(self._callers.in_work)
+        )
+        gauge(
+            "hollyknot_caller_connections",
+            lambda: float(self._callers.connections),
+        )
+        gauge(
+            "hollyknot_upstream_connections_opened",
+            lambda: float(self._pool.opened),
+        )
+        gauge("hollyknot_log_lines_waiting", lambda: float(self._log.waiting))
+        gauge("hollyknot_log_lines_dropped", lambda: float(self._log.dropped))
+
     def _options(self, pause_s: float) -> FollowOptions:
         return FollowOptions(
             wait_s=WATCH_S,
--- a/packages/gateway/src/hollyknot_gateway/_log.py
+++ b/packages/gateway/src/hollyknot_gateway/_log.py
@@ -52,11 +52,17 @@
         self._second = 0
         self._in_second: Counter[str] = Counter()
         self._dropped: Counter[str] = Counter()
+        self._dropped_before = 0
 
     @property
     def dropped(self) -> int:
-        """Lines that were left out and not yet told of."""
-        return self._dropped.total()
+        """Lines that were left out so far."""
+        return self._dropped_before + self._dropped.total()
+
+    @property
+    def waiting(self) -> int:
+        """Lines that have not been written."""
+        return len(self._lines)
 
     def line(self, event: str, **values: object) -> None:
         """Adds a line, unless there are too many of its event."""
@@ -108,5 +114,6 @@
         if not self._dropped:
             return
         dropped, self._dropped = self._dropped, Counter()
+        self._dropped_before += dropped.total()
         for event, count in dropped.items():
             self._add("lines_dropped", {"of": event, "count": count})
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_metrics.py
@@ -0,0 +1,118 @@
+"""Counters and latency histograms of a host, in the Prometheus text format.
+
+Names have base units, and `_total` for counters. Labels are bounded by routes,
+services and fixed words, never by customers or upstreams, so that a scrape does
+not grow with them.
+"""
+
+import bisect
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+import attrs
+
+BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
+"""Upper bounds: from what a host adds to the longest timeouts met so far."""
+
+_ADDED_BUCKETS_S = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1)
+
+Labels = tuple[tuple[str, str], ...]
+
+
+@attrs.define
+class _Histogram:
+    bounds: tuple[float, ...]
+    counts: list[int]
+    total: float = 0.0
+
+    def add(self, value: float) -> None:
+        self.counts[bisect.bisect_left(self.bounds, value)] += 1
+        self.total += value
+
+
+class Metrics:
+    """All metrics of one process; plain counts until they are asked for."""
+
+    def __init__(self) -> None:
+        """Starts at zero."""
+        self._counts: Counter[tuple[str, Labels]] = Counter()
+        self._histograms: dict[tuple[str, Labels], _Histogram] = {}
+        self._gauges: dict[str, Callable[[], float]] = {}
+
+    def count(self, name: str, **labels: str) -> None:
+        """Adds one to a counter."""
+        self._counts[name, tuple(labels.items())] += 1
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Adds a time to a histogram."""
+        key = (name, tuple(labels.items()))
+        histogram = self._histograms.get(key)
+        if histogram is None:
+            is_added = name == ADDED
+            bounds = _ADDED_BUCKETS_S if is_added else BUCKETS_S
+            histogram = _Histogram(bounds, [0] * (len(bounds) + 1))
+            self._histograms[key] = histogram
+        histogram.add(seconds)
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Adds a value that is read at each scrape."""
+        self._gauges[name] = read
+
+    def render(self) -> bytes:
+        """Returns all metrics as text.
+
+        The library is imported here: a host that nobody scrapes need not have
+        it in memory.
+        """
+        from aioprometheus.collectors import (  # noqa: PLC0415
+            Counter as CounterCollector,
+        )
+        from aioprometheus.collectors import (  # noqa: PLC0415
+            Gauge,
+            Registry,
+        )
+        from aioprometheus.renderer import render  # noqa: PLC0415
+
+        registry = Registry()
+        collectors: dict[str, CounterCollector] = {}
+        for (name, labels), value in self._values().items():
+            if name not in collectors:
+                collectors[name] = CounterCollector(name, _HELP.get(name, name))
+                registry.register(collectors[name])
+            collectors[name].set(dict(labels), value)
+        for name, read in self._gauges.items():
+            gauge = Gauge(name, _HELP.get(name, name))
+            registry.register(gauge)
+            gauge.set({}, read())
+        content, _ = render(registry, [])
+        return bytes(content)
+
+    def _values(self) -> Mapping[tuple[str, Labels], float]:
+        """Returns counters, and histograms as the counters they consist of."""
+        values: dict[tuple[str, Labels], float] = dict(self._counts)
+        for (name, labels), histogram in self._histograms.items():
+            below = 0
+            for bound, count in zip(
+                (*histogram.bounds, float("inf")),
+                histogram.counts,
+                strict=True,
+            ):
+                below += count
+                edge = "+Inf" if bound == float("inf") else f"{bound:g}"
+                values[f"{name}_bucket", (*labels, ("le", edge))] = below
+            values[f"{name}_count", labels] = below
+            values[f"{name}_sum", labels] = histogram.total
+        return values
+
+
+REQUESTS = "hollyknot_requests_total"
+TRIES = "hollyknot_tries_total"
+FIRST = "hollyknot_first_event_seconds"
+GAP = "hollyknot_longest_gap_seconds"
+WHOLE = "hollyknot_answer_seconds"
+ADDED = "hollyknot_added_seconds"
+
+_HELP = {
+    REQUESTS: "Requests by route, status and reason of their end.",
+    TRIES: "Tries at upstreams by service, outcome and reason.",
+}
