Spare requests that a cut refuses; notice suspensions, new settings, errors

A host noticed neither a suspension nor new settings, and errors of tasks went to standard error. Ruled out: judging at once (the cut shows 0.4 s later by its hosts' silence). Change: a refused connection is judged after 0.8 s, and is no crash if its data centre is silent or another upstream there is away; kept connections go after a suspension; settings are read again at SIGHUP and every 5 s; uncaught errors are a line.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_retry_budget.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_retry_budget.py
@@ -40,6 +40,10 @@
         self._spent: dict[str, _Spent] = {}
         self._hosts = 1
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Puts other shares in force from now on."""
+        self._bounds = bounds
+
     def set_hosts(self, hosts: int) -> None:
         """Tells among how many hosts the slack is divided."""
         self._hosts = max(1, hosts)
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -5,6 +5,7 @@
 import os
 import random
 import time
+import traceback
 from collections.abc import Callable, Coroutine
 from types import TracebackType
 from typing import Any, Self
@@ -58,6 +59,9 @@
 FLUSH_S = 0.1
 """Between two writes of log lines."""
 
+RELOAD_S = 5.0
+"""Between two looks at the settings file, which may change without a signal."""
+
 ROTATION_S = 3.0
 """How long a stopping host still takes new connections: the balancer asks once
 a second and takes a host out after two misses."""
@@ -69,10 +73,16 @@
 """How long an upstream keeps its work whose entry has gone while the directory
 was away: entries that only lapsed are back within two seconds."""
 
+STANDARD_OUTPUT = 1
+"""The descriptor that log lines go to."""
+
 NOTICE_PART = 0.4
 """Of the bound for leaving upstreams, the pause between two reads of them. The
 rest is for the read itself and for what is on its way."""
 
+SUSPENDED_S = 0.5
+"""Difference of the clocks from which a host counts as suspended."""
+
 WATCH_S = 2.0
 """How long one watch waits: a connection that fell silent hides a new version
 for no longer than this and the slack of a read."""
@@ -97,7 +107,11 @@
     """A host from its start to its end; an asynchronous context manager."""
 
     def __init__(
-        self, settings: GatewaySettings, ports: Ports, rng: random.Random
+        self,
+        settings: GatewaySettings,
+        ports: Ports,
+        rng: random.Random,
+        read_settings: Callable[[], GatewaySettings | str],
     ) -> None:
         """Wires the parts.
 
@@ -105,12 +119,14 @@
             settings: Of this process.
             ports: Of its platform.
             rng: For ties, splits and spread pauses.
+            read_settings: Reads the settings again, or says what is wrong.
         """
         clock = asyncio.get_running_loop().time
         self._settings = settings
+        self._read_settings = read_settings
         self._clock = clock
         self._rng = rng
-        self._log = Log(settings.host, settings.data_centre, 1)
+        self._log = Log(settings.host, settings.data_centre, STANDARD_OUTPUT)
         self._pool = Pool(clock)
         self._in_force = InForce(Fleet(LAPSE_S))
         self._metrics = Metrics()
@@ -150,7 +166,13 @@
                 health=self._health,
                 prober=self._prober,
                 suspects=self._suspects,
-                losses=Losses(self._suspects, self._prober, self._log, clock),
+                losses=Losses(
+                    self._suspects,
+                    self._prober,
+                    self._may_be_cut_off,
+                    self._log,
+                    clock,
+                ),
                 stalls=self._stalls,
                 budget=self._budget,
                 pool=self._pool,
@@ -166,6 +188,9 @@
         self._ports = ports
         self._add_gauges()
         self._is_stopping = False
+        self._suspended_s = (
+            time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+        )
         self._silent: frozenset[str] = frozenset()
         self._slow: frozenset[str] = frozenset()
         self._stack = contextlib.AsyncExitStack()
@@ -212,8 +237,10 @@
             self._spawn(follower.run())
         self._spawn(self._sweep())
         self._spawn(self._flush())
+        self._spawn(self._reload_now_and_then())
         self._spawn(self._report())
         self._spawn(self._reach())
+        asyncio.get_running_loop().set_exception_handler(self._on_error)
         self._log.line("start", pid=os.getpid())
         return self
 
@@ -227,6 +254,19 @@
         self._log.line("end", in_work=self._callers.in_work)
         await self._stack.__aexit__(kind, error, trace)
 
+    def _on_error(
+        self, _: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Logs what no task has caught."""
+        error = context.get("exception")
+        trace = traceback.format_exception(error) if error else []
+        self._log.line(
+            "internal_error",
+            message=context.get("message", ""),
+            error=repr(error),
+            trace="".join(trace[-2:]),
+        )
+
     async def stop(self) -> None:
         """Stops gracefully: requests in flight end first."""
         began_s = self._clock()
@@ -243,8 +283,31 @@
             await asyncio.sleep(SWEEP_S / 2)
 
     def reload(self) -> None:
-        """Notes that the settings may have changed."""
-        self._log.line("reload")
+        """Reads the settings again and puts in force what can change.
+
+        Addresses stay as they are until the next start: callers, peers and the
+        balancer know them. Settings that can't be read change nothing.
+        """
+        found = self._read_settings()
+        if isinstance(found, str):
+            self._log.line("reload_failed", reason=found)
+            return
+        if found == self._settings:
+            return
+        changed = [
+            field.name
+            for field in attrs.fields(GatewaySettings)
+            if getattr(found, field.name) != getattr(self._settings, field.name)
+        ]
+        self._settings = attrs.evolve(self._settings, bounds=found.bounds)
+        self._budget.set_bounds(found.bounds)
+        self._log.line("reload", changed=",".join(changed))
+
+    async def _reload_now_and_then(self) -> None:
+        """Notices settings that change without a signal."""
+        while True:
+            await asyncio.sleep(RELOAD_S)
+            self.reload()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
@@ -376,6 +439,7 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
+            self._look_at_clocks()
             self._stalls.sweep()
             self._callers.sweep(self._clock())
             self._readiness.sweep(self._clock())
@@ -448,6 +512,22 @@
             )
         self._silent = silent
 
+    def _may_be_cut_off(self, entry: UpstreamEntry) -> bool:
+        """Whether an upstream that refuses may only be behind a cut.
+
+        Two upstreams that crash within a second in one data centre are taken
+        for a cut too: their requests are spared, which costs one more crash.
+        """
+        if entry.data_centre in self._silent:
+            return True
+        others = [
+            other
+            for other in self._in_force.fleet.all_usable(self._clock())
+            if other.data_centre == entry.data_centre
+            and other.incarnation != entry.incarnation
+        ]
+        return bool(self._reachability.away(others))
+
     def _upstream_away(
         self, entry: UpstreamEntry, failure: ConnectFailure
     ) -> None:
@@ -466,6 +546,19 @@
             other for other in beside if other.incarnation not in known
         )
 
+    def _look_at_clocks(self) -> None:
+        """Drops kept connections if the host has been suspended.
+
+        The steady clock does not count a suspension, so that connections seem
+        to have been idle for a moment that their other ends gave up long ago.
+        """
+        suspended_s = time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+        gone_s = suspended_s - self._suspended_s
+        self._suspended_s = suspended_s
+        if gone_s > SUSPENDED_S:
+            self._log.line("suspended", seconds=round(gone_s, 2))
+            self._pool.close()
+
     async def _flush(self) -> None:
         while True:
             await asyncio.sleep(FLUSH_S)
--- a/packages/gateway/src/hollyknot_gateway/_log.py
+++ b/packages/gateway/src/hollyknot_gateway/_log.py
@@ -111,7 +111,9 @@
         self._lines.append(text.encode("utf-8", "replace"))
 
     def _tell_dropped(self) -> None:
-        if not self._dropped:
+        # Told later while the buffer is full: a reader that stopped would
+        # otherwise have it grow by a line a second.
+        if not self._dropped or len(self._lines) >= BUFFERED_LINES:
             return
         dropped, self._dropped = self._dropped, Counter()
         self._dropped_before += dropped.total()
--- a/packages/gateway/src/hollyknot_gateway/_losses.py
+++ b/packages/gateway/src/hollyknot_gateway/_losses.py
@@ -3,7 +3,9 @@
 A request that crashes each upstream that runs it comes again through any host.
 But most lost answers are no crashes: a reset on the way loses an answer too,
 and blaming its request would refuse an innocent. A crashed process refuses new
-connections; that tells the two apart.
+connections; that tells the two apart. In some cuts the network refuses them as
+well, for all that is behind the cut, so that the verdict waits until a cut
+would have shown.
 """
 
 import asyncio
@@ -20,6 +22,10 @@
 """From a loss to the probe: a process that crashes closes its connections one
 after the other, and its listening socket with them."""
 
+JUDGE_S = 0.8
+"""From a refused connection to the verdict: a data centre that was cut off has
+fallen silent by then, twice over."""
+
 _LOST = frozenset({Reason.UPSTREAM_LOST, Reason.TRUNCATED})
 _NO_CRASH = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT)
 _CRASH = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
@@ -32,6 +38,7 @@
         self,
         suspects: SuspectRegister,
         prober: Prober,
+        is_cut: Callable[[UpstreamEntry], bool],
         log: Log,
         clock: Callable[[], float],
     ) -> None:
@@ -40,11 +47,13 @@
         Args:
             suspects: Weighs the evidence.
             prober: Tells a crash by a refused connection.
+            is_cut: Whether an upstream may be behind a cut.
             log: Told of crashes.
             clock: The loop's monotonic clock, in seconds.
         """
         self._suspects = suspects
         self._prober = prober
+        self._is_cut = is_cut
         self._log = log
         self._clock = clock
         self._pending: dict[str, list[int]] = {}
@@ -66,11 +75,19 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def judged(self) -> None:
+        """Waits until all losses so far have been judged."""
+        while self._tasks:
+            await asyncio.gather(*self._tasks)
+
     async def _judge(self, entry: UpstreamEntry) -> None:
         await asyncio.sleep(SETTLE_S)
         found = await self._prober.check(entry)
-        lost = self._pending.pop(entry.incarnation)
         is_crash = found is ConnectFailure.REFUSED
+        if is_crash:
+            await asyncio.sleep(JUDGE_S)
+            is_crash = not self._is_cut(entry)
+        lost = self._pending.pop(entry.incarnation)
         if is_crash:
             self._log.line(
                 "crash", upstream=entry.incarnation, requests=len(lost)
--- a/packages/gateway/src/hollyknot_gateway/_run.py
+++ b/packages/gateway/src/hollyknot_gateway/_run.py
@@ -1,39 +1,53 @@
 """Runs a host as the process's main work, with its signals."""
 
 import asyncio
+import os
 import random
 import signal
 import sys
+from collections.abc import Callable
 
 import uvloop
 
-from hollyknot_gateway._host import Host, Ports
+from hollyknot_gateway._host import STANDARD_OUTPUT, Host, Ports
 from hollyknot_state.routes import GatewaySettings
 
 _BAD_START = 2
 
 
-def run(settings: GatewaySettings, ports: Ports) -> int:
+def run(
+    settings: GatewaySettings,
+    ports: Ports,
+    read_settings: Callable[[], GatewaySettings | str],
+) -> int:
     """Runs a host until it is stopped by SIGTERM or SIGINT.
 
     Args:
         settings: Of this process.
         ports: Of its platform.
+        read_settings: Reads the settings again, or says what is wrong.
 
     Returns:
         The exit code: 0 after a graceful stop.
     """
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(_run(settings, ports))
+        return runner.run(_run(settings, ports, read_settings))
 
 
-async def _run(settings: GatewaySettings, ports: Ports) -> int:
+async def _run(
+    settings: GatewaySettings,
+    ports: Ports,
+    read_settings: Callable[[], GatewaySettings | str],
+) -> int:
     loop = asyncio.get_running_loop()
+    # A pipe that nobody reads would else stop the process at a write.
+    os.set_blocking(STANDARD_OUTPUT, False)
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     try:
-        async with Host(settings, ports, random.Random()) as host:
+        rng = random.Random()
+        async with Host(settings, ports, rng, read_settings) as host:
             loop.add_signal_handler(signal.SIGHUP, host.reload)
             await stopped.wait()
             await host.stop()
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_log.py
@@ -0,0 +1,96 @@
+"""Tests of logs that are bounded and never block."""
+
+import os
+import re
+
+from hollyknot_gateway._log import BUFFERED_LINES, LINES_A_SECOND, Log
+
+
+class _Clock:
+    """A clock that tests set."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def _log() -> tuple[Log, int, int, _Clock]:
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    os.set_blocking(reading, False)
+    clock = _Clock()
+    return Log("h1", "north", writing, clock, clock), reading, writing, clock
+
+
+def _read(descriptor: int) -> list[str]:
+    data = b""
+    try:
+        while part := os.read(descriptor, 1 << 20):
+            data += part
+    except BlockingIOError:
+        pass
+    return data.decode().splitlines()
+
+
+class TestLog:
+    """Lines in, key=value text out."""
+
+    def test_a_line_an_event(self) -> None:
+        log, reading, _, _ = _log()
+        log.line("try", request="a1", detail="two words", left=1.5)
+        log.flush()
+        assert _read(reading) == [
+            'at=0.000 event=try request=a1 detail="two words" left=1.5'
+            " host=h1 data_centre=north"
+        ]
+
+    def test_a_line_break_in_a_value_starts_no_line(self) -> None:
+        log, reading, _, _ = _log()
+        log.line("try", request="a\nat=9 event=forged")
+        log.flush()
+        assert len(_read(reading)) == 1
+
+    def test_a_reader_that_stops_holds_nothing_up(self) -> None:
+        """All streams of a host stop.
+
+        Sequence: whoever reads the logs stops, the pipe fills. Cause: a write
+        that waits for room in the pipe, on the event loop.
+        """
+        log, reading, _, clock = _log()
+        for second in range(60):
+            clock.now_s = float(second)
+            for _ in range(LINES_A_SECOND):
+                log.line("try", text="x" * 200)
+            log.flush()
+        assert log.waiting <= BUFFERED_LINES
+        assert log.dropped > 0
+        _read(reading)
+        log.flush()
+        lines = _read(reading)
+        clock.now_s = 61.0
+        log.line("try")
+        for _ in range(99):
+            log.flush()
+            lines += _read(reading)
+        told = re.findall(r"event=lines_dropped of=try count=(\d+)", str(lines))
+        assert sum(map(int, told)) == log.dropped
+
+    def test_many_lines_of_one_event_leave_room_for_others(self) -> None:
+        log, reading, _, _ = _log()
+        for _ in range(LINES_A_SECOND * 3):
+            log.line("try")
+        log.line("crash")
+        log.flush()
+        events = [line.split()[1] for line in _read(reading)]
+        assert events.count("event=try") == LINES_A_SECOND
+        assert events.count("event=crash") == 1
+
+    def test_a_reader_that_is_gone_costs_nothing(self) -> None:
+        log, reading, writing, _ = _log()
+        os.close(reading)
+        log.line("try")
+        log.flush()
+        assert log.waiting == 0
+        os.close(writing)
