Split the flow and the host of the gateway into modules with one job

Cause: two files of 578 and 571 lines held the whole life of a request and of a host; a newcomer had to read all of one to change a part. Ruled out: splitting by size alone. Change: a job, its parts, its tries, its answers and the flow that joins them; a host, its directory and its neighbours.

--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_answers.py
@@ -0,0 +1,112 @@
+"""The one answer that a caller gets, whatever became of its request."""
+
+from hollyknot_coordination.forwarding import GiveUp
+from hollyknot_gateway import _metrics as metrics
+from hollyknot_gateway._caller_connection import Reply
+from hollyknot_gateway._exchange import Result
+from hollyknot_gateway._flow_parts import FlowParts
+from hollyknot_gateway._job import Job
+from hollyknot_state import Outcome, Reason, Verdict
+from hollyknot_state.routes import CallTraits
+
+RETRY_AFTER_S = 0.5
+"""When a refused caller is told to come back, on the mean: long enough for an
+upstream to be tried again, short against every time limit met so far."""
+
+NO_ROUTE = ""
+"""Stands for the route of a request that has none, in lines and counters."""
+
+_UNAVAILABLE = 503
+_TIMEOUT = 504
+_OK = 200
+_CUT = 0
+"""Counted as the status of an answer that was broken off."""
+
+_LATE = "the time that the route or the caller gives is over"
+
+
+class Answers:
+    """Writes answers, and a line and a count for each refusal."""
+
+    def __init__(self, parts: FlowParts) -> None:
+        """Wires the parts."""
+        self._parts = parts
+
+    def settle(self, job: Job, result: Result) -> bool:
+        """Answers the caller if a try has settled its request.
+
+        Returns:
+            Whether it has.
+        """
+        if job.reply.has_ended:
+            self._count(job.route.name, result.verdict, _OK)
+            return True
+        verdict = result.verdict
+        if not verdict.is_complete or result.answer is None:
+            return False
+        answer = result.answer
+        job.reply.whole(answer.status, answer.headers, answer.body)
+        self._count(job.route.name, verdict, answer.status)
+        return True
+
+    def give_up(self, job: Job, result: Result, step: GiveUp) -> None:
+        """Answers a request that no further try can help."""
+        if job.reply.has_begun:
+            job.reply.cut()
+            self._count(job.route.name, step.verdict, _CUT)
+        elif result.answer is not None:
+            answer = result.answer
+            job.reply.whole(answer.status, answer.headers, answer.body)
+            self._count(job.route.name, result.verdict, answer.status)
+        else:
+            self.refuse(job.reply, job.call, step, job.route.name)
+
+    def time_out(self, job: Job) -> None:
+        """Answers a request whose time is over."""
+        if job.reply.has_begun:
+            job.reply.cut()
+            verdict = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT)
+            self._count(job.route.name, verdict, _CUT)
+            return
+        if job.may_have_run:
+            verdict = Verdict(
+                Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT, _LATE
+            )
+        else:
+            verdict = Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM, _LATE)
+        status = _TIMEOUT if job.may_have_run else _UNAVAILABLE
+        self.refuse(
+            job.reply, job.call, GiveUp(status, verdict), job.route.name
+        )
+
+    def refuse(
+        self, reply: Reply, call: CallTraits, step: GiveUp, route: str
+    ) -> None:
+        """Answers a request with a status of the host's own."""
+        verdict = step.verdict
+        headers = [(b"Content-Type", b"text/plain")]
+        if call.attempt_id:
+            name = self._parts.dialect.attempt_header
+            headers.append((name, call.attempt_id.encode("latin-1")))
+        if step.status == _UNAVAILABLE:
+            after_s = RETRY_AFTER_S * self._parts.rng.uniform(0.5, 1.5)
+            headers.append((b"Retry-After", b"%.2f" % after_s))
+        reply.whole(step.status, headers, verdict.reason.value.encode() + b"\n")
+        self._count(route, verdict, step.status)
+        self._parts.log.line(
+            "refused",
+            request=call.attempt_id,
+            route=route,
+            status=step.status,
+            outcome=verdict.outcome.value,
+            reason=verdict.reason.value,
+            detail=verdict.detail,
+        )
+
+    def _count(self, route: str, verdict: Verdict, status: int) -> None:
+        self._parts.metrics.count(
+            metrics.REQUESTS,
+            route=route,
+            status=str(status),
+            reason=verdict.reason.value,
+        )
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -0,0 +1,169 @@
+"""Keeps a host's routes and upstreams as its platform lists them."""
+
+import random
+import time
+from collections.abc import Callable
+
+import attrs
+
+from hollyknot_gateway._follower import Follower, FollowOptions
+from hollyknot_gateway._in_force import InForce
+from hollyknot_gateway._log import Log
+from hollyknot_gateway._pool import Pool
+from hollyknot_gateway._ports import Changes, Listing, Source
+from hollyknot_state.routes import Bounds, RouteTable, UpstreamEntry
+
+LAPSE_S = 1.7
+"""How long an upstream keeps its work whose entry has gone while the directory
+was away: entries that only lapsed are back within two seconds."""
+
+NOTICE_PART = 0.4
+"""Of the bound for leaving upstreams, the pause between two reads of them. The
+rest is for the read itself and for what is on its way."""
+
+WATCH_S = 2.0
+"""How long one watch waits: a connection that fell silent hides a new version
+for no longer than this and the slack of a read."""
+
+
+@attrs.frozen
+class DirectoryParts:
+    """What the directory is made of.
+
+    Attributes:
+        tables: The source of route tables.
+        upstreams: The source of upstreams.
+        in_force: Where both are put in force.
+        pool: Connections, closed to upstreams that leave.
+        on_gone: Told of an incarnation that has left for good.
+        log: Told of what is believed.
+        rng: Spreads pauses.
+        clock: The loop's monotonic clock, in seconds.
+    """
+
+    tables: Source[RouteTable]
+    upstreams: Source[UpstreamEntry]
+    in_force: InForce
+    pool: Pool
+    on_gone: Callable[[str], None]
+    log: Log
+    rng: random.Random
+    clock: Callable[[], float]
+
+
+class Directory:
+    """Follows the platform's two collections."""
+
+    def __init__(self, parts: DirectoryParts, bounds: Bounds) -> None:
+        """Wires the parts.
+
+        Args:
+            parts: Sources and what they feed.
+            bounds: How soon changes have to be noticed.
+        """
+        self._parts = parts
+        self._bounds = bounds
+
+    async def follow_tables(self) -> None:
+        """Reads route tables until it is cancelled."""
+        parts = self._parts
+        follower = Follower(
+            parts.tables,
+            self._options(0.0),
+            lambda listing, _: self._take_tables(listing.items),
+            lambda changes, _: self._take_tables(changes.items),
+            parts.log,
+            parts.rng,
+            parts.clock,
+        )
+        await follower.run()
+
+    async def follow_upstreams(self) -> None:
+        """Reads upstreams until it is cancelled."""
+        parts = self._parts
+        follower = Follower(
+            parts.upstreams,
+            # Entries are renewed all the time, so that a watch ends at once:
+            # without a pause each renewal would cost a read.
+            self._options(self._bounds.drain_s * NOTICE_PART),
+            self._take_listing,
+            self._take_changes,
+            parts.log,
+            parts.rng,
+            parts.clock,
+        )
+        await follower.run()
+
+    def _options(self, pause_s: float) -> FollowOptions:
+        return FollowOptions(
+            wait_s=WATCH_S,
+            pause_s=pause_s,
+            settle_s=self._bounds.contact_s,
+        )
+
+    def _take_tables(self, tables: dict[str, RouteTable]) -> None:
+        for table in tables.values():
+            began = time.perf_counter()
+            is_new = self._parts.in_force.take_table(table)
+            self._parts.log.line(
+                "routes",
+                version=table.version,
+                in_force=is_new,
+                routes=len(table.routes),
+                ms=round((time.perf_counter() - began) * 1000, 2),
+            )
+
+    def _take_listing(
+        self, listing: Listing[UpstreamEntry], may_have_lapsed: bool
+    ) -> None:
+        in_force = self._parts.in_force
+        in_force.fleet.replace(
+            listing.items.values(),
+            self._parts.clock(),
+            may_have_lapsed=may_have_lapsed,
+        )
+        in_force.has_fleet = True
+        self._parts.log.line(
+            "upstreams",
+            listed=len(listing.items),
+            known=len(in_force.fleet),
+            revision=listing.revision,
+        )
+
+    def _take_changes(
+        self, changes: Changes[UpstreamEntry], may_have_lapsed: bool
+    ) -> None:
+        for entry in changes.items.values():
+            self._take_entry(entry, changes.revision)
+        for incarnation in changes.removed:
+            self._remove(incarnation, changes.revision, may_have_lapsed)
+
+    def _take_entry(self, entry: UpstreamEntry, revision: int) -> None:
+        if self._parts.in_force.fleet.put(entry):
+            self._parts.log.line(
+                "upstream",
+                upstream=entry.incarnation,
+                service=entry.service,
+                draining=entry.is_draining,
+                revision=revision,
+            )
+        if entry.is_draining:
+            self._parts.pool.drop(entry.incarnation)
+
+    def _remove(
+        self, incarnation: str, revision: int, may_have_lapsed: bool
+    ) -> None:
+        parts = self._parts
+        fleet = parts.in_force.fleet
+        fleet.remove(
+            incarnation, parts.clock(), may_have_lapsed=may_have_lapsed
+        )
+        parts.log.line(
+            "upstream_gone",
+            upstream=incarnation,
+            lapsed=may_have_lapsed,
+            revision=revision,
+        )
+        if incarnation not in fleet:
+            parts.pool.drop(incarnation)
+            parts.on_gone(incarnation)
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -140,6 +140,11 @@
             asyncio.get_running_loop().create_future()
         )
 
+    @property
+    def connection(self) -> UpstreamConnection:
+        """The connection that the answer comes on."""
+        return self._connection
+
     @property
     def last_byte_s(self) -> float:
         """When something last arrived, or when the try began."""
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -0,0 +1,67 @@
+"""What the handling of requests is made of."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from hollyknot_coordination.forwarding import (
+    Health,
+    Loads,
+    Paces,
+    Placement,
+    Reachability,
+    RetryBudget,
+)
+from hollyknot_coordination.suspects import SuspectRegister
+from hollyknot_gateway._in_force import InForce
+from hollyknot_gateway._log import Log
+from hollyknot_gateway._losses import Losses
+from hollyknot_gateway._metrics import Metrics
+from hollyknot_gateway._pool import Pool
+from hollyknot_gateway._ports import Dialect
+from hollyknot_gateway._prober import Prober
+from hollyknot_gateway._stalls import Stalls
+
+
+@attrs.frozen
+class FlowParts:
+    """What the flow is made of.
+
+    Attributes:
+        dialect: Reads and writes headers.
+        in_force: Routes and upstreams.
+        placement: Chooses upstreams.
+        loads: Work in flight.
+        paces: Learns how fast upstreams are.
+        reachability: Knows which upstreams can't be connected to.
+        health: Knows which upstreams fail much of their work.
+        prober: Finds that out by new connections.
+        suspects: Knows which requests may crash upstreams.
+        losses: Tells it how tries ended.
+        stalls: Ends tries that hang.
+        budget: Bounds retries.
+        pool: Connections to upstreams.
+        log: Takes a line for each decision.
+        metrics: Counts ends and times.
+        rng: Spreads times to come back and the shares of a split.
+        clock: The loop's monotonic clock, in seconds.
+    """
+
+    dialect: Dialect
+    in_force: InForce
+    placement: Placement
+    loads: Loads
+    paces: Paces
+    reachability: Reachability
+    health: Health
+    prober: Prober
+    suspects: SuspectRegister
+    losses: Losses
+    stalls: Stalls
+    budget: RetryBudget
+    pool: Pool
+    log: Log
+    metrics: Metrics
+    rng: random.Random
+    clock: Callable[[], float]
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -0,0 +1,59 @@
+"""A request on its way through a host."""
+
+import hashlib
+
+import attrs
+
+from hollyknot_coordination.forwarding import NoOwner
+from hollyknot_gateway._caller_connection import CallerRequest, Reply
+from hollyknot_gateway._exchange import StreamState
+from hollyknot_state.routes import CallTraits, KeyOwner, Route, Service
+
+
+@attrs.define
+class Job:
+    """A request whose route and customer are known, and its tries so far.
+
+    Attributes:
+        request: As the caller sent it.
+        reply: Its answer.
+        call: What its headers say.
+        route: Where it goes.
+        service: The service that this request was given to.
+        owner: Whose it is.
+        fingerprint: Of its method, target, customer and body.
+        urgency: The same at all hosts; 0 is the first.
+        is_loose: Whether its stream bears long pauses.
+        deadline_s: When it times out, on the loop's clock.
+        stream: What the caller has got of a stream.
+        sent: Upstreams that it was sent to.
+        sent_before: The same without the try in work.
+        may_have_run: Whether one of them may have run it.
+        ran_before: The same without the try in work.
+        tried: Those upstreams, and those that could not be connected to.
+    """
+
+    request: CallerRequest
+    reply: Reply
+    call: CallTraits
+    route: Route
+    service: Service
+    owner: KeyOwner | NoOwner
+    fingerprint: int
+    urgency: int
+    is_loose: bool
+    deadline_s: float
+    stream: StreamState = attrs.Factory(StreamState)
+    sent: int = 0
+    sent_before: int = 0
+    may_have_run: bool = False
+    ran_before: bool = False
+    tried: frozenset[str] = frozenset()
+
+
+def fingerprint(request: CallerRequest, call: CallTraits) -> int:
+    """Returns what is equal when a request comes again, at any host."""
+    head = f"{request.method} {request.target} {call.key}\n"
+    digest = hashlib.blake2b(head.encode("utf-8", "replace"), digest_size=8)
+    digest.update(request.body)
+    return int.from_bytes(digest.digest(), "big")
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -0,0 +1,207 @@
+"""What a host and its peers tell each other, and what follows from silence."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+
+from hollyknot_coordination.forwarding import (
+    Demand,
+    Loads,
+    Paces,
+    Peers,
+    Reachability,
+    RetryBudget,
+)
+from hollyknot_coordination.suspects import SuspectRegister
+from hollyknot_gateway._in_force import InForce
+from hollyknot_gateway._log import Log
+from hollyknot_gateway._prober import Prober
+from hollyknot_gateway._reports import ReportSocket
+from hollyknot_state import HostReport
+from hollyknot_state.routes import GatewaySettings, UpstreamEntry
+
+REPORT_S = 0.1
+"""Between two reports to peers. Their work in flight changes within tens of
+milliseconds, and a report costs some tens of microseconds."""
+
+REPORTED_PEERS = 16
+"""Peers that get each report; of more, as many are chosen at random, so that a
+host's bytes do not grow with the number of hosts."""
+
+_INCARNATION_BITS = 62
+"""Of the random number that tells a restarted host from the one before it."""
+
+
+@attrs.frozen
+class Shared:
+    """What hosts tell each other of.
+
+    Attributes:
+        loads: Work in flight.
+        demand: Prompt tokens that are sent.
+        paces: How fast upstreams are.
+        suspects: Which requests may crash upstreams.
+        budget: Retries, whose slack is divided among the hosts.
+    """
+
+    loads: Loads
+    demand: Demand
+    paces: Paces
+    suspects: SuspectRegister
+    budget: RetryBudget
+
+
+class Neighbours:
+    """The peers of one host, told and heard several times a second."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        shared: Shared,
+        in_force: InForce,
+        reachability: Reachability,
+        prober: Prober,
+        is_stopping: Callable[[], bool],
+        log: Log,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        """Wires the parts.
+
+        Args:
+            settings: Of this process.
+            shared: What is told.
+            in_force: Routes and upstreams.
+            reachability: Which upstreams can't be connected to.
+            prober: Looks at upstreams of a silent data centre.
+            is_stopping: Whether this host is about to end.
+            log: Told of peers met and lost.
+            rng: Chooses peers.
+            clock: The loop's monotonic clock, in seconds.
+        """
+        self._settings = settings
+        self._shared = shared
+        self._in_force = in_force
+        self._reachability = reachability
+        self._prober = prober
+        self._is_stopping = is_stopping
+        self._log = log
+        self._clock = clock
+        self._peers = Peers(settings.peers, settings.seeds, rng)
+        self._socket = ReportSocket(self._take_report, log)
+        self._incarnation = rng.getrandbits(_INCARNATION_BITS)
+        self._sequence = 0
+        self._silent: frozenset[str] = frozenset()
+        self._slow: frozenset[str] = frozenset()
+
+    @property
+    def count(self) -> int:
+        """Peers that are heard."""
+        return self._peers.count
+
+    async def open(self) -> None:
+        """Opens the socket of reports.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        await self._socket.open(self._settings.peers)
+
+    def close(self) -> None:
+        """Closes the socket of reports."""
+        self._socket.close()
+
+    async def run(self) -> None:
+        """Tells and counts until it is cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_S)
+            now_s = self._clock()
+            self._count(now_s)
+            self._look_at_silence(now_s)
+            self._log_slow()
+            targets = self._peers.targets(now_s, REPORTED_PEERS)
+            self._sequence += 1
+            self._socket.send(self._own_report(now_s), targets)
+
+    def _count(self, now_s: float) -> None:
+        """Counts what peers have told, and forgets those that are silent."""
+        for host in self._peers.expire(now_s):
+            self._log.line("peer_lost", peer=host)
+        fresh = self._peers.fresh(now_s)
+        shared = self._shared
+        shared.loads.take_reports(fresh)
+        shared.paces.take(p for report in fresh for p in report.paces)
+        shared.demand.take(d for report in fresh for d in report.demands)
+        shared.budget.set_hosts(self._peers.count + 1)
+
+    def _own_report(self, now_s: float) -> HostReport:
+        index = self._in_force.index
+        shared = self._shared
+        return HostReport(
+            host=self._settings.host,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            address=self._settings.peers,
+            data_centre=self._settings.data_centre,
+            table_version=index.table.version if index is not None else 0,
+            is_stopping=self._is_stopping(),
+            uses=shared.loads.uses(),
+            demands=shared.demand.told(now_s),
+            paces=shared.paces.told(),
+            suspects=shared.suspects.records(now_s),
+            contacts=self._peers.contacts(),
+        )
+
+    def _take_report(self, report: HostReport) -> None:
+        now = self._clock()
+        self._shared.suspects.on_records(report.suspects, now)
+        if self._peers.take(report, now):
+            self._log.line(
+                "peer_met", peer=report.host, data_centre=report.data_centre
+            )
+
+    def _log_slow(self) -> None:
+        slow = self._shared.paces.slow
+        if slow != self._slow:
+            self._log.line("slow_upstreams", now=",".join(sorted(slow)))
+        self._slow = slow
+
+    def _look_at_silence(self, now_s: float) -> None:
+        """Probes the upstreams of data centres that have just gone silent."""
+        silent = self._peers.silent_data_centres(now_s)
+        for data_centre in silent - self._silent:
+            self._log.line("data_centre_silent", silent=data_centre)
+            self._prober.check_all(
+                entry
+                for entry in self._in_force.fleet.all_usable(now_s)
+                if entry.data_centre == data_centre
+            )
+        self._silent = silent
+
+    def may_be_cut_off(self, entry: UpstreamEntry) -> bool:
+        """Whether an upstream that refuses may only be behind a cut.
+
+        Two upstreams that crash within a second in one data centre are taken
+        for a cut too: their requests are spared, which costs one more crash.
+        """
+        if entry.data_centre in self._silent:
+            return True
+        return bool(self._reachability.away(self._beside(entry)))
+
+    def check_beside(self, entry: UpstreamEntry) -> None:
+        """Probes the upstreams of a data centre that one was lost in."""
+        beside = self._beside(entry)
+        known = self._reachability.away(beside)
+        self._prober.check_all(
+            other for other in beside if other.incarnation not in known
+        )
+
+    def _beside(self, entry: UpstreamEntry) -> list[UpstreamEntry]:
+        return [
+            other
+            for other in self._in_force.fleet.all_usable(self._clock())
+            if other.data_centre == entry.data_centre
+            and other.incarnation != entry.incarnation
+        ]
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -0,0 +1,281 @@
+"""Tries of a request at upstreams: the choice, the sending, the end."""
+
+import asyncio
+
+from hollyknot_coordination.forwarding import Choice, NoPlace, Work
+from hollyknot_coordination.suspects import Clear, Isolate
+from hollyknot_gateway import _metrics as metrics
+from hollyknot_gateway._exchange import Exchange, Result
+from hollyknot_gateway._flow_parts import FlowParts
+from hollyknot_gateway._headers import CONTENT_LENGTH, end_to_end, write_head
+from hollyknot_gateway._job import Job
+from hollyknot_gateway._pool import ConnectFailure
+from hollyknot_gateway._upstream_connection import UpstreamConnection
+from hollyknot_state import Outcome, Reason, Verdict
+from hollyknot_state.routes import (
+    Dispatch,
+    KeyOwner,
+    RouteKind,
+    UpstreamEntry,
+)
+
+_BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
+_CALLER_GONE = Verdict(Outcome.MAY_HAVE_RUN, Reason.CALLER_GONE)
+_NOT_SENT = frozenset({Reason.CONNECT_FAILED, Reason.NO_UPSTREAM})
+
+
+class Tries:
+    """Sends requests to upstreams, one upstream at a time."""
+
+    def __init__(self, parts: FlowParts) -> None:
+        """Wires the parts."""
+        self._parts = parts
+        self._detached: set[asyncio.Task[None]] = set()
+
+    def choose(self, job: Job, gate: Clear | Isolate) -> Choice | NoPlace:
+        """Returns where a request is to be sent next."""
+        parts = self._parts
+        now = parts.clock()
+        usable = parts.in_force.fleet.usable(job.service.name, now)
+        away = parts.reachability.away(usable)
+        if isinstance(gate, Isolate):
+            away |= gate.exclude
+        ejected = parts.health.ejected(usable, now)
+        found: Choice | NoPlace = NoPlace.NONE_KNOWN
+        # One that fails often, or could not be reached lately, is better than
+        # none at all.
+        for kept_away in (away | ejected, away, frozenset[str]()):
+            found = parts.placement.choose(
+                job.service,
+                usable,
+                job.call,
+                job.tried | kept_away,
+                now,
+                is_loose=job.is_loose,
+            )
+            if isinstance(found, Choice):
+                break
+        return found
+
+    async def run(self, job: Job, choice: Choice) -> Result:
+        """Sends a request and waits for the end of the try."""
+        result = await self._try(job, choice)
+        self._note(job, choice, result)
+        return result
+
+    async def _try(self, job: Job, choice: Choice) -> Result:
+        parts = self._parts
+        entry = choice.entry
+        work = parts.placement.begin(
+            choice, job.call, parts.clock(), is_loose=job.is_loose
+        )
+        is_detached = False
+        try:
+            left_s = job.deadline_s - parts.clock()
+            connection = await parts.pool.take(
+                entry.incarnation, entry.address, left_s
+            )
+            if isinstance(connection, ConnectFailure):
+                parts.prober.failed(entry, connection)
+                verdict = Verdict(
+                    Outcome.NOT_RUN, Reason.CONNECT_FAILED, connection.value
+                )
+                return Result(verdict)
+            if not parts.in_force.fleet.is_usable(
+                entry.incarnation, parts.clock()
+            ):
+                # It has begun to leave while the connection was made.
+                connection.close()
+                return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
+            exchange = self._send(job, entry, connection, work)
+            parts.stalls.add(exchange, entry.incarnation, job.route)
+            try:
+                result = await asyncio.shield(exchange.done)
+            except asyncio.CancelledError:
+                is_detached = self._leave(job, choice, work, exchange)
+                raise
+            finally:
+                parts.stalls.discard(exchange)
+            self._give_back(entry, connection)
+            return result
+        finally:
+            if not is_detached:
+                parts.placement.end(work)
+
+    def _give_back(
+        self, entry: UpstreamEntry, connection: UpstreamConnection
+    ) -> None:
+        self._parts.pool.give_back(entry.incarnation, connection)
+        if not connection.is_reusable:
+            connection.abandon()
+
+    def _send(
+        self,
+        job: Job,
+        entry: UpstreamEntry,
+        connection: UpstreamConnection,
+        work: Work,
+    ) -> Exchange:
+        parts = self._parts
+        stream = job.stream
+        stream.cutter.drop_torn()
+        stream.resumes_after = stream.cutter.last_id or job.call.last_event_id
+        exchange = Exchange(
+            parts.dialect,
+            job.call.attempt_id,
+            job.reply,
+            stream,
+            connection,
+            parts.clock,
+            lambda: parts.placement.start(work),
+            lambda interval_s: parts.paces.note(
+                entry.incarnation, interval_s, parts.loads.at(entry.incarnation)
+            ),
+        )
+        data = self._request_bytes(job, entry)
+        if not job.sent:
+            parts.metrics.observe(
+                metrics.ADDED, parts.clock() - job.request.arrived_s
+            )
+        job.sent += 1
+        parts.suspects.on_dispatch(job.fingerprint, entry.incarnation)
+        # From here on the request may run, whatever happens to this task.
+        job.may_have_run = True
+        is_head = job.request.method == "HEAD"
+        connection.send(data, exchange, is_head=is_head)
+        return exchange
+
+    def _request_bytes(self, job: Job, entry: UpstreamEntry) -> bytes:
+        request = job.request
+        owner = job.owner
+        dispatch = Dispatch(
+            incarnation=entry.incarnation,
+            left_s=job.deadline_s - self._parts.clock(),
+            customer=owner.name if isinstance(owner, KeyOwner) else "",
+            urgency=job.urgency,
+            last_event_id=job.stream.resumes_after,
+            is_engine=job.service.engine is not None,
+        )
+        headers = self._parts.dialect.upstream_headers(
+            end_to_end(request.headers), dispatch
+        )
+        if request.has_body or request.method in _BODY_METHODS:
+            headers.append((CONTENT_LENGTH.title(), b"%d" % len(request.body)))
+        line = f"{request.method} {request.target} HTTP/1.1"
+        return write_head(line.encode("latin-1"), headers) + request.body
+
+    def _leave(
+        self,
+        job: Job,
+        choice: Choice,
+        work: Work,
+        exchange: Exchange,
+    ) -> bool:
+        """Ends a try whose caller has gone or whose time is up.
+
+        Returns:
+            Whether the work goes on upstream and is counted until its end.
+        """
+        is_call = job.route.kind is RouteKind.NON_IDEMPOTENT
+        if not is_call or self._parts.clock() >= job.deadline_s:
+            exchange.connection.abandon()
+            self._parts.losses.ended(
+                choice.entry, job.fingerprint, _CALLER_GONE
+            )
+            return False
+        # What can't be repeated is not broken off half-way either: its end is
+        # awaited, so that the upstream's slot is counted as taken.
+        task = asyncio.ensure_future(
+            self._await_end(job, choice, work, exchange)
+        )
+        self._detached.add(task)
+        task.add_done_callback(self._detached.discard)
+        return True
+
+    async def _await_end(
+        self,
+        job: Job,
+        choice: Choice,
+        work: Work,
+        exchange: Exchange,
+    ) -> None:
+        verdict = _CALLER_GONE
+        try:
+            async with asyncio.timeout_at(job.deadline_s):
+                verdict = (await exchange.done).verdict
+            self._give_back(choice.entry, exchange.connection)
+        except TimeoutError:
+            exchange.connection.abandon()
+        finally:
+            self._parts.placement.end(work)
+            self._parts.losses.ended(choice.entry, job.fingerprint, verdict)
+
+    def _note(self, job: Job, choice: Choice, result: Result) -> None:
+        entry = choice.entry
+        verdict = result.verdict
+        self._note_health(entry, verdict)
+        if job.sent > job.sent_before:
+            job.sent_before = job.sent
+            self._parts.losses.ended(entry, job.fingerprint, verdict)
+        job.tried |= {entry.incarnation}
+        if verdict.is_proved_not_run:
+            job.may_have_run = job.ran_before
+        else:
+            job.ran_before = True
+        if result.is_other_upstream:
+            self._parts.in_force.fleet.mark_gone(entry.incarnation)
+            self._parts.pool.drop(entry.incarnation)
+        self._observe_try(job, result)
+        self._parts.log.line(
+            "try",
+            request=job.call.attempt_id,
+            route=job.route.name,
+            upstream=entry.incarnation,
+            sent=job.sent,
+            outcome=verdict.outcome.value,
+            reason=verdict.reason.value,
+            status=verdict.upstream_status,
+            detail=verdict.detail,
+            first_ms=_ms(result.first_s),
+            gap_ms=_ms(result.gap_s),
+            tokens=job.call.prompt_tokens,
+            read=choice.tokens,
+            ahead=choice.ahead,
+            loose=job.is_loose,
+        )
+
+    def _observe_try(self, job: Job, result: Result) -> None:
+        parts = self._parts
+        verdict = result.verdict
+        parts.metrics.count(
+            metrics.TRIES,
+            service=job.service.name,
+            outcome=verdict.outcome.value,
+            reason=verdict.reason.value,
+        )
+        if result.first_s:
+            parts.metrics.observe(
+                metrics.FIRST, result.first_s, route=job.route.name
+            )
+        if result.gap_s:
+            parts.metrics.observe(
+                metrics.GAP, result.gap_s, route=job.route.name
+            )
+
+    def _note_health(self, entry: UpstreamEntry, verdict: Verdict) -> None:
+        parts = self._parts
+        if verdict.reason in _NOT_SENT:
+            return
+        now = parts.clock()
+        usable = parts.in_force.fleet.usable(entry.service, now)
+        is_good = verdict.outcome is Outcome.COMPLETE
+        if parts.health.note(entry, usable, now, is_good=is_good):
+            parts.log.line(
+                "ejected",
+                upstream=entry.incarnation,
+                reason=verdict.reason.value,
+            )
+
+
+def _ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
