Pass large answers on whole; drop fields that nothing reads

Cause: read as a newcomer, an answer above a megabyte was relayed until its last part, which was then sent as an answer of its own within the first one's body. Ruled out: holding any size (a host has 300 MB). Change: a large answer is relayed to its end, cut if it breaks off. Fields of routes, services and requests that nothing reads are gone.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_steps.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_steps.py
@@ -20,7 +20,6 @@
     Attributes:
         sent: Upstreams that the request was sent to so far.
         may_have_run: Whether one of the tries may have run.
-        has_begun: Whether the caller has got a part of an answer.
         left_s: Until the request times out.
         budget_left: Retries that the service's budget still allows.
         candidates: Upstreams of the service not tried yet.
@@ -28,7 +27,6 @@
 
     sent: int
     may_have_run: bool
-    has_begun: bool
     left_s: float
     budget_left: float
     candidates: int
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/_builders.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/_builders.py
@@ -14,8 +14,8 @@
     UpstreamEntry,
 )
 
-ENGINES = Service("engines", 100, Engine(slots=8, cache_tokens=100_000))
-PLAIN = Service("plain", 100)
+ENGINES = Service("engines", Engine(slots=8))
+PLAIN = Service("plain")
 
 
 def upstream(
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_steps.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_steps.py
@@ -29,7 +29,7 @@
     *,
     may_have_run: bool,
 ) -> TryState:
-    return TryState(sent, may_have_run, False, left_s, budget, candidates)
+    return TryState(sent, may_have_run, left_s, budget, candidates)
 
 
 class TestNextStep:
--- a/packages/gateway/src/hollyknot_gateway/_caller_server.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_server.py
@@ -1,7 +1,6 @@
 """Listens for callers and ends their connections in a planned stop."""
 
 import asyncio
-import functools
 from collections.abc import Callable
 
 from hollyknot_gateway._caller_connection import CallerConnection, Handler
@@ -95,7 +94,7 @@
 
     def _accept(self) -> CallerConnection:
         connection = CallerConnection(
-            functools.partial(self._handler),
+            self._handler,
             self._limits(),
             self._connections.discard,
         )
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -134,6 +134,7 @@
         self._gap_s = 0.0
         self._last_byte_s = self._sent_s
         self._is_relayed = False
+        self._is_large = False
         self._is_held = False
         self._resumer: asyncio.Task[None] | None = None
         self.done: asyncio.Future[Result] = (
@@ -190,6 +191,9 @@
         if self._is_relayed:
             self._relay(data)
             return
+        if self._is_large:
+            self._pass_on(data)
+            return
         self._parts.append(data)
         self._size += len(data)
         if self._size > BUFFERED_BYTES:
@@ -202,6 +206,10 @@
         if self._is_relayed:
             self._end_stream()
             return
+        if self._is_large:
+            self._reply.finish()
+            self._set(self._result(Outcome.COMPLETE, Reason.NONE, _OK))
+            return
         assert self._head is not None
         assert self._traits is not None
         self._set(self._judge(self._head, self._traits))
@@ -284,16 +292,12 @@
         assert self._traits is not None
         if not self._traits.is_sealed or self._head.status in _PROMISES:
             self._reject("a large answer without proof of origin")
+            self._connection.abandon()
             return
         data = b"".join(self._parts)
         self._parts.clear()
-        self._size = 0
-        if self._reply.has_begun:
-            self._reply.write(data)
-        else:
-            self._reply.start(
-                self._head.status, end_to_end(self._head.headers), data
-            )
+        self._is_large = True
+        self._pass_on(data)
 
     def _end_stream(self) -> None:
         if self._stream.cutter.has_torn_event:
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -87,7 +87,7 @@
         if len(shares) > 1:
             weights = [s.weight for s in shares]
             share = self._parts.rng.choices(shares, weights)[0]
-        return services.get(share.service) or Service(share.service, 0)
+        return services.get(share.service) or Service(share.service)
 
     async def _run(self, job: Job) -> None:
         parts = self._parts
@@ -118,7 +118,6 @@
         return TryState(
             sent=job.sent,
             may_have_run=job.may_have_run,
-            has_begun=job.reply.has_begun,
             left_s=job.deadline_s - now,
             budget_left=parts.budget.left(job.service.name, now),
             candidates=sum(e.incarnation not in job.tried for e in usable),
--- a/packages/state/src/hollyknot_state/routes/_calls.py
+++ b/packages/state/src/hollyknot_state/routes/_calls.py
@@ -27,8 +27,6 @@
         prompt: The prompt's parts in order; the last belongs to this request
             or its session alone.
         prompt_tokens: In all; 0 if the request has no prompt.
-        max_output_tokens: The most that may be generated.
-        output_hint: The caller's guess of the output's tokens; 0 for none.
         last_event_id: From where the caller resumes a stream; empty if it
             does not.
     """
@@ -38,8 +36,6 @@
     key: str = attrs.field(default="", repr=False)
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
-    max_output_tokens: int = 0
-    output_hint: int = 0
     last_event_id: str = ""
 
 
--- a/packages/state/src/hollyknot_state/routes/_table.py
+++ b/packages/state/src/hollyknot_state/routes/_table.py
@@ -81,11 +81,9 @@
 
     Attributes:
         slots: Requests in one batch.
-        cache_tokens: Tokens that fit into memory, running and cached.
     """
 
     slots: int
-    cache_tokens: int
 
 
 @attrs.frozen
@@ -94,12 +92,10 @@
 
     Attributes:
         name: Unique in a table.
-        max_connections: Connections that one upstream accepts from all hosts.
         engine: Set if the upstreams are model engines.
     """
 
     name: str
-    max_connections: int
     engine: Engine | None = None
 
 
--- a/packages/state/src/hollyknot_state/routes/_upstreams.py
+++ b/packages/state/src/hollyknot_state/routes/_upstreams.py
@@ -20,7 +20,6 @@
         data_centre: Where it runs.
         slots: Requests that it works on at once.
         is_draining: Whether it has asked for no more work.
-        cold_left_s: How much longer it is slow after its start.
     """
 
     incarnation: str
@@ -29,4 +28,3 @@
     data_centre: str
     slots: int
     is_draining: bool = False
-    cold_left_s: float = 0.0
