Tell the story of a failed request; run stand-ins as a module

Cause: a complaint's cause stood in lines of several hosts, found by hand; the product had a third command that only tests and the demo need. Ruled out: a store of lines (hosts keep nothing). Change: hollyknotctl explain-failure prints a request's lines and those of the same seconds on the upstreams and hosts it met; python -m hollyknot_standins.

--- a/packages/ctl/src/hollyknot_ctl/_main.py
+++ b/packages/ctl/src/hollyknot_ctl/_main.py
@@ -8,6 +8,7 @@
 from hollyknot_ctl._completion import completion
 from hollyknot_ctl._diff import diff
 from hollyknot_ctl._explain import explain_command
+from hollyknot_ctl._explain_failure import explain_failure
 from hollyknot_ctl._hash_key import hash_key
 from hollyknot_ctl._output import BAD_INPUT, examples, fail
 from hollyknot_ctl._status import status
@@ -28,7 +29,15 @@
     """
 
 
-for _command in (check, diff, explain_command, status, hash_key, completion):
+for _command in (
+    check,
+    diff,
+    explain_command,
+    explain_failure,
+    status,
+    hash_key,
+    completion,
+):
     cli.add_command(_command)
 
 
--- /dev/null
+++ b/packages/ctl/src/hollyknot_ctl/tests/test_explain_failure.py
@@ -0,0 +1,73 @@
+"""Tests of telling a request's story from the lines of hosts."""
+
+import json
+import pathlib
+
+from click.testing import CliRunner
+
+from hollyknot_ctl._explain_failure import read_lines, story
+from hollyknot_ctl._main import cli
+
+LINES = """\
+at=10.000 event=upstream upstream=i-1 service=s host=h1 data_centre=north
+at=50.100 event=unreachable upstream=i-1 reason=refused host=h2
+Traceback (most recent call last):
+at=50.000 event=try request=a1 upstream=i-1 outcome=may-have-run \
+reason=upstream-lost detail="no byte in time" host=h1 data_centre=north
+at=50.001 event=refused request=a1 status=502 host=h1 data_centre=north
+at=50.900 event=crash upstream=i-1 requests=3 host=h1 data_centre=north
+at=50.200 event=try request=a2 upstream=i-1 host=h1 data_centre=north
+at=50.300 event=source_lost source=tables host=h3 data_centre=south
+at=50.400 event=source_lost source=tables host=h1 data_centre=north
+"""
+
+
+class TestStory:
+    """The request's lines, and what stands beside them."""
+
+    def test_holds_what_may_tell_the_cause_in_order(self) -> None:
+        found = story("a1", read_lines(LINES.splitlines()))
+        assert [(line.event, line.host) for line in found] == [
+            ("try", "h1"),
+            ("refused", "h1"),
+            ("unreachable", "h2"),
+            ("source_lost", "h1"),
+            ("crash", "h1"),
+        ]
+
+    def test_reads_quoted_values(self) -> None:
+        found = story("a1", read_lines(LINES.splitlines()))
+        assert found[0].fields["detail"] == "no byte in time"
+
+    def test_of_an_unknown_request_is_empty(self) -> None:
+        assert story("a9", read_lines(LINES.splitlines())) == []
+
+
+class TestCommand:
+    """`hollyknotctl explain-failure`."""
+
+    def test_prints_the_story(self, tmp_path: pathlib.Path) -> None:
+        file = tmp_path / "h1.log"
+        file.write_text(LINES)
+        got = CliRunner().invoke(cli, ["explain-failure", "a1", str(file)])
+        assert got.exit_code == 0
+        assert "+0.900 s  h1  crash  upstream=i-1 requests=3" in got.output
+
+    def test_prints_it_as_json(self, tmp_path: pathlib.Path) -> None:
+        file = tmp_path / "h1.log"
+        file.write_text(LINES)
+        got = CliRunner().invoke(
+            cli, ["explain-failure", "--json", "a1", str(file)]
+        )
+        assert got.exit_code == 0
+        events = [line["event"] for line in json.loads(got.output)]
+        assert events[:2] == ["try", "refused"]
+
+    def test_says_what_to_do_about_an_unknown_id(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        file = tmp_path / "h1.log"
+        file.write_text(LINES)
+        got = CliRunner().invoke(cli, ["explain-failure", "a9", str(file)])
+        assert got.exit_code == 2
+        assert "all hosts" in got.output
--- a/packages/standins/src/hollyknot_standins/__main__.py
+++ b/packages/standins/src/hollyknot_standins/__main__.py
@@ -1,4 +1,4 @@
-"""Runs `hollyknot-standin` as `python -m hollyknot_standins`."""
+"""Runs a stand-in: `python -m hollyknot_standins`."""
 
 from hollyknot_standins import main
 
--- a/packages/standins/src/hollyknot_standins/_main.py
+++ b/packages/standins/src/hollyknot_standins/_main.py
@@ -1,4 +1,4 @@
-"""`hollyknot-standin`: each stand-in as a process of its own."""
+"""`python -m hollyknot_standins`: each stand-in as a process of its own."""
 
 import asyncio
 import contextlib
@@ -63,7 +63,7 @@
 
 
 main = click.Group(
-    "hollyknot-standin",
+    "python -m hollyknot_standins",
     commands=[
         _command("engine", start_engine, EngineOptions),
         _command("service", start_service, ServiceOptions),
