Tell of answers broken off, callers gone and tries left; keep failures' lines

Cause: three ends of a request had no line (an answer cut off in the middle, a caller that left, a try whose time was up), and one event was written for good and for failed tries, so that a burst of good ones could push out the one that an engineer looks for.

Change: `failed_try`, `cut_off`, `caller_gone`; good tries fill three quarters of the buffer at most.

--- a/packages/ctl/src/hollyknot_ctl/_explain_failure.py
+++ b/packages/ctl/src/hollyknot_ctl/_explain_failure.py
@@ -20,7 +20,9 @@
 crash is judged, and a silent data centre seen, within a second or two."""
 
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
-_OF_A_REQUEST = frozenset({"try", "refused"})
+_OF_A_REQUEST = frozenset(
+    {"try", "failed_try", "refused", "cut_off", "caller_gone"}
+)
 _OF_AN_UPSTREAM = frozenset(
     {
         "unreachable",
--- a/packages/gateway/src/hollyknot_gateway/_answers.py
+++ b/packages/gateway/src/hollyknot_gateway/_answers.py
@@ -19,8 +19,8 @@
 _UNAVAILABLE = 503
 _TIMEOUT = 504
 _OK = 200
-_CUT = 0
-"""Counted as the status of an answer that was broken off."""
+_NONE = 0
+"""Counted as the status where a caller got no whole answer."""
 
 _LATE = "the time that the route or the caller gives is over"
 
@@ -52,8 +52,7 @@
     def give_up(self, job: Job, result: Result, step: GiveUp) -> None:
         """Answers a request that no further try can help."""
         if job.reply.has_begun:
-            job.reply.cut()
-            self._count(job.route.name, step.verdict, _CUT)
+            self._cut_off(job, step.verdict)
         elif result.answer is not None:
             answer = result.answer
             job.reply.whole(answer.status, answer.headers, answer.body)
@@ -63,22 +62,32 @@
 
     def time_out(self, job: Job) -> None:
         """Answers a request whose time is over."""
-        if job.reply.has_begun:
-            job.reply.cut()
-            verdict = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT)
-            self._count(job.route.name, verdict, _CUT)
-            return
         if job.may_have_run:
             verdict = Verdict(
                 Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT, _LATE
             )
         else:
             verdict = Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM, _LATE)
+        if job.reply.has_begun:
+            self._cut_off(job, verdict)
+            return
         status = _TIMEOUT if job.may_have_run else _UNAVAILABLE
         self.refuse(
             job.reply, job.call, GiveUp(status, verdict), job.route.name
         )
 
+    def caller_gone(self, job: Job) -> None:
+        """Notes a request that nobody waits for any more."""
+        outcome = Outcome.MAY_HAVE_RUN if job.may_have_run else Outcome.NOT_RUN
+        verdict = Verdict(outcome, Reason.CALLER_GONE)
+        self._count(job.route.name, verdict, _NONE)
+        self._tell("caller_gone", job.call, job.route.name, verdict, _NONE)
+
+    def _cut_off(self, job: Job, verdict: Verdict) -> None:
+        job.reply.cut()
+        self._count(job.route.name, verdict, _NONE)
+        self._tell("cut_off", job.call, job.route.name, verdict, _NONE)
+
     def refuse(
         self, reply: Reply, call: CallTraits, step: GiveUp, route: str
     ) -> None:
@@ -93,11 +102,21 @@
             headers.append((b"Retry-After", b"%.2f" % after_s))
         reply.whole(step.status, headers, verdict.reason.value.encode() + b"\n")
         self._count(route, verdict, step.status)
+        self._tell("refused", call, route, verdict, step.status)
+
+    def _tell(
+        self,
+        event: str,
+        call: CallTraits,
+        route: str,
+        verdict: Verdict,
+        status: int,
+    ) -> None:
         self._parts.log.line(
-            "refused",
+            event,
             request=call.attempt_id,
             route=route,
-            status=step.status,
+            status=status,
             outcome=verdict.outcome.value,
             reason=verdict.reason.value,
             detail=verdict.detail,
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -218,6 +218,10 @@
         """Ends a try that has been silent for too long."""
         self._fail(Reason.UPSTREAM_SILENT, "no byte in time")
 
+    def so_far(self, verdict: Verdict) -> Result:
+        """Returns the result of a try that ends before its answer does."""
+        return Result(verdict, None, self._first_s, self._gap_s)
+
     def on_lost(self, lost: Lost) -> None:
         """The answer will not be whole."""
         self._fail(_REASONS[lost], lost.value)
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -48,6 +48,9 @@
                 await self._run(job)
         except TimeoutError:
             self._answers.time_out(job)
+        except asyncio.CancelledError:
+            self._answers.caller_gone(job)
+            raise
         took_s = self._parts.clock() - request.arrived_s
         self._parts.metrics.observe(metrics.WHOLE, took_s, route=job.route.name)
 
--- a/packages/gateway/src/hollyknot_gateway/_log.py
+++ b/packages/gateway/src/hollyknot_gateway/_log.py
@@ -15,10 +15,16 @@
 BUFFERED_LINES = 4096
 """Some seconds of lines of a busy host, in about a megabyte."""
 
+ORDINARY_LINES = 3072
+"""Of those, what lines of tries that went well may fill. The rest is kept for
+failures and changes of belief, which an engineer looks for afterwards."""
+
 LINES_A_SECOND = 200
 """Of one event; failures have events of their own, so that ordinary lines
 cannot push them out."""
 
+_ORDINARY = frozenset({"try"})
+
 _WRITE_BYTES = 65_536
 
 
@@ -72,10 +78,8 @@
             self._in_second.clear()
             self._tell_dropped()
         self._in_second[event] += 1
-        if (
-            self._in_second[event] > LINES_A_SECOND
-            or len(self._lines) >= BUFFERED_LINES
-        ):
+        most = ORDINARY_LINES if event in _ORDINARY else BUFFERED_LINES
+        if self._in_second[event] > LINES_A_SECOND or len(self._lines) >= most:
             self._dropped[event] += 1
             return
         self._add(event, values)
@@ -113,7 +117,7 @@
     def _tell_dropped(self) -> None:
         # Told later while the buffer is full: a reader that stopped would
         # otherwise have it grow by a line a second.
-        if not self._dropped or len(self._lines) >= BUFFERED_LINES:
+        if not self._dropped or len(self._lines) >= ORDINARY_LINES:
             return
         dropped, self._dropped = self._dropped, Counter()
         self._dropped_before += dropped.total()
--- a/packages/gateway/src/hollyknot_gateway/_ports.py
+++ b/packages/gateway/src/hollyknot_gateway/_ports.py
@@ -1,7 +1,7 @@
 """Where another interface or platform is plugged in: four sets of functions.
 
 The gateway itself knows no header's name, no document's shape and no store.
-Each set below is given at the start; `hollyknot_gateway.own` has the product's.
+Each set below is given at the start by the package that starts a host.
 """
 
 import enum
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import attrs
+
 from hollyknot_coordination.forwarding import Choice, NoPlace, Work
 from hollyknot_coordination.suspects import Clear, Isolate
 from hollyknot_gateway import _metrics as metrics
@@ -21,6 +23,8 @@
 
 _BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 _CALLER_GONE = Verdict(Outcome.MAY_HAVE_RUN, Reason.CALLER_GONE)
+_TIME_IS_UP = "the request's time is up"
+_CALLER_LEFT = "the caller has left"
 _NOT_SENT = frozenset({Reason.CONNECT_FAILED, Reason.NO_UPSTREAM})
 
 
@@ -177,7 +181,12 @@
             Whether the work goes on upstream and is counted until its end.
         """
         is_call = job.route.kind is RouteKind.NON_IDEMPOTENT
-        if not is_call or self._parts.clock() >= job.deadline_s:
+        is_late = self._parts.clock() >= job.deadline_s
+        gone = attrs.evolve(
+            _CALLER_GONE, detail=_TIME_IS_UP if is_late else _CALLER_LEFT
+        )
+        self._log_try(job, choice, exchange.so_far(gone))
+        if not is_call or is_late:
             exchange.connection.abandon()
             self._parts.losses.ended(
                 choice.entry, job.fingerprint, _CALLER_GONE
@@ -226,11 +235,15 @@
             self._parts.in_force.fleet.mark_gone(entry.incarnation)
             self._parts.pool.drop(entry.incarnation)
         self._observe_try(job, result)
+        self._log_try(job, choice, result)
+
+    def _log_try(self, job: Job, choice: Choice, result: Result) -> None:
+        verdict = result.verdict
         self._parts.log.line(
-            "try",
+            "try" if verdict.is_complete else "failed_try",
             request=job.call.attempt_id,
             route=job.route.name,
-            upstream=entry.incarnation,
+            upstream=choice.entry.incarnation,
             sent=job.sent,
             outcome=verdict.outcome.value,
             reason=verdict.reason.value,
--- a/packages/gateway/src/hollyknot_gateway/tests/test_log.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_log.py
@@ -87,6 +87,24 @@
         assert events.count("event=try") == LINES_A_SECOND
         assert events.count("event=crash") == 1
 
+    def test_ordinary_lines_leave_the_buffer_room_for_failures(self) -> None:
+        """The one line that tells of a lost request is missing.
+
+        Sequence: the reader stops for half a minute under load; a request
+        fails. Cause: lines of requests that went well had filled the buffer.
+        """
+        log, reading, _, clock = _log()
+        for second in range(30):
+            clock.now_s = float(second)
+            for _ in range(LINES_A_SECOND):
+                log.line("try")
+        log.line("failed_try", request="lost")
+        lines = []
+        while log.waiting:
+            log.flush()
+            lines += _read(reading)
+        assert any("event=failed_try request=lost" in line for line in lines)
+
     def test_a_reader_that_is_gone_costs_nothing(self) -> None:
         log, reading, writing, _ = _log()
         os.close(reading)
