Bound the bytes of reports; let urgent streams pass less urgent ones

Two causes, one message, hence one commit.

Now a budget of 3,000 bytes a second: short reports (40 to 200 bytes, upstreams by 31-bit checksum), full ones to each peer once in four seconds, peers in turn. What follows from silence (data centre, freshness, forgetting) follows the usual time between reports, or calm data centres would be probed again and again. The slack of retries is divided by an estimate of all hosts, not by those heard: at 2,500 hosts a quarter is heard in a minute. A full upstream counted all its requests, though it puts less urgent ones back. Now only those at least as urgent count, told by urgency in reports.

`is_stopping` is no longer told: nobody used it. Tests: rates, peers, loads, placement; the last failed before the change.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -14,6 +14,7 @@
     Work,
 )
 from hollyknot_coordination.forwarding._reachability import Reachability
+from hollyknot_coordination.forwarding._report_rate import ReportRate
 from hollyknot_coordination.forwarding._retry_budget import RetryBudget
 from hollyknot_coordination.forwarding._route_index import (
     NoOwner,
@@ -46,6 +47,7 @@
     "Peers",
     "Placement",
     "Reachability",
+    "ReportRate",
     "RetryBudget",
     "RouteIndex",
     "Tolerance",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
@@ -31,7 +31,7 @@
 
 FULL_TOKENS = 40_000
 """What each request beyond an upstream's slots counts: it waits for another
-one to end."""
+one to end. Less urgent ones do not count, since they are put back for it."""
 
 
 class NoPlace(enum.Enum):
@@ -62,11 +62,13 @@
     Attributes:
         incarnation: The upstream.
         tokens: To be read in before its first event.
+        urgency: Its urgency.
         has_started: Whether its first event is out.
     """
 
     incarnation: str
     tokens: int
+    urgency: int
     has_started: bool = False
 
 
@@ -76,6 +78,16 @@
     choice: Choice
 
 
+@attrs.frozen
+class _Asked:
+    """A request that looks for a place at an engine."""
+
+    call: CallTraits
+    excluded: frozenset[str]
+    now_s: float
+    urgency: int
+
+
 class Placement:
     """The choice of an upstream, and the loads that it follows from."""
 
@@ -113,6 +125,7 @@
         now_s: float,
         *,
         is_loose: bool,
+        urgency: int,
     ) -> Choice | NoPlace:
         """Returns where a request is to go.
 
@@ -124,15 +137,25 @@
             excluded: Incarnations that it was sent to before.
             now_s: The time.
             is_loose: Whether its stream bears long pauses.
+            urgency: The same at all hosts; 0 is the first.
         """
         if service.engine is not None and call.prompt and candidates:
             return self._engine(
-                service.name, candidates, call, excluded, now_s, is_loose
+                service.name,
+                candidates,
+                _Asked(call, excluded, now_s, urgency),
+                is_loose,
             )
         return self._least_busy(candidates, excluded)
 
     def begin(
-        self, choice: Choice, call: CallTraits, now_s: float, *, is_loose: bool
+        self,
+        choice: Choice,
+        call: CallTraits,
+        now_s: float,
+        *,
+        is_loose: bool,
+        urgency: int,
     ) -> Work:
         """Notes that a request was sent."""
         incarnation = choice.entry.incarnation
@@ -140,8 +163,8 @@
             self._demand.add(
                 choice.entry.service, choice.tokens, now_s, is_loose=is_loose
             )
-        work = Work(incarnation, choice.tokens)
-        self._loads.begin(incarnation, work.tokens)
+        work = Work(incarnation, choice.tokens, urgency)
+        self._loads.begin(incarnation, work.tokens, urgency)
         self._cached.note(incarnation, call.prompt, now_s)
         return work
 
@@ -154,7 +177,10 @@
     def end(self, work: Work) -> None:
         """Notes that it has ended."""
         self._loads.end(
-            work.incarnation, work.tokens, has_started=work.has_started
+            work.incarnation,
+            work.tokens,
+            work.urgency,
+            has_started=work.has_started,
         )
 
     def _least_busy(
@@ -177,9 +203,7 @@
         self,
         service: str,
         candidates: Sequence[UpstreamEntry],
-        call: CallTraits,
-        excluded: frozenset[str],
-        now_s: float,
+        asked: _Asked,
         is_loose: bool,
     ) -> Choice | NoPlace:
         ratios = self._paces.ratios(candidates)
@@ -189,8 +213,10 @@
         )
 
         def cheapest(is_loose: bool) -> _Offer | None:
-            entries = self._lanes.of(service, ordered, now_s, is_loose=is_loose)
-            return self._cheapest(entries, call, excluded, now_s, ratios)
+            entries = self._lanes.of(
+                service, ordered, asked.now_s, is_loose=is_loose
+            )
+            return self._cheapest(entries, asked, ratios)
 
         own = cheapest(is_loose)
         other = cheapest(not is_loose)
@@ -203,28 +229,28 @@
     def _cheapest(
         self,
         entries: Sequence[UpstreamEntry],
-        call: CallTraits,
-        excluded: frozenset[str],
-        now_s: float,
+        asked: _Asked,
         ratios: dict[str, float],
     ) -> _Offer | None:
-        missing = self._cached.missing(entries, call.prompt, now_s)
-        last = call.prompt[-1].tokens
+        prompt = asked.call.prompt
+        missing = self._cached.missing(entries, prompt, asked.now_s)
+        last = prompt[-1].tokens
         best: _Offer | None = None
         for entry in entries:
-            if entry.incarnation in excluded:
+            if entry.incarnation in asked.excluded:
                 continue
             lacks = missing[entry.incarnation]
             tokens = last + lacks
-            ahead = self._busy(entry)
+            ahead = self._busy(entry, asked.urgency)
             ratio = ratios.get(entry.incarnation, 1.0)
             cost = (tokens + ahead) * ratio + lacks * REREAD_WEIGHT
             if best is None or cost < best.cost:
                 best = _Offer(cost, Choice(entry, tokens, ahead))
         return best
 
-    def _busy(self, entry: UpstreamEntry) -> int:
+    def _busy(self, entry: UpstreamEntry, urgency: int) -> int:
         """Returns what is in flight at an upstream, in tokens."""
         load = self._loads.at(entry.incarnation)
-        full = max(0, load.requests + 1 - entry.slots) * FULL_TOKENS
+        beyond = load.ahead_of(urgency) + 1 - entry.slots
+        full = max(0, beyond) * FULL_TOKENS
         return load.waiting_tokens + load.running * RUNNING_TOKENS + full
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_loads.py
@@ -0,0 +1,44 @@
+"""Tests of counting work in flight."""
+
+from hollyknot_coordination.forwarding import Loads
+from hollyknot_coordination.forwarding._loads import Load
+from hollyknot_coordination.forwarding.tests._builders import report
+
+
+class TestLoads:
+    """A host's own work, and what peers tell of theirs."""
+
+    def test_a_request_from_its_sending_to_its_end(self) -> None:
+        loads = Loads()
+        loads.begin("i-1", 500, 2)
+        assert loads.at("i-1").waiting_tokens == 500
+        loads.start("i-1", 500)
+        assert loads.at("i-1").running == 1
+        assert loads.at("i-1").ahead_of(2) == 1
+        loads.end("i-1", 500, 2, has_started=True)
+        assert loads.at("i-1") == Load()
+        assert loads.uses() == ()
+
+    def test_peers_work_is_added_at_its_urgency(self) -> None:
+        own, peer = Loads(), Loads()
+        own.begin("i-1", 100, 0)
+        peer.begin("i-1", 300, 0)
+        peer.begin("i-1", 400, 7)
+        own.take_reports([report("b", uses=peer.uses())])
+        load = own.at("i-1")
+        assert (load.waiting_tokens, load.requests) == (800, 3)
+        assert [load.ahead_of(u) for u in (0, 6, 7, 9)] == [2, 2, 3, 3]
+
+    def test_a_peer_that_is_silent_no_longer_counts(self) -> None:
+        own, peer = Loads(), Loads()
+        peer.begin("i-1", 300, 0)
+        own.take_reports([report("b", uses=peer.uses())])
+        own.take_reports([])
+        assert own.at("i-1") == Load()
+
+    def test_more_than_a_byte_holds(self) -> None:
+        peer = Loads()
+        for _ in range(300):
+            peer.begin("i-1", 1, 1)
+        (use,) = peer.uses()
+        assert use.urgencies == bytes([0, 255])
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -137,7 +137,6 @@
             self._in_force,
             self._reachability,
             self._prober,
-            lambda: self._is_stopping,
             self._log,
             rng,
             clock,
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -12,24 +12,25 @@
     Paces,
     Peers,
     Reachability,
+    ReportRate,
     RetryBudget,
 )
 from hollyknot_coordination.suspects import SuspectRegister
 from hollyknot_gateway._in_force import InForce
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._prober import Prober
-from hollyknot_gateway._reports import ReportSocket
-from hollyknot_state import HostReport
+from hollyknot_gateway._reports import (
+    Report,
+    ReportSocket,
+    encode_report,
+)
+from hollyknot_state import Address, HostReport, UseReport
 from hollyknot_state.routes import GatewaySettings, UpstreamEntry
 
 REPORT_S = 0.1
-"""Between two reports to peers. Their work in flight changes within tens of
+"""Between two rounds of reports. Work in flight changes within tens of
 milliseconds, and a report costs some tens of microseconds."""
 
-REPORTED_PEERS = 16
-"""Peers that get each report; of more, as many are chosen at random, so that a
-host's bytes do not grow with the number of hosts."""
-
 _INCARNATION_BITS = 62
 """Of the random number that tells a restarted host from the one before it."""
 
@@ -63,7 +64,6 @@
         in_force: InForce,
         reachability: Reachability,
         prober: Prober,
-        is_stopping: Callable[[], bool],
         log: Log,
         rng: random.Random,
         clock: Callable[[], float],
@@ -76,7 +76,6 @@
             in_force: Routes and upstreams.
             reachability: Which upstreams can't be connected to.
             prober: Looks at upstreams of a silent data centre.
-            is_stopping: Whether this host is about to end.
             log: Told of peers met and lost.
             rng: Chooses peers.
             clock: The loop's monotonic clock, in seconds.
@@ -86,13 +85,14 @@
         self._in_force = in_force
         self._reachability = reachability
         self._prober = prober
-        self._is_stopping = is_stopping
         self._log = log
         self._clock = clock
         self._peers = Peers(settings.peers, settings.seeds, rng)
         self._socket = ReportSocket(self._take_report, log)
         self._incarnation = rng.getrandbits(_INCARNATION_BITS)
         self._sequence = 0
+        self._rate = ReportRate()
+        self._size = 0
         self._silent: frozenset[str] = frozenset()
         self._slow: frozenset[str] = frozenset()
 
@@ -121,9 +121,26 @@
             self._count(now_s)
             self._look_at_silence(now_s)
             self._log_slow()
-            targets = self._peers.targets(now_s, REPORTED_PEERS)
-            self._sequence += 1
-            self._socket.send(self._own_report(now_s), targets)
+            self._tell(now_s)
+
+    def _tell(self, now_s: float) -> None:
+        """Sends as many reports as the budget of bytes allows."""
+        if not self._rate.affordable(self._size, now_s):
+            return
+        self._sequence += 1
+        data = encode_report(self._changes(now_s))
+        self._size = len(data)
+        most = self._rate.affordable(self._size, now_s)
+        targets = self._peers.targets(now_s, most)
+        detailed = [t for t in targets if self._peers.wants_details(t, now_s)]
+        brief = [target for target in targets if target not in detailed]
+        self._send(data, brief)
+        if detailed:
+            self._send(encode_report(self._own_report(now_s)), detailed)
+
+    def _send(self, data: bytes, targets: list[Address]) -> None:
+        self._socket.send(data, targets)
+        self._rate.spend(len(data) * len(targets))
 
     def _count(self, now_s: float) -> None:
         """Counts what peers have told, and forgets those that are silent."""
@@ -134,11 +151,21 @@
         shared.loads.take_reports(fresh)
         shared.paces.take(p for report in fresh for p in report.paces)
         shared.demand.take(d for report in fresh for d in report.demands)
-        shared.budget.set_hosts(self._peers.count + 1)
+        shared.budget.set_hosts(self._peers.estimated + 1)
+
+    def _changes(self, now_s: float) -> UseReport:
+        shared = self._shared
+        return UseReport(
+            self._incarnation,
+            self._sequence,
+            shared.loads.uses(),
+            shared.demand.told(now_s),
+            shared.suspects.records(now_s),
+        )
 
     def _own_report(self, now_s: float) -> HostReport:
         index = self._in_force.index
-        shared = self._shared
+        changes = self._changes(now_s)
         return HostReport(
             host=self._settings.host,
             incarnation=self._incarnation,
@@ -146,18 +173,19 @@
             address=self._settings.peers,
             data_centre=self._settings.data_centre,
             table_version=index.table.version if index is not None else 0,
-            is_stopping=self._is_stopping(),
-            uses=shared.loads.uses(),
-            demands=shared.demand.told(now_s),
-            paces=shared.paces.told(),
-            suspects=shared.suspects.records(now_s),
+            uses=changes.uses,
+            demands=changes.demands,
+            paces=self._shared.paces.told(),
+            suspects=changes.suspects,
             contacts=self._peers.contacts(),
         )
 
-    def _take_report(self, report: HostReport) -> None:
+    def _take_report(self, report: Report) -> None:
         now = self._clock()
         self._shared.suspects.on_records(report.suspects, now)
-        if self._peers.take(report, now):
+        if isinstance(report, UseReport):
+            self._peers.take_uses(report, now)
+        elif self._peers.take(report, now):
             self._log.line(
                 "peer_met", peer=report.host, data_centre=report.data_centre
             )
--- a/packages/gateway/src/hollyknot_gateway/_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/_reports.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import heapq
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -17,16 +18,36 @@
     decode_as,
     encode,
 )
-from hollyknot_state import Address, HostReport
+from hollyknot_state import Address, HostReport, UseReport
 
 MAX_BYTES = 1400
-"""Fits into one packet; a report that doesn't is sent without its suspects."""
+"""Fits into one packet. A report that doesn't tells only of the busiest
+upstreams, and of no suspects: its host's next one may be shorter."""
+
+MAX_USES = 48
+"""Upstreams in such a report, of some 16 bytes each."""
+
+Report = HostReport | UseReport
+
+_TAGS: dict[type[Report], bytes] = {HostReport: b"h", UseReport: b"u"}
+_CLASSES = {tag: kind for kind, tag in _TAGS.items()}
+
+
+def encode_report(report: Report) -> bytes:
+    """Returns a report as a datagram: what it is, and thrift's bytes."""
+    data = encode(report)
+    if len(data) > MAX_BYTES:
+        busiest = heapq.nlargest(
+            MAX_USES, report.uses, key=lambda use: use.waiting_tokens
+        )
+        data = encode(attrs.evolve(report, uses=tuple(busiest), suspects=()))
+    return _TAGS[type(report)] + data
 
 
 class ReportSocket(asyncio.DatagramProtocol):
     """The socket of reports."""
 
-    def __init__(self, deliver: Callable[[HostReport], None], log: Log) -> None:
+    def __init__(self, deliver: Callable[[Report], None], log: Log) -> None:
         """Not open yet.
 
         Args:
@@ -53,13 +74,10 @@
         if self._transport is not None:
             self._transport.close()
 
-    def send(self, report: HostReport, addresses: list[Address]) -> None:
+    def send(self, data: bytes, addresses: list[Address]) -> None:
         """Sends a report to some hosts; nobody learns whether it arrives."""
-        if self._transport is None or not addresses:
+        if self._transport is None:
             return
-        data = encode(report)
-        if len(data) > MAX_BYTES:
-            data = encode(attrs.evolve(report, suspects=(), contacts=()))
         for address in addresses:
             self._transport.sendto(data, (address.ip, address.port))
 
@@ -69,8 +87,12 @@
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Takes a datagram, which anybody may have sent."""
+        kind = _CLASSES.get(data[:1])
+        if kind is None:
+            self._log.line("bad_report", sender=addr[0], reason="unknown")
+            return
         try:
-            report = decode_as(HostReport, data)
+            report = decode_as(kind, data[1:])
         except (MalformedMessageError, UnknownValueError) as error:
             self._log.line("bad_report", sender=addr[0], reason=repr(error))
             return
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -56,6 +56,7 @@
                 job.tried | kept_away,
                 now,
                 is_loose=job.is_loose,
+                urgency=job.urgency,
             )
             if isinstance(found, Choice):
                 break
@@ -71,7 +72,11 @@
         parts = self._parts
         entry = choice.entry
         work = parts.placement.begin(
-            choice, job.call, parts.clock(), is_loose=job.is_loose
+            choice,
+            job.call,
+            parts.clock(),
+            is_loose=job.is_loose,
+            urgency=job.urgency,
         )
         is_detached = False
         try:
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -7,10 +7,11 @@
 }
 
 struct UpstreamUse {
-  1: string upstream
+  1: i32 upstream           // 31 bits of the incarnation's checksum
   2: i64 waiting_tokens
   3: i32 waiting
   4: i32 running
+  5: binary urgencies       // requests at each urgency, from 0
 }
 
 struct LaneDemand {
@@ -40,10 +41,19 @@
   4: Address address
   5: string data_centre
   6: i64 table_version
-  7: bool is_stopping
   8: list<UpstreamUse> uses
   9: list<SuspectRecord> suspects
   10: list<Address> contacts
   11: list<LaneDemand> demands
   12: list<UpstreamPace> paces
 }
+
+// The part of a report that changes all the time, without what identifies its
+// host to strangers.
+struct UseReport {
+  1: i64 incarnation
+  2: i64 sequence
+  3: list<UpstreamUse> uses
+  4: list<LaneDemand> demands
+  5: list<SuspectRecord> suspects
+}
--- a/packages/protocol/src/hollyknot_protocol/_kinds.py
+++ b/packages/protocol/src/hollyknot_protocol/_kinds.py
@@ -45,6 +45,7 @@
     Kind(0, _peer.Proof, peer.Proof),
     Kind(0, _peer.Envelope, peer.Envelope),
     Kind(0, state.HostReport, report.HostReport),
+    Kind(0, state.UseReport, report.UseReport),
 )
 """What travels without an envelope."""
 
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -103,6 +103,7 @@
      - waiting_tokens
      - waiting
      - running
+     - urgencies
 
     """
 
@@ -111,14 +112,16 @@
         'waiting_tokens',
         'waiting',
         'running',
+        'urgencies',
     )
 
 
-    def __init__(self, upstream=None, waiting_tokens=None, waiting=None, running=None,):
+    def __init__(self, upstream=None, waiting_tokens=None, waiting=None, running=None, urgencies=None,):
         self.upstream = upstream
         self.waiting_tokens = waiting_tokens
         self.waiting = waiting
         self.running = running
+        self.urgencies = urgencies
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -130,8 +133,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.upstream = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -149,6 +152,11 @@
                     self.running = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.urgencies = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -160,8 +168,8 @@
             return
         oprot.writeStructBegin('UpstreamUse')
         if self.upstream is not None:
-            oprot.writeFieldBegin('upstream', TType.STRING, 1)
-            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldBegin('upstream', TType.I32, 1)
+            oprot.writeI32(self.upstream)
             oprot.writeFieldEnd()
         if self.waiting_tokens is not None:
             oprot.writeFieldBegin('waiting_tokens', TType.I64, 2)
@@ -175,6 +183,10 @@
             oprot.writeFieldBegin('running', TType.I32, 4)
             oprot.writeI32(self.running)
             oprot.writeFieldEnd()
+        if self.urgencies is not None:
+            oprot.writeFieldBegin('urgencies', TType.STRING, 5)
+            oprot.writeBinary(self.urgencies)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -485,7 +497,6 @@
      - address
      - data_centre
      - table_version
-     - is_stopping
      - uses
      - suspects
      - contacts
@@ -501,7 +512,6 @@
         'address',
         'data_centre',
         'table_version',
-        'is_stopping',
         'uses',
         'suspects',
         'contacts',
@@ -510,14 +520,13 @@
     )
 
 
-    def __init__(self, host=None, incarnation=None, sequence=None, address=None, data_centre=None, table_version=None, is_stopping=None, uses=None, suspects=None, contacts=None, demands=None, paces=None,):
+    def __init__(self, host=None, incarnation=None, sequence=None, address=None, data_centre=None, table_version=None, uses=None, suspects=None, contacts=None, demands=None, paces=None,):
         self.host = host
         self.incarnation = incarnation
         self.sequence = sequence
         self.address = address
         self.data_centre = data_centre
         self.table_version = table_version
-        self.is_stopping = is_stopping
         self.uses = uses
         self.suspects = suspects
         self.contacts = contacts
@@ -564,11 +573,6 @@
                     self.table_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.BOOL:
-                    self.is_stopping = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.uses = []
@@ -658,10 +662,6 @@
             oprot.writeFieldBegin('table_version', TType.I64, 6)
             oprot.writeI64(self.table_version)
             oprot.writeFieldEnd()
-        if self.is_stopping is not None:
-            oprot.writeFieldBegin('is_stopping', TType.BOOL, 7)
-            oprot.writeBool(self.is_stopping)
-            oprot.writeFieldEnd()
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
@@ -720,6 +720,150 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class UseReport(object):
+    """
+    Attributes:
+     - incarnation
+     - sequence
+     - uses
+     - demands
+     - suspects
+
+    """
+
+    __slots__ = (
+        'incarnation',
+        'sequence',
+        'uses',
+        'demands',
+        'suspects',
+    )
+
+
+    def __init__(self, incarnation=None, sequence=None, uses=None, demands=None, suspects=None,):
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.uses = uses
+        self.demands = demands
+        self.suspects = suspects
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.uses = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = UpstreamUse()
+                        _elem40.read(iprot)
+                        self.uses.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = LaneDemand()
+                        _elem46.read(iprot)
+                        self.demands.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = SuspectRecord()
+                        _elem52.read(iprot)
+                        self.suspects.append(_elem52)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UseReport')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 1)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.uses is not None:
+            oprot.writeFieldBegin('uses', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.uses))
+            for iter53 in self.uses:
+                iter53.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter54 in self.demands:
+                iter54.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter55 in self.suspects:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
 all_structs.append(Address)
 Address.thrift_spec = (
     None,  # 0
@@ -729,10 +873,11 @@
 all_structs.append(UpstreamUse)
 UpstreamUse.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (1, TType.I32, 'upstream', None, None, ),  # 1
     (2, TType.I64, 'waiting_tokens', None, None, ),  # 2
     (3, TType.I32, 'waiting', None, None, ),  # 3
     (4, TType.I32, 'running', None, None, ),  # 4
+    (5, TType.STRING, 'urgencies', 'BINARY', None, ),  # 5
 )
 all_structs.append(LaneDemand)
 LaneDemand.thrift_spec = (
@@ -764,12 +909,21 @@
     (4, TType.STRUCT, 'address', [Address, None], None, ),  # 4
     (5, TType.STRING, 'data_centre', 'UTF8', None, ),  # 5
     (6, TType.I64, 'table_version', None, None, ),  # 6
-    (7, TType.BOOL, 'is_stopping', None, None, ),  # 7
+    None,  # 7
     (8, TType.LIST, 'uses', (TType.STRUCT, [UpstreamUse, None], False), None, ),  # 8
     (9, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 9
     (10, TType.LIST, 'contacts', (TType.STRUCT, [Address, None], False), None, ),  # 10
     (11, TType.LIST, 'demands', (TType.STRUCT, [LaneDemand, None], False), None, ),  # 11
     (12, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 12
 )
+all_structs.append(UseReport)
+UseReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'incarnation', None, None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.LIST, 'uses', (TType.STRUCT, [UpstreamUse, None], False), None, ),  # 3
+    (4, TType.LIST, 'demands', (TType.STRUCT, [LaneDemand, None], False), None, ),  # 4
+    (5, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 5
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -53,6 +53,8 @@
     LaneDemand,
     UpstreamPace,
     UpstreamUse,
+    UseReport,
+    short_name,
 )
 from hollyknot_state._hosts import EntryState, HostList, HostListEntry, Role
 from hollyknot_state._parse import (
@@ -112,6 +114,7 @@
     "LaneDemand",
     "UpstreamPace",
     "UpstreamUse",
+    "UseReport",
     "HostListEntry",
     "IndirectProbe",
     "LearnSlots",
@@ -154,4 +157,5 @@
     "parse_host_list",
     "parse_settings",
     "update_declarations",
+    "short_name",
 ]
--- a/packages/state/src/hollyknot_state/_host_report.py
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -4,27 +4,43 @@
 one of the same host, so that nothing has to be undone when one is missed.
 """
 
+import zlib
+
 import attrs
 
 from hollyknot_state._settings import Address
 from hollyknot_state._signals import SuspectRecord
 
+_CHECKSUM_BITS = 0x7FFF_FFFF
+
+
+def short_name(incarnation: str) -> int:
+    """Returns what stands for an upstream in reports, in 5 bytes for 12.
+
+    Of 10,000 upstreams two have the same one at a chance of 1 in 40; their
+    loads then count for both.
+    """
+    return zlib.crc32(incarnation.encode()) & _CHECKSUM_BITS
+
 
 @attrs.frozen
 class UpstreamUse:
     """A host's own work in flight at one upstream.
 
     Attributes:
-        upstream: Its incarnation.
+        upstream: Its short name.
         waiting_tokens: Of prompts that were sent and not yet answered.
         waiting: Requests that were sent and not yet answered.
         running: Streams that have begun.
+        urgencies: How many of all these there are at each urgency, from 0 on,
+            255 at the most; zeros at the end are left out.
     """
 
-    upstream: str
+    upstream: int
     waiting_tokens: int
     waiting: int
     running: int
+    urgencies: bytes = b""
 
 
 @attrs.frozen
@@ -67,7 +83,6 @@
         address: Where it takes reports.
         data_centre: Where it runs.
         table_version: Of the routes that it has in force; 0 for none.
-        is_stopping: Whether it is about to end.
         uses: Its work in flight; upstreams without any are left out.
         demands: Prompt tokens that it sends.
         paces: How fast upstreams are.
@@ -81,9 +96,27 @@
     address: Address
     data_centre: str
     table_version: int
-    is_stopping: bool
     uses: tuple[UpstreamUse, ...] = ()
     demands: tuple[LaneDemand, ...] = ()
     paces: tuple[UpstreamPace, ...] = ()
     suspects: tuple[SuspectRecord, ...] = ()
     contacts: tuple[Address, ...] = ()
+
+
+@attrs.frozen
+class UseReport:
+    """What changes all the time, for a peer that knows the rest.
+
+    Attributes:
+        incarnation: Of the sender's process.
+        sequence: Shared with its other reports.
+        uses: As in them.
+        demands: As in them.
+        suspects: As in them.
+    """
+
+    incarnation: int
+    sequence: int
+    uses: tuple[UpstreamUse, ...] = ()
+    demands: tuple[LaneDemand, ...] = ()
+    suspects: tuple[SuspectRecord, ...] = ()
