Read the list after some failed watches; bound the silence of a read

Lines: the tables' watch failed 40 times, the upstreams' came back at once. A watch tells every version since the last one read; after a storm of versions of 340 routes its answer took longer than a read may, and was begun again. Ruled out: the store's outage (over at 11.5 s), the data centre's cut.

Change: after three failed watches the list is read, which tells the newest version only; a read is bounded by silence, up to 5 s in all. Also here: prompt tokens that wait are told by urgency, so that an urgent stream is not kept away by prompts that are read in after its own. Tests: follower, fetch (an injected clock), loads, placement, seen failing.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_loads.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_loads.py
@@ -13,7 +13,7 @@
 _MOST_TOLD = 255
 """What fits into a byte; no upstream has as many slots for one host."""
 
-_NO_URGENCIES = (0,) * URGENCIES
+_NONE_AT_ANY = (0,) * URGENCIES
 
 
 @attrs.frozen
@@ -21,16 +21,21 @@
     """Work at one upstream.
 
     Attributes:
-        waiting_tokens: Of prompts that may not have been read in yet.
+        tokens: Of prompts that may not have been read in yet, at each urgency.
         waiting: Requests that have not been answered.
         running: Streams that have begun.
         urgencies: All of these at each urgency.
     """
 
-    waiting_tokens: int = 0
+    tokens: tuple[int, ...] = _NONE_AT_ANY
     waiting: int = 0
     running: int = 0
-    urgencies: tuple[int, ...] = _NO_URGENCIES
+    urgencies: tuple[int, ...] = _NONE_AT_ANY
+
+    @property
+    def waiting_tokens(self) -> int:
+        """Prompt tokens at all urgencies."""
+        return sum(self.tokens)
 
     @property
     def requests(self) -> int:
@@ -41,29 +46,41 @@
         """Returns how many requests an upstream does not put back for one."""
         return sum(self.urgencies[: urgency + 1])
 
+    def tokens_ahead_of(self, urgency: int) -> int:
+        """Returns the prompt tokens that it reads in before those of one."""
+        return sum(self.tokens[: urgency + 1])
+
     def __add__(self, other: "Load") -> "Load":
         return Load(
-            self.waiting_tokens + other.waiting_tokens,
+            _sums(self.tokens, other.tokens),
             self.waiting + other.waiting,
             self.running + other.running,
-            tuple(map(operator.add, self.urgencies, other.urgencies)),
+            _sums(self.urgencies, other.urgencies),
         )
 
 
+def _sums(some: tuple[int, ...], others: tuple[int, ...]) -> tuple[int, ...]:
+    return tuple(map(operator.add, some, others))
+
+
 _NONE = Load()
 
 
+def _zeros() -> list[int]:
+    return [0] * URGENCIES
+
+
 @attrs.define
 class _Own:
-    waiting_tokens: int = 0
     waiting: int = 0
     running: int = 0
-    urgencies: list[int] = attrs.Factory(lambda: [0] * URGENCIES)
+    tokens: list[int] = attrs.Factory(_zeros)
+    urgencies: list[int] = attrs.Factory(_zeros)
 
     def load(self) -> Load:
         """Returns it as it is now."""
         return Load(
-            self.waiting_tokens,
+            tuple(self.tokens),
             self.waiting,
             self.running,
             tuple(self.urgencies),
@@ -82,14 +99,14 @@
         """Notes that a request was sent."""
         own = self._own.setdefault(upstream, _Own())
         own.waiting += 1
-        own.waiting_tokens += tokens
+        own.tokens[urgency] += tokens
         own.urgencies[urgency] += 1
 
-    def start(self, upstream: str, tokens: int) -> None:
+    def start(self, upstream: str, tokens: int, urgency: int) -> None:
         """Notes that a stream has begun: its prompt has been read in."""
         own = self._own[upstream]
         own.waiting -= 1
-        own.waiting_tokens -= tokens
+        own.tokens[urgency] -= tokens
         own.running += 1
 
     def end(
@@ -102,7 +119,7 @@
             own.running -= 1
         else:
             own.waiting -= 1
-            own.waiting_tokens -= tokens
+            own.tokens[urgency] -= tokens
         if not own.waiting and not own.running:
             del self._own[upstream]
 
@@ -126,15 +143,29 @@
         return tuple(
             UpstreamUse(
                 short_name(name),
-                own.waiting_tokens,
+                _without_end(own.tokens),
                 own.waiting,
                 own.running,
-                bytes(min(n, _MOST_TOLD) for n in own.urgencies).rstrip(b"\0"),
+                bytes(min(n, _MOST_TOLD) for n in _without_end(own.urgencies)),
             )
             for name, own in self._own.items()
         )
 
 
+def _without_end(counts: list[int]) -> tuple[int, ...]:
+    """Returns counts without the zeros at their end."""
+    last = max((i for i, count in enumerate(counts) if count), default=-1)
+    return tuple(counts[: last + 1])
+
+
 def _told(use: UpstreamUse) -> Load:
-    told = use.urgencies[:URGENCIES].ljust(URGENCIES, b"\0")
-    return Load(use.waiting_tokens, use.waiting, use.running, tuple(told))
+    return Load(
+        _padded(use.waiting_tokens),
+        use.waiting,
+        use.running,
+        _padded(tuple(use.urgencies)),
+    )
+
+
+def _padded(counts: tuple[int, ...]) -> tuple[int, ...]:
+    return (counts + _NONE_AT_ANY)[:URGENCIES]
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
@@ -172,7 +172,7 @@
         """Notes that its first event is out."""
         if not work.has_started:
             work.has_started = True
-            self._loads.start(work.incarnation, work.tokens)
+            self._loads.start(work.incarnation, work.tokens, work.urgency)
 
     def end(self, work: Work) -> None:
         """Notes that it has ended."""
@@ -249,8 +249,12 @@
         return best
 
     def _busy(self, entry: UpstreamEntry, urgency: int) -> int:
-        """Returns what is in flight at an upstream, in tokens."""
+        """Returns what is in flight at an upstream, in tokens.
+
+        Less urgent prompts that wait there are read in later.
+        """
         load = self._loads.at(entry.incarnation)
         beyond = load.ahead_of(urgency) + 1 - entry.slots
         full = max(0, beyond) * FULL_TOKENS
-        return load.waiting_tokens + load.running * RUNNING_TOKENS + full
+        running = load.running * RUNNING_TOKENS
+        return load.tokens_ahead_of(urgency) + running + full
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_loads.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_loads.py
@@ -12,7 +12,7 @@
         loads = Loads()
         loads.begin("i-1", 500, 2)
         assert loads.at("i-1").waiting_tokens == 500
-        loads.start("i-1", 500)
+        loads.start("i-1", 500, 2)
         assert loads.at("i-1").running == 1
         assert loads.at("i-1").ahead_of(2) == 1
         loads.end("i-1", 500, 2, has_started=True)
@@ -28,6 +28,8 @@
         load = own.at("i-1")
         assert (load.waiting_tokens, load.requests) == (800, 3)
         assert [load.ahead_of(u) for u in (0, 6, 7, 9)] == [2, 2, 3, 3]
+        told = [load.tokens_ahead_of(u) for u in (0, 6, 7)]
+        assert told == [400, 400, 800]
 
     def test_a_peer_that_is_silent_no_longer_counts(self) -> None:
         own, peer = Loads(), Loads()
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_paces.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_paces.py
@@ -7,7 +7,7 @@
 from hollyknot_state import UpstreamPace
 
 POOL = [upstream("fast"), upstream("slow")]
-QUIET = Load(0, 0, 3)
+QUIET = Load(running=3)
 
 
 def _feed(paces: Paces, name: str, speed: float, count: int) -> None:
@@ -38,8 +38,8 @@
         _feed(paces, "fast", 1.0, 200)
         _feed(paces, "slow", 1.0, 200)
         for _ in range(500):
-            paces.note("slow", 0.120, Load(9000, 2, 3))
-            paces.note("slow", 0.120, Load(0, 0, 60))
+            paces.note("slow", 0.120, Load((9000,), 2, 3))
+            paces.note("slow", 0.120, Load(running=60))
         paces.ratios(POOL)
         assert paces.slow == frozenset()
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_peers.py
@@ -102,7 +102,7 @@
         peers = _peers("a")
         paces = (UpstreamPace("i-1", 12_000),)
         peers.take(attrs.evolve(report("b", sequence=1), paces=paces), 0.0)
-        uses = (UpstreamUse(7, 100, 1, 2),)
+        uses = (UpstreamUse(7, (100,), 1, 2),)
         peers.take_uses(UseReport(1, 2, uses), 0.3)
         peers.take_uses(UseReport(1, 1), 0.4)
         (told,) = peers.fresh(0.4)
@@ -110,11 +110,11 @@
 
     def test_a_short_report_of_a_stranger_tells_nothing(self) -> None:
         peers = _peers("a")
-        peers.take_uses(UseReport(1, 1, (UpstreamUse(7, 100, 1, 2),)), 0.0)
+        peers.take_uses(UseReport(1, 1, (UpstreamUse(7, (100,), 1, 2),)), 0.0)
         assert peers.count == 0
         peers.take(report("b", sequence=1, incarnation=2), 0.0)
         peers.take(report("b", sequence=1, incarnation=3), 0.1)
-        peers.take_uses(UseReport(2, 9, (UpstreamUse(7, 100, 1, 2),)), 0.2)
+        peers.take_uses(UseReport(2, 9, (UpstreamUse(7, (100,), 1, 2),)), 0.2)
         assert peers.fresh(0.2)[0].uses == ()
 
     def test_a_restarted_peer_is_told_all_at_once(self) -> None:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_placement.py
@@ -159,6 +159,22 @@
         found = host.choose(urgent, is_loose=False, urgency=1)
         assert found.entry in POOL[:3]
 
+    def test_prompts_that_are_read_in_later_do_not_keep_one_away(self) -> None:
+        """Urgent streams wait for seconds, and time out, in a burst.
+
+        Sequence: more urgent prompts wait in the lane of tight streams, less
+        urgent and long ones in the other. Cause: the long ones counted, so
+        that the other lane never looked worth while.
+        """
+        host = _Host()
+        for entry in POOL[:3]:
+            host.loads.begin(entry.incarnation, 90_000, 5)
+        for entry in POOL[3:]:
+            host.loads.begin(entry.incarnation, 60_000, 0)
+        urgent = call(("t", 100), ("q", 50))
+        found = host.choose(urgent, is_loose=False, urgency=1)
+        assert found.entry in POOL[:3]
+
     def test_a_less_urgent_stream_stays_away_from_urgent_ones(self) -> None:
         host = _Host()
         self._fill(host, is_loose=True, urgency=5)
--- a/packages/gateway/src/hollyknot_gateway/_fetch.py
+++ b/packages/gateway/src/hollyknot_gateway/_fetch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+from collections.abc import Callable
 
 import attrs
 
@@ -10,6 +11,10 @@
 from hollyknot_gateway._upstream_connection import Head, Lost
 from hollyknot_state import Address
 
+LONGEST_READ_S = 5.0
+"""The longest that an answer may take that keeps coming. A megabyte of routes
+over a link with a round trip of 20 ms takes a second."""
+
 
 class FetchFailure(enum.Enum):
     """Why a document was not read."""
@@ -33,7 +38,8 @@
 
 
 class _Collector:
-    def __init__(self) -> None:
+    def __init__(self, on_progress: Callable[[], None]) -> None:
+        self._on_progress = on_progress
         self._status = 0
         self._parts: list[bytes] = []
         loop = asyncio.get_running_loop()
@@ -43,9 +49,11 @@
 
     def on_head(self, head: Head) -> None:
         self._status = head.status
+        self._note_progress()
 
     def on_data(self, data: bytes) -> None:
         self._parts.append(data)
+        self._note_progress()
 
     def on_end(self) -> None:
         self._set(Document(self._status, b"".join(self._parts)))
@@ -53,6 +61,11 @@
     def on_lost(self, _: Lost) -> None:
         self._set(FetchFailure.LOST)
 
+    def _note_progress(self) -> None:
+        # A part may still come in just after the wait has ended.
+        if not self.done.done():
+            self._on_progress()
+
     def _set(self, found: Document | FetchFailure) -> None:
         if not self.done.done():
             self.done.set_result(found)
@@ -68,19 +81,25 @@
         name: Of the server, by which its connections are kept.
         address: Where it answers.
         target: Path and query.
-        timeout_s: The longest wait, a new connection included.
+        timeout_s: The longest silence, a new connection included. An answer
+            that keeps coming has longer: were its whole time bounded, one
+            that is too large would be begun again and again, and never read.
 
     Returns:
         The answer, or why there is none. A connection on which an answer did
         not come in time is never used again: it may be silent for good.
     """
     connection = None
+    clock = asyncio.get_running_loop().time
+    last_s = clock() + max(timeout_s, LONGEST_READ_S)
     try:
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout(timeout_s) as timeout:
             connection = await pool.take(name, address, timeout_s)
             if isinstance(connection, ConnectFailure):
                 return FetchFailure.CONNECT
-            collector = _Collector()
+            collector = _Collector(
+                lambda: timeout.reschedule(min(clock() + timeout_s, last_s))
+            )
             host = f"{address.ip}:{address.port}".encode()
             line = f"GET {target} HTTP/1.1".encode("latin-1")
             head = write_head(line, [(b"Host", host)])
--- a/packages/gateway/src/hollyknot_gateway/_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/_follower.py
@@ -34,6 +34,12 @@
 version that was published meanwhile would be late."""
 
 
+_WATCHES_FAILED = 3
+"""Failed watches after which the list is read instead. A watch tells all that
+has changed meanwhile: after a storm of large versions its answer could not be
+read in time, and a host stayed behind for 13 s after the source was back."""
+
+
 @attrs.frozen
 class FollowOptions:
     """How a collection is watched.
@@ -126,6 +132,8 @@
             if isinstance(found, SourceFailure):
                 await self._failed(found)
                 needs_second_list = True
+                if self._failures >= _WATCHES_FAILED:
+                    return
                 continue
             if found is Compacted.COMPACTED:
                 self._log.line("history_lost", source=self._source.name)
--- a/packages/gateway/src/hollyknot_gateway/_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/_reports.py
@@ -38,7 +38,7 @@
     data = encode(report)
     if len(data) > MAX_BYTES:
         busiest = heapq.nlargest(
-            MAX_USES, report.uses, key=lambda use: use.waiting_tokens
+            MAX_USES, report.uses, key=lambda use: sum(use.waiting_tokens)
         )
         data = encode(attrs.evolve(report, uses=tuple(busiest), suspects=()))
     return _TAGS[type(report)] + data
--- a/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
@@ -101,6 +101,20 @@
         assert waits[0] == waits[3] == 2.0
         assert max(waits[1:3]) < 0.2
 
+    def test_lists_again_after_some_failed_watches(self) -> None:
+        """A host serves by old routes long after the source is back.
+
+        Sequence: the source is away for seconds in which many large versions
+        are published; it comes back. Cause: the host asked for all of them
+        again and again, and gave up each answer before its end.
+        """
+        newest = Listing({"a": "60"}, 90)
+        told = _follow(
+            [Listing({"a": "1"}, 5), FAILED, newest], [FAILED, FAILED, FAILED]
+        )
+        assert [after for after, _ in told.asked] == [5, 5, 5, 90]
+        assert told.listings[-1] == (newest, True)
+
     def test_removals_just_after_a_failure_may_be_lapses(self) -> None:
         told = _follow(
             [Listing({"a": "1"}, 5)], [FAILED, Changes({}, ("a",), 7)]
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -8,7 +8,7 @@
 
 struct UpstreamUse {
   1: i32 upstream           // 31 bits of the incarnation's checksum
-  2: i64 waiting_tokens
+  2: list<i64> waiting_tokens  // at each urgency, from 0
   3: i32 waiting
   4: i32 running
   5: binary urgencies       // requests at each urgency, from 0
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -138,8 +138,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.waiting_tokens = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.waiting_tokens = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readI64()
+                        self.waiting_tokens.append(_elem5)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -172,8 +177,11 @@
             oprot.writeI32(self.upstream)
             oprot.writeFieldEnd()
         if self.waiting_tokens is not None:
-            oprot.writeFieldBegin('waiting_tokens', TType.I64, 2)
-            oprot.writeI64(self.waiting_tokens)
+            oprot.writeFieldBegin('waiting_tokens', TType.LIST, 2)
+            oprot.writeListBegin(TType.I64, len(self.waiting_tokens))
+            for iter6 in self.waiting_tokens:
+                oprot.writeI64(iter6)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.I32, 3)
@@ -576,55 +584,55 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = UpstreamUse()
-                        _elem5.read(iprot)
-                        self.uses.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = UpstreamUse()
+                        _elem12.read(iprot)
+                        self.uses.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = SuspectRecord()
-                        _elem11.read(iprot)
-                        self.suspects.append(_elem11)
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = SuspectRecord()
+                        _elem18.read(iprot)
+                        self.suspects.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.contacts = []
-                    (_etype15, _size12) = iprot.readListBegin()
-                    for _i16 in range(_size12):
-                        _elem17 = Address()
-                        _elem17.read(iprot)
-                        self.contacts.append(_elem17)
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = Address()
+                        _elem24.read(iprot)
+                        self.contacts.append(_elem24)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype21, _size18) = iprot.readListBegin()
-                    for _i22 in range(_size18):
-                        _elem23 = LaneDemand()
-                        _elem23.read(iprot)
-                        self.demands.append(_elem23)
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = LaneDemand()
+                        _elem30.read(iprot)
+                        self.demands.append(_elem30)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype27, _size24) = iprot.readListBegin()
-                    for _i28 in range(_size24):
-                        _elem29 = UpstreamPace()
-                        _elem29.read(iprot)
-                        self.paces.append(_elem29)
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = UpstreamPace()
+                        _elem36.read(iprot)
+                        self.paces.append(_elem36)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -665,36 +673,36 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter30 in self.uses:
-                iter30.write(oprot)
+            for iter37 in self.uses:
+                iter37.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter31 in self.suspects:
-                iter31.write(oprot)
+            for iter38 in self.suspects:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.contacts is not None:
             oprot.writeFieldBegin('contacts', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.contacts))
-            for iter32 in self.contacts:
-                iter32.write(oprot)
+            for iter39 in self.contacts:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter33 in self.demands:
-                iter33.write(oprot)
+            for iter40 in self.demands:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter34 in self.paces:
-                iter34.write(oprot)
+            for iter41 in self.paces:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -771,33 +779,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = UpstreamUse()
-                        _elem40.read(iprot)
-                        self.uses.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = UpstreamUse()
+                        _elem47.read(iprot)
+                        self.uses.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = LaneDemand()
-                        _elem46.read(iprot)
-                        self.demands.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = LaneDemand()
+                        _elem53.read(iprot)
+                        self.demands.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = SuspectRecord()
-                        _elem52.read(iprot)
-                        self.suspects.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = SuspectRecord()
+                        _elem59.read(iprot)
+                        self.suspects.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -822,22 +830,22 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter53 in self.uses:
-                iter53.write(oprot)
+            for iter60 in self.uses:
+                iter60.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter54 in self.demands:
-                iter54.write(oprot)
+            for iter61 in self.demands:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter55 in self.suspects:
-                iter55.write(oprot)
+            for iter62 in self.suspects:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -874,7 +882,7 @@
 UpstreamUse.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'upstream', None, None, ),  # 1
-    (2, TType.I64, 'waiting_tokens', None, None, ),  # 2
+    (2, TType.LIST, 'waiting_tokens', (TType.I64, None, False), None, ),  # 2
     (3, TType.I32, 'waiting', None, None, ),  # 3
     (4, TType.I32, 'running', None, None, ),  # 4
     (5, TType.STRING, 'urgencies', 'BINARY', None, ),  # 5
--- a/packages/state/src/hollyknot_state/_host_report.py
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -29,15 +29,16 @@
 
     Attributes:
         upstream: Its short name.
-        waiting_tokens: Of prompts that were sent and not yet answered.
+        waiting_tokens: Of prompts that were sent and not yet answered, at each
+            urgency from 0 on; zeros at the end are left out.
         waiting: Requests that were sent and not yet answered.
         running: Streams that have begun.
-        urgencies: How many of all these there are at each urgency, from 0 on,
-            255 at the most; zeros at the end are left out.
+        urgencies: How many requests there are at each urgency, likewise; 255 at
+            the most.
     """
 
     upstream: int
-    waiting_tokens: int
+    waiting_tokens: tuple[int, ...]
     waiting: int
     running: int
     urgencies: bytes = b""
