--- a/packages/coordination/src/hollyknot_coordination/forwarding/_loads.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_loads.py
@@ -5,10 +5,10 @@
 
 import attrs
 
+from hollyknot_coordination.forwarding._route_index import LEAST_URGENT
 from hollyknot_state import HostReport, UpstreamUse, short_name
 
-URGENCIES = 10
-"""Upstreams know urgencies from 0, the first, to 9."""
+URGENCIES = LEAST_URGENT + 1
 
 _MOST_TOLD = 255
 """What fits into a byte; no upstream has as many slots for one host."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
@@ -6,6 +6,9 @@
 from hollyknot_state import TIERS
 from hollyknot_state.routes import KeyOwner, Route, RouteTable
 
+LEAST_URGENT = 9
+"""Engines know ten urgencies, from 0, the first."""
+
 
 class NoRoute(enum.Enum):
     """The table has no route for a request."""
@@ -35,6 +38,11 @@
         self._has_owner_priorities = any(
             owner.priority is not None for owner in table.owners_by_key.values()
         )
+        # Where routes have more ranks, those of customers are left out: beyond
+        # the least urgency, requests of different routes would be ranked alike.
+        self._has_room_for_owners = all(
+            0 <= route.priority < len(TIERS) for route in table.routes
+        )
         self._tolerances: dict[str, Tolerance] = {}
         for route in table.routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
@@ -88,12 +96,12 @@
         The numbers must not follow from which priorities are in use: that
         changes with each key, and running requests keep their number.
         """
-        if not self._has_owner_priorities:
-            return route.priority
+        if not self._has_owner_priorities or not self._has_room_for_owners:
+            return min(max(route.priority, 0), LEAST_URGENT)
         own = route.priority
         if isinstance(owner, KeyOwner) and owner.priority is not None:
             own = owner.priority
-        return route.priority * len(TIERS) + min(own, len(TIERS) - 1)
+        return route.priority * len(TIERS) + min(max(own, 0), len(TIERS) - 1)
 
     def owner(self, route: Route, key: str) -> KeyOwner | NoOwner:
         """Returns who sends a request."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_route_index.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_route_index.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hollyknot_coordination.forwarding import NoOwner, NoRoute, RouteIndex
+from hollyknot_coordination.forwarding._route_index import LEAST_URGENT
 from hollyknot_coordination.forwarding.tests._builders import route, table
 from hollyknot_state.routes import KeyOwner, RouteKind
 
@@ -79,6 +80,21 @@
         ]
         assert ranks == sorted(set(ranks))
 
+    @pytest.mark.parametrize("priorities", [(0, 1, 2), (1, 4, 7), (0, 8, 30)])
+    def test_is_a_number_that_engines_know(
+        self, priorities: tuple[int, ...]
+    ) -> None:
+        """Requests of different routes are dropped as if they were alike.
+
+        Sequence: routes have priorities of 4 and 7, and customers have some.
+        Cause: three times a route's priority, cut off at 9.
+        """
+        routes = [route(f"r{p}", f"/{p}/", priority=p) for p in priorities]
+        index = RouteIndex(table(*routes, first=0, usual=1))
+        ranks = [index.urgency(r, KeyOwner("u", 1)) for r in routes]
+        assert ranks == sorted(set(ranks))
+        assert 0 <= ranks[0] <= ranks[-1] <= LEAST_URGENT
+
     def test_does_not_follow_from_which_priorities_are_in_use(self) -> None:
         """Running requests have numbers of another scale than new ones.
 
--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -157,6 +157,8 @@
 
 
 Handler = Callable[[CallerRequest, Reply], Awaitable[None]]
+OnUnread = Callable[[int, str], None]
+"""Told the status and the reason of a request that was not read."""
 
 
 class CallerConnection(BaseProtocol):
@@ -170,6 +172,7 @@
         "_is_reading_body",
         "_limits",
         "_on_lost",
+        "_on_unread",
         "_queue",
         "_task",
         "_waiting_head",
@@ -180,6 +183,7 @@
         handler: Handler,
         limits: CallerLimits,
         on_lost: Callable[["CallerConnection"], None],
+        on_unread: OnUnread,
     ) -> None:
         """Waits for a caller.
 
@@ -187,12 +191,14 @@
             handler: Answers each request; cancelled if the caller goes away.
             limits: Of this connection's requests.
             on_lost: Told when the connection has ended.
+            on_unread: Told of what can't be read as a request.
         """
         loop = asyncio.get_running_loop()
         super().__init__(loop)
         self._handler = handler
         self._limits = limits
         self._on_lost = on_lost
+        self._on_unread = on_unread
         self._parser = HttpRequestParser(
             self,
             loop,
@@ -286,6 +292,7 @@
             return
         self._queue.extend(messages)
         if len(self._queue) > _QUEUED_REQUESTS:
+            self._on_unread(0, "too many requests ahead of their answers")
             self.abort()
             return
         if not messages and data and not self._has_request:
@@ -314,6 +321,7 @@
         if body is None:
             self._closes = True
             reply.whole(_TOO_LARGE, (), b"The body is too large.\n")
+            self._on_unread(_TOO_LARGE, "the body is too large")
         else:
             request = CallerRequest(
                 method=message.method,
@@ -373,6 +381,7 @@
         if self._has_request and not self._is_reading_body:
             # Its own answer comes first. The rest of the connection is lost.
             self._queue.clear()
+            self._on_unread(0, type(error).__name__)
             return
         if self._task is not None:
             self._task.cancel()
@@ -380,4 +389,5 @@
         reply = Reply(self, "GET", is_modern=True)
         status = _HEAD_TOO_LARGE if is_long else _BAD_REQUEST
         reply.whole(status, (), b"The request can't be parsed.\n")
+        self._on_unread(status, type(error).__name__)
         self.close()
--- a/packages/gateway/src/hollyknot_gateway/_caller_server.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_server.py
@@ -3,7 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-from hollyknot_gateway._caller_connection import CallerConnection, Handler
+from hollyknot_gateway._caller_connection import (
+    CallerConnection,
+    Handler,
+    OnUnread,
+)
 from hollyknot_state import Address
 from hollyknot_state.routes import CallerLimits
 
@@ -16,16 +20,21 @@
     """All connections of callers to one address."""
 
     def __init__(
-        self, handler: Handler, limits: Callable[[], CallerLimits]
+        self,
+        handler: Handler,
+        limits: Callable[[], CallerLimits],
+        on_unread: OnUnread,
     ) -> None:
         """Prepares to listen.
 
         Args:
             handler: Answers each request.
             limits: Returns the limits for a new connection.
+            on_unread: Told of what can't be read as a request.
         """
         self._handler = handler
         self._limits = limits
+        self._on_unread = on_unread
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._is_last_answer = False
@@ -97,6 +106,7 @@
             self._handler,
             self._limits(),
             self._connections.discard,
+            self._on_unread,
         )
         if self._is_last_answer:
             connection.close_after_answer()
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -4,7 +4,6 @@
 import contextlib
 import os
 import random
-import time
 import traceback
 from collections.abc import Callable, Coroutine
 from types import TracebackType
@@ -23,7 +22,8 @@
     RetryBudget,
 )
 from hollyknot_coordination.suspects import SuspectOptions, SuspectRegister
-from hollyknot_gateway._caller_connection import CallerRequest, Reply
+from hollyknot_gateway import _metrics as metrics
+from hollyknot_gateway._answers import NO_ROUTE
 from hollyknot_gateway._caller_server import CallerServer
 from hollyknot_gateway._directory import LAPSE_S, Directory, DirectoryParts
 from hollyknot_gateway._flow import Flow
@@ -33,10 +33,12 @@
 from hollyknot_gateway._losses import Losses
 from hollyknot_gateway._metrics import Metrics
 from hollyknot_gateway._neighbours import Neighbours, Shared
+from hollyknot_gateway._operators import Operators
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._ports import Dialect, Source
 from hollyknot_gateway._prober import Prober
 from hollyknot_gateway._stalls import Stalls
+from hollyknot_gateway._suspension import Suspension
 from hollyknot_state.routes import (
     CallerLimits,
     GatewaySettings,
@@ -63,9 +65,6 @@
 STANDARD_OUTPUT = 1
 """The descriptor that log lines go to."""
 
-SUSPENDED_S = 0.5
-"""Difference of the clocks from which a host counts as suspended."""
-
 
 @attrs.frozen
 class Ports:
@@ -155,14 +154,13 @@
             settings.bounds,
         )
         flow = Flow(self._flow_parts(ports.dialect))
-        self._callers = CallerServer(flow.handle, self._limits)
-        self._readiness = CallerServer(self._answer_readiness, CallerLimits)
-        self._scrapes = CallerServer(self._answer_scrape, CallerLimits)
+        self._callers = CallerServer(flow.handle, self._limits, self._unread)
+        self._operators = Operators(
+            lambda: self.is_ready, self._metrics, self._unread
+        )
         self._add_gauges()
         self._is_stopping = False
-        self._suspended_s = (
-            time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
-        )
+        self._suspension = Suspension()
         self._stack = contextlib.AsyncExitStack()
 
     def _flow_parts(self, dialect: Dialect) -> FlowParts:
@@ -225,15 +223,9 @@
         stack.callback(self._log.flush)
         stack.callback(self._pool.close)
         stack.push_async_callback(self._prober.close)
-        for server, address in (
-            (self._callers, self._settings.callers),
-            (self._readiness, self._settings.readiness),
-        ):
-            await server.start(address)
-            stack.callback(server.close)
-        if self._settings.metrics is not None:
-            await self._scrapes.start(self._settings.metrics)
-            stack.callback(self._scrapes.close)
+        await self._callers.start(self._settings.callers)
+        stack.callback(self._callers.close)
+        await self._operators.start(self._settings, stack)
         await self._neighbours.open()
         stack.callback(self._neighbours.close)
         for work in (
@@ -322,13 +314,15 @@
         index = self._in_force.index
         return index.table.limits if index is not None else CallerLimits()
 
-    async def _answer_readiness(self, _: CallerRequest, reply: Reply) -> None:
-        status = 200 if self.is_ready else 503
-        reply.whole(status, (), b"")
-
-    async def _answer_scrape(self, _: CallerRequest, reply: Reply) -> None:
-        kind = (b"Content-Type", b"text/plain; version=0.0.4")
-        reply.whole(200, (kind,), self._metrics.render())
+    def _unread(self, status: int, reason: str) -> None:
+        """Tells of a request that could not be read."""
+        self._log.line("unread", status=status, reason=reason)
+        self._metrics.count(
+            metrics.REQUESTS,
+            route=NO_ROUTE,
+            status=str(status),
+            reason="unread",
+        )
 
     def _add_gauges(self) -> None:
         gauge = self._metrics.gauge
@@ -356,7 +350,7 @@
             self._look_at_clocks()
             self._stalls.sweep()
             self._callers.sweep(self._clock())
-            self._readiness.sweep(self._clock())
+            self._operators.sweep(self._clock())
             self._pool.sweep()
 
     async def _reach(self) -> None:
@@ -386,11 +380,9 @@
         The steady clock does not count a suspension, so that connections seem
         to have been idle for a moment that their other ends gave up long ago.
         """
-        suspended_s = time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
-        gone_s = suspended_s - self._suspended_s
-        self._suspended_s = suspended_s
-        if gone_s > SUSPENDED_S:
-            self._log.line("suspended", seconds=round(gone_s, 2))
+        passed_s = self._suspension.passed_s()
+        if passed_s:
+            self._log.line("suspended", seconds=round(passed_s, 2))
             self._pool.close()
 
     async def _flush(self) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -216,10 +216,14 @@
         verdict = _CALLER_GONE
         try:
             async with asyncio.timeout_at(job.deadline_s):
-                verdict = (await exchange.done).verdict
+                result = await exchange.done
+            verdict = result.verdict
+            self._log_try(job, choice, result)
             self._give_back(choice.entry, exchange.connection)
         except TimeoutError:
             exchange.connection.abandon()
+            gone = attrs.evolve(_CALLER_GONE, detail=_TIME_IS_UP)
+            self._log_try(job, choice, exchange.so_far(gone))
         finally:
             self._parts.placement.end(work)
             self._parts.losses.ended(choice.entry, job.fingerprint, verdict)
