--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -64,12 +64,16 @@
         self._parts = parts
         self._bounds = bounds
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Puts other bounds in force from the next read on."""
+        self._bounds = bounds
+
     async def follow_tables(self) -> None:
         """Reads route tables until it is cancelled."""
         parts = self._parts
         follower = Follower(
             parts.tables,
-            self._options(0.0),
+            lambda: self._options(0.0),
             lambda listing, _: self._take_tables(listing.items),
             lambda changes, _: self._take_tables(changes.items),
             parts.log,
@@ -85,7 +89,7 @@
             parts.upstreams,
             # Entries are renewed all the time, so that a watch ends at once:
             # without a pause each renewal would cost a read.
-            self._options(self._bounds.drain_s * NOTICE_PART),
+            lambda: self._options(self._bounds.drain_s * NOTICE_PART),
             self._take_listing,
             self._take_changes,
             parts.log,
--- a/packages/gateway/src/hollyknot_gateway/_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/_follower.py
@@ -61,7 +61,7 @@
     def __init__(
         self,
         source: Source[T],
-        options: FollowOptions,
+        options: Callable[[], FollowOptions],
         on_listing: Callable[[Listing[T], bool], None],
         on_changes: Callable[[Changes[T], bool], None],
         log: Log,
@@ -72,7 +72,7 @@
 
         Args:
             source: What to read.
-            options: How.
+            options: How; asked for at each read, since settings may change.
             on_listing: Takes a whole list, and whether what it lacks may only
                 have lapsed while the source was away.
             on_changes: Takes changes, likewise.
@@ -124,9 +124,9 @@
 
     async def _watch(self) -> None:
         """Follows changes until the list has to be read again."""
-        options = self._options
         needs_second_list = self._is_settling()
         while True:
+            options = self._options()
             wait_s = _PROBE_WAIT_S if self._failures else options.wait_s
             found = await self._source.watch(self._revision, wait_s)
             if isinstance(found, SourceFailure):
@@ -149,7 +149,7 @@
                 return
 
     def _is_settling(self) -> bool:
-        return self._clock() - self._failed_at < self._options.settle_s
+        return self._clock() - self._failed_at < self._options().settle_s
 
     def _succeeded(self) -> None:
         if self._failures:
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -298,6 +298,7 @@
         self._last_read = found
         self._settings = attrs.evolve(self._settings, bounds=found.bounds)
         self._budget.set_bounds(found.bounds)
+        self._directory.set_bounds(found.bounds)
         self._log.line("reload", changed=",".join(changed))
 
     async def _reload_now_and_then(self) -> None:
--- a/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
@@ -53,7 +53,7 @@
 
     follower = Follower(
         Source("test", read, watch),
-        FollowOptions(wait_s=2.0, pause_s=0.0, settle_s=3.0),
+        lambda: FollowOptions(wait_s=2.0, pause_s=0.0, settle_s=3.0),
         lambda listing, lapsed: told.listings.append((listing, lapsed)),
         lambda changes, lapsed: told.changes.append((changes, lapsed)),
         Log("h", "d", os.open(os.devnull, os.O_WRONLY)),
