--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
@@ -21,9 +21,10 @@
 """What a running stream counts, in tokens to be read in: each makes each step
 of its engine a little longer."""
 
-TIGHT_SPILL_TOKENS = 40_000
+TIGHT_SPILL_TOKENS = 20_000
 """How much more waiting work the lane of tight streams has to have before one
-goes to the other lane: some hundreds of milliseconds of reading in."""
+goes to the other lane: 0.3 s of reading in, about the time that such streams
+have for their first event."""
 
 LOOSE_SPILL_TOKENS = 200_000
 """The same for loose streams. Each of their long prompts makes most streams
