Never take a host's own data centre to be cut off; name services in lines

A host in milano took its own data centre for silent while two neighbours were restarted: upstreams there were probed, and their crashes excused. `upstream_gone` told no service and `upstream` no data centre, so that both had to be looked up. Test: seen failing with the condition taken out.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
@@ -97,6 +97,11 @@
         for entry in listed.values():
             self.put(entry)
 
+    def service_of(self, incarnation: str) -> str:
+        """Returns the service of an upstream; empty if it is not known."""
+        known = self._known.get(incarnation)
+        return known.entry.service if known is not None else ""
+
     def mark_gone(self, incarnation: str) -> None:
         """Notes that another incarnation answered at an upstream's address."""
         known = self._known.get(incarnation)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
@@ -131,16 +131,22 @@
     """The peers of one host."""
 
     def __init__(
-        self, own: Address, seeds: tuple[Address, ...], rng: random.Random
+        self,
+        own: Address,
+        data_centre: str,
+        seeds: tuple[Address, ...],
+        rng: random.Random,
     ) -> None:
         """Knows the seeds only.
 
         Args:
             own: Where this host takes reports; never contacted.
+            data_centre: Where it is; it can't be cut off from there.
             seeds: Where to begin.
             rng: Chooses which addresses to tell and to try.
         """
         self._own = own
+        self._data_centre = data_centre
         self._seeds = tuple(seed for seed in seeds if seed != own)
         self._rng = rng
         self._peers: dict[str, Peer] = {}
@@ -219,7 +225,7 @@
         ]
 
     def silent_data_centres(self, now_s: float) -> frozenset[str]:
-        """Returns data centres all of whose peers have just fallen silent.
+        """Returns other data centres whose peers have all just fallen silent.
 
         Such a data centre may have been cut off, which its upstreams' open
         connections would tell seconds later.
@@ -228,7 +234,9 @@
         return frozenset(
             name
             for name, centre in self._centres.items()
-            if name in known and centre.is_silent(now_s)
+            if name in known
+            and name != self._data_centre
+            and centre.is_silent(now_s)
         )
 
     def targets(self, now_s: float, most: int) -> list[Address]:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_peers.py
@@ -16,7 +16,7 @@
 
 def _peers(own: str, *seeds: str) -> Peers:
     addresses = tuple(address_of(seed) for seed in seeds)
-    return Peers(address_of(own), addresses, random.Random(1))
+    return Peers(address_of(own), "north", addresses, random.Random(1))
 
 
 class TestPeers:
@@ -76,6 +76,18 @@
         assert peers.silent_data_centres(1.35) == {"east"}
         assert peers.silent_data_centres(1.65) == {"east", "south"}
 
+    def test_a_host_is_not_cut_off_from_where_it_is(self) -> None:
+        """Upstreams beside a host are probed, and their crashes excused.
+
+        Sequence: all other hosts of its data centre are restarted. Cause:
+        their silence was taken for a cut.
+        """
+        peers = _peers("a")
+        for step in range(10):
+            told = report("b", sequence=step, data_centre="north")
+            peers.take(told, step * 0.1)
+        assert peers.silent_data_centres(3.0) == set()
+
     def test_a_data_centre_that_seldom_reports_is_not_silent(self) -> None:
         """All upstreams of a calm data centre are probed, again and again.
 
--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -148,6 +148,7 @@
                 "upstream",
                 upstream=entry.incarnation,
                 service=entry.service,
+                where=entry.data_centre,
                 draining=entry.is_draining,
                 revision=revision,
             )
@@ -159,12 +160,14 @@
     ) -> None:
         parts = self._parts
         fleet = parts.in_force.fleet
+        service = fleet.service_of(incarnation)
         fleet.remove(
             incarnation, parts.clock(), may_have_lapsed=may_have_lapsed
         )
         parts.log.line(
             "upstream_gone",
             upstream=incarnation,
+            service=service,
             lapsed=may_have_lapsed,
             revision=revision,
         )
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -87,7 +87,9 @@
         self._prober = prober
         self._log = log
         self._clock = clock
-        self._peers = Peers(settings.peers, settings.seeds, rng)
+        self._peers = Peers(
+            settings.peers, settings.data_centre, settings.seeds, rng
+        )
         self._socket = ReportSocket(self._take_report, log)
         self._incarnation = rng.getrandbits(_INCARNATION_BITS)
         self._sequence = 0
