--- a/packages/coordination/src/hollyknot_coordination/forwarding/_loads.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_loads.py
@@ -9,6 +9,7 @@
 from hollyknot_state import HostReport, UpstreamUse, short_name
 
 URGENCIES = LEAST_URGENT + 1
+"""How many urgencies there are: 0, the first, to the least urgent."""
 
 _MOST_TOLD = 255
 """What fits into a byte; no upstream has as many slots for one host."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
@@ -83,7 +83,7 @@
 
 
 @attrs.define
-class _Centre:
+class _LastHeard:
     """When a data centre was heard last, and how often it usually is."""
 
     heard_s: float
@@ -150,13 +150,18 @@
         self._seeds = tuple(seed for seed in seeds if seed != own)
         self._rng = rng
         self._peers: dict[str, Peer] = {}
+        # Addresses that were only heard of, and when they were last tried.
         self._tried: dict[Address, float] = {}
+        # Peers by the incarnation that their short reports name.
         self._hosts: dict[int, str] = {}
+        # When each peer was last sent a report, and one that tells all.
         self._told: dict[Address, float] = {}
         self._detailed: dict[Address, float] = {}
+        # When reports came in, of any peer, and the usual time between two of
+        # one peer.
         self._heard: deque[float] = deque()
         self._interval_s = 0.0
-        self._centres: dict[str, _Centre] = {}
+        self._last_heard: dict[str, _LastHeard] = {}
 
     @property
     def count(self) -> int:
@@ -212,7 +217,9 @@
         self._hosts[report.incarnation] = report.host
         self._peers[report.host] = Peer(report, now_s)
         self._heard.append(now_s)
-        centre = self._centres.setdefault(report.data_centre, _Centre(now_s))
+        centre = self._last_heard.setdefault(
+            report.data_centre, _LastHeard(now_s)
+        )
         centre.note(now_s)
 
     def fresh(self, now_s: float) -> list[HostReport]:
@@ -233,7 +240,7 @@
         known = {peer.report.data_centre for peer in self._peers.values()}
         return frozenset(
             name
-            for name, centre in self._centres.items()
+            for name, centre in self._last_heard.items()
             if name in known
             and name != self._data_centre
             and centre.is_silent(now_s)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_peers.py
@@ -11,7 +11,7 @@
     address_of,
     report,
 )
-from hollyknot_state import UpstreamPace, UpstreamUse, UseReport
+from hollyknot_state import Address, UpstreamPace, UpstreamUse, UseReport
 
 
 def _peers(own: str, *seeds: str) -> Peers:
@@ -176,6 +176,24 @@
         for most in (1, 2, 5):
             assert len(peers.targets(1.0 + most, most)) <= most
 
+    def test_dead_addresses_do_not_keep_reports_from_peers(self) -> None:
+        """Live hosts hear nothing of each other where many were replaced.
+
+        Sequence: peers tell of twenty addresses whose hosts are gone; the
+        budget pays for one report a round. Cause: each dead address is tried
+        once a second, and is tried before a peer is told.
+        """
+        peers = _peers("a")
+        gone = tuple(Address("127.0.0.9", 1 + n) for n in range(20))
+        for name in "bcdefgh":
+            peers.take(report(name, contacts=gone), 0.0)
+        told = {
+            target
+            for step in range(1, 11)
+            for target in peers.targets(step / 10, 1)
+        }
+        assert told & {address_of(name) for name in "bcdefgh"}
+
 
 class TestEstimate:
     """How many peers there are, from those that were heard."""
