Give tries of unheard addresses a share of reports; let cut fleets meet again

Symptom: live hosts hear nothing of each other where many were replaced; and found while mending it: the two sides of a long cut never meet again. Cause: each address that was heard of and does not answer was tried once a second before any peer was told; a host that knew of more than 32 peers tried no other address at all, and forgot peers' addresses with the peers. Ruled out: an end to tries after some of them (two sides of an hour's cut whose seeds were replaced know nothing else of each other). Change: Contacts keeps addresses, tries each ever less often (1 to 16 s) and takes half of all reports, an eighth where many peers are known. Peers is split: Contacts, Silences, ReportTimes and estimate_peers stand in modules of their own.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_peers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hollyknot_coordination.forwarding import Peers
-from hollyknot_coordination.forwarding._peers import estimate_peers
+from hollyknot_coordination.forwarding._peer_count import estimate_peers
 from hollyknot_coordination.forwarding.tests._builders import (
     address_of,
     report,
@@ -195,6 +195,73 @@
         assert told & {address_of(name) for name in "bcdefgh"}
 
 
+def _exchange(
+    hosts: dict[str, Peers], number: int, now_s: float, *, is_cut: bool
+) -> None:
+    """Plays one round of reports between hosts, each of which sends three.
+
+    Args:
+        hosts: All hosts; the first letter of a name is its data centre.
+        number: Of the round.
+        now_s: The time.
+        is_cut: Whether nothing passes between data centres.
+    """
+    by_address = {_unique(name): name for name in hosts}
+    for name, host in hosts.items():
+        told = attrs.evolve(
+            report(name, number, data_centre=name[0]),
+            incarnation=_unique(name).port,
+            address=_unique(name),
+            contacts=host.contacts(),
+        )
+        for target in host.targets(now_s, 3):
+            other = by_address.get(target)
+            if other is not None and not (is_cut and other[0] != name[0]):
+                hosts[other].take(told, now_s)
+    for host in hosts.values():
+        host.expire(now_s)
+
+
+def _unique(host: str) -> Address:
+    return Address("127.0.0.2", 100 * ord(host[0]) + int(host[1:]))
+
+
+class TestAfterCut:
+    """Two sides that have forgotten each other."""
+
+    @pytest.mark.parametrize("size", [4, 40])
+    def test_the_sides_of_a_long_cut_meet_again(self, size: int) -> None:
+        """Each side goes on as if it were the whole fleet.
+
+        Sequence: forty hosts on each side of a cut of two minutes, after
+        which the cut ends; the seeds have long been replaced. Cause: a host
+        that knows of more than 32 peers tried no other addresses, so that
+        neither side ever heard of the other again.
+        """
+        names = [f"{side}{i}" for side in "ns" for i in range(size)]
+        seeds = (_unique("n0"), _unique("s0"))
+        hosts = {
+            name: Peers(_unique(name), name[0], seeds, random.Random(name))
+            for name in names
+        }
+        for step in range(1, 400):
+            now_s = step * 0.5
+            if step == 100:
+                del hosts["n0"], hosts["s0"]
+            is_cut = 60 < now_s < 180
+            _exchange(hosts, step, now_s, is_cut=is_cut)
+            if now_s == 179.5:
+                assert not any(map(_hears_far_side, hosts.items()))
+        assert all(map(_hears_far_side, hosts.items()))
+
+
+def _hears_far_side(item: tuple[str, Peers]) -> bool:
+    """Returns whether a host knows of a peer in the other data centre."""
+    name, peers = item
+    however_old = peers.fresh(0.0)
+    return any(known.data_centre != name[0] for known in however_old)
+
+
 class TestEstimate:
     """How many peers there are, from those that were heard."""
 
--- a/packages/gateway/src/hollyknot_gateway/tests/test_losses.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_losses.py
@@ -4,7 +4,7 @@
 import os
 from collections.abc import Awaitable, Callable
 
-from hollyknot_coordination.forwarding import Reachability
+from hollyknot_coordination.forwarding import Reachability, _silences
 from hollyknot_coordination.suspects import (
     Clear,
     SuspectOptions,
@@ -112,6 +112,4 @@
         _run(test)
 
     def test_the_wait_for_a_cut_is_longer_than_its_signs_take(self) -> None:
-        from hollyknot_coordination.forwarding import _peers  # noqa: PLC0415
-
-        assert _losses.JUDGE_S >= 2 * _peers.SILENT_S
+        assert _losses.JUDGE_S >= 2 * _silences.SILENT_S
