Give only the shortest pauses lanes of their own; wait for a prompt in work

Change: lanes split at 1.4 times the shortest accepted pause, not at the widest gap; half of one less urgent prompt counts as ahead.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
@@ -11,7 +11,6 @@
 that hear each other come to the same number, and a burst shifts it.
 """
 
-import itertools
 import math
 from collections.abc import Iterable, Sequence
 
@@ -20,9 +19,14 @@
 from hollyknot_state import LaneDemand
 from hollyknot_state.routes import Route, RouteKind, UpstreamEntry
 
-LEAST_RATIO = 2.0
-"""Between the accepted pauses of two groups of routes; closer ones are one
-group, since what the one bears the other bears too."""
+ALIKE_RATIO = 1.4
+"""How much longer than the shortest accepted pause another one may be for its
+streams to share upstreams with those. Streams that bear half as much again bear
+an engine that reads prompts all the time, if those prompts are short or wait
+behind theirs; with them gone, the shortest pauses are kept even in a burst.
+Measured with accepted pauses of 0.2, 0.3 and 0.8 s, 24 days each way: mean
+worth 0.719 with the middle ones beside the shortest, 0.728 beside the longest.
+"""
 
 TIGHT_USE = 0.6
 """How busy upstreams of tight streams are to be, as a share of how busy the
@@ -41,27 +45,15 @@
     """From which accepted pause on a route's streams are loose."""
 
     def __init__(self, routes: Iterable[Route], service: str) -> None:
-        """Finds the widest gap between the pauses that routes accept."""
-        pauses = sorted(
-            {
-                route.gap_target_s
-                for route in routes
-                if route.kind is RouteKind.STREAM
-                and route.gap_target_s > 0
-                and any(share.service == service for share in route.shares)
-            }
-        )
-        self._from_s = math.inf
-        widest = LEAST_RATIO
-        for shorter, longer in itertools.pairwise(pauses):
-            if longer / shorter >= widest:
-                widest = longer / shorter
-                self._from_s = longer
-
-    @property
-    def has_two_lanes(self) -> bool:
-        """Whether the service's routes differ enough to be kept apart."""
-        return self._from_s < math.inf
+        """Finds the pauses that are much longer than the shortest."""
+        pauses = {
+            route.gap_target_s
+            for route in routes
+            if route.kind is RouteKind.STREAM
+            and route.gap_target_s > 0
+            and any(share.service == service for share in route.shares)
+        }
+        self._from_s = min(pauses, default=math.inf) * ALIKE_RATIO
 
     def is_loose(self, route: Route) -> bool:
         """Whether a route's streams bear long pauses."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_loads.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_loads.py
@@ -51,6 +51,16 @@
         """Returns the prompt tokens that it reads in before those of one."""
         return sum(self.tokens[: urgency + 1])
 
+    def tokens_being_read(self, urgency: int) -> int:
+        """Returns what is left, on average, of a less urgent prompt in work.
+
+        An engine puts less urgent prompts back, but for the one that it has
+        begun to read: a prompt of 34,000 tokens made more urgent streams wait
+        for half a second.
+        """
+        less_urgent = sum(self.tokens[urgency + 1 :])
+        return less_urgent // (2 * max(1, self.waiting))
+
     def __add__(self, other: "Load") -> "Load":
         return Load(
             _sums(self.tokens, other.tokens),
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
@@ -252,10 +252,11 @@
     def _busy(self, entry: UpstreamEntry, urgency: int) -> int:
         """Returns what is in flight at an upstream, in tokens.
 
-        Less urgent prompts that wait there are read in later.
+        Less urgent prompts that wait there are read in later, but for one.
         """
         load = self._loads.at(entry.incarnation)
         beyond = load.ahead_of(urgency) + 1 - entry.slots
         full = max(0, beyond) * FULL_TOKENS
         running = load.running * RUNNING_TOKENS
-        return load.tokens_ahead_of(urgency) + running + full
+        reading = load.tokens_being_read(urgency)
+        return load.tokens_ahead_of(urgency) + reading + running + full
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_loads.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_loads.py
@@ -31,6 +31,13 @@
         told = [load.tokens_ahead_of(u) for u in (0, 6, 7)]
         assert told == [400, 400, 800]
 
+    def test_half_of_one_less_urgent_prompt_is_being_read(self) -> None:
+        loads = Loads()
+        for tokens in (8000, 2000):
+            loads.begin("i-1", tokens, 7)
+        load = loads.at("i-1")
+        assert [load.tokens_being_read(u) for u in (0, 6, 7)] == [2500, 2500, 0]
+
     def test_a_peer_that_is_silent_no_longer_counts(self) -> None:
         own, peer = Loads(), Loads()
         peer.begin("i-1", 300, 0)
