Refuse some of the least urgent streams while engines are nearly full

Change: Shedding refuses nine in ten streams of a service's least urgent routes from 0.6 of the slots in flight on, before any try, with a time to come back.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -21,6 +21,12 @@
     NoRoute,
     RouteIndex,
 )
+from hollyknot_coordination.forwarding._shedding import (
+    COME_BACK_S,
+    Admission,
+    Shed,
+    Shedding,
+)
 from hollyknot_coordination.forwarding._steps import (
     Again,
     GiveUp,
@@ -30,6 +36,8 @@
 )
 
 __all__ = [
+    "COME_BACK_S",
+    "Admission",
     "Again",
     "Choice",
     "Demand",
@@ -50,6 +58,8 @@
     "ReportRate",
     "RetryBudget",
     "RouteIndex",
+    "Shed",
+    "Shedding",
     "Tolerance",
     "TryState",
     "Work",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_loads.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_loads.py
@@ -47,6 +47,10 @@
         """Returns how many requests an upstream does not put back for one."""
         return sum(self.urgencies[: urgency + 1])
 
+    def behind(self, urgency: int) -> int:
+        """Returns how many requests are of an urgency or less urgent."""
+        return sum(self.urgencies[urgency:])
+
     def tokens_ahead_of(self, urgency: int) -> int:
         """Returns the prompt tokens that it reads in before those of one."""
         return sum(self.tokens[: urgency + 1])
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
@@ -44,6 +44,7 @@
             0 <= route.priority < len(TIERS) for route in table.routes
         )
         self._tolerances: dict[str, Tolerance] = {}
+        self._sheds_from: dict[str, int] = {}
         for route in table.routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route
@@ -103,6 +104,32 @@
             own = owner.priority
         return route.priority * len(TIERS) + min(max(own, 0), len(TIERS) - 1)
 
+    def sheds_from(self, service: str) -> int:
+        """Returns from which urgency on a service's streams may be refused.
+
+        Those are the ones of its least urgent routes, if it has more urgent
+        ones: else no urgency is as great as what is returned.
+        """
+        known = self._sheds_from.get(service)
+        if known is None:
+            known = self._find_sheds_from(service)
+            self._sheds_from[service] = known
+        return known
+
+    def _find_sheds_from(self, service: str) -> int:
+        priorities = {
+            route.priority
+            for route in self._table.routes
+            if route.has_prompts
+            and any(share.service == service for share in route.shares)
+        }
+        least = max(priorities, default=0)
+        if least == min(priorities, default=0):
+            return LEAST_URGENT + 1
+        if self._has_owner_priorities and self._has_room_for_owners:
+            least *= len(TIERS)
+        return min(least, LEAST_URGENT)
+
     def owner(self, route: Route, key: str) -> KeyOwner | NoOwner:
         """Returns who sends a request."""
         if not self._table.owners_by_key or not route.needs_key:
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_shedding.py
@@ -0,0 +1,94 @@
+"""Refuses some of the least urgent streams while engines are nearly full.
+
+The more of an engine's time goes into reading prompts, the fewer steps are left
+for the streams that run: they end later, so that more run at once, until urgent
+ones put back others, whose prompts then are read in again. Past that point most
+streams are late, urgent ones too, and long ones time out when nearly done. One
+notices it by streams that take three times as long as usual and by requests put
+back. A stream refused in time is told when to come back, and spares the others.
+
+Only the least urgent routes of a service are refused, never all of their
+requests: all others are left to the engines, which sort them by urgency. So no
+request is refused for a less urgent one, and no route starves.
+"""
+
+import enum
+import random
+from collections.abc import Sequence
+
+import attrs
+
+from hollyknot_coordination.forwarding._loads import Loads
+from hollyknot_state.routes import UpstreamEntry
+
+FULL_SHARE = 0.6
+"""Of all slots, the part in flight from which the least urgent are refused.
+Twelve days with bursts and crashes, mean worth: 0.674 without refusals, 0.676
+from 0.75 of the slots, 0.689 and 0.684 from 0.6, 0.681 from 0.5. Four days with
+ten times the usual traffic of two customers and 2.6 times that of all: 0.453 to
+0.544 without, of which one let urgent streams time out while others began; 0.570
+to 0.617 from 0.6, none of which did."""
+
+ADMITTED_SHARE = 0.1
+"""Of the least urgent, what is admitted all the same, so that none starves.
+With 0.2 the same days came to 0.685, and more urgent streams timed out."""
+
+SMALL_SHARE = 0.02
+"""Of all slots, what the least urgent may hold in any case: refusing a route
+that holds less would help nobody."""
+
+COME_BACK_S = 3.0
+"""When a refused caller is told to come back, on the mean: bursts last a few
+seconds, and streams that run take about as long to end."""
+
+
+class Admission(enum.Enum):
+    """A request may be sent."""
+
+    ADMITTED = "admitted"
+
+
+@attrs.frozen
+class Shed:
+    """A request is refused, so that others are served.
+
+    Attributes:
+        taken: Requests in flight at the service's upstreams.
+        slots: What the upstreams can run at once.
+    """
+
+    taken: int
+    slots: int
+
+
+class Shedding:
+    """Decides which streams are refused."""
+
+    def __init__(self, loads: Loads, rng: random.Random) -> None:
+        """Follows the loads.
+
+        Args:
+            loads: Work in flight, of all hosts that are heard.
+            rng: Chooses which of the least urgent are admitted.
+        """
+        self._loads = loads
+        self._rng = rng
+
+    def decide(
+        self, entries: Sequence[UpstreamEntry], sheds_from: int
+    ) -> Admission | Shed:
+        """Returns whether one of the least urgent streams may be sent.
+
+        Args:
+            entries: The upstreams that it could go to.
+            sheds_from: The urgency from which streams are the least urgent.
+        """
+        loads = [self._loads.at(entry.incarnation) for entry in entries]
+        slots = sum(entry.slots for entry in entries)
+        taken = sum(load.requests for load in loads)
+        least_urgent = sum(load.behind(sheds_from) for load in loads)
+        if taken < FULL_SHARE * slots or least_urgent <= SMALL_SHARE * slots:
+            return Admission.ADMITTED
+        if self._rng.random() < ADMITTED_SHARE:
+            return Admission.ADMITTED
+        return Shed(taken, slots)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_route_index.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_route_index.py
@@ -1,5 +1,6 @@
 """Tests of finding routes, owners and urgency."""
 
+import attrs
 import pytest
 
 from hollyknot_coordination.forwarding import NoOwner, NoRoute, RouteIndex
@@ -146,3 +147,49 @@
         plain = route("p", "/p/", kind=RouteKind.IDEMPOTENT, gap_s=0.0)
         index = RouteIndex(table(plain, route("a", "/a/")))
         assert index.is_loose(plain, "engines")
+
+
+class TestShedsFrom:
+    """Which streams may be refused under load."""
+
+    @pytest.mark.parametrize(
+        ("priorities", "owner_priority", "sheds_from"),
+        [
+            ((0, 1, 2), None, 2),
+            ((0, 1, 2), 1, 6),
+            ((0, 5, 30), None, LEAST_URGENT),
+            ((0, 0), None, LEAST_URGENT + 1),
+            ((2,), 1, LEAST_URGENT + 1),
+            ((), None, LEAST_URGENT + 1),
+        ],
+    )
+    def test_only_the_least_urgent_of_several(
+        self,
+        priorities: tuple[int, ...],
+        owner_priority: int | None,
+        sheds_from: int,
+    ) -> None:
+        routes = [
+            attrs.evolve(
+                route(f"r{index}", f"/{index}/", priority=priority),
+                has_prompts=True,
+            )
+            for index, priority in enumerate(priorities)
+        ]
+        index = RouteIndex(table(*routes, key=owner_priority))
+        assert index.sheds_from("engines") == sheds_from
+
+    def test_no_more_urgent_route_reaches_it(self) -> None:
+        routes = [
+            attrs.evolve(
+                route(f"r{priority}", f"/{priority}/", priority=priority),
+                has_prompts=True,
+            )
+            for priority in (0, 1, 2)
+        ]
+        index = RouteIndex(table(*routes, first=0, last=2))
+        owners = [KeyOwner("c", rank) for rank in (None, 0, 1, 2, 9)]
+        sheds_from = index.sheds_from("engines")
+        for owner in owners:
+            urgencies = [index.urgency(r, owner) for r in routes]
+            assert urgencies[1] < sheds_from <= urgencies[2]
--- a/packages/gateway/src/hollyknot_gateway/_answers.py
+++ b/packages/gateway/src/hollyknot_gateway/_answers.py
@@ -13,6 +13,10 @@
 """When a refused caller is told to come back, on the mean: long enough for an
 upstream to be tried again, short against every time limit met so far."""
 
+RETRY_SPREAD = 0.5
+"""By how much of it that time varies either way: crowds that are refused
+together would return together."""
+
 NO_ROUTE = ""
 """Stands for the route of a request that has none, in lines and counters."""
 
@@ -98,7 +102,10 @@
             name = self._parts.dialect.attempt_header
             headers.append((name, call.attempt_id.encode("latin-1")))
         if step.status == _UNAVAILABLE:
-            after_s = RETRY_AFTER_S * self._parts.rng.uniform(0.5, 1.5)
+            mean_s = verdict.retry_after_s or RETRY_AFTER_S
+            after_s = mean_s * self._parts.rng.uniform(
+                1 - RETRY_SPREAD, 1 + RETRY_SPREAD
+            )
             headers.append((b"Retry-After", b"%.2f" % after_s))
         reply.whole(step.status, headers, verdict.reason.value.encode() + b"\n")
         self._count(route, verdict, step.status)
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -3,10 +3,13 @@
 import asyncio
 
 from hollyknot_coordination.forwarding import (
+    COME_BACK_S,
+    Admission,
     Choice,
     GiveUp,
     NoOwner,
     NoRoute,
+    Shed,
     TryState,
     give_up,
     next_step,
@@ -81,6 +84,7 @@
             fingerprint=fingerprint(request, call),
             urgency=index.urgency(route, owner),
             is_loose=index.is_loose(route, service.name),
+            sheds_from=index.sheds_from(service.name),
             deadline_s=request.arrived_s + limit_s,
         )
 
@@ -102,6 +106,10 @@
                 step = give_up(gate.verdict, self._state(job))
                 self._answers.give_up(job, result, step)
                 return
+            shed = self._shed(job)
+            if isinstance(shed, GiveUp):
+                self._answers.give_up(job, result, shed)
+                return
             choice = self._tries.choose(job, gate)
             if isinstance(choice, Choice):
                 result = await self._tries.run(job, choice)
@@ -114,6 +122,25 @@
             if following.is_retry:
                 parts.budget.spend(job.service.name, parts.clock())
 
+    def _shed(self, job: Job) -> GiveUp | Admission:
+        """Refuses a request that would only make others late."""
+        parts = self._parts
+        if job.sent or not job.call.prompt or job.urgency < job.sheds_from:
+            return Admission.ADMITTED
+        usable = parts.in_force.fleet.usable(job.service.name, parts.clock())
+        away = parts.reachability.away(usable)
+        entries = [e for e in usable if e.incarnation not in away]
+        found = parts.shedding.decide(entries, job.sheds_from)
+        if not isinstance(found, Shed):
+            return found
+        verdict = Verdict(
+            Outcome.NOT_RUN,
+            Reason.SHED,
+            f"{found.taken} in flight, {found.slots} slots",
+            retry_after_s=COME_BACK_S,
+        )
+        return GiveUp(_UNAVAILABLE, verdict)
+
     def _state(self, job: Job) -> TryState:
         parts = self._parts
         now = parts.clock()
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -12,6 +12,7 @@
     Placement,
     Reachability,
     RetryBudget,
+    Shedding,
 )
 from hollyknot_coordination.suspects import SuspectRegister
 from hollyknot_gateway._in_force import InForce
@@ -32,6 +33,7 @@
         dialect: Reads and writes headers.
         in_force: Routes and upstreams.
         placement: Chooses upstreams.
+        shedding: Refuses streams that none should be given now.
         loads: Work in flight.
         paces: Learns how fast upstreams are.
         reachability: Knows which upstreams can't be connected to.
@@ -51,6 +53,7 @@
     dialect: Dialect
     in_force: InForce
     placement: Placement
+    shedding: Shedding
     loads: Loads
     paces: Paces
     reachability: Reachability
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -20,6 +20,7 @@
     Placement,
     Reachability,
     RetryBudget,
+    Shedding,
 )
 from hollyknot_coordination.suspects import SuspectOptions, SuspectRegister
 from hollyknot_gateway import _metrics as metrics
@@ -174,6 +175,7 @@
                 self._settings.data_centre,
                 self._rng,
             ),
+            shedding=Shedding(self._loads, self._rng),
             loads=self._loads,
             paces=self._paces,
             reachability=self._reachability,
--- a/packages/gateway/src/hollyknot_gateway/_job.py
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -24,6 +24,7 @@
         fingerprint: Of its method, target, customer and body.
         urgency: The same at all hosts; 0 is the first.
         is_loose: Whether its stream bears long pauses.
+        sheds_from: The urgency from which it may be refused under load.
         deadline_s: When it times out, on the loop's clock.
         stream: What the caller has got of a stream.
         sent: Upstreams that it was sent to.
@@ -42,6 +43,7 @@
     fingerprint: int
     urgency: int
     is_loose: bool
+    sheds_from: int
     deadline_s: float
     stream: StreamState = attrs.Factory(StreamState)
     sent: int = 0
