Tell in lines how long a try took; name spreads and bounds that were literals

Cause: that streams of an overloaded engine last three times as long could not be read from the lines of tries, which told the first event and the longest pause only; a patched copy was needed to find it. Change: took_ms in the lines of tries. Named with unit and reason: the spread of pauses after failed reads, the rounding and least demand of lanes, the timeout of new connections of the OpenAI path.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
@@ -40,6 +40,15 @@
 """How far, in upstreams, the wanted number has to be from the present one: a
 session whose upstream changes is read in again."""
 
+_ROUNDED = 0.5
+"""How far a number of upstreams may be from the wanted one, being whole."""
+
+_LEAST_DEMAND = 1.0
+"""Prompt tokens a second below which nothing can be said of the lanes."""
+
+_SHARE_UNKNOWN = 0.5
+"""The part of loose streams then."""
+
 
 class Tolerance:
     """From which accepted pause on a route's streams are loose."""
@@ -116,7 +125,9 @@
         """Returns the part of a service's upstreams that loose streams need."""
         loose = self._at(service, True, now_s)
         tight = self._at(service, False, now_s) / TIGHT_USE
-        return loose / (loose + tight) if loose + tight > 1.0 else 0.5
+        if loose + tight < _LEAST_DEMAND:
+            return _SHARE_UNKNOWN
+        return loose / (loose + tight)
 
     def _at(self, service: str, is_loose: bool, now_s: float) -> float:
         told = self._peers.get((service, is_loose), 0.0)
@@ -156,7 +167,7 @@
             return entries
         wanted = count * self._demand.share_of_loose(service, now_s)
         known = self._loose_count.get(service)
-        if known is None or abs(wanted - known) > 0.5 + HYSTERESIS:
+        if known is None or abs(wanted - known) > _ROUNDED + HYSTERESIS:
             known = round(wanted)
         known = min(max(known, 1), count - 1)
         self._loose_count[service] = known
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -69,6 +69,7 @@
             stream to its first event; 0 if it never came.
         gap_s: The longest pause between two parts of a stream.
         is_other_upstream: Whether another incarnation has the address.
+        took_s: Seconds from the sending to the end of the try.
     """
 
     verdict: Verdict
@@ -76,6 +77,7 @@
     first_s: float = 0.0
     gap_s: float = 0.0
     is_other_upstream: bool = False
+    took_s: float = 0.0
 
 
 @attrs.define
@@ -220,7 +222,7 @@
 
     def so_far(self, verdict: Verdict) -> Result:
         """Returns the result of a try that ends before its answer does."""
-        return Result(verdict, None, self._first_s, self._gap_s)
+        return self._ended(verdict, None)
 
     def on_lost(self, lost: Lost) -> None:
         """The answer will not be whole."""
@@ -262,7 +264,16 @@
         detail: str = "",
     ) -> Result:
         verdict = Verdict(outcome, reason, detail, upstream_status=status)
-        return Result(verdict, answer, self._first_s, self._gap_s)
+        return self._ended(verdict, answer)
+
+    def _ended(self, verdict: Verdict, answer: Answer | None) -> Result:
+        return Result(
+            verdict,
+            answer,
+            first_s=self._first_s,
+            gap_s=self._gap_s,
+            took_s=self._clock() - self._sent_s,
+        )
 
     def _relay(self, data: bytes) -> None:
         whole = self._stream.cutter.feed(data)
--- a/packages/gateway/src/hollyknot_gateway/_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/_follower.py
@@ -28,6 +28,10 @@
 """Between failed reads: short enough that a version is in force within its
 bound once the source is back, long enough that refusals stay few."""
 
+_PAUSE_SPREAD = 0.25
+"""By how much of it such a pause varies either way, so that all hosts don't
+read at the same moment when a source returns."""
+
 _PROBE_WAIT_S = 0.05
 """How long a watch waits after a failed one. A silent source swallows a long
 watch, and one would learn of its return only when that has timed out: a
@@ -177,4 +181,5 @@
 
     async def _pause(self, seconds: float) -> None:
         if seconds > 0:
-            await asyncio.sleep(seconds * self._rng.uniform(0.75, 1.25))
+            spread = self._rng.uniform(1 - _PAUSE_SPREAD, 1 + _PAUSE_SPREAD)
+            await asyncio.sleep(seconds * spread)
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -260,6 +260,7 @@
             detail=verdict.detail,
             first_ms=_ms(result.first_s),
             gap_ms=_ms(result.gap_s),
+            took_ms=_ms(result.took_s),
             tokens=job.call.prompt_tokens,
             read=choice.tokens,
             ahead=choice.ahead,
--- a/packages/transport/src/hollyknot_transport/_exchange.py
+++ b/packages/transport/src/hollyknot_transport/_exchange.py
@@ -21,6 +21,9 @@
 that a truncated one can be tried elsewhere."""
 
 CONNECT_TIMEOUT_S = 1.0
+"""Until a connection counts as failed: a lost first packet is sent again by the
+system after a second, and another upstream answers sooner than that."""
+
 IDLE_CONNECTION_S = 1.0
 """The longest time without use after which a kept connection is used again.
 
