Decide on a refusal once, before the first try

Cause, found by reading: a stream that had been admitted was judged again after an upstream that could not be connected to, and nine in ten were refused then. Change: the decision stands before the loop of tries.

--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -100,16 +100,18 @@
         parts = self._parts
         parts.budget.on_first_try(job.service.name, parts.clock())
         result = Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
+        # Once: a request that was admitted is not refused because of an
+        # upstream that could not be connected to.
+        admission = self._admission(job)
+        if isinstance(admission, GiveUp):
+            self._answers.give_up(job, result, admission)
+            return
         while True:
             gate = parts.suspects.gate(job.fingerprint, parts.clock())
             if isinstance(gate, Refuse):
                 step = give_up(gate.verdict, self._state(job))
                 self._answers.give_up(job, result, step)
                 return
-            shed = self._shed(job)
-            if isinstance(shed, GiveUp):
-                self._answers.give_up(job, result, shed)
-                return
             choice = self._tries.choose(job, gate)
             if isinstance(choice, Choice):
                 result = await self._tries.run(job, choice)
@@ -122,10 +124,10 @@
             if following.is_retry:
                 parts.budget.spend(job.service.name, parts.clock())
 
-    def _shed(self, job: Job) -> GiveUp | Admission:
+    def _admission(self, job: Job) -> GiveUp | Admission:
         """Refuses a request that would only make others late."""
         parts = self._parts
-        if job.sent or not job.call.prompt or job.urgency < job.sheds_from:
+        if not job.call.prompt or job.urgency < job.sheds_from:
             return Admission.ADMITTED
         usable = parts.in_force.fleet.usable(job.service.name, parts.clock())
         away = parts.reachability.away(usable)
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -33,7 +33,7 @@
         dialect: Reads and writes headers.
         in_force: Routes and upstreams.
         placement: Chooses upstreams.
-        shedding: Refuses streams that none should be given now.
+        shedding: Refuses streams while engines are nearly full.
         loads: Work in flight.
         paces: Learns how fast upstreams are.
         reachability: Knows which upstreams can't be connected to.
