Say exactly which requests a refusal may spare

Of two requests of the least urgent routes the one of the more urgent customer may be refused and the other admitted, by chance.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_shedding.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_shedding.py
@@ -9,7 +9,8 @@
 
 Only the least urgent routes of a service are refused, never all of their
 requests: all others are left to the engines, which sort them by urgency. So no
-request is refused for a less urgent one, and no route starves.
+request is refused for one of a less urgent route, and no route starves. Among
+requests of the least urgent routes chance decides, not the customer's priority.
 """
 
 import enum
