Add an experiment tool that plays loads through the decisions that serve

Change: an emulator of engines (steps, chunked reading, cache with LRU, places taken by the more urgent, crashes), hosts with the real placement, lanes and refusals, reports as old as they are in a fleet; loads as JSON files, seeds over processes.

--- a/Makefile
+++ b/Makefile
@@ -7,10 +7,10 @@
 SOURCES := $(foreach p,$(PROJECTS),$(p)/src)
 CODE := packages platform conftest.py
 
-.PHONY: help install test lint format demo cost slopes scenario matrix generate docs clean
+.PHONY: help install test lint format demo cost slopes scenario experiment matrix generate docs clean
 
 help:
-	@echo "make demo | test | lint | cost | slopes | scenario | matrix | docs | generate | clean"
+	@echo "make demo | test | lint | cost | slopes | scenario | experiment | matrix | docs | generate | clean"
 
 install: $(VENV)/.installed
 
@@ -47,6 +47,9 @@
 scenario: install
 	$(BIN)/python -m hollyknot_bench.scenario
 
+experiment: install
+	$(BIN)/python -m hollyknot_bench.experiment examples/loads/short-answers.json
+
 matrix: install
 	$(BIN)/python -m hollyknot_bench.matrix
 
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/experiment/__init__.py
@@ -0,0 +1,29 @@
+"""Plays loads through the decisions that serve, against emulated engines.
+
+    python -m hollyknot_bench.experiment examples/loads/short-answers.json
+
+A policy is a function that makes a host; two of them are compared on the same
+seeds:
+
+    play(load, seed)               # the decisions of the product
+    play(load, seed, make_other)   # another host
+"""
+
+from hollyknot_bench.experiment._load import Load, read_load
+from hollyknot_bench.experiment._play import (
+    Ended,
+    Host,
+    Outcome,
+    make_host,
+    play,
+)
+
+__all__ = [
+    "Ended",
+    "Host",
+    "Load",
+    "Outcome",
+    "make_host",
+    "play",
+    "read_load",
+]
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/experiment/_play.py
@@ -0,0 +1,427 @@
+"""Plays a load through the decisions that serve, under a virtual clock.
+
+Several hosts, each with its own loads, lanes and caches as it believes them;
+reports between them that are as old as they are in a fleet; engines that batch.
+Bytes, connections and health are left out: the decisions are what is measured.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+
+from hollyknot_bench.experiment._engine import Engine, Run
+from hollyknot_bench.experiment._load import Load, Request, requests_of
+from hollyknot_coordination.forwarding import (
+    COME_BACK_S,
+    Choice,
+    Demand,
+    Loads,
+    Paces,
+    Placement,
+    RouteIndex,
+    Shed,
+    Shedding,
+    Work,
+)
+from hollyknot_state import Address, HostReport
+from hollyknot_state.routes import (
+    CallTraits,
+    KeyOwner,
+    PromptPart,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    Share,
+    UpstreamEntry,
+)
+from hollyknot_state.routes import (
+    Engine as EngineService,
+)
+
+NETWORK_S = 0.003
+"""One way between callers, hosts and engines."""
+
+COME_BACK_SPREAD = 0.5
+"""By how much the time to come back varies either way."""
+
+SETTLE_S = 20.0
+"""After the last request is sent, until the last one has ended."""
+
+_SERVICE = "engines"
+
+
+@attrs.define
+class Ended:
+    """What became of a request.
+
+    Attributes:
+        request: Which.
+        first_s: From its sending to its first event; 0 if none came.
+        gap_s: Its longest pause.
+        is_whole: Whether its answer came whole in time.
+        refusals: How often it was refused.
+        expected: Prompt tokens that the host expected to be read.
+        read: Prompt tokens that were.
+    """
+
+    request: Request
+    first_s: float = 0.0
+    gap_s: float = 0.0
+    is_whole: bool = False
+    refusals: int = 0
+    expected: int = 0
+    read: int = 0
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether the answer was in time throughout."""
+        kind = self.request.kind
+        on_time = self.first_s <= kind.first_s and self.gap_s <= kind.gap_s
+        return self.is_whole and on_time
+
+    @property
+    def credit(self) -> float:
+        """What the answer is worth."""
+        kind = self.request.kind
+        if not self.is_whole:
+            return 0.0
+        return kind.worth if self.is_in_time else kind.late_worth
+
+
+@attrs.frozen
+class Outcome:
+    """What became of a day.
+
+    Attributes:
+        ended: All requests.
+        tokens_read: By all engines.
+        tokens_read_again: Of shared parts that the engine had read before.
+        put_back: Runs that lost their place to more urgent ones.
+        reading: The share of the engines' time in which they read prompts.
+    """
+
+    ended: tuple[Ended, ...]
+    tokens_read: int
+    tokens_read_again: int
+    put_back: int
+    reading: float
+
+    @property
+    def worth(self) -> float:
+        """Credit, as a share of what all answers in time would bring."""
+        owed = sum(e.request.kind.worth for e in self.ended)
+        return sum(e.credit for e in self.ended) / owed if owed else 0.0
+
+
+@attrs.frozen
+class Host:
+    """One host's beliefs and decisions."""
+
+    loads: Loads
+    demand: Demand
+    paces: Paces
+    placement: Placement
+    shedding: Shedding
+
+
+def make_host(rng: random.Random) -> Host:
+    """Returns a host that has learnt nothing."""
+    loads, demand, paces = Loads(), Demand(), Paces()
+    return Host(
+        loads,
+        demand,
+        paces,
+        Placement(loads, demand, paces, "one", rng),
+        Shedding(loads, rng),
+    )
+
+
+class _Clock:
+    """Events in the order of their times."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def at(self, when_s: float, call: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when_s, next(self._numbers), call))
+
+    def run(self, until_s: float) -> None:
+        while self._events and self._events[0][0] <= until_s:
+            self.now_s, _, call = heapq.heappop(self._events)
+            call()
+
+
+class Play:
+    """One day of one load."""
+
+    def __init__(
+        self,
+        load: Load,
+        seed: int,
+        make: Callable[[random.Random], Host] = make_host,
+    ) -> None:
+        """Draws the requests.
+
+        Args:
+            load: What is played.
+            seed: Of requests and of the hosts' chance.
+            make: Makes each host; policies are compared by other ones.
+        """
+        self._load = load
+        self._clock = _Clock()
+        self._rng = random.Random(seed + 1)
+        self._requests = requests_of(load, seed)
+        self._hosts = [
+            make(random.Random(seed * 1000 + number))
+            for number in range(load.hosts)
+        ]
+        slowness = itertools.cycle(load.slowness)
+        self._engines = [
+            Engine(load.engine, next(slowness)) for _ in range(load.engines)
+        ]
+        self._entries = [self._entry(n, 0) for n in range(load.engines)]
+        self._index = RouteIndex(_table(load))
+        self._service = Service(_SERVICE, EngineService(load.engine.slots))
+        self._ended = {r.number: Ended(r) for r in self._requests}
+        self._reports: dict[int, HostReport] = {}
+
+    def run(self) -> Outcome:
+        """Plays it to its end."""
+        for request in self._requests:
+            self._later(request.at_s, self._arrive, request, request.host)
+        for crash in self._load.crashes:
+            for number in range(crash.engines):
+                self._later(crash.at_s, self._crash, number)
+                back_s = crash.at_s + crash.for_s
+                self._later(back_s, self._come_back, number)
+        for number in range(self._load.hosts):
+            first_s = self._rng.random() * self._load.report_s
+            self._later(first_s, self._report, number, 1)
+        until_s = self._load.length_s + SETTLE_S
+        self._clock.run(until_s)
+        time_s = self._load.length_s * self._load.engines
+        return Outcome(
+            tuple(self._ended.values()),
+            sum(e.tokens_read for e in self._engines),
+            sum(e.tokens_read_again for e in self._engines),
+            sum(e.put_back for e in self._engines),
+            sum(e.busy_reading_s for e in self._engines) / time_s,
+        )
+
+    def _later(
+        self, when_s: float, call: Callable[..., None], *args: object
+    ) -> None:
+        self._clock.at(when_s, lambda: call(*args))
+
+    def _entry(self, number: int, born_ms: int) -> UpstreamEntry:
+        name = f"engine-{number}"
+        address = Address("10.0.0.1", number + 1)
+        slots = self._load.engine.slots
+        return UpstreamEntry(
+            name, _SERVICE, address, "one", slots, born_ms=born_ms
+        )
+
+    def _report(self, number: int, sequence: int) -> None:
+        host = self._hosts[number]
+        report = HostReport(
+            host=str(number),
+            incarnation=number,
+            sequence=sequence,
+            address=Address("10.0.1.1", number + 1),
+            data_centre="one",
+            table_version=1,
+            uses=host.loads.uses(),
+            demands=host.demand.told(self._clock.now_s),
+            paces=host.paces.told(),
+        )
+        self._reports[number] = report
+        for other, peer in enumerate(self._hosts):
+            heard = [r for n, r in self._reports.items() if n != other]
+            peer.loads.take_reports(heard)
+            peer.demand.take(d for r in heard for d in r.demands)
+            peer.paces.take(p for r in heard for p in r.paces)
+        again_s = self._clock.now_s + self._load.report_s
+        self._later(again_s, self._report, number, sequence + 1)
+
+    def _crash(self, number: int) -> None:
+        self._engines[number].crash(self._clock.now_s)
+
+    def _come_back(self, number: int) -> None:
+        self._engines[number].come_back()
+        self._entries[number] = self._entry(
+            number, int(self._clock.now_s * 1000)
+        )
+
+    def _usable(self) -> list[UpstreamEntry]:
+        pairs = zip(self._entries, self._engines, strict=True)
+        return [entry for entry, engine in pairs if not engine.is_away]
+
+    def _arrive(self, request: Request, number: int) -> None:
+        host = self._hosts[number]
+        now_s = self._clock.now_s
+        if now_s - request.at_s >= request.kind.timeout_s:
+            return
+        entries = self._usable()
+        route = self._index.table.routes[_place(self._load, request)]
+        owner = KeyOwner("customer", request.rank)
+        urgency = self._index.urgency(route, owner)
+        sheds_from = self._index.sheds_from(_SERVICE)
+        if not entries:
+            return
+        if urgency >= sheds_from and isinstance(
+            host.shedding.decide(entries, sheds_from), Shed
+        ):
+            self._refuse(request)
+            return
+        is_loose = self._index.is_loose(route, _SERVICE)
+        call = _call(request)
+        choice = host.placement.choose(
+            self._service,
+            entries,
+            call,
+            frozenset(),
+            now_s,
+            is_loose=is_loose,
+            urgency=urgency,
+        )
+        if not isinstance(choice, Choice):
+            return
+        work = host.placement.begin(
+            choice, call, now_s, is_loose=is_loose, urgency=urgency
+        )
+        self._send(request, host, choice, work)
+
+    def _refuse(self, request: Request) -> None:
+        ended = self._ended[request.number]
+        ended.refusals += 1
+        if ended.refusals > 1:
+            return
+        spread = self._rng.uniform(1 - COME_BACK_SPREAD, 1 + COME_BACK_SPREAD)
+        left_s = request.at_s + request.kind.timeout_s - self._clock.now_s
+        wait_s = min(COME_BACK_S * spread, left_s / 3)
+        host = self._rng.randrange(self._load.hosts)
+        self._later(self._clock.now_s + wait_s, self._arrive, request, host)
+
+    def _send(
+        self, request: Request, host: Host, choice: Choice, work: Work
+    ) -> None:
+        clock = self._clock
+        ended = self._ended[request.number]
+        ended.expected = choice.tokens
+        engine = self._engines[choice.entry.address.port - 1]
+        state = _Stream(request.at_s + request.kind.timeout_s)
+
+        def on_event(when_s: float, is_last: bool) -> None:
+            self._later(when_s + NETWORK_S, seen, is_last)
+
+        def seen(is_last: bool) -> None:
+            if state.is_over:
+                return
+            now_s = clock.now_s
+            if not state.last_s:
+                ended.first_s = now_s - request.at_s
+                host.placement.start(work)
+            else:
+                interval_s = now_s - state.last_s
+                ended.gap_s = max(ended.gap_s, interval_s)
+                load = host.loads.at(choice.entry.incarnation)
+                host.paces.note(choice.entry.incarnation, interval_s, load)
+            state.last_s = now_s
+            if is_last:
+                ended.is_whole = now_s <= state.deadline_s
+                over()
+
+        def over() -> None:
+            if not state.is_over:
+                state.is_over = True
+                ended.read = run.read
+                host.placement.end(work)
+                engine.cancel(run)
+
+        run = Run(
+            request.prompt,
+            request.out_tokens,
+            work.urgency,
+            on_event,
+            lambda _: over(),
+        )
+
+        def submit() -> None:
+            if engine.is_away:
+                over()
+            else:
+                engine.submit(run, clock.now_s)
+                self._step_later(engine)
+
+        self._later(clock.now_s + NETWORK_S, submit)
+        self._later(state.deadline_s, over)
+
+    def _step_later(self, engine: Engine) -> None:
+        """Has an engine's next step ended when it is due."""
+        if engine.next_s is None or engine.is_scheduled:
+            return
+        engine.is_scheduled = True
+        self._later(engine.next_s, self._step, engine)
+
+    def _step(self, engine: Engine) -> None:
+        engine.is_scheduled = False
+        if engine.next_s is not None:
+            engine.step()
+            self._step_later(engine)
+
+
+@attrs.define
+class _Stream:
+    """What a host knows of a stream that it relays."""
+
+    deadline_s: float
+    last_s: float = 0.0
+    is_over: bool = False
+
+
+def _place(load: Load, request: Request) -> int:
+    return load.classes.index(request.kind)
+
+
+def _call(request: Request) -> CallTraits:
+    return CallTraits(
+        attempt_id=str(request.number),
+        prompt=tuple(PromptPart(n, tokens) for n, tokens in request.prompt),
+        prompt_tokens=request.tokens,
+    )
+
+
+def _table(load: Load) -> RouteTable:
+    routes = tuple(
+        Route(
+            name=kind.name,
+            host="h.example",
+            prefix=f"/{kind.name}/",
+            kind=RouteKind.STREAM,
+            shares=(Share(_SERVICE, 1),),
+            timeout_s=kind.timeout_s,
+            target_s=kind.first_s,
+            gap_target_s=kind.gap_s,
+            priority=kind.priority,
+            has_prompts=True,
+        )
+        for kind in load.classes
+    )
+    service = Service(_SERVICE, EngineService(load.engine.slots))
+    owners = {"key": KeyOwner("customer", 0)}
+    return RouteTable(1, routes, {_SERVICE: service}, owners_by_key=owners)
+
+
+def play(
+    load: Load,
+    seed: int,
+    make: Callable[[random.Random], Host] = make_host,
+) -> Outcome:
+    """Plays one day of a load with a policy."""
+    return Play(load, seed, make).run()
--- /dev/null
+++ b/packages/bench/src/hollyknot_bench/experiment/tests/test_experiment.py
@@ -0,0 +1,144 @@
+"""Tests of the experiment tool: its engines, its load, its verdicts."""
+
+import itertools
+import pathlib
+
+import attrs
+import pytest
+
+from hollyknot_bench.experiment import Load, play, read_load
+from hollyknot_bench.experiment._engine import Engine, EngineFigures, Run
+from hollyknot_state import Problem
+
+_FIGURES = EngineFigures(
+    slots=2,
+    step_ms=4.0,
+    step_ms_per_slot=0.0,
+    context_ms_per_k=0.0,
+    tokens_per_ms=50.0,
+    first_ms=0.0,
+    stride=1,
+    chunk=1000,
+    cached_tokens=100_000,
+)
+_LOADS = pathlib.Path(__file__).parents[6] / "examples" / "loads"
+
+
+class _Caller:
+    """Takes the events of one run."""
+
+    def __init__(
+        self, prompt: tuple[tuple[str, int], ...], out: int, urgency: int = 0
+    ) -> None:
+        self.events_ms: list[int] = []
+        self.is_lost = False
+        self.run = Run(prompt, out, urgency, self._event, self._lost)
+
+    def _event(self, when_s: float, _: bool) -> None:
+        self.events_ms.append(round(when_s * 1000))
+
+    def _lost(self, _: float) -> None:
+        self.is_lost = True
+
+
+def _run(engine: Engine) -> None:
+    while engine.next_s is not None:
+        engine.step()
+
+
+class TestEngine:
+    """Steps, chunks, caches and places."""
+
+    def test_a_prompt_is_read_in_chunks_and_answered_by_tokens(self) -> None:
+        engine = Engine(_FIGURES, 1.0)
+        caller = _Caller((("own", 1500),), 3)
+        engine.submit(caller.run, 0.0)
+        _run(engine)
+        # 1000 tokens take 20 ms beside the step's 4, 500 take 10.
+        assert caller.events_ms == [38, 42, 46]
+
+    def test_a_long_prompt_holds_up_the_streams_beside_it(self) -> None:
+        engine = Engine(_FIGURES, 1.0)
+        short = _Caller((("a", 50),), 4)
+        long = _Caller((("b", 2000),), 1)
+        engine.submit(short.run, 0.0)
+        engine.step()
+        engine.submit(long.run, 0.005)
+        _run(engine)
+        gaps = [b - a for a, b in itertools.pairwise(short.events_ms)]
+        assert max(gaps) >= 24
+
+    def test_shared_parts_are_read_once(self) -> None:
+        engine = Engine(_FIGURES, 1.0)
+        first = _Caller((("s", 900), ("a", 100)), 1)
+        second = _Caller((("s", 900), ("b", 100)), 1)
+        engine.submit(first.run, 0.0)
+        _run(engine)
+        engine.submit(second.run, 1.0)
+        _run(engine)
+        assert (first.run.read, second.run.read) == (1000, 100)
+        assert engine.tokens_read_again == 0
+
+    def test_the_more_urgent_takes_a_place(self) -> None:
+        engine = Engine(_FIGURES, 1.0)
+        others = [_Caller(((f"o{n}", 10),), 50, urgency=3) for n in range(2)]
+        for other in others:
+            engine.submit(other.run, 0.0)
+        engine.step()
+        urgent = _Caller((("u", 10),), 1)
+        engine.submit(urgent.run, 0.001)
+        _run(engine)
+        assert engine.put_back == 1
+        assert urgent.events_ms[0] < 30
+        assert [len(other.events_ms) for other in others] == [50, 50]
+
+    def test_a_crash_loses_runs_and_cache(self) -> None:
+        engine = Engine(_FIGURES, 1.0)
+        caller = _Caller((("s", 500), ("a", 10)), 9)
+        engine.submit(caller.run, 0.0)
+        engine.step()
+        engine.crash(0.1)
+        assert caller.is_lost
+        assert engine.next_s is None
+
+
+class TestPlay:
+    """Whole days."""
+
+    def test_the_same_seed_is_the_same_day(self) -> None:
+        load = _short()
+        one, other = play(load, 3), play(load, 3)
+        assert one.worth == other.worth
+        assert one.tokens_read == other.tokens_read
+
+    def test_without_load_all_is_in_time(self) -> None:
+        load = _short()
+        quiet = attrs.evolve(
+            load,
+            bursts=(),
+            crashes=(),
+            classes=tuple(
+                attrs.evolve(kind, per_s=kind.per_s / 20)
+                for kind in load.classes
+            ),
+        )
+        assert play(quiet, 1).worth > 0.98
+
+    @pytest.mark.parametrize(
+        ("data", "told"),
+        [(b"{", "file of JSON"), (b"{}", "length_s"), (b"[]", "an array")],
+    )
+    def test_a_load_that_cannot_be_read_is_told(
+        self, tmp_path: pathlib.Path, data: bytes, told: str
+    ) -> None:
+        file = tmp_path / "load.json"
+        file.write_bytes(data)
+        found = read_load(file)
+        assert isinstance(found, Problem)
+        assert told in str(found)
+
+
+def _short() -> Load:
+    load = read_load(_LOADS / "short-answers.json")
+    assert isinstance(load, Load)
+    return attrs.evolve(load, length_s=6.0)
