Remove paces of engines, which were worth nothing

The order of lanes followed them, so that streams with short pauses and long prompts met on one engine at each change.

A slow engine shows by prompts that wait there, and by the intervals that Forecasts keeps.

--- a/packages/bench/src/hollyknot_bench/experiment/_play.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_play.py
@@ -21,7 +21,6 @@
     Demand,
     Forecasts,
     Loads,
-    Paces,
     Placement,
     RouteIndex,
     Shed,
@@ -126,7 +125,6 @@
 
     loads: Loads
     demand: Demand
-    paces: Paces
     cached: CachedParts
     forecasts: Forecasts
     placement: Placement
@@ -135,14 +133,13 @@
 
 def make_host(rng: random.Random) -> Host:
     """Returns a host that has learnt nothing."""
-    loads, demand, paces, cached = Loads(), Demand(), Paces(), CachedParts()
+    loads, demand, cached = Loads(), Demand(), CachedParts()
     return Host(
         loads,
         demand,
-        paces,
         cached,
         Forecasts(),
-        Placement(loads, demand, paces, cached, "one", rng),
+        Placement(loads, demand, cached, "one", rng),
         Shedding(loads, rng),
     )
 
@@ -245,7 +242,6 @@
             table_version=1,
             uses=host.loads.uses(),
             demands=host.demand.told(self._clock.now_s),
-            paces=host.paces.told(),
             held=host.cached.told(self._clock.now_s),
         )
         self._reports[number] = report
@@ -253,7 +249,6 @@
             heard = [r for n, r in self._reports.items() if n != other]
             peer.loads.take_reports(heard)
             peer.demand.take(d for r in heard for d in r.demands)
-            peer.paces.take(p for r in heard for p in r.paces)
             peer.cached.take(report.held, self._clock.now_s)
         again_s = self._clock.now_s + self._load.report_s
         self._later(again_s, self._report, number, sequence + 1)
@@ -361,8 +356,6 @@
                     choice.entry.incarnation, interval_s, now_s
                 )
                 ended.gap_s = max(ended.gap_s, interval_s)
-                load = host.loads.at(choice.entry.incarnation)
-                host.paces.note(choice.entry.incarnation, interval_s, load)
             state.last_s = now_s
             if is_last:
                 ended.is_whole = now_s <= state.deadline_s
--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -7,7 +7,6 @@
 from hollyknot_coordination.forwarding._health import Health
 from hollyknot_coordination.forwarding._lanes import Demand, Lanes, Tolerance
 from hollyknot_coordination.forwarding._loads import Load, Loads
-from hollyknot_coordination.forwarding._paces import Paces
 from hollyknot_coordination.forwarding._peers import Peers
 from hollyknot_coordination.forwarding._placement import (
     Choice,
@@ -57,7 +56,6 @@
     "NoOwner",
     "NoPlace",
     "NoRoute",
-    "Paces",
     "Peers",
     "Placement",
     "Reachability",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
@@ -40,7 +40,7 @@
 
 DETAILS_S = 4.0
 """Between two reports to one peer that also tell who the sender is, other
-hosts' addresses and paces: two thirds of a report, which seldom change."""
+hosts' names and addresses, which seldom change."""
 
 CONTACTS_TOLD = 4
 """Addresses in one report: eight hosts know each other within a second."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
@@ -12,7 +12,6 @@
 )
 from hollyknot_coordination.forwarding._lanes import Demand, Lanes
 from hollyknot_coordination.forwarding._loads import Loads
-from hollyknot_coordination.forwarding._paces import Paces
 from hollyknot_state.routes import CallTraits, Service, UpstreamEntry
 
 REREAD_WEIGHT = 1.0
@@ -107,7 +106,6 @@
         self,
         loads: Loads,
         demand: Demand,
-        paces: Paces,
         cached: CachedParts,
         data_centre: str,
         rng: random.Random,
@@ -117,7 +115,6 @@
         Args:
             loads: Work in flight.
             demand: Prompt tokens that are sent, by lane.
-            paces: How fast upstreams are.
             cached: Which upstream has which parts of prompts.
             data_centre: This host's; preferred where nothing else decides.
             rng: Breaks ties, so that hosts do not all choose the same.
@@ -126,7 +123,6 @@
         self._data_centre = data_centre
         self._rng = rng
         self._demand = demand
-        self._paces = paces
         self._lanes = Lanes(demand)
         self._cached = cached
 
@@ -220,21 +216,15 @@
         asked: _Asked,
         is_loose: bool,
     ) -> Choice | NoPlace:
-        ratios = self._paces.ratios(candidates)
-        # Slow ones first: the lane of loose streams begins there.
-        ordered = sorted(
-            candidates, key=lambda e: not self._paces.is_slow(e.incarnation)
-        )
-
         holdings = self._cached.missing(
             candidates, asked.call.prompt, asked.now_s
         )
 
         def cheapest(is_loose: bool) -> _Offer | None:
             entries = self._lanes.of(
-                service, ordered, asked.now_s, is_loose=is_loose
+                service, candidates, asked.now_s, is_loose=is_loose
             )
-            return self._cheapest(entries, asked, holdings, ratios)
+            return self._cheapest(entries, asked, holdings)
 
         own = cheapest(is_loose)
         other = cheapest(not is_loose)
@@ -249,7 +239,6 @@
         entries: Sequence[UpstreamEntry],
         asked: _Asked,
         holdings: Holdings,
-        ratios: dict[str, float],
     ) -> _Offer | None:
         last = asked.call.prompt[-1].tokens
         home = holdings.home(entries)
@@ -260,8 +249,7 @@
             lacks = 0 if entry is home else holdings.lacks[entry.incarnation]
             tokens = last + min(lacks, holdings.to_read)
             ahead = self._busy(entry, asked.urgency)
-            ratio = ratios.get(entry.incarnation, 1.0)
-            cost = (tokens + ahead) * ratio + lacks * REREAD_WEIGHT
+            cost = tokens + ahead + lacks * REREAD_WEIGHT
             if best is None or cost < best.cost:
                 source = holdings.source(entry, home)
                 best = _Offer(cost, Choice(entry, tokens, ahead, source))
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_peers.py
@@ -14,7 +14,6 @@
 from hollyknot_state import (
     Address,
     LaneDemand,
-    UpstreamPace,
     UpstreamUse,
     UseReport,
 )
@@ -118,13 +117,12 @@
 
     def test_a_short_report_changes_only_what_it_tells(self) -> None:
         peers = _peers("a")
-        paces = (UpstreamPace("i-1", 12_000),)
-        peers.take(attrs.evolve(report("b", sequence=1), paces=paces), 0.0)
+        peers.take(attrs.evolve(report("b", sequence=1), table_version=9), 0.0)
         uses = (UpstreamUse(7, (100,), 1, 2),)
         peers.take_uses(UseReport(1, 2, uses), 0.3)
         peers.take_uses(UseReport(1, 1), 0.4)
         (told,) = peers.fresh(0.4)
-        assert (told.host, told.paces, told.uses) == ("b", paces, uses)
+        assert (told.host, told.table_version, told.uses) == ("b", 9, uses)
 
     def test_one_that_is_not_whole_leaves_demands_and_running_streams(
         self,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_placement.py
@@ -8,7 +8,6 @@
     Demand,
     Loads,
     NoPlace,
-    Paces,
     Placement,
 )
 from hollyknot_coordination.forwarding.tests._builders import (
@@ -17,7 +16,6 @@
     call,
     upstream,
 )
-from hollyknot_state import UpstreamPace
 from hollyknot_state.routes import CallTraits
 
 POOL = [upstream(name) for name in ("a", "b", "c", "d", "e", "f")]
@@ -29,11 +27,9 @@
     def __init__(self, seed: int = 1) -> None:
         self.loads = Loads()
         self.demand = Demand()
-        self.paces = Paces()
         self.placement = Placement(
             self.loads,
             self.demand,
-            self.paces,
             CachedParts(),
             "north",
             random.Random(seed),
@@ -130,20 +126,6 @@
         host.loads.begin(home, 2_000, 0)
         assert host.choose(prompt, is_loose=True).entry.incarnation != home
 
-    def test_a_slow_upstream_goes_to_the_loose_streams(self) -> None:
-        host = _Host()
-        host.paces.take(
-            [UpstreamPace(e.incarnation, 12000) for e in POOL[:-1]]
-            + [UpstreamPace("f", 15600)]
-        )
-        tight = {
-            host.choose(
-                call((f"t{i}", 100), ("q", 50)), is_loose=False
-            ).entry.incarnation
-            for i in range(50)
-        }
-        assert "f" not in tight
-
     def _fill(self, host: _Host, is_loose: bool, urgency: int) -> None:
         """Takes all slots of a lane, and as many places in its queues."""
         entries = POOL[:3] if is_loose else POOL[3:]
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -9,7 +9,6 @@
     Forecasts,
     Health,
     Loads,
-    Paces,
     Placement,
     Reachability,
     RetryBudget,
@@ -36,7 +35,6 @@
         placement: Chooses upstreams.
         shedding: Refuses streams while engines are nearly full.
         loads: Work in flight.
-        paces: Learns how fast upstreams are.
         forecasts: Learns how long streams take there at the moment.
         reachability: Knows which upstreams can't be connected to.
         health: Knows which upstreams fail much of their work.
@@ -57,7 +55,6 @@
     placement: Placement
     shedding: Shedding
     loads: Loads
-    paces: Paces
     forecasts: Forecasts
     reachability: Reachability
     health: Health
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -19,7 +19,6 @@
     Forecasts,
     Health,
     Loads,
-    Paces,
     Placement,
     Reachability,
     RetryBudget,
@@ -116,7 +115,6 @@
         self._budget = RetryBudget(settings.bounds)
         self._loads = Loads()
         self._demand = Demand()
-        self._paces = Paces()
         self._cached = CachedParts()
         self._forecasts = Forecasts()
         self._reachability = Reachability()
@@ -135,7 +133,6 @@
             Shared(
                 self._loads,
                 self._demand,
-                self._paces,
                 self._cached,
                 self._suspects,
                 self._budget,
@@ -178,14 +175,12 @@
             placement=Placement(
                 self._loads,
                 self._demand,
-                self._paces,
                 self._cached,
                 self._settings.data_centre,
                 self._rng,
             ),
             shedding=Shedding(self._loads, self._rng),
             loads=self._loads,
-            paces=self._paces,
             forecasts=self._forecasts,
             reachability=self._reachability,
             health=self._health,
@@ -387,7 +382,6 @@
             self._stalls.upstream_away(incarnation)
         self._reachability.forget(incarnation)
         self._health.forget(incarnation)
-        self._paces.forget(incarnation)
         self._forecasts.forget(incarnation)
 
     def _look_at_clocks(self) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -10,7 +10,6 @@
     CachedParts,
     Demand,
     Loads,
-    Paces,
     Peers,
     Reachability,
     ReportRate,
@@ -47,7 +46,6 @@
     Attributes:
         loads: Work in flight.
         demand: Prompt tokens that are sent.
-        paces: How fast upstreams are.
         cached: Which upstream has which parts of prompts.
         suspects: Which requests may crash upstreams.
         budget: Retries, whose slack is divided among the hosts.
@@ -55,7 +53,6 @@
 
     loads: Loads
     demand: Demand
-    paces: Paces
     cached: CachedParts
     suspects: SuspectRegister
     budget: RetryBudget
@@ -103,7 +100,6 @@
         self._rate = ReportRate()
         self._size = 0
         self._silent: frozenset[str] = frozenset()
-        self._slow: frozenset[str] = frozenset()
 
     @property
     def count(self) -> int:
@@ -129,7 +125,6 @@
             now_s = self._clock()
             self._count(now_s)
             self._look_at_silence(now_s)
-            self._log_slow()
             self._tell(now_s)
 
     def _tell(self, now_s: float) -> None:
@@ -159,7 +154,6 @@
         fresh = self._peers.fresh(now_s)
         shared = self._shared
         shared.loads.take_reports(fresh)
-        shared.paces.take(p for report in fresh for p in report.paces)
         shared.demand.take(d for report in fresh for d in report.demands)
         shared.budget.set_hosts(self._peers.estimated + 1)
 
@@ -188,7 +182,6 @@
             table_version=index.table.version if index is not None else 0,
             uses=changes.uses,
             demands=changes.demands,
-            paces=self._shared.paces.told(),
             suspects=changes.suspects,
             contacts=self._peers.contacts(),
             held=changes.held,
@@ -205,12 +198,6 @@
                 "peer_met", peer=report.host, data_centre=report.data_centre
             )
 
-    def _log_slow(self) -> None:
-        slow = self._shared.paces.slow
-        if slow != self._slow:
-            self._log.line("slow_upstreams", now=",".join(sorted(slow)))
-        self._slow = slow
-
     def _look_at_silence(self, now_s: float) -> None:
         """Probes the upstreams of data centres that have just gone silent."""
         silent = self._peers.silent_data_centres(now_s)
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -155,9 +155,9 @@
 
     def _note_interval(self, entry: UpstreamEntry, interval_s: float) -> None:
         parts = self._parts
-        upstream = entry.incarnation
-        parts.paces.note(upstream, interval_s, parts.loads.at(upstream))
-        parts.forecasts.note_interval(upstream, interval_s, parts.clock())
+        parts.forecasts.note_interval(
+            entry.incarnation, interval_s, parts.clock()
+        )
 
     def _request_bytes(self, job: Job, choice: Choice) -> bytes:
         entry, source = choice.entry, choice.source
--- a/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hollyknot_coordination.forwarding import Demand, Loads, Paces
+from hollyknot_coordination.forwarding import Demand, Loads
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._reports import (
     Report,
@@ -19,7 +19,6 @@
     HeldRun,
     HostReport,
     LaneDemand,
-    UpstreamPace,
     UpstreamUse,
     UseReport,
 )
@@ -41,9 +40,6 @@
 _DEMANDS = st.lists(
     st.builds(LaneDemand, st.text(max_size=9), _INT, _INT), max_size=2
 ).map(tuple)
-_PACES = st.lists(
-    st.builds(UpstreamPace, st.text(max_size=9), _INT), max_size=2
-).map(tuple)
 
 _REPORT = HostReport(
     host="front-1",
@@ -54,7 +50,6 @@
     table_version=3,
     uses=(UpstreamUse(5, (3, 4), 1, 2, b"\x01\x02"),),
     demands=(LaneDemand("engines", 4, 5),),
-    paces=(UpstreamPace("i-1", 900),),
 )
 _GOOD = encode_report(_REPORT)
 
@@ -122,22 +117,20 @@
             data[place] = value
         _taken(bytes(data[:length]))
 
-    @given(_USES, _DEMANDS, _PACES)
+    @given(_USES, _DEMANDS)
     def test_any_numbers_are_counted_without_an_error(
         self,
         uses: tuple[UpstreamUse, ...],
         demands: tuple[LaneDemand, ...],
-        paces: tuple[UpstreamPace, ...],
     ) -> None:
         """A host hears no peer any more.
 
         Sequence: a datagram holds numbers that no host would send. Cause: an
         error while counting ended the task that tells and counts.
         """
-        loads, demand, taken = Loads(), Demand(), Paces()
+        loads, demand = Loads(), Demand()
         loads.take_reports([attrs.evolve(_REPORT, uses=uses)])
         demand.take(demands)
-        taken.take(paces)
         for use in uses:
             load = loads.at(str(use.upstream))
             assert isinstance(load.requests, int)
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -20,11 +20,6 @@
   3: i64 tight_tokens_s
 }
 
-struct UpstreamPace {
-  1: string upstream
-  2: i64 interval_us
-}
-
 // As in gossip.thrift: an include would need a package prefix that the
 // compiler leaves out.
 struct SuspectRecord {
@@ -50,7 +45,6 @@
   9: list<SuspectRecord> suspects
   10: list<Address> contacts
   11: list<LaneDemand> demands
-  12: list<UpstreamPace> paces
   13: list<HeldRun> held
 }
 
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -312,86 +312,6 @@
         return not (self == other)
 
 
-class UpstreamPace(object):
-    """
-    Attributes:
-     - upstream
-     - interval_us
-
-    """
-
-    __slots__ = (
-        'upstream',
-        'interval_us',
-    )
-
-
-    def __init__(self, upstream=None, interval_us=None,):
-        self.upstream = upstream
-        self.interval_us = interval_us
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.interval_us = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('UpstreamPace')
-        if self.upstream is not None:
-            oprot.writeFieldBegin('upstream', TType.STRING, 1)
-            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
-            oprot.writeFieldEnd()
-        if self.interval_us is not None:
-            oprot.writeFieldBegin('interval_us', TType.I64, 2)
-            oprot.writeI64(self.interval_us)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class SuspectRecord(object):
     """
     Attributes:
@@ -589,7 +509,6 @@
      - suspects
      - contacts
      - demands
-     - paces
      - held
 
     """
@@ -605,12 +524,11 @@
         'suspects',
         'contacts',
         'demands',
-        'paces',
         'held',
     )
 
 
-    def __init__(self, host=None, incarnation=None, sequence=None, address=None, data_centre=None, table_version=None, uses=None, suspects=None, contacts=None, demands=None, paces=None, held=None,):
+    def __init__(self, host=None, incarnation=None, sequence=None, address=None, data_centre=None, table_version=None, uses=None, suspects=None, contacts=None, demands=None, held=None,):
         self.host = host
         self.incarnation = incarnation
         self.sequence = sequence
@@ -621,7 +539,6 @@
         self.suspects = suspects
         self.contacts = contacts
         self.demands = demands
-        self.paces = paces
         self.held = held
 
     def read(self, iprot):
@@ -708,25 +625,14 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
+            elif fid == 13:
                 if ftype == TType.LIST:
-                    self.paces = []
+                    self.held = []
                     (_etype34, _size31) = iprot.readListBegin()
                     for _i35 in range(_size31):
-                        _elem36 = UpstreamPace()
+                        _elem36 = HeldRun()
                         _elem36.read(iprot)
-                        self.paces.append(_elem36)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 13:
-                if ftype == TType.LIST:
-                    self.held = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = HeldRun()
-                        _elem42.read(iprot)
-                        self.held.append(_elem42)
+                        self.held.append(_elem36)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -767,43 +673,36 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter43 in self.uses:
-                iter43.write(oprot)
+            for iter37 in self.uses:
+                iter37.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter44 in self.suspects:
-                iter44.write(oprot)
+            for iter38 in self.suspects:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.contacts is not None:
             oprot.writeFieldBegin('contacts', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.contacts))
-            for iter45 in self.contacts:
-                iter45.write(oprot)
+            for iter39 in self.contacts:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter46 in self.demands:
-                iter46.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.paces is not None:
-            oprot.writeFieldBegin('paces', TType.LIST, 12)
-            oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter47 in self.paces:
-                iter47.write(oprot)
+            for iter40 in self.demands:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter48 in self.held:
-                iter48.write(oprot)
+            for iter41 in self.held:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -886,44 +785,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = UpstreamUse()
-                        _elem54.read(iprot)
-                        self.uses.append(_elem54)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = UpstreamUse()
+                        _elem47.read(iprot)
+                        self.uses.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = LaneDemand()
-                        _elem60.read(iprot)
-                        self.demands.append(_elem60)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = LaneDemand()
+                        _elem53.read(iprot)
+                        self.demands.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype64, _size61) = iprot.readListBegin()
-                    for _i65 in range(_size61):
-                        _elem66 = SuspectRecord()
-                        _elem66.read(iprot)
-                        self.suspects.append(_elem66)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = SuspectRecord()
+                        _elem59.read(iprot)
+                        self.suspects.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = HeldRun()
-                        _elem72.read(iprot)
-                        self.held.append(_elem72)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = HeldRun()
+                        _elem65.read(iprot)
+                        self.held.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -953,29 +852,29 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter73 in self.uses:
-                iter73.write(oprot)
+            for iter66 in self.uses:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter74 in self.demands:
-                iter74.write(oprot)
+            for iter67 in self.demands:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter75 in self.suspects:
-                iter75.write(oprot)
+            for iter68 in self.suspects:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter76 in self.held:
-                iter76.write(oprot)
+            for iter69 in self.held:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_whole is not None:
@@ -1027,12 +926,6 @@
     (2, TType.I64, 'loose_tokens_s', None, None, ),  # 2
     (3, TType.I64, 'tight_tokens_s', None, None, ),  # 3
 )
-all_structs.append(UpstreamPace)
-UpstreamPace.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'interval_us', None, None, ),  # 2
-)
 all_structs.append(SuspectRecord)
 SuspectRecord.thrift_spec = (
     None,  # 0
@@ -1061,7 +954,7 @@
     (9, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 9
     (10, TType.LIST, 'contacts', (TType.STRUCT, [Address, None], False), None, ),  # 10
     (11, TType.LIST, 'demands', (TType.STRUCT, [LaneDemand, None], False), None, ),  # 11
-    (12, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 12
+    None,  # 12
     (13, TType.LIST, 'held', (TType.STRUCT, [HeldRun, None], False), None, ),  # 13
 )
 all_structs.append(UseReport)
--- a/packages/state/src/hollyknot_state/_host_report.py
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -59,20 +59,6 @@
     tight_tokens_s: int
 
 
-@attrs.frozen
-class UpstreamPace:
-    """How fast an upstream is, as a host has seen it.
-
-    Attributes:
-        upstream: Its incarnation.
-        interval_us: The usual time between two events of a stream while
-            little else is at work there, in microseconds.
-    """
-
-    upstream: str
-    interval_us: int
-
-
 @attrs.frozen
 class HeldRun:
     """A prompt's first parts, and an upstream that has them cached.
@@ -99,7 +85,6 @@
         table_version: Of the routes that it has in force; 0 for none.
         uses: Its work in flight; upstreams without any are left out.
         demands: Prompt tokens that it sends.
-        paces: How fast upstreams are.
         suspects: Evidence against requests that may crash upstreams.
         held: Parts of prompts that were newly sent to upstreams.
         contacts: Some addresses of peers that it has heard of lately.
@@ -113,7 +98,6 @@
     table_version: int
     uses: tuple[UpstreamUse, ...] = ()
     demands: tuple[LaneDemand, ...] = ()
-    paces: tuple[UpstreamPace, ...] = ()
     suspects: tuple[SuspectRecord, ...] = ()
     contacts: tuple[Address, ...] = ()
     held: tuple[HeldRun, ...] = ()
