End a silent try early only while a retry can follow

A last try was ended too.

Ruled out: a longer patience (an upstream that hangs would be found later).

--- a/packages/gateway/src/hollyknot_gateway/_stalls.py
+++ b/packages/gateway/src/hollyknot_gateway/_stalls.py
@@ -3,14 +3,19 @@
 An upstream that hangs holds its connection open, so that nothing ends the try
 before the request's own timeout. Only what may be repeated is ended early: the
 silence of a request that can't be proves nothing and is waited for.
+
+And only while a retry can follow. A request that waits in the queue of a busy
+engine is silent too; ended on its last try, or with the budget of retries
+spent, it gets nothing at all, though it would have been answered later.
 """
 
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
 
 from hollyknot_gateway._exchange import Exchange
-from hollyknot_state.routes import Route, RouteKind
+from hollyknot_state.routes import Route, RouteKind, UpstreamEntry
 
 FIRST_PATIENCE = 3.0
 """Of a route's target, before an answer that has not begun is given up."""
@@ -35,6 +40,8 @@
 class _Watched:
     exchange: Exchange
     incarnation: str
+    service: str
+    retries_left: Callable[[], float]
     first_s: float
     gap_s: float
 
@@ -55,8 +62,22 @@
         self._clock = clock
         self._watched: dict[Exchange, _Watched] = {}
 
-    def add(self, exchange: Exchange, incarnation: str, route: Route) -> None:
-        """Watches a try, if its request may be sent again."""
+    def add(
+        self,
+        exchange: Exchange,
+        entry: UpstreamEntry,
+        route: Route,
+        retries_left: Callable[[], float],
+    ) -> None:
+        """Watches a try, if its request may be sent again.
+
+        Args:
+            exchange: The try.
+            entry: Its upstream.
+            route: Of its request.
+            retries_left: How many retries the service's budget still allows;
+                0 if this request can't be sent to another upstream.
+        """
         if not route.is_repeatable or route.max_attempts <= 1:
             return
         gap_s = max(GAP_PATIENCE * route.gap_target_s, LEAST_GAP_S)
@@ -64,7 +85,12 @@
         if route.kind is not RouteKind.STREAM:
             gap_s = first_s
         self._watched[exchange] = _Watched(
-            exchange, incarnation, first_s, gap_s
+            exchange,
+            entry.incarnation,
+            entry.service,
+            retries_left,
+            first_s,
+            gap_s,
         )
 
     def discard(self, exchange: Exchange) -> None:
@@ -96,10 +122,14 @@
         """
         now_s = self._clock()
         stalled = [
-            watched.exchange
+            watched
             for watched in self._watched.values()
             if watched.is_stalled(now_s)
         ]
-        for exchange in stalled:
-            exchange.give_up()
-        return len(stalled)
+        # Retries are spent only when the ended tries' requests go on.
+        ended: Counter[str] = Counter()
+        for watched in stalled:
+            if watched.retries_left() - ended[watched.service] >= 1.0:
+                ended[watched.service] += 1
+                watched.exchange.give_up()
+        return ended.total()
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -97,7 +97,12 @@
                 connection.close()
                 return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
             exchange = self._send(job, choice, connection, work)
-            parts.stalls.add(exchange, entry.incarnation, job.route)
+            parts.stalls.add(
+                exchange,
+                entry,
+                job.route,
+                lambda: self._retries_left(job, entry),
+            )
             try:
                 result = await asyncio.shield(exchange.done)
             except asyncio.CancelledError:
@@ -111,6 +116,17 @@
             if not is_detached:
                 parts.placement.end(work)
 
+    def _retries_left(self, job: Job, entry: UpstreamEntry) -> float:
+        """Returns how many retries there are, 0 if none can help a request."""
+        parts = self._parts
+        now = parts.clock()
+        tried = job.tried | {entry.incarnation}
+        usable = parts.in_force.fleet.usable(job.service.name, now)
+        others = any(e.incarnation not in tried for e in usable)
+        if job.sent >= job.route.max_attempts or not others:
+            return 0.0
+        return parts.budget.left(job.service.name, now)
+
     def _give_back(
         self, entry: UpstreamEntry, connection: UpstreamConnection
     ) -> None:
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_stalls.py
@@ -0,0 +1,99 @@
+"""Tests of ending tries that have fallen silent."""
+
+from typing import cast
+
+import attrs
+
+from hollyknot_gateway._exchange import Exchange
+from hollyknot_gateway._stalls import FIRST_PATIENCE, Stalls
+from hollyknot_state import Address
+from hollyknot_state.routes import Route, RouteKind, Share, UpstreamEntry
+
+TARGET_S = 0.4
+SILENT_S = FIRST_PATIENCE * TARGET_S + 0.1
+
+_ENTRY = UpstreamEntry("i-1", "s", Address("127.0.0.1", 7), "north", 8)
+_ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/",
+    kind=RouteKind.STREAM,
+    shares=(Share("s", 1),),
+    timeout_s=12.0,
+    target_s=TARGET_S,
+    gap_target_s=0.3,
+    max_attempts=2,
+    may_resume=True,
+)
+
+
+@attrs.define(eq=False)
+class _Try:
+    """A try of which nothing has been heard."""
+
+    last_byte_s: float = 0.0
+    has_head: bool = False
+    is_ended: bool = False
+
+    def give_up(self) -> None:
+        self.is_ended = True
+
+
+class _Watch:
+    """Some silent tries, and the retries that are left."""
+
+    def __init__(self, tries: int, retries_left: float) -> None:
+        self.now_s = 0.0
+        self.retries_left = retries_left
+        self.stalls = Stalls(lambda: self.now_s)
+        self.tries = [_Try() for _ in range(tries)]
+        for one in self.tries:
+            exchange = cast(Exchange, one)
+            self.stalls.add(exchange, _ENTRY, _ROUTE, self._left)
+
+    def _left(self) -> float:
+        return self.retries_left
+
+    @property
+    def ended(self) -> int:
+        return sum(one.is_ended for one in self.tries)
+
+
+class TestStalls:
+    """Tries that hang, while a retry can follow and while none can."""
+
+    def test_a_silent_try_is_ended_while_a_retry_can_follow(self) -> None:
+        watch = _Watch(1, 5.0)
+        watch.now_s = SILENT_S
+        assert watch.stalls.sweep() == 1
+        assert watch.ended == 1
+
+    def test_one_that_is_not_silent_yet_goes_on(self) -> None:
+        watch = _Watch(1, 5.0)
+        watch.now_s = FIRST_PATIENCE * TARGET_S - 0.1
+        assert watch.stalls.sweep() == 0
+
+    def test_it_is_waited_for_if_none_can(self) -> None:
+        """Urgent streams get nothing while others begin beside them.
+
+        Sequence: a burst; urgent streams wait in engines' queues for longer
+        than three times their target; the budget of retries is spent, or it
+        is their last try. Cause: they were ended all the same.
+        """
+        watch = _Watch(3, 0.9)
+        watch.now_s = SILENT_S
+        assert watch.stalls.sweep() == 0
+        assert watch.ended == 0
+        watch.retries_left = 1.0
+        assert watch.stalls.sweep() == 1
+
+    def test_no_more_are_ended_than_retries_are_left(self) -> None:
+        watch = _Watch(10, 4.5)
+        watch.now_s = SILENT_S
+        assert watch.stalls.sweep() == 4
+        assert watch.ended == 4
+
+    def test_those_at_an_upstream_that_is_away_are_ended(self) -> None:
+        watch = _Watch(2, 0.0)
+        watch.now_s = SILENT_S
+        assert watch.stalls.upstream_away("i-1") == 2
