--- a/packages/bench/src/hollyknot_bench/experiment/__init__.py
+++ b/packages/bench/src/hollyknot_bench/experiment/__init__.py
@@ -9,14 +9,10 @@
     play(load, seed, make_other)   # another host
 """
 
+from hollyknot_bench.experiment._host import Host, make_host
 from hollyknot_bench.experiment._load import Load, read_load
-from hollyknot_bench.experiment._play import (
-    Ended,
-    Host,
-    Outcome,
-    make_host,
-    play,
-)
+from hollyknot_bench.experiment._outcome import Ended, Outcome
+from hollyknot_bench.experiment._play import play
 
 __all__ = [
     "Ended",
--- a/packages/bench/src/hollyknot_bench/experiment/__main__.py
+++ b/packages/bench/src/hollyknot_bench/experiment/__main__.py
@@ -10,7 +10,8 @@
 import click
 
 from hollyknot_bench.experiment._load import Load, read_load
-from hollyknot_bench.experiment._play import Outcome, play
+from hollyknot_bench.experiment._outcome import Outcome
+from hollyknot_bench.experiment._play import play
 from hollyknot_state import Problem
 
 _BIN_S = 2.0
--- a/packages/bench/src/hollyknot_bench/experiment/_play.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_play.py
@@ -5,26 +5,22 @@
 Bytes, connections and health are left out: the decisions are what is measured.
 """
 
-import heapq
 import itertools
 import random
 from collections.abc import Callable
 
 import attrs
 
+from hollyknot_bench.experiment._clock import Clock
 from hollyknot_bench.experiment._engine import Engine, Run
+from hollyknot_bench.experiment._host import Host, make_host
 from hollyknot_bench.experiment._load import Load, Request, requests_of
+from hollyknot_bench.experiment._outcome import Ended, Outcome
 from hollyknot_coordination.forwarding import (
     COME_BACK_S,
-    CachedParts,
     Choice,
-    Demand,
-    Forecasts,
-    Loads,
-    Placement,
     RouteIndex,
     Shed,
-    Shedding,
     TooSlow,
     Work,
 )
@@ -56,111 +52,6 @@
 _SERVICE = "engines"
 
 
-@attrs.define
-class Ended:
-    """What became of a request.
-
-    Attributes:
-        request: Which.
-        first_s: From its sending to its first event; 0 if none came.
-        gap_s: Its longest pause.
-        is_whole: Whether its answer came whole in time.
-        refusals: How often it was refused.
-        expected: Prompt tokens that the host expected to be read.
-        read: Prompt tokens that were.
-    """
-
-    request: Request
-    first_s: float = 0.0
-    gap_s: float = 0.0
-    is_whole: bool = False
-    refusals: int = 0
-    expected: int = 0
-    read: int = 0
-
-    @property
-    def is_in_time(self) -> bool:
-        """Whether the answer was in time throughout."""
-        kind = self.request.kind
-        on_time = self.first_s <= kind.first_s and self.gap_s <= kind.gap_s
-        return self.is_whole and on_time
-
-    @property
-    def credit(self) -> float:
-        """What the answer is worth."""
-        kind = self.request.kind
-        if not self.is_whole:
-            return 0.0
-        return kind.worth if self.is_in_time else kind.late_worth
-
-
-@attrs.frozen
-class Outcome:
-    """What became of a day.
-
-    Attributes:
-        ended: All requests.
-        tokens_read: By all engines.
-        tokens_read_again: Of shared parts that the engine had read before.
-        put_back: Runs that lost their place to more urgent ones.
-        reading: The share of the engines' time in which they read prompts.
-    """
-
-    ended: tuple[Ended, ...]
-    tokens_read: int
-    tokens_read_again: int
-    put_back: int
-    reading: float
-
-    @property
-    def worth(self) -> float:
-        """Credit, as a share of what all answers in time would bring."""
-        owed = sum(e.request.kind.worth for e in self.ended)
-        return sum(e.credit for e in self.ended) / owed if owed else 0.0
-
-
-@attrs.frozen
-class Host:
-    """One host's beliefs and decisions."""
-
-    loads: Loads
-    demand: Demand
-    cached: CachedParts
-    forecasts: Forecasts
-    placement: Placement
-    shedding: Shedding
-
-
-def make_host(rng: random.Random) -> Host:
-    """Returns a host that has learnt nothing."""
-    loads, demand, cached = Loads(), Demand(), CachedParts()
-    return Host(
-        loads,
-        demand,
-        cached,
-        Forecasts(),
-        Placement(loads, demand, cached, "one", rng),
-        Shedding(loads, rng),
-    )
-
-
-class _Clock:
-    """Events in the order of their times."""
-
-    def __init__(self) -> None:
-        self.now_s = 0.0
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._numbers = itertools.count()
-
-    def at(self, when_s: float, call: Callable[[], None]) -> None:
-        heapq.heappush(self._events, (when_s, next(self._numbers), call))
-
-    def run(self, until_s: float) -> None:
-        while self._events and self._events[0][0] <= until_s:
-            self.now_s, _, call = heapq.heappop(self._events)
-            call()
-
-
 class Play:
     """One day of one load."""
 
@@ -178,7 +69,7 @@
             make: Makes each host; policies are compared by other ones.
         """
         self._load = load
-        self._clock = _Clock()
+        self._clock = Clock()
         self._rng = random.Random(seed + 1)
         self._requests = requests_of(load, seed)
         self._hosts = [
