Pay less for being many: long watches that peers interrupt, one probe at a silence

Of reports that come at random one gap in fifty is longer, so that each host probed all upstreams of a data centre several times a minute.

Ruled out: idle times of kept connections (each host with each upstream once would be 10,725); longer waits alone, which hide a change for as long where a connection falls silent.

What a silence proves follows from how many hosts report: the bound is a gap that chance exceeds once in a million reports. Few hosts keep the bound that they had. A silence probes one upstream, the others only if that one can't be reached; one that refuses has one beside it probed, as the silence of a large data centre shows later than a crash is judged. Reports carry the newest change that their sender has read; a host that lacks it gives its watch up and reads at once, so that watches wait for up to 18 s where many hosts renew theirs.

Tests seen failing with each part out.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from collections import Counter
 
 import attrs
 
@@ -167,7 +168,7 @@
         Args:
             now_s: The time.
         """
-        known = {peer.report.data_centre for peer in self._peers.values()}
+        known = Counter(p.report.data_centre for p in self._peers.values())
         return self._silences.silent(known, now_s)
 
     def targets(self, now_s: float, most: int) -> list[Address]:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_silences.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_silences.py
@@ -1,6 +1,14 @@
-"""Which data centres have just fallen silent, by how often they report."""
+"""Which data centres have just fallen silent, by how often they report.
 
-from collections.abc import Container
+A data centre that is cut off goes silent at once, and requests that were sent
+there hang until a timeout. But silences also come by chance: the reports of
+many hosts come at random, and any small multiple of their usual distance is
+passed all the time. At 195 hosts, with four times the usual distance as the
+bound, a calm data centre was taken to be cut off every few seconds.
+"""
+
+import math
+from collections.abc import Mapping
 
 import attrs
 
@@ -9,15 +17,37 @@
 SILENT_S = 0.4
 """Silence of a data centre after which it is looked at, at the least."""
 
-SILENT_REPORTS = 4
-"""The same, in usual times between two reports of it: reports come unevenly,
-and some in a hundred datagrams are lost."""
+SILENT_REPORTS = 4.0
+"""The same, in usual times between two reports of it, at the least: reports of
+few hosts come evenly, and some in a hundred datagrams are lost."""
+
+CHANCE = 1e-6
+"""How often, for each report, chance alone may bring such a silence. A data
+centre of many hosts is heard some eight times a second at 195 hosts, so that
+this comes to one false alarm in 35 hours; the usual distance is itself only
+estimated, which makes it some in an hour."""
 
 _LEARNT_S = 1.0
 """The most that one silence counts for in the usual time between two reports
 of a data centre: a cut that lasted seconds was not usual."""
 
 
+def unlikely_gap(hosts: int, chance: float) -> float:
+    """Returns a gap between reports, in mean ones, that chance hardly exceeds.
+
+    Hosts that each report at an even pace, but at moments of their own, are
+    points thrown on a circle. A gap is longer than x mean ones with the chance
+    (1 - x / n) ** (n - 1); of one host none is longer than the mean.
+
+    Args:
+        hosts: How many report.
+        chance: Of a longer gap.
+    """
+    if hosts <= 1:
+        return 1.0
+    return hosts * -math.expm1(math.log(chance) / (hosts - 1))
+
+
 @attrs.define
 class _LastHeard:
     """When a data centre was heard last, and how often it usually is."""
@@ -31,9 +61,10 @@
         self.interval_s = smoothed(self.interval_s, passed_s)
         self.heard_s = now_s
 
-    def is_silent(self, now_s: float) -> bool:
+    def is_silent(self, hosts: int, now_s: float) -> bool:
         """Whether it has been silent for unusually long."""
-        bound_s = max(SILENT_S, SILENT_REPORTS * self.interval_s)
+        reports = max(SILENT_REPORTS, unlikely_gap(hosts, CHANCE))
+        bound_s = max(SILENT_S, reports * self.interval_s)
         return now_s - self.heard_s > bound_s
 
 
@@ -54,18 +85,20 @@
         heard = self._last_heard.setdefault(data_centre, _LastHeard(now_s))
         heard.note(now_s)
 
-    def silent(self, known: Container[str], now_s: float) -> frozenset[str]:
+    def silent(self, known: Mapping[str, int], now_s: float) -> frozenset[str]:
         """Returns other data centres that have just fallen silent.
 
         Such a data centre may have been cut off, which its upstreams' open
         connections would tell seconds later.
 
         Args:
-            known: Data centres of the peers that are not forgotten yet.
+            known: How many peers that are not forgotten yet each has.
             now_s: The time.
         """
         return frozenset(
             name
             for name, heard in self._last_heard.items()
-            if name in known and name != self._own and heard.is_silent(now_s)
+            if name != self._own
+            and name in known
+            and heard.is_silent(known[name], now_s)
         )
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_silences.py
@@ -0,0 +1,92 @@
+"""Tests of telling a cut data centre from one that is silent by chance."""
+
+import random
+
+import pytest
+
+from hollyknot_coordination.forwarding._silences import (
+    CHANCE,
+    SILENT_S,
+    Silences,
+    unlikely_gap,
+)
+
+FALSE_ALARMS_AN_HOUR = 10.0
+"""What a host may pay: each costs a connection to one upstream."""
+
+FOUND_S = 3.0
+"""Within which a cut has to be found in a large fleet: the time that callers'
+requests may hang before contact with a data centre counts as lost."""
+
+_STEP_S = 0.1
+
+
+def _alarms(hosts: int, reports_a_second: float, hours: float) -> int:
+    """Returns how often a calm data centre is taken to be silent.
+
+    Each report is from one of the hosts by chance, as peers of many choose
+    whom to tell.
+    """
+    rng = random.Random(hosts)
+    silences = Silences("here")
+    known = {"there": hosts}
+    now_s = 0.0
+    alarms = 0
+    while now_s < hours * 3600:
+        silences.note("there", now_s)
+        now_s += rng.expovariate(reports_a_second)
+        alarms += "there" in silences.silent(known, now_s)
+    return alarms
+
+
+class TestChance:
+    """Reports that come at random are silent for long now and then."""
+
+    @pytest.mark.parametrize(
+        ("hosts", "reports_a_second"), [(28, 14.0), (39, 8.0), (39, 4.0)]
+    )
+    def test_a_calm_data_centre_is_hardly_ever_silent(
+        self, hosts: int, reports_a_second: float
+    ) -> None:
+        """Hosts open six connections for each request that they forward.
+
+        Sequence: 195 hosts of five data centres, no cut; each host probes all
+        upstreams of a data centre several times a minute. Cause: a silence of
+        four usual distances between reports counted as one of a cut, but of
+        reports that come at random one in fifty is longer.
+        """
+        hours = 2.0
+        alarms = _alarms(hosts, reports_a_second, hours)
+        assert alarms / hours < FALSE_ALARMS_AN_HOUR
+
+    @pytest.mark.parametrize(("hosts", "reports_a_second"), [(28, 14), (39, 8)])
+    def test_a_cut_is_found(self, hosts: int, reports_a_second: int) -> None:
+        rng = random.Random(1)
+        silences = Silences("here")
+        cut_s = 60.0
+        now_s = 0.0
+        while now_s < cut_s:
+            silences.note("there", now_s)
+            now_s += rng.expovariate(reports_a_second)
+        assert silences.silent({"there": hosts}, cut_s + FOUND_S)
+
+
+class TestFewHosts:
+    """Hosts that are few tell each other in turn, so that gaps are short."""
+
+    @pytest.mark.parametrize("hosts", [1, 2, 3])
+    def test_a_cut_is_found_as_soon_as_reports_allow(self, hosts: int) -> None:
+        silences = Silences("here")
+        for step in range(100):
+            silences.note("there", step * _STEP_S / hosts)
+        last_s = 99 * _STEP_S / hosts
+        known = {"there": hosts}
+        assert not silences.silent(known, last_s + SILENT_S - 0.01)
+        assert silences.silent(known, last_s + SILENT_S + 0.01)
+
+    def test_one_host_has_no_gap_beyond_its_own_pace(self) -> None:
+        assert unlikely_gap(1, CHANCE) == 1.0
+
+    def test_more_hosts_have_longer_gaps(self) -> None:
+        gaps = [unlikely_gap(hosts, CHANCE) for hosts in (1, 3, 10, 30, 300)]
+        assert gaps == sorted(gaps)
--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -13,6 +13,7 @@
 from hollyknot_gateway._metrics import UNREADABLE, Metrics
 from hollyknot_gateway._pool import Pool
 from hollyknot_gateway._ports import Changes, Listing, Source, Unreadable
+from hollyknot_state import ReadRevisions
 from hollyknot_state.routes import Bounds, RouteTable, UpstreamEntry
 
 LAPSE_S = 1.7
@@ -23,9 +24,19 @@
 """Of the bound for leaving upstreams, the pause between two reads of them. The
 rest is for the read itself and for what is on its way."""
 
-WATCH_S = 2.0
-"""How long one watch waits: a connection that fell silent hides a new version
-for no longer than this and the slack of a read."""
+SHORTEST_WATCH_S = 2.0
+"""How long a watch waits where few hosts are heard: a connection that fell
+silent hides a new version for no longer than this and the slack of a read."""
+
+LONGEST_WATCH_S = 18.0
+"""The longest wait: a source that keeps 20 s of changes can still tell all that
+follow."""
+
+RENEWALS_A_SECOND = 4.0
+"""How many hosts of a fleet end a watch each second. A source that returns in
+silence, so that no open watch is ever answered, is noticed by one of them
+within a second and by the others by what that one tells. Of 195 hosts each then
+reads a tenth as often as with waits of two seconds."""
 
 
 @attrs.frozen
@@ -40,6 +51,7 @@
         on_ended: Told of an incarnation that has left for good.
         log: Told of what is believed.
         metrics: Counts what can't be read.
+        hosts: How many hosts there are, as far as this one knows.
         rng: Spreads pauses.
         clock: The loop's monotonic clock, in seconds.
     """
@@ -51,6 +63,7 @@
     on_ended: Callable[[Ended], None]
     log: Log
     metrics: Metrics
+    hosts: Callable[[], int]
     rng: random.Random
     clock: Callable[[], float]
 
@@ -68,6 +81,18 @@
         self._parts = parts
         self._bounds = bounds
         self._unreadable: dict[str, str] = {}
+        self._tables = self._table_follower()
+        self._upstreams = self._upstream_follower()
+
+    @property
+    def read(self) -> ReadRevisions:
+        """The newest changes that were read."""
+        return ReadRevisions(self._tables.changed, self._upstreams.changed)
+
+    def tell(self, read: ReadRevisions) -> None:
+        """Takes what a peer has read: what lacks here is read at once."""
+        self._tables.tell(read.tables)
+        self._upstreams.tell(read.upstreams)
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Puts other bounds in force from the next read on."""
@@ -75,8 +100,15 @@
 
     async def follow_tables(self) -> None:
         """Reads route tables until it is cancelled."""
+        await self._tables.run()
+
+    async def follow_upstreams(self) -> None:
+        """Reads upstreams until it is cancelled."""
+        await self._upstreams.run()
+
+    def _table_follower(self) -> Follower[RouteTable]:
         parts = self._parts
-        follower = Follower(
+        return Follower(
             parts.tables,
             lambda: self._options(0.0),
             lambda listing, _: self._take_tables(
@@ -89,12 +121,10 @@
             parts.rng,
             parts.clock,
         )
-        await follower.run()
 
-    async def follow_upstreams(self) -> None:
-        """Reads upstreams until it is cancelled."""
+    def _upstream_follower(self) -> Follower[UpstreamEntry]:
         parts = self._parts
-        follower = Follower(
+        return Follower(
             parts.upstreams,
             # Entries are renewed all the time, so that a watch ends at once:
             # without a pause each renewal would cost a read.
@@ -105,11 +135,13 @@
             parts.rng,
             parts.clock,
         )
-        await follower.run()
 
     def _options(self, pause_s: float) -> FollowOptions:
+        wanted_s = self._parts.hosts() / RENEWALS_A_SECOND
+        wait_s = min(max(wanted_s, SHORTEST_WATCH_S), LONGEST_WATCH_S)
         return FollowOptions(
-            wait_s=WATCH_S,
+            wait_s=wait_s,
+            first_wait_s=SHORTEST_WATCH_S,
             pause_s=pause_s,
             settle_s=self._bounds.contact_s,
         )
--- a/packages/gateway/src/hollyknot_gateway/_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/_follower.py
@@ -3,6 +3,11 @@
 A source may be slow, refuse, lose answers, forget its history or fall silent
 on an open connection. Whatever it does, what was learnt is kept, and reading
 goes on with pauses that grow to a bound.
+
+A watch costs its source a call, so that in a large fleet it waits for long. One
+on a connection that fell silent would then hide all changes for as long. But
+hosts tell each other the newest change that each has read: one that is behind
+the others gives its watch up and reads at once.
 """
 
 import asyncio
@@ -38,6 +43,11 @@
 version that was published meanwhile would be late."""
 
 
+BEHIND_S = 0.3
+"""How long a watch may lack what a peer has read before it is given up. All
+watches end within milliseconds of a change, those of a slow source within a
+few hundred, and a report of it can arrive as soon."""
+
 _WATCHES_FAILED = 3
 """Failed watches after which the list is read instead. A watch tells all that
 has changed meanwhile: after a storm of large versions its answer could not be
@@ -50,11 +60,15 @@
 
     Attributes:
         wait_s: How long a watch waits for a change.
+        first_wait_s: The least that the one after a change waits. All hosts
+            begin theirs at the same moment then; unless their ends are spread
+            again, none of them would notice a silent source for `wait_s`.
         pause_s: Between a watch that told changes and the next.
         settle_s: After a failure, how long removals may only be lapses.
     """
 
     wait_s: float
+    first_wait_s: float
     pause_s: float
     settle_s: float
 
@@ -92,6 +106,10 @@
         self._rng = rng
         self._clock = clock
         self._revision = 0
+        self._changed = 0
+        self._told = 0
+        self._doubted = 0
+        self._is_told = asyncio.Event()
         self._failures = 0
         self._failed_at = float("-inf")
 
@@ -100,6 +118,17 @@
         """The newest revision that was read."""
         return self._revision
 
+    @property
+    def changed(self) -> int:
+        """The newest change that was read; 0 for none."""
+        return self._changed
+
+    def tell(self, changed: int) -> None:
+        """Takes a peer's word that something was changed at a revision."""
+        if changed > max(self._revision, self._told, self._doubted):
+            self._told = changed
+            self._is_told.set()
+
     async def run(self) -> None:
         """Reads until it is cancelled."""
         while True:
@@ -107,6 +136,7 @@
                 await self._watch()
 
     async def _list(self) -> bool:
+        told = self._told
         found = await self._source.list()
         if isinstance(found, SourceFailure):
             await self._failed(found)
@@ -122,17 +152,23 @@
             )
             await self._pause(_FIRST_PAUSE_S)
             return False
-        self._revision = found.revision
+        self._note(found, told)
         self._on_listing(found, may_have_lapsed)
         return True
 
     async def _watch(self) -> None:
         """Follows changes until the list has to be read again."""
         needs_second_list = self._is_settling()
+        wait_s = self._spread_wait_s()
         while True:
             options = self._options()
-            wait_s = _PROBE_WAIT_S if self._failures else options.wait_s
-            found = await self._source.watch(self._revision, wait_s)
+            if self._failures or self._is_behind:
+                wait_s = _PROBE_WAIT_S
+            told = self._told
+            found = await self._watch_once(wait_s)
+            wait_s = options.wait_s
+            if found is None:
+                continue
             if isinstance(found, SourceFailure):
                 await self._failed(found)
                 needs_second_list = True
@@ -145,13 +181,84 @@
                 return
             may_have_lapsed = self._is_settling()
             self._succeeded()
-            self._revision = max(self._revision, found.revision)
+            self._note(found, told)
             if found.items or found.removed or found.unreadable:
                 self._on_changes(found, may_have_lapsed)
                 await self._pause(options.pause_s)
+                wait_s = self._spread_wait_s()
             if needs_second_list and not self._is_settling():
                 return
 
+    async def _watch_once(
+        self, wait_s: float
+    ) -> Changes[T] | Compacted | SourceFailure | None:
+        """Watches until the answer, or until peers have read what it lacks.
+
+        Returns:
+            The answer; None if it was not waited for.
+        """
+        watch = asyncio.ensure_future(
+            self._source.watch(self._revision, wait_s)
+        )
+        behind = asyncio.ensure_future(self._fall_behind())
+        try:
+            await asyncio.wait(
+                (watch, behind), return_when=asyncio.FIRST_COMPLETED
+            )
+            if watch.done():
+                return watch.result()
+        finally:
+            behind.cancel()
+            watch.cancel()
+        self._log.line(
+            "watch_behind",
+            source=self._source.name,
+            revision=self._revision,
+            told=self._told,
+        )
+        return None
+
+    async def _fall_behind(self) -> None:
+        """Returns once a peer has read what this host still lacks."""
+        while True:
+            self._is_told.clear()
+            if self._is_behind:
+                await asyncio.sleep(BEHIND_S)
+                return
+            await self._is_told.wait()
+
+    @property
+    def _is_behind(self) -> bool:
+        return self._told > max(self._revision, self._doubted)
+
+    def _note(self, found: Listing[T] | Changes[T], told: int) -> None:
+        """Notes what an answer covers.
+
+        A read that began after a peer told of a change covers it. If it does
+        not, the peer reads another directory: heeding it would cost a read at
+        each of its reports.
+
+        Args:
+            found: The answer.
+            told: The newest change that was known of when the read began.
+        """
+        self._revision = max(self._revision, found.revision)
+        self._changed = max(self._changed, found.changed)
+        if told > self._revision:
+            self._doubted = told
+            self._log.line(
+                "peer_ahead",
+                source=self._source.name,
+                revision=self._revision,
+                told=told,
+            )
+
+    def _spread_wait_s(self) -> float:
+        """Returns how long the first watch after a change waits."""
+        options = self._options()
+        least_s = min(options.first_wait_s, options.wait_s)
+        return self._rng.uniform(least_s, options.wait_s)
+
     def _is_settling(self) -> bool:
         return self._clock() - self._failed_at < self._options().settle_s
 
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -40,8 +40,10 @@
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._ports import Dialect, Source
 from hollyknot_gateway._prober import Prober
+from hollyknot_gateway._read_news import ReadNews
 from hollyknot_gateway._stalls import Stalls
 from hollyknot_gateway._suspension import Suspension
+from hollyknot_state import ReadRevisions
 from hollyknot_state.routes import (
     CallerLimits,
     GatewaySettings,
@@ -140,6 +142,7 @@
             self._in_force,
             self._reachability,
             self._prober,
+            ReadNews(lambda: self._directory.read, self._peer_has_read),
             self._log,
             rng,
             clock,
@@ -153,6 +156,7 @@
                 on_ended=self._upstream_ended,
                 log=self._log,
                 metrics=self._metrics,
+                hosts=lambda: self._neighbours.hosts,
                 rng=rng,
                 clock=clock,
             ),
@@ -367,13 +371,15 @@
             self._prober.check_all(self._reachability.due(self._clock()))
             self._suspects.expire(self._clock())
 
+    def _peer_has_read(self, read: ReadRevisions) -> None:
+        self._directory.tell(read)
+
     def _upstream_away(
         self, entry: UpstreamEntry, failure: ConnectFailure
     ) -> None:
         """Ends what hangs at an upstream, and looks at those beside it."""
         self._stalls.upstream_away(entry.incarnation)
-        if failure is ConnectFailure.TIMEOUT:
-            self._neighbours.check_beside(entry)
+        self._neighbours.upstream_away(entry, failure)
 
     def _upstream_ended(self, ended: Ended) -> None:
         """Forgets what was learnt of an incarnation that has left."""
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -18,7 +18,9 @@
 from hollyknot_coordination.suspects import SuspectRegister
 from hollyknot_gateway._in_force import InForce
 from hollyknot_gateway._log import Log
+from hollyknot_gateway._pool import ConnectFailure
 from hollyknot_gateway._prober import Prober
+from hollyknot_gateway._read_news import ReadNews
 from hollyknot_gateway._reports import (
     Report,
     ReportSocket,
@@ -68,6 +70,7 @@
         in_force: InForce,
         reachability: Reachability,
         prober: Prober,
+        news: ReadNews,
         log: Log,
         rng: random.Random,
         clock: Callable[[], float],
@@ -80,8 +83,9 @@
             in_force: Routes and upstreams.
             reachability: Which upstreams can't be connected to.
             prober: Looks at upstreams of a silent data centre.
+            news: What was read from the directory.
             log: Told of peers met and lost.
-            rng: Chooses peers.
+            rng: Chooses peers, and which upstream is probed.
             clock: The loop's monotonic clock, in seconds.
         """
         self._settings = settings
@@ -89,7 +93,9 @@
         self._in_force = in_force
         self._reachability = reachability
         self._prober = prober
+        self._news = news
         self._log = log
+        self._rng = rng
         self._clock = clock
         self._peers = Peers(
             settings.peers, settings.data_centre, settings.seeds, rng
@@ -106,6 +112,11 @@
         """Peers that are heard."""
         return self._peers.count
 
+    @property
+    def hosts(self) -> int:
+        """How many hosts there are, as far as this one can tell."""
+        return self._peers.estimated + 1
+
     async def open(self) -> None:
         """Opens the socket of reports.
 
@@ -155,7 +166,7 @@
         shared = self._shared
         shared.loads.take_reports(fresh)
         shared.demand.take(d for report in fresh for d in report.demands)
-        shared.budget.set_hosts(self._peers.estimated + 1)
+        shared.budget.set_hosts(self.hosts)
 
     def _changes(self, now_s: float, *, is_whole: bool) -> UseReport:
         shared = self._shared
@@ -168,6 +179,7 @@
             shared.suspects.records(now_s),
             shared.cached.told(now_s),
             is_whole,
+            self._news.told(now_s, is_whole=is_whole),
         )
 
     def _own_report(self, now_s: float) -> HostReport:
@@ -185,12 +197,15 @@
             suspects=changes.suspects,
             contacts=self._peers.contacts(),
             held=changes.held,
+            revisions=self._news.read,
         )
 
     def _take_report(self, report: Report) -> None:
         now = self._clock()
         self._shared.suspects.on_records(report.suspects, now)
         self._shared.cached.take(report.held, now)
+        if report.revisions is not None:
+            self._news.take(report.revisions)
         if isinstance(report, UseReport):
             self._peers.take_uses(report, now)
         elif self._peers.take(report, now):
@@ -199,15 +214,16 @@
             )
 
     def _look_at_silence(self, now_s: float) -> None:
-        """Probes the upstreams of data centres that have just gone silent."""
+        """Probes an upstream of each data centre that has just gone silent.
+
+        One of them tells whether it is cut off; the others are probed only if
+        it is. A silence may come by chance, and each probe is a connection: at
+        195 hosts probes of all upstreams made most of 64,007 connections.
+        """
         silent = self._peers.silent_data_centres(now_s)
         for data_centre in silent - self._silent:
             self._log.line("data_centre_silent", silent=data_centre)
-            self._prober.check_all(
-                entry
-                for entry in self._in_force.fleet.all_usable(now_s)
-                if entry.data_centre == data_centre
-            )
+            self._probe_one(self._in(data_centre))
         self._silent = silent
 
     def may_be_cut_off(self, entry: UpstreamEntry) -> bool:
@@ -220,18 +236,46 @@
             return True
         return bool(self._reachability.away(self._beside(entry)))
 
-    def check_beside(self, entry: UpstreamEntry) -> None:
-        """Probes the upstreams of a data centre that one was lost in."""
+    def upstream_away(
+        self, entry: UpstreamEntry, failure: ConnectFailure
+    ) -> None:
+        """Probes upstreams of a data centre that may be cut off.
+
+        A refused connection is a crash mostly, so that one other upstream is
+        asked; it refuses too where the network does. All are probed where the
+        data centre is silent or a connection hung: in a cut, requests would
+        wait at each of them in turn.
+        """
         beside = self._beside(entry)
-        known = self._reachability.away(beside)
-        self._prober.check_all(
-            other for other in beside if other.incarnation not in known
-        )
+        is_silent = entry.data_centre in self._silent
+        if failure is ConnectFailure.REFUSED and not is_silent:
+            self._probe_one(beside)
+            return
+        self._prober.check_all(self._reachable(beside))
+
+    def _probe_one(self, entries: Sequence[UpstreamEntry]) -> None:
+        reachable = self._reachable(entries)
+        if reachable:
+            self._prober.check(self._rng.choice(reachable))
+
+    def _reachable(
+        self, entries: Sequence[UpstreamEntry]
+    ) -> list[UpstreamEntry]:
+        """Returns those that are not known to be away."""
+        away = self._reachability.away(entries)
+        return [entry for entry in entries if entry.incarnation not in away]
 
     def _beside(self, entry: UpstreamEntry) -> list[UpstreamEntry]:
         return [
             other
-            for other in self._in_force.fleet.all_usable(self._clock())
-            if other.data_centre == entry.data_centre
-            and other.incarnation != entry.incarnation
+            for other in self._in(entry.data_centre)
+            if other.incarnation != entry.incarnation
+        ]
+
+    def _in(self, data_centre: str) -> list[UpstreamEntry]:
+        """Returns the upstreams of a data centre that may get work."""
+        return [
+            entry
+            for entry in self._in_force.fleet.all_usable(self._clock())
+            if entry.data_centre == data_centre
         ]
--- a/packages/gateway/src/hollyknot_gateway/_ports.py
+++ b/packages/gateway/src/hollyknot_gateway/_ports.py
@@ -60,11 +60,13 @@
         items: By name.
         revision: From which to watch.
         unreadable: Those that could not be read.
+        changed: The newest revision at which an item of it was written.
     """
 
     items: dict[str, T]
     revision: int
     unreadable: tuple[Unreadable, ...] = ()
+    changed: int = 0
 
 
 @attrs.frozen
@@ -76,12 +78,14 @@
         removed: Names that are gone.
         revision: From which to go on.
         unreadable: Written, but could not be read.
+        changed: The newest revision among the changes; 0 for none.
     """
 
     items: dict[str, T]
     removed: tuple[str, ...]
     revision: int
     unreadable: tuple[Unreadable, ...] = ()
+    changed: int = 0
 
 
 class Compacted(enum.Enum):
--- a/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
@@ -53,7 +53,7 @@
 
     follower = Follower(
         Source("test", read, watch),
-        lambda: FollowOptions(wait_s=2.0, pause_s=0.0, settle_s=3.0),
+        lambda: FollowOptions(2.0, 2.0, 0.0, 3.0),
         lambda listing, lapsed: told.listings.append((listing, lapsed)),
         lambda changes, lapsed: told.changes.append((changes, lapsed)),
         Log("h", "d", os.open(os.devnull, os.O_WRONLY)),
@@ -141,3 +141,105 @@
             [Compacted.COMPACTED],
         )
         assert [listing.revision for listing, _ in told.listings] == [9, 9]
+
+
+class _Fleet:
+    """A host that follows a source, and peers that follow it too."""
+
+    def __init__(self, tells: list[int], *, newest: int, seed: int = 1) -> None:
+        """Lists as of revision 5, and is told of changes during long watches.
+
+        Args:
+            tells: What a peer has read, one for each long watch.
+            newest: The source's revision from the first watch on.
+            seed: Of the follower's chance.
+        """
+        self._tells = tells
+        self._newest = newest
+        self.waits: list[float] = []
+        self.read: list[int] = []
+        self.follower = Follower(
+            Source("test", self._list, self._watch),
+            lambda: FollowOptions(18.0, 2.0, 0.0, 3.0),
+            lambda *_: None,
+            lambda changes, _: self.read.append(changes.changed),
+            Log("h", "d", os.open(os.devnull, os.O_WRONLY)),
+            random.Random(seed),
+            lambda: 0.0,
+        )
+
+    async def _list(self) -> Listed:
+        return Listing({}, 5, changed=5)
+
+    async def _watch(self, after: int, wait_s: float) -> Watched:
+        """Answers short watches; long ones are silent for good.
+
+        The long watch after the last thing that a peer tells ends the play.
+        """
+        self.waits.append(wait_s)
+        if wait_s > 1:
+            if not self._tells:
+                raise _EndedError
+            self.follower.tell(self._tells.pop(0))
+            await asyncio.Event().wait()
+        is_news = self._newest > after
+        items = {"a": "1"} if is_news else {}
+        changed = self._newest if is_news else 0
+        return Changes(items, (), self._newest, changed=changed)
+
+    def play(self) -> None:
+        """Follows the source until the play's end."""
+
+        async def main() -> None:
+            try:
+                await self.follower.run()
+            except _EndedError:
+                return
+
+        asyncio.run(main())
+
+
+class TestPeersThatReadMore:
+    """A long watch on a silent connection must not hide a change."""
+
+    def test_what_a_peer_has_read_is_read_at_once(self) -> None:
+        """Keys that were revoked work for as long as a watch waits.
+
+        Sequence: the connection of a watch falls silent without a sign; a
+        version is written, which all peers read. Cause: this host waits for
+        the end of its watch, 18 s in a large fleet.
+        """
+        fleet = _Fleet([7], newest=7)
+        fleet.play()
+        assert fleet.read == [7]
+        assert fleet.waits[0] > 1
+        assert fleet.waits[1] < 0.2
+        assert fleet.follower.changed == 7
+
+    def test_a_peer_that_reads_something_else_is_heeded_once(self) -> None:
+        """The source is asked several times a second by each host.
+
+        Sequence: a peer tells of a revision that this source does not have.
+        Cause: each of its reports was answered by a read.
+        """
+        fleet = _Fleet([900], newest=6)
+        fleet.play()
+        assert [wait_s > 1 for wait_s in fleet.waits] == [True, False, True]
+        fleet.follower.tell(900)
+        assert not fleet.follower._is_behind
+
+    def test_ends_of_watches_are_spread_again_after_a_change(self) -> None:
+        """A source that returns in silence is noticed only after 18 s.
+
+        Sequence: a change ends the watches of all hosts; the source falls
+        silent on all open connections. Cause: all watches that were begun at
+        one moment end at one moment.
+        """
+        waits = set()
+        for seed in range(20):
+            fleet = _Fleet([], newest=5, seed=seed)
+            fleet.play()
+            waits.add(fleet.waits[0])
+        assert len(waits) == 20
+        assert 2.0 <= min(waits) < 6.0
+        assert 14.0 < max(waits) <= 18.0
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -34,6 +34,12 @@
   2: i32 run
 }
 
+// The newest changes that a host has read from the platform's directory.
+struct ReadRevisions {
+  1: i64 tables
+  2: i64 upstreams
+}
+
 struct HostReport {
   1: string host
   2: i64 incarnation
@@ -46,6 +52,7 @@
   10: list<Address> contacts
   11: list<LaneDemand> demands
   13: list<HeldRun> held
+  14: ReadRevisions revisions
 }
 
 // The part of a report that changes all the time, without what identifies its
@@ -58,4 +65,5 @@
   5: list<SuspectRecord> suspects
   6: list<HeldRun> held
   7: bool is_whole
+  8: optional ReadRevisions revisions   // only while it is news, and if is_whole
 }
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -496,6 +496,86 @@
         return not (self == other)
 
 
+class ReadRevisions(object):
+    """
+    Attributes:
+     - tables
+     - upstreams
+
+    """
+
+    __slots__ = (
+        'tables',
+        'upstreams',
+    )
+
+
+    def __init__(self, tables=None, upstreams=None,):
+        self.tables = tables
+        self.upstreams = upstreams
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.tables = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.upstreams = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReadRevisions')
+        if self.tables is not None:
+            oprot.writeFieldBegin('tables', TType.I64, 1)
+            oprot.writeI64(self.tables)
+            oprot.writeFieldEnd()
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.I64, 2)
+            oprot.writeI64(self.upstreams)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HostReport(object):
     """
     Attributes:
@@ -510,6 +590,7 @@
      - contacts
      - demands
      - held
+     - revisions
 
     """
 
@@ -525,10 +606,11 @@
         'contacts',
         'demands',
         'held',
+        'revisions',
     )
 
 
-    def __init__(self, host=None, incarnation=None, sequence=None, address=None, data_centre=None, table_version=None, uses=None, suspects=None, contacts=None, demands=None, held=None,):
+    def __init__(self, host=None, incarnation=None, sequence=None, address=None, data_centre=None, table_version=None, uses=None, suspects=None, contacts=None, demands=None, held=None, revisions=None,):
         self.host = host
         self.incarnation = incarnation
         self.sequence = sequence
@@ -540,6 +622,7 @@
         self.contacts = contacts
         self.demands = demands
         self.held = held
+        self.revisions = revisions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -636,6 +719,12 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.revisions = ReadRevisions()
+                    self.revisions.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -705,6 +794,10 @@
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.revisions is not None:
+            oprot.writeFieldBegin('revisions', TType.STRUCT, 14)
+            self.revisions.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -740,6 +833,7 @@
      - suspects
      - held
      - is_whole
+     - revisions
 
     """
 
@@ -751,10 +845,11 @@
         'suspects',
         'held',
         'is_whole',
+        'revisions',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, uses=None, demands=None, suspects=None, held=None, is_whole=None,):
+    def __init__(self, incarnation=None, sequence=None, uses=None, demands=None, suspects=None, held=None, is_whole=None, revisions=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.uses = uses
@@ -762,6 +857,7 @@
         self.suspects = suspects
         self.held = held
         self.is_whole = is_whole
+        self.revisions = revisions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -831,6 +927,12 @@
                     self.is_whole = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.revisions = ReadRevisions()
+                    self.revisions.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -881,6 +983,10 @@
             oprot.writeFieldBegin('is_whole', TType.BOOL, 7)
             oprot.writeBool(self.is_whole)
             oprot.writeFieldEnd()
+        if self.revisions is not None:
+            oprot.writeFieldBegin('revisions', TType.STRUCT, 8)
+            self.revisions.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -940,6 +1046,12 @@
     (1, TType.I32, 'upstream', None, None, ),  # 1
     (2, TType.I32, 'run', None, None, ),  # 2
 )
+all_structs.append(ReadRevisions)
+ReadRevisions.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'tables', None, None, ),  # 1
+    (2, TType.I64, 'upstreams', None, None, ),  # 2
+)
 all_structs.append(HostReport)
 HostReport.thrift_spec = (
     None,  # 0
@@ -956,6 +1068,7 @@
     (11, TType.LIST, 'demands', (TType.STRUCT, [LaneDemand, None], False), None, ),  # 11
     None,  # 12
     (13, TType.LIST, 'held', (TType.STRUCT, [HeldRun, None], False), None, ),  # 13
+    (14, TType.STRUCT, 'revisions', [ReadRevisions, None], None, ),  # 14
 )
 all_structs.append(UseReport)
 UseReport.thrift_spec = (
@@ -967,6 +1080,7 @@
     (5, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 5
     (6, TType.LIST, 'held', (TType.STRUCT, [HeldRun, None], False), None, ),  # 6
     (7, TType.BOOL, 'is_whole', None, None, ),  # 7
+    (8, TType.STRUCT, 'revisions', [ReadRevisions, None], None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/state/src/hollyknot_state/_host_report.py
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -72,6 +72,21 @@
     run: int
 
 
+@attrs.frozen
+class ReadRevisions:
+    """The newest changes that a host has read from the platform's directory.
+
+    A host whose own watch fell silent learns by its peers' that it is behind.
+
+    Attributes:
+        tables: The directory's revision of the newest table; 0 for none.
+        upstreams: Of the newest change among the upstreams.
+    """
+
+    tables: int = 0
+    upstreams: int = 0
+
+
 @attrs.frozen
 class HostReport:
     """One report.
@@ -88,6 +103,7 @@
         suspects: Evidence against requests that may crash upstreams.
         held: Parts of prompts that were newly sent to upstreams.
         contacts: Some addresses of peers that it has heard of lately.
+        revisions: What it has read from the platform's directory.
     """
 
     host: str
@@ -101,6 +117,7 @@
     suspects: tuple[SuspectRecord, ...] = ()
     contacts: tuple[Address, ...] = ()
     held: tuple[HeldRun, ...] = ()
+    revisions: ReadRevisions = ReadRevisions()
 
 
 @attrs.frozen
@@ -116,6 +133,7 @@
         held: As in them.
         is_whole: Whether it tells of all upstreams with work in flight, and
             the demands; else only of those where prompts wait to be read.
+        revisions: As in them; None where it is no news.
     """
 
     incarnation: int
@@ -125,3 +143,4 @@
     suspects: tuple[SuspectRecord, ...] = ()
     held: tuple[HeldRun, ...] = ()
     is_whole: bool = True
+    revisions: ReadRevisions | None = None
