--- a/packages/bench/src/hollyknot_bench/experiment/__main__.py
+++ b/packages/bench/src/hollyknot_bench/experiment/__main__.py
@@ -7,6 +7,7 @@
 import sys
 from collections import Counter
 
+import attrs
 import click
 
 from hollyknot_bench.experiment._load import Load, read_load
@@ -28,16 +29,38 @@
     show_default=True,
     help="Processes.",
 )
-def main(file: pathlib.Path, seeds: int, first_seed: int, jobs: int) -> None:
+@click.option(
+    "--shared",
+    is_flag=True,
+    help="All hosts share their beliefs: the bound of what knowledge gives.",
+)
+@click.option(
+    "--asks/--no-asks", default=True, help="Whether trackers are asked."
+)
+@click.option("--hosts", default=0, help="Instead of the load's number.")
+def main(
+    file: pathlib.Path,
+    seeds: int,
+    first_seed: int,
+    jobs: int,
+    shared: bool,
+    asks: bool,
+    hosts: int,
+) -> None:
     """Play a load on several seeds and print what callers got."""
     load = read_load(file)
     if isinstance(load, Problem):
         click.echo(f"{file}: {load}", err=True)
         sys.exit(2)
+    if hosts:
+        load = attrs.evolve(load, hosts=hosts)
     numbers = range(first_seed, first_seed + seeds)
     worths = []
     with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
-        played = [pool.submit(play, load, number) for number in numbers]
+        played = [
+            pool.submit(play, load, number, is_shared=shared, asks=asks)
+            for number in numbers
+        ]
         for number, future in zip(numbers, played, strict=True):
             outcome = future.result()
             worths.append(outcome.worth)
--- a/packages/bench/src/hollyknot_bench/experiment/_load.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_load.py
@@ -107,7 +107,8 @@
     Attributes:
         length_s: How long requests are sent.
         hosts: That take them.
-        report_s: Between two reports that a host hears of each peer.
+        report_s: Between two reports that a host hears of each peer; 0 for as
+            many as the budget of bytes allows.
         engines: Their number.
         engine: What all are like.
         slowness: By how much each is slower, in turn.
--- a/packages/bench/src/hollyknot_bench/experiment/_play.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_play.py
@@ -16,15 +16,34 @@
 from hollyknot_bench.experiment._host import Host, make_host
 from hollyknot_bench.experiment._load import Load, Request, requests_of
 from hollyknot_bench.experiment._outcome import Ended, Outcome
+from hollyknot_bench.experiment._reports import (
+    REPORT_S,
+    Teller,
+    make_tellers,
+    number_of,
+)
 from hollyknot_coordination.forwarding import (
+    ANSWER_S,
+    ASK_FROM_S,
     COME_BACK_S,
+    RENEW_S,
     Choice,
+    Inquiries,
+    Inquiry,
     RouteIndex,
     Shed,
     TooSlow,
     Work,
+    runs_of,
+)
+from hollyknot_state import (
+    Address,
+    HostReport,
+    LoadAnswer,
+    LoadNote,
+    LoadQuery,
+    UseReport,
 )
-from hollyknot_state import Address, HostReport
 from hollyknot_state.routes import (
     CallTraits,
     KeyOwner,
@@ -43,6 +62,9 @@
 NETWORK_S = 0.003
 """One way between callers, hosts and engines."""
 
+HOSTS_S = 0.0014
+"""One way between hosts, in different data centres of a region."""
+
 COME_BACK_SPREAD = 0.5
 """By how much the time to come back varies either way."""
 
@@ -60,6 +82,9 @@
         load: Load,
         seed: int,
         make: Callable[[random.Random], Host] = make_host,
+        *,
+        is_shared: bool = False,
+        asks: bool = True,
     ) -> None:
         """Draws the requests.
 
@@ -67,6 +92,10 @@
             load: What is played.
             seed: Of requests and of the hosts' chance.
             make: Makes each host; policies are compared by other ones.
+            asks: Whether hosts ask trackers before they choose.
+            is_shared: Whether all hosts share one's beliefs, as if they told
+                each other everything at once and at no cost: the bound of what
+                knowledge is worth.
         """
         self._load = load
         self._clock = Clock()
@@ -76,11 +105,17 @@
             make(random.Random(seed * 1000 + number))
             for number in range(load.hosts)
         ]
+        if is_shared:
+            self._hosts = self._hosts[:1] * load.hosts
+        self._is_shared = is_shared
+        self._asks = asks and not is_shared
+        self._tellers = make_tellers(self._hosts, self._rng)
         slowness = itertools.cycle(load.slowness)
         self._engines = [
             Engine(load.engine, next(slowness)) for _ in range(load.engines)
         ]
         self._entries = [self._entry(n, 0) for n in range(load.engines)]
+        self._by_incarnation = {e.incarnation: e for e in self._entries}
         self._index = RouteIndex(_table(load))
         self._service = Service(_SERVICE, EngineService(load.engine.slots))
         self._ended = {r.number: Ended(r) for r in self._requests}
@@ -95,9 +130,7 @@
                 self._later(crash.at_s, self._crash, number)
                 back_s = crash.at_s + crash.for_s
                 self._later(back_s, self._come_back, number)
-        for number in range(self._load.hosts):
-            first_s = self._rng.random() * self._load.report_s
-            self._later(first_s, self._report, number, 1)
+        self._begin_reports()
         until_s = self._load.length_s + SETTLE_S
         self._clock.run(until_s)
         time_s = self._load.length_s * self._load.engines
@@ -109,6 +142,92 @@
             sum(e.busy_reading_s for e in self._engines) / time_s,
         )
 
+    def _begin_reports(self) -> None:
+        if self._is_shared:
+            return
+        for number in range(self._load.hosts):
+            self._begin_notes(number)
+        for number in range(self._load.hosts):
+            pace_s = self._load.report_s or REPORT_S
+            first_s = self._rng.random() * pace_s
+            if self._load.report_s:
+                self._later(first_s, self._report, number, 1)
+            else:
+                self._later(first_s, self._tell, number)
+
+    def _begin_notes(self, number: int) -> None:
+        """Has trackers told of each change, and now and then of all work."""
+        if not self._asks:
+            return
+        is_due = [False]
+
+        def tell() -> None:
+            is_due[0] = False
+            self._note(number)
+
+        def changed() -> None:
+            if not is_due[0]:
+                is_due[0] = True
+                self._later(self._clock.now_s, tell)
+
+        def renew() -> None:
+            changed()
+            self._later(self._clock.now_s + RENEW_S, renew)
+
+        self._hosts[number].loads.on_change = changed
+        self._later(self._rng.random() * RENEW_S, renew)
+
+    def _tell(self, number: int) -> None:
+        """Sends as many reports as the budget of bytes allows."""
+        now_s = self._clock.now_s
+        found = self._tellers[number].report(now_s)
+        if found is not None:
+            report, targets = found
+            for target in targets:
+                teller = self._tellers[number_of(target)]
+                self._later(now_s + HOSTS_S, self._hear, teller, report)
+        self._later(now_s + REPORT_S, self._tell, number)
+
+    def _ask(
+        self, number: int, entries: list[UpstreamEntry], call: CallTraits
+    ) -> Inquiry:
+        """Sends queries; their answers end the inquiry."""
+        now_s = self._clock.now_s
+        teller = self._tellers[number]
+        inquiry = teller.inquiries.ask(entries, runs_of(call.prompt), now_s)
+        for tracker, query in inquiry.sent:
+            teller.spend(query)
+            other = self._tellers[number_of(tracker.address)]
+            self._later(now_s + HOSTS_S, self._answer, other, teller, query)
+        return inquiry
+
+    def _answer(self, tracker: Teller, asker: Teller, query: LoadQuery) -> None:
+        now_s = self._clock.now_s
+        answer = tracker.inquiries.answer(query, now_s)
+        tracker.spend(answer)
+        self._later(now_s + HOSTS_S, self._take_answer, asker, answer)
+
+    def _take_answer(self, asker: Teller, answer: LoadAnswer) -> None:
+        asker.inquiries.take_answer(answer, self._clock.now_s)
+
+    def _note(self, number: int) -> None:
+        """Tells trackers of work that has just changed."""
+        now_s = self._clock.now_s
+        teller = self._tellers[number]
+        for tracker, note in teller.inquiries.notes(self._entry_of, now_s):
+            teller.spend(note)
+            other = self._tellers[number_of(tracker.address)]
+            self._later(now_s + HOSTS_S, self._take_note, other.inquiries, note)
+
+    def _take_note(self, inquiries: Inquiries, note: LoadNote) -> None:
+        inquiries.take_note(note, self._clock.now_s)
+
+    def _entry_of(self, incarnation: str) -> UpstreamEntry | None:
+        return self._by_incarnation.get(incarnation)
+
+    def _hear(self, teller: Teller, report: UseReport) -> None:
+        teller.take(report, self._clock.now_s)
+
     def _later(
         self, when_s: float, call: Callable[..., None], *args: object
     ) -> None:
@@ -149,34 +268,72 @@
 
     def _come_back(self, number: int) -> None:
         self._engines[number].come_back()
-        self._entries[number] = self._entry(
-            number, int(self._clock.now_s * 1000)
-        )
+        entry = self._entry(number, int(self._clock.now_s * 1000))
+        self._entries[number] = entry
+        self._by_incarnation[entry.incarnation] = entry
 
     def _usable(self) -> list[UpstreamEntry]:
         pairs = zip(self._entries, self._engines, strict=True)
         return [entry for entry, engine in pairs if not engine.is_away]
 
     def _arrive(self, request: Request, number: int) -> None:
+        """Takes a request, and asks for loads before it is placed."""
         host = self._hosts[number]
-        host.forecasts.note_request(request.kind.name, request.hint)
         now_s = self._clock.now_s
+        if not self._is_shared and not self._load.report_s:
+            self._tellers[number].sum_up(now_s)
+        host.forecasts.note_request(request.kind.name, request.hint)
         if now_s - request.at_s >= request.kind.timeout_s:
             return
+        if not self._may_ask(number):
+            self._place(request, number, [])
+            return
+        route = self._index.table.routes[_place_of(self._load, request)]
+        call = _call(request)
+        asked = host.placement.shortlist(
+            self._service,
+            self._usable(),
+            call,
+            frozenset(),
+            now_s,
+            is_loose=self._index.is_loose(route, _SERVICE),
+        )
+        inquiry = self._ask(number, asked, call)
+        place = _once(lambda: self._place(request, number, asked))
+        inquiry.on_done = place
+
+        def end() -> None:
+            inquiries = self._tellers[number].inquiries
+            inquiries.give_up(inquiry, self._clock.now_s)
+            place()
+
+        wait_s = ANSWER_S if inquiry.sent else 0.0
+        self._later(now_s + wait_s, end)
+
+    def _may_ask(self, number: int) -> bool:
+        teller = self._tellers[number]
+        is_old = teller.peers.interval_s >= ASK_FROM_S
+        may_send = teller.rate.may_ask(self._clock.now_s)
+        return self._asks and is_old and may_send
+
+    def _place(
+        self, request: Request, number: int, asked: list[UpstreamEntry]
+    ) -> None:
+        host = self._hosts[number]
+        now_s = self._clock.now_s
         entries = self._usable()
-        route = self._index.table.routes[_place(self._load, request)]
-        owner = KeyOwner("customer", request.rank)
-        urgency = self._index.urgency(route, owner)
-        sheds_from = self._index.sheds_from(_SERVICE)
         if not entries:
             return
+        route = self._index.table.routes[_place_of(self._load, request)]
+        urgency = self._index.urgency(route, KeyOwner("c", request.rank))
+        sheds_from = self._index.sheds_from(_SERVICE)
+        is_loose = self._index.is_loose(route, _SERVICE)
+        call = _call(request)
         if urgency >= sheds_from and isinstance(
-            host.shedding.decide(entries, sheds_from), Shed
+            host.shedding.decide(asked or entries, sheds_from, now_s), Shed
         ):
             self._refuse(request)
             return
-        is_loose = self._index.is_loose(route, _SERVICE)
-        call = _call(request)
         choice = host.placement.choose(
             self._service,
             entries,
@@ -185,6 +342,7 @@
             now_s,
             is_loose=is_loose,
             urgency=urgency,
+            among=frozenset(entry.incarnation for entry in asked),
         )
         if not isinstance(choice, Choice):
             return
@@ -309,7 +467,19 @@
     is_over: bool = False
 
 
-def _place(load: Load, request: Request) -> int:
+def _once(call: Callable[[], None]) -> Callable[[], None]:
+    """Returns a function that makes a call the first time only."""
+    is_made = [False]
+
+    def made() -> None:
+        if not is_made[0]:
+            is_made[0] = True
+            call()
+
+    return made
+
+
+def _place_of(load: Load, request: Request) -> int:
     return load.classes.index(request.kind)
 
 
@@ -346,6 +516,9 @@
     load: Load,
     seed: int,
     make: Callable[[random.Random], Host] = make_host,
+    *,
+    is_shared: bool = False,
+    asks: bool = True,
 ) -> Outcome:
     """Plays one day of a load with a policy."""
-    return Play(load, seed, make).run()
+    return Play(load, seed, make, is_shared=is_shared, asks=asks).run()
--- a/packages/bench/src/hollyknot_bench/experiment/tests/test_experiment.py
+++ b/packages/bench/src/hollyknot_bench/experiment/tests/test_experiment.py
@@ -8,6 +8,8 @@
 
 from hollyknot_bench.experiment import Load, play, read_load
 from hollyknot_bench.experiment._engine import Engine, EngineFigures, Run
+from hollyknot_bench.experiment._play import SETTLE_S, Play
+from hollyknot_coordination.forwarding._report_rate import BYTES_A_SECOND
 from hollyknot_state import Problem
 
 _FIGURES = EngineFigures(
@@ -168,3 +170,42 @@
 
 def _short() -> Load:
     return attrs.evolve(_day(), length_s=6.0)
+
+
+class TestManyHosts:
+    """What hosts know of each other grows old with their number."""
+
+    def _worth(self, *, is_shared: bool, asks: bool) -> float:
+        load = read_load(_LOADS / "many-hosts.json")
+        assert isinstance(load, Load)
+        short = attrs.evolve(load, length_s=4.0, hosts=83)
+        return play(short, 1, is_shared=is_shared, asks=asks).worth
+
+    def test_asking_lies_between_reports_and_all_knowledge(self) -> None:
+        """Most streams of a burst are late, while engines have time.
+
+        Sequence: 83 hosts take a burst of long prompts. Cause: each chose by
+        reports that were seconds old. Emulated, mean of two whole days: 0.573
+        by reports, 0.714 by asking trackers, 0.779 with all known at once.
+        """
+        reports = self._worth(is_shared=False, asks=False)
+        asked = self._worth(is_shared=False, asks=True)
+        shared = self._worth(is_shared=True, asks=False)
+        assert reports < asked < shared
+
+    def test_a_host_keeps_to_its_bytes(self) -> None:
+        load = read_load(_LOADS / "many-hosts.json")
+        assert isinstance(load, Load)
+        day = Play(attrs.evolve(load, length_s=4.0), 1, asks=False)
+        sent = [0] * load.hosts
+        spends = [teller.rate.spend for teller in day._tellers]
+        for number, teller in enumerate(day._tellers):
+
+            def spend(size: int, number: int = number) -> None:
+                sent[number] += size
+                spends[number](size)
+
+            teller.rate.spend = spend  # type: ignore[method-assign]
+        day.run()
+        seconds = 4.0 + SETTLE_S
+        assert max(sent) < (BYTES_A_SECOND + 100) * seconds
--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -1,10 +1,20 @@
 """Decisions of a host that forwards calls by routes, apart from any I/O."""
 
-from hollyknot_coordination.forwarding._cached_parts import CachedParts
+from hollyknot_coordination.forwarding._cached_parts import (
+    CachedParts,
+    runs_of,
+)
 from hollyknot_coordination.forwarding._events import EventCutter
 from hollyknot_coordination.forwarding._fleet import Ended, Fleet
 from hollyknot_coordination.forwarding._forecasts import Forecasts
 from hollyknot_coordination.forwarding._health import Health
+from hollyknot_coordination.forwarding._inquiries import (
+    ANSWER_S,
+    ASK_FROM_S,
+    NOTE_FROM_S,
+    Inquiries,
+    Inquiry,
+)
 from hollyknot_coordination.forwarding._lanes import Demand, Lanes, Tolerance
 from hollyknot_coordination.forwarding._loads import Load, Loads
 from hollyknot_coordination.forwarding._peers import Peers
@@ -36,9 +46,24 @@
     give_up,
     next_step,
 )
+from hollyknot_coordination.forwarding._tracked_loads import (
+    RENEW_S,
+    TrackedLoads,
+)
+from hollyknot_coordination.forwarding._trackers import Tracker, Trackers
 
 __all__ = [
+    "ANSWER_S",
+    "ASK_FROM_S",
+    "NOTE_FROM_S",
+    "Inquiries",
+    "Inquiry",
     "COME_BACK_S",
+    "RENEW_S",
+    "TrackedLoads",
+    "Tracker",
+    "Trackers",
+    "runs_of",
     "Admission",
     "Again",
     "CachedParts",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_cached_parts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_cached_parts.py
@@ -9,6 +9,7 @@
 
 import functools
 import hashlib
+import heapq
 from collections import OrderedDict, deque
 from collections.abc import Collection, Iterable, Sequence
 
@@ -31,6 +32,9 @@
 _HOLDERS = 4
 """Of which one can be reached and is not the one that asks, mostly."""
 
+_MOST_UNTRACKED = 64
+"""More come up only while no tracker is known."""
+
 _REMEMBERED = 20_000
 _NAMES_KEPT = 20_000
 
@@ -96,6 +100,8 @@
         """Has sent nothing yet."""
         self._sent: OrderedDict[tuple[int, int], float] = OrderedDict()
         self._news: deque[tuple[float, HeldRun]] = deque()
+        # Not yet told to the upstreams' trackers.
+        self._untracked: deque[HeldRun] = deque(maxlen=_MOST_UNTRACKED)
 
     def note(
         self, incarnation: str, prompt: Sequence[PromptPart], now_s: float
@@ -110,6 +116,7 @@
             self._keep(held, now_s)
             if is_new and tokens >= LEAST_TOLD_TOKENS:
                 self._news.append((now_s, HeldRun(*held)))
+                self._untracked.append(HeldRun(*held))
 
     def told(self, now_s: float) -> tuple[HeldRun, ...]:
         """Returns what was sent lately that was not known before."""
@@ -117,11 +124,23 @@
             self._news.popleft()
         return tuple(held for _, held in self._news)
 
+    def take_untracked(self, upstream: int) -> tuple[HeldRun, ...]:
+        """Returns what the tracker of an upstream was not told yet, once."""
+        found = tuple(h for h in self._untracked if h.upstream == upstream)
+        if found:
+            rest = (h for h in self._untracked if h.upstream != upstream)
+            self._untracked = deque(rest, maxlen=_MOST_UNTRACKED)
+        return found
+
     def take(self, told: Iterable[HeldRun], now_s: float) -> None:
         """Takes in what a peer has told."""
         for held in told:
             self._keep((held.upstream, held.run), now_s)
 
+    def has(self, held: HeldRun, now_s: float) -> bool:
+        """Whether an upstream is taken to have some parts."""
+        return self._is_held((held.upstream, held.run), now_s)
+
     def missing(
         self,
         entries: Sequence[UpstreamEntry],
@@ -178,6 +197,20 @@
             self._sent.popitem(last=False)
 
 
+def runs_of(prompt: Sequence[PromptPart]) -> tuple[int, ...]:
+    """Returns the short names of the runs of a prompt's shared parts."""
+    return tuple(_runs(prompt))
+
+
+def preferred(
+    entries: Sequence[UpstreamEntry], run: int, count: int
+) -> list[UpstreamEntry]:
+    """Returns the upstreams that all hosts prefer for a run, best first."""
+    return heapq.nlargest(
+        count, entries, key=lambda e: _weight(run, e.incarnation)
+    )
+
+
 _short = functools.lru_cache(maxsize=_NAMES_KEPT)(short_name)
 
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
@@ -142,6 +142,11 @@
         known = self._of_name(name)
         return known.entry.service if known is not None else ""
 
+    def entry_of(self, incarnation: str) -> UpstreamEntry | None:
+        """Returns an upstream that is known."""
+        known = self._known.get(incarnation)
+        return known.entry if known is not None else None
+
     def mark_gone(self, incarnation: str) -> None:
         """Notes that another incarnation answered at an upstream's address."""
         known = self._known.get(incarnation)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_forecasts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_forecasts.py
@@ -10,9 +10,12 @@
 """
 
 import math
+from collections.abc import Iterable
 
 import attrs
 
+from hollyknot_state import UpstreamPace, short_name
+
 SMOOTHING_S = 0.3
 """Over which intervals at an upstream are averaged: a few events of a busy one,
 and shorter than the time that a queue takes to build up."""
@@ -66,6 +69,8 @@
     def __init__(self) -> None:
         """Has seen none."""
         self._paces: dict[str, _Pace] = {}
+        # By short names, as trackers have told.
+        self._told: dict[int, _Pace] = {}
         self._routes: dict[str, _Route] = {}
 
     def note_interval(
@@ -84,6 +89,24 @@
         pace.interval_s += weight * (interval_s - pace.interval_s)
         pace.at_s = now_s
 
+    def pace(self, upstream: str, now_s: float) -> UpstreamPace | None:
+        """Returns the interval that this host sees, to be told."""
+        pace = self._paces.get(upstream)
+        if pace is None or now_s - pace.at_s > FRESH_S:
+            return None
+        interval_ms = max(1, round(pace.interval_s * 1000))
+        return UpstreamPace(short_name(upstream), interval_ms)
+
+    def take(self, paces: Iterable[UpstreamPace], now_s: float) -> None:
+        """Takes what trackers have told of the streams of other hosts.
+
+        One of many hosts relays a few streams at a time, so that it has seen
+        none at most upstreams. Emulated day of 83 hosts: 0.570 of its worth
+        where each host knows only its own streams, 0.709 where all are known.
+        """
+        for pace in paces:
+            self._told[pace.upstream] = _Pace(pace.interval_ms / 1000, now_s)
+
     def note_request(self, route: str, tokens: int) -> None:
         """Notes how long a caller expects its answer to be."""
         self._route(route).estimates.add(max(tokens, 1))
@@ -102,6 +125,7 @@
     def forget(self, upstream: str) -> None:
         """Notes that an upstream has left for good."""
         self._paces.pop(upstream, None)
+        self._told.pop(short_name(upstream), None)
 
     def duration_s(
         self, upstream: str, route: str, now_s: float
@@ -111,7 +135,9 @@
         Returns:
             Seconds; None if too little is known.
         """
-        pace = self._paces.get(upstream)
+        pace = self._told.get(short_name(upstream))
+        if pace is None or now_s - pace.at_s > FRESH_S:
+            pace = self._paces.get(upstream)
         if pace is None or now_s - pace.at_s > FRESH_S:
             return None
         known = self._route(route)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_inquiries.py
@@ -0,0 +1,210 @@
+"""Asks trackers for loads before a request is placed, and tells them of work.
+
+What to send to whom is decided here; the caller carries the messages and keeps
+the time. Nothing is held up by a tracker that does not answer: the request is
+then placed by what reports have told.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+
+import attrs
+
+from hollyknot_coordination.forwarding._cached_parts import CachedParts
+from hollyknot_coordination.forwarding._forecasts import Forecasts
+from hollyknot_coordination.forwarding._loads import Loads
+from hollyknot_coordination.forwarding._tracked_loads import (
+    RENEW_S,
+    TrackedLoads,
+)
+from hollyknot_coordination.forwarding._trackers import Tracker, Trackers
+from hollyknot_state import (
+    LoadAnswer,
+    LoadNote,
+    LoadQuery,
+    short_name,
+)
+from hollyknot_state.routes import UpstreamEntry
+
+ASK_FROM_S = 0.4
+"""Usual time between two reports of a peer from which trackers are asked. What
+younger reports tell of all upstreams is worth more than what trackers tell of
+four: with 8 hosts, which hear each other every 0.15 s, emulated worth is 0.866
+by reports and 0.857 by trackers; 83 hear each other every few seconds."""
+
+NOTE_FROM_S = ASK_FROM_S / 2
+"""The same from which trackers are told of work: hosts measure it unlike, and
+one that asks relies on the notes of all."""
+
+ANSWER_S = 0.01
+"""The longest wait for answers: three round trips between data centres of a
+region. Callers accept some hundred milliseconds for a first event."""
+
+_MOST_NUMBERS = 2**31 - 1
+"""Numbers of queries begin again after this one."""
+
+
+@attrs.define(eq=False)
+class Inquiry:
+    """A question to the trackers of some upstreams.
+
+    Attributes:
+        sent: What is to be sent to whom.
+        on_done: Told that all have answered; set by whoever waits.
+    """
+
+    sent: list[tuple[Tracker, LoadQuery]] = attrs.Factory(list)
+    on_done: Callable[[], None] = lambda: None
+
+
+class Inquiries:
+    """What one host asks and tells trackers, and answers as one."""
+
+    def __init__(
+        self,
+        incarnation: int,
+        trackers: Trackers,
+        loads: Loads,
+        cached: CachedParts,
+        forecasts: Forecasts,
+    ) -> None:
+        """Has asked nothing yet.
+
+        Args:
+            incarnation: Of this process.
+            trackers: Finds whom to ask and tell.
+            loads: This host's work, and where answers go.
+            cached: Likewise of cached parts.
+            forecasts: Likewise of the pace of streams.
+        """
+        self._incarnation = incarnation
+        self._trackers = trackers
+        self._loads = loads
+        self._cached = cached
+        self._forecasts = forecasts
+        self._tracked = TrackedLoads(cached)
+        self._number = 0
+        self._sequence = 0
+        self._waiting: dict[int, tuple[Tracker, Inquiry]] = {}
+        self._renewed_s = float("-inf")
+
+    def ask(
+        self,
+        entries: Sequence[UpstreamEntry],
+        runs: tuple[int, ...],
+        now_s: float,
+    ) -> Inquiry:
+        """Returns a question for the loads of some upstreams.
+
+        What this host tracks itself is known at once.
+
+        Args:
+            entries: The upstreams.
+            runs: The shared parts of the request's prompt.
+            now_s: The time.
+        """
+        inquiry = Inquiry()
+        for tracker, upstreams in self._by_tracker(entries, now_s):
+            names = tuple(short_name(e.incarnation) for e in upstreams)
+            self._number = self._number % _MOST_NUMBERS + 1
+            query = LoadQuery(self._incarnation, self._number, names, runs)
+            if tracker is None:
+                self._believe(self._tracked.answer(query, now_s), now_s)
+                continue
+            inquiry.sent.append((tracker, query))
+            self._waiting[query.number] = (tracker, inquiry)
+        return inquiry
+
+    def answer(self, query: LoadQuery, now_s: float) -> LoadAnswer:
+        """Answers as a tracker."""
+        return self._tracked.answer(query, now_s)
+
+    def take_answer(self, answer: LoadAnswer, now_s: float) -> None:
+        """Takes an answer; one that nobody waits for is late, and as good."""
+        self._believe(answer, now_s)
+        tracker, inquiry = self._waiting.pop(answer.number, (None, None))
+        if tracker is None or inquiry is None:
+            return
+        self._trackers.answered(tracker)
+        if not any(i is inquiry for _, i in self._waiting.values()):
+            inquiry.on_done()
+
+    def give_up(self, inquiry: Inquiry, now_s: float) -> list[Tracker]:
+        """Ends a question that was waited for long enough.
+
+        Returns:
+            Trackers that are passed over from now on, for a while.
+        """
+        silent = []
+        for tracker, query in inquiry.sent:
+            if self._waiting.pop(query.number, None) is None:
+                continue
+            if self._trackers.missed(tracker, now_s):
+                silent.append(tracker)
+        return silent
+
+    def take_note(self, note: LoadNote, now_s: float) -> None:
+        """Takes a host's work, as a tracker."""
+        self._tracked.take(note, now_s)
+
+    def notes(
+        self,
+        entry_of: Callable[[str], UpstreamEntry | None],
+        now_s: float,
+    ) -> list[tuple[Tracker, LoadNote]]:
+        """Returns what trackers are to be told now.
+
+        Work that has changed, and once in a while all of it.
+
+        Args:
+            entry_of: Returns an upstream that is known, by its incarnation.
+            now_s: The time.
+        """
+        names = self._loads.take_changed()
+        if now_s - self._renewed_s >= RENEW_S:
+            self._renewed_s = now_s
+            names |= set(self._loads.busy)
+        found = (entry_of(name) for name in sorted(names))
+        entries = [entry for entry in found if entry is not None]
+        return self._notes_of(entries, now_s)
+
+    def _notes_of(
+        self, entries: Iterable[UpstreamEntry], now_s: float
+    ) -> list[tuple[Tracker, LoadNote]]:
+        self._sequence += 1
+        notes = []
+        for tracker, upstreams in self._by_tracker(entries, now_s):
+            names = [entry.incarnation for entry in upstreams]
+            uses = tuple(self._loads.use_of(name) for name in names)
+            paces = (self._forecasts.pace(name, now_s) for name in names)
+            held = tuple(
+                held
+                for use in uses
+                for held in self._cached.take_untracked(use.upstream)
+            )
+            note = LoadNote(
+                self._incarnation,
+                self._sequence,
+                uses,
+                held,
+                tuple(pace for pace in paces if pace is not None),
+            )
+            if tracker is None:
+                self._tracked.take(note, now_s)
+            else:
+                notes.append((tracker, note))
+        return notes
+
+    def _by_tracker(
+        self, entries: Iterable[UpstreamEntry], now_s: float
+    ) -> Iterable[tuple[Tracker | None, list[UpstreamEntry]]]:
+        found: dict[int, tuple[Tracker | None, list[UpstreamEntry]]] = {}
+        for entry in entries:
+            tracker = self._trackers.of(entry, now_s)
+            key = tracker.incarnation if tracker else self._incarnation
+            found.setdefault(key, (tracker, []))[1].append(entry)
+        return found.values()
+
+    def _believe(self, answer: LoadAnswer, now_s: float) -> None:
+        self._loads.take_tracked(answer.uses, now_s)
+        self._forecasts.take(answer.paces, now_s)
+        self._cached.take(answer.held, now_s)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_loads.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_loads.py
@@ -1,7 +1,8 @@
 """Work in flight at upstreams: a host's own, exactly, and what peers tell."""
 
+import math
 import operator
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -14,6 +15,13 @@
 _MOST_TOLD = 255
 """What fits into a byte; no upstream has as many slots for one host."""
 
+TRACKED_S = 0.03
+"""How long a tracker's answer goes before reports: work changes within tens of
+milliseconds, and a round trip takes some."""
+
+_MOST_TRACKED = 500
+"""Answers that are kept before those that no longer count are dropped."""
+
 _NONE_AT_ANY = (0,) * URGENCIES
 
 
@@ -103,12 +111,19 @@
 
 
 class Loads:
-    """Work in flight of all hosts that are heard of."""
+    """Work in flight of all hosts that are heard of.
+
+    Attributes:
+        on_change: Told of each change of own work.
+    """
 
     def __init__(self) -> None:
         """Starts with none."""
         self._own: dict[str, _Own] = {}
         self._peers: dict[int, Load] = {}
+        self._tracked: dict[int, tuple[Load, float]] = {}
+        self._changed: set[str] = set()
+        self.on_change: Callable[[], None] = _ignore
 
     def begin(self, upstream: str, tokens: int, urgency: int) -> None:
         """Notes that a request was sent."""
@@ -116,6 +131,7 @@
         own.waiting += 1
         own.tokens[urgency] += tokens
         own.urgencies[urgency] += 1
+        self._note_change(upstream)
 
     def start(self, upstream: str, tokens: int, urgency: int) -> None:
         """Notes that a stream has begun: its prompt has been read in."""
@@ -123,6 +139,7 @@
         own.waiting -= 1
         own.tokens[urgency] -= tokens
         own.running += 1
+        self._note_change(upstream)
 
     def end(
         self, upstream: str, tokens: int, urgency: int, *, has_started: bool
@@ -137,6 +154,16 @@
             own.tokens[urgency] -= tokens
         if not own.waiting and not own.running:
             del self._own[upstream]
+        self._note_change(upstream)
+
+    def take_changed(self) -> set[str]:
+        """Returns where own work has changed since this was last asked."""
+        changed, self._changed = self._changed, set()
+        return changed
+
+    def _note_change(self, upstream: str) -> None:
+        self._changed.add(upstream)
+        self.on_change()
 
     def take_reports(self, reports: Iterable[HostReport]) -> None:
         """Replaces what peers told before."""
@@ -147,24 +174,54 @@
                 sums[use.upstream] = known + _told(use)
         self._peers = sums
 
-    def at(self, upstream: str) -> Load:
-        """Returns the work in flight at an upstream."""
-        peers = self._peers.get(short_name(upstream), _NONE)
+    def take_tracked(self, uses: Iterable[UpstreamUse], now_s: float) -> None:
+        """Takes what trackers have answered: others' work at this moment.
+
+        It goes before what peers have reported, and is kept for a short while:
+        several requests that arrive together ask for the same upstreams.
+        """
+        newest_s = now_s - TRACKED_S
+        if len(self._tracked) > _MOST_TRACKED:
+            self._tracked = {
+                name: kept
+                for name, kept in self._tracked.items()
+                if kept[1] >= newest_s
+            }
+        for use in uses:
+            self._tracked[use.upstream] = (_told(use), now_s)
+
+    def at(self, upstream: str, now_s: float = math.inf) -> Load:
+        """Returns the work in flight at an upstream.
+
+        Args:
+            upstream: Its incarnation.
+            now_s: The time; without it, what trackers answered is left out.
+        """
+        short = short_name(upstream)
+        peers = self._peers.get(short, _NONE)
+        tracked = self._tracked.get(short)
+        if tracked is not None and now_s - tracked[1] <= TRACKED_S:
+            peers = tracked[0]
         own = self._own.get(upstream)
         return peers if own is None else peers + own.load()
 
+    def use_of(self, upstream: str) -> UpstreamUse:
+        """Returns a host's own work at an upstream, for its tracker."""
+        own = self._own.get(upstream)
+        return _use(upstream, own if own is not None else _Own())
+
     def uses(self) -> tuple[UpstreamUse, ...]:
         """Returns a host's own work, for its report."""
-        return tuple(
-            UpstreamUse(
-                short_name(name),
-                _without_end(own.tokens),
-                own.waiting,
-                own.running,
-                bytes(min(n, _MOST_TOLD) for n in _without_end(own.urgencies)),
-            )
-            for name, own in self._own.items()
-        )
+        return tuple(_use(name, own) for name, own in self._own.items())
+
+    @property
+    def busy(self) -> list[str]:
+        """The incarnations where this host has work in flight."""
+        return list(self._own)
+
+
+def _ignore() -> None:
+    """Nobody wants to know of changes."""
 
 
 def merged_uses(
@@ -192,7 +249,33 @@
     return (*merged, *told.values())
 
 
-def _without_end(counts: list[int]) -> tuple[int, ...]:
+def summed_use(upstream: int, uses: Iterable[UpstreamUse]) -> UpstreamUse:
+    """Returns the work of several hosts at one upstream."""
+    total = sum((_told(use) for use in uses), _NONE)
+    return UpstreamUse(
+        upstream,
+        _without_end(total.tokens),
+        total.waiting,
+        total.running,
+        _counts(total.urgencies),
+    )
+
+
+def _use(name: str, own: _Own) -> UpstreamUse:
+    return UpstreamUse(
+        short_name(name),
+        _without_end(own.tokens),
+        own.waiting,
+        own.running,
+        _counts(own.urgencies),
+    )
+
+
+def _counts(urgencies: Sequence[int]) -> bytes:
+    return bytes(min(n, _MOST_TOLD) for n in _without_end(urgencies))
+
+
+def _without_end(counts: Sequence[int]) -> tuple[int, ...]:
     """Returns counts without the zeros at their end."""
     last = max((i for i, count in enumerate(counts) if count), default=-1)
     return tuple(counts[: last + 1])
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
@@ -20,6 +20,7 @@
 )
 from hollyknot_coordination.forwarding._silences import Silences
 from hollyknot_coordination.forwarding._smoothing import smoothed
+from hollyknot_coordination.forwarding._trackers import Tracker
 from hollyknot_state import Address, HostReport, UseReport
 
 FRESH_S = 1.0
@@ -85,6 +86,7 @@
         self._peers: dict[str, Peer] = {}
         # Peers by the incarnation that their short reports name.
         self._hosts: dict[int, str] = {}
+        self._hosts_known: tuple[Tracker, ...] | None = ()
         # When each peer was last sent a report, and one that tells all.
         self._told: dict[Address, float] = {}
         self._detailed: dict[Address, float] = {}
@@ -92,6 +94,21 @@
         # The usual time between two reports of one peer.
         self._interval_s = 0.0
 
+    @property
+    def interval_s(self) -> float:
+        """The usual time between two reports of one peer; 0 for none."""
+        return self._interval_s
+
+    @property
+    def hosts(self) -> tuple[Tracker, ...]:
+        """The peers, as hosts that may track; the same until they change."""
+        if self._hosts_known is None:
+            self._hosts_known = tuple(
+                Tracker(r.incarnation, r.address, r.data_centre)
+                for r in (peer.report for peer in self._peers.values())
+            )
+        return self._hosts_known
+
     @property
     def count(self) -> int:
         """Peers that have told of themselves lately."""
@@ -135,9 +152,9 @@
             uses=report.uses,
             suspects=report.suspects,
         )
-        if report.is_whole:
+        if report.demands:
             told = attrs.evolve(told, demands=report.demands)
-        else:
+        if not report.is_whole:
             uses = merged_uses(known.report.uses, report.uses)
             told = attrs.evolve(told, uses=uses)
         self._note(told, now_s)
@@ -148,6 +165,8 @@
             passed_s = now_s - known.heard_s
             self._interval_s = smoothed(self._interval_s, passed_s)
             self._hosts.pop(known.report.incarnation, None)
+        if known is None or known.report.incarnation != report.incarnation:
+            self._hosts_known = None
         self._hosts[report.incarnation] = report.host
         self._peers[report.host] = Peer(report, now_s)
         self._times.note(now_s)
@@ -225,6 +244,7 @@
             if now_s - peer.heard_s > forget_s
         ]
         for host in gone:
+            self._hosts_known = None
             report = self._peers.pop(host).report
             self._hosts.pop(report.incarnation, None)
             self._told.pop(report.address, None)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
@@ -2,13 +2,16 @@
 
 import enum
 import random
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 import attrs
 
 from hollyknot_coordination.forwarding._cached_parts import (
+    LEAST_TOLD_TOKENS,
     CachedParts,
     Holdings,
+    preferred,
+    runs_of,
 )
 from hollyknot_coordination.forwarding._lanes import Demand, Lanes
 from hollyknot_coordination.forwarding._loads import Loads
@@ -42,6 +45,16 @@
 one to end. Less urgent ones do not count, since they are put back for it."""
 
 
+ASKED = 3
+"""Upstreams of a request's lane whose trackers are asked before it is placed.
+Emulated day of 83 hosts and 45 engines, mean worth of two seeds: 0.573 by
+reports alone; with all loads known at once 0.752 among two, 0.760 among three,
+0.768 among five and 0.779 among all."""
+
+ASKED_BESIDE = 1
+"""The same of the other lane, where the request goes if its own is full."""
+
+
 class NoPlace(enum.Enum):
     """No upstream can take a request."""
 
@@ -136,6 +149,7 @@
         *,
         is_loose: bool,
         urgency: int,
+        among: Collection[str] = (),
     ) -> Choice | NoPlace:
         """Returns where a request is to go.
 
@@ -148,15 +162,63 @@
             now_s: The time.
             is_loose: Whether its stream bears long pauses.
             urgency: The same at all hosts; 0 is the first.
+            among: Incarnations whose loads were asked for; empty for none. If
+                all of them are full, reports tell where there is room.
         """
-        if service.engine is not None and call.prompt and candidates:
-            return self._engine(
-                service.name,
-                candidates,
-                _Asked(call, excluded, now_s, urgency),
-                is_loose,
-            )
-        return self._least_busy(candidates, excluded)
+        if service.engine is None or not call.prompt or not candidates:
+            return self._least_busy(candidates, excluded, among, now_s)
+        asked = _Asked(call, excluded, now_s, urgency)
+        if among:
+            others = frozenset(c.incarnation for c in candidates) - set(among)
+            narrow = attrs.evolve(asked, excluded=excluded | others)
+            found = self._engine(service.name, candidates, narrow, is_loose)
+            if isinstance(found, Choice):
+                return found
+        return self._engine(service.name, candidates, asked, is_loose)
+
+    def shortlist(
+        self,
+        service: Service,
+        candidates: Sequence[UpstreamEntry],
+        call: CallTraits,
+        excluded: frozenset[str],
+        now_s: float,
+        *,
+        is_loose: bool,
+    ) -> list[UpstreamEntry]:
+        """Returns upstreams to ask for before a request is placed.
+
+        Those that all hosts prefer for its shared parts, so that these are
+        cached at a few; where little is shared, some at random. Choosing the
+        least busy of a few that are known is nearly as good as knowing all,
+        and no two requests crowd on the one that seemed idle a moment ago.
+
+        Args: as of `choose`.
+        """
+        if service.engine is None or not call.prompt:
+            usable = [c for c in candidates if c.incarnation not in excluded]
+            return self._rng.sample(usable, min(ASKED, len(usable)))
+        found: list[UpstreamEntry] = []
+        for loose, count in ((is_loose, ASKED), (not is_loose, ASKED_BESIDE)):
+            entries = [
+                entry
+                for entry in self._lanes.of(
+                    service.name, candidates, now_s, is_loose=loose
+                )
+                if entry.incarnation not in excluded and entry not in found
+            ]
+            found += self._few(entries, call, count)
+        return found
+
+    def _few(
+        self, entries: list[UpstreamEntry], call: CallTraits, count: int
+    ) -> list[UpstreamEntry]:
+        if len(entries) <= count:
+            return entries
+        shared = sum(part.tokens for part in call.prompt[:-1])
+        if shared < LEAST_TOLD_TOKENS:
+            return self._rng.sample(entries, count)
+        return preferred(entries, runs_of(call.prompt)[-1], count)
 
     def begin(
         self,
@@ -194,20 +256,31 @@
         )
 
     def _least_busy(
-        self, candidates: Sequence[UpstreamEntry], excluded: frozenset[str]
+        self,
+        candidates: Sequence[UpstreamEntry],
+        excluded: frozenset[str],
+        among: Collection[str],
+        now_s: float,
     ) -> Choice | NoPlace:
         open_ones = [c for c in candidates if c.incarnation not in excluded]
         if not open_ones:
             return NoPlace.NONE_KNOWN
+        asked = [c for c in open_ones if c.incarnation in among]
+        free = [
+            c
+            for c in asked
+            if self._loads.at(c.incarnation, now_s).requests < c.slots
+        ]
+        open_ones = free or open_ones
 
         def cost(entry: UpstreamEntry) -> tuple[float, bool, float]:
-            load = self._loads.at(entry.incarnation)
+            load = self._loads.at(entry.incarnation, now_s)
             is_far = entry.data_centre != self._data_centre
             busy = load.requests / max(1, entry.slots)
             return busy, is_far, self._rng.random()
 
         best = min(open_ones, key=cost)
-        return Choice(best, 0, self._loads.at(best.incarnation).requests)
+        return Choice(best, 0, self._loads.at(best.incarnation, now_s).requests)
 
     def _engine(
         self,
@@ -248,19 +321,19 @@
                 continue
             lacks = 0 if entry is home else holdings.lacks[entry.incarnation]
             tokens = last + min(lacks, holdings.to_read)
-            ahead = self._busy(entry, asked.urgency)
+            ahead = self._busy(entry, asked.urgency, asked.now_s)
             cost = tokens + ahead + lacks * REREAD_WEIGHT
             if best is None or cost < best.cost:
                 source = holdings.source(entry, home, asked.excluded)
                 best = _Offer(cost, Choice(entry, tokens, ahead, source))
         return best
 
-    def _busy(self, entry: UpstreamEntry, urgency: int) -> int:
+    def _busy(self, entry: UpstreamEntry, urgency: int, now_s: float) -> int:
         """Returns what is in flight at an upstream, in tokens.
 
         Less urgent prompts that wait there are read in later, but for one.
         """
-        load = self._loads.at(entry.incarnation)
+        load = self._loads.at(entry.incarnation, now_s)
         beyond = load.ahead_of(urgency) + 1 - entry.slots
         full = max(0, beyond) * FULL_TOKENS
         running = load.running * RUNNING_TOKENS
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_shedding.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_shedding.py
@@ -100,15 +100,16 @@
         self._rng = rng
 
     def decide(
-        self, entries: Sequence[UpstreamEntry], sheds_from: int
+        self, entries: Sequence[UpstreamEntry], sheds_from: int, now_s: float
     ) -> Admission | Shed:
         """Returns whether one of the least urgent streams may be sent.
 
         Args:
             entries: The upstreams that it could go to.
             sheds_from: The urgency from which streams are the least urgent.
+            now_s: The time.
         """
-        loads = [self._loads.at(entry.incarnation) for entry in entries]
+        loads = [self._loads.at(e.incarnation, now_s) for e in entries]
         slots = sum(entry.slots for entry in entries)
         taken = sum(load.requests for load in loads)
         least_urgent = sum(load.behind(sheds_from) for load in loads)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_inquiries.py
@@ -0,0 +1,239 @@
+"""Tests of asking for loads: hosts that tell, ask, are lost, and disagree."""
+
+import random
+
+import attrs
+import pytest
+
+from hollyknot_coordination.forwarding import (
+    RENEW_S,
+    CachedParts,
+    Forecasts,
+    Inquiries,
+    Loads,
+    Tracker,
+    Trackers,
+    runs_of,
+)
+from hollyknot_coordination.forwarding._loads import TRACKED_S
+from hollyknot_coordination.forwarding._tracked_loads import EXPIRE_S
+from hollyknot_coordination.forwarding._trackers import MISSES
+from hollyknot_coordination.forwarding.tests._builders import (
+    call,
+    upstream,
+)
+from hollyknot_state import Address
+from hollyknot_state.routes import UpstreamEntry
+
+ENGINES = {f"i-{n}": upstream(f"i-{n}") for n in range(6)}
+ENGINE = ENGINES["i-0"]
+PROMPT = call(("shared", 900), ("own", 50)).prompt
+
+
+@attrs.define(eq=False)
+class _Host:
+    """One host, with what it believes."""
+
+    tracker: Tracker
+    loads: Loads
+    cached: CachedParts
+    forecasts: Forecasts
+    inquiries: Inquiries
+    is_lost: bool = False
+
+
+class _Fleet:
+    """Some hosts whose messages arrive at once, or never."""
+
+    def __init__(self, size: int) -> None:
+        self.now_s = 0.0
+        self.loss = 0.0
+        self._rng = random.Random(1)
+        trackers = [
+            Tracker(n, Address("127.0.0.1", 1 + n), "north")
+            for n in range(size)
+        ]
+        self.hosts = [self._host(own, trackers) for own in trackers]
+
+    def _host(self, own: Tracker, trackers: list[Tracker]) -> _Host:
+        peers = tuple(other for other in trackers if other is not own)
+        loads, cached, forecasts = Loads(), CachedParts(), Forecasts()
+        found = Trackers(own, lambda: peers)
+        inquiries = Inquiries(own.incarnation, found, loads, cached, forecasts)
+        return _Host(own, loads, cached, forecasts, inquiries)
+
+    def tell(self, host: _Host) -> None:
+        """Sends a host's notes."""
+        for tracker, note in host.inquiries.notes(ENGINES.get, self.now_s):
+            other = self._reached(tracker)
+            if other is not None:
+                other.inquiries.take_note(note, self.now_s)
+
+    def ask(self, host: _Host, entries: list[UpstreamEntry]) -> bool:
+        """Asks, and returns whether all trackers have answered."""
+        done: list[bool] = []
+        runs = runs_of(PROMPT)
+        inquiry = host.inquiries.ask(entries, runs, self.now_s)
+        inquiry.on_done = lambda: done.append(True)
+        for tracker, query in inquiry.sent:
+            other = self._reached(tracker)
+            if other is not None:
+                answer = other.inquiries.answer(query, self.now_s)
+                host.inquiries.take_answer(answer, self.now_s)
+        host.inquiries.give_up(inquiry, self.now_s)
+        return bool(done) or not inquiry.sent
+
+    def tracker_of(self, entry: UpstreamEntry) -> _Host:
+        """Returns the host that tracks an upstream."""
+        probe = self.hosts[0].inquiries._trackers.of(entry, self.now_s)
+        return self.hosts[probe.incarnation if probe is not None else 0]
+
+    def _reached(self, tracker: Tracker) -> _Host | None:
+        host = self.hosts[tracker.incarnation]
+        lost = host.is_lost or self._rng.random() < self.loss
+        return None if lost else host
+
+
+class TestAsking:
+    """What others have in flight is known at the moment of the choice."""
+
+    def test_work_of_others_is_known_before_any_report(self) -> None:
+        """Hosts of a large fleet crowd on the engine that seemed idle.
+
+        Sequence: in a burst hosts choose within a second; reports take
+        seconds. Cause: none knew what the others had sent just now.
+        """
+        fleet = _Fleet(5)
+        for number, host in enumerate(fleet.hosts):
+            host.loads.begin("i-0", 100 + number, 2)
+            fleet.tell(host)
+        asker = fleet.hosts[3]
+        assert asker.loads.at("i-0", 0.0).requests == 1
+        assert fleet.ask(asker, [ENGINE])
+        load = asker.loads.at("i-0", 0.0)
+        assert (load.requests, load.waiting_tokens) == (5, 510)
+
+    def test_an_answer_counts_for_a_moment_only(self) -> None:
+        fleet = _Fleet(2)
+        fleet.hosts[0].loads.begin("i-0", 100, 2)
+        fleet.tell(fleet.hosts[0])
+        fleet.ask(fleet.hosts[1], [ENGINE])
+        loads = fleet.hosts[1].loads
+        assert loads.at("i-0", TRACKED_S).requests == 1
+        assert loads.at("i-0", TRACKED_S + 0.01).requests == 0
+
+    def test_ended_work_is_gone(self) -> None:
+        fleet = _Fleet(3)
+        busy = fleet.hosts[0]
+        busy.loads.begin("i-0", 100, 2)
+        fleet.tell(busy)
+        busy.loads.end("i-0", 100, 2, has_started=False)
+        fleet.tell(busy)
+        fleet.ask(fleet.hosts[1], [ENGINE])
+        assert fleet.hosts[1].loads.at("i-0", 0.0).requests == 0
+
+    def test_holders_of_parts_and_paces_are_told(self) -> None:
+        fleet = _Fleet(3)
+        sender, asker = fleet.hosts[0], fleet.hosts[1]
+        sender.cached.note("i-0", PROMPT, 0.0)
+        sender.loads.begin("i-0", 100, 2)
+        sender.forecasts.note_interval("i-0", 0.075, 0.0)
+        fleet.tell(sender)
+        fleet.ask(asker, list(ENGINES.values()))
+        missing = asker.cached.missing(list(ENGINES.values()), PROMPT, 0.0)
+        assert missing.lacks["i-0"] == 0
+        assert missing.holders == (ENGINE,)
+        assert next(iter(asker.forecasts._told.values())).interval_s == 0.075
+
+
+class TestFailures:
+    """Trackers advise; without them a choice is made by older knowledge."""
+
+    def test_a_lost_tracker_is_replaced_within_a_second(self) -> None:
+        """One engine's load is unknown to all until a host is forgotten.
+
+        Sequence: its tracker loses power in a burst. Cause: queries and notes
+        went on to it.
+        """
+        fleet = _Fleet(6)
+        lost = fleet.tracker_of(ENGINE)
+        lost.is_lost = True
+        others = [host for host in fleet.hosts if host is not lost]
+        busy, asker = others[0], others[1]
+        busy.loads.begin("i-0", 100, 2)
+        for host in others:
+            for _ in range(MISSES):
+                fleet.ask(host, [ENGINE])
+        fleet.now_s = RENEW_S
+        fleet.tell(busy)
+        assert fleet.ask(asker, [ENGINE])
+        assert asker.loads.at("i-0", fleet.now_s).requests == 1
+
+    def test_work_of_a_lost_host_expires(self) -> None:
+        fleet = _Fleet(3)
+        tracker = fleet.tracker_of(ENGINE)
+        busy, asker = (h for h in fleet.hosts if h is not tracker)
+        busy.loads.begin("i-0", 100, 2)
+        fleet.tell(busy)
+        fleet.now_s = EXPIRE_S + 0.1
+        fleet.ask(asker, [ENGINE])
+        assert asker.loads.at("i-0", fleet.now_s).requests == 0
+
+    def test_work_that_goes_on_is_renewed(self) -> None:
+        """A busy engine seems idle after some seconds.
+
+        Sequence: streams of ten seconds run there and nothing else happens.
+        Cause: what was told once had expired.
+        """
+        fleet = _Fleet(3)
+        tracker = fleet.tracker_of(ENGINE)
+        busy, asker = (h for h in fleet.hosts if h is not tracker)
+        busy.loads.begin("i-0", 100, 2)
+        while fleet.now_s < 2 * EXPIRE_S:
+            fleet.tell(busy)
+            fleet.now_s += RENEW_S / 10
+        fleet.ask(asker, [ENGINE])
+        assert asker.loads.at("i-0", fleet.now_s).requests == 1
+
+    @pytest.mark.parametrize("loss", [0.02, 0.3])
+    def test_lost_messages_are_made_up_for(self, loss: float) -> None:
+        fleet = _Fleet(4)
+        fleet.loss = loss
+        for host in fleet.hosts:
+            host.loads.begin("i-0", 100, 2)
+        for _ in range(30):
+            for host in fleet.hosts:
+                fleet.tell(host)
+            fleet.now_s += RENEW_S / 2
+        fleet.loss = 0.0
+        for host in fleet.hosts:
+            fleet.tell(host)
+        asker = fleet.hosts[0]
+        assert fleet.ask(asker, [ENGINE])
+        assert asker.loads.at("i-0", fleet.now_s).requests >= 3
+
+    def test_a_late_note_does_not_undo_a_newer_one(self) -> None:
+        fleet = _Fleet(2)
+        tracker = fleet.tracker_of(ENGINE)
+        (busy,) = (h for h in fleet.hosts if h is not tracker)
+        busy.loads.begin("i-0", 100, 2)
+        ((_, older),) = busy.inquiries.notes(ENGINES.get, 0.0)
+        busy.loads.end("i-0", 100, 2, has_started=False)
+        ((_, newer),) = busy.inquiries.notes(ENGINES.get, 0.0)
+        tracker.inquiries.take_note(newer, 0.0)
+        tracker.inquiries.take_note(older, 0.0)
+        fleet.ask(tracker, [ENGINE])
+        assert tracker.loads.at("i-0", 0.0).requests == 0
+
+    def test_an_answer_that_nobody_waits_for_is_still_believed(self) -> None:
+        fleet = _Fleet(2)
+        tracker = fleet.tracker_of(ENGINE)
+        (asker,) = (h for h in fleet.hosts if h is not tracker)
+        tracker.loads.begin("i-0", 100, 2)
+        fleet.tell(tracker)
+        inquiry = asker.inquiries.ask([ENGINE], (), 0.0)
+        ((_, query),) = inquiry.sent
+        asker.inquiries.give_up(inquiry, 0.01)
+        answer = tracker.inquiries.answer(query, 0.01)
+        asker.inquiries.take_answer(answer, 0.02)
+        assert asker.loads.at("i-0", 0.02).requests == 1
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_report_rate.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_report_rate.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hollyknot_coordination.forwarding import ReportRate
+from hollyknot_coordination.forwarding._report_rate import QUERY_SHARE
 
 
 def _sent(size: int, wanted: int, seconds: int) -> int:
@@ -36,3 +37,46 @@
         assert rate.affordable(100, 0.0) == 15
         rate.spend(100 * 15)
         assert rate.affordable(100, 3600.0) == 15
+
+
+class TestQueries:
+    """What requests wait for has a part of the budget to itself."""
+
+    def test_a_busy_tracker_still_reports(self) -> None:
+        """Hosts ask and tell different trackers about one upstream.
+
+        Sequence: in a burst a tracker is asked for more than it may send; it
+        sends no reports, and its peers forget it, each at another moment.
+        Cause: its answers took all of its budget.
+        """
+        rate = ReportRate(3000.0)
+        sent = 0
+        for step in range(100):
+            rate.spend_on_queries(2000)
+            count = rate.affordable(50, step / 10)
+            rate.spend(50 * count)
+            sent += count
+        assert sent * 50 > 10 * 3000.0 * (1 - QUERY_SHARE) * 0.8
+
+    def test_a_host_that_sent_too_much_asks_no_more_for_a_while(self) -> None:
+        rate = ReportRate(3000.0)
+        assert rate.may_ask(0.0)
+        rate.spend_on_queries(100_000)
+        assert not rate.may_ask(0.1)
+        assert rate.may_ask(1.1)
+
+    def test_without_queries_reports_have_all(self) -> None:
+        assert _sent(100, 16, 10) > 0.9 * 30_000
+
+    def test_with_queries_the_sum_keeps_to_the_budget(self) -> None:
+        rate = ReportRate(3000.0)
+        sent = 0
+        for step in range(1000):
+            now_s = step / 10
+            if rate.may_ask(now_s):
+                rate.spend_on_queries(200)
+                sent += 200
+            count = rate.affordable(50, now_s)
+            rate.spend(50 * count)
+            sent += 50 * count
+        assert sent < 1.05 * 3000.0 * 100
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_shedding.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_shedding.py
@@ -34,7 +34,7 @@
     """Returns how many of 1,000 streams are refused."""
     shedding = Shedding(loads, random.Random(1))
     return sum(
-        isinstance(shedding.decide(POOL, LEAST_URGENT), Shed)
+        isinstance(shedding.decide(POOL, LEAST_URGENT, 0.0), Shed)
         for _ in range(TRIES)
     )
 
@@ -73,13 +73,13 @@
 
     def test_tells_what_it_follows_from(self) -> None:
         shedding = Shedding(_loads(30, 10), random.Random(1))
-        found = {shedding.decide(POOL, LEAST_URGENT) for _ in range(50)}
+        found = {shedding.decide(POOL, LEAST_URGENT, 0.0) for _ in range(50)}
         assert found == {Admission.ADMITTED, Shed(40, SLOTS)}
 
     def test_no_upstream_at_all_refuses_nothing(self) -> None:
         """A service without upstreams has an answer of its own."""
         shedding = Shedding(_loads(30, 10), random.Random(1))
-        found = {shedding.decide([], LEAST_URGENT) for _ in range(50)}
+        found = {shedding.decide([], LEAST_URGENT, 0.0) for _ in range(50)}
         assert found == {Admission.ADMITTED}
 
 
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_shortlist.py
@@ -0,0 +1,149 @@
+"""Tests of which upstreams are asked for before a request is placed."""
+
+import random
+from collections import Counter
+
+import attrs
+
+from hollyknot_coordination.forwarding import (
+    CachedParts,
+    Choice,
+    Demand,
+    Loads,
+    Placement,
+)
+from hollyknot_coordination.forwarding._placement import ASKED, ASKED_BESIDE
+from hollyknot_coordination.forwarding.tests._builders import (
+    ENGINES,
+    PLAIN,
+    call,
+    upstream,
+)
+from hollyknot_state import UpstreamUse, short_name
+from hollyknot_state.routes import CallTraits, Service, UpstreamEntry
+
+POOL = [upstream(f"e{n:02}") for n in range(20)]
+APPS = [upstream(f"a{n}", "plain") for n in range(6)]
+LONG = call(("shared", 900), ("own", 50))
+SHORT = call(("greeting", 40), ("own", 50))
+
+
+@attrs.define(eq=False)
+class _Host:
+    """The placement of one host."""
+
+    seed: int
+    loads: Loads = attrs.Factory(Loads)
+    placement: Placement = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        rng = random.Random(self.seed)
+        self.placement = Placement(
+            self.loads, Demand(), CachedParts(), "north", rng
+        )
+
+    def shortlist(
+        self,
+        request: CallTraits,
+        service: Service = ENGINES,
+        pool: list[UpstreamEntry] = POOL,
+        excluded: frozenset[str] = frozenset(),
+    ) -> list[str]:
+        """Returns the names of those that are asked for."""
+        found = self.placement.shortlist(
+            service, pool, request, excluded, 0.0, is_loose=True
+        )
+        return [entry.incarnation for entry in found]
+
+
+class TestShortlist:
+    """A few of the own lane, one of the other."""
+
+    def test_all_hosts_ask_for_the_same_where_much_is_shared(self) -> None:
+        """Shared parts are read again at each engine of a large fleet.
+
+        Sequence: each host sends the requests of a session to whichever engine
+        seemed idle to it. Cause: a session had no few engines of its own.
+        """
+        lists = [_Host(seed).shortlist(LONG) for seed in range(20)]
+        assert {tuple(found[:ASKED]) for found in lists} == {
+            tuple(lists[0][:ASKED])
+        }
+        assert len(lists[0]) == ASKED + ASKED_BESIDE
+
+    def test_where_little_is_shared_they_are_spread(self) -> None:
+        counts = Counter(
+            name for seed in range(200) for name in _Host(seed).shortlist(SHORT)
+        )
+        assert len(counts) == len(POOL)
+
+    def test_none_that_is_excluded(self) -> None:
+        host = _Host(1)
+        excluded = frozenset(host.shortlist(LONG))
+        assert not excluded & set(host.shortlist(LONG, excluded=excluded))
+
+    def test_each_is_asked_for_once_where_there_are_few(self) -> None:
+        for size in (1, 2, 3):
+            found = _Host(1).shortlist(LONG, pool=POOL[:size])
+            assert sorted(found) == [e.incarnation for e in POOL[:size]]
+
+    def test_plain_services_have_one_too(self) -> None:
+        found = _Host(1).shortlist(call(), PLAIN, APPS)
+        assert len(set(found)) == ASKED
+
+
+class TestChoiceAmong:
+    """Only those that were asked for are chosen among."""
+
+    def _choose(self, host: _Host, among: list[str]) -> str:
+        found = host.placement.choose(
+            ENGINES,
+            POOL,
+            LONG,
+            frozenset(),
+            0.0,
+            is_loose=True,
+            urgency=2,
+            among=among,
+        )
+        assert isinstance(found, Choice)
+        return found.entry.incarnation
+
+    def test_the_least_busy_of_those(self) -> None:
+        host = _Host(1)
+        among = host.shortlist(LONG)
+        uses = [
+            UpstreamUse(short_name(name), (0, 0, 90_000), 3, 0, b"\0\0\3")
+            for name in among[:2]
+        ]
+        host.loads.take_tracked(uses, 0.0)
+        assert self._choose(host, among) == among[2]
+
+    def test_one_that_only_seems_idle_is_not_chosen(self) -> None:
+        """All hosts send to one engine within the age of a report.
+
+        Sequence: reports say that one engine has nothing to do. Cause: it was
+        chosen without asking what had been sent there since.
+        """
+        host = _Host(1)
+        among = host.shortlist(LONG)
+        uses = [
+            UpstreamUse(short_name(name), (0, 0, 500), 1, 0, b"\0\0\1")
+            for name in among
+        ]
+        host.loads.take_tracked(uses, 0.0)
+        assert self._choose(host, among) in among
+
+    def test_if_none_of_those_is_left_any_other(self) -> None:
+        host = _Host(1)
+        found = host.placement.choose(
+            ENGINES,
+            POOL,
+            LONG,
+            frozenset({"e00"}),
+            0.0,
+            is_loose=True,
+            urgency=2,
+            among=["e00"],
+        )
+        assert isinstance(found, Choice)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_trackers.py
@@ -0,0 +1,121 @@
+"""Tests of finding who tracks an upstream."""
+
+from collections import Counter
+
+import pytest
+
+from hollyknot_coordination.forwarding import Tracker, Trackers
+from hollyknot_coordination.forwarding._trackers import MISSES, SILENT_S
+from hollyknot_coordination.forwarding.tests._builders import (
+    address_of,
+    upstream,
+)
+
+HOSTS = tuple(
+    Tracker(number, address_of(f"host{number}"), centre)
+    for number, centre in enumerate(["north", "south"] * 15)
+)
+ENGINES = [upstream(f"i-{n}", data_centre="north") for n in range(40)]
+
+
+def _trackers(own: Tracker, hosts: tuple[Tracker, ...] = HOSTS) -> Trackers:
+    peers = tuple(host for host in hosts if host is not own)
+    return Trackers(own, lambda: peers)
+
+
+def _found(own: Tracker, hosts: tuple[Tracker, ...] = HOSTS) -> list[Tracker]:
+    trackers = _trackers(own, hosts)
+    return [trackers.of(engine, 0.0) or own for engine in ENGINES]
+
+
+class TestOrder:
+    """All hosts find the same tracker."""
+
+    def test_all_hosts_agree(self) -> None:
+        wanted = _found(HOSTS[0])
+        assert all(_found(host) == wanted for host in HOSTS)
+
+    def test_upstreams_are_spread(self) -> None:
+        counts = Counter(found.incarnation for found in _found(HOSTS[0]))
+        assert len(counts) > 8
+        assert max(counts.values()) < 10
+
+    def test_a_tracker_is_where_its_upstream_is(self) -> None:
+        """Hosts beside an engine can't ask for its load during a cut.
+
+        Sequence: a data centre is cut off; its hosts and engines go on. Cause:
+        the tracker of an engine was on the other side.
+        """
+        assert {found.data_centre for found in _found(HOSTS[1])} == {"north"}
+
+    def test_without_hosts_there_another_one_tracks(self) -> None:
+        south = tuple(host for host in HOSTS if host.data_centre == "south")
+        assert {f.data_centre for f in _found(south[0], south)} == {"south"}
+
+    def test_a_lost_host_moves_only_its_own_upstreams(self) -> None:
+        before = _found(HOSTS[0])
+        lost = before[0] if before[0] is not HOSTS[0] else before[1]
+        rest = tuple(host for host in HOSTS if host is not lost)
+        after = _found(HOSTS[0], rest)
+        moved = [a is not b for a, b in zip(after, before, strict=True)]
+        assert moved == [found is lost for found in before]
+
+    def test_a_restarted_host_is_another_one(self) -> None:
+        """A host that knows nothing is taken to know all loads as zero.
+
+        Sequence: a tracker is restarted at its address within a second. Cause:
+        its place in the order followed from its address, not its start.
+        """
+        again = tuple(
+            Tracker(1000 + h.incarnation, h.address, h.data_centre)
+            for h in HOSTS
+        )
+        before = [found.address for found in _found(HOSTS[0])]
+        assert [found.address for found in _found(again[0], again)] != before
+
+
+class TestSilent:
+    """A tracker that does not answer is passed over for a while."""
+
+    def test_after_some_misses_the_next_is_asked_for_a_while(self) -> None:
+        """Requests are placed by old loads until peers forget a lost host.
+
+        Sequence: the host that tracks an engine loses power. Cause: it stays
+        the tracker for as long as its peers take it to live.
+        """
+        trackers = _trackers(HOSTS[1])
+        first = trackers.of(ENGINES[0], 0.0)
+        assert first is not None
+        noted = [trackers.missed(first, 0.0) for _ in range(MISSES)]
+        assert noted == [False] * (MISSES - 1) + [True]
+        second = trackers.of(ENGINES[0], 0.0)
+        assert second is not None
+        assert second is not first
+        assert trackers.of(ENGINES[0], SILENT_S + 0.1) is first
+
+    def test_one_more_miss_suffices_then(self) -> None:
+        trackers = _trackers(HOSTS[1])
+        first = trackers.of(ENGINES[0], 0.0)
+        assert first is not None
+        for _ in range(MISSES):
+            trackers.missed(first, 0.0)
+        assert trackers.missed(first, SILENT_S + 0.1)
+
+    def test_an_answer_makes_up_for_a_lost_one(self) -> None:
+        trackers = _trackers(HOSTS[1])
+        first = trackers.of(ENGINES[0], 0.0)
+        assert first is not None
+        for _ in range(3 * MISSES):
+            assert not trackers.missed(first, 0.0)
+            trackers.answered(first)
+        assert trackers.of(ENGINES[0], 0.0) is first
+
+    @pytest.mark.parametrize("hosts", [1, 2])
+    def test_if_all_are_silent_the_first_is_asked(self, hosts: int) -> None:
+        few = tuple(h for h in HOSTS if h.data_centre == "north")[:hosts]
+        trackers = Trackers(HOSTS[1], lambda: few)
+        first = trackers.of(ENGINES[0], 0.0)
+        for host in few:
+            for _ in range(MISSES):
+                trackers.missed(host, 0.0)
+        assert trackers.of(ENGINES[0], 0.0) is first
--- a/packages/gateway/src/hollyknot_gateway/__init__.py
+++ b/packages/gateway/src/hollyknot_gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from hollyknot_gateway._fetch import Document, FetchFailure, fetch
 from hollyknot_gateway._host import Host, Ports
+from hollyknot_gateway._neighbours import REPORT_S, WHOLE_EVERY
 from hollyknot_gateway._pool import Pool
 from hollyknot_gateway._ports import (
     Changes,
@@ -14,9 +15,14 @@
     SourceFailure,
     Unreadable,
 )
+from hollyknot_gateway._reports import encode_message, encode_report
 from hollyknot_gateway._run import run
 
 __all__ = [
+    "REPORT_S",
+    "WHOLE_EVERY",
+    "encode_message",
+    "encode_report",
     "Changes",
     "Compacted",
     "Dialect",
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -4,7 +4,6 @@
 
 from hollyknot_coordination.forwarding import (
     COME_BACK_S,
-    Admission,
     Choice,
     GiveUp,
     NoOwner,
@@ -101,12 +100,6 @@
         parts = self._parts
         parts.budget.on_first_try(job.service.name, parts.clock())
         result = Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
-        # Once: a request that was admitted is not refused because of an
-        # upstream that could not be connected to.
-        admission = self._admission(job)
-        if isinstance(admission, GiveUp):
-            self._answers.give_up(job, result, admission)
-            return
         if job.call.prompt:
             parts.forecasts.note_request(job.route.name, job.call.answer_tokens)
         is_admitted = False
@@ -116,6 +109,13 @@
                 step = give_up(gate.verdict, self._state(job))
                 self._answers.give_up(job, result, step)
                 return
+            await self._tries.ask(job, gate)
+            # Once: a request that was admitted is not refused because of an
+            # upstream that could not be connected to.
+            refusal = None if is_admitted else self._refusal(job)
+            if refusal is not None:
+                self._answers.give_up(job, result, refusal)
+                return
             choice = self._tries.choose(job, gate)
             if isinstance(choice, Choice):
                 too_slow = None if is_admitted else self._too_slow(job, choice)
@@ -133,17 +133,22 @@
             if following.is_retry:
                 parts.budget.spend(job.service.name, parts.clock())
 
-    def _admission(self, job: Job) -> GiveUp | Admission:
-        """Refuses a request that would only make others late."""
+    def _refusal(self, job: Job) -> GiveUp | None:
+        """Refuses a request that would only make others late.
+
+        Where loads were asked for, those upstreams stand for all: they are a
+        random part of them, and what is known of the others is old.
+        """
         parts = self._parts
         if not job.call.prompt or job.urgency < job.sheds_from:
-            return Admission.ADMITTED
-        usable = parts.in_force.fleet.usable(job.service.name, parts.clock())
+            return None
+        now = parts.clock()
+        usable = parts.in_force.fleet.usable(job.service.name, now)
         away = parts.reachability.away(usable)
         entries = [e for e in usable if e.incarnation not in away]
-        found = parts.shedding.decide(entries, job.sheds_from)
+        found = parts.shedding.decide(job.asked or entries, job.sheds_from, now)
         if not isinstance(found, Shed):
-            return found
+            return None
         return _shed(f"{found.taken} in flight, {found.slots} slots")
 
     def _too_slow(self, job: Job, choice: Choice) -> GiveUp | None:
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -19,6 +19,7 @@
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._losses import Losses
 from hollyknot_gateway._metrics import Metrics
+from hollyknot_gateway._neighbours import Neighbours
 from hollyknot_gateway._pool import Pool
 from hollyknot_gateway._ports import Dialect
 from hollyknot_gateway._prober import Prober
@@ -38,6 +39,7 @@
         forecasts: Learns how long streams take there at the moment.
         reachability: Knows which upstreams can't be connected to.
         health: Knows which upstreams fail much of their work.
+        neighbours: Asks other hosts for loads.
         prober: Finds that out by new connections.
         suspects: Knows which requests may crash upstreams.
         losses: Tells it how tries ended.
@@ -58,6 +60,7 @@
     forecasts: Forecasts
     reachability: Reachability
     health: Health
+    neighbours: Neighbours
     prober: Prober
     suspects: SuspectRegister
     losses: Losses
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -136,6 +136,7 @@
                 self._loads,
                 self._demand,
                 self._cached,
+                self._forecasts,
                 self._suspects,
                 self._budget,
             ),
@@ -189,6 +190,7 @@
             reachability=self._reachability,
             health=self._health,
             prober=self._prober,
+            neighbours=self._neighbours,
             suspects=self._suspects,
             losses=Losses(
                 self._suspects,
--- a/packages/gateway/src/hollyknot_gateway/_job.py
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -1,13 +1,20 @@
 """A request on its way through a host."""
 
 import hashlib
+from collections.abc import Sequence
 
 import attrs
 
 from hollyknot_coordination.forwarding import NoOwner
 from hollyknot_gateway._caller_connection import CallerRequest, Reply
 from hollyknot_gateway._exchange import StreamState
-from hollyknot_state.routes import CallTraits, KeyOwner, Route, Service
+from hollyknot_state.routes import (
+    CallTraits,
+    KeyOwner,
+    Route,
+    Service,
+    UpstreamEntry,
+)
 
 
 @attrs.define
@@ -32,6 +39,7 @@
         may_have_run: Whether one of them may have run it.
         ran_before: The same without the try in work.
         tried: Those upstreams, and those that could not be connected to.
+        asked: Upstreams whose loads were asked for before the next choice.
     """
 
     request: CallerRequest
@@ -51,6 +59,7 @@
     may_have_run: bool = False
     ran_before: bool = False
     tried: frozenset[str] = frozenset()
+    asked: Sequence[UpstreamEntry] = ()
 
 
 def fingerprint(request: CallerRequest, call: CallTraits) -> int:
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -7,21 +7,29 @@
 import attrs
 
 from hollyknot_coordination.forwarding import (
+    ASK_FROM_S,
+    NOTE_FROM_S,
     CachedParts,
     Demand,
+    Forecasts,
+    Inquiries,
     Loads,
     Peers,
     Reachability,
     ReportRate,
     RetryBudget,
+    Tracker,
+    Trackers,
 )
 from hollyknot_coordination.suspects import SuspectRegister
 from hollyknot_gateway._in_force import InForce
+from hollyknot_gateway._inquirer import Inquirer
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._pool import ConnectFailure
 from hollyknot_gateway._prober import Prober
 from hollyknot_gateway._read_news import ReadNews
 from hollyknot_gateway._reports import (
+    Message,
     Report,
     ReportSocket,
     encode_report,
@@ -49,6 +57,7 @@
         loads: Work in flight.
         demand: Prompt tokens that are sent.
         cached: Which upstream has which parts of prompts.
+        forecasts: How long streams take at upstreams.
         suspects: Which requests may crash upstreams.
         budget: Retries, whose slack is divided among the hosts.
     """
@@ -56,6 +65,7 @@
     loads: Loads
     demand: Demand
     cached: CachedParts
+    forecasts: Forecasts
     suspects: SuspectRegister
     budget: RetryBudget
 
@@ -100,13 +110,46 @@
         self._peers = Peers(
             settings.peers, settings.data_centre, settings.seeds, rng
         )
-        self._socket = ReportSocket(self._take_report, log)
+        self._socket = ReportSocket(self._take, log)
         self._incarnation = rng.getrandbits(_INCARNATION_BITS)
         self._sequence = 0
         self._rate = ReportRate()
         self._size = 0
+        own = Tracker(self._incarnation, settings.peers, settings.data_centre)
+        self._inquirer = Inquirer(
+            Inquiries(
+                self._incarnation,
+                Trackers(own, lambda: self._peers.hosts),
+                shared.loads,
+                shared.cached,
+                shared.forecasts,
+            ),
+            self._rate,
+            self._socket.send,
+            in_force.fleet.entry_of,
+            log,
+            clock,
+        )
+        shared.loads.on_change = self._note_soon
         self._silent: frozenset[str] = frozenset()
 
+    async def ask(
+        self, entries: Sequence[UpstreamEntry], runs: tuple[int, ...]
+    ) -> bool:
+        """Asks trackers for loads, where reports tell them too seldom.
+
+        Returns:
+            Whether all answers are known.
+        """
+        if not self.asks:
+            return False
+        return await self._inquirer.ask(entries, runs)
+
+    @property
+    def asks(self) -> bool:
+        """Whether a choice had better ask trackers than believe reports."""
+        return self._peers.interval_s >= ASK_FROM_S
+
     @property
     def count(self) -> int:
         """Peers that are heard."""
@@ -135,6 +178,7 @@
             await asyncio.sleep(REPORT_S)
             now_s = self._clock()
             self._count(now_s)
+            self._note_soon()
             self._look_at_silence(now_s)
             self._tell(now_s)
 
@@ -175,7 +219,7 @@
             self._incarnation,
             self._sequence,
             uses if is_whole else tuple(use for use in uses if use.waiting),
-            shared.demand.told(now_s) if is_whole else (),
+            shared.demand.told(now_s) if is_whole or self.asks else (),
             shared.suspects.records(now_s),
             shared.cached.told(now_s),
             is_whole,
@@ -200,6 +244,16 @@
             revisions=self._news.read,
         )
 
+    def _note_soon(self) -> None:
+        if self._peers.interval_s >= NOTE_FROM_S:
+            self._inquirer.tell_soon()
+
+    def _take(self, message: Message, sender: Address) -> None:
+        if isinstance(message, HostReport | UseReport):
+            self._take_report(message)
+        else:
+            self._inquirer.take(message, sender)
+
     def _take_report(self, report: Report) -> None:
         now = self._clock()
         self._shared.suspects.on_records(report.suspects, now)
--- a/packages/gateway/src/hollyknot_gateway/_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/_reports.py
@@ -21,7 +21,14 @@
     pack_uses,
     unpack_uses,
 )
-from hollyknot_state import Address, HostReport, UseReport
+from hollyknot_state import (
+    Address,
+    HostReport,
+    LoadAnswer,
+    LoadNote,
+    LoadQuery,
+    UseReport,
+)
 
 MAX_BYTES = 1400
 """Fits into one packet. A report that doesn't tells only of the busiest
@@ -35,26 +42,36 @@
 """Of the packed uses, before them; thrift's bytes of the rest follow."""
 
 Report = HostReport | UseReport
-
-_TAGS: dict[type[Report], bytes] = {HostReport: b"h", UseReport: b"u"}
+"""What a host tells its peers of itself."""
+
+Message = Report | LoadNote | LoadQuery | LoadAnswer
+"""All that hosts send each other in datagrams."""
+
+_TAGS: dict[type[Message], bytes] = {
+    HostReport: b"h",
+    UseReport: b"u",
+    LoadNote: b"n",
+    LoadQuery: b"q",
+    LoadAnswer: b"a",
+}
 _CLASSES = {tag: kind for kind, tag in _TAGS.items()}
 
 
 def encode_report(report: Report) -> bytes:
-    """Returns a report as a datagram: its kind, its uses, and the rest."""
-    data = _encode(report)
+    """Returns a report as a datagram, with less in it if it is too large."""
+    data = encode_message(report)
     if len(data) > MAX_BYTES:
         busiest = heapq.nlargest(
             MAX_USES, report.uses, key=lambda use: sum(use.waiting_tokens)
         )
-        data = _encode(
+        data = encode_message(
             attrs.evolve(report, uses=tuple(busiest), suspects=(), held=())
         )
     return data
 
 
-def decode_report(data: bytes) -> Report:
-    """Returns the report that a datagram holds.
+def decode_message(data: bytes) -> Message:
+    """Returns the message that a datagram holds.
 
     Raises:
         MalformedMessageError: It holds none.
@@ -62,28 +79,37 @@
     """
     kind = _CLASSES.get(data[:1])
     if kind is None or len(data) <= _LENGTH.size:
-        raise MalformedMessageError("not a report")
+        raise MalformedMessageError("not a message")
     (length,) = _LENGTH.unpack_from(data, 1)
     rest = 1 + _LENGTH.size + length
     uses = unpack_uses(data[1 + _LENGTH.size : rest])
-    return attrs.evolve(decode_as(kind, data[rest:]), uses=uses)
+    message = decode_as(kind, data[rest:])
+    if isinstance(message, LoadQuery):
+        return message
+    return attrs.evolve(message, uses=uses)
 
 
-def _encode(report: Report) -> bytes:
-    uses = pack_uses(report.uses)
-    rest = encode(attrs.evolve(report, uses=()))
-    return _TAGS[type(report)] + _LENGTH.pack(len(uses)) + uses + rest
+def encode_message(message: Message) -> bytes:
+    """Returns a message as a datagram: its kind, its uses, and the rest."""
+    uses = b""
+    if not isinstance(message, LoadQuery):
+        uses = pack_uses(message.uses)
+        message = attrs.evolve(message, uses=())
+    rest = encode(message)
+    return _TAGS[type(message)] + _LENGTH.pack(len(uses)) + uses + rest
 
 
 class ReportSocket(asyncio.DatagramProtocol):
     """The socket of reports."""
 
-    def __init__(self, deliver: Callable[[Report], None], log: Log) -> None:
+    def __init__(
+        self, deliver: Callable[[Message, Address], None], log: Log
+    ) -> None:
         """Not open yet.
 
         Args:
-            deliver: Takes each report that arrives.
-            log: Told of what is no report.
+            deliver: Takes each message that arrives, and whence it came.
+            log: Told of what is none.
         """
         self._deliver = deliver
         self._log = log
@@ -106,7 +132,7 @@
             self._transport.close()
 
     def send(self, data: bytes, addresses: list[Address]) -> None:
-        """Sends a report to some hosts; nobody learns whether it arrives."""
+        """Sends a message to some hosts; nobody learns whether it arrives."""
         if self._transport is None:
             return
         for address in addresses:
@@ -119,11 +145,11 @@
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Takes a datagram, which anybody may have sent."""
         try:
-            report = decode_report(data)
+            message = decode_message(data)
         except (MalformedMessageError, UnknownValueError) as error:
             self._log.line("bad_report", sender=addr[0], reason=repr(error))
             return
-        self._deliver(report)
+        self._deliver(message, Address(addr[0], addr[1]))
 
     def error_received(self, exc: Exception) -> None:
         """A peer's port is closed; its silence tells that too."""
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding import Choice, NoPlace, Work
+from hollyknot_coordination.forwarding import Choice, NoPlace, Work, runs_of
 from hollyknot_coordination.suspects import Clear, Isolate
 from hollyknot_gateway import _metrics as metrics
 from hollyknot_gateway._exchange import Exchange, Result
@@ -36,6 +36,27 @@
         self._parts = parts
         self._detached: set[asyncio.Task[None]] = set()
 
+    async def ask(self, job: Job, gate: Clear | Isolate) -> None:
+        """Asks for the loads of a few upstreams before the choice."""
+        parts = self._parts
+        if not parts.neighbours.asks:
+            job.asked = ()
+            return
+        now = parts.clock()
+        usable = parts.in_force.fleet.usable(job.service.name, now)
+        excluded = parts.reachability.away(usable) | job.tried
+        if isinstance(gate, Isolate):
+            excluded |= gate.exclude
+        job.asked = parts.placement.shortlist(
+            job.service,
+            usable,
+            job.call,
+            excluded | parts.health.ejected(usable, now),
+            now,
+            is_loose=job.is_loose,
+        )
+        await parts.neighbours.ask(job.asked, runs_of(job.call.prompt))
+
     def choose(self, job: Job, gate: Clear | Isolate) -> Choice | NoPlace:
         """Returns where a request is to be sent next."""
         parts = self._parts
@@ -57,6 +78,7 @@
                 now,
                 is_loose=job.is_loose,
                 urgency=job.urgency,
+                among=frozenset(entry.incarnation for entry in job.asked),
             )
             if isinstance(found, Choice):
                 break
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_inquirer.py
@@ -0,0 +1,138 @@
+"""Tests of asking trackers over real datagrams."""
+
+import asyncio
+import os
+from collections.abc import Awaitable, Callable
+
+from hollyknot_coordination.forwarding import (
+    CachedParts,
+    Forecasts,
+    Inquiries,
+    Loads,
+    ReportRate,
+    Tracker,
+    Trackers,
+)
+from hollyknot_gateway._inquirer import Inquirer
+from hollyknot_gateway._log import Log
+from hollyknot_gateway._reports import Message, ReportSocket
+from hollyknot_state import Address, LoadAnswer, LoadNote, LoadQuery
+from hollyknot_state.routes import UpstreamEntry
+
+ENGINE = UpstreamEntry("i-1", "s", Address("127.0.0.1", 9), "north", 8)
+
+
+class _Host:
+    """One host's socket and inquirer; the other one tracks the engine."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.loads = Loads()
+        self.rate = ReportRate()
+        self.heard = asyncio.Event()
+        self.is_deaf = False
+        self.log = Log("h", "d", os.open(os.devnull, os.O_WRONLY))
+        self.socket = ReportSocket(self._take, self.log)
+        self.inquirer: Inquirer | None = None
+
+    async def open(self) -> Tracker:
+        """Opens the socket, and returns how others know this host."""
+        await self.socket.open(Address("127.0.0.1", 0))
+        transport = self.socket._transport
+        assert transport is not None
+        ip, port = transport.get_extra_info("sockname")
+        return Tracker(self.number, Address(ip, port), "north")
+
+    def meet(self, own: Tracker, peers: tuple[Tracker, ...]) -> None:
+        """Learns of the others."""
+        trackers = Trackers(own, lambda: peers)
+        self.inquirer = Inquirer(
+            Inquiries(
+                self.number, trackers, self.loads, CachedParts(), Forecasts()
+            ),
+            self.rate,
+            self.socket.send,
+            lambda name: ENGINE if name == ENGINE.incarnation else None,
+            self.log,
+            asyncio.get_running_loop().time,
+        )
+
+    def _take(self, message: Message, sender: Address) -> None:
+        assert isinstance(message, LoadNote | LoadQuery | LoadAnswer)
+        assert self.inquirer is not None
+        if not self.is_deaf:
+            self.inquirer.take(message, sender)
+            self.heard.set()
+
+
+def _play(test: Callable[[_Host, _Host], Awaitable[None]]) -> None:
+    """Runs a test with one who asks and one who tracks the engine."""
+
+    async def main() -> None:
+        asker, tracker = _Host(1), _Host(2)
+        known = [await asker.open(), await tracker.open()]
+        # Each knows the tracker alone, so that it tracks the engine.
+        asker.meet(Tracker(1, known[0].address, "south"), (known[1],))
+        tracker.meet(known[1], ())
+        try:
+            await test(asker, tracker)
+        finally:
+            asker.socket.close()
+            tracker.socket.close()
+
+    asyncio.run(main())
+
+
+class TestInquirer:
+    """Questions, answers and notes as datagrams."""
+
+    def test_a_note_and_a_question(self) -> None:
+        async def test(asker: _Host, tracker: _Host) -> None:
+            assert asker.inquirer is not None
+            assert tracker.inquirer is not None
+            tracker.loads.begin("i-1", 100, 2)
+            tracker.inquirer.tell()
+            asker.loads.begin("i-1", 50, 2)
+            asker.inquirer.tell_soon()
+            await tracker.heard.wait()
+            tracker.heard.clear()
+            await asker.inquirer.ask([ENGINE], ())
+            await asker.heard.wait()
+            now_s = asyncio.get_running_loop().time()
+            load = asker.loads.at("i-1", now_s)
+            assert load.requests in (1, 2)
+            assert asker.loads._tracked
+
+        _play(test)
+
+    def test_a_tracker_that_is_silent_holds_nothing_up(self) -> None:
+        """Requests hang for as long as a tracker is gone.
+
+        Sequence: its process is frozen or cut off. Cause: a choice waited for
+        an answer without a bound.
+        """
+
+        async def test(asker: _Host, tracker: _Host) -> None:
+            assert asker.inquirer is not None
+            tracker.is_deaf = True
+            for _ in range(3):
+                assert not await asker.inquirer.ask([ENGINE], ())
+
+        _play(test)
+
+    def test_nothing_is_asked_beyond_the_budget(self) -> None:
+        async def test(asker: _Host, tracker: _Host) -> None:
+            assert asker.inquirer is not None
+            assert asker.rate.may_ask(asyncio.get_running_loop().time())
+            asker.rate.spend_on_queries(100_000)
+            assert not await asker.inquirer.ask([ENGINE], ())
+            assert not tracker.heard.is_set()
+
+        _play(test)
+
+    def test_nothing_to_ask_for_is_no_answer(self) -> None:
+        async def test(asker: _Host, _: _Host) -> None:
+            assert asker.inquirer is not None
+            assert not await asker.inquirer.ask([], ())
+
+        _play(test)
--- a/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
@@ -9,9 +9,9 @@
 from hollyknot_coordination.forwarding import Demand, Loads
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._reports import (
-    Report,
+    Message,
     ReportSocket,
-    decode_report,
+    decode_message,
     encode_report,
 )
 from hollyknot_state import (
@@ -54,10 +54,12 @@
 _GOOD = encode_report(_REPORT)
 
 
-def _taken(data: bytes) -> list[Report]:
+def _taken(data: bytes) -> list[Message]:
     """Returns what a datagram told."""
-    taken: list[Report] = []
-    ReportSocket(taken.append, _LOG).datagram_received(data, _SENDER)
+    taken: list[Message] = []
+    ReportSocket(
+        lambda message, _: taken.append(message), _LOG
+    ).datagram_received(data, _SENDER)
     return taken
 
 
@@ -70,7 +72,7 @@
             uses=(UpstreamUse(5, (32, 48), 1, 2, b"\x01\x02"),),
             held=(HeldRun(5, 77),),
         )
-        assert decode_report(encode_report(report)) == report
+        assert decode_message(encode_report(report)) == report
 
     def test_one_that_tells_what_waits_is_short(self) -> None:
         """Hosts decide by loads that are 0.7 s old.
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -67,3 +67,31 @@
   7: bool is_whole
   8: optional ReadRevisions revisions   // only while it is news, and if is_whole
 }
+
+struct UpstreamPace {
+  1: i32 upstream           // as of UpstreamUse
+  2: i32 interval_ms
+}
+
+// The three below are explained in hollyknot_state/_load_messages.py.
+struct LoadNote {
+  1: i64 incarnation
+  2: i64 sequence
+  3: list<UpstreamUse> uses
+  4: list<HeldRun> held
+  5: list<UpstreamPace> paces
+}
+
+struct LoadQuery {
+  1: i64 incarnation
+  2: i32 number
+  3: list<i32> upstreams
+  4: list<i32> runs
+}
+
+struct LoadAnswer {
+  1: i32 number
+  2: list<UpstreamUse> uses
+  3: list<HeldRun> held
+  4: list<UpstreamPace> paces
+}
--- a/packages/protocol/src/hollyknot_protocol/_kinds.py
+++ b/packages/protocol/src/hollyknot_protocol/_kinds.py
@@ -46,6 +46,9 @@
     Kind(0, _peer.Envelope, peer.Envelope),
     Kind(0, state.HostReport, report.HostReport),
     Kind(0, state.UseReport, report.UseReport),
+    Kind(0, state.LoadNote, report.LoadNote),
+    Kind(0, state.LoadQuery, report.LoadQuery),
+    Kind(0, state.LoadAnswer, report.LoadAnswer),
 )
 """What travels without an envelope."""
 
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -1010,6 +1010,480 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class UpstreamPace(object):
+    """
+    Attributes:
+     - upstream
+     - interval_ms
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'interval_ms',
+    )
+
+
+    def __init__(self, upstream=None, interval_ms=None,):
+        self.upstream = upstream
+        self.interval_ms = interval_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.upstream = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.interval_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamPace')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.I32, 1)
+            oprot.writeI32(self.upstream)
+            oprot.writeFieldEnd()
+        if self.interval_ms is not None:
+            oprot.writeFieldBegin('interval_ms', TType.I32, 2)
+            oprot.writeI32(self.interval_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadNote(object):
+    """
+    Attributes:
+     - incarnation
+     - sequence
+     - uses
+     - held
+     - paces
+
+    """
+
+    __slots__ = (
+        'incarnation',
+        'sequence',
+        'uses',
+        'held',
+        'paces',
+    )
+
+
+    def __init__(self, incarnation=None, sequence=None, uses=None, held=None, paces=None,):
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.uses = uses
+        self.held = held
+        self.paces = paces
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.uses = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = UpstreamUse()
+                        _elem75.read(iprot)
+                        self.uses.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = HeldRun()
+                        _elem81.read(iprot)
+                        self.held.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.paces = []
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = UpstreamPace()
+                        _elem87.read(iprot)
+                        self.paces.append(_elem87)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadNote')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 1)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.uses is not None:
+            oprot.writeFieldBegin('uses', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.uses))
+            for iter88 in self.uses:
+                iter88.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.held))
+            for iter89 in self.held:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.paces is not None:
+            oprot.writeFieldBegin('paces', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.paces))
+            for iter90 in self.paces:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadQuery(object):
+    """
+    Attributes:
+     - incarnation
+     - number
+     - upstreams
+     - runs
+
+    """
+
+    __slots__ = (
+        'incarnation',
+        'number',
+        'upstreams',
+        'runs',
+    )
+
+
+    def __init__(self, incarnation=None, number=None, upstreams=None, runs=None,):
+        self.incarnation = incarnation
+        self.number = number
+        self.upstreams = upstreams
+        self.runs = runs
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.upstreams = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readI32()
+                        self.upstreams.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.runs = []
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = iprot.readI32()
+                        self.runs.append(_elem102)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadQuery')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 1)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 2)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.LIST, 3)
+            oprot.writeListBegin(TType.I32, len(self.upstreams))
+            for iter103 in self.upstreams:
+                oprot.writeI32(iter103)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.runs is not None:
+            oprot.writeFieldBegin('runs', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.runs))
+            for iter104 in self.runs:
+                oprot.writeI32(iter104)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadAnswer(object):
+    """
+    Attributes:
+     - number
+     - uses
+     - held
+     - paces
+
+    """
+
+    __slots__ = (
+        'number',
+        'uses',
+        'held',
+        'paces',
+    )
+
+
+    def __init__(self, number=None, uses=None, held=None, paces=None,):
+        self.number = number
+        self.uses = uses
+        self.held = held
+        self.paces = paces
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.uses = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = UpstreamUse()
+                        _elem110.read(iprot)
+                        self.uses.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = HeldRun()
+                        _elem116.read(iprot)
+                        self.held.append(_elem116)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.paces = []
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = UpstreamPace()
+                        _elem122.read(iprot)
+                        self.paces.append(_elem122)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadAnswer')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 1)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.uses is not None:
+            oprot.writeFieldBegin('uses', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.uses))
+            for iter123 in self.uses:
+                iter123.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.held))
+            for iter124 in self.held:
+                iter124.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.paces is not None:
+            oprot.writeFieldBegin('paces', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.paces))
+            for iter125 in self.paces:
+                iter125.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Address)
 Address.thrift_spec = (
     None,  # 0
@@ -1082,5 +1556,36 @@
     (7, TType.BOOL, 'is_whole', None, None, ),  # 7
     (8, TType.STRUCT, 'revisions', [ReadRevisions, None], None, ),  # 8
 )
+all_structs.append(UpstreamPace)
+UpstreamPace.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'upstream', None, None, ),  # 1
+    (2, TType.I32, 'interval_ms', None, None, ),  # 2
+)
+all_structs.append(LoadNote)
+LoadNote.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'incarnation', None, None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.LIST, 'uses', (TType.STRUCT, [UpstreamUse, None], False), None, ),  # 3
+    (4, TType.LIST, 'held', (TType.STRUCT, [HeldRun, None], False), None, ),  # 4
+    (5, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 5
+)
+all_structs.append(LoadQuery)
+LoadQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'incarnation', None, None, ),  # 1
+    (2, TType.I32, 'number', None, None, ),  # 2
+    (3, TType.LIST, 'upstreams', (TType.I32, None, False), None, ),  # 3
+    (4, TType.LIST, 'runs', (TType.I32, None, False), None, ),  # 4
+)
+all_structs.append(LoadAnswer)
+LoadAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'number', None, None, ),  # 1
+    (2, TType.LIST, 'uses', (TType.STRUCT, [UpstreamUse, None], False), None, ),  # 2
+    (3, TType.LIST, 'held', (TType.STRUCT, [HeldRun, None], False), None, ),  # 3
+    (4, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 4
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -58,6 +58,12 @@
     short_name,
 )
 from hollyknot_state._hosts import EntryState, HostList, HostListEntry, Role
+from hollyknot_state._load_messages import (
+    LoadAnswer,
+    LoadNote,
+    LoadQuery,
+    UpstreamPace,
+)
 from hollyknot_state._parse import (
     MAX_DECLARATIONS_BYTES,
     MAX_SETTINGS_BYTES,
@@ -115,6 +121,10 @@
     "HostList",
     "HostReport",
     "LaneDemand",
+    "LoadAnswer",
+    "LoadNote",
+    "LoadQuery",
+    "UpstreamPace",
     "ReadRevisions",
     "UpstreamUse",
     "UseReport",
