Tell how long trackers were asked: a histogram, and a field of each try

The wait for answers is the price of the new choice, and was not visible: the story of a late request now shows it beside the first event and the longest pause, and the histogram counts the choices that went by old reports. Tests of the gateway, the command and the platform pass; no decision changed.

--- a/packages/ctl/src/hollyknot_ctl/_explain_failure.py
+++ b/packages/ctl/src/hollyknot_ctl/_explain_failure.py
@@ -38,6 +38,8 @@
         "source_lost",
         "source_regained",
         "data_centre_silent",
+        "tracker_silent",
+        "watch_behind",
         "suspended",
         "stop",
         "start",
--- a/packages/gateway/src/hollyknot_gateway/_job.py
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -40,6 +40,7 @@
         ran_before: The same without the try in work.
         tried: Those upstreams, and those that could not be connected to.
         asked: Upstreams whose loads were asked for before the next choice.
+        asked_s: How long all such questions took so far.
     """
 
     request: CallerRequest
@@ -60,6 +61,7 @@
     ran_before: bool = False
     tried: frozenset[str] = frozenset()
     asked: Sequence[UpstreamEntry] = ()
+    asked_s: float = 0.0
 
 
 def fingerprint(request: CallerRequest, call: CallTraits) -> int:
--- a/packages/gateway/src/hollyknot_gateway/_metrics.py
+++ b/packages/gateway/src/hollyknot_gateway/_metrics.py
@@ -14,7 +14,7 @@
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
 """Upper bounds: from what a host adds to the longest timeouts met so far."""
 
-_ADDED_BUCKETS_S = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1)
+_SHORT_BUCKETS_S = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1)
 
 Labels = tuple[tuple[str, str], ...]
 
@@ -48,8 +48,8 @@
         key = (name, tuple(labels.items()))
         histogram = self._histograms.get(key)
         if histogram is None:
-            is_added = name == ADDED
-            bounds = _ADDED_BUCKETS_S if is_added else BUCKETS_S
+            is_short = name in (ADDED, ASKED)
+            bounds = _SHORT_BUCKETS_S if is_short else BUCKETS_S
             histogram = _Histogram(bounds, [0] * (len(bounds) + 1))
             self._histograms[key] = histogram
         histogram.add(seconds)
@@ -111,6 +111,7 @@
 GAP = "hollyknot_longest_gap_seconds"
 WHOLE = "hollyknot_answer_seconds"
 ADDED = "hollyknot_added_seconds"
+ASKED = "hollyknot_asked_seconds"
 UNREADABLE = "hollyknot_unreadable_items_total"
 
 _HELP = {
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -55,7 +55,13 @@
             now,
             is_loose=job.is_loose,
         )
-        await parts.neighbours.ask(job.asked, runs_of(job.call.prompt))
+        is_known = await parts.neighbours.ask(
+            job.asked, runs_of(job.call.prompt)
+        )
+        asked_s = parts.clock() - now
+        job.asked_s += asked_s
+        outcome = "known" if is_known else "old"
+        parts.metrics.observe(metrics.ASKED, asked_s, outcome=outcome)
 
     def choose(self, job: Job, gate: Clear | Isolate) -> Choice | NoPlace:
         """Returns where a request is to be sent next."""
@@ -311,6 +317,7 @@
             first_ms=_ms(result.first_s),
             gap_ms=_ms(result.gap_s),
             took_ms=_ms(result.took_s),
+            asked_ms=_ms(job.asked_s),
             tokens=job.call.prompt_tokens,
             read=choice.tokens,
             ahead=choice.ahead,
