--- a/packages/bench/src/hollyknot_bench/experiment/_play.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_play.py
@@ -16,34 +16,17 @@
 from hollyknot_bench.experiment._host import Host, make_host
 from hollyknot_bench.experiment._load import Load, Request, requests_of
 from hollyknot_bench.experiment._outcome import Ended, Outcome
-from hollyknot_bench.experiment._reports import (
-    REPORT_S,
-    Teller,
-    make_tellers,
-    number_of,
-)
+from hollyknot_bench.experiment._wire import Wire
 from hollyknot_coordination.forwarding import (
-    ANSWER_S,
-    ASK_FROM_S,
     COME_BACK_S,
-    RENEW_S,
     Choice,
-    Inquiries,
-    Inquiry,
     RouteIndex,
     Shed,
     TooSlow,
     Work,
     runs_of,
 )
-from hollyknot_state import (
-    Address,
-    HostReport,
-    LoadAnswer,
-    LoadNote,
-    LoadQuery,
-    UseReport,
-)
+from hollyknot_state import Address, HostReport
 from hollyknot_state.routes import (
     CallTraits,
     KeyOwner,
@@ -62,9 +45,6 @@
 NETWORK_S = 0.003
 """One way between callers, hosts and engines."""
 
-HOSTS_S = 0.0014
-"""One way between hosts, in different data centres of a region."""
-
 COME_BACK_SPREAD = 0.5
 """By how much the time to come back varies either way."""
 
@@ -109,13 +89,15 @@
             self._hosts = self._hosts[:1] * load.hosts
         self._is_shared = is_shared
         self._asks = asks and not is_shared
-        self._tellers = make_tellers(self._hosts, self._rng)
         slowness = itertools.cycle(load.slowness)
         self._engines = [
             Engine(load.engine, next(slowness)) for _ in range(load.engines)
         ]
         self._entries = [self._entry(n, 0) for n in range(load.engines)]
         self._by_incarnation = {e.incarnation: e for e in self._entries}
+        self._wire = Wire(
+            self._clock, self._hosts, self._rng, self._by_incarnation.get
+        )
         self._index = RouteIndex(_table(load))
         self._service = Service(_SERVICE, EngineService(load.engine.slots))
         self._ended = {r.number: Ended(r) for r in self._requests}
@@ -145,88 +127,14 @@
     def _begin_reports(self) -> None:
         if self._is_shared:
             return
-        for number in range(self._load.hosts):
-            self._begin_notes(number)
-        for number in range(self._load.hosts):
-            pace_s = self._load.report_s or REPORT_S
-            first_s = self._rng.random() * pace_s
-            if self._load.report_s:
-                self._later(first_s, self._report, number, 1)
-            else:
-                self._later(first_s, self._tell, number)
-
-    def _begin_notes(self, number: int) -> None:
-        """Has trackers told of each change, and now and then of all work."""
-        if not self._asks:
+        if self._asks:
+            self._wire.begin_notes()
+        if not self._load.report_s:
+            self._wire.begin_reports()
             return
-        is_due = [False]
-
-        def tell() -> None:
-            is_due[0] = False
-            self._note(number)
-
-        def changed() -> None:
-            if not is_due[0]:
-                is_due[0] = True
-                self._later(self._clock.now_s, tell)
-
-        def renew() -> None:
-            changed()
-            self._later(self._clock.now_s + RENEW_S, renew)
-
-        self._hosts[number].loads.on_change = changed
-        self._later(self._rng.random() * RENEW_S, renew)
-
-    def _tell(self, number: int) -> None:
-        """Sends as many reports as the budget of bytes allows."""
-        now_s = self._clock.now_s
-        found = self._tellers[number].report(now_s)
-        if found is not None:
-            report, targets = found
-            for target in targets:
-                teller = self._tellers[number_of(target)]
-                self._later(now_s + HOSTS_S, self._hear, teller, report)
-        self._later(now_s + REPORT_S, self._tell, number)
-
-    def _ask(
-        self, number: int, entries: list[UpstreamEntry], call: CallTraits
-    ) -> Inquiry:
-        """Sends queries; their answers end the inquiry."""
-        now_s = self._clock.now_s
-        teller = self._tellers[number]
-        inquiry = teller.inquiries.ask(entries, runs_of(call.prompt), now_s)
-        for tracker, query in inquiry.sent:
-            teller.spend(query)
-            other = self._tellers[number_of(tracker.address)]
-            self._later(now_s + HOSTS_S, self._answer, other, teller, query)
-        return inquiry
-
-    def _answer(self, tracker: Teller, asker: Teller, query: LoadQuery) -> None:
-        now_s = self._clock.now_s
-        answer = tracker.inquiries.answer(query, now_s)
-        tracker.spend(answer)
-        self._later(now_s + HOSTS_S, self._take_answer, asker, answer)
-
-    def _take_answer(self, asker: Teller, answer: LoadAnswer) -> None:
-        asker.inquiries.take_answer(answer, self._clock.now_s)
-
-    def _note(self, number: int) -> None:
-        """Tells trackers of work that has just changed."""
-        now_s = self._clock.now_s
-        teller = self._tellers[number]
-        for tracker, note in teller.inquiries.notes(self._entry_of, now_s):
-            teller.spend(note)
-            other = self._tellers[number_of(tracker.address)]
-            self._later(now_s + HOSTS_S, self._take_note, other.inquiries, note)
-
-    def _take_note(self, inquiries: Inquiries, note: LoadNote) -> None:
-        inquiries.take_note(note, self._clock.now_s)
-
-    def _entry_of(self, incarnation: str) -> UpstreamEntry | None:
-        return self._by_incarnation.get(incarnation)
-
-    def _hear(self, teller: Teller, report: UseReport) -> None:
-        teller.take(report, self._clock.now_s)
+        for number in range(self._load.hosts):
+            first_s = self._rng.random() * self._load.report_s
+            self._later(first_s, self._report, number, 1)
 
     def _later(
         self, when_s: float, call: Callable[..., None], *args: object
@@ -281,11 +189,11 @@
         host = self._hosts[number]
         now_s = self._clock.now_s
         if not self._is_shared and not self._load.report_s:
-            self._tellers[number].sum_up(now_s)
+            self._wire.tellers[number].sum_up(now_s)
         host.forecasts.note_request(request.kind.name, request.hint)
         if now_s - request.at_s >= request.kind.timeout_s:
             return
-        if not self._may_ask(number):
+        if not self._asks or not self._wire.may_ask(number):
             self._place(request, number, [])
             return
         route = self._index.table.routes[_place_of(self._load, request)]
@@ -298,23 +206,12 @@
             now_s,
             is_loose=self._index.is_loose(route, _SERVICE),
         )
-        inquiry = self._ask(number, asked, call)
-        place = _once(lambda: self._place(request, number, asked))
-        inquiry.on_done = place
-
-        def end() -> None:
-            inquiries = self._tellers[number].inquiries
-            inquiries.give_up(inquiry, self._clock.now_s)
-            place()
-
-        wait_s = ANSWER_S if inquiry.sent else 0.0
-        self._later(now_s + wait_s, end)
-
-    def _may_ask(self, number: int) -> bool:
-        teller = self._tellers[number]
-        is_old = teller.peers.interval_s >= ASK_FROM_S
-        may_send = teller.rate.may_ask(self._clock.now_s)
-        return self._asks and is_old and may_send
+        self._wire.ask(
+            number,
+            asked,
+            runs_of(call.prompt),
+            lambda: self._place(request, number, asked),
+        )
 
     def _place(
         self, request: Request, number: int, asked: list[UpstreamEntry]
@@ -467,18 +364,6 @@
     is_over: bool = False
 
 
-def _once(call: Callable[[], None]) -> Callable[[], None]:
-    """Returns a function that makes a call the first time only."""
-    is_made = [False]
-
-    def made() -> None:
-        if not is_made[0]:
-            is_made[0] = True
-            call()
-
-    return made
-
-
 def _place_of(load: Load, request: Request) -> int:
     return load.classes.index(request.kind)
 
--- a/packages/bench/src/hollyknot_bench/experiment/_reports.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_reports.py
@@ -18,7 +18,6 @@
     Trackers,
 )
 from hollyknot_gateway import (
-    REPORT_S,
     WHOLE_EVERY,
     encode_message,
     encode_report,
@@ -135,6 +134,3 @@
 def number_of(address: Address) -> int:
     """Returns which host takes reports at an address."""
     return address.port - 1
-
-
-__all__ = ["REPORT_S", "Teller", "address_of", "make_tellers", "number_of"]
--- a/packages/bench/src/hollyknot_bench/experiment/tests/test_experiment.py
+++ b/packages/bench/src/hollyknot_bench/experiment/tests/test_experiment.py
@@ -172,34 +172,43 @@
     return attrs.evolve(_day(), length_s=6.0)
 
 
+def _many_hosts(length_s: float) -> Load:
+    """Returns half of the load of many hosts, as long as is needed."""
+    load = read_load(_LOADS / "many-hosts.json")
+    assert isinstance(load, Load)
+    return attrs.evolve(
+        load,
+        length_s=length_s,
+        hosts=load.hosts // 2,
+        engines=load.engines // 2,
+        classes=tuple(
+            attrs.evolve(kind, per_s=kind.per_s / 2) for kind in load.classes
+        ),
+    )
+
+
 class TestManyHosts:
     """What hosts know of each other grows old with their number."""
 
-    def _worth(self, *, is_shared: bool, asks: bool) -> float:
-        load = read_load(_LOADS / "many-hosts.json")
-        assert isinstance(load, Load)
-        short = attrs.evolve(load, length_s=4.0, hosts=83)
-        return play(short, 1, is_shared=is_shared, asks=asks).worth
-
     def test_asking_lies_between_reports_and_all_knowledge(self) -> None:
         """Most streams of a burst are late, while engines have time.
 
-        Sequence: 83 hosts take a burst of long prompts. Cause: each chose by
-        reports that were seconds old. Emulated, mean of two whole days: 0.573
-        by reports, 0.714 by asking trackers, 0.779 with all known at once.
+        Sequence: many hosts take a burst of long prompts. Cause: each chose by
+        reports that were seconds old. Emulated with 83 hosts, mean of two whole
+        days: 0.573 by reports, 0.714 by asking trackers, 0.779 with all known.
         """
-        reports = self._worth(is_shared=False, asks=False)
-        asked = self._worth(is_shared=False, asks=True)
-        shared = self._worth(is_shared=True, asks=False)
+        load = _many_hosts(10.0)
+        reports = play(load, 1, asks=False).worth
+        asked = play(load, 1).worth
+        shared = play(load, 1, is_shared=True).worth
         assert reports < asked < shared
 
     def test_a_host_keeps_to_its_bytes(self) -> None:
-        load = read_load(_LOADS / "many-hosts.json")
-        assert isinstance(load, Load)
-        day = Play(attrs.evolve(load, length_s=4.0), 1, asks=False)
+        load = _many_hosts(2.0)
+        day = Play(load, 1, asks=False)
         sent = [0] * load.hosts
-        spends = [teller.rate.spend for teller in day._tellers]
-        for number, teller in enumerate(day._tellers):
+        spends = [teller.rate.spend for teller in day._wire.tellers]
+        for number, teller in enumerate(day._wire.tellers):
 
             def spend(size: int, number: int = number) -> None:
                 sent[number] += size
@@ -207,5 +216,5 @@
 
             teller.rate.spend = spend  # type: ignore[method-assign]
         day.run()
-        seconds = 4.0 + SETTLE_S
+        seconds = load.length_s + SETTLE_S
         assert max(sent) < (BYTES_A_SECOND + 100) * seconds
