Save up queries for a burst; choose among all where nothing can be asked

In a burst hosts place 9 requests a second, 350 bytes each, and have 2,250 for them; those that could not ask went on to choose, and to judge whether engines are full, by the few that they would have asked for, whose loads were as old as reports.

Change: ten seconds of the queries' part of the budget are saved up, which keeps it in the long run; where nothing is asked, all engines are chosen among.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_report_rate.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_report_rate.py
@@ -24,11 +24,18 @@
 report to each of some peers, and not a burst after a suspension."""
 
 
+_SAVED_FOR_QUERIES_S = 10.0
+"""The same for queries and what belongs to them: a burst of requests, which
+lasts some seconds, is when a choice by old loads does the most harm, and the
+budget is kept in the long run."""
+
+
 @attrs.define
 class _Bucket:
     """Bytes that may be sent; filled at a steady rate up to a bound."""
 
     rate: float
+    saved_s: float
     level: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -36,7 +43,7 @@
 
     @property
     def most(self) -> float:
-        return self.rate * _SAVED_S
+        return self.rate * self.saved_s
 
     def fill(self, size: float) -> float:
         """Takes bytes in, and returns those for which there is no room."""
@@ -54,8 +61,10 @@
         Args:
             bytes_a_second: What may be sent in the long run.
         """
-        self._queries = _Bucket(bytes_a_second * QUERY_SHARE)
-        self._reports = _Bucket(bytes_a_second * (1 - QUERY_SHARE))
+        self._queries = _Bucket(
+            bytes_a_second * QUERY_SHARE, _SAVED_FOR_QUERIES_S
+        )
+        self._reports = _Bucket(bytes_a_second * (1 - QUERY_SHARE), _SAVED_S)
         # Reports may use all that is not asked.
         self._most = bytes_a_second * _SAVED_S
         self._reports.level = self._most
@@ -87,7 +96,7 @@
         decide by them; the host then asks less itself.
         """
         bucket = self._queries
-        bucket.level = max(bucket.level - size, -bucket.most)
+        bucket.level = max(bucket.level - size, -self._most)
 
     def _fill(self, now_s: float, most_reports: float) -> None:
         passed_s = max(0.0, now_s - self._filled_s)
--- a/packages/gateway/src/hollyknot_gateway/_inquirer.py
+++ b/packages/gateway/src/hollyknot_gateway/_inquirer.py
@@ -54,7 +54,7 @@
             those that reports told.
         """
         now_s = self._clock()
-        if not entries or not self._rate.may_ask(now_s):
+        if not entries:
             return False
         inquiry = self._inquiries.ask(entries, runs, now_s)
         if not inquiry.sent:
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -136,19 +136,21 @@
     async def ask(
         self, entries: Sequence[UpstreamEntry], runs: tuple[int, ...]
     ) -> bool:
-        """Asks trackers for loads, where reports tell them too seldom.
+        """Asks trackers for loads.
 
         Returns:
             Whether all answers are known.
         """
-        if not self.asks:
-            return False
         return await self._inquirer.ask(entries, runs)
 
     @property
     def asks(self) -> bool:
-        """Whether a choice had better ask trackers than believe reports."""
-        return self._peers.interval_s >= ASK_FROM_S
+        """Whether a choice had better ask trackers than believe reports.
+
+        It had where reports come seldom, as long as the budget allows.
+        """
+        is_old = self._peers.interval_s >= ASK_FROM_S
+        return is_old and self._rate.may_ask(self._clock())
 
     @property
     def count(self) -> int:
@@ -215,11 +217,13 @@
     def _changes(self, now_s: float, *, is_whole: bool) -> UseReport:
         shared = self._shared
         uses = shared.loads.uses()
+        # Where reports come seldom, whole ones come too seldom for the lanes.
+        tells_demand = is_whole or self._peers.interval_s >= ASK_FROM_S
         return UseReport(
             self._incarnation,
             self._sequence,
             uses if is_whole else tuple(use for use in uses if use.waiting),
-            shared.demand.told(now_s) if is_whole or self.asks else (),
+            shared.demand.told(now_s) if tells_demand else (),
             shared.suspects.records(now_s),
             shared.cached.told(now_s),
             is_whole,
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -37,7 +37,11 @@
         self._detached: set[asyncio.Task[None]] = set()
 
     async def ask(self, job: Job, gate: Clear | Isolate) -> None:
-        """Asks for the loads of a few upstreams before the choice."""
+        """Asks for the loads of a few upstreams before the choice.
+
+        Where nothing is asked, the choice is among all: by loads as old as
+        reports no few stand for the others.
+        """
         parts = self._parts
         if not parts.neighbours.asks:
             job.asked = ()
