Let trackers forget what has gone; say what choices among a few mean

Found by reading the diff: a tracker kept an entry of each upstream that it was ever told of, and a host that tells no notes a name of each; both grew with the upstreams replaced. Now what is too old goes once a second, and names that nobody asks for are dropped.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_inquiries.py
@@ -119,7 +119,7 @@
         return self._tracked.answer(query, now_s)
 
     def take_answer(self, answer: LoadAnswer, now_s: float) -> None:
-        """Takes an answer; one that nobody waits for is late, and as good."""
+        """Takes an answer; a late one still counts for the next choices."""
         self._believe(answer, now_s)
         tracker, inquiry = self._waiting.pop(answer.number, (None, None))
         if tracker is None or inquiry is None:
@@ -163,6 +163,7 @@
         if now_s - self._renewed_s >= RENEW_S:
             self._renewed_s = now_s
             names |= set(self._loads.busy)
+            self._tracked.expire(now_s)
         found = (entry_of(name) for name in sorted(names))
         entries = [entry for entry in found if entry is not None]
         return self._notes_of(entries, now_s)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
@@ -162,8 +162,8 @@
             now_s: The time.
             is_loose: Whether its stream bears long pauses.
             urgency: The same at all hosts; 0 is the first.
-            among: Incarnations whose loads were asked for; empty for none. If
-                all of them are full, reports tell where there is room.
+            among: Incarnations whose loads were asked for; empty for none. Only
+                if none of them may be chosen, any other one is.
         """
         if service.engine is None or not call.prompt or not candidates:
             return self._least_busy(candidates, excluded, among, now_s)
@@ -193,7 +193,14 @@
         least busy of a few that are known is nearly as good as knowing all,
         and no two requests crowd on the one that seemed idle a moment ago.
 
-        Args: as of `choose`.
+        Args:
+            service: The service.
+            candidates: Its upstreams that may get work, in an order that is
+                the same at all hosts.
+            call: The request.
+            excluded: Incarnations that it is not to go to.
+            now_s: The time.
+            is_loose: Whether its stream bears long pauses.
         """
         if service.engine is None or not call.prompt:
             usable = [c for c in candidates if c.incarnation not in excluded]
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_tracked_loads.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_tracked_loads.py
@@ -51,6 +51,10 @@
         self._cached = cached
         self._told: dict[int, dict[int, _Told]] = {}
 
+    def __len__(self) -> int:
+        """Returns how many upstreams it was told of lately."""
+        return len(self._told)
+
     def take(self, note: LoadNote, now_s: float) -> None:
         """Takes what a host tells; an older note tells nothing."""
         paces = {pace.upstream: pace for pace in note.paces}
@@ -63,6 +67,19 @@
                 hosts[note.incarnation] = told
         self._cached.take(note.held, now_s)
 
+    def expire(self, now_s: float) -> None:
+        """Forgets what is too old to be counted.
+
+        Upstreams and hosts come and go all day; without this a tracker keeps
+        something of each that it was ever told of.
+        """
+        for upstream, hosts in list(self._told.items()):
+            for incarnation, told in list(hosts.items()):
+                if now_s - told.heard_s > EXPIRE_S:
+                    del hosts[incarnation]
+            if not hosts:
+                del self._told[upstream]
+
     def answer(self, query: LoadQuery, now_s: float) -> LoadAnswer:
         """Returns what all hosts but the asker have in flight."""
         others = {
@@ -86,11 +103,9 @@
     def _others(
         self, upstream: int, asker: int, now_s: float
     ) -> Iterable[_Told]:
-        hosts = self._told.get(upstream, {})
-        for incarnation, told in list(hosts.items()):
-            if now_s - told.heard_s > EXPIRE_S:
-                del hosts[incarnation]
-            elif incarnation != asker:
+        for incarnation, told in self._told.get(upstream, {}).items():
+            is_fresh = now_s - told.heard_s <= EXPIRE_S
+            if is_fresh and incarnation != asker:
                 yield told
 
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_inquiries.py
@@ -237,3 +237,22 @@
         answer = tracker.inquiries.answer(query, 0.01)
         asker.inquiries.take_answer(answer, 0.02)
         assert asker.loads.at("i-0", 0.02).requests == 1
+
+    def test_a_tracker_keeps_nothing_of_what_has_gone(self) -> None:
+        """A host's memory grows with all upstreams that there ever were.
+
+        Sequence: upstreams are replaced all day; each one's work was told to
+        its tracker. Cause: what was told was dropped only when asked for.
+        """
+        fleet = _Fleet(1)
+        (host,) = fleet.hosts
+        for name in ENGINES:
+            host.loads.begin(name, 100, 2)
+        fleet.tell(host)
+        assert len(host.inquiries._tracked) == len(ENGINES)
+        for name in ENGINES:
+            host.loads.end(name, 100, 2, has_started=False)
+        fleet.tell(host)
+        fleet.now_s = EXPIRE_S + RENEW_S
+        fleet.tell(host)
+        assert len(host.inquiries._tracked) == 0
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -251,6 +251,9 @@
     def _note_soon(self) -> None:
         if self._peers.interval_s >= NOTE_FROM_S:
             self._inquirer.tell_soon()
+        else:
+            # Nobody asks; the names of all upstreams would pile up.
+            self._shared.loads.take_changed()
 
     def _take(self, message: Message, sender: Address) -> None:
         if isinstance(message, HostReport | UseReport):
--- a/packages/state/src/hollyknot_state/_host_report.py
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -128,11 +128,11 @@
         incarnation: Of the sender's process.
         sequence: Shared with its other reports.
         uses: As in them.
-        demands: As in them.
+        demands: As in them; none where they are not told.
         suspects: As in them.
         held: As in them.
-        is_whole: Whether it tells of all upstreams with work in flight, and
-            the demands; else only of those where prompts wait to be read.
+        is_whole: Whether it tells of all upstreams with work in flight; else
+            only of those where prompts wait to be read.
         revisions: As in them; None where it is no news.
     """
 
