--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -29,10 +29,10 @@
 silent hides a new version for no longer than this and the slack of a read."""
 
 LONGEST_WATCH_S = SHORTEST_WATCH_S
-"""The longest wait. Not longer in a large fleet either: with 18 s a day of 83
-hosts had 97 requests handled by an older version and 86 refused that the version
-in force allowed. The cause is not known, so that no host relies on its peers to
-learn of a version; it only learns sooner by them."""
+"""The longest wait, also in a large fleet: with 18 s a day of 83 hosts had 97
+requests handled by an older version, and 86 refused that the version in force
+allowed. Why is not known, so that no host relies on its peers to learn of a
+version; it only learns sooner by them."""
 
 RENEWALS_A_SECOND = 4.0
 """How many hosts of a fleet end a watch each second. A source that returns in
