--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -37,8 +37,8 @@
 RENEWALS_A_SECOND = 4.0
 """How many hosts of a fleet end a watch each second. A source that returns in
 silence, so that no open watch is ever answered, is noticed by one of them
-within a second and by the others by what that one tells. Of 195 hosts each then
-reads a tenth as often as with waits of two seconds."""
+within a second and by the others by what that one tells. No effect while the
+longest wait is the shortest."""
 
 
 @attrs.frozen
