Await an answer that has begun to arrive, and a read begun for news

One host with a link of 10 Mbit/s wrote watch_behind every 0.3 s for 19 s.

Cause: told by a peer of a newer revision, a host gave its watch up after 0.3 s, began another, and gave that up as well. 1,428 routes need longer than that over such a link: the host stopped the answer that it waited for, until the store's history was lost. Ruled out: long waits (the waits were 2 s), the store (all other hosts had the version within a second).

Change: a watch whose answer has begun to arrive is not given up; nor is a read that was begun because of the word.

Tests: a slow link and a slow source under a virtual clock; both fail on the follower before (the change is never read in a minute).

--- a/packages/gateway/src/hollyknot_gateway/_fetch.py
+++ b/packages/gateway/src/hollyknot_gateway/_fetch.py
@@ -15,6 +15,11 @@
 """The longest that an answer may take that keeps coming. A megabyte of routes
 over a link with a round trip of 20 ms takes a second."""
 
+LONGEST_GAP_S = 1.5
+"""The longest pause within an answer. One that was waited for for long, and
+stops half-way on a connection that fell silent, is not waited for that long
+again; a link that is crowded by answers to callers holds one for less."""
+
 
 class FetchFailure(enum.Enum):
     """Why a document was not read."""
@@ -71,8 +76,35 @@
             self.done.set_result(found)
 
 
+def _ignore_progress() -> None:
+    return
+
+
+def _extending(
+    timeout: asyncio.Timeout, on_progress: Callable[[], None]
+) -> Callable[[], None]:
+    """Returns what gives an answer more time each time a part of it arrives."""
+    clock = asyncio.get_running_loop().time
+    last_s: float | None = None
+
+    def extend() -> None:
+        nonlocal last_s
+        now_s = clock()
+        if last_s is None:
+            last_s = now_s + LONGEST_READ_S
+        timeout.reschedule(min(now_s + LONGEST_GAP_S, last_s))
+        on_progress()
+
+    return extend
+
+
 async def fetch(
-    pool: Pool, name: str, address: Address, target: str, timeout_s: float
+    pool: Pool,
+    name: str,
+    address: Address,
+    target: str,
+    timeout_s: float,
+    on_progress: Callable[[], None] = _ignore_progress,
 ) -> Document | FetchFailure:
     """Reads a document by GET.
 
@@ -81,25 +113,23 @@
         name: Of the server, by which its connections are kept.
         address: Where it answers.
         target: Path and query.
-        timeout_s: The longest silence, a new connection included. An answer
-            that keeps coming has longer: were its whole time bounded, one
-            that is too large would be begun again and again, and never read.
+        timeout_s: The longest wait for the answer's begin, a new connection
+            included. An answer that keeps coming has longer: were its whole
+            time bounded, one that is too large would be begun again and
+            again, and never read.
+        on_progress: Called each time a part of the answer arrives.
 
     Returns:
         The answer, or why there is none. A connection on which an answer did
         not come in time is never used again: it may be silent for good.
     """
     connection = None
-    clock = asyncio.get_running_loop().time
-    last_s = clock() + max(timeout_s, LONGEST_READ_S)
     try:
         async with asyncio.timeout(timeout_s) as timeout:
             connection = await pool.take(name, address, timeout_s)
             if isinstance(connection, ConnectFailure):
                 return FetchFailure.CONNECT
-            collector = _Collector(
-                lambda: timeout.reschedule(min(clock() + timeout_s, last_s))
-            )
+            collector = _Collector(_extending(timeout, on_progress))
             host = f"{address.ip}:{address.port}".encode()
             line = f"GET {target} HTTP/1.1".encode("latin-1")
             head = write_head(line, [(b"Host", host)])
--- a/packages/gateway/src/hollyknot_gateway/_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/_follower.py
@@ -7,7 +7,10 @@
 A watch costs its source a call, so that in a large fleet it waits for long. One
 on a connection that fell silent would then hide all changes for as long. But
 hosts tell each other the newest change that each has read: one that is behind
-the others gives its watch up and reads at once.
+the others gives its watch up and reads at once. It gives up no answer for that
+which has begun to arrive, and no read that was begun for that: a large version
+over a small link takes longer than its news, and would be begun again and again
+without being read once.
 """
 
 import asyncio
@@ -44,9 +47,9 @@
 
 
 BEHIND_S = 0.3
-"""How long a watch may lack what a peer has read before it is given up. All
-watches end within milliseconds of a change, those of a slow source within a
-few hundred, and a report of it can arrive as soon."""
+"""How long a watch without an answer may lack what a peer has read before it is
+given up. All watches are answered within milliseconds of a change, those of a
+slow source within a few hundred, and a report of it can arrive as soon."""
 
 _WATCHES_FAILED = 3
 """Failed watches after which the list is read instead. A watch tells all that
@@ -197,16 +200,24 @@
         Returns:
             The answer; None if it was not waited for.
         """
+        behind = asyncio.ensure_future(self._fall_behind())
+
+        def await_answer() -> None:
+            behind.cancel()
+
         watch = asyncio.ensure_future(
-            self._source.watch(self._revision, wait_s)
+            self._source.watch(self._revision, wait_s, await_answer)
         )
-        behind = asyncio.ensure_future(self._fall_behind())
         try:
+            if self._is_behind:
+                # Begun to read what lacks: what peers tell is no reason to
+                # read that anew.
+                return await watch
             await asyncio.wait(
                 (watch, behind), return_when=asyncio.FIRST_COMPLETED
             )
-            if watch.done():
-                return watch.result()
+            if watch.done() or behind.cancelled():
+                return await watch
         finally:
             behind.cancel()
             watch.cancel()
--- a/packages/gateway/src/hollyknot_gateway/_ports.py
+++ b/packages/gateway/src/hollyknot_gateway/_ports.py
@@ -115,10 +115,12 @@
         name: For logs.
         list: Reads all of it.
         watch: Waits for changes after a revision, for some seconds at most.
+            Calls its last argument each time a part of the answer arrives.
     """
 
     name: str
     list: Callable[[], Awaitable[Listing[T] | SourceFailure]]
     watch: Callable[
-        [int, float], Awaitable[Changes[T] | Compacted | SourceFailure]
+        [int, float, Callable[[], None]],
+        Awaitable[Changes[T] | Compacted | SourceFailure],
     ]
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/tests/_virtual_time.py
@@ -0,0 +1,41 @@
+"""An event loop whose clock jumps to the next timer instead of waiting."""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+
+class _Selector(selectors.SelectSelector):
+    """Finds what is ready, and counts the time that it would have waited."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.passed_s = 0.0
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        ready = super().select(0)
+        if timeout is None and not ready:
+            raise RuntimeError("waits for something that never happens")
+        if not ready:
+            self.passed_s += timeout or 0.0
+        return ready
+
+
+class _Loop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self._virtual = _Selector()
+        super().__init__(self._virtual)
+
+    def time(self) -> float:
+        return self._virtual.passed_s
+
+
+def run_virtually(main: Coroutine[Any, Any, T]) -> T:
+    """Runs a coroutine to its end; its sleeps and timeouts take no time."""
+    with asyncio.Runner(loop_factory=_Loop) as runner:
+        return runner.run(main)
--- a/packages/gateway/src/hollyknot_gateway/tests/test_fetch.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_fetch.py
@@ -7,6 +7,7 @@
 import attrs
 
 from hollyknot_gateway._fetch import (
+    LONGEST_GAP_S,
     LONGEST_READ_S,
     Document,
     FetchFailure,
@@ -98,12 +99,31 @@
         async def answer(server: _Server, receiver: Receiver) -> None:
             receiver.on_head(_HEAD)
             server.is_reusable = False
-            await server.wait(_TIMEOUT_S * 1.1)
+            await server.wait(LONGEST_GAP_S * 1.1)
 
         found, server = _read(answer)
         assert found is FetchFailure.TIMEOUT
         assert server.abandoned == 1
 
+    def test_one_that_begins_late_has_its_whole_time(self) -> None:
+        """A large version that ends a long watch is never read.
+
+        Sequence: an answer begins just before its wait is over, and its parts
+        arrive for two seconds more. Cause: the longest time of an answer
+        counted from the question.
+        """
+
+        async def answer(server: _Server, receiver: Receiver) -> None:
+            await server.wait(_TIMEOUT_S * 0.9)
+            receiver.on_head(_HEAD)
+            for _ in range(4):
+                await server.wait(LONGEST_READ_S / 5)
+                receiver.on_data(b"part ")
+            receiver.on_end()
+
+        found, _ = _read(answer)
+        assert found == Document(200, b"part " * 4)
+
     def test_an_answer_without_end_is_ended(self) -> None:
         async def answer(server: _Server, receiver: Receiver) -> None:
             receiver.on_head(_HEAD)
--- a/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -13,8 +14,9 @@
     Source,
     SourceFailure,
 )
-from hollyknot_gateway._follower import Follower, FollowOptions
+from hollyknot_gateway._follower import BEHIND_S, Follower, FollowOptions
 from hollyknot_gateway._log import Log
+from hollyknot_gateway.tests._virtual_time import run_virtually
 
 Watched = Changes[str] | Compacted | SourceFailure
 Listed = Listing[str] | SourceFailure
@@ -44,7 +46,9 @@
             raise _EndedError
         return lists.pop(0)
 
-    async def watch(after: int, wait_s: float) -> Watched:
+    async def watch(
+        after: int, wait_s: float, _: Callable[[], None]
+    ) -> Watched:
         told.asked.append((after, wait_s))
         clock[0] += wait_s
         if not watches:
@@ -171,7 +175,9 @@
     async def _list(self) -> Listed:
         return Listing({}, 5, changed=5)
 
-    async def _watch(self, after: int, wait_s: float) -> Watched:
+    async def _watch(
+        self, after: int, wait_s: float, _: Callable[[], None]
+    ) -> Watched:
         """Answers short watches; long ones are silent for good.
 
         The long watch after the last thing that a peer tells ends the play.
@@ -243,3 +249,101 @@
         assert len(waits) == 20
         assert 2.0 <= min(waits) < 6.0
         assert 14.0 < max(waits) <= 18.0
+
+
+class _Link:
+    """A host whose source answers over a slow link, and a peer that tells.
+
+    Revision 7 is written a second after the host's first watch was begun. The
+    peer reads it at once, and says so from then on.
+    """
+
+    def __init__(self, *, begins_after_s: float, lasts_s: float) -> None:
+        """Lists as of revision 5.
+
+        Args:
+            begins_after_s: From the change, or from the begin of a watch if
+                that is later, to the first part of the answer.
+            lasts_s: From then to its last part.
+        """
+        self._begins_after_s = begins_after_s
+        self._lasts_s = lasts_s
+        self.watches = 0
+        self.read_at_s = -1.0
+        self._done = asyncio.Event()
+        self.follower = Follower(
+            Source("test", self._list, self._watch),
+            lambda: FollowOptions(18.0, 18.0, 0.0, 3.0),
+            lambda *_: None,
+            self._take,
+            Log("h", "d", os.open(os.devnull, os.O_WRONLY)),
+            random.Random(1),
+            lambda: asyncio.get_running_loop().time(),
+        )
+
+    async def _list(self) -> Listed:
+        return Listing({}, 5, changed=5)
+
+    async def _watch(
+        self, after: int, _: float, on_progress: Callable[[], None]
+    ) -> Watched:
+        assert after == 5
+        self.watches += 1
+        await asyncio.sleep(1.0 if self.watches == 1 else 0.0)
+        await asyncio.sleep(self._begins_after_s)
+        on_progress()
+        await asyncio.sleep(self._lasts_s)
+        return Changes({"a": "1"}, (), 7, changed=7)
+
+    def _take(self, _: Changes[str], __: bool) -> None:
+        self.read_at_s = asyncio.get_running_loop().time()
+        self._done.set()
+
+    async def _tell(self) -> None:
+        """Tells of the change several times a second, as reports do."""
+        await asyncio.sleep(1.0)
+        while True:
+            self.follower.tell(7)
+            await asyncio.sleep(0.1)
+
+    def play(self) -> None:
+        """Follows the source until the change is read, a minute at most."""
+
+        async def main() -> None:
+            tasks = [
+                asyncio.ensure_future(self.follower.run()),
+                asyncio.ensure_future(self._tell()),
+            ]
+            async with asyncio.timeout(60):
+                await self._done.wait()
+            for task in tasks:
+                task.cancel()
+
+        run_virtually(main())
+
+
+class TestAnswersThatTakeLong:
+    """What is on its way is not given up for the news that announce it."""
+
+    def test_an_answer_that_has_begun_to_arrive_is_awaited(self) -> None:
+        """A version is in force twenty seconds after its confirmation.
+
+        Sequence: a version of a megabyte begins to arrive over a small link;
+        a peer with a larger one has read it and says so. Cause: the watch was
+        given up because of that word, and so was each one begun in its place.
+        """
+        link = _Link(begins_after_s=0.05, lasts_s=2.5)
+        link.play()
+        assert link.watches == 1
+        assert link.read_at_s < 1.0 + 0.05 + 2.5 + 0.1
+
+    def test_a_read_begun_for_the_news_is_awaited(self) -> None:
+        """The same where the source is slow to begin its answer.
+
+        Sequence: a slow source answers after 0.8 s; a peer has read the
+        change. Cause: each watch was given up after less.
+        """
+        link = _Link(begins_after_s=0.8, lasts_s=0.1)
+        link.play()
+        assert link.watches == 2
+        assert link.read_at_s < 1.0 + BEHIND_S + 0.8 + 0.1 + 0.1
