Long watches in a large fleet again; most entries going at once have lapsed

Change: a watch waits a quarter of a second for each host, from 2 s to 18 s. With it a host may not notice that the directory was away; so most entries going at one moment count as lapsed, whether a failure was seen or not.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
@@ -3,7 +3,8 @@
 Entries come and go by the directory. An entry that goes while the directory
 has been away may only have lapsed: its upstream could not renew it. Such an
 upstream keeps its work for a short while, since most of them come back; one
-would otherwise refuse everything just when the directory has recovered.
+would otherwise refuse everything just when the directory has recovered. If most
+entries go at one moment, the directory has been away even if nobody noticed.
 
 An upstream may start again under the name that it had. Of two runs with one
 name the one that began later lives: an entry of the run before, written late or
@@ -11,13 +12,21 @@
 holds, if its service exists; anybody may write an entry.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
 from hollyknot_state import Address
 from hollyknot_state.routes import UpstreamEntry
 
+LAPSED_PART = 0.5
+"""Of all upstreams, the part whose entries go at one moment only because the
+directory has been away: a host whose open watch fell silent has not seen that
+it was. Upstreams that leave do so a few at a time."""
+
+LEAST_LAPSED = 4
+"""Fewer entries than this may go at one moment on their own account."""
+
 
 @attrs.define
 class _Known:
@@ -117,6 +126,15 @@
             self._end(incarnation, runs_no_more=False)
         return incarnation
 
+    def are_lapses(self, removed: Collection[str]) -> bool:
+        """Whether so many entries go at once that they must have lapsed.
+
+        Args:
+            removed: Names of the upstreams whose entries have gone.
+        """
+        known = len(self._names.keys() & set(removed))
+        return known >= max(LEAST_LAPSED, len(self._names) * LAPSED_PART)
+
     def replace(
         self,
         entries: Iterable[UpstreamEntry],
@@ -126,9 +144,10 @@
     ) -> None:
         """Takes in a whole list: what it lacks is removed."""
         listed = {entry.name: entry for entry in entries}
-        for name in list(self._names):
-            if name not in listed:
-                self.remove(name, now_s, may_have_lapsed=may_have_lapsed)
+        removed = self._names.keys() - listed.keys()
+        lapsed = may_have_lapsed or self.are_lapses(removed)
+        for name in sorted(removed):
+            self.remove(name, now_s, may_have_lapsed=lapsed)
         for entry in listed.values():
             self.put(entry)
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_fleet.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_fleet.py
@@ -39,6 +39,31 @@
         assert fleet.remove("a", 0.0, may_have_lapsed=False)
         assert _names(fleet) == []
 
+    def test_most_entries_going_at_once_have_lapsed(self) -> None:
+        """All requests are refused just after the directory has come back.
+
+        Sequence: the directory is down for longer than entries live, while
+        this host's watch is open and silent; a peer tells it of the return,
+        and it reads that all entries are gone. Cause: it had noticed no
+        failure, so that it took lapses for upstreams that have left.
+        """
+        fleet = Fleet(LAPSE_S)
+        for name in "abcdefgh":
+            fleet.put(upstream(name))
+        assert fleet.are_lapses("abcd")
+        assert not fleet.are_lapses("abc")
+        assert not fleet.are_lapses("wxyzuv")
+        fleet.replace([upstream("a")], 0.0, may_have_lapsed=False)
+        assert _names(fleet) == list("abcdefgh")
+        assert _names(fleet, LAPSE_S) == ["a"]
+
+    def test_a_few_upstreams_of_a_small_fleet_leave(self) -> None:
+        fleet = Fleet(LAPSE_S)
+        for name in "abc":
+            fleet.put(upstream(name))
+        fleet.replace([], 0.0, may_have_lapsed=False)
+        assert _names(fleet) == []
+
     def test_entries_that_lapse_with_the_directory_keep_their_work(
         self,
     ) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -28,17 +28,14 @@
 """How long a watch waits where few hosts are heard: a connection that fell
 silent hides a new version for no longer than this and the slack of a read."""
 
-LONGEST_WATCH_S = SHORTEST_WATCH_S
-"""The longest wait, also in a large fleet: with 18 s a day of 83 hosts had 97
-requests handled by an older version, and 86 refused that the version in force
-allowed. Why is not known, so that no host relies on its peers to learn of a
-version; it only learns sooner by them."""
+LONGEST_WATCH_S = 18.0
+"""The longest wait, in a large fleet. A host whose watch is silent learns of a
+change by its peers; with this it also notices by itself, soon after."""
 
 RENEWALS_A_SECOND = 4.0
 """How many hosts of a fleet end a watch each second. A source that returns in
 silence, so that no open watch is ever answered, is noticed by one of them
-within a second and by the others by what that one tells. No effect while the
-longest wait is the shortest."""
+within a second and by the others by what that one tells."""
 
 
 @attrs.frozen
@@ -195,9 +192,11 @@
     ) -> None:
         for entry in changes.items.values():
             self._take_entry(entry, changes.revision)
+        fleet = self._parts.in_force.fleet
+        lapsed = may_have_lapsed or fleet.are_lapses(changes.removed)
         for name in changes.removed:
             self._unreadable.pop(name, None)
-            self._remove(name, changes.revision, may_have_lapsed)
+            self._remove(name, changes.revision, lapsed)
         self._take_unreadable(changes.unreadable, are_all=False)
         self._forget_ended()
 
