Send nothing new to data centres that operators evacuate

Cause: the host read the configuration's key only, and not what operators write beside it.

Change: one watch of all that operators write, so that no call is added. An evacuation is a word of the product (`Evacuation`); upstreams of an evacuated data centre are not usable for any try, retry, resume or fetch of parts, and what runs there goes on. The key says it all: any value evacuates. An evacuation that a whole list lacks is over.

Not done: a host that is cut off from the directory does not learn it from peers (the reports have no field for it).

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
@@ -62,6 +62,7 @@
         self._known: dict[str, _Known] = {}
         self._names: dict[str, str] = {}
         self._services: frozenset[str] | None = None
+        self._evacuated: frozenset[str] = frozenset()
         self._ended: list[Ended] = []
         self._by_service: dict[str, list[UpstreamEntry]] | None = {}
         self._by_service_until = float("inf")
@@ -77,6 +78,11 @@
         self._services = frozenset(services)
         self._by_service = None
 
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Tells which data centres are to get no new work."""
+        self._evacuated = data_centres
+        self._by_service = None
+
     def put(self, entry: UpstreamEntry) -> bool:
         """Takes in an entry.
 
@@ -212,8 +218,11 @@
         return by_service
 
     def _may_work(self, known: _Known) -> bool:
-        is_wanted = not known.is_gone and not known.entry.is_draining
-        return is_wanted and self._exists(known.entry.service)
+        entry = known.entry
+        if known.is_gone or entry.is_draining:
+            return False
+        is_evacuated = entry.data_centre in self._evacuated
+        return not is_evacuated and self._exists(entry.service)
 
     def _exists(self, service: str) -> bool:
         return self._services is None or service in self._services
--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -1,4 +1,4 @@
-"""Keeps a host's routes and upstreams as its platform lists them."""
+"""Keeps what a host's platform lists: what operators publish, and upstreams."""
 
 import random
 import time
@@ -14,7 +14,13 @@
 from hollyknot_gateway._pool import Pool
 from hollyknot_gateway._ports import Changes, Listing, Source, Unreadable
 from hollyknot_state import ReadRevisions
-from hollyknot_state.routes import Bounds, RouteTable, UpstreamEntry
+from hollyknot_state.routes import (
+    Bounds,
+    Evacuation,
+    Published,
+    RouteTable,
+    UpstreamEntry,
+)
 
 LAPSE_S = 1.7
 """How long an upstream keeps its work whose entry has gone while the directory
@@ -43,7 +49,7 @@
     """What the directory is made of.
 
     Attributes:
-        tables: The source of route tables.
+        published: The source of what operators publish.
         upstreams: The source of upstreams.
         in_force: Where both are put in force.
         pool: Connections, closed to upstreams that leave.
@@ -55,7 +61,7 @@
         clock: The loop's monotonic clock, in seconds.
     """
 
-    tables: Source[RouteTable]
+    published: Source[Published]
     upstreams: Source[UpstreamEntry]
     in_force: InForce
     pool: Pool
@@ -80,42 +86,39 @@
         self._parts = parts
         self._bounds = bounds
         self._unreadable: dict[str, str] = {}
-        self._tables = self._table_follower()
+        self._evacuations: dict[str, str] = {}
+        self._published = self._published_follower()
         self._upstreams = self._upstream_follower()
 
     @property
     def read(self) -> ReadRevisions:
         """The newest changes that were read."""
-        return ReadRevisions(self._tables.changed, self._upstreams.changed)
+        return ReadRevisions(self._published.changed, self._upstreams.changed)
 
     def tell(self, read: ReadRevisions) -> None:
         """Takes what a peer has read: what lacks here is read at once."""
-        self._tables.tell(read.tables)
+        self._published.tell(read.tables)
         self._upstreams.tell(read.upstreams)
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Puts other bounds in force from the next read on."""
         self._bounds = bounds
 
-    async def follow_tables(self) -> None:
-        """Reads route tables until it is cancelled."""
-        await self._tables.run()
+    async def follow_published(self) -> None:
+        """Reads what operators publish until it is cancelled."""
+        await self._published.run()
 
     async def follow_upstreams(self) -> None:
         """Reads upstreams until it is cancelled."""
         await self._upstreams.run()
 
-    def _table_follower(self) -> Follower[RouteTable]:
+    def _published_follower(self) -> Follower[Published]:
         parts = self._parts
         return Follower(
-            parts.tables,
+            parts.published,
             lambda: self._options(0.0),
-            lambda listing, _: self._take_tables(
-                listing.items, listing.unreadable
-            ),
-            lambda changes, _: self._take_tables(
-                changes.items, changes.unreadable
-            ),
+            lambda listing, _: self._take_all_published(listing),
+            lambda changes, _: self._take_published(changes),
             parts.log,
             parts.rng,
             parts.clock,
@@ -145,18 +148,49 @@
             settle_s=self._bounds.contact_s,
         )
 
-    def _take_tables(
-        self,
-        tables: dict[str, RouteTable],
-        unreadable: tuple[Unreadable, ...],
-    ) -> None:
-        """Puts tables in force; one that can't be read changes nothing."""
+    def _take_all_published(self, listing: Listing[Published]) -> None:
+        """Takes all that is published: an evacuation that lacks is over."""
+        self._tell_unreadable(listing.unreadable)
+        self._evacuations.clear()
+        # First, so that no new route leads to an evacuated data centre.
+        self._take_evacuations(listing.items)
+        self._take_tables(listing.items)
+
+    def _take_published(self, changes: Changes[Published]) -> None:
+        """Takes what has changed; what can't be read changes nothing."""
+        self._tell_unreadable(changes.unreadable)
+        for name in changes.removed:
+            self._evacuations.pop(name, None)
+        self._take_evacuations(changes.items)
+        self._take_tables(changes.items)
+
+    def _tell_unreadable(self, unreadable: tuple[Unreadable, ...]) -> None:
         for item in unreadable:
-            self._parts.metrics.count(UNREADABLE, source="tables")
+            self._parts.metrics.count(UNREADABLE, source="published")
             self._parts.log.line(
-                "unreadable_routes", key=item.name, reason=item.reason
+                "unreadable_item", key=item.name, reason=item.reason
             )
-        for table in tables.values():
+
+    def _take_evacuations(self, items: dict[str, Published]) -> None:
+        """Keeps new work from the data centres that are evacuated now."""
+        self._evacuations.update(
+            (name, item.data_centre)
+            for name, item in items.items()
+            if isinstance(item, Evacuation)
+        )
+        evacuated = frozenset(self._evacuations.values())
+        before = self._parts.in_force.evacuate(evacuated)
+        for data_centre in sorted(evacuated - before):
+            self._parts.log.line("evacuated", where=data_centre)
+        for data_centre in sorted(before - evacuated):
+            self._parts.log.line("taken_back", where=data_centre)
+
+    def _take_tables(self, items: dict[str, Published]) -> None:
+        """Puts tables in force."""
+        tables = [
+            item for item in items.values() if isinstance(item, RouteTable)
+        ]
+        for table in tables:
             began = time.perf_counter()
             is_new = self._parts.in_force.take_table(table)
             self._parts.log.line(
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -47,7 +47,7 @@
 from hollyknot_state.routes import (
     CallerLimits,
     GatewaySettings,
-    RouteTable,
+    Published,
     UpstreamEntry,
 )
 
@@ -77,12 +77,12 @@
 
     Attributes:
         dialect: Headers of callers and upstreams.
-        tables: Makes the source of route tables.
+        published: Makes the source of what operators publish.
         upstreams: Makes the source of upstreams.
     """
 
     dialect: Dialect
-    tables: Callable[[Pool], Source[RouteTable]]
+    published: Callable[[Pool], Source[Published]]
     upstreams: Callable[[Pool], Source[UpstreamEntry]]
 
 
@@ -150,7 +150,7 @@
         )
         self._directory = Directory(
             DirectoryParts(
-                tables=ports.tables(self._pool),
+                published=ports.published(self._pool),
                 upstreams=ports.upstreams(self._pool),
                 in_force=self._in_force,
                 pool=self._pool,
@@ -241,7 +241,7 @@
         await self._neighbours.open()
         stack.callback(self._neighbours.close)
         for work in (
-            self._directory.follow_tables(),
+            self._directory.follow_published(),
             self._directory.follow_upstreams(),
             self._neighbours.run(),
             self._sweep(),
--- a/packages/gateway/src/hollyknot_gateway/_in_force.py
+++ b/packages/gateway/src/hollyknot_gateway/_in_force.py
@@ -14,17 +14,31 @@
         fleet: The upstreams.
         index: Of the newest table; None until one is known.
         has_fleet: Whether the upstreams have been listed once.
+        evacuated: Data centres that get no new work.
     """
 
     fleet: Fleet
     index: RouteIndex | None = None
     has_fleet: bool = False
+    evacuated: frozenset[str] = frozenset()
 
     @property
     def is_known(self) -> bool:
         """Whether a request can be judged by what is known."""
         return self.index is not None and self.has_fleet
 
+    def evacuate(self, data_centres: frozenset[str]) -> frozenset[str]:
+        """Keeps new work from these data centres, and from no others.
+
+        Returns:
+            Those that got none before.
+        """
+        before = self.evacuated
+        if data_centres != before:
+            self.evacuated = data_centres
+            self.fleet.set_evacuated(data_centres)
+        return before
+
     def take_table(self, table: RouteTable) -> bool:
         """Puts a version in force, unless it is older.
 
--- a/packages/state/src/hollyknot_state/routes/__init__.py
+++ b/packages/state/src/hollyknot_state/routes/__init__.py
@@ -6,6 +6,7 @@
     Dispatch,
     PromptPart,
 )
+from hollyknot_state.routes._evacuation import Evacuation
 from hollyknot_state.routes._gateway_settings import (
     Bounds,
     GatewaySettings,
@@ -23,6 +24,9 @@
 )
 from hollyknot_state.routes._upstreams import UpstreamEntry
 
+Published = RouteTable | Evacuation
+"""What operators publish, each under a name of its own."""
+
 __all__ = [
     "AnswerTraits",
     "Bounds",
@@ -30,9 +34,11 @@
     "CallerLimits",
     "Dispatch",
     "Engine",
+    "Evacuation",
     "GatewaySettings",
     "KeyOwner",
     "PromptPart",
+    "Published",
     "Route",
     "RouteKind",
     "RouteTable",
