Bound what cold upstreams get, over all hosts together

Cause: nothing of the host read that an upstream is cold. Just started it is idle, so that all hosts choose it at once.

Change: a service says what its upstreams bear when cold (rate and duration), an entry how long it stays so. Each host has permits of its own for each cold upstream, at the rate's half divided by the largest number of hosts heard of in a minute; a permit lapses after half a second. A host that has just started, or was given peers and hears none, sends nothing there. Upstreams of a data centre that is taken back, and those reached again under a name that a restart may keep, count as cold although they do not say so yet. One with a permit is offered beside those that chance brings; where all are cold callers get the time to come back, and a closed upstream is no candidate (a loop without an end otherwise).

--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -4,6 +4,7 @@
     CachedParts,
     runs_of,
 )
+from hollyknot_coordination.forwarding._cold_starts import ColdStarts
 from hollyknot_coordination.forwarding._events import EventCutter
 from hollyknot_coordination.forwarding._fleet import Ended, Fleet
 from hollyknot_coordination.forwarding._forecasts import Forecasts
@@ -68,6 +69,7 @@
     "Again",
     "CachedParts",
     "Choice",
+    "ColdStarts",
     "Demand",
     "Ended",
     "EventCutter",
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_cold_starts.py
@@ -0,0 +1,177 @@
+"""How many requests an upstream gets that has just started, over all hosts.
+
+A cold upstream crashes at a rate of requests that a warm one bears, and just
+then it looks idle to all hosts at once. They share no state, and a word between
+them takes longer than the crowd. So each host has a share by itself: permits
+for one request each, at a pace that divides the upstream's rate by the number
+of hosts, at moments of its own. A permit that is not used soon lapses. Were
+permits saved up, those of all hosts would be used at one moment.
+"""
+
+import math
+import random
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from hollyknot_state.routes import ColdStart, UpstreamEntry
+
+RATE_PART = 0.5
+"""Of the rate that a cold upstream bears, what the hosts send together: permits
+fall at random, and hosts count each other late."""
+
+PERMIT_S = 0.5
+"""How long a permit holds: most hosts have a request to send within it, and in
+any second hardly more than one and a half seconds' permits can be used."""
+
+LEARN_S = 4.0
+"""After its start a host sends nothing to cold upstreams for so long: it does
+not know yet among how many it shares."""
+
+REMEMBER_S = 60.0
+"""How long the largest number of hosts counts. Hosts that are cut off from each
+other may reach the same upstreams."""
+
+
+@attrs.define
+class _Cold:
+    """An upstream that is cold, or may be."""
+
+    until_s: float
+    rate: float
+    permit_s: float | None = None
+
+
+class ColdStarts:
+    """The cold upstreams that one host knows of, and its share in each."""
+
+    def __init__(
+        self,
+        rng: random.Random,
+        started_s: float,
+        cold_start: Callable[[str], ColdStart | None],
+        *,
+        is_alone: bool,
+    ) -> None:
+        """Takes all upstreams for warm.
+
+        Args:
+            rng: Spreads the permits of hosts.
+            started_s: When this host started.
+            cold_start: What the upstreams of a service bear while cold; None
+                for one whose upstreams are never cold.
+            is_alone: Whether there may be no other host. One that was given
+                peers and hears none is cut off, and has no share.
+        """
+        self._rng = rng
+        self._learnt_s = started_s + LEARN_S
+        self._cold_start = cold_start
+        self._is_alone = is_alone
+        self._cold: dict[str, _Cold] = {}
+        self._hosts = 1
+        self._hosts_s = -math.inf
+
+    def set_hosts(self, hosts: int, now_s: float) -> None:
+        """Tells among how many hosts the upstreams are shared."""
+        is_forgotten = now_s - self._hosts_s > REMEMBER_S
+        if hosts >= self._hosts or is_forgotten:
+            self._hosts = hosts
+            self._hosts_s = now_s
+
+    def note(self, entry: UpstreamEntry, now_s: float) -> None:
+        """Takes what an upstream says of itself in an entry that is new."""
+        if entry.cold_s > 0:
+            self._begin(entry, now_s, entry.cold_s)
+
+    def suspect(self, entry: UpstreamEntry, now_s: float) -> None:
+        """Takes an upstream for cold that may be so without saying it yet."""
+        cold_start = self._cold_start(entry.service)
+        if cold_start is not None:
+            self._begin(entry, now_s, cold_start.lasts_s)
+
+    def forget(self, incarnation: str) -> None:
+        """Notes that an upstream has left for good."""
+        self._cold.pop(incarnation, None)
+
+    def closed(
+        self, entries: Sequence[UpstreamEntry], now_s: float
+    ) -> frozenset[str]:
+        """Returns the incarnations that may get nothing at this moment."""
+        if not self._cold:
+            return frozenset()
+        return frozenset(
+            entry.incarnation
+            for entry in entries
+            if not self._is_open(entry.incarnation, now_s)
+        )
+
+    def permitted(
+        self, entries: Sequence[UpstreamEntry], now_s: float
+    ) -> list[UpstreamEntry]:
+        """Returns the cold ones that may get one request now.
+
+        They are to be offered beside others: left to chance, most permits
+        would lapse, and an upstream that warms would be shunned.
+        """
+        if not self._cold:
+            return []
+        return [
+            entry
+            for entry in entries
+            if self.is_cold(entry.incarnation, now_s)
+            and self._is_open(entry.incarnation, now_s)
+        ]
+
+    def is_cold(self, incarnation: str, now_s: float) -> bool:
+        """Whether an upstream is cold, or may be."""
+        return self._at(incarnation, now_s) is not None
+
+    def take(self, incarnation: str, now_s: float) -> bool:
+        """Returns whether a request may be sent, and uses a permit for it."""
+        if not self._is_open(incarnation, now_s):
+            return False
+        cold = self._at(incarnation, now_s)
+        if cold is not None:
+            cold.permit_s = now_s + self._interval_s(cold)
+        return True
+
+    def _begin(self, entry: UpstreamEntry, now_s: float, for_s: float) -> None:
+        cold_start = self._cold_start(entry.service)
+        if cold_start is None:
+            return
+        until_s = now_s + for_s
+        cold = self._at(entry.incarnation, now_s)
+        if cold is not None:
+            cold.until_s = max(cold.until_s, until_s)
+            return
+        self._cold[entry.incarnation] = _Cold(until_s, cold_start.rate)
+
+    def _at(self, incarnation: str, now_s: float) -> _Cold | None:
+        cold = self._cold.get(incarnation)
+        if cold is not None and now_s >= cold.until_s:
+            del self._cold[incarnation]
+            return None
+        return cold
+
+    def _is_open(self, incarnation: str, now_s: float) -> bool:
+        cold = self._at(incarnation, now_s)
+        if cold is None:
+            return True
+        if now_s < self._learnt_s or (self._hosts == 1 and not self._is_alone):
+            return False
+        return now_s >= self._permit_s(cold, now_s)
+
+    def _interval_s(self, cold: _Cold) -> float:
+        """Returns the time between two permits of this host."""
+        return self._hosts / (cold.rate * RATE_PART)
+
+    def _permit_s(self, cold: _Cold, now_s: float) -> float:
+        """Returns when the permit begins that has not lapsed."""
+        interval_s = self._interval_s(cold)
+        if cold.permit_s is None:
+            cold.permit_s = now_s + self._rng.uniform(0, interval_s)
+        lapsed_s = now_s - cold.permit_s - PERMIT_S
+        # Of a host with a permit within each such time one is always left.
+        if lapsed_s > 0 and interval_s > PERMIT_S:
+            cold.permit_s += math.ceil(lapsed_s / interval_s) * interval_s
+        return cold.permit_s
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
@@ -147,15 +147,18 @@
         now_s: float,
         *,
         may_have_lapsed: bool,
-    ) -> None:
-        """Takes in a whole list: what it lacks is removed."""
+    ) -> list[UpstreamEntry]:
+        """Takes in a whole list: what it lacks is removed.
+
+        Returns:
+            The entries that change what is believed.
+        """
         listed = {entry.name: entry for entry in entries}
         removed = self._names.keys() - listed.keys()
         lapsed = may_have_lapsed or self.are_lapses(removed)
         for name in sorted(removed):
             self.remove(name, now_s, may_have_lapsed=lapsed)
-        for entry in listed.values():
-            self.put(entry)
+        return [entry for entry in listed.values() if self.put(entry)]
 
     def take_ended(self) -> list[Ended]:
         """Returns what has ended since this was last asked."""
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_cold_starts.py
@@ -0,0 +1,186 @@
+"""Tests of what cold upstreams get, summed over hosts that share nothing."""
+
+import random
+from collections import deque
+
+import attrs
+import pytest
+
+from hollyknot_coordination.forwarding import ColdStarts
+from hollyknot_coordination.forwarding._cold_starts import (
+    LEARN_S,
+    PERMIT_S,
+    RATE_PART,
+    REMEMBER_S,
+)
+from hollyknot_coordination.forwarding.tests._builders import upstream
+from hollyknot_state.routes import ColdStart, UpstreamEntry
+
+COLD_START = ColdStart(rate=7.6, lasts_s=3.0)
+MOST_IN_A_SECOND = 16
+"""What the upstreams are promised: half as much again as their rate, and 5."""
+
+LONG_S = 30.0
+_STEP_S = 0.01
+
+
+def _cold(seconds: float) -> UpstreamEntry:
+    return attrs.evolve(upstream("a"), cold_s=seconds)
+
+
+def _host(
+    seed: int, started_s: float = -60.0, *, is_alone: bool = False
+) -> ColdStarts:
+    return ColdStarts(
+        random.Random(seed), started_s, lambda _: COLD_START, is_alone=is_alone
+    )
+
+
+def _busiest_second(
+    hosts: list[ColdStarts], until_s: float, asked_a_second: float = 50.0
+) -> tuple[int, int]:
+    """Lets all hosts send to a cold upstream whenever they may.
+
+    Returns:
+        How many requests it got in its busiest second, and in all.
+    """
+    rng = random.Random(1)
+    recent: deque[float] = deque()
+    busiest = total = 0
+    for step in range(int(until_s / _STEP_S)):
+        now_s = step * _STEP_S
+        for host in hosts:
+            is_asked = rng.random() < asked_a_second * _STEP_S
+            if is_asked and host.take("a", now_s):
+                recent.append(now_s)
+                total += 1
+        while recent and recent[0] <= now_s - 1.0:
+            recent.popleft()
+        busiest = max(busiest, len(recent))
+    return busiest, total
+
+
+class TestColdStarts:
+    """All hosts together stay below the rate, and use a good part of it."""
+
+    @pytest.mark.parametrize("count", [1, 8, 83, 400])
+    @pytest.mark.parametrize("seed", range(4))
+    def test_all_hosts_want_it_at_once(self, count: int, seed: int) -> None:
+        """An upstream that has just started crashes again and again.
+
+        Sequence: it starts, idle, while others are busy; each host sees that
+        and sends what it has. Cause: nothing bounded the sum of what hosts
+        send that know nothing of each other.
+        """
+        hosts = [
+            _host(seed * 1000 + n, is_alone=count == 1) for n in range(count)
+        ]
+        for host in hosts:
+            host.set_hosts(count, 0.0)
+            host.note(_cold(LONG_S), 0.0)
+        busiest, total = _busiest_second(hosts, LONG_S)
+        assert busiest <= MOST_IN_A_SECOND
+        assert total >= LONG_S * COLD_START.rate * RATE_PART / 2
+
+    def test_permits_are_not_saved_up(self) -> None:
+        """A burst after a calm minute crashes an upstream that is still cold.
+
+        Sequence: for a minute nobody has a request for it; then all have at
+        the same moment. Cause: each host still held the permit it had not
+        used.
+        """
+        hosts = [_host(n) for n in range(200)]
+        for host in hosts:
+            host.set_hosts(len(hosts), 0.0)
+            host.note(_cold(61.0), 0.0)
+        at_once = sum(host.take("a", 60.0) for host in hosts)
+        assert at_once <= MOST_IN_A_SECOND
+
+    def test_a_host_that_knows_nobody_sends_nothing(self) -> None:
+        """Hosts that are killed together crash what they left.
+
+        Sequence: all hosts start anew while an upstream is cold, and know no
+        peer yet. Cause: each took itself for the only one.
+        """
+        host = _host(1, started_s=0.0)
+        host.set_hosts(1, 0.0)
+        host.note(_cold(LONG_S), 0.0)
+        assert not any(host.take("a", step * 0.1) for step in range(290))
+
+    def test_a_host_that_is_alone_uses_the_rate(self) -> None:
+        host = _host(1, is_alone=True)
+        host.note(_cold(10.0), 0.0)
+        _, total = _busiest_second([host], 10.0)
+        assert total >= 10.0 * COLD_START.rate * RATE_PART - 2
+
+    def test_it_learns_first_how_many_share(self) -> None:
+        host = _host(1, started_s=0.0)
+        host.note(_cold(LONG_S), 0.0)
+        host.set_hosts(2, 0.1)
+        assert not any(
+            host.take("a", step * 0.1) for step in range(int(LEARN_S * 10))
+        )
+        host.set_hosts(83, LEARN_S)
+        _, total = _busiest_second([host], LONG_S)
+        assert total <= 2
+
+    def test_peers_that_are_cut_off_still_count(self) -> None:
+        """Both sides of a cut send a cold upstream the whole of its rate.
+
+        Sequence: hosts lose sight of most others, which reach the same
+        upstreams as before. Cause: the share followed those that are heard.
+        """
+        hosts = [_host(n) for n in range(80)]
+        for host in hosts:
+            host.set_hosts(80, 0.0)
+            host.set_hosts(4, REMEMBER_S / 2)
+            host.note(_cold(LONG_S), 0.0)
+        busiest, _ = _busiest_second(hosts, LONG_S)
+        assert busiest <= MOST_IN_A_SECOND
+
+    def test_a_lost_fleet_is_forgotten_in_time(self) -> None:
+        host = _host(1)
+        host.set_hosts(80, 0.0)
+        host.set_hosts(4, REMEMBER_S + 1)
+        host.note(_cold(LONG_S), 0.0)
+        _, total = _busiest_second([host], LONG_S)
+        assert total >= LONG_S * COLD_START.rate * RATE_PART / 4 / 2
+
+    def test_what_says_nothing_yet_is_spared_too(self) -> None:
+        host = _host(1)
+        host.suspect(upstream("a"), 0.0)
+        assert host.is_cold("a", COLD_START.lasts_s - 0.01)
+        assert not host.is_cold("a", COLD_START.lasts_s)
+        assert host.take("a", COLD_START.lasts_s)
+
+    def test_a_later_word_makes_it_longer_never_shorter(self) -> None:
+        host = _host(1)
+        host.note(_cold(3.0), 0.0)
+        host.note(_cold(1.0), 0.1)
+        assert host.is_cold("a", 2.9)
+        host.note(_cold(3.0), 2.0)
+        assert host.is_cold("a", 4.9)
+
+    def test_services_that_are_never_cold_are_not_held_back(self) -> None:
+        host = ColdStarts(random.Random(1), 0.0, lambda _: None, is_alone=False)
+        host.note(_cold(LONG_S), 0.0)
+        host.suspect(upstream("a"), 0.0)
+        assert host.closed([upstream("a")], 0.0) == frozenset()
+
+    def test_one_with_a_permit_is_offered(self) -> None:
+        """An upstream gets nothing until it is warm.
+
+        Sequence: most permits lapse, since a request looks at a few upstreams
+        by chance. Cause: those with a permit were not among them.
+        """
+        host = _host(1)
+        host.set_hosts(8, 0.0)
+        entries = [upstream("a"), upstream("b")]
+        host.note(_cold(LONG_S), 0.0)
+        interval_s = 8 / (COLD_START.rate * RATE_PART)
+        steps = int((interval_s + PERMIT_S) / _STEP_S)
+        offered = [host.permitted(entries, n * _STEP_S) for n in range(steps)]
+        assert [entries[0]] in offered
+        assert [] in offered
+        open_ones = [host.closed(entries, n * _STEP_S) for n in range(steps)]
+        assert set(open_ones) == {frozenset({"a"}), frozenset()}
--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding import Ended
+from hollyknot_coordination.forwarding import ColdStarts, Ended
 from hollyknot_gateway._follower import Follower, FollowOptions
 from hollyknot_gateway._in_force import InForce
 from hollyknot_gateway._log import Log
@@ -52,6 +52,7 @@
         published: The source of what operators publish.
         upstreams: The source of upstreams.
         in_force: Where both are put in force.
+        cold_starts: Told of upstreams that are cold, or may be.
         pool: Connections, closed to upstreams that leave.
         on_ended: Told of an incarnation that has left for good.
         log: Told of what is believed.
@@ -64,6 +65,7 @@
     published: Source[Published]
     upstreams: Source[UpstreamEntry]
     in_force: InForce
+    cold_starts: ColdStarts
     pool: Pool
     on_ended: Callable[[Ended], None]
     log: Log
@@ -184,6 +186,18 @@
             self._parts.log.line("evacuated", where=data_centre)
         for data_centre in sorted(before - evacuated):
             self._parts.log.line("taken_back", where=data_centre)
+            self._suspect_cold(data_centre)
+
+    def _suspect_cold(self, data_centre: str) -> None:
+        """Spares upstreams that may have been restarted while they were idle.
+
+        Their entries say so only some time after they are taken back, and idle
+        as they are they would draw the requests of all hosts at once.
+        """
+        now_s = self._parts.clock()
+        for entry in self._parts.in_force.fleet.all_usable(now_s):
+            if entry.data_centre == data_centre:
+                self._parts.cold_starts.suspect(entry, now_s)
 
     def _take_tables(self, items: dict[str, Published]) -> None:
         """Puts tables in force."""
@@ -206,11 +220,12 @@
     ) -> None:
         in_force = self._parts.in_force
         self._take_unreadable(listing.unreadable, are_all=True)
-        in_force.fleet.replace(
-            listing.items.values(),
-            self._parts.clock(),
-            may_have_lapsed=may_have_lapsed,
+        now_s = self._parts.clock()
+        changed = in_force.fleet.replace(
+            listing.items.values(), now_s, may_have_lapsed=may_have_lapsed
         )
+        for entry in changed:
+            self._parts.cold_starts.note(entry, now_s)
         in_force.has_fleet = True
         self._parts.log.line(
             "upstreams",
@@ -258,12 +273,14 @@
     def _take_entry(self, entry: UpstreamEntry, revision: int) -> None:
         self._unreadable.pop(entry.name, None)
         if self._parts.in_force.fleet.put(entry):
+            self._parts.cold_starts.note(entry, self._parts.clock())
             self._parts.log.line(
                 "upstream",
                 upstream=entry.incarnation,
                 service=entry.service,
                 where=entry.data_centre,
                 draining=entry.is_draining,
+                cold_s=entry.cold_s,
                 revision=revision,
             )
         if entry.is_draining:
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -172,12 +172,13 @@
         parts = self._parts
         now = parts.clock()
         usable = parts.in_force.fleet.usable(job.service.name, now)
+        kept_from = job.tried | parts.cold_starts.closed(usable, now)
         return TryState(
             sent=job.sent,
             may_have_run=job.may_have_run,
             left_s=job.deadline_s - now,
             budget_left=parts.budget.left(job.service.name, now),
-            candidates=sum(e.incarnation not in job.tried for e in usable),
+            candidates=sum(e.incarnation not in kept_from for e in usable),
         )
 
 
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -6,6 +6,7 @@
 import attrs
 
 from hollyknot_coordination.forwarding import (
+    ColdStarts,
     Forecasts,
     Health,
     Loads,
@@ -39,6 +40,7 @@
         forecasts: Learns how long streams take there at the moment.
         reachability: Knows which upstreams can't be connected to.
         health: Knows which upstreams fail much of their work.
+        cold_starts: Bounds what upstreams get that have just started.
         neighbours: Asks other hosts for loads.
         prober: Finds that out by new connections.
         suspects: Knows which requests may crash upstreams.
@@ -60,6 +62,7 @@
     forecasts: Forecasts
     reachability: Reachability
     health: Health
+    cold_starts: ColdStarts
     neighbours: Neighbours
     prober: Prober
     suspects: SuspectRegister
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -13,6 +13,7 @@
 
 from hollyknot_coordination.forwarding import (
     CachedParts,
+    ColdStarts,
     Demand,
     Ended,
     Fleet,
@@ -121,11 +122,18 @@
         self._forecasts = Forecasts()
         self._reachability = Reachability()
         self._health = Health()
+        self._cold_starts = ColdStarts(
+            rng,
+            clock(),
+            self._in_force.cold_start,
+            is_alone=not set(settings.seeds) - {settings.peers},
+        )
         self._stalls = Stalls(clock)
         self._prober = Prober(
             self._pool,
             self._reachability,
             self._upstream_away,
+            self._upstream_back,
             self._log,
             clock,
         )
@@ -139,6 +147,7 @@
                 self._forecasts,
                 self._suspects,
                 self._budget,
+                self._cold_starts,
             ),
             self._in_force,
             self._reachability,
@@ -153,6 +162,7 @@
                 published=ports.published(self._pool),
                 upstreams=ports.upstreams(self._pool),
                 in_force=self._in_force,
+                cold_starts=self._cold_starts,
                 pool=self._pool,
                 on_ended=self._upstream_ended,
                 log=self._log,
@@ -189,6 +199,7 @@
             forecasts=self._forecasts,
             reachability=self._reachability,
             health=self._health,
+            cold_starts=self._cold_starts,
             prober=self._prober,
             neighbours=self._neighbours,
             suspects=self._suspects,
@@ -383,6 +394,15 @@
         self._stalls.upstream_away(entry.incarnation)
         self._neighbours.upstream_away(entry, failure)
 
+    def _upstream_back(self, entry: UpstreamEntry) -> None:
+        """Spares an upstream that may have started again under its name.
+
+        Where entries don't say when a run began, each run has a new name, and
+        one that is reached again is the one that was away.
+        """
+        if entry.born_ms:
+            self._cold_starts.suspect(entry, self._clock())
+
     def _upstream_ended(self, ended: Ended) -> None:
         """Forgets what was learnt of an incarnation that has left."""
         incarnation = ended.incarnation
@@ -390,6 +410,7 @@
             self._stalls.upstream_away(incarnation)
         self._reachability.forget(incarnation)
         self._health.forget(incarnation)
+        self._cold_starts.forget(incarnation)
         self._forecasts.forget(incarnation)
 
     def _look_at_clocks(self) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_in_force.py
+++ b/packages/gateway/src/hollyknot_gateway/_in_force.py
@@ -3,7 +3,7 @@
 import attrs
 
 from hollyknot_coordination.forwarding import Fleet, RouteIndex
-from hollyknot_state.routes import RouteTable
+from hollyknot_state.routes import ColdStart, RouteTable
 
 
 @attrs.define
@@ -27,6 +27,13 @@
         """Whether a request can be judged by what is known."""
         return self.index is not None and self.has_fleet
 
+    def cold_start(self, service: str) -> ColdStart | None:
+        """Returns what upstreams of a service bear just after their start."""
+        if self.index is None:
+            return None
+        found = self.index.table.services.get(service)
+        return found.cold_start if found is not None else None
+
     def evacuate(self, data_centres: frozenset[str]) -> frozenset[str]:
         """Keeps new work from these data centres, and from no others.
 
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -10,6 +10,7 @@
     ASK_FROM_S,
     NOTE_FROM_S,
     CachedParts,
+    ColdStarts,
     Demand,
     Forecasts,
     Inquiries,
@@ -60,6 +61,7 @@
         forecasts: How long streams take at upstreams.
         suspects: Which requests may crash upstreams.
         budget: Retries, whose slack is divided among the hosts.
+        cold_starts: What cold upstreams bear, likewise.
     """
 
     loads: Loads
@@ -68,6 +70,7 @@
     forecasts: Forecasts
     suspects: SuspectRegister
     budget: RetryBudget
+    cold_starts: ColdStarts
 
 
 class Neighbours:
@@ -213,6 +216,7 @@
         shared.loads.take_reports(fresh)
         shared.demand.take(d for report in fresh for d in report.demands)
         shared.budget.set_hosts(self.hosts)
+        shared.cold_starts.set_hosts(self.hosts, now_s)
 
     def _changes(self, now_s: float, *, is_whole: bool) -> UseReport:
         shared = self._shared
--- a/packages/gateway/src/hollyknot_gateway/_prober.py
+++ b/packages/gateway/src/hollyknot_gateway/_prober.py
@@ -27,6 +27,7 @@
         pool: Pool,
         reachability: Reachability,
         on_away: Callable[[UpstreamEntry, ConnectFailure], None],
+        on_back: Callable[[UpstreamEntry], None],
         log: Log,
         clock: Callable[[], float],
     ) -> None:
@@ -36,12 +37,14 @@
             pool: Makes and keeps connections.
             reachability: Is told what was found.
             on_away: Told of an upstream that can't be reached any more.
+            on_back: Told of one that can be reached again.
             log: Likewise.
             clock: The loop's monotonic clock, in seconds.
         """
         self._pool = pool
         self._reachability = reachability
         self._on_away = on_away
+        self._on_back = on_back
         self._log = log
         self._clock = clock
         self._probes: dict[str, asyncio.Task[ConnectFailure | None]] = {}
@@ -93,4 +96,5 @@
         self._pool.give_back(entry.incarnation, found)
         if self._reachability.succeeded(entry.incarnation):
             self._log.line("reachable", upstream=entry.incarnation)
+            self._on_back(entry)
         return None
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -1,6 +1,7 @@
 """Tries of a request at upstreams: the choice, the sending, the end."""
 
 import asyncio
+from collections.abc import Sequence
 
 import attrs
 
@@ -49,16 +50,19 @@
         now = parts.clock()
         usable = parts.in_force.fleet.usable(job.service.name, now)
         excluded = parts.reachability.away(usable) | job.tried
+        excluded |= parts.health.ejected(usable, now)
         if isinstance(gate, Isolate):
             excluded |= gate.exclude
+        excluded |= parts.cold_starts.closed(usable, now)
         job.asked = parts.placement.shortlist(
             job.service,
             usable,
             job.call,
-            excluded | parts.health.ejected(usable, now),
+            excluded,
             now,
             is_loose=job.is_loose,
         )
+        job.asked += self._cold_one(job, excluded, usable)
         is_known = await parts.neighbours.ask(
             job.asked, runs_of(job.call.prompt)
         )
@@ -67,6 +71,21 @@
         outcome = "known" if is_known else "old"
         parts.metrics.observe(metrics.ASKED, asked_s, outcome=outcome)
 
+    def _cold_one(
+        self,
+        job: Job,
+        excluded: frozenset[str],
+        usable: Sequence[UpstreamEntry],
+    ) -> list[UpstreamEntry]:
+        """Returns a cold upstream that may get a request, if there is one."""
+        parts = self._parts
+        permitted = [
+            entry
+            for entry in parts.cold_starts.permitted(usable, parts.clock())
+            if entry.incarnation not in excluded and entry not in job.asked
+        ]
+        return [parts.rng.choice(permitted)] if permitted else []
+
     def choose(self, job: Job, gate: Clear | Isolate) -> Choice | NoPlace:
         """Returns where a request is to be sent next."""
         parts = self._parts
@@ -76,6 +95,7 @@
         if isinstance(gate, Isolate):
             away |= gate.exclude
         ejected = parts.health.ejected(usable, now)
+        closed = parts.cold_starts.closed(usable, now)
         found: Choice | NoPlace = NoPlace.NONE_KNOWN
         # One that fails often, or could not be reached lately, is better than
         # none at all.
@@ -84,7 +104,7 @@
                 job.service,
                 usable,
                 job.call,
-                job.tried | kept_away,
+                job.tried | kept_away | closed,
                 now,
                 is_loose=job.is_loose,
                 urgency=job.urgency,
@@ -103,6 +123,9 @@
     async def _try(self, job: Job, choice: Choice) -> Result:
         parts = self._parts
         entry = choice.entry
+        began_cold = parts.cold_starts.is_cold(entry.incarnation, parts.clock())
+        if not parts.cold_starts.take(entry.incarnation, parts.clock()):
+            return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
         work = parts.placement.begin(
             choice,
             job.call,
@@ -122,10 +145,7 @@
                     Outcome.NOT_RUN, Reason.CONNECT_FAILED, connection.value
                 )
                 return Result(verdict)
-            if not parts.in_force.fleet.is_usable(
-                entry.incarnation, parts.clock()
-            ):
-                # It has begun to leave while the connection was made.
+            if not self._is_still_open(entry, began_cold=began_cold):
                 connection.close()
                 return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
             exchange = self._send(job, choice, connection, work)
@@ -148,6 +168,17 @@
             if not is_detached:
                 parts.placement.end(work)
 
+    def _is_still_open(self, entry: UpstreamEntry, *, began_cold: bool) -> bool:
+        """Whether an upstream takes work now that a connection is made.
+
+        It may have begun to leave meanwhile, or started again.
+        """
+        parts = self._parts
+        now = parts.clock()
+        is_cold = parts.cold_starts.is_cold(entry.incarnation, now)
+        is_usable = parts.in_force.fleet.is_usable(entry.incarnation, now)
+        return is_usable and (began_cold or not is_cold)
+
     def _retries_left(self, job: Job, entry: UpstreamEntry) -> float:
         """Returns how many retries there are, 0 if none can help a request."""
         parts = self._parts
--- a/packages/gateway/src/hollyknot_gateway/tests/test_losses.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_losses.py
@@ -32,7 +32,12 @@
         self.suspects = SuspectRegister(SuspectOptions())
         self.pool = Pool(clock)
         self.prober = Prober(
-            self.pool, Reachability(), lambda *_: None, log, clock
+            self.pool,
+            Reachability(),
+            lambda *_: None,
+            lambda _: None,
+            log,
+            clock,
         )
         self.losses = Losses(
             self.suspects, self.prober, lambda _: is_cut, log, clock
--- a/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
@@ -8,6 +8,7 @@
 
 from hollyknot_coordination.forwarding import (
     CachedParts,
+    ColdStarts,
     Demand,
     Fleet,
     Forecasts,
@@ -74,6 +75,9 @@
                 Forecasts(),
                 SuspectRegister(SuspectOptions()),
                 RetryBudget(Bounds()),
+                ColdStarts(
+                    random.Random(1), 0.0, lambda _: None, is_alone=True
+                ),
             ),
             InForce(fleet),
             self.reachability,
--- a/packages/state/src/hollyknot_state/routes/__init__.py
+++ b/packages/state/src/hollyknot_state/routes/__init__.py
@@ -14,6 +14,7 @@
 )
 from hollyknot_state.routes._table import (
     CallerLimits,
+    ColdStart,
     Engine,
     KeyOwner,
     Route,
@@ -32,6 +33,7 @@
     "Bounds",
     "CallTraits",
     "CallerLimits",
+    "ColdStart",
     "Dispatch",
     "Engine",
     "Evacuation",
--- a/packages/state/src/hollyknot_state/routes/_table.py
+++ b/packages/state/src/hollyknot_state/routes/_table.py
@@ -86,6 +86,19 @@
     slots: int
 
 
+@attrs.frozen
+class ColdStart:
+    """What an upstream bears just after its start.
+
+    Attributes:
+        rate: Requests a second, of all hosts together; far beyond it crashes.
+        lasts_s: How long it is cold after a start.
+    """
+
+    rate: float = attrs.field(validator=attrs.validators.gt(0))
+    lasts_s: float = attrs.field(validator=attrs.validators.gt(0))
+
+
 @attrs.frozen
 class Service:
     """A group of upstreams that serve the same calls.
@@ -93,10 +106,12 @@
     Attributes:
         name: Unique in a table.
         engine: Set if the upstreams are model engines.
+        cold_start: Set if its upstreams are cold just after their start.
     """
 
     name: str
     engine: Engine | None = None
+    cold_start: ColdStart | None = None
 
 
 @attrs.frozen
--- a/packages/state/src/hollyknot_state/routes/_upstreams.py
+++ b/packages/state/src/hollyknot_state/routes/_upstreams.py
@@ -22,6 +22,7 @@
         is_draining: Whether it has asked for no more work.
         born_ms: When this run began, in Unix milliseconds; 0 if unknown. Of
             two runs with one name the later one is the one that lives.
+        cold_s: How much longer it bore few requests when the entry was written.
         incarnation: Name and start: unique for ever.
     """
 
@@ -32,6 +33,7 @@
     slots: int
     is_draining: bool = False
     born_ms: int = 0
+    cold_s: float = 0.0
     incarnation: str = attrs.field(init=False, eq=False)
 
     @incarnation.default
