Give a lane the slots that its streams take, beside its share of reading

Cause: upstreams are divided between streams that bear long pauses and others by prompt tokens alone. Short prompts with long answers ask for little reading and many slots: where engines have 12 of them these streams fill their few upstreams and go beside long prompts. With 48 slots the same happened in bursts.

Change: each host tells how many streams of either lane it has in flight; a lane gets no fewer upstreams than these need at 0.6 of their slots.

--- a/packages/bench/src/hollyknot_bench/experiment/_reports.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_reports.py
@@ -109,7 +109,10 @@
         self.peers.expire(now_s)
         fresh = self.peers.fresh(now_s)
         self.host.loads.take_reports(fresh)
-        self.host.demand.take(d for r in fresh for d in r.demands)
+        self.host.demand.take(
+            (d for r in fresh for d in r.demands),
+            min(1.0, (len(fresh) + 1) / (self.peers.estimated + 1)),
+        )
 
 
 def make_tellers(hosts: list[Host], rng: random.Random) -> list[Teller]:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
@@ -8,10 +8,14 @@
 
 Which routes those are follows from the routes alone. How many upstreams they
 get follows from the prompt tokens that all hosts send, smoothed, so that hosts
-that hear each other come to the same number, and a burst shifts it.
+that hear each other come to the same number, and a burst shifts it. A lane gets
+no fewer than its streams need slots: short prompts with long answers ask for
+little reading, and where engines have few slots they would fill a lane that was
+measured by reading, and go beside long prompts after all.
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
 import attrs
@@ -38,6 +42,11 @@
 """Over which demand is averaged: shorter than a burst, longer than the gap
 between two long prompts at one host."""
 
+SLOT_USE = 0.6
+"""Of a lane's slots, the part that its streams may take on the mean before it
+gets more upstreams: a burst takes some at once, and one stream in the wrong
+lane is late, or makes others late."""
+
 HYSTERESIS = 0.6
 """How far, in upstreams, the wanted number has to be from the present one: at
 each change streams with short pauses meet long prompts that still run, and
@@ -86,31 +95,49 @@
 
 
 class Demand:
-    """Prompt tokens a second by service and lane, of all hosts."""
+    """What streams ask of upstreams by service and lane, of all hosts."""
 
     def __init__(self) -> None:
         """Nothing was asked for yet."""
         self._own: dict[tuple[str, bool], _Rate] = {}
-        self._peers: dict[tuple[str, bool], float] = {}
+        self._own_streams: Counter[tuple[str, bool]] = Counter()
+        self._tokens: Counter[tuple[str, bool]] = Counter()
+        self._streams: Counter[tuple[str, bool]] = Counter()
+        self._heard_part = 1.0
 
-    def add(
+    def begin(
         self, service: str, tokens: int, now_s: float, *, is_loose: bool
     ) -> None:
-        """Notes tokens that this host sends to be read in."""
+        """Notes a stream that this host sends, with tokens to be read in."""
         rate = self._own.setdefault((service, is_loose), _Rate(0.0, now_s))
         rate.add(tokens, now_s)
+        self._own_streams[service, is_loose] += 1
+
+    def end(self, service: str, *, is_loose: bool) -> None:
+        """Notes the end of one."""
+        self._own_streams[service, is_loose] -= 1
 
-    def take(self, reported: Iterable[LaneDemand]) -> None:
-        """Replaces what peers told before."""
-        sums: dict[tuple[str, bool], float] = {}
+    def take(
+        self, reported: Iterable[LaneDemand], heard_part: float = 1.0
+    ) -> None:
+        """Replaces what peers told before.
+
+        Args:
+            reported: What they tell now.
+            heard_part: Of all hosts, those whose word this is, this one
+                included.
+        """
+        self._heard_part = heard_part
+        tokens: Counter[tuple[str, bool]] = Counter()
+        streams: Counter[tuple[str, bool]] = Counter()
         for demand in reported:
-            for is_loose, value in (
-                (True, demand.loose_tokens_s),
-                (False, demand.tight_tokens_s),
-            ):
-                key = (demand.pool, is_loose)
-                sums[key] = sums.get(key, 0.0) + value
-        self._peers = sums
+            loose, tight = (demand.pool, True), (demand.pool, False)
+            tokens[loose] += demand.loose_tokens_s
+            tokens[tight] += demand.tight_tokens_s
+            streams[loose] += demand.loose_streams
+            streams[tight] += demand.tight_streams
+        self._tokens = tokens
+        self._streams = streams
 
     def told(self, now_s: float) -> tuple[LaneDemand, ...]:
         """Returns this host's own demand, for its report."""
@@ -118,8 +145,10 @@
         return tuple(
             LaneDemand(
                 service,
-                int(self._own_at(service, True, now_s)),
-                int(self._own_at(service, False, now_s)),
+                int(self._own_tokens(service, True, now_s)),
+                int(self._own_tokens(service, False, now_s)),
+                self._own_streams[service, True],
+                self._own_streams[service, False],
             )
             for service in services
         )
@@ -132,11 +161,17 @@
             return _SHARE_UNKNOWN
         return loose / (loose + tight)
 
+    def streams(self, service: str, *, is_loose: bool) -> float:
+        """Returns how many streams of a lane have not ended, at all hosts."""
+        lane = (service, is_loose)
+        counted = self._streams[lane] + self._own_streams[lane]
+        return counted / self._heard_part
+
     def _at(self, service: str, is_loose: bool, now_s: float) -> float:
-        told = self._peers.get((service, is_loose), 0.0)
-        return told + self._own_at(service, is_loose, now_s)
+        told = self._tokens[service, is_loose]
+        return told + self._own_tokens(service, is_loose, now_s)
 
-    def _own_at(self, service: str, is_loose: bool, now_s: float) -> float:
+    def _own_tokens(self, service: str, is_loose: bool, now_s: float) -> float:
         rate = self._own.get((service, is_loose))
         return rate.at(now_s) if rate is not None else 0.0
 
@@ -168,10 +203,23 @@
         count = len(entries)
         if count == 1:
             return entries
-        wanted = count * self._demand.share_of_loose(service, now_s)
+        wanted = self._wanted(service, entries, now_s)
         known = self._loose_count.get(service)
         if known is None or abs(wanted - known) > _ROUNDED + HYSTERESIS:
             known = round(wanted)
         known = min(max(known, 1), count - 1)
         self._loose_count[service] = known
         return entries[:known] if is_loose else entries[known:]
+
+    def _wanted(
+        self, service: str, entries: Sequence[UpstreamEntry], now_s: float
+    ) -> float:
+        """Returns how many upstreams loose streams are to have."""
+        count = len(entries)
+        by_reading = count * self._demand.share_of_loose(service, now_s)
+        slots = SLOT_USE * sum(entry.slots for entry in entries) / count
+        loose = self._demand.streams(service, is_loose=True) / slots
+        tight = self._demand.streams(service, is_loose=False) / slots
+        if loose + tight > count:
+            return count * loose / (loose + tight)
+        return min(max(by_reading, loose), count - tight)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
@@ -84,15 +84,17 @@
     """One request at one upstream.
 
     Attributes:
-        incarnation: The upstream.
+        entry: The upstream.
         tokens: To be read in before its first event.
         urgency: Its urgency.
+        is_loose: Whether its stream bears long pauses.
         has_started: Whether its first event is out.
     """
 
-    incarnation: str
+    entry: UpstreamEntry
     tokens: int
     urgency: int
+    is_loose: bool
     has_started: bool = False
 
 
@@ -239,10 +241,10 @@
         """Notes that a request was sent."""
         incarnation = choice.entry.incarnation
         if choice.tokens:
-            self._demand.add(
+            self._demand.begin(
                 choice.entry.service, choice.tokens, now_s, is_loose=is_loose
             )
-        work = Work(incarnation, choice.tokens, urgency)
+        work = Work(choice.entry, choice.tokens, urgency, is_loose)
         self._loads.begin(incarnation, work.tokens, urgency)
         self._cached.note(incarnation, call.prompt, now_s)
         return work
@@ -251,16 +253,19 @@
         """Notes that its first event is out."""
         if not work.has_started:
             work.has_started = True
-            self._loads.start(work.incarnation, work.tokens, work.urgency)
+            self._loads.start(work.entry.incarnation, work.tokens, work.urgency)
 
     def end(self, work: Work) -> None:
         """Notes that it has ended."""
+        entry = work.entry
         self._loads.end(
-            work.incarnation,
+            entry.incarnation,
             work.tokens,
             work.urgency,
             has_started=work.has_started,
         )
+        if work.tokens:
+            self._demand.end(entry.service, is_loose=work.is_loose)
 
     def _least_busy(
         self,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_lanes.py
@@ -24,6 +24,38 @@
         demand.take([LaneDemand("engines", 90_000, 9_000)])
         assert _sizes(lanes, 0.0) == (5, 1)
 
+    def test_a_lane_has_the_slots_that_its_streams_take(self) -> None:
+        """Streams with short pauses run beside long prompts on a calm day.
+
+        Sequence: short prompts with long answers take all slots of the few
+        upstreams that their reading asks for; the others of them go where
+        long prompts are read. Cause: upstreams were shared out by prompts.
+        """
+        lanes = Lanes(demand := Demand())
+        demand.take([LaneDemand("engines", 90_000, 5_000, 4, 14)])
+        # Of 8 slots each, 6 tenths are to be taken: 14 streams need three.
+        assert _sizes(lanes, 0.0) == (3, 3)
+
+    def test_streams_that_have_ended_need_no_slots(self) -> None:
+        demand = Demand()
+        for _ in range(14):
+            demand.begin("engines", 100, 0.0, is_loose=False)
+        assert demand.streams("engines", is_loose=False) == 14
+        for _ in range(14):
+            demand.end("engines", is_loose=False)
+        assert demand.streams("engines", is_loose=False) == 0
+
+    def test_streams_of_hosts_that_were_not_heard_count(self) -> None:
+        demand = Demand()
+        demand.take([LaneDemand("engines", 0, 0, 6, 3)], 0.5)
+        assert demand.streams("engines", is_loose=True) == 12
+        assert demand.streams("engines", is_loose=False) == 6
+
+    def test_too_few_slots_are_shared_out_alike(self) -> None:
+        lanes = Lanes(demand := Demand())
+        demand.take([LaneDemand("engines", 90_000, 5_000, 40, 80)])
+        assert _sizes(lanes, 0.0) == (2, 4)
+
     def test_each_lane_keeps_one(self) -> None:
         demand = Demand()
         demand.take([LaneDemand("engines", 90_000, 0)])
@@ -44,8 +76,8 @@
         demands = [Demand() for _ in range(4)]
         for index, demand in enumerate(demands):
             for step in range(20):
-                demand.add("engines", 900 * (index + 1), step, is_loose=True)
-                demand.add("engines", 700, step, is_loose=False)
+                demand.begin("engines", 900 * (index + 1), step, is_loose=True)
+                demand.begin("engines", 700, step, is_loose=False)
         told = [demand.told(20.0) for demand in demands]
         shares = []
         for index, demand in enumerate(demands):
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_placement.py
@@ -109,8 +109,8 @@
             long_one = host.choose(prompt, i * 0.2, is_loose=True)
             short = call((f"t{i}", 100), ("q", 1100))
             short_one = host.choose(short, i * 0.2, is_loose=False)
-            host.demand.add("engines", 4000, i * 0.2, is_loose=True)
-            host.demand.add("engines", 1200, i * 0.2, is_loose=False)
+            host.demand.begin("engines", 4000, i * 0.2, is_loose=True)
+            host.demand.begin("engines", 1200, i * 0.2, is_loose=False)
             # Until then the lanes follow the demand that is being learnt.
             if i >= 50:
                 loose.add(long_one.entry.incarnation)
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -214,7 +214,10 @@
         fresh = self._peers.fresh(now_s)
         shared = self._shared
         shared.loads.take_reports(fresh)
-        shared.demand.take(d for report in fresh for d in report.demands)
+        shared.demand.take(
+            (d for report in fresh for d in report.demands),
+            min(1.0, (len(fresh) + 1) / self.hosts),
+        )
         shared.budget.set_hosts(self.hosts)
         shared.cold_starts.set_hosts(self.hosts, now_s)
 
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -18,6 +18,8 @@
   1: string pool
   2: i64 loose_tokens_s
   3: i64 tight_tokens_s
+  4: i32 loose_streams
+  5: i32 tight_streams
 }
 
 // As in gossip.thrift: an include would need a package prefix that the
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -226,6 +226,8 @@
      - pool
      - loose_tokens_s
      - tight_tokens_s
+     - loose_streams
+     - tight_streams
 
     """
 
@@ -233,13 +235,17 @@
         'pool',
         'loose_tokens_s',
         'tight_tokens_s',
+        'loose_streams',
+        'tight_streams',
     )
 
 
-    def __init__(self, pool=None, loose_tokens_s=None, tight_tokens_s=None,):
+    def __init__(self, pool=None, loose_tokens_s=None, tight_tokens_s=None, loose_streams=None, tight_streams=None,):
         self.pool = pool
         self.loose_tokens_s = loose_tokens_s
         self.tight_tokens_s = tight_tokens_s
+        self.loose_streams = loose_streams
+        self.tight_streams = tight_streams
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -265,6 +271,16 @@
                     self.tight_tokens_s = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.loose_streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.tight_streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -287,6 +303,14 @@
             oprot.writeFieldBegin('tight_tokens_s', TType.I64, 3)
             oprot.writeI64(self.tight_tokens_s)
             oprot.writeFieldEnd()
+        if self.loose_streams is not None:
+            oprot.writeFieldBegin('loose_streams', TType.I32, 4)
+            oprot.writeI32(self.loose_streams)
+            oprot.writeFieldEnd()
+        if self.tight_streams is not None:
+            oprot.writeFieldBegin('tight_streams', TType.I32, 5)
+            oprot.writeI32(self.tight_streams)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1505,6 +1529,8 @@
     (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
     (2, TType.I64, 'loose_tokens_s', None, None, ),  # 2
     (3, TType.I64, 'tight_tokens_s', None, None, ),  # 3
+    (4, TType.I32, 'loose_streams', None, None, ),  # 4
+    (5, TType.I32, 'tight_streams', None, None, ),  # 5
 )
 all_structs.append(SuspectRecord)
 SuspectRecord.thrift_spec = (
--- a/packages/state/src/hollyknot_state/_host_report.py
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -46,17 +46,22 @@
 
 @attrs.frozen
 class LaneDemand:
-    """Prompt tokens a second that a host sends to a service, smoothed.
+    """What a host's streams ask of a service's upstreams.
 
     Attributes:
         pool: The service; thrift does not allow that word.
-        loose_tokens_s: Of streams that bear long pauses.
-        tight_tokens_s: Of the others.
+        loose_tokens_s: Prompt tokens that are sent in a second, smoothed, of
+            streams that bear long pauses.
+        tight_tokens_s: The same of the others.
+        loose_streams: Those that bear long pauses and have not ended.
+        tight_streams: The same of the others.
     """
 
     pool: str
     loose_tokens_s: int
     tight_tokens_s: int
+    loose_streams: int = 0
+    tight_streams: int = 0
 
 
 @attrs.frozen
