Try a lost source less often in a large fleet

Change: between two tries a host waits a fortieth of a second for each host of the fleet, from 0.4 s to a quarter of the time in which an outage counts as over: 1 s at 83 hosts. 16 hosts or fewer try as before.

--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -7,7 +7,11 @@
 import attrs
 
 from hollyknot_coordination.forwarding import ColdStarts, Ended
-from hollyknot_gateway._follower import Follower, FollowOptions
+from hollyknot_gateway._follower import (
+    LONGEST_PAUSE_S,
+    Follower,
+    FollowOptions,
+)
 from hollyknot_gateway._in_force import InForce
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._metrics import UNREADABLE, Metrics
@@ -44,6 +48,14 @@
 within a second and by the others by what that one tells."""
 
 
+TRIES_A_SECOND = 40.0
+"""How many hosts of a fleet try a lost source again each second."""
+
+RETURN_PART = 0.25
+"""Of the time in which an outage counts as over, the longest pause between two
+tries: what changed meanwhile is then read well before it has to be in force."""
+
+
 @attrs.frozen
 class DirectoryParts:
     """What the directory is made of.
@@ -148,8 +160,18 @@
             first_wait_s=SHORTEST_WATCH_S,
             pause_s=pause_s,
             settle_s=self._bounds.contact_s,
+            longest_pause_s=self._longest_pause_s(),
         )
 
+    def _longest_pause_s(self) -> float:
+        """Returns how long a host waits before it tries a lost source again.
+
+        All hosts try at once, and the source refuses them all.
+        """
+        wanted_s = self._parts.hosts() / TRIES_A_SECOND
+        longest_s = max(LONGEST_PAUSE_S, self._bounds.contact_s * RETURN_PART)
+        return min(max(wanted_s, LONGEST_PAUSE_S), longest_s)
+
     def _take_all_published(self, listing: Listing[Published]) -> None:
         """Takes all that is published: an evacuation that lacks is over."""
         self._tell_unreadable(listing.unreadable)
--- a/packages/gateway/src/hollyknot_gateway/_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/_follower.py
@@ -32,9 +32,9 @@
 T = TypeVar("T")
 
 _FIRST_PAUSE_S = 0.1
-_LONGEST_PAUSE_S = 0.4
-"""Between failed reads: short enough that a version is in force within its
-bound once the source is back, long enough that refusals stay few."""
+LONGEST_PAUSE_S = 0.4
+"""Between failed reads, where hosts are few: short enough that a version is in
+force within its bound once the source is back."""
 
 _PAUSE_SPREAD = 0.25
 """By how much of it such a pause varies either way, so that all hosts don't
@@ -68,12 +68,14 @@
             again, none of them would notice a silent source for `wait_s`.
         pause_s: Between a watch that told changes and the next.
         settle_s: After a failure, how long removals may only be lapses.
+        longest_pause_s: Between failed reads.
     """
 
     wait_s: float
     first_wait_s: float
     pause_s: float
     settle_s: float
+    longest_pause_s: float = LONGEST_PAUSE_S
 
 
 class Follower(Generic[T]):
@@ -295,7 +297,8 @@
                 revision=self._revision,
             )
         factor = 2 ** min(self._failures - 1, 8)
-        await self._pause(min(_FIRST_PAUSE_S * factor, _LONGEST_PAUSE_S))
+        longest_s = self._options().longest_pause_s
+        await self._pause(min(_FIRST_PAUSE_S * factor, longest_s))
 
     async def _pause(self, seconds: float) -> None:
         if seconds > 0:
--- a/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
@@ -347,3 +347,46 @@
         link.play()
         assert link.watches == 2
         assert link.read_at_s < 1.0 + BEHIND_S + 0.8 + 0.1 + 0.1
+
+
+class TestLostSource:
+    """How often a source that is down is tried."""
+
+    def test_it_is_tried_seldom_and_found_again_soon(self) -> None:
+        """A store that is down gets most calls of its day just then.
+
+        Sequence: it refuses all hosts for ten seconds; each of 83 tries it
+        three times a second. Cause: the pause was that of a few hosts.
+        """
+        tries: list[float] = []
+        back_s = 10.0
+        found = asyncio.Event()
+
+        async def read() -> Listed:
+            return Listing({}, 5)
+
+        async def watch(_: int, __: float, ___: Callable[[], None]) -> Watched:
+            now_s = asyncio.get_running_loop().time()
+            tries.append(now_s)
+            if now_s >= back_s:
+                found.set()
+            return FAILED
+
+        async def main() -> None:
+            follower = Follower(
+                Source("test", read, watch),
+                lambda: FollowOptions(18.0, 18.0, 0.0, 3.0, 1.0),
+                lambda *_: None,
+                lambda *_: None,
+                Log("h", "d", os.open(os.devnull, os.O_WRONLY)),
+                random.Random(1),
+                lambda: asyncio.get_running_loop().time(),
+            )
+            following = asyncio.ensure_future(follower.run())
+            async with asyncio.timeout(60):
+                await found.wait()
+            following.cancel()
+
+        run_virtually(main())
+        assert len(tries) <= 16
+        assert tries[-1] < back_s + 1.3
