Test of a lost source: its list fails too

The test that came with the pauses let the list succeed while watches failed, so that each third failure began anew; it failed when it landed, by its own mistake. The source now refuses both.

--- a/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
@@ -362,16 +362,19 @@
         back_s = 10.0
         found = asyncio.Event()
 
-        async def read() -> Listed:
-            return Listing({}, 5)
-
-        async def watch(_: int, __: float, ___: Callable[[], None]) -> Watched:
+        def refuse() -> SourceFailure:
             now_s = asyncio.get_running_loop().time()
             tries.append(now_s)
             if now_s >= back_s:
                 found.set()
             return FAILED
 
+        async def read() -> Listed:
+            return refuse() if tries else Listing({}, 5)
+
+        async def watch(_: int, __: float, ___: Callable[[], None]) -> Watched:
+            return refuse()
+
         async def main() -> None:
             follower = Follower(
                 Source("test", read, watch),
