--- a/packages/coordination/src/hollyknot_coordination/forwarding/_forecasts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_forecasts.py
@@ -101,8 +101,7 @@
         """Takes what trackers have told of the streams of other hosts.
 
         One of many hosts relays a few streams at a time, so that it has seen
-        none at most upstreams. Emulated day of 83 hosts: 0.570 of its worth
-        where each host knows only its own streams, 0.709 where all are known.
+        none at most upstreams.
         """
         for pace in paces:
             self._told[pace.upstream] = _Pace(pace.interval_ms / 1000, now_s)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_inquiries.py
@@ -28,8 +28,8 @@
 ASK_FROM_S = 0.4
 """Usual time between two reports of a peer from which trackers are asked. What
 younger reports tell of all upstreams is worth more than what trackers tell of
-four: with 8 hosts, which hear each other every 0.15 s, emulated worth is 0.866
-by reports and 0.857 by trackers; 83 hear each other every few seconds."""
+four. Some ten hosts hear each other several times a second, hundreds of them
+every few seconds."""
 
 NOTE_FROM_S = ASK_FROM_S / 2
 """The same from which trackers are told of work: hosts measure it unlike, and
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
@@ -27,16 +27,11 @@
 """How much longer than the shortest accepted pause another one may be for its
 streams to share upstreams with those. Streams that bear half as much again bear
 an engine that reads prompts all the time, if those prompts are short or wait
-behind theirs; with them gone, the shortest pauses are kept even in a burst.
-Measured with accepted pauses of 0.2, 0.3 and 0.8 s, 24 days each way: mean
-worth 0.719 with the middle ones beside the shortest, 0.728 beside the longest.
-"""
+behind theirs; with them gone, the shortest pauses are kept even in a burst."""
 
 TIGHT_USE = 0.6
 """How busy upstreams of tight streams are to be, as a share of how busy the
-others are: a stream is late by one pause, a long prompt only by its sum.
-Emulated heavy day, mean worth of four seeds: 0.864 at 0.6, 0.849 at 0.8, 0.852
-at 1.0."""
+others are: a stream is late by one pause, a long prompt only by its sum."""
 
 SMOOTHING_S = 4.0
 """Over which demand is averaged: shorter than a burst, longer than the gap
@@ -50,7 +45,7 @@
 HYSTERESIS = 0.6
 """How far, in upstreams, the wanted number has to be from the present one: at
 each change streams with short pauses meet long prompts that still run, and
-sessions are moved. Emulated heavy day: 0.849 at 0.3, 0.859 at 0.6."""
+sessions are moved."""
 
 _ROUNDED = 0.5
 """How far a number of upstreams may be from the wanted one, being whole."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
@@ -21,9 +21,7 @@
 """What a token costs that an upstream lacks although another one has it cached,
 beside the time to read it: an upstream has to be busier by this many tokens
 before a session is moved. Mostly what lacks is fetched, but it then takes
-memory at both. Emulated heavy day, reports 0.15 s apart, mean worth of four
-seeds: 0.762 at 10, 0.799 at 1 and at 0.2; with reports 0.7 s apart 0.759, 0.739
-and 0.728."""
+memory at both."""
 
 RUNNING_TOKENS = 100
 """What a running stream counts, in tokens to be read in: each makes each step
@@ -33,8 +31,7 @@
 """How much more work the lane of tight streams has to have before one goes to
 the other lane: that of 50 more running streams. Where a lane of few upstreams
 fills its slots, streams put each other back and pause for longer than beside a
-prompt. Emulated heavy day, mean worth of four seeds: 0.799 at 20,000, 0.832 at
-5,000, 0.807 at 2,000."""
+prompt."""
 
 LOOSE_SPILL_TOKENS = 200_000
 """The same for loose streams. Each of their long prompts makes most streams
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_shedding.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_shedding.py
@@ -36,8 +36,7 @@
 second. More means that reading, and not slots, is short."""
 
 ADMITTED_SHARE = 0.1
-"""Of the least urgent, what is admitted all the same, so that none starves.
-With 0.2 the same days came to 0.685, and more urgent streams timed out."""
+"""Of the least urgent, what is admitted all the same, so that none starves."""
 
 SMALL_SHARE = 0.02
 """Of all slots, what the least urgent may hold in any case: refusing a route
@@ -48,11 +47,7 @@
 """Of the time that a request has left after its first event, the part that its
 answer is expected to take from which some of the least urgent are refused, and
 up to which ever more of them. Lengths vary, so that at 0.6 some would time out
-and at 1.2 some would not. Emulated heavy day, mean worth of four seeds with
-reports 0.15 and 0.7 s apart: 0.817 and 0.761 without, 0.844 and 0.805 from 0.6
-to 1.2, 0.842 and 0.788 from 0.8 to 1.2, 0.838 and 0.788 from 0.6 to 1.8. Of
-1,430 long streams 83 timed out or were lost without it, 25 with it, and 42
-were refused."""
+and at 1.2 some would not."""
 
 COME_BACK_S = 3.0
 """When a refused caller is told to come back, on the mean: bursts last a few
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_silences.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_silences.py
@@ -3,8 +3,7 @@
 A data centre that is cut off goes silent at once, and requests that were sent
 there hang until a timeout. But silences also come by chance: the reports of
 many hosts come at random, and any small multiple of their usual distance is
-passed all the time. At 195 hosts, with four times the usual distance as the
-bound, a calm data centre was taken to be cut off every few seconds.
+passed all the time.
 """
 
 import math
@@ -22,10 +21,9 @@
 few hosts come evenly, and some in a hundred datagrams are lost."""
 
 CHANCE = 1e-6
-"""How often, for each report, chance alone may bring such a silence. A data
-centre of many hosts is heard some eight times a second at 195 hosts, so that
-this comes to one false alarm in 35 hours; the usual distance is itself only
-estimated, which makes it some in an hour."""
+"""How often, for each report, chance alone may bring such a silence. At ten
+reports a second that is once a day; the usual distance is itself only
+estimated, which makes it some times an hour."""
 
 _LEARNT_S = 1.0
 """The most that one silence counts for in the usual time between two reports
--- a/packages/gateway/src/hollyknot_gateway/_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/_follower.py
@@ -53,8 +53,8 @@
 
 _WATCHES_FAILED = 3
 """Failed watches after which the list is read instead. A watch tells all that
-has changed meanwhile: after a storm of large versions its answer could not be
-read in time, and a host stayed behind for 13 s after the source was back."""
+has changed meanwhile: after a storm of large versions its answer may not be
+read in time, and a host would stay behind long after the source is back."""
 
 
 @attrs.frozen
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -285,8 +285,7 @@
         """Probes an upstream of each data centre that has just gone silent.
 
         One of them tells whether it is cut off; the others are probed only if
-        it is. A silence may come by chance, and each probe is a connection: at
-        195 hosts probes of all upstreams made most of 64,007 connections.
+        it is. A silence may come by chance, and each probe is a connection.
         """
         silent = self._peers.silent_data_centres(now_s)
         for data_centre in silent - self._silent:
--- a/packages/gateway/src/hollyknot_gateway/_read_news.py
+++ b/packages/gateway/src/hollyknot_gateway/_read_news.py
@@ -6,7 +6,7 @@
 
 READ_NEWS_S = 2.0
 """How long a host tells in each report which change it has read last. News
-pass through a fleet of 195 hosts, each told by some ten others a second, within
+pass through a fleet of hundreds, each told by some ten others a second, within
 half a second; after that the whole reports carry them."""
 
 
--- a/packages/protocol/src/hollyknot_protocol/_packed_uses.py
+++ b/packages/protocol/src/hollyknot_protocol/_packed_uses.py
@@ -2,9 +2,8 @@
 
 As thrift structs the same takes twice to three times as many, and what a host
 may send a second is bounded: the smaller a report is, the younger are the loads
-that peers decide by. With reports 0.7 s apart hosts crowd on the upstream that
-was idle a moment ago; at 0.15 s the emulated heavy day gives 0.798 of its worth
-instead of 0.723.
+that peers decide by. By old ones hosts crowd on the upstream that was idle a
+moment ago.
 
 For each upstream: its short name (4 bytes), requests that wait and streams that
 run (1 byte each), which urgencies have any (2 bytes, a bit each), then for each
