Where slots are short, tight streams go first; refuse from 0.75 of the slots

Slots were shared out in proportion to the streams of both, so that a burst of either made both late. And with refusals from 0.9 urgent streams put back 2,062 requests, whose prompts were read again.

Change: the lane of tight streams gets what its streams need first, the other one keeps 0.4 of the upstreams at least; the least urgent are refused from 0.75.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
@@ -42,6 +42,10 @@
 gets more upstreams: a burst takes some at once, and one stream in the wrong
 lane is late, or makes others late."""
 
+LEAST_LOOSE = 0.4
+"""Of the upstreams, the part that loose streams keep where slots are short: it
+is the tight ones that are late as soon as they are beside the others."""
+
 HYSTERESIS = 0.6
 """How far, in upstreams, the wanted number has to be from the present one: at
 each change streams with short pauses meet long prompts that still run, and
@@ -216,5 +220,6 @@
         loose = self._demand.streams(service, is_loose=True) / slots
         tight = self._demand.streams(service, is_loose=False) / slots
         if loose + tight > count:
-            return count * loose / (loose + tight)
+            # The tight ones first: loose streams wait, or are refused.
+            return max(count - tight, count * LEAST_LOOSE)
         return min(max(by_reading, loose), count - tight)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_shedding.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_shedding.py
@@ -26,9 +26,10 @@
 """Of all slots, the part in flight from which the least urgent are refused
 where prompts pile up."""
 
-FULL_SHARE = 0.9
+FULL_SHARE = 0.75
 """The same where they don't: engines with few slots fill them on any day, and
-are as fast then. The rest is for what comes while a refusal would be late."""
+are as fast then. The rest is for more urgent ones, which would else put back
+others that are then read in again."""
 
 PILED_TOKENS = 10_000
 """Prompt tokens that wait at an upstream, on the mean, from which they pile up:
