Try the upstreams of a data centre that is cut off in turn

Change: where four or more of a data centre are away, they are tried in turn, two a second; once one is reached, all are tried for two seconds.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_reachability.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_reachability.py
@@ -3,8 +3,13 @@
 In a cut, connections to the far side time out one after the other, and each
 request that tries one waits for that. One failure is enough to keep the others
 away, and a connection made in the background brings the upstream back.
+
+In a cut all upstreams of a data centre are away at once, and many hosts try
+them: some of each data centre are tried in turn, until one is reached.
 """
 
+import math
+from collections import Counter
 from collections.abc import Sequence
 
 import attrs
@@ -15,6 +20,16 @@
 LONGEST_RETRY_S = 1.0
 """Between two connections in the background to an upstream that is away."""
 
+MANY_AWAY = 4
+"""Upstreams of one data centre that are away from which they are tried in turn:
+so many seldom crash together."""
+
+TURN_S = 0.5
+"""Between two tries in turn."""
+
+RETURNING_S = 2.0
+"""How long after one of them was reached all of them are tried."""
+
 
 @attrs.define
 class _Away:
@@ -29,6 +44,10 @@
     def __init__(self) -> None:
         """All are taken to be reachable."""
         self._away: dict[str, _Away] = {}
+        # By data centre: when the next one is tried in turn, and until when
+        # all are tried.
+        self._turn_s: dict[str, float] = {}
+        self._returning_until_s: dict[str, float] = {}
 
     def failed(self, entry: UpstreamEntry, now_s: float) -> bool:
         """Notes a connection that failed or fell silent.
@@ -45,13 +64,18 @@
         away.next_try_s = now_s + away.pause_s
         return False
 
-    def succeeded(self, incarnation: str) -> bool:
+    def succeeded(self, incarnation: str, now_s: float) -> bool:
         """Notes a connection.
 
         Returns:
             Whether the upstream was taken to be away before.
         """
-        return self._away.pop(incarnation, None) is not None
+        away = self._away.pop(incarnation, None)
+        if away is None:
+            return False
+        data_centre = away.entry.data_centre
+        self._returning_until_s[data_centre] = now_s + RETURNING_S
+        return True
 
     def forget(self, incarnation: str) -> None:
         """Notes that an upstream has left for good."""
@@ -69,8 +93,25 @@
 
     def due(self, now_s: float) -> list[UpstreamEntry]:
         """Returns upstreams to connect to in the background now."""
+        counts = Counter(a.entry.data_centre for a in self._away.values())
         due = [a for a in self._away.values() if now_s >= a.next_try_s]
+        due.sort(key=lambda away: away.next_try_s)
+        tried = []
         for away in due:
+            data_centre = away.entry.data_centre
+            is_many = counts[data_centre] >= MANY_AWAY
+            if is_many and not self._has_turn(data_centre, now_s):
+                continue
             # Again only when this one has ended, or if it never does.
             away.next_try_s = now_s + 2 * LONGEST_RETRY_S
-        return [away.entry for away in due]
+            tried.append(away.entry)
+        return tried
+
+    def _has_turn(self, data_centre: str, now_s: float) -> bool:
+        """Whether one of many that are away may be tried, and notes it."""
+        if now_s < self._returning_until_s.get(data_centre, -math.inf):
+            return True
+        if now_s < self._turn_s.get(data_centre, -math.inf):
+            return False
+        self._turn_s[data_centre] = now_s + TURN_S
+        return True
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_reachability.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_reachability.py
@@ -14,7 +14,7 @@
         assert reachability.failed(A, 0.0)
         assert not reachability.failed(A, 0.1)
         assert reachability.away([A, B]) == {"a"}
-        assert reachability.succeeded("a")
+        assert reachability.succeeded("a", 0.2)
         assert reachability.away([A, B]) == frozenset()
 
     def test_tries_again_with_growing_pauses(self) -> None:
@@ -37,3 +37,36 @@
         reachability.failed(A, 0.0)
         assert reachability.due(0.5) == [A]
         assert reachability.due(0.6) == []
+
+    def test_a_data_centre_that_is_cut_off_is_tried_in_turn(self) -> None:
+        """A cut of seconds costs thousands of connections.
+
+        Sequence: a data centre of twenty upstreams is cut off; each of many
+        hosts tries each of them once a second. Cause: each upstream was tried
+        for itself, though all are behind the same cut.
+        """
+        reachability = Reachability()
+        far = [upstream(f"far-{n:02}") for n in range(20)]
+        for entry in far:
+            reachability.failed(entry, 0.0)
+        tries = []
+        for step in range(1, 49):
+            now_s = step / 8
+            for entry in reachability.due(now_s):
+                tries.append(entry)
+                reachability.failed(entry, now_s)
+        assert len(tries) <= 13
+        assert len({entry.incarnation for entry in tries}) == len(tries)
+        # The cut ends: the next one in turn is reached, and all are tried.
+        found = reachability.due(6.5)
+        assert len(found) == 1
+        assert reachability.succeeded(found[0].incarnation, 6.5)
+        back = {e.incarnation for e in reachability.due(6.6)}
+        back |= {e.incarnation for e in reachability.due(8.4)}
+        assert len(back) == len(far) - 1
+
+    def test_a_few_are_tried_each_for_itself(self) -> None:
+        reachability = Reachability()
+        for name in "abc":
+            reachability.failed(upstream(name), 0.0)
+        assert len(reachability.due(0.5)) == 3
--- a/packages/gateway/src/hollyknot_gateway/_prober.py
+++ b/packages/gateway/src/hollyknot_gateway/_prober.py
@@ -94,7 +94,7 @@
             self.failed(entry, found)
             return found
         self._pool.give_back(entry.incarnation, found)
-        if self._reachability.succeeded(entry.incarnation):
+        if self._reachability.succeeded(entry.incarnation, self._clock()):
             self._log.line("reachable", upstream=entry.incarnation)
             self._on_back(entry)
         return None
