Spare cold upstreams that were read before the routes

Found by reading the diff: a host that has just started may read the entries of upstreams before the routes, which say what cold upstreams bear. Such an entry was taken for a warm upstream, by every host of a fleet that starts beside it. The service is now looked up when a request is to be sent. The test fails on the code before.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_cold_starts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_cold_starts.py
@@ -35,10 +35,18 @@
 
 @attrs.define
 class _Cold:
-    """An upstream that is cold, or may be."""
+    """An upstream that is cold, or may be.
 
+    Attributes:
+        service: Its service, which may not be known yet: a host that has just
+            started may read upstreams before routes.
+        until_s: When it is warm.
+        permit_s: When this host's present permit began, or its next one
+            begins; None before the first look at it.
+    """
+
+    service: str
     until_s: float
-    rate: float
     permit_s: float | None = None
 
 
@@ -136,22 +144,21 @@
         return True
 
     def _begin(self, entry: UpstreamEntry, now_s: float, for_s: float) -> None:
-        cold_start = self._cold_start(entry.service)
-        if cold_start is None:
-            return
         until_s = now_s + for_s
-        cold = self._at(entry.incarnation, now_s)
-        if cold is not None:
+        cold = self._cold.get(entry.incarnation)
+        if cold is not None and now_s < cold.until_s:
             cold.until_s = max(cold.until_s, until_s)
-            return
-        self._cold[entry.incarnation] = _Cold(until_s, cold_start.rate)
+        else:
+            self._cold[entry.incarnation] = _Cold(entry.service, until_s)
 
     def _at(self, incarnation: str, now_s: float) -> _Cold | None:
         cold = self._cold.get(incarnation)
-        if cold is not None and now_s >= cold.until_s:
+        if cold is None:
+            return None
+        if now_s >= cold.until_s:
             del self._cold[incarnation]
             return None
-        return cold
+        return cold if self._cold_start(cold.service) is not None else None
 
     def _is_open(self, incarnation: str, now_s: float) -> bool:
         cold = self._at(incarnation, now_s)
@@ -163,7 +170,10 @@
 
     def _interval_s(self, cold: _Cold) -> float:
         """Returns the time between two permits of this host."""
-        return self._hosts / (cold.rate * RATE_PART)
+        cold_start = self._cold_start(cold.service)
+        if cold_start is None:
+            return 0.0
+        return self._hosts / (cold_start.rate * RATE_PART)
 
     def _permit_s(self, cold: _Cold, now_s: float) -> float:
         """Returns when the permit begins that has not lapsed."""
@@ -171,7 +181,7 @@
         if cold.permit_s is None:
             cold.permit_s = now_s + self._rng.uniform(0, interval_s)
         lapsed_s = now_s - cold.permit_s - PERMIT_S
-        # Of a host with a permit within each such time one is always left.
+        # Where permits follow each other sooner than they lapse, one is left.
         if lapsed_s > 0 and interval_s > PERMIT_S:
             cold.permit_s += math.ceil(lapsed_s / interval_s) * interval_s
         return cold.permit_s
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
@@ -216,9 +216,9 @@
         """Returns how many upstreams loose streams are to have."""
         count = len(entries)
         by_reading = count * self._demand.share_of_loose(service, now_s)
-        slots = SLOT_USE * sum(entry.slots for entry in entries) / count
-        loose = self._demand.streams(service, is_loose=True) / slots
-        tight = self._demand.streams(service, is_loose=False) / slots
+        used_slots = SLOT_USE * sum(entry.slots for entry in entries) / count
+        loose = self._demand.streams(service, is_loose=True) / used_slots
+        tight = self._demand.streams(service, is_loose=False) / used_slots
         if loose + tight > count:
             # The tight ones first: loose streams wait, or are refused.
             return max(count - tight, count * LEAST_LOOSE)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_cold_starts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_cold_starts.py
@@ -167,6 +167,22 @@
         host.suspect(upstream("a"), 0.0)
         assert host.closed([upstream("a")], 0.0) == frozenset()
 
+    def test_a_host_that_reads_upstreams_before_routes_spares_them(
+        self,
+    ) -> None:
+        """Hosts that have just started crash upstreams that have, too.
+
+        Sequence: hosts and upstreams start together; a host reads the entries
+        of upstreams before the routes, which say what cold ones bear. Cause:
+        an entry whose service was not known yet was taken for a warm one.
+        """
+        services: dict[str, ColdStart] = {}
+        host = ColdStarts(random.Random(1), 0.0, services.get, is_alone=False)
+        host.note(_cold(3.0), 0.0)
+        services["engines"] = COLD_START
+        assert host.closed([upstream("a")], 0.1) == {"a"}
+        assert not host.take("a", 0.1)
+
     def test_one_with_a_permit_is_offered(self) -> None:
         """An upstream gets nothing until it is warm.
 
