Read rate limits that upstreams name, and log them

Callers saw nothing; an upstream in need got up to twice what it had asked for. An answer without a limit withdraws it only if its request was sent after the limit was last heard. No decision follows from it yet.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -18,6 +18,7 @@
 )
 from hollyknot_coordination.forwarding._lanes import Demand, Lanes, Tolerance
 from hollyknot_coordination.forwarding._loads import Load, Loads
+from hollyknot_coordination.forwarding._named_limits import NamedLimits
 from hollyknot_coordination.forwarding._peers import Peers
 from hollyknot_coordination.forwarding._placement import (
     Choice,
@@ -80,6 +81,7 @@
     "Lanes",
     "Load",
     "Loads",
+    "NamedLimits",
     "NoOwner",
     "NoPlace",
     "NoRoute",
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -108,6 +108,7 @@
         clock: Callable[[], float],
         on_first_event: Callable[[], None],
         on_interval: Callable[[float], None],
+        on_traits: Callable[[AnswerTraits, float], None],
     ) -> None:
         """Waits for the answer.
 
@@ -120,6 +121,8 @@
             clock: The loop's monotonic clock, in seconds.
             on_first_event: Told when the first event of a stream is in.
             on_interval: Told the seconds between two parts of a stream.
+            on_traits: Told what the answer's head says, and when the request
+                was sent.
         """
         self._dialect = dialect
         self._attempt_id = attempt_id
@@ -129,6 +132,7 @@
         self._clock = clock
         self._on_first_event = on_first_event
         self._on_interval = on_interval
+        self._on_traits = on_traits
         self._head: Head | None = None
         self._traits: AnswerTraits | None = None
         self._parts: list[bytes] = []
@@ -174,7 +178,9 @@
             # The answer to a request before this one, come late. What this
             # request did is not known.
             self._reject("the answer names another request")
-        elif _ENCODING in head.fields:
+            return
+        self._on_traits(traits, self._sent_s)
+        if _ENCODING in head.fields:
             self._reject("the body was encoded on its way")
         elif head.status == _OK and traits.is_event_stream:
             self._is_relayed = traits.is_sealed or self._reply.has_begun
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -24,6 +24,7 @@
 from hollyknot_gateway._pool import Pool
 from hollyknot_gateway._ports import Dialect
 from hollyknot_gateway._prober import Prober
+from hollyknot_gateway._rate_limits import RateLimits
 from hollyknot_gateway._stalls import Stalls
 
 
@@ -41,6 +42,7 @@
         reachability: Knows which upstreams can't be connected to.
         health: Knows which upstreams fail much of their work.
         cold_starts: Bounds what upstreams get that have just started.
+        rate_limits: Reads the limits that upstreams name.
         neighbours: Asks other hosts for loads.
         prober: Finds that out by new connections.
         suspects: Knows which requests may crash upstreams.
@@ -63,6 +65,7 @@
     reachability: Reachability
     health: Health
     cold_starts: ColdStarts
+    rate_limits: RateLimits
     neighbours: Neighbours
     prober: Prober
     suspects: SuspectRegister
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -20,6 +20,7 @@
     Forecasts,
     Health,
     Loads,
+    NamedLimits,
     Placement,
     Reachability,
     RetryBudget,
@@ -41,6 +42,7 @@
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._ports import Dialect, Source
 from hollyknot_gateway._prober import Prober
+from hollyknot_gateway._rate_limits import RateLimits
 from hollyknot_gateway._read_news import ReadNews
 from hollyknot_gateway._stalls import Stalls
 from hollyknot_gateway._suspension import Suspension
@@ -128,6 +130,8 @@
             self._in_force.cold_start,
             is_alone=not set(settings.seeds) - {settings.peers},
         )
+        self._named_limits = NamedLimits()
+        self._rate_limits = RateLimits(self._named_limits, self._log, clock)
         self._stalls = Stalls(clock)
         self._prober = Prober(
             self._pool,
@@ -202,6 +206,7 @@
             health=self._health,
             cold_starts=self._cold_starts,
             prober=self._prober,
+            rate_limits=self._rate_limits,
             neighbours=self._neighbours,
             suspects=self._suspects,
             losses=Losses(
@@ -354,6 +359,10 @@
         gauge("hollyknot_ready", lambda: float(self.is_ready))
         gauge("hollyknot_routes_version", lambda: float(self.table_version))
         gauge("hollyknot_upstreams_usable", lambda: float(len(self.upstreams)))
+        gauge(
+            "hollyknot_upstreams_limited",
+            lambda: float(self._named_limits.count),
+        )
         gauge("hollyknot_peers_heard", lambda: float(self._neighbours.count))
         gauge(
             "hollyknot_requests_in_work", lambda: float(self._callers.in_work)
@@ -412,6 +421,7 @@
         self._reachability.forget(incarnation)
         self._health.forget(incarnation)
         self._cold_starts.forget(incarnation)
+        self._rate_limits.forget(incarnation)
         self._forecasts.forget(incarnation)
 
     def _look_at_clocks(self) -> None:
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_rate_limits.py
@@ -0,0 +1,69 @@
+"""What upstreams say of the rate that they take."""
+
+from collections.abc import Callable
+
+from hollyknot_coordination.forwarding import NamedLimits
+from hollyknot_gateway._log import Log
+from hollyknot_state.routes import AnswerTraits, NoLimit, UpstreamEntry
+
+
+class RateLimits:
+    """Reads rate limits from answers, and logs what is new."""
+
+    def __init__(
+        self, named: NamedLimits, log: Log, clock: Callable[[], float]
+    ) -> None:
+        """Wires the parts.
+
+        Args:
+            named: What is known.
+            log: Told of limits that are named, changed and withdrawn.
+            clock: The loop's monotonic clock, in seconds.
+        """
+        self._named = named
+        self._log = log
+        self._clock = clock
+        self._unreadable: set[str] = set()
+
+    def rate(self, entry: UpstreamEntry) -> float | None:
+        """Returns an upstream's limit in requests a second; None for none."""
+        return self._named.rate(entry.incarnation)
+
+    def hear(
+        self, entry: UpstreamEntry, traits: AnswerTraits, sent_s: float
+    ) -> None:
+        """Takes what the head of an answer says.
+
+        Args:
+            entry: The upstream that was asked.
+            traits: What its answer says.
+            sent_s: When the request was sent.
+        """
+        if traits.is_other_upstream:
+            return
+        rate = traits.rate_limit
+        if rate is NoLimit.UNREADABLE:
+            self._tell_unreadable(entry)
+            return
+        self._unreadable.discard(entry.incarnation)
+        if rate is NoLimit.NOT_NAMED and not traits.is_sealed:
+            return
+        limit = None if isinstance(rate, NoLimit) else rate
+        if self._named.hear(entry.incarnation, limit, sent_s, self._clock()):
+            self._tell(entry, limit)
+
+    def forget(self, incarnation: str) -> None:
+        """Notes that an upstream has left for good."""
+        self._named.forget(incarnation)
+        self._unreadable.discard(incarnation)
+
+    def _tell(self, entry: UpstreamEntry, rate: float | None) -> None:
+        if rate is None:
+            self._log.line("limit_withdrawn", upstream=entry.incarnation)
+        else:
+            self._log.line("limit_named", upstream=entry.incarnation, rate=rate)
+
+    def _tell_unreadable(self, entry: UpstreamEntry) -> None:
+        if entry.incarnation not in self._unreadable:
+            self._unreadable.add(entry.incarnation)
+            self._log.line("limit_unreadable", upstream=entry.incarnation)
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -218,6 +218,9 @@
             parts.clock,
             lambda: parts.placement.start(work),
             lambda interval_s: self._note_interval(entry, interval_s),
+            lambda traits, sent_s: parts.rate_limits.hear(
+                entry, traits, sent_s
+            ),
         )
         data = self._request_bytes(job, choice)
         if not job.sent:
@@ -357,6 +360,7 @@
             read=choice.tokens,
             ahead=choice.ahead,
             loose=job.is_loose,
+            limit=self._parts.rate_limits.rate(choice.entry),
         )
 
     def _observe_try(self, job: Job, result: Result) -> None:
--- a/packages/state/src/hollyknot_state/routes/__init__.py
+++ b/packages/state/src/hollyknot_state/routes/__init__.py
@@ -4,6 +4,7 @@
     AnswerTraits,
     CallTraits,
     Dispatch,
+    NoLimit,
     PromptPart,
 )
 from hollyknot_state.routes._evacuation import Evacuation
@@ -39,6 +40,7 @@
     "Evacuation",
     "GatewaySettings",
     "KeyOwner",
+    "NoLimit",
     "PromptPart",
     "Published",
     "Route",
--- a/packages/state/src/hollyknot_state/routes/_calls.py
+++ b/packages/state/src/hollyknot_state/routes/_calls.py
@@ -1,5 +1,7 @@
 """What a request and an answer say of themselves, beside their bytes."""
 
+import enum
+
 import attrs
 
 from hollyknot_state._settings import Address
@@ -68,6 +70,16 @@
     source: Address | None = None
 
 
+class NoLimit(enum.Enum):
+    """Why an answer tells no rate limit."""
+
+    NOT_NAMED = "not-named"
+    """The upstream takes what it is sent."""
+
+    UNREADABLE = "unreadable"
+    """It named something that is no rate, which tells nothing."""
+
+
 @attrs.frozen
 class AnswerTraits:
     """What the head of an upstream's answer tells a host.
@@ -80,6 +92,8 @@
         is_event_stream: Whether the body is server-sent events.
         keeps_s: How long the upstream keeps an idle connection; 0 if it does
             not say.
+        rate_limit: Requests a second that the upstream takes from all hosts
+            together.
     """
 
     attempt_id: str
@@ -88,3 +102,4 @@
     is_sealed: bool
     is_event_stream: bool
     keeps_s: float
+    rate_limit: float | NoLimit = NoLimit.NOT_NAMED
