--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -7,6 +7,7 @@
 from hollyknot_coordination.forwarding._cold_starts import ColdStarts
 from hollyknot_coordination.forwarding._events import EventCutter
 from hollyknot_coordination.forwarding._fleet import Ended, Fleet
+from hollyknot_coordination.forwarding._fleet_size import FleetSize
 from hollyknot_coordination.forwarding._forecasts import Forecasts
 from hollyknot_coordination.forwarding._health import Health
 from hollyknot_coordination.forwarding._inquiries import (
@@ -20,6 +21,12 @@
 from hollyknot_coordination.forwarding._loads import Load, Loads
 from hollyknot_coordination.forwarding._named_limits import NamedLimits
 from hollyknot_coordination.forwarding._peers import Peers
+from hollyknot_coordination.forwarding._permits import (
+    PERMIT_ANSWER_S,
+    PermitRequest,
+    Permits,
+    Queries,
+)
 from hollyknot_coordination.forwarding._placement import (
     Choice,
     NoPlace,
@@ -75,6 +82,7 @@
     "Ended",
     "EventCutter",
     "Fleet",
+    "FleetSize",
     "Forecasts",
     "GiveUp",
     "Health",
@@ -85,9 +93,13 @@
     "NoOwner",
     "NoPlace",
     "NoRoute",
+    "PERMIT_ANSWER_S",
     "Peers",
+    "PermitRequest",
+    "Permits",
     "Placement",
     "Reachability",
+    "Queries",
     "ReportRate",
     "RetryBudget",
     "RouteIndex",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_cold_starts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_cold_starts.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from hollyknot_coordination.forwarding._fleet_size import FleetSize
 from hollyknot_state.routes import ColdStart, UpstreamEntry
 
 RATE_PART = 0.5
@@ -24,14 +25,6 @@
 """How long a permit holds: most hosts have a request to send within it, and in
 any second hardly more than one and a half seconds' permits can be used."""
 
-LEARN_S = 4.0
-"""After its start a host sends nothing to cold upstreams for so long: it does
-not know yet among how many it shares."""
-
-REMEMBER_S = 60.0
-"""How long the largest number of hosts counts. Hosts that are cut off from each
-other may reach the same upstreams."""
-
 
 @attrs.define
 class _Cold:
@@ -56,35 +49,27 @@
     def __init__(
         self,
         rng: random.Random,
-        started_s: float,
+        size: FleetSize,
         cold_start: Callable[[str], ColdStart | None],
-        *,
-        is_alone: bool,
     ) -> None:
         """Takes all upstreams for warm.
 
         Args:
             rng: Spreads the permits of hosts.
-            started_s: When this host started.
+            size: Among how many hosts the upstreams are shared. A host that
+                doesn't know it sends nothing to cold ones.
             cold_start: What the upstreams of a service bear while cold; None
                 for one whose upstreams are never cold.
-            is_alone: Whether there may be no other host. One that was given
-                peers and hears none is cut off, and has no share.
         """
         self._rng = rng
-        self._learnt_s = started_s + LEARN_S
+        self._size = size
         self._cold_start = cold_start
-        self._is_alone = is_alone
         self._cold: dict[str, _Cold] = {}
-        self._hosts = 1
-        self._hosts_s = -math.inf
 
-    def set_hosts(self, hosts: int, now_s: float) -> None:
-        """Tells among how many hosts the upstreams are shared."""
-        is_forgotten = now_s - self._hosts_s > REMEMBER_S
-        if hosts >= self._hosts or is_forgotten:
-            self._hosts = hosts
-            self._hosts_s = now_s
+    @property
+    def size(self) -> FleetSize:
+        """Among how many hosts the upstreams are shared."""
+        return self._size
 
     def note(self, entry: UpstreamEntry, now_s: float) -> None:
         """Takes what an upstream says of itself in an entry that is new."""
@@ -164,7 +149,7 @@
         cold = self._at(incarnation, now_s)
         if cold is None:
             return True
-        if now_s < self._learnt_s or (self._hosts == 1 and not self._is_alone):
+        if not self._size.is_known(now_s):
             return False
         return now_s >= self._permit_s(cold, now_s)
 
@@ -173,7 +158,7 @@
         cold_start = self._cold_start(cold.service)
         if cold_start is None:
             return 0.0
-        return self._hosts / (cold_start.rate * RATE_PART)
+        return self._size.hosts / (cold_start.rate * RATE_PART)
 
     def _permit_s(self, cold: _Cold, now_s: float) -> float:
         """Returns when the permit begins that has not lapsed."""
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_fleet_size.py
@@ -0,0 +1,66 @@
+"""Among how many hosts a bound of an upstream is shared.
+
+An upstream bears a rate from all hosts together, and hosts share no state. Each
+goes by how many there are, also those that it doesn't hear: behind a cut they
+may reach the same upstreams.
+"""
+
+import math
+
+LEARN_S = 4.0
+"""How long a host takes to hear of the others after its start."""
+
+REMEMBER_S = 60.0
+"""How long the largest number of hosts counts."""
+
+
+class FleetSize:
+    """What one host knows of the number of hosts."""
+
+    def __init__(self, started_s: float, *, is_alone: bool) -> None:
+        """Knows of this host only.
+
+        Args:
+            started_s: When this host started.
+            is_alone: Whether there may be no other host. One that was given
+                peers and has heard none knows nothing of the number.
+        """
+        self.is_alone = is_alone
+        self._started_s = started_s
+        self._hosts = 1
+        self._hosts_s = -math.inf
+        self._heard = 1
+
+    @property
+    def hosts(self) -> int:
+        """The largest number of hosts in the last while."""
+        return self._hosts
+
+    @property
+    def heard_part(self) -> float:
+        """The part of the hosts that are heard, this one among them."""
+        return min(1.0, self._heard / self._hosts)
+
+    def set(self, hosts: int, heard: int, now_s: float) -> None:
+        """Takes the number of hosts.
+
+        Args:
+            hosts: As estimated, this one among them.
+            heard: Of these, the ones that are heard, and this one.
+            now_s: The time.
+        """
+        self._heard = heard
+        is_forgotten = now_s - self._hosts_s > REMEMBER_S
+        if hosts >= self._hosts or is_forgotten:
+            self._hosts = hosts
+            self._hosts_s = now_s
+
+    def is_known(self, now_s: float, learn_s: float = LEARN_S) -> bool:
+        """Whether enough is known for this host to have a share.
+
+        Args:
+            now_s: The time.
+            learn_s: How long after its start a host has none.
+        """
+        has_learnt = now_s >= self._started_s + learn_s
+        return has_learnt and (self._hosts > 1 or self.is_alone)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_permits.py
@@ -0,0 +1,394 @@
+"""Permits for requests to upstreams that have named a rate limit.
+
+The limit holds for all hosts together. One of them issues permits at its rate,
+the host that tracks the upstream, which all find alike; the others ask it
+before they send. Without an answer there is no permit: the request goes to
+another upstream.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from hollyknot_coordination.forwarding._fleet_size import FleetSize
+from hollyknot_coordination.forwarding._issuer_claims import IssuerClaims
+from hollyknot_coordination.forwarding._named_limits import NamedLimits
+from hollyknot_coordination.forwarding._permit_issuer import PermitIssuer
+from hollyknot_coordination.forwarding._trackers import (
+    MISSES,
+    Tracker,
+    Trackers,
+    rank,
+)
+from hollyknot_state import (
+    Address,
+    NamedLimit,
+    PermitAnswer,
+    PermitQuery,
+    short_name,
+)
+from hollyknot_state.routes import UpstreamEntry
+
+PERMIT_ANSWER_S = 0.025
+"""The longest wait for an answer: some round trips between data centres of a
+region, on hosts with half a core too."""
+
+UNANSWERED_S = 0.1
+"""After answers that did not come, when to ask again."""
+
+MOST_ASKED = 2
+"""Hosts that are asked for one permit, the second where the first is silent."""
+
+MOST_REDIRECTS = 2
+"""Times that a query is sent on to another host."""
+
+_WAIT_SPREAD = 0.25
+"""By how much of a wait hosts differ, so that they don't ask all at once."""
+
+_UNKNOWN = ""
+"""The data centre of an issuer of which only this is not known."""
+
+_MS = 1000
+_MOST_NUMBERS = 2**31 - 1
+"""Numbers of queries begin again after this one."""
+
+Queries = list[tuple[Address, PermitQuery]]
+"""What is to be sent to whom."""
+
+
+@attrs.define(eq=False)
+class PermitRequest:
+    """One question for a permit.
+
+    Attributes:
+        entry: The upstream.
+        is_least_urgent: Whether the request is among the least urgent of its
+            service.
+        is_issued: The outcome; None until there is one.
+        on_done: Told of the outcome; set by whoever waits.
+        asked: The host that was asked last; None after a redirect.
+        hosts: How many were asked because one was silent.
+        redirects: How often it was sent on.
+    """
+
+    entry: UpstreamEntry
+    is_least_urgent: bool
+    is_issued: bool | None = None
+    on_done: Callable[[], None] = lambda: None
+    asked: Tracker | None = None
+    hosts: int = 0
+    redirects: int = 0
+
+
+@attrs.define
+class _Closed:
+    """Until when an upstream is not asked for."""
+
+    all_s: float = float("-inf")
+    least_urgent_s: float = float("-inf")
+
+    def until_s(self, *, is_least_urgent: bool) -> float:
+        if is_least_urgent:
+            return max(self.all_s, self.least_urgent_s)
+        return self.all_s
+
+
+class Permits:
+    """What one host asks for, and answers as an issuer."""
+
+    def __init__(
+        self,
+        trackers: Trackers,
+        size: FleetSize,
+        named: NamedLimits,
+        entry_of: Callable[[str], UpstreamEntry | None],
+        rng: random.Random,
+    ) -> None:
+        """Has asked nothing yet.
+
+        Args:
+            trackers: Finds who issues the permits of an upstream.
+            size: How many hosts there are.
+            named: The limits that are known.
+            entry_of: Returns a known upstream by its incarnation.
+            rng: Spreads the times at which hosts ask again.
+        """
+        self._trackers = trackers
+        self._issuer = PermitIssuer(size)
+        self._claims = IssuerClaims(trackers.own, size)
+        self._named = named
+        self._entry_of = entry_of
+        self._rng = rng
+        self._number = 0
+        self._waiting: dict[int, PermitRequest] = {}
+        self._closed: dict[str, _Closed] = {}
+
+    def is_limited(self, entry: UpstreamEntry) -> bool:
+        """Whether a request to an upstream needs a permit."""
+        return self._named.rate(entry.incarnation) is not None
+
+    def closed(
+        self,
+        entries: Iterable[UpstreamEntry],
+        now_s: float,
+        *,
+        is_least_urgent: bool,
+    ) -> frozenset[str]:
+        """Returns the incarnations that are not worth asking for now."""
+        if not self._closed:
+            return frozenset()
+        return frozenset(
+            entry.incarnation
+            for entry in entries
+            if self._wait_s(entry, now_s, is_least_urgent=is_least_urgent) > 0
+        )
+
+    def shortest_wait_s(
+        self,
+        entries: Iterable[UpstreamEntry],
+        now_s: float,
+        *,
+        is_least_urgent: bool,
+    ) -> float | None:
+        """Returns when the first of some limited upstreams may be asked for.
+
+        Returns:
+            Seconds from now; None where none of them has a limit.
+        """
+        waits = [
+            max(
+                0.0, self._wait_s(entry, now_s, is_least_urgent=is_least_urgent)
+            )
+            for entry in entries
+            if self.is_limited(entry)
+        ]
+        return min(waits, default=None)
+
+    def told(self, now_s: float, *, is_all: bool) -> tuple[NamedLimit, ...]:
+        """Returns limits to tell other hosts.
+
+        Args:
+            now_s: The time.
+            is_all: Whether to tell those too that changed long ago.
+        """
+        return tuple(
+            attrs.evolve(limit, issuer=self._claims.told(limit.upstream, now_s))
+            for limit in self._named.told(now_s, is_all=is_all)
+        )
+
+    def take(
+        self, told: Iterable[NamedLimit], now_s: float
+    ) -> list[NamedLimit]:
+        """Takes limits that another host has told, and returns what is news."""
+        told = tuple(told)
+        for limit in told:
+            if limit.issuer is not None:
+                self._claims.take(limit.upstream, limit.issuer, now_s)
+        return self._named.take(told, now_s)
+
+    def ask(
+        self, entry: UpstreamEntry, now_s: float, *, is_least_urgent: bool
+    ) -> tuple[PermitRequest, Queries]:
+        """Asks for a permit.
+
+        Returns:
+            The request, whose outcome is known at once where this host issues
+            the permits, and what is to be sent.
+        """
+        request = PermitRequest(entry, is_least_urgent)
+        return request, self._ask_next(request, now_s)
+
+    def overdue(
+        self, request: PermitRequest, now_s: float
+    ) -> tuple[Tracker | None, Queries]:
+        """Ends the wait for an answer that has not come in time.
+
+        Returns:
+            The host that is passed over from now on for a while, if one is;
+            and what is to be sent to another host, unless
+            the request has its outcome now.
+        """
+        for number in [n for n, r in self._waiting.items() if r is request]:
+            del self._waiting[number]
+        silent = request.asked
+        if silent is not None:
+            self._trackers.missed(silent, now_s, MISSES)
+        if silent is not None and request.hosts < MOST_ASKED:
+            return silent, self._ask_next(request, now_s)
+        self._settle(request, now_s, is_issued=False, wait_s=UNANSWERED_S)
+        return silent, []
+
+    def answer(self, query: PermitQuery, now_s: float) -> PermitAnswer:
+        """Answers another host as the issuer of an upstream's permits."""
+        self._named.take((query.limit,), now_s)
+        limit = self._named.word(query.upstream, now_s)
+        if limit.rate is None:
+            return PermitAnswer(query.number, is_issued=True, limit=limit)
+        entry = self._entry_of(query.upstream)
+        if entry is not None and not query.is_passed_over:
+            issuer = self._issuer_of(entry, now_s)
+            if issuer is not None:
+                return PermitAnswer(
+                    query.number,
+                    is_issued=False,
+                    limit=limit,
+                    issuer=issuer.address,
+                )
+        wait_s = self._issue(
+            query.upstream,
+            entry,
+            now_s,
+            is_least_urgent=query.is_least_urgent,
+        )
+        return PermitAnswer(
+            query.number,
+            is_issued=not wait_s,
+            wait_ms=round(wait_s * _MS),
+            limit=limit,
+        )
+
+    def take_answer(self, answer: PermitAnswer, now_s: float) -> Queries:
+        """Takes an answer.
+
+        Returns:
+            What is to be sent, where another host issues the permits.
+        """
+        if answer.limit is not None:
+            self._named.take((answer.limit,), now_s)
+        request = self._waiting.pop(answer.number, None)
+        if request is None:
+            # It came too late, and its permit stays unused.
+            return []
+        if request.asked is not None:
+            self._trackers.answered(request.asked)
+            request.asked = None
+        if answer.issuer is None:
+            self._settle(
+                request,
+                now_s,
+                is_issued=answer.is_issued,
+                wait_s=answer.wait_ms / _MS,
+            )
+            return []
+        if answer.issuer == self._trackers.own.address:
+            self._issue_own(request, now_s)
+            return []
+        if request.redirects >= MOST_REDIRECTS:
+            self._settle(request, now_s, is_issued=False, wait_s=UNANSWERED_S)
+            return []
+        request.redirects += 1
+        return [self._query(request, answer.issuer, now_s)]
+
+    def forget(self, incarnation: str) -> None:
+        """Notes that an upstream has left for good."""
+        self._closed.pop(incarnation, None)
+        self._issuer.forget(incarnation)
+        self._claims.forget(short_name(incarnation))
+
+    def _ask_next(self, request: PermitRequest, now_s: float) -> Queries:
+        """Asks the host that issues permits, as far as is known now."""
+        issuer = self._issuer_of(request.entry, now_s)
+        if issuer is None:
+            self._issue_own(request, now_s)
+            return []
+        request.hosts += 1
+        request.asked = issuer
+        return [self._query(request, issuer.address, now_s)]
+
+    def _query(
+        self, request: PermitRequest, address: Address, now_s: float
+    ) -> tuple[Address, PermitQuery]:
+        self._number = self._number % _MOST_NUMBERS + 1
+        self._waiting[self._number] = request
+        incarnation = request.entry.incarnation
+        query = PermitQuery(
+            self._number,
+            incarnation,
+            self._named.word(incarnation, now_s),
+            request.is_least_urgent,
+            is_passed_over=request.hosts > 1,
+        )
+        return address, query
+
+    def _issuer_of(self, entry: UpstreamEntry, now_s: float) -> Tracker | None:
+        """Returns who issues permits; None where this host does."""
+        own = self._trackers.own
+        found = self._trackers.of(entry, now_s) or own
+        upstream = short_name(entry.incarnation)
+        claim = self._claims.issuer(upstream, now_s)
+        if claim is not None and not self._trackers.is_silent(
+            claim.incarnation, now_s
+        ):
+            is_near = found.data_centre == entry.data_centre
+            claimed = claim.is_near, rank(upstream, claim.incarnation)
+            if claimed > (is_near, rank(upstream, found.incarnation)):
+                where = entry.data_centre if claim.is_near else _UNKNOWN
+                found = Tracker(claim.incarnation, claim.address, where)
+        return found if found.incarnation != own.incarnation else None
+
+    def _issue_own(self, request: PermitRequest, now_s: float) -> None:
+        entry = request.entry
+        wait_s = self._issue(
+            entry.incarnation,
+            entry,
+            now_s,
+            is_least_urgent=request.is_least_urgent,
+        )
+        self._settle(request, now_s, is_issued=not wait_s, wait_s=wait_s)
+
+    def _issue(
+        self,
+        incarnation: str,
+        entry: UpstreamEntry | None,
+        now_s: float,
+        *,
+        is_least_urgent: bool,
+    ) -> float:
+        """Issues a permit, or returns the seconds after which to ask again."""
+        rate = self._named.rate(incarnation)
+        if rate is None:
+            return 0.0
+        upstream = short_name(incarnation)
+        own_data_centre = self._trackers.own.data_centre
+        is_near = entry is not None and entry.data_centre == own_data_centre
+        self._claims.claim(upstream, now_s, is_near=is_near)
+        return self._issuer.issue(
+            incarnation,
+            rate,
+            now_s,
+            is_least_urgent=is_least_urgent,
+            is_sole=self._claims.is_sole(upstream, now_s),
+        )
+
+    def _settle(
+        self,
+        request: PermitRequest,
+        now_s: float,
+        *,
+        is_issued: bool,
+        wait_s: float,
+    ) -> None:
+        request.is_issued = is_issued
+        if not is_issued:
+            self._close(request, wait_s, now_s)
+        request.on_done()
+
+    def _close(
+        self, request: PermitRequest, wait_s: float, now_s: float
+    ) -> None:
+        spread = self._rng.uniform(1 - _WAIT_SPREAD, 1 + _WAIT_SPREAD)
+        until_s = now_s + wait_s * spread
+        closed = self._closed.setdefault(request.entry.incarnation, _Closed())
+        if request.is_least_urgent:
+            closed.least_urgent_s = until_s
+        else:
+            closed.all_s = until_s
+
+    def _wait_s(
+        self, entry: UpstreamEntry, now_s: float, *, is_least_urgent: bool
+    ) -> float:
+        closed = self._closed.get(entry.incarnation)
+        if closed is None or not self.is_limited(entry):
+            return 0.0
+        return closed.until_s(is_least_urgent=is_least_urgent) - now_s
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_trackers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_trackers.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from hollyknot_state import Address
+from hollyknot_state import Address, short_name
 from hollyknot_state.routes import UpstreamEntry
 
 MISSES = 2
@@ -65,12 +65,16 @@
         self._orders: dict[str, tuple[Tracker, ...]] = {}
         self._silences: dict[int, _Silence] = {}
 
+    @property
+    def own(self) -> Tracker:
+        """This host."""
+        return self._own
+
     def of(self, entry: UpstreamEntry, now_s: float) -> Tracker | None:
         """Returns who tracks an upstream; None where that is this host."""
         order = self._order(entry)
         for tracker in order:
-            silence = self._silences.get(tracker.incarnation)
-            if silence is None or now_s >= silence.until_s:
+            if not self.is_silent(tracker.incarnation, now_s):
                 break
         else:
             tracker = order[0]
@@ -80,14 +84,19 @@
         """Notes an answer."""
         self._silences.pop(tracker.incarnation, None)
 
-    def missed(self, tracker: Tracker, now_s: float) -> bool:
+    def missed(self, tracker: Tracker, now_s: float, misses: int = 1) -> bool:
         """Notes a query without an answer.
 
+        Args:
+            tracker: Who did not answer.
+            now_s: The time.
+            misses: How much it counts.
+
         Returns:
             Whether the tracker is passed over from now on, for a while.
         """
         silence = self._silences.setdefault(tracker.incarnation, _Silence())
-        silence.missed += 1
+        silence.missed += misses
         if silence.missed < MISSES:
             return False
         silence.until_s = now_s + SILENT_S
@@ -95,6 +104,11 @@
         silence.missed = MISSES - 1
         return True
 
+    def is_silent(self, host: int, now_s: float) -> bool:
+        """Whether a host is passed over, by its incarnation."""
+        silence = self._silences.get(host)
+        return silence is not None and now_s < silence.until_s
+
     def _order(self, entry: UpstreamEntry) -> tuple[Tracker, ...]:
         peers = self._peers()
         if peers is not self._known:
@@ -112,14 +126,21 @@
     def _make_order(self, entry: UpstreamEntry) -> tuple[Tracker, ...]:
         hosts = (self._own, *self._known)
         near = [h for h in hosts if h.data_centre == entry.data_centre]
+        name = short_name(entry.incarnation)
         ranked = sorted(
             near or hosts,
-            key=lambda host: _weight(entry.incarnation, host.incarnation),
+            key=lambda host: rank(name, host.incarnation),
             reverse=True,
         )
         return tuple(ranked[:_TRIED])
 
 
-def _weight(upstream: str, host: int) -> bytes:
+def rank(upstream: int, host: int) -> bytes:
+    """Returns what orders hosts for an upstream; the greatest is first.
+
+    Args:
+        upstream: The upstream's short name.
+        host: The incarnation of a host.
+    """
     text = f"{upstream}|{host}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/_permit_network.py
@@ -0,0 +1,275 @@
+"""Many hosts that ask each other for permits, under a virtual clock."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+
+from hollyknot_coordination.forwarding import (
+    PERMIT_ANSWER_S,
+    FleetSize,
+    NamedLimits,
+    PermitRequest,
+    Permits,
+    Queries,
+    Tracker,
+    Trackers,
+)
+from hollyknot_coordination.forwarding.tests._builders import upstream
+from hollyknot_state import Address, NamedLimit, PermitQuery
+
+ONE_WAY_S = 0.0014
+TELL_S = 0.2
+"""Between two reports of a host, each to one other."""
+
+WINDOW_S = 4.0
+ENTRY = upstream("a")
+
+
+@attrs.define(eq=False)
+class Host:
+    """One host.
+
+    Attributes:
+        number: Of the host.
+        address: Where it takes messages.
+        side: Of a cut; hosts hear those of their own side only.
+        is_up: Whether its process runs.
+        frozen_until_s: Until when its process stands still.
+        known: The others that it hears.
+    """
+
+    number: int
+    address: Address
+    incarnation: int
+    side: int = 0
+    is_up: bool = True
+    frozen_until_s: float = 0.0
+    known: tuple[Tracker, ...] = ()
+    size: FleetSize = attrs.field(init=False)
+    named: NamedLimits = attrs.Factory(NamedLimits)
+    permits: Permits = attrs.field(init=False)
+
+    @property
+    def tracker(self) -> Tracker:
+        """This host, as one that may issue permits."""
+        return Tracker(self.incarnation, self.address, "north")
+
+
+class Network:
+    """Hosts, what they send each other, and what the upstream gets."""
+
+    def __init__(self, count: int, seed: int, sees: int | None = None) -> None:
+        """Has all hosts know each other, or each some others by chance.
+
+        Args:
+            count: How many hosts.
+            seed: Of all chance.
+            sees: How many others each host knows; None for all.
+        """
+        self.now_s = 0.0
+        self.rng = random.Random(seed)
+        self.lost_part = 0.0
+        self.arrived: list[float] = []
+        self.asked = 0
+        self._sees = sees
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._incarnations = itertools.count(1)
+        self.hosts = [self._make(number, -60.0) for number in range(count)]
+        self._by_address = {host.address: host for host in self.hosts}
+        self.meet()
+
+    def meet(self) -> None:
+        """Has hosts hear of those that run on their own side."""
+        up = [host for host in self.hosts if host.is_up]
+        for host in up:
+            near = [h for h in up if h.side == host.side and h is not host]
+            if self._sees is not None and self._sees < len(near):
+                near = self.rng.sample(near, self._sees)
+            host.known = tuple(other.tracker for other in near)
+            seen = len(near) + 1
+            estimated = seen
+            if self._sees is not None:
+                estimated = round(len(up) * self.rng.uniform(0.9, 1.1))
+            host.size.set(estimated, seen, self.now_s)
+
+    def name(self, rate: float | None, hosts: list[Host] | None = None) -> None:
+        """Has hosts pass on an answer that names a limit, or none."""
+        for host in self.hosts if hosts is None else hosts:
+            host.named.hear("a", rate, self.now_s, self.now_s + 1e-9)
+
+    def restart(self, host: Host) -> None:
+        """Replaces a host by one that knows nothing."""
+        fresh = self._make(host.number, self.now_s)
+        fresh.side = host.side
+        self.hosts[host.number] = fresh
+        self._by_address[fresh.address] = fresh
+        self._begin(fresh)
+        self.meet()
+
+    def issuer(self) -> Host:
+        """Returns the host that issues the permits."""
+        asker = next(host for host in self.hosts if host.is_up)
+        tracker = asker.permits._trackers.of(ENTRY, self.now_s)
+        return self._by_address[tracker.address] if tracker else asker
+
+    def run(self, seconds: float, wanted: float) -> None:
+        """Lets time pass.
+
+        Args:
+            seconds: How much.
+            wanted: Requests a second that all hosts would send the upstream.
+        """
+        end_s = self.now_s + seconds
+        self._want(wanted, end_s)
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, event = heapq.heappop(self._events)
+            event()
+        self.now_s = end_s
+
+    def begin_reports(self) -> None:
+        """Has hosts tell each other of limits."""
+        for host in self.hosts:
+            self._begin(host)
+
+    def busiest_window(self, since_s: float = 0.0) -> int:
+        """Returns the most requests that the upstream got in any window."""
+        times = [at for at in self.arrived if at >= since_s]
+        most = first = 0
+        for last, at in enumerate(times):
+            while times[first] <= at - WINDOW_S:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+    def got(self, since_s: float = 0.0) -> int:
+        """Returns how many requests the upstream got."""
+        return sum(at >= since_s for at in self.arrived)
+
+    def _make(self, number: int, started_s: float) -> Host:
+        address = Address("10.0.0.1", number + 1)
+        host = Host(number, address, next(self._incarnations))
+        host.size = FleetSize(started_s, is_alone=False)
+        trackers = Trackers(host.tracker, lambda: host.known)
+        host.permits = Permits(
+            trackers,
+            host.size,
+            host.named,
+            lambda _: ENTRY,
+            random.Random(self.rng.random()),
+        )
+        return host
+
+    def _begin(self, host: Host) -> None:
+        self._at(self.now_s + self.rng.random() * TELL_S, self._tell, host)
+
+    def _tell(self, host: Host) -> None:
+        if not host.is_up:
+            return
+        if self.now_s >= host.frozen_until_s and host.known:
+            target = self.rng.choice(host.known).address
+            told = host.permits.told(self.now_s, is_all=True)
+            self._send(host, target, self._take_told, told)
+        self._at(self.now_s + TELL_S, self._tell, host)
+
+    def _take_told(self, host: Host, told: tuple[NamedLimit, ...]) -> None:
+        host.permits.take(told, self.now_s)
+
+    def _want(self, wanted: float, end_s: float) -> None:
+        next_s = self.now_s + self.rng.expovariate(wanted)
+        if next_s < end_s:
+            self._at(next_s, self._want_one, wanted, end_s)
+
+    def _want_one(self, wanted: float, end_s: float) -> None:
+        self._want(wanted, end_s)
+        host = self.rng.choice(self.hosts)
+        if host.is_up and self.now_s >= host.frozen_until_s:
+            self._request(host, is_least_urgent=self.rng.random() < 0.5)
+
+    def _request(self, host: Host, *, is_least_urgent: bool) -> None:
+        if not host.permits.is_limited(ENTRY):
+            self.arrived.append(self.now_s)
+            return
+        if host.permits.closed(
+            [ENTRY], self.now_s, is_least_urgent=is_least_urgent
+        ):
+            return
+        self.asked += 1
+        request, queries = host.permits.ask(
+            ENTRY, self.now_s, is_least_urgent=is_least_urgent
+        )
+        if request.is_issued is not None:
+            self._outcome(request)
+            return
+        request.on_done = lambda: self._outcome(request)
+        self._put(host, request, queries)
+
+    def _put(
+        self, host: Host, request: PermitRequest, queries: Queries
+    ) -> None:
+        for address, query in queries:
+            self._send(host, address, self._answer, query, host)
+        until_s = self.now_s + PERMIT_ANSWER_S
+        self._at(until_s, self._look, host, request)
+
+    def _outcome(self, request: PermitRequest) -> None:
+        if request.is_issued:
+            self.arrived.append(self.now_s)
+
+    def _look(self, host: Host, request: PermitRequest) -> None:
+        if request.is_issued is None and host.is_up:
+            _, queries = host.permits.overdue(request, self.now_s)
+            if queries:
+                self._put(host, request, queries)
+
+    def _answer(self, issuer: Host, query: PermitQuery, asker: Host) -> None:
+        answer = issuer.permits.answer(query, self.now_s)
+
+        def take(host: Host) -> None:
+            more = host.permits.take_answer(answer, self.now_s)
+            for address, following in more:
+                self._send(host, address, self._answer, following, host)
+
+        self._send(issuer, asker.address, take)
+
+    def _send(
+        self,
+        sender: Host,
+        address: Address,
+        take: Callable[..., None],
+        *args: object,
+    ) -> None:
+        if self.rng.random() < self.lost_part:
+            return
+        host = self._by_address[address]
+        self._at(
+            self.now_s + ONE_WAY_S, self._deliver, sender, host, take, args
+        )
+
+    def _deliver(
+        self,
+        sender: Host,
+        host: Host,
+        take: Callable[..., None],
+        args: tuple[object, ...],
+    ) -> None:
+        if not host.is_up or host.side != sender.side:
+            return
+        if self.now_s < host.frozen_until_s:
+            # It lies in the socket until the process goes on.
+            self._at(
+                host.frozen_until_s, self._deliver, sender, host, take, args
+            )
+            return
+        take(host, *args)
+
+    def _at(
+        self, when_s: float, call: Callable[..., None], *args: object
+    ) -> None:
+        heapq.heappush(
+            self._events,
+            (when_s, next(self._order), lambda: call(*args)),
+        )
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_cold_starts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_cold_starts.py
@@ -6,13 +6,12 @@
 import attrs
 import pytest
 
-from hollyknot_coordination.forwarding import ColdStarts
+from hollyknot_coordination.forwarding import ColdStarts, FleetSize
 from hollyknot_coordination.forwarding._cold_starts import (
-    LEARN_S,
     PERMIT_S,
     RATE_PART,
-    REMEMBER_S,
 )
+from hollyknot_coordination.forwarding._fleet_size import LEARN_S, REMEMBER_S
 from hollyknot_coordination.forwarding.tests._builders import upstream
 from hollyknot_state.routes import ColdStart, UpstreamEntry
 
@@ -31,9 +30,8 @@
 def _host(
     seed: int, started_s: float = -60.0, *, is_alone: bool = False
 ) -> ColdStarts:
-    return ColdStarts(
-        random.Random(seed), started_s, lambda _: COLD_START, is_alone=is_alone
-    )
+    size = FleetSize(started_s, is_alone=is_alone)
+    return ColdStarts(random.Random(seed), size, lambda _: COLD_START)
 
 
 def _busiest_second(
@@ -76,7 +74,7 @@
             _host(seed * 1000 + n, is_alone=count == 1) for n in range(count)
         ]
         for host in hosts:
-            host.set_hosts(count, 0.0)
+            host.size.set(count, count, 0.0)
             host.note(_cold(LONG_S), 0.0)
         busiest, total = _busiest_second(hosts, LONG_S)
         assert busiest <= MOST_IN_A_SECOND
@@ -91,7 +89,7 @@
         """
         hosts = [_host(n) for n in range(200)]
         for host in hosts:
-            host.set_hosts(len(hosts), 0.0)
+            host.size.set(len(hosts), len(hosts), 0.0)
             host.note(_cold(61.0), 0.0)
         at_once = sum(host.take("a", 60.0) for host in hosts)
         assert at_once <= MOST_IN_A_SECOND
@@ -103,7 +101,7 @@
         peer yet. Cause: each took itself for the only one.
         """
         host = _host(1, started_s=0.0)
-        host.set_hosts(1, 0.0)
+        host.size.set(1, 1, 0.0)
         host.note(_cold(LONG_S), 0.0)
         assert not any(host.take("a", step * 0.1) for step in range(290))
 
@@ -116,11 +114,11 @@
     def test_it_learns_first_how_many_share(self) -> None:
         host = _host(1, started_s=0.0)
         host.note(_cold(LONG_S), 0.0)
-        host.set_hosts(2, 0.1)
+        host.size.set(2, 2, 0.1)
         assert not any(
             host.take("a", step * 0.1) for step in range(int(LEARN_S * 10))
         )
-        host.set_hosts(83, LEARN_S)
+        host.size.set(83, 83, LEARN_S)
         _, total = _busiest_second([host], LONG_S)
         assert total <= 2
 
@@ -132,16 +130,16 @@
         """
         hosts = [_host(n) for n in range(80)]
         for host in hosts:
-            host.set_hosts(80, 0.0)
-            host.set_hosts(4, REMEMBER_S / 2)
+            host.size.set(80, 80, 0.0)
+            host.size.set(4, 4, REMEMBER_S / 2)
             host.note(_cold(LONG_S), 0.0)
         busiest, _ = _busiest_second(hosts, LONG_S)
         assert busiest <= MOST_IN_A_SECOND
 
     def test_a_lost_fleet_is_forgotten_in_time(self) -> None:
         host = _host(1)
-        host.set_hosts(80, 0.0)
-        host.set_hosts(4, REMEMBER_S + 1)
+        host.size.set(80, 80, 0.0)
+        host.size.set(4, 4, REMEMBER_S + 1)
         host.note(_cold(LONG_S), 0.0)
         _, total = _busiest_second([host], LONG_S)
         assert total >= LONG_S * COLD_START.rate * RATE_PART / 4 / 2
@@ -162,7 +160,8 @@
         assert host.is_cold("a", 4.9)
 
     def test_services_that_are_never_cold_are_not_held_back(self) -> None:
-        host = ColdStarts(random.Random(1), 0.0, lambda _: None, is_alone=False)
+        size = FleetSize(0.0, is_alone=False)
+        host = ColdStarts(random.Random(1), size, lambda _: None)
         host.note(_cold(LONG_S), 0.0)
         host.suspect(upstream("a"), 0.0)
         assert host.closed([upstream("a")], 0.0) == frozenset()
@@ -177,7 +176,8 @@
         an entry whose service was not known yet was taken for a warm one.
         """
         services: dict[str, ColdStart] = {}
-        host = ColdStarts(random.Random(1), 0.0, services.get, is_alone=False)
+        size = FleetSize(0.0, is_alone=False)
+        host = ColdStarts(random.Random(1), size, services.get)
         host.note(_cold(3.0), 0.0)
         services["engines"] = COLD_START
         assert host.closed([upstream("a")], 0.1) == {"a"}
@@ -190,7 +190,7 @@
         by chance. Cause: those with a permit were not among them.
         """
         host = _host(1)
-        host.set_hosts(8, 0.0)
+        host.size.set(8, 8, 0.0)
         entries = [upstream("a"), upstream("b")]
         host.note(_cold(LONG_S), 0.0)
         interval_s = 8 / (COLD_START.rate * RATE_PART)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_permits.py
@@ -0,0 +1,191 @@
+"""Tests of what an upstream with a rate limit gets from all hosts together."""
+
+import pytest
+
+from hollyknot_coordination.forwarding.tests._permit_network import (
+    ENTRY,
+    WINDOW_S,
+    Network,
+)
+
+CONTACT_S = 3.0
+"""From a limit's first naming until it binds."""
+
+LEAST_USED = 0.6
+"""Of what an upstream names, what it gets while callers want it."""
+
+LONG_S = 60.0
+SEEDS = range(3)
+LARGE = (2500, 400)
+"""Hosts, and how many of the others each hears."""
+
+SIZES = [(8, None), (83, None), LARGE]
+RATES = [0.3, 1.2, 30.0]
+CASES = [
+    (*size, rate, seed)
+    for size in SIZES
+    for rate in RATES
+    for seed in (SEEDS if size is not LARGE else [0])
+]
+
+
+def _most(rate: float) -> int:
+    """Returns how many requests a limit allows in a window."""
+    return int(1.5 * rate * WINDOW_S + 5)
+
+
+class TestLimit:
+    """All hosts together keep to a limit and use most of it."""
+
+    @pytest.mark.parametrize(("count", "sees", "rate", "seed"), CASES)
+    def test_all_hosts_want_more(
+        self, count: int, sees: int | None, rate: float, seed: int
+    ) -> None:
+        """Guards against limits that each host keeps by itself."""
+        network = Network(count, seed, sees)
+        network.begin_reports()
+        network.name(rate)
+        network.run(LONG_S, wanted=3 * rate + 5)
+        assert network.busiest_window() <= _most(rate)
+        assert network.got() >= LEAST_USED * rate * LONG_S
+
+    @pytest.mark.parametrize(("count", "sees"), SIZES)
+    def test_a_burst_after_a_calm_time(
+        self, count: int, sees: int | None
+    ) -> None:
+        """Guards against permits that are saved up at each host."""
+        network = Network(count, 1, sees)
+        network.begin_reports()
+        network.name(1.2)
+        network.run(20.0, wanted=0.01)
+        network.run(10.0, wanted=100.0)
+        assert network.busiest_window() <= _most(1.2)
+
+    @pytest.mark.parametrize(("count", "sees"), SIZES)
+    def test_one_host_was_told(self, count: int, sees: int | None) -> None:
+        """Guards against hosts that are told by upstreams only."""
+        network = Network(count, 1, sees)
+        network.begin_reports()
+        network.name(1.2, network.hosts[:1])
+        network.run(CONTACT_S, wanted=5.0)
+        network.run(LONG_S, wanted=5.0)
+        assert network.busiest_window(CONTACT_S) <= _most(1.2)
+        assert network.got(CONTACT_S) >= LEAST_USED * 1.2 * LONG_S
+
+
+class TestChanges:
+    """The newest word of an upstream counts at all hosts."""
+
+    @pytest.mark.parametrize(("count", "sees"), SIZES)
+    def test_lowered(self, count: int, sees: int | None) -> None:
+        network = Network(count, 1, sees)
+        network.begin_reports()
+        network.name(20.0)
+        network.run(10.0, wanted=60.0)
+        network.name(2.0, network.hosts[:1])
+        network.run(CONTACT_S, wanted=60.0)
+        since_s = network.now_s
+        network.run(20.0, wanted=60.0)
+        assert network.busiest_window(since_s) <= _most(2.0)
+
+    @pytest.mark.parametrize(("count", "sees"), SIZES)
+    def test_raised(self, count: int, sees: int | None) -> None:
+        network = Network(count, 1, sees)
+        network.begin_reports()
+        network.name(2.0)
+        network.run(10.0, wanted=60.0)
+        network.name(20.0, network.hosts[:1])
+        network.run(CONTACT_S, wanted=60.0)
+        since_s = network.now_s
+        network.run(20.0, wanted=60.0)
+        assert network.busiest_window(since_s) <= _most(20.0)
+        assert network.got(since_s) >= LEAST_USED * 20.0 * 20.0
+
+    @pytest.mark.parametrize(("count", "sees"), SIZES)
+    def test_withdrawn(self, count: int, sees: int | None) -> None:
+        network = Network(count, 1, sees)
+        network.begin_reports()
+        network.name(1.2)
+        network.run(10.0, wanted=20.0)
+        network.name(None, network.hosts[:1])
+        network.run(2 * CONTACT_S, wanted=20.0)
+        assert not any(host.permits.is_limited(ENTRY) for host in network.hosts)
+
+    def test_zero_is_asked_now_and_then(self) -> None:
+        """Guards against a limit of zero whose end is never heard of."""
+        network = Network(8, 1)
+        network.name(0.0)
+        network.run(LONG_S, wanted=20.0)
+        assert 1 <= network.got() <= LONG_S / 5
+
+
+class TestLostHosts:
+    """Hosts that are cut off, killed, restarted or frozen."""
+
+    @pytest.mark.parametrize("count", [8, 83])
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_two_sides_of_a_cut(self, count: int, seed: int) -> None:
+        """Guards against a whole limit on each side of a cut."""
+        network = Network(count, seed)
+        network.name(1.2)
+        network.run(20.0, wanted=10.0)
+        for host in network.hosts[: count // 2]:
+            host.side = 1
+        network.run(5.0, wanted=10.0)
+        network.meet()
+        since_s = network.now_s
+        network.run(40.0, wanted=10.0)
+        assert network.busiest_window() <= _most(1.2)
+        assert network.got(since_s) >= LEAST_USED * 1.2 * 40.0
+
+    @pytest.mark.parametrize("count", [8, 83])
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_the_issuer_is_killed(self, count: int, seed: int) -> None:
+        """Guards against permits that end with the host that issues them."""
+        network = Network(count, seed)
+        network.name(1.2)
+        network.run(20.0, wanted=10.0)
+        network.issuer().is_up = False
+        network.run(20.0, wanted=10.0)
+        network.meet()
+        network.run(20.0, wanted=10.0)
+        assert network.busiest_window() <= _most(1.2)
+        assert network.got(20.0) >= LEAST_USED * 1.2 * 40.0
+
+    @pytest.mark.parametrize("count", [8, 83])
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_issuers_are_restarted_in_turn(self, count: int, seed: int) -> None:
+        """Guards against a restarted issuer that takes itself for the only."""
+        network = Network(count, seed)
+        network.begin_reports()
+        network.name(1.2)
+        for _ in range(8):
+            network.run(8.0, wanted=10.0)
+            network.restart(network.issuer())
+        assert network.busiest_window() <= _most(1.2)
+        assert network.got() >= LEAST_USED * 1.2 * 64.0
+
+    @pytest.mark.parametrize("count", [8, 83])
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_the_issuer_freezes(self, count: int, seed: int) -> None:
+        """Guards against permits issued twice by a host that was frozen."""
+        network = Network(count, seed)
+        network.begin_reports()
+        network.name(1.2)
+        for _ in range(4):
+            network.run(8.0, wanted=10.0)
+            network.issuer().frozen_until_s = network.now_s + 4.0
+            network.run(8.0, wanted=10.0)
+        assert network.busiest_window() <= _most(1.2)
+        assert network.got() >= LEAST_USED * 1.2 * 64.0
+
+    @pytest.mark.parametrize("count", [8, 83])
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_messages_are_lost(self, count: int, seed: int) -> None:
+        """Guards against several issuers at once where answers are lost."""
+        network = Network(count, seed)
+        network.lost_part = 0.05
+        network.name(1.2)
+        network.run(LONG_S, wanted=20.0)
+        assert network.busiest_window() <= _most(1.2)
+        assert network.got() >= LEAST_USED * 1.2 * LONG_S
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -126,6 +126,8 @@
                 result = await self._tries.run(job, choice)
                 if self._answers.settle(job, result):
                     return
+            elif not job.sent:
+                result = self._tries.nowhere(job)
             following = next_step(job.route, result.verdict, self._state(job))
             if isinstance(following, GiveUp):
                 self._answers.give_up(job, result, following)
@@ -140,13 +142,15 @@
         random part of them, and what is known of the others is old.
         """
         parts = self._parts
-        if not job.call.prompt or job.urgency < job.sheds_from:
+        if not job.call.prompt or not job.is_least_urgent:
             return None
         now = parts.clock()
         usable = parts.in_force.fleet.usable(job.service.name, now)
         away = parts.reachability.away(usable)
-        entries = [e for e in usable if e.incarnation not in away]
-        found = parts.shedding.decide(job.asked or entries, job.sheds_from, now)
+        entries = job.asked or [e for e in usable if e.incarnation not in away]
+        # Free slots of one with a limit are no help to the others.
+        unlimited = [e for e in entries if not parts.permits.is_limited(e)]
+        found = parts.shedding.decide(unlimited or entries, job.sheds_from, now)
         if not isinstance(found, Shed):
             return None
         return _shed(f"{found.taken} in flight, {found.slots} slots")
@@ -154,7 +158,7 @@
     def _too_slow(self, job: Job, choice: Choice) -> GiveUp | None:
         """Refuses a request whose answer would hardly end in time."""
         parts = self._parts
-        if not job.call.prompt or job.urgency < job.sheds_from:
+        if not job.call.prompt or not job.is_least_urgent:
             return None
         now = parts.clock()
         needed_s = parts.forecasts.duration_s(
@@ -172,7 +176,7 @@
         parts = self._parts
         now = parts.clock()
         usable = parts.in_force.fleet.usable(job.service.name, now)
-        kept_from = job.tried | parts.cold_starts.closed(usable, now)
+        kept_from = job.tried | self._tries.closed(job, usable, now)
         return TryState(
             sent=job.sent,
             may_have_run=job.may_have_run,
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -10,6 +10,7 @@
     Forecasts,
     Health,
     Loads,
+    Permits,
     Placement,
     Reachability,
     RetryBudget,
@@ -43,7 +44,8 @@
         health: Knows which upstreams fail much of their work.
         cold_starts: Bounds what upstreams get that have just started.
         rate_limits: Reads the limits that upstreams name.
-        neighbours: Asks other hosts for loads.
+        neighbours: Asks other hosts for loads and permits.
+        permits: Knows which upstreams with a limit are not worth asking for.
         prober: Finds that out by new connections.
         suspects: Knows which requests may crash upstreams.
         losses: Tells it how tries ended.
@@ -67,6 +69,7 @@
     cold_starts: ColdStarts
     rate_limits: RateLimits
     neighbours: Neighbours
+    permits: Permits
     prober: Prober
     suspects: SuspectRegister
     losses: Losses
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -17,6 +17,7 @@
     Demand,
     Ended,
     Fleet,
+    FleetSize,
     Forecasts,
     Health,
     Loads,
@@ -124,11 +125,11 @@
         self._forecasts = Forecasts()
         self._reachability = Reachability()
         self._health = Health()
+        self._size = FleetSize(
+            clock(), is_alone=not set(settings.seeds) - {settings.peers}
+        )
         self._cold_starts = ColdStarts(
-            rng,
-            clock(),
-            self._in_force.cold_start,
-            is_alone=not set(settings.seeds) - {settings.peers},
+            rng, self._size, self._in_force.cold_start
         )
         self._named_limits = NamedLimits()
         self._rate_limits = RateLimits(self._named_limits, self._log, clock)
@@ -151,7 +152,8 @@
                 self._forecasts,
                 self._suspects,
                 self._budget,
-                self._cold_starts,
+                self._size,
+                self._named_limits,
             ),
             self._in_force,
             self._reachability,
@@ -208,6 +210,7 @@
             prober=self._prober,
             rate_limits=self._rate_limits,
             neighbours=self._neighbours,
+            permits=self._neighbours.permits,
             suspects=self._suspects,
             losses=Losses(
                 self._suspects,
@@ -427,6 +430,7 @@
         self._health.forget(incarnation)
         self._cold_starts.forget(incarnation)
         self._rate_limits.forget(incarnation)
+        self._neighbours.permits.forget(incarnation)
         self._forecasts.forget(incarnation)
 
     def _look_at_clocks(self) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_inquirer.py
+++ b/packages/gateway/src/hollyknot_gateway/_inquirer.py
@@ -9,8 +9,8 @@
     ReportRate,
 )
 from hollyknot_gateway._log import Log
-from hollyknot_gateway._reports import encode_message
-from hollyknot_state import Address, LoadAnswer, LoadNote, LoadQuery
+from hollyknot_gateway._reports import LoadMessage, encode_message
+from hollyknot_state import Address, LoadNote, LoadQuery
 from hollyknot_state.routes import UpstreamEntry
 
 
@@ -73,9 +73,7 @@
             for tracker in self._inquiries.give_up(inquiry, self._clock()):
                 self._log.line("tracker_silent", tracker=str(tracker.address))
 
-    def take(
-        self, message: LoadNote | LoadQuery | LoadAnswer, sender: Address
-    ) -> None:
+    def take(self, message: LoadMessage, sender: Address) -> None:
         """Takes a message, as a tracker or as one who asked."""
         now_s = self._clock()
         if isinstance(message, LoadNote):
@@ -102,9 +100,7 @@
         for tracker, note in notes:
             self._put(note, tracker.address)
 
-    def _put(
-        self, message: LoadNote | LoadQuery | LoadAnswer, address: Address
-    ) -> None:
+    def _put(self, message: LoadMessage, address: Address) -> None:
         data = encode_message(message)
         self._send(data, [address])
         self._rate.spend_on_queries(len(data))
--- a/packages/gateway/src/hollyknot_gateway/_job.py
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -41,6 +41,7 @@
         tried: Those upstreams, and those that could not be connected to.
         asked: Upstreams whose loads were asked for before the next choice.
         asked_s: How long all such questions took so far.
+        permits_refused: Permits for upstreams with a limit that it did not get.
     """
 
     request: CallerRequest
@@ -62,6 +63,12 @@
     tried: frozenset[str] = frozenset()
     asked: Sequence[UpstreamEntry] = ()
     asked_s: float = 0.0
+    permits_refused: int = 0
+
+    @property
+    def is_least_urgent(self) -> bool:
+        """Whether it is among the least urgent of its service."""
+        return self.urgency >= self.sheds_from
 
 
 def fingerprint(request: CallerRequest, call: CallTraits) -> int:
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -10,12 +10,14 @@
     ASK_FROM_S,
     NOTE_FROM_S,
     CachedParts,
-    ColdStarts,
     Demand,
+    FleetSize,
     Forecasts,
     Inquiries,
     Loads,
+    NamedLimits,
     Peers,
+    Permits,
     Reachability,
     ReportRate,
     RetryBudget,
@@ -26,11 +28,13 @@
 from hollyknot_gateway._in_force import InForce
 from hollyknot_gateway._inquirer import Inquirer
 from hollyknot_gateway._log import Log
+from hollyknot_gateway._permit_requester import PermitRequester
 from hollyknot_gateway._pool import ConnectFailure
 from hollyknot_gateway._prober import Prober
 from hollyknot_gateway._read_news import ReadNews
 from hollyknot_gateway._reports import (
     Message,
+    PermitMessage,
     Report,
     ReportSocket,
     encode_report,
@@ -61,7 +65,8 @@
         forecasts: How long streams take at upstreams.
         suspects: Which requests may crash upstreams.
         budget: Retries, whose slack is divided among the hosts.
-        cold_starts: What cold upstreams bear, likewise.
+        size: How many hosts there are.
+        limits: Rate limits that upstreams have named.
     """
 
     loads: Loads
@@ -70,7 +75,8 @@
     forecasts: Forecasts
     suspects: SuspectRegister
     budget: RetryBudget
-    cold_starts: ColdStarts
+    size: FleetSize
+    limits: NamedLimits
 
 
 class Neighbours:
@@ -119,10 +125,21 @@
         self._rate = ReportRate()
         self._size = 0
         own = Tracker(self._incarnation, settings.peers, settings.data_centre)
+        trackers = Trackers(own, lambda: self._peers.hosts)
+        self._permits = Permits(
+            trackers,
+            shared.size,
+            shared.limits,
+            in_force.fleet.entry_of,
+            rng,
+        )
+        self._permit_requester = PermitRequester(
+            self._permits, self._rate, self._socket.send, log, clock
+        )
         self._inquirer = Inquirer(
             Inquiries(
                 self._incarnation,
-                Trackers(own, lambda: self._peers.hosts),
+                trackers,
                 shared.loads,
                 shared.cached,
                 shared.forecasts,
@@ -146,6 +163,23 @@
         """
         return await self._inquirer.ask(entries, runs)
 
+    async def ask_permit(
+        self, entry: UpstreamEntry, *, is_least_urgent: bool
+    ) -> bool:
+        """Asks for a permit to send a request to an upstream with a limit.
+
+        Returns:
+            Whether it may be sent.
+        """
+        return await self._permit_requester.ask(
+            entry, is_least_urgent=is_least_urgent
+        )
+
+    @property
+    def permits(self) -> Permits:
+        """What is known of permits for upstreams with a limit."""
+        return self._permits
+
     @property
     def asks(self) -> bool:
         """Whether a choice had better ask trackers than believe reports.
@@ -219,7 +253,7 @@
             min(1.0, (len(fresh) + 1) / self.hosts),
         )
         shared.budget.set_hosts(self.hosts)
-        shared.cold_starts.set_hosts(self.hosts, now_s)
+        shared.size.set(self.hosts, self.count + 1, now_s)
 
     def _changes(self, now_s: float, *, is_whole: bool) -> UseReport:
         shared = self._shared
@@ -235,6 +269,7 @@
             shared.cached.told(now_s),
             is_whole,
             self._news.told(now_s, is_whole=is_whole),
+            self._permits.told(now_s, is_all=is_whole),
         )
 
     def _own_report(self, now_s: float) -> HostReport:
@@ -253,6 +288,7 @@
             contacts=self._peers.contacts(),
             held=changes.held,
             revisions=self._news.read,
+            limits=changes.limits,
         )
 
     def _note_soon(self) -> None:
@@ -265,6 +301,8 @@
     def _take(self, message: Message, sender: Address) -> None:
         if isinstance(message, HostReport | UseReport):
             self._take_report(message)
+        elif isinstance(message, PermitMessage):
+            self._permit_requester.take(message, sender)
         else:
             self._inquirer.take(message, sender)
 
@@ -272,6 +310,10 @@
         now = self._clock()
         self._shared.suspects.on_records(report.suspects, now)
         self._shared.cached.take(report.held, now)
+        for limit in self._permits.take(report.limits, now):
+            self._log.line(
+                "limit_told", upstream=limit.upstream, rate=limit.rate
+            )
         if report.revisions is not None:
             self._news.take(report.revisions)
         if isinstance(report, UseReport):
--- a/packages/gateway/src/hollyknot_gateway/_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/_reports.py
@@ -27,6 +27,8 @@
     LoadAnswer,
     LoadNote,
     LoadQuery,
+    PermitAnswer,
+    PermitQuery,
     UseReport,
 )
 
@@ -44,7 +46,13 @@
 Report = HostReport | UseReport
 """What a host tells its peers of itself."""
 
-Message = Report | LoadNote | LoadQuery | LoadAnswer
+LoadMessage = LoadNote | LoadQuery | LoadAnswer
+"""What trackers are told and asked."""
+
+PermitMessage = PermitQuery | PermitAnswer
+"""What issuers of permits are asked."""
+
+Message = Report | LoadMessage | PermitMessage
 """All that hosts send each other in datagrams."""
 
 _TAGS: dict[type[Message], bytes] = {
@@ -53,7 +61,10 @@
     LoadNote: b"n",
     LoadQuery: b"q",
     LoadAnswer: b"a",
+    PermitQuery: b"p",
+    PermitAnswer: b"r",
 }
+_WITHOUT_USES = (LoadQuery, PermitQuery, PermitAnswer)
 _CLASSES = {tag: kind for kind, tag in _TAGS.items()}
 
 
@@ -65,7 +76,9 @@
             MAX_USES, report.uses, key=lambda use: sum(use.waiting_tokens)
         )
         data = encode_message(
-            attrs.evolve(report, uses=tuple(busiest), suspects=(), held=())
+            attrs.evolve(
+                report, uses=tuple(busiest), suspects=(), held=(), limits=()
+            )
         )
     return data
 
@@ -84,7 +97,7 @@
     rest = 1 + _LENGTH.size + length
     uses = unpack_uses(data[1 + _LENGTH.size : rest])
     message = decode_as(kind, data[rest:])
-    if isinstance(message, LoadQuery):
+    if isinstance(message, _WITHOUT_USES):
         return message
     return attrs.evolve(message, uses=uses)
 
@@ -92,7 +105,7 @@
 def encode_message(message: Message) -> bytes:
     """Returns a message as a datagram: its kind, its uses, and the rest."""
     uses = b""
-    if not isinstance(message, LoadQuery):
+    if not isinstance(message, _WITHOUT_USES):
         uses = pack_uses(message.uses)
         message = attrs.evolve(message, uses=())
     rest = encode(message)
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -8,6 +8,7 @@
 from hollyknot_coordination.forwarding import Choice, NoPlace, Work, runs_of
 from hollyknot_coordination.suspects import Clear, Isolate
 from hollyknot_gateway import _metrics as metrics
+from hollyknot_gateway._answers import RETRY_AFTER_S
 from hollyknot_gateway._exchange import Exchange, Result
 from hollyknot_gateway._flow_parts import FlowParts
 from hollyknot_gateway._headers import CONTENT_LENGTH, end_to_end, write_head
@@ -26,7 +27,13 @@
 _CALLER_GONE = Verdict(Outcome.MAY_HAVE_RUN, Reason.CALLER_GONE)
 _TIME_IS_UP = "the request's time is up"
 _CALLER_LEFT = "the caller has left"
-_NOT_SENT = frozenset({Reason.CONNECT_FAILED, Reason.NO_UPSTREAM})
+_NOT_SENT = frozenset(
+    {Reason.CONNECT_FAILED, Reason.NO_UPSTREAM, Reason.RATE_LIMITED}
+)
+
+MOST_PERMITS_REFUSED = 3
+"""Upstreams with a limit that one request asks a permit for in vain: each time
+may take some tens of milliseconds."""
 
 
 class Tries:
@@ -53,7 +60,7 @@
         excluded |= parts.health.ejected(usable, now)
         if isinstance(gate, Isolate):
             excluded |= gate.exclude
-        excluded |= parts.cold_starts.closed(usable, now)
+        excluded |= self.closed(job, usable, now)
         job.asked = parts.placement.shortlist(
             job.service,
             usable,
@@ -86,6 +93,43 @@
         ]
         return [parts.rng.choice(permitted)] if permitted else []
 
+    def closed(
+        self, job: Job, entries: Sequence[UpstreamEntry], now_s: float
+    ) -> frozenset[str]:
+        """Returns the incarnations that can't be sent a request now.
+
+        They are cold, or have a limit that is used up.
+        """
+        parts = self._parts
+        closed = parts.cold_starts.closed(entries, now_s)
+        closed |= parts.permits.closed(
+            entries, now_s, is_least_urgent=job.is_least_urgent
+        )
+        if job.permits_refused >= MOST_PERMITS_REFUSED:
+            closed |= {
+                entry.incarnation
+                for entry in entries
+                if parts.permits.is_limited(entry)
+            }
+        return closed
+
+    def nowhere(self, job: Job) -> Result:
+        """Returns the result of a request that no upstream can be sent."""
+        parts = self._parts
+        now = parts.clock()
+        usable = parts.in_force.fleet.usable(job.service.name, now)
+        wait_s = parts.permits.shortest_wait_s(
+            usable, now, is_least_urgent=job.is_least_urgent
+        )
+        if wait_s is None:
+            return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
+        verdict = Verdict(
+            Outcome.NOT_RUN,
+            Reason.RATE_LIMITED,
+            retry_after_s=max(wait_s, RETRY_AFTER_S),
+        )
+        return Result(verdict)
+
     def choose(self, job: Job, gate: Clear | Isolate) -> Choice | NoPlace:
         """Returns where a request is to be sent next."""
         parts = self._parts
@@ -95,7 +139,7 @@
         if isinstance(gate, Isolate):
             away |= gate.exclude
         ejected = parts.health.ejected(usable, now)
-        closed = parts.cold_starts.closed(usable, now)
+        closed = self.closed(job, usable, now)
         found: Choice | NoPlace = NoPlace.NONE_KNOWN
         # One that fails often, or could not be reached lately, is better than
         # none at all.
@@ -123,6 +167,9 @@
     async def _try(self, job: Job, choice: Choice) -> Result:
         parts = self._parts
         entry = choice.entry
+        began_limited = parts.permits.is_limited(entry)
+        if began_limited and not await self._has_permit(job, entry):
+            return self.nowhere(job)
         began_cold = parts.cold_starts.is_cold(entry.incarnation, parts.clock())
         if not parts.cold_starts.take(entry.incarnation, parts.clock()):
             return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
@@ -145,7 +192,9 @@
                     Outcome.NOT_RUN, Reason.CONNECT_FAILED, connection.value
                 )
                 return Result(verdict)
-            if not self._is_still_open(entry, began_cold=began_cold):
+            if not self._is_still_open(
+                entry, began_cold=began_cold, began_limited=began_limited
+            ):
                 connection.close()
                 return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
             exchange = self._send(job, choice, connection, work)
@@ -168,16 +217,37 @@
             if not is_detached:
                 parts.placement.end(work)
 
-    def _is_still_open(self, entry: UpstreamEntry, *, began_cold: bool) -> bool:
+    async def _has_permit(self, job: Job, entry: UpstreamEntry) -> bool:
+        """Asks for a permit to send a request to an upstream with a limit."""
+        parts = self._parts
+        is_issued = await parts.neighbours.ask_permit(
+            entry, is_least_urgent=job.is_least_urgent
+        )
+        job.permits_refused += not is_issued
+        parts.metrics.count(
+            metrics.PERMITS,
+            service=job.service.name,
+            outcome="issued" if is_issued else "refused",
+        )
+        return is_issued
+
+    def _is_still_open(
+        self, entry: UpstreamEntry, *, began_cold: bool, began_limited: bool
+    ) -> bool:
         """Whether an upstream takes work now that a connection is made.
 
-        It may have begun to leave meanwhile, or started again.
+        It may have begun to leave meanwhile, started again or named a limit.
         """
         parts = self._parts
         now = parts.clock()
         is_cold = parts.cold_starts.is_cold(entry.incarnation, now)
         is_usable = parts.in_force.fleet.is_usable(entry.incarnation, now)
-        return is_usable and (began_cold or not is_cold)
+        is_limited = parts.permits.is_limited(entry)
+        return (
+            is_usable
+            and (began_cold or not is_cold)
+            and (began_limited or not is_limited)
+        )
 
     def _retries_left(self, job: Job, entry: UpstreamEntry) -> float:
         """Returns how many retries there are, 0 if none can help a request."""
@@ -185,6 +255,7 @@
         now = parts.clock()
         tried = job.tried | {entry.incarnation}
         usable = parts.in_force.fleet.usable(job.service.name, now)
+        tried |= self.closed(job, usable, now)
         others = any(e.incarnation not in tried for e in usable)
         if job.sent >= job.route.max_attempts or not others:
             return 0.0
--- a/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
@@ -8,11 +8,12 @@
 
 from hollyknot_coordination.forwarding import (
     CachedParts,
-    ColdStarts,
     Demand,
     Fleet,
+    FleetSize,
     Forecasts,
     Loads,
+    NamedLimits,
     Reachability,
     RetryBudget,
 )
@@ -75,9 +76,8 @@
                 Forecasts(),
                 SuspectRegister(SuspectOptions()),
                 RetryBudget(Bounds()),
-                ColdStarts(
-                    random.Random(1), 0.0, lambda _: None, is_alone=True
-                ),
+                FleetSize(0.0, is_alone=True),
+                NamedLimits(),
             ),
             InForce(fleet),
             self.reachability,
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -42,6 +42,21 @@
   2: i64 upstreams
 }
 
+// These two are explained in hollyknot_state/_limit_messages.py.
+struct IssuerClaim {
+  1: i64 incarnation
+  2: Address address
+  3: bool is_near
+  4: i64 age_ms
+}
+
+struct NamedLimit {
+  1: i32 upstream           // as of UpstreamUse
+  2: i64 age_ms
+  3: optional double rate   // absent: withdrawn
+  4: optional IssuerClaim issuer
+}
+
 struct HostReport {
   1: string host
   2: i64 incarnation
@@ -55,6 +70,7 @@
   11: list<LaneDemand> demands
   13: list<HeldRun> held
   14: ReadRevisions revisions
+  15: list<NamedLimit> limits
 }
 
 // The part of a report that changes all the time, without what identifies its
@@ -68,6 +84,7 @@
   6: list<HeldRun> held
   7: bool is_whole
   8: optional ReadRevisions revisions   // only while it is news, and if is_whole
+  9: list<NamedLimit> limits            // likewise
 }
 
 struct UpstreamPace {
@@ -97,3 +114,20 @@
   3: list<HeldRun> held
   4: list<UpstreamPace> paces
 }
+
+// These are explained in hollyknot_state/_limit_messages.py.
+struct PermitQuery {
+  1: i32 number
+  2: string upstream        // the whole incarnation
+  3: NamedLimit limit
+  4: bool is_least_urgent
+  5: bool is_passed_over
+}
+
+struct PermitAnswer {
+  1: i32 number
+  2: bool is_issued
+  3: i32 wait_ms
+  4: optional NamedLimit limit
+  5: optional Address issuer
+}
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -600,6 +600,216 @@
         return not (self == other)
 
 
+class IssuerClaim(object):
+    """
+    Attributes:
+     - incarnation
+     - address
+     - is_near
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'incarnation',
+        'address',
+        'is_near',
+        'age_ms',
+    )
+
+
+    def __init__(self, incarnation=None, address=None, is_near=None, age_ms=None,):
+        self.incarnation = incarnation
+        self.address = address
+        self.is_near = is_near
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.address = Address()
+                    self.address.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_near = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('IssuerClaim')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 1)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRUCT, 2)
+            self.address.write(oprot)
+            oprot.writeFieldEnd()
+        if self.is_near is not None:
+            oprot.writeFieldBegin('is_near', TType.BOOL, 3)
+            oprot.writeBool(self.is_near)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class NamedLimit(object):
+    """
+    Attributes:
+     - upstream
+     - age_ms
+     - rate
+     - issuer
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'age_ms',
+        'rate',
+        'issuer',
+    )
+
+
+    def __init__(self, upstream=None, age_ms=None, rate=None, issuer=None,):
+        self.upstream = upstream
+        self.age_ms = age_ms
+        self.rate = rate
+        self.issuer = issuer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.upstream = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.issuer = IssuerClaim()
+                    self.issuer.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NamedLimit')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.I32, 1)
+            oprot.writeI32(self.upstream)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 2)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 3)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        if self.issuer is not None:
+            oprot.writeFieldBegin('issuer', TType.STRUCT, 4)
+            self.issuer.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HostReport(object):
     """
     Attributes:
@@ -615,6 +825,7 @@
      - demands
      - held
      - revisions
+     - limits
 
     """
 
@@ -631,10 +842,11 @@
         'demands',
         'held',
         'revisions',
+        'limits',
     )
 
 
-    def __init__(self, host=None, incarnation=None, sequence=None, address=None, data_centre=None, table_version=None, uses=None, suspects=None, contacts=None, demands=None, held=None, revisions=None,):
+    def __init__(self, host=None, incarnation=None, sequence=None, address=None, data_centre=None, table_version=None, uses=None, suspects=None, contacts=None, demands=None, held=None, revisions=None, limits=None,):
         self.host = host
         self.incarnation = incarnation
         self.sequence = sequence
@@ -647,6 +859,7 @@
         self.demands = demands
         self.held = held
         self.revisions = revisions
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -749,6 +962,17 @@
                     self.revisions.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = NamedLimit()
+                        _elem42.read(iprot)
+                        self.limits.append(_elem42)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -786,42 +1010,49 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter37 in self.uses:
-                iter37.write(oprot)
+            for iter43 in self.uses:
+                iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter38 in self.suspects:
-                iter38.write(oprot)
+            for iter44 in self.suspects:
+                iter44.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.contacts is not None:
             oprot.writeFieldBegin('contacts', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.contacts))
-            for iter39 in self.contacts:
-                iter39.write(oprot)
+            for iter45 in self.contacts:
+                iter45.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter40 in self.demands:
-                iter40.write(oprot)
+            for iter46 in self.demands:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter41 in self.held:
-                iter41.write(oprot)
+            for iter47 in self.held:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.STRUCT, 14)
             self.revisions.write(oprot)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter48 in self.limits:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -858,6 +1089,7 @@
      - held
      - is_whole
      - revisions
+     - limits
 
     """
 
@@ -870,10 +1102,11 @@
         'held',
         'is_whole',
         'revisions',
+        'limits',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, uses=None, demands=None, suspects=None, held=None, is_whole=None, revisions=None,):
+    def __init__(self, incarnation=None, sequence=None, uses=None, demands=None, suspects=None, held=None, is_whole=None, revisions=None, limits=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.uses = uses
@@ -882,6 +1115,7 @@
         self.held = held
         self.is_whole = is_whole
         self.revisions = revisions
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -905,44 +1139,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = UpstreamUse()
-                        _elem47.read(iprot)
-                        self.uses.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = UpstreamUse()
+                        _elem54.read(iprot)
+                        self.uses.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = LaneDemand()
-                        _elem53.read(iprot)
-                        self.demands.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = LaneDemand()
+                        _elem60.read(iprot)
+                        self.demands.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = SuspectRecord()
-                        _elem59.read(iprot)
-                        self.suspects.append(_elem59)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = SuspectRecord()
+                        _elem66.read(iprot)
+                        self.suspects.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = HeldRun()
-                        _elem65.read(iprot)
-                        self.held.append(_elem65)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = HeldRun()
+                        _elem72.read(iprot)
+                        self.held.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -957,6 +1191,17 @@
                     self.revisions.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = NamedLimit()
+                        _elem78.read(iprot)
+                        self.limits.append(_elem78)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -978,29 +1223,29 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter66 in self.uses:
-                iter66.write(oprot)
+            for iter79 in self.uses:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter67 in self.demands:
-                iter67.write(oprot)
+            for iter80 in self.demands:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter68 in self.suspects:
-                iter68.write(oprot)
+            for iter81 in self.suspects:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter69 in self.held:
-                iter69.write(oprot)
+            for iter82 in self.held:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_whole is not None:
@@ -1011,6 +1256,13 @@
             oprot.writeFieldBegin('revisions', TType.STRUCT, 8)
             self.revisions.write(oprot)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter83 in self.limits:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1165,33 +1417,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = UpstreamUse()
-                        _elem75.read(iprot)
-                        self.uses.append(_elem75)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = UpstreamUse()
+                        _elem89.read(iprot)
+                        self.uses.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = HeldRun()
-                        _elem81.read(iprot)
-                        self.held.append(_elem81)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = HeldRun()
+                        _elem95.read(iprot)
+                        self.held.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype85, _size82) = iprot.readListBegin()
-                    for _i86 in range(_size82):
-                        _elem87 = UpstreamPace()
-                        _elem87.read(iprot)
-                        self.paces.append(_elem87)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = UpstreamPace()
+                        _elem101.read(iprot)
+                        self.paces.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1216,22 +1468,22 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter88 in self.uses:
-                iter88.write(oprot)
+            for iter102 in self.uses:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter89 in self.held:
-                iter89.write(oprot)
+            for iter103 in self.held:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter90 in self.paces:
-                iter90.write(oprot)
+            for iter104 in self.paces:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1305,20 +1557,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = iprot.readI32()
-                        self.upstreams.append(_elem96)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readI32()
+                        self.upstreams.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = iprot.readI32()
-                        self.runs.append(_elem102)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = iprot.readI32()
+                        self.runs.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1343,15 +1595,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.upstreams))
-            for iter103 in self.upstreams:
-                oprot.writeI32(iter103)
+            for iter117 in self.upstreams:
+                oprot.writeI32(iter117)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.runs))
-            for iter104 in self.runs:
-                oprot.writeI32(iter104)
+            for iter118 in self.runs:
+                oprot.writeI32(iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1420,33 +1672,33 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = UpstreamUse()
-                        _elem110.read(iprot)
-                        self.uses.append(_elem110)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = UpstreamUse()
+                        _elem124.read(iprot)
+                        self.uses.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = HeldRun()
-                        _elem116.read(iprot)
-                        self.held.append(_elem116)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = HeldRun()
+                        _elem130.read(iprot)
+                        self.held.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = UpstreamPace()
-                        _elem122.read(iprot)
-                        self.paces.append(_elem122)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = UpstreamPace()
+                        _elem136.read(iprot)
+                        self.paces.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1467,22 +1719,22 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter123 in self.uses:
-                iter123.write(oprot)
+            for iter137 in self.uses:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter124 in self.held:
-                iter124.write(oprot)
+            for iter138 in self.held:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter125 in self.paces:
-                iter125.write(oprot)
+            for iter139 in self.paces:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1508,6 +1760,241 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class PermitQuery(object):
+    """
+    Attributes:
+     - number
+     - upstream
+     - limit
+     - is_least_urgent
+     - is_passed_over
+
+    """
+
+    __slots__ = (
+        'number',
+        'upstream',
+        'limit',
+        'is_least_urgent',
+        'is_passed_over',
+    )
+
+
+    def __init__(self, number=None, upstream=None, limit=None, is_least_urgent=None, is_passed_over=None,):
+        self.number = number
+        self.upstream = upstream
+        self.limit = limit
+        self.is_least_urgent = is_least_urgent
+        self.is_passed_over = is_passed_over
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.limit = NamedLimit()
+                    self.limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_least_urgent = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_passed_over = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitQuery')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 1)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.STRUCT, 3)
+            self.limit.write(oprot)
+            oprot.writeFieldEnd()
+        if self.is_least_urgent is not None:
+            oprot.writeFieldBegin('is_least_urgent', TType.BOOL, 4)
+            oprot.writeBool(self.is_least_urgent)
+            oprot.writeFieldEnd()
+        if self.is_passed_over is not None:
+            oprot.writeFieldBegin('is_passed_over', TType.BOOL, 5)
+            oprot.writeBool(self.is_passed_over)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitAnswer(object):
+    """
+    Attributes:
+     - number
+     - is_issued
+     - wait_ms
+     - limit
+     - issuer
+
+    """
+
+    __slots__ = (
+        'number',
+        'is_issued',
+        'wait_ms',
+        'limit',
+        'issuer',
+    )
+
+
+    def __init__(self, number=None, is_issued=None, wait_ms=None, limit=None, issuer=None,):
+        self.number = number
+        self.is_issued = is_issued
+        self.wait_ms = wait_ms
+        self.limit = limit
+        self.issuer = issuer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_issued = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.limit = NamedLimit()
+                    self.limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.issuer = Address()
+                    self.issuer.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitAnswer')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 1)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.is_issued is not None:
+            oprot.writeFieldBegin('is_issued', TType.BOOL, 2)
+            oprot.writeBool(self.is_issued)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.STRUCT, 4)
+            self.limit.write(oprot)
+            oprot.writeFieldEnd()
+        if self.issuer is not None:
+            oprot.writeFieldBegin('issuer', TType.STRUCT, 5)
+            self.issuer.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Address)
 Address.thrift_spec = (
     None,  # 0
@@ -1552,6 +2039,22 @@
     (1, TType.I64, 'tables', None, None, ),  # 1
     (2, TType.I64, 'upstreams', None, None, ),  # 2
 )
+all_structs.append(IssuerClaim)
+IssuerClaim.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'incarnation', None, None, ),  # 1
+    (2, TType.STRUCT, 'address', [Address, None], None, ),  # 2
+    (3, TType.BOOL, 'is_near', None, None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+)
+all_structs.append(NamedLimit)
+NamedLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'upstream', None, None, ),  # 1
+    (2, TType.I64, 'age_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'rate', None, None, ),  # 3
+    (4, TType.STRUCT, 'issuer', [IssuerClaim, None], None, ),  # 4
+)
 all_structs.append(HostReport)
 HostReport.thrift_spec = (
     None,  # 0
@@ -1569,6 +2072,7 @@
     None,  # 12
     (13, TType.LIST, 'held', (TType.STRUCT, [HeldRun, None], False), None, ),  # 13
     (14, TType.STRUCT, 'revisions', [ReadRevisions, None], None, ),  # 14
+    (15, TType.LIST, 'limits', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 15
 )
 all_structs.append(UseReport)
 UseReport.thrift_spec = (
@@ -1581,6 +2085,7 @@
     (6, TType.LIST, 'held', (TType.STRUCT, [HeldRun, None], False), None, ),  # 6
     (7, TType.BOOL, 'is_whole', None, None, ),  # 7
     (8, TType.STRUCT, 'revisions', [ReadRevisions, None], None, ),  # 8
+    (9, TType.LIST, 'limits', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 9
 )
 all_structs.append(UpstreamPace)
 UpstreamPace.thrift_spec = (
@@ -1613,5 +2118,23 @@
     (3, TType.LIST, 'held', (TType.STRUCT, [HeldRun, None], False), None, ),  # 3
     (4, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 4
 )
+all_structs.append(PermitQuery)
+PermitQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.STRUCT, 'limit', [NamedLimit, None], None, ),  # 3
+    (4, TType.BOOL, 'is_least_urgent', None, None, ),  # 4
+    (5, TType.BOOL, 'is_passed_over', None, None, ),  # 5
+)
+all_structs.append(PermitAnswer)
+PermitAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'number', None, None, ),  # 1
+    (2, TType.BOOL, 'is_issued', None, None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
+    (4, TType.STRUCT, 'limit', [NamedLimit, None], None, ),  # 4
+    (5, TType.STRUCT, 'issuer', [Address, None], None, ),  # 5
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -58,6 +58,12 @@
     short_name,
 )
 from hollyknot_state._hosts import EntryState, HostList, HostListEntry, Role
+from hollyknot_state._limit_messages import (
+    IssuerClaim,
+    NamedLimit,
+    PermitAnswer,
+    PermitQuery,
+)
 from hollyknot_state._load_messages import (
     LoadAnswer,
     LoadNote,
@@ -120,6 +126,7 @@
     "HolderEpoch",
     "HostList",
     "HostReport",
+    "IssuerClaim",
     "LaneDemand",
     "LoadAnswer",
     "LoadNote",
@@ -136,9 +143,12 @@
     "MemberUpdate",
     "ModelDeclaration",
     "Nature",
+    "NamedLimit",
     "Outcome",
     "PathFault",
     "PeerMessage",
+    "PermitAnswer",
+    "PermitQuery",
     "Platform",
     "Probe",
     "ProbeAck",
--- a/packages/state/src/hollyknot_state/_host_report.py
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from hollyknot_state._limit_messages import NamedLimit
 from hollyknot_state._settings import Address
 from hollyknot_state._signals import SuspectRecord
 
@@ -109,6 +110,7 @@
         held: Parts of prompts that were newly sent to upstreams.
         contacts: Some addresses of peers that it has heard of lately.
         revisions: What it has read from the platform's directory.
+        limits: Rate limits that upstreams have named.
     """
 
     host: str
@@ -123,6 +125,7 @@
     contacts: tuple[Address, ...] = ()
     held: tuple[HeldRun, ...] = ()
     revisions: ReadRevisions = ReadRevisions()
+    limits: tuple[NamedLimit, ...] = ()
 
 
 @attrs.frozen
@@ -139,6 +142,7 @@
         is_whole: Whether it tells of all upstreams with work in flight; else
             only of those where prompts wait to be read.
         revisions: As in them; None where it is no news.
+        limits: As in them, those that are news.
     """
 
     incarnation: int
@@ -149,3 +153,4 @@
     held: tuple[HeldRun, ...] = ()
     is_whole: bool = True
     revisions: ReadRevisions | None = None
+    limits: tuple[NamedLimit, ...] = ()
