Emulate engines that name a rate limit

A load can name engines, a rate and a time; hosts then need permits, which the emulator issues at once and at no cost.

--- a/packages/bench/src/hollyknot_bench/experiment/_load.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_load.py
@@ -100,6 +100,23 @@
     engines: int
 
 
+@attrs.frozen
+class Limit:
+    """Engines that name a rate limit in their answers.
+
+    Attributes:
+        at_s: From when on.
+        for_s: How long.
+        engines: Their numbers.
+        rate: Requests a second that each takes from all hosts together.
+    """
+
+    at_s: float
+    for_s: float
+    engines: tuple[int, ...]
+    rate: float
+
+
 @attrs.frozen
 class Load:
     """A day.
@@ -115,6 +132,7 @@
         classes: What is asked for.
         bursts: When more of it is.
         crashes: Of engines.
+        limits: Of engines in need.
     """
 
     length_s: float
@@ -126,6 +144,7 @@
     classes: tuple[ClassFigures, ...]
     bursts: tuple[Burst, ...] = ()
     crashes: tuple[Crash, ...] = ()
+    limits: tuple[Limit, ...] = ()
 
 
 @attrs.frozen
--- a/packages/bench/src/hollyknot_bench/experiment/_play.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_play.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import math
 import random
 from collections.abc import Callable
 
@@ -20,9 +21,14 @@
 from hollyknot_coordination.forwarding import (
     COME_BACK_S,
     Choice,
+    FleetSize,
+    NamedLimits,
+    Permits,
     RouteIndex,
     Shed,
     TooSlow,
+    Tracker,
+    Trackers,
     Work,
     runs_of,
 )
@@ -102,6 +108,8 @@
         self._service = Service(_SERVICE, EngineService(load.engine.slots))
         self._ended = {r.number: Ended(r) for r in self._requests}
         self._reports: dict[int, HostReport] = {}
+        self._named = NamedLimits()
+        self._permits = self._make_permits()
 
     def run(self) -> Outcome:
         """Plays it to its end."""
@@ -112,6 +120,11 @@
                 self._later(crash.at_s, self._crash, number)
                 back_s = crash.at_s + crash.for_s
                 self._later(back_s, self._come_back, number)
+        for limit in self._load.limits:
+            for number in limit.engines:
+                self._later(limit.at_s, self._name, number, limit.rate)
+                end_s = limit.at_s + limit.for_s
+                self._later(end_s, self._name, number, None)
         self._begin_reports()
         until_s = self._load.length_s + SETTLE_S
         self._clock.run(until_s)
@@ -124,6 +137,23 @@
             sum(e.busy_reading_s for e in self._engines) / time_s,
         )
 
+    def _make_permits(self) -> Permits:
+        """Returns the permits that all hosts get, at once and at no cost."""
+        own = Tracker(0, Address("10.0.1.1", 1), "one")
+        return Permits(
+            Trackers(own, tuple),
+            FleetSize(-math.inf, is_alone=True),
+            self._named,
+            self._by_incarnation.get,
+            self._rng,
+        )
+
+    def _name(self, number: int, rate: float | None) -> None:
+        """Has all hosts know an engine's limit."""
+        name = self._entries[number].incarnation
+        now_s = self._clock.now_s
+        self._named.hear(name, rate, now_s, now_s)
+
     def _begin_reports(self) -> None:
         if self._is_shared:
             return
@@ -226,23 +256,38 @@
         sheds_from = self._index.sheds_from(_SERVICE)
         is_loose = self._index.is_loose(route, _SERVICE)
         call = _call(request)
+        counted = [
+            e for e in asked or entries if not self._permits.is_limited(e)
+        ]
         if urgency >= sheds_from and isinstance(
-            host.shedding.decide(asked or entries, sheds_from, now_s), Shed
+            host.shedding.decide(counted or entries, sheds_from, now_s), Shed
         ):
             self._refuse(request)
             return
+        is_least_urgent = urgency >= sheds_from
+        closed = self._permits.closed(
+            entries, now_s, is_least_urgent=is_least_urgent
+        )
         choice = host.placement.choose(
             self._service,
             entries,
             call,
-            frozenset(),
+            closed,
             now_s,
             is_loose=is_loose,
             urgency=urgency,
             among=frozenset(entry.incarnation for entry in asked),
         )
         if not isinstance(choice, Choice):
+            self._refuse(request)
             return
+        if self._permits.is_limited(choice.entry):
+            permit, _ = self._permits.ask(
+                choice.entry, now_s, is_least_urgent=is_least_urgent
+            )
+            if not permit.is_issued:
+                self._place(request, number, asked)
+                return
         if urgency >= sheds_from and self._is_too_slow(request, host, choice):
             self._refuse(request)
             return
