--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_named_limits.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_named_limits.py
@@ -1,6 +1,15 @@
 """Tests of what a host knows of the limits that upstreams name."""
 
+import attrs
+import pytest
+
 from hollyknot_coordination.forwarding import NamedLimits
+from hollyknot_coordination.forwarding._named_limits import (
+    MOST_TOLD,
+    NEWS_S,
+    REMEMBER_WITHDRAWN_S,
+)
+from hollyknot_state import NamedLimit, short_name
 
 
 class TestAnswers:
@@ -40,3 +49,81 @@
         assert named.rate("a@2") is None
         named.forget("a@1")
         assert named.rate("a@1") is None
+
+
+class TestPeers:
+    """What hosts tell each other."""
+
+    def _limit(self, rate: float | None, age_ms: int = 0) -> NamedLimit:
+        return NamedLimit(short_name("a"), age_ms, rate)
+
+    def test_what_is_told_is_known(self) -> None:
+        teller, other = NamedLimits(), NamedLimits()
+        teller.hear("a", 1.2, 1.0, 2.0)
+        news = other.take(teller.told(2.5, is_all=False), 2.5)
+        assert [limit.rate for limit in news] == [1.2]
+        assert other.rate("a") == 1.2
+        assert other.take(teller.told(2.6, is_all=False), 2.6) == []
+
+    def test_the_newest_word_counts(self) -> None:
+        named = NamedLimits()
+        named.hear("a", 1.2, 9.0, 10.0)
+        assert named.take([self._limit(3.0, age_ms=500)], 10.1) == []
+        assert named.rate("a") == 1.2
+        assert named.take([self._limit(3.0, age_ms=10)], 10.5)
+        assert named.rate("a") == 3.0
+
+    def test_a_word_never_grows_younger_by_being_told(self) -> None:
+        """Guards against a withdrawn limit that hosts tell each other on."""
+        hosts = [NamedLimits() for _ in range(10)]
+        hosts[0].hear("a", 1.2, 0.0, 1.0)
+        now_s = 1.0
+        for _ in range(20):
+            for teller, other in zip(hosts, hosts[1:] + hosts[:1], strict=True):
+                now_s += 0.002
+                other.take(teller.told(now_s, is_all=True), now_s)
+        heard = [host._words[short_name("a")].heard_s for host in hosts]
+        assert max(heard) == 1.0
+
+    def test_a_withdrawal_goes_before_older_words_for_a_while(self) -> None:
+        named = NamedLimits()
+        named.hear("a", 1.2, 0.0, 1.0)
+        named.hear("a", None, 2.0, 3.0)
+        named.take([self._limit(1.2, age_ms=1000)], 3.5)
+        assert named.rate("a") is None
+        assert named.told(3.0 + REMEMBER_WITHDRAWN_S, is_all=True)
+        assert named.told(3.1 + REMEMBER_WITHDRAWN_S, is_all=True) == ()
+
+    def test_a_withdrawal_of_an_unknown_limit_is_no_news(self) -> None:
+        named = NamedLimits()
+        assert named.take([self._limit(None)], 1.0) == []
+        assert named.told(1.0, is_all=True) == ()
+
+    @pytest.mark.parametrize("rate", [-1.0, float("inf"), float("nan")])
+    def test_a_peer_that_tells_no_rate_changes_nothing(
+        self, rate: float
+    ) -> None:
+        named = NamedLimits()
+        assert named.take([self._limit(rate)], 1.0) == []
+        assert named.rate("a") is None
+
+    def test_an_age_below_zero_is_none(self) -> None:
+        named = NamedLimits()
+        named.take([self._limit(1.0, age_ms=-(10**9))], 1.0)
+        assert named.hear("a", 2.0, 1.5, 2.0)
+
+    def test_news_are_told_in_each_report_and_all_in_some(self) -> None:
+        named = NamedLimits()
+        named.hear("a", 1.2, 0.0, 1.0)
+        assert named.told(1.0 + NEWS_S - 0.1, is_all=False)
+        assert named.told(1.0 + NEWS_S, is_all=False) == ()
+        assert named.told(1.0 + NEWS_S, is_all=True)
+
+    def test_a_report_tells_the_newest_of_many(self) -> None:
+        named = NamedLimits()
+        for number in range(MOST_TOLD + 5):
+            named.hear(f"a{number}", 1.0, 0.0, float(number))
+        told = named.told(100.0, is_all=True)
+        newest = short_name(f"a{MOST_TOLD + 4}")
+        assert len(told) == MOST_TOLD
+        assert told[0] == attrs.evolve(told[0], upstream=newest)
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_permit_issuer.py
@@ -0,0 +1,102 @@
+"""Tests of permits that one host issues."""
+
+import pytest
+
+from hollyknot_coordination.forwarding import FleetSize
+from hollyknot_coordination.forwarding._permit_issuer import (
+    LEARN_S,
+    LONGEST_WAIT_S,
+    RATE_PART,
+    SAVED_PERMITS,
+    PermitIssuer,
+)
+
+STEP_S = 0.01
+
+
+def _issuer(hosts: int = 8, heard: int = 8) -> PermitIssuer:
+    size = FleetSize(0.0, is_alone=False)
+    size.set(hosts, heard, 0.0)
+    return PermitIssuer(size)
+
+
+def _issued(
+    issuer: PermitIssuer,
+    begin_s: float,
+    seconds: float,
+    rate: float = 2.0,
+    *,
+    is_least_urgent: bool = False,
+    is_sole: bool = False,
+) -> int:
+    """Asks again and again, and returns how many permits were issued."""
+    return sum(
+        not issuer.issue(
+            "a",
+            rate,
+            begin_s + step * STEP_S,
+            is_least_urgent=is_least_urgent,
+            is_sole=is_sole,
+        )
+        for step in range(int(seconds / STEP_S))
+    )
+
+
+class TestPermitIssuer:
+    """Permits at a rate, some of which are saved up."""
+
+    def test_issues_its_part_of_the_rate(self) -> None:
+        issued = _issued(_issuer(), 10.0, 20.0)
+        assert abs(issued - 2.0 * RATE_PART * 20.0) <= SAVED_PERMITS
+
+    def test_saves_few(self) -> None:
+        issuer = _issuer()
+        _issued(issuer, 10.0, 1.0)
+        assert _issued(issuer, 1000.0, 2 * STEP_S) == int(SAVED_PERMITS)
+
+    def test_a_host_that_hears_few_issues_less(self) -> None:
+        some = _issued(_issuer(hosts=8, heard=2), 10.0, 40.0)
+        assert abs(some - 2.0 * RATE_PART * 40.0 / 4) <= SAVED_PERMITS
+        sole = _issued(_issuer(8, 2), 10.0, 40.0, is_sole=True)
+        assert sole > 3 * some
+
+    def test_one_that_has_just_started_issues_none(self) -> None:
+        """Guards against a host that takes itself for the only one."""
+        assert _issued(_issuer(), 0.0, LEARN_S) == 0
+
+    def test_one_that_hears_nobody_issues_none(self) -> None:
+        issuer = PermitIssuer(FleetSize(0.0, is_alone=False))
+        assert _issued(issuer, 10.0, 10.0) == 0
+
+    def test_one_without_peers_issues_all(self) -> None:
+        issuer = PermitIssuer(FleetSize(0.0, is_alone=True))
+        assert _issued(issuer, 10.0, 10.0) > 0
+
+    def test_one_permit_is_kept_for_urgent_requests(self) -> None:
+        issuer = _issuer()
+        _issued(issuer, 10.0, 5.0, is_least_urgent=True)
+        assert not issuer.issue("a", 2.0, 15.0, is_least_urgent=False)
+
+    def test_least_urgent_requests_get_permits_too(self) -> None:
+        issued = _issued(_issuer(), 10.0, 20.0, is_least_urgent=True)
+        assert issued >= 2.0 * RATE_PART * 20.0 - SAVED_PERMITS
+
+    @pytest.mark.parametrize("rate", [0.0, 1e-9, 1e9])
+    def test_waits_are_bounded(self, rate: float) -> None:
+        issuer = _issuer()
+        waits = [
+            issuer.issue("a", rate, 10.0, is_least_urgent=False)
+            for _ in range(100)
+        ]
+        assert all(0.0 <= wait <= LONGEST_WAIT_S for wait in waits)
+
+    def test_time_that_goes_back_issues_nothing(self) -> None:
+        issuer = _issuer()
+        _issued(issuer, 10.0, 1.0)
+        assert issuer.issue("a", 2.0, 5.0, is_least_urgent=False)
+
+    def test_a_gone_upstream_is_forgotten(self) -> None:
+        issuer = _issuer()
+        _issued(issuer, 10.0, 5.0)
+        issuer.forget("a")
+        assert issuer._buckets == {}
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -244,6 +244,11 @@
         """How many other hosts are heard."""
         return self._neighbours.count
 
+    @property
+    def limited_upstreams(self) -> int:
+        """How many upstreams have a rate limit, as far as is known."""
+        return self._named_limits.count
+
     @property
     def upstreams(self) -> frozenset[str]:
         """The incarnations that may get work."""
@@ -369,7 +374,7 @@
         gauge("hollyknot_upstreams_usable", lambda: float(len(self.upstreams)))
         gauge(
             "hollyknot_upstreams_limited",
-            lambda: float(self._named_limits.count),
+            lambda: float(self.limited_upstreams),
         )
         gauge("hollyknot_peers_heard", lambda: float(self._neighbours.count))
         gauge(
