Tests of saved permits and of hosts that have just started fail on broken code

Two mutants were not found: thirty saved permits (the calm time began before any permit was asked for) and no time to learn (the test took the constant that was broken). Both are now.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_permit_issuer.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_permit_issuer.py
@@ -4,7 +4,6 @@
 
 from hollyknot_coordination.forwarding import FleetSize
 from hollyknot_coordination.forwarding._permit_issuer import (
-    LEARN_S,
     LONGEST_WAIT_S,
     RATE_PART,
     SAVED_PERMITS,
@@ -62,7 +61,7 @@
 
     def test_one_that_has_just_started_issues_none(self) -> None:
         """Guards against a host that takes itself for the only one."""
-        assert _issued(_issuer(), 0.0, LEARN_S) == 0
+        assert _issued(_issuer(), 0.0, 0.9) == 0
 
     def test_one_that_hears_nobody_issues_none(self) -> None:
         issuer = PermitIssuer(FleetSize(0.0, is_alone=False))
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_permits.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_permits.py
@@ -57,6 +57,7 @@
         network = Network(count, 1, sees)
         network.begin_reports()
         network.name(1.2)
+        network.run(1.0, wanted=100.0)
         network.run(20.0, wanted=0.01)
         network.run(10.0, wanted=100.0)
         assert network.busiest_window() <= _most(1.2)
