--- a/packages/coordination/src/hollyknot_coordination/classification/_explain.py
+++ b/packages/coordination/src/hollyknot_coordination/classification/_explain.py
@@ -72,6 +72,11 @@
         "it would be answered too late for its target",
     ),
     (Reason.NO_UPSTREAM, Outcome.NOT_RUN, "no upstream of its pool is usable"),
+    (
+        Reason.RATE_LIMITED,
+        Outcome.NOT_RUN,
+        "the rate limits that its upstreams have named are used up",
+    ),
     (
         Reason.UPSTREAM_REFUSED,
         Outcome.NOT_RUN,
