Follow a directory that comes back from an older copy

Symptom: a host that had read revision 100 and meets the store at 92 keeps the old state and throws ten lists a second away as stale; where the store has passed 100 again it misses what was written between, for good and without a line. Cause: revisions were compared alone, while a store that comes back gives them out anew.

A position is now an era and a revision, compared in this order by the follower and in what hosts tell each other. A watch that is answered from another era is not applied: the list is read, and once more when old entries have had time to be written again or to lapse (four heartbeats). Until then an evacuation that the copy lacks holds, an upstream known to leave or removed lately does not come back, and a version of the routes only rises as before. An era that is missing or no number changes nothing.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_fleet.py
@@ -28,6 +28,11 @@
 """Fewer entries than this may go at one moment on their own account."""
 
 
+REMEMBER_REMOVED_S = 60.0
+"""How long it is known that an upstream's entry was removed. A directory that
+comes back from an older copy may have the entry again until it lapses."""
+
+
 @attrs.define
 class _Known:
     entry: UpstreamEntry
@@ -64,6 +69,7 @@
         self._services: frozenset[str] | None = None
         self._evacuated: frozenset[str] = frozenset()
         self._ended: list[Ended] = []
+        self._removed: dict[str, float] = {}
         self._by_service: dict[str, list[UpstreamEntry]] | None = {}
         self._by_service_until = float("inf")
 
@@ -130,8 +136,15 @@
             known.lapses_at = min(known.lapses_at, now_s + self._lapse_s)
         else:
             self._end(incarnation, runs_no_more=False)
+            self._note_removed(incarnation, now_s)
         return incarnation
 
+    def _note_removed(self, incarnation: str, now_s: float) -> None:
+        for other, removed_s in list(self._removed.items()):
+            if now_s - removed_s >= REMEMBER_REMOVED_S:
+                del self._removed[other]
+        self._removed[incarnation] = now_s
+
     def are_lapses(self, removed: Collection[str]) -> bool:
         """Whether so many entries go at once that they must have lapsed.
 
@@ -141,18 +154,44 @@
         known = len(self._names.keys() & set(removed))
         return known >= max(LEAST_LAPSED, len(self._names) * LAPSED_PART)
 
+    def _from_older_copy(
+        self, entry: UpstreamEntry, now_s: float
+    ) -> UpstreamEntry | None:
+        """Returns what a list says that may be older than what is known.
+
+        An upstream that is known to leave does not come back, and one whose
+        entry was removed lately is not there again.
+        """
+        removed_s = self._removed.get(entry.incarnation)
+        if removed_s is not None and now_s - removed_s < REMEMBER_REMOVED_S:
+            return None
+        known = self._known.get(entry.incarnation)
+        if known is not None and known.entry.is_draining:
+            return attrs.evolve(entry, is_draining=True)
+        return entry
+
     def replace(
         self,
         entries: Iterable[UpstreamEntry],
         now_s: float,
         *,
         may_have_lapsed: bool,
+        may_be_older: bool = False,
     ) -> list[UpstreamEntry]:
         """Takes in a whole list: what it lacks is removed.
 
+        Args:
+            entries: The list.
+            now_s: The time.
+            may_have_lapsed: As of `remove`.
+            may_be_older: Whether the list may be older than what is known.
+
         Returns:
             The entries that change what is believed.
         """
+        if may_be_older:
+            older = (self._from_older_copy(e, now_s) for e in entries)
+            entries = [entry for entry in older if entry is not None]
         listed = {entry.name: entry for entry in entries}
         removed = self._names.keys() - listed.keys()
         lapsed = may_have_lapsed or self.are_lapses(removed)
@@ -234,6 +273,7 @@
         for incarnation, known in list(self._known.items()):
             if now_s >= known.lapses_at:
                 self._end(incarnation, runs_no_more=False)
+                self._note_removed(incarnation, now_s)
 
     def _end_displaced(self) -> None:
         """Ends incarnations whose address was given to another one."""
--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -17,7 +17,7 @@
 from hollyknot_gateway._metrics import UNREADABLE, Metrics
 from hollyknot_gateway._pool import Pool
 from hollyknot_gateway._ports import Changes, Listing, Source, Unreadable
-from hollyknot_state import ReadRevisions
+from hollyknot_state import Position, ReadRevisions
 from hollyknot_state.routes import (
     Bounds,
     Evacuation,
@@ -48,6 +48,11 @@
 within a second and by the others by what that one tells."""
 
 
+RESTORED_HEARTBEATS = 4
+"""After the source came back from an older copy, how long its entries may be
+old, in heartbeats of upstreams. Live ones have renewed theirs by then, and
+those of upstreams that have ended have lapsed after three."""
+
 TRIES_A_SECOND = 40.0
 """How many hosts of a fleet try a lost source again each second."""
 
@@ -107,12 +112,15 @@
     @property
     def read(self) -> ReadRevisions:
         """The newest changes that were read."""
-        return ReadRevisions(self._published.changed, self._upstreams.changed)
+        tables, upstreams = self._published.changed, self._upstreams.changed
+        return ReadRevisions(
+            tables.revision, upstreams.revision, tables.era, upstreams.era
+        )
 
     def tell(self, read: ReadRevisions) -> None:
         """Takes what a peer has read: what lacks here is read at once."""
-        self._published.tell(read.tables)
-        self._upstreams.tell(read.upstreams)
+        self._published.tell(Position(read.tables_era, read.tables))
+        self._upstreams.tell(Position(read.upstreams_era, read.upstreams))
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Puts other bounds in force from the next read on."""
@@ -161,6 +169,7 @@
             pause_s=pause_s,
             settle_s=self._bounds.contact_s,
             longest_pause_s=self._longest_pause_s(),
+            restored_s=self._bounds.heartbeat_s * RESTORED_HEARTBEATS,
         )
 
     def _longest_pause_s(self) -> float:
@@ -173,9 +182,13 @@
         return min(max(wanted_s, LONGEST_PAUSE_S), longest_s)
 
     def _take_all_published(self, listing: Listing[Published]) -> None:
-        """Takes all that is published: an evacuation that lacks is over."""
+        """Takes all that is published: an evacuation that lacks is over.
+
+        Not while the source may have lost it: operators write it again.
+        """
         self._tell_unreadable(listing.unreadable)
-        self._evacuations.clear()
+        if not self._published.is_restored:
+            self._evacuations.clear()
         # First, so that no new route leads to an evacuated data centre.
         self._take_evacuations(listing.items)
         self._take_tables(listing.items)
@@ -244,7 +257,10 @@
         self._take_unreadable(listing.unreadable, are_all=True)
         now_s = self._parts.clock()
         changed = in_force.fleet.replace(
-            listing.items.values(), now_s, may_have_lapsed=may_have_lapsed
+            listing.items.values(),
+            now_s,
+            may_have_lapsed=may_have_lapsed,
+            may_be_older=self._upstreams.is_restored,
         )
         for entry in changed:
             self._parts.cold_starts.note(entry, now_s)
@@ -254,6 +270,7 @@
             listed=len(listing.items),
             known=len(in_force.fleet),
             unreadable=len(listing.unreadable),
+            era=listing.era,
             revision=listing.revision,
         )
         self._forget_ended()
--- a/packages/gateway/src/hollyknot_gateway/_fetch.py
+++ b/packages/gateway/src/hollyknot_gateway/_fetch.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
@@ -36,16 +37,19 @@
     Attributes:
         status: The HTTP status.
         body: All of it.
+        fields: Headers, looked up by name without regard to case.
     """
 
     status: int
     body: bytes
+    fields: Any = attrs.Factory(dict)
 
 
 class _Collector:
     def __init__(self, on_progress: Callable[[], None]) -> None:
         self._on_progress = on_progress
         self._status = 0
+        self._fields: Any = {}
         self._parts: list[bytes] = []
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[Document | FetchFailure] = (
@@ -54,6 +58,7 @@
 
     def on_head(self, head: Head) -> None:
         self._status = head.status
+        self._fields = head.fields
         self._note_progress()
 
     def on_data(self, data: bytes) -> None:
@@ -61,7 +66,8 @@
         self._note_progress()
 
     def on_end(self) -> None:
-        self._set(Document(self._status, b"".join(self._parts)))
+        body = b"".join(self._parts)
+        self._set(Document(self._status, body, self._fields))
 
     def on_lost(self, _: Lost) -> None:
         self._set(FetchFailure.LOST)
--- a/packages/gateway/src/hollyknot_gateway/_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/_follower.py
@@ -28,6 +28,7 @@
     Source,
     SourceFailure,
 )
+from hollyknot_state import Position
 
 T = TypeVar("T")
 
@@ -51,6 +52,9 @@
 given up. All watches are answered within milliseconds of a change, those of a
 slow source within a few hundred, and a report of it can arrive as soon."""
 
+_FALLEN_ERAS = 3
+"""Answers of a lower era in a row that are taken for late ones."""
+
 _WATCHES_FAILED = 3
 """Failed watches after which the list is read instead. A watch tells all that
 has changed meanwhile: after a storm of large versions its answer may not be
@@ -69,6 +73,8 @@
         pause_s: Between a watch that told changes and the next.
         settle_s: After a failure, how long removals may only be lapses.
         longest_pause_s: Between failed reads.
+        restored_s: After the source came back from an older copy, how long
+            what it lacks or has again may only be owed to that.
     """
 
     wait_s: float
@@ -76,6 +82,7 @@
     pause_s: float
     settle_s: float
     longest_pause_s: float = LONGEST_PAUSE_S
+    restored_s: float = 0.0
 
 
 class Follower(Generic[T]):
@@ -110,27 +117,35 @@
         self._log = log
         self._rng = rng
         self._clock = clock
-        self._revision = 0
-        self._changed = 0
-        self._told = 0
-        self._doubted = 0
+        self._position = Position()
+        self._changed = Position()
+        self._told = Position()
+        self._doubted = Position()
+        self._restored_at = float("-inf")
+        self._fallen_eras = 0
+        self._era_problem = ""
         self._is_told = asyncio.Event()
         self._failures = 0
         self._failed_at = float("-inf")
 
     @property
-    def revision(self) -> int:
-        """The newest revision that was read."""
-        return self._revision
+    def position(self) -> Position:
+        """The newest position that was read."""
+        return self._position
+
+    @property
+    def is_restored(self) -> bool:
+        """Whether the source may still lack what it lost, or have it again."""
+        return self._clock() - self._restored_at < self._options().restored_s
 
     @property
-    def changed(self) -> int:
-        """The newest change that was read; 0 for none."""
+    def changed(self) -> Position:
+        """The newest change that was read."""
         return self._changed
 
-    def tell(self, changed: int) -> None:
-        """Takes a peer's word that something was changed at a revision."""
-        if changed > max(self._revision, self._told, self._doubted):
+    def tell(self, changed: Position) -> None:
+        """Takes a peer's word that something was changed at a position."""
+        if changed > max(self._position, self._told, self._doubted):
             self._told = changed
             self._is_told.set()
 
@@ -146,17 +161,22 @@
         if isinstance(found, SourceFailure):
             await self._failed(found)
             return False
-        may_have_lapsed = self._is_settling()
-        self._succeeded()
-        if found.revision < self._revision:
+        position = Position(self._era(found), found.revision)
+        if position < self._position:
+            self._succeeded()
             self._log.line(
                 "stale_read",
                 source=self._source.name,
-                revision=found.revision,
-                known=self._revision,
+                **_fields(position),
+                known_era=self._position.era,
+                known=self._position.revision,
             )
             await self._pause(_FIRST_PAUSE_S)
             return False
+        if position.era > self._position.era:
+            self._note_restored(position)
+        may_have_lapsed = self._is_settling()
+        self._succeeded()
         self._note(found, told)
         self._on_listing(found, may_have_lapsed)
         return True
@@ -184,6 +204,18 @@
                 self._log.line("history_lost", source=self._source.name)
                 self._failed_at = self._clock()
                 return
+            era = self._era(found)
+            if era != self._position.era:
+                # A watch from a revision of another era tells only a part of
+                # what is new.
+                self._log.line(
+                    "watch_of_another_era",
+                    source=self._source.name,
+                    **_fields(Position(era, found.revision)),
+                    known_era=self._position.era,
+                )
+                await self._pause(_FIRST_PAUSE_S * self._rng.random())
+                return
             may_have_lapsed = self._is_settling()
             self._succeeded()
             self._note(found, told)
@@ -208,7 +240,7 @@
             behind.cancel()
 
         watch = asyncio.ensure_future(
-            self._source.watch(self._revision, wait_s, await_answer)
+            self._source.watch(self._position.revision, wait_s, await_answer)
         )
         try:
             if self._is_behind:
@@ -226,8 +258,9 @@
         self._log.line(
             "watch_behind",
             source=self._source.name,
-            revision=self._revision,
-            told=self._told,
+            **_fields(self._position),
+            told_era=self._told.era,
+            told=self._told.revision,
         )
         return None
 
@@ -242,9 +275,49 @@
 
     @property
     def _is_behind(self) -> bool:
-        return self._told > max(self._revision, self._doubted)
+        return self._told > max(self._position, self._doubted)
 
-    def _note(self, found: Listing[T] | Changes[T], told: int) -> None:
+    def _era(self, found: Listing[T] | Changes[T]) -> int:
+        """Returns the era of an answer.
+
+        One that is not told is taken for the known one. A lower one is an
+        answer that comes late, unless the source goes on with it.
+        """
+        known = self._position.era
+        if found.era is None:
+            if known:
+                self._tell_era("era_missing")
+            return known
+        if found.era >= known:
+            self._fallen_eras = 0
+            self._era_problem = ""
+            return found.era
+        self._tell_era("era_fell", era=found.era, known_era=known)
+        self._fallen_eras += 1
+        if self._fallen_eras <= _FALLEN_ERAS:
+            return found.era
+        return known
+
+    def _tell_era(self, event: str, **values: int) -> None:
+        """Logs what is wrong with eras, once until they are good again."""
+        if self._era_problem != event:
+            self._era_problem = event
+            self._log.line(event, source=self._source.name, **values)
+
+    def _note_restored(self, position: Position) -> None:
+        """Notes that the source has come back from an older copy."""
+        if self._position == Position():
+            return
+        self._restored_at = self._clock()
+        self._log.line(
+            "source_restored",
+            source=self._source.name,
+            **_fields(position),
+            known_era=self._position.era,
+            known=self._position.revision,
+        )
+
+    def _note(self, found: Listing[T] | Changes[T], told: Position) -> None:
         """Notes what an answer covers.
 
         A read that began after a peer told of a change covers it. If it does
@@ -255,15 +328,17 @@
             found: The answer.
             told: The newest change that was known of when the read began.
         """
-        self._revision = max(self._revision, found.revision)
-        self._changed = max(self._changed, found.changed)
-        if told > self._revision:
+        era = max(self._position.era, found.era or 0)
+        self._position = max(self._position, Position(era, found.revision))
+        self._changed = max(self._changed, Position(era, found.changed))
+        if told > self._position:
             self._doubted = told
             self._log.line(
                 "peer_ahead",
                 source=self._source.name,
-                revision=self._revision,
-                told=told,
+                **_fields(self._position),
+                told_era=told.era,
+                told=told.revision,
             )
 
     def _spread_wait_s(self) -> float:
@@ -273,7 +348,8 @@
         return self._rng.uniform(least_s, options.wait_s)
 
     def _is_settling(self) -> bool:
-        return self._clock() - self._failed_at < self._options().settle_s
+        is_failed = self._clock() - self._failed_at < self._options().settle_s
+        return is_failed or self.is_restored
 
     def _succeeded(self) -> None:
         if self._failures:
@@ -281,7 +357,7 @@
                 "source_regained",
                 source=self._source.name,
                 after_failures=self._failures,
-                revision=self._revision,
+                **_fields(self._position),
             )
         self._failures = 0
 
@@ -294,7 +370,7 @@
                 source=self._source.name,
                 reason=failure.reason,
                 detail=failure.detail,
-                revision=self._revision,
+                **_fields(self._position),
             )
         factor = 2 ** min(self._failures - 1, 8)
         longest_s = self._options().longest_pause_s
@@ -304,3 +380,8 @@
         if seconds > 0:
             spread = self._rng.uniform(1 - _PAUSE_SPREAD, 1 + _PAUSE_SPREAD)
             await asyncio.sleep(seconds * spread)
+
+
+def _fields(position: Position) -> dict[str, int]:
+    """Returns a position as fields of a log line."""
+    return {"era": position.era, "revision": position.revision}
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -372,6 +372,14 @@
         gauge("hollyknot_ready", lambda: float(self.is_ready))
         gauge("hollyknot_routes_version", lambda: float(self.table_version))
         gauge("hollyknot_upstreams_usable", lambda: float(len(self.upstreams)))
+        gauge(
+            "hollyknot_directory_era",
+            lambda: float(self._directory.read.upstreams_era),
+        )
+        gauge(
+            "hollyknot_directory_revision",
+            lambda: float(self._directory.read.upstreams),
+        )
         gauge(
             "hollyknot_upstreams_limited",
             lambda: float(self.limited_upstreams),
--- a/packages/gateway/src/hollyknot_gateway/_ports.py
+++ b/packages/gateway/src/hollyknot_gateway/_ports.py
@@ -61,12 +61,14 @@
         revision: From which to watch.
         unreadable: Those that could not be read.
         changed: The newest revision at which an item of it was written.
+        era: In which the revisions were given out; None if it isn't told.
     """
 
     items: dict[str, T]
     revision: int
     unreadable: tuple[Unreadable, ...] = ()
     changed: int = 0
+    era: int | None = None
 
 
 @attrs.frozen
@@ -79,6 +81,7 @@
         revision: From which to go on.
         unreadable: Written, but could not be read.
         changed: The newest revision among the changes; 0 for none.
+        era: As of a listing.
     """
 
     items: dict[str, T]
@@ -86,6 +89,7 @@
     revision: int
     unreadable: tuple[Unreadable, ...] = ()
     changed: int = 0
+    era: int | None = None
 
 
 class Compacted(enum.Enum):
--- a/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
@@ -17,6 +17,7 @@
 from hollyknot_gateway._follower import BEHIND_S, Follower, FollowOptions
 from hollyknot_gateway._log import Log
 from hollyknot_gateway.tests._virtual_time import run_virtually
+from hollyknot_state import Position
 
 Watched = Changes[str] | Compacted | SourceFailure
 Listed = Listing[str] | SourceFailure
@@ -186,7 +187,7 @@
         if wait_s > 1:
             if not self._tells:
                 raise _EndedError
-            self.follower.tell(self._tells.pop(0))
+            self.follower.tell(Position(0, self._tells.pop(0)))
             await asyncio.Event().wait()
         is_news = self._newest > after
         items = {"a": "1"} if is_news else {}
@@ -220,7 +221,7 @@
         assert fleet.read == [7]
         assert fleet.waits[0] > 1
         assert fleet.waits[1] < 0.2
-        assert fleet.follower.changed == 7
+        assert fleet.follower.changed == Position(0, 7)
 
     def test_a_peer_that_reads_something_else_is_heeded_once(self) -> None:
         """The source is asked several times a second by each host.
@@ -231,7 +232,7 @@
         fleet = _Fleet([900], newest=6)
         fleet.play()
         assert [wait_s > 1 for wait_s in fleet.waits] == [True, False, True]
-        fleet.follower.tell(900)
+        fleet.follower.tell(Position(0, 900))
         assert not fleet.follower._is_behind
 
     def test_ends_of_watches_are_spread_again_after_a_change(self) -> None:
@@ -303,7 +304,7 @@
         """Tells of the change several times a second, as reports do."""
         await asyncio.sleep(1.0)
         while True:
-            self.follower.tell(7)
+            self.follower.tell(Position(0, 7))
             await asyncio.sleep(0.1)
 
     def play(self) -> None:
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_restored_source.py
@@ -0,0 +1,289 @@
+"""Tests of hosts that follow a source which comes back from older copies."""
+
+import asyncio
+import os
+import random
+from collections.abc import Callable
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hollyknot_gateway import (
+    Changes,
+    Compacted,
+    Listing,
+    Source,
+    SourceFailure,
+)
+from hollyknot_gateway._follower import Follower, FollowOptions
+from hollyknot_gateway._log import Log
+from hollyknot_gateway.tests._virtual_time import run_virtually
+
+RESTORED_S = 4.8
+SETTLED_S = 15.0
+"""After the last change, within which all hosts hold what the source holds: the
+time in which old entries count, a long watch and two reads."""
+
+HOSTS = 3
+NAMES = "abcd"
+
+
+_Event = tuple[int, str, int | None]
+"""A revision, a name, and what was written; None for a removal."""
+
+_Copy = tuple[dict[str, int], list[_Event], int]
+
+
+@attrs.define
+class _Directory:
+    """A source with eras, whose answers may be slow, lost or cut off."""
+
+    items: dict[str, int] = attrs.Factory(dict)
+    events: list[_Event] = attrs.Factory(list)
+    revision: int = 1
+    era: int = 1
+    written: int = 0
+    is_away: bool = False
+    delay_s: float = 0.004
+    lists: int = 0
+    copies: list[_Copy] = attrs.Factory(list)
+    changed: asyncio.Event = attrs.Factory(asyncio.Event)
+
+    def write(self, name: str) -> None:
+        """Writes an item that was never written before."""
+        self.written += 1
+        self._note(name, self.written)
+
+    def remove(self, name: str) -> None:
+        """Removes an item."""
+        if name in self.items:
+            self._note(name, None)
+
+    def copy(self) -> None:
+        """Keeps a copy."""
+        copied = dict(self.items), list(self.events), self.revision
+        self.copies.append(copied)
+
+    def restore(self) -> None:
+        """Comes back from the last copy; what was written since is lost."""
+        if not self.copies:
+            return
+        items, events, self.revision = self.copies.pop()
+        self.items, self.events = dict(items), list(events)
+        self.era += 1
+        self._wake()
+
+    def _note(self, name: str, value: int | None) -> None:
+        self.revision += 1
+        self.events.append((self.revision, name, value))
+        if value is None:
+            del self.items[name]
+        else:
+            self.items[name] = value
+        self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def read_all(self) -> Listing[int] | SourceFailure:
+        """Answers a list."""
+        self.lists += 1
+        await asyncio.sleep(self.delay_s)
+        if self.is_away:
+            return SourceFailure("away")
+        found = Listing(
+            dict(self.items), self.revision, (), self.revision, self.era
+        )
+        await asyncio.sleep(self.delay_s)
+        return found
+
+    async def watch(
+        self, after: int, wait_s: float, _: Callable[[], None]
+    ) -> Changes[int] | Compacted | SourceFailure:
+        """Answers a watch."""
+        await asyncio.sleep(self.delay_s)
+        try:
+            async with asyncio.timeout(wait_s):
+                while after <= self.revision and not self._since(after):
+                    await self.changed.wait()
+        except TimeoutError:
+            pass
+        if self.is_away:
+            return SourceFailure("away")
+        if after > self.revision:
+            return Compacted.COMPACTED
+        newest = {name: value for _, name, value in self._since(after)}
+        found = Changes(
+            {n: value for n, value in newest.items() if value is not None},
+            tuple(n for n, value in newest.items() if value is None),
+            self.revision,
+            (),
+            self.revision if newest else 0,
+            self.era,
+        )
+        await asyncio.sleep(self.delay_s)
+        return found
+
+    def _since(self, after: int) -> list[_Event]:
+        return [event for event in self.events if event[0] > after]
+
+
+@attrs.define
+class _Host:
+    """What a host holds of a directory."""
+
+    holds: dict[str, int] = attrs.Factory(dict)
+    follower: Follower[int] = attrs.field(init=False)
+
+    def take_listing(
+        self, listing: Listing[int], may_have_lapsed: bool
+    ) -> None:
+        """Takes a list, and keeps what may only have lapsed."""
+        kept = self.holds if may_have_lapsed else {}
+        self.holds = {**kept, **listing.items}
+
+    def take_changes(self, changes: Changes[int], _: bool) -> None:
+        """Takes what has changed."""
+        self.holds.update(changes.items)
+        for name in changes.removed:
+            self.holds.pop(name, None)
+
+
+def _make_host(directory: _Directory, number: int) -> _Host:
+    host = _Host()
+    host.follower = Follower(
+        Source("test", directory.read_all, directory.watch),
+        lambda: FollowOptions(
+            6.0, 2.0, 0.0, 3.0, longest_pause_s=0.4, restored_s=RESTORED_S
+        ),
+        host.take_listing,
+        host.take_changes,
+        Log("h", "d", os.open(os.devnull, os.O_WRONLY)),
+        random.Random(number),
+        asyncio.get_running_loop().time,
+    )
+    return host
+
+
+async def _tell(hosts: list[_Host]) -> None:
+    """Has hosts tell each other what they have read."""
+    while True:
+        await asyncio.sleep(0.2)
+        for host in hosts:
+            for other in hosts:
+                if other is not host:
+                    other.follower.tell(host.follower.changed)
+
+
+Step = Callable[[_Directory], None]
+
+
+def _away(directory: _Directory) -> None:
+    directory.is_away = True
+
+
+def _back(directory: _Directory) -> None:
+    directory.is_away = False
+
+
+def _slow(directory: _Directory) -> None:
+    directory.delay_s = 0.3
+
+
+def _fast(directory: _Directory) -> None:
+    directory.delay_s = 0.004
+
+
+def _play(
+    steps: list[tuple[float, Step]], hosts: int = HOSTS
+) -> tuple[_Directory, list[_Host]]:
+    """Plays steps, each after a pause, and waits until all is settled."""
+
+    async def main() -> tuple[_Directory, list[_Host]]:
+        directory = _Directory()
+        directory.write("a")
+        followers = [_make_host(directory, n) for n in range(hosts)]
+        tasks = [asyncio.ensure_future(f.follower.run()) for f in followers]
+        tasks.append(asyncio.ensure_future(_tell(followers)))
+        await asyncio.sleep(1.0)
+        for pause_s, step in steps:
+            await asyncio.sleep(pause_s)
+            step(directory)
+        directory.is_away = False
+        directory.delay_s = 0.004
+        await asyncio.sleep(SETTLED_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return directory, followers
+
+    return run_virtually(main())
+
+
+_WRITES = st.sampled_from(NAMES).map(lambda name: lambda d: d.write(name))
+_REMOVALS = st.sampled_from(NAMES).map(lambda name: lambda d: d.remove(name))
+_FAULTS = st.sampled_from(
+    [_Directory.copy, _Directory.restore, _away, _back, _slow, _fast]
+)
+_PAUSES = st.sampled_from([0.0, 0.01, 0.2, 1.0, 3.0])
+_STEPS = st.lists(
+    st.tuples(_PAUSES, st.one_of(_WRITES, _REMOVALS, _FAULTS)), max_size=25
+)
+
+
+class TestRestoredSource:
+    """Each host ends with exactly what the source holds."""
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(_STEPS)
+    def test_any_sequence(self, steps: list[tuple[float, Step]]) -> None:
+        """Guards against hosts that go by the revisions of an older era."""
+        directory, hosts = _play(steps)
+        assert [host.holds for host in hosts] == [directory.items] * HOSTS
+
+    def test_a_lower_revision(self) -> None:
+        """Guards against lists of a new era that are taken for stale."""
+        steps: list[tuple[float, Step]] = [(0.5, _Directory.copy)]
+        steps += [(0.1, lambda d: d.write("b"))] * 8
+        steps += [(0.1, _Directory.restore), (0.5, lambda d: d.write("c"))]
+        directory, hosts = _play(steps)
+        assert set(directory.items) == {"a", "c"}
+        assert [host.holds for host in hosts] == [directory.items] * HOSTS
+
+    def test_a_revision_that_has_passed_the_old_one(self) -> None:
+        """Guards against changes that no watch tells of."""
+        steps: list[tuple[float, Step]] = [
+            (0.5, _Directory.copy),
+            (0.1, lambda d: d.write("b")),
+            (0.1, _away),
+            (0.5, _Directory.restore),
+            (0.0, lambda d: d.write("c")),
+            (0.0, lambda d: d.write("d")),
+            (0.0, lambda d: d.write("d")),
+            (0.5, _back),
+        ]
+        directory, hosts = _play(steps)
+        assert set(directory.items) == {"a", "c", "d"}
+        assert [host.holds for host in hosts] == [directory.items] * HOSTS
+
+    @pytest.mark.parametrize("count", [8, 83, 300])
+    def test_costs_two_lists_a_host(self, count: int) -> None:
+        """Guards against lists that are read again and again."""
+        lists_before: list[int] = []
+
+        def restore(directory: _Directory) -> None:
+            lists_before.append(directory.lists)
+            directory.restore()
+
+        steps: list[tuple[float, Step]] = [
+            (0.5, _Directory.copy),
+            (0.1, lambda d: d.write("b")),
+            (5.0, restore),
+            (0.2, lambda d: d.write("c")),
+        ]
+        directory, hosts = _play(steps, count)
+        assert [host.holds for host in hosts] == [directory.items] * count
+        assert directory.lists - lists_before[0] <= 2 * count
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -40,6 +40,8 @@
 struct ReadRevisions {
   1: i64 tables
   2: i64 upstreams
+  3: i64 tables_era
+  4: i64 upstreams_era
 }
 
 // These two are explained in hollyknot_state/_limit_messages.py.
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -525,18 +525,24 @@
     Attributes:
      - tables
      - upstreams
+     - tables_era
+     - upstreams_era
 
     """
 
     __slots__ = (
         'tables',
         'upstreams',
+        'tables_era',
+        'upstreams_era',
     )
 
 
-    def __init__(self, tables=None, upstreams=None,):
+    def __init__(self, tables=None, upstreams=None, tables_era=None, upstreams_era=None,):
         self.tables = tables
         self.upstreams = upstreams
+        self.tables_era = tables_era
+        self.upstreams_era = upstreams_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -557,6 +563,16 @@
                     self.upstreams = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.tables_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.upstreams_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -575,6 +591,14 @@
             oprot.writeFieldBegin('upstreams', TType.I64, 2)
             oprot.writeI64(self.upstreams)
             oprot.writeFieldEnd()
+        if self.tables_era is not None:
+            oprot.writeFieldBegin('tables_era', TType.I64, 3)
+            oprot.writeI64(self.tables_era)
+            oprot.writeFieldEnd()
+        if self.upstreams_era is not None:
+            oprot.writeFieldBegin('upstreams_era', TType.I64, 4)
+            oprot.writeI64(self.upstreams_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2038,6 +2062,8 @@
     None,  # 0
     (1, TType.I64, 'tables', None, None, ),  # 1
     (2, TType.I64, 'upstreams', None, None, ),  # 2
+    (3, TType.I64, 'tables_era', None, None, ),  # 3
+    (4, TType.I64, 'upstreams_era', None, None, ),  # 4
 )
 all_structs.append(IssuerClaim)
 IssuerClaim.thrift_spec = (
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -79,6 +79,7 @@
     parse_settings,
 )
 from hollyknot_state._paths import PathFault, normalise_path
+from hollyknot_state._position import Position
 from hollyknot_state._problem import CheckError, Problem, Problems
 from hollyknot_state._references import check_references
 from hollyknot_state._request import Nature, RequestInfo, TargetKind
@@ -150,6 +151,7 @@
     "PermitAnswer",
     "PermitQuery",
     "Platform",
+    "Position",
     "Probe",
     "ProbeAck",
     "Problem",
--- a/packages/state/src/hollyknot_state/_host_report.py
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -87,10 +87,14 @@
     Attributes:
         tables: The directory's revision of the newest table; 0 for none.
         upstreams: Of the newest change among the upstreams.
+        tables_era: In which era the first was given out.
+        upstreams_era: In which the second.
     """
 
     tables: int = 0
     upstreams: int = 0
+    tables_era: int = 0
+    upstreams_era: int = 0
 
 
 @attrs.frozen
