Random sequences of faults against the permits of one upstream

Eight hosts, issuers and others killed, restarted, frozen and cut off, messages lost, three limits; the bound holds in 200 derandomized examples.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_permits.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_permits.py
@@ -1,6 +1,8 @@
 """Tests of what an upstream with a rate limit gets from all hosts together."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from hollyknot_coordination.forwarding.tests._permit_network import (
     ENTRY,
@@ -190,3 +192,54 @@
         network.run(LONG_S, wanted=20.0)
         assert network.busiest_window() <= _most(1.2)
         assert network.got() >= LEAST_USED * 1.2 * LONG_S
+
+
+_FAULTS = ["restart", "kill", "freeze", "cut", "heal", "lose", "meet"]
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(_FAULTS),
+        st.sampled_from([0.5, 2.0, 6.0]),
+        st.integers(0, 7),
+    ),
+    max_size=12,
+)
+
+
+def _do(network: Network, fault: str, number: int) -> None:
+    """Has one fault strike; most strike the issuer."""
+    host = network.issuer() if number % 2 else network.hosts[number]
+    if fault == "restart":
+        network.restart(host)
+    elif fault == "kill" and sum(h.is_up for h in network.hosts) > 3:
+        host.is_up = False
+    elif fault == "freeze":
+        host.frozen_until_s = network.now_s + 1.0 + number
+    elif fault == "cut":
+        for other in network.hosts[: number + 1]:
+            other.side = 1
+    elif fault == "heal":
+        for other in network.hosts:
+            other.side = 0
+    elif fault == "lose":
+        network.lost_part = number / 100
+    elif fault == "meet":
+        network.meet()
+
+
+class TestAnyFaults:
+    """Whatever strikes hosts, the limit holds."""
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(_STEPS, st.sampled_from(RATES), st.integers(0, 1000))
+    def test_any_sequence(
+        self, steps: list[tuple[str, float, int]], rate: float, seed: int
+    ) -> None:
+        """Guards against more than two issuers at a time."""
+        network = Network(8, seed)
+        network.begin_reports()
+        network.name(rate)
+        network.run(4.0, wanted=3 * rate + 2)
+        for fault, seconds, number in steps:
+            _do(network, fault, number)
+            network.run(seconds, wanted=3 * rate + 2)
+        assert network.busiest_window() <= _most(rate)
