Forget limits of upstreams that have gone, and questions of callers that leave

Hosts that forgot an upstream which had left were told of its limit again by others, each of which would forget it in turn: a word older than a minute is told no more, and after ten minutes without an answer nothing is known. A question for a permit whose caller left while its answer was lost was kept for good: it is dropped.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_named_limits.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_named_limits.py
@@ -22,6 +22,13 @@
 REMEMBER_WITHDRAWN_S = 30.0
 """How long a withdrawal is known, and goes before older words of a limit."""
 
+TELL_S = 60.0
+"""How old a word may be that is still told. Hosts would else tell each other of
+upstreams that have long gone, which each of them forgets in turn."""
+
+REMEMBER_S = 600.0
+"""After this long without an answer nothing is known of an upstream."""
+
 HOP_S = 0.05
 """By how much a word counts as older for each host that passes it on. Its time
 on the way is not known, and it must not grow younger by being told."""
@@ -135,7 +142,8 @@
         found = [
             (word.changed_s, name, word)
             for name, word in self._words.items()
-            if is_all or now_s - word.changed_s < NEWS_S
+            if (is_all or now_s - word.changed_s < NEWS_S)
+            and now_s - word.heard_s < TELL_S
         ]
         found.sort(reverse=True)
         return tuple(
@@ -161,8 +169,11 @@
         old = [
             name
             for name, word in self._words.items()
-            if word.rate is None
-            and now_s - word.changed_s > REMEMBER_WITHDRAWN_S
+            if now_s - word.heard_s > REMEMBER_S
+            or (
+                word.rate is None
+                and now_s - word.changed_s > REMEMBER_WITHDRAWN_S
+            )
         ]
         for name in old:
             del self._words[name]
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_permits.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_permits.py
@@ -209,8 +209,7 @@
             and what is to be sent to another host, unless
             the request has its outcome now.
         """
-        for number in [n for n, r in self._waiting.items() if r is request]:
-            del self._waiting[number]
+        self.drop(request)
         silent = request.asked
         if silent is not None:
             self._trackers.missed(silent, now_s, MISSES)
@@ -219,6 +218,11 @@
         self._settle(request, now_s, is_issued=False, wait_s=UNANSWERED_S)
         return silent, []
 
+    def drop(self, request: PermitRequest) -> None:
+        """Waits no more for the answer to a request."""
+        for number in [n for n, r in self._waiting.items() if r is request]:
+            del self._waiting[number]
+
     def answer(self, query: PermitQuery, now_s: float) -> PermitAnswer:
         """Answers another host as the issuer of an upstream's permits."""
         self._named.take((query.limit,), now_s)
--- a/packages/gateway/src/hollyknot_gateway/_permit_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_permit_requester.py
@@ -53,14 +53,17 @@
         )
         answered = asyncio.Event()
         request.on_done = answered.set
-        while request.is_issued is None:
-            self._put_all(queries)
-            try:
-                async with asyncio.timeout(PERMIT_ANSWER_S):
-                    await answered.wait()
-            except TimeoutError:
-                queries = self._overdue(request)
-        return request.is_issued
+        try:
+            while request.is_issued is None:
+                self._put_all(queries)
+                try:
+                    async with asyncio.timeout(PERMIT_ANSWER_S):
+                        await answered.wait()
+                except TimeoutError:
+                    queries = self._overdue(request)
+            return request.is_issued
+        finally:
+            self._permits.drop(request)
 
     def _overdue(self, request: PermitRequest) -> Queries:
         """Returns what is to be sent after an answer that has not come."""
