Make lanes of upstreams without a rate limit

Cause: lanes counted limited upstreams in full. A lane whose upstreams had used up their limits had none left, and its questions went beside the long prompts of the other lane.

Limited upstreams now belong to both lanes and to the size of neither. The three tests of lanes fail with the limited upstreams left in them.

--- a/packages/bench/src/hollyknot_bench/experiment/_play.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_play.py
@@ -277,6 +277,7 @@
             is_loose=is_loose,
             urgency=urgency,
             among=frozenset(entry.incarnation for entry in asked),
+            limited=self._permits.limited(entries),
         )
         if not isinstance(choice, Choice):
             self._refuse(request)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_permits.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_permits.py
@@ -128,6 +128,12 @@
         """Whether a request to an upstream needs a permit."""
         return self._named.rate(entry.incarnation) is not None
 
+    def limited(self, entries: Iterable[UpstreamEntry]) -> frozenset[str]:
+        """Returns the incarnations of those that need permits."""
+        if not self._named.count:
+            return frozenset()
+        return frozenset(e.incarnation for e in entries if self.is_limited(e))
+
     def closed(
         self,
         entries: Iterable[UpstreamEntry],
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
@@ -115,6 +115,7 @@
     excluded: frozenset[str]
     now_s: float
     urgency: int
+    limited: Collection[str]
 
 
 class Placement:
@@ -159,6 +160,7 @@
         is_loose: bool,
         urgency: int,
         among: Collection[str] = (),
+        limited: Collection[str] = (),
     ) -> Choice | NoPlace:
         """Returns where a request is to go.
 
@@ -173,10 +175,12 @@
             urgency: The same at all hosts; 0 is the first.
             among: Incarnations whose loads were asked for; empty for none. Only
                 if none of them may be chosen, any other one is.
+            limited: Incarnations that take few requests only. They belong to
+                both lanes and to the size of neither.
         """
         if service.engine is None or not call.prompt or not candidates:
             return self._least_busy(candidates, excluded, among, now_s)
-        asked = _Asked(call, excluded, now_s, urgency)
+        asked = _Asked(call, excluded, now_s, urgency, limited)
         if among:
             others = frozenset(c.incarnation for c in candidates) - set(among)
             narrow = attrs.evolve(asked, excluded=excluded | others)
@@ -194,6 +198,7 @@
         now_s: float,
         *,
         is_loose: bool,
+        limited: Collection[str] = (),
     ) -> list[UpstreamEntry]:
         """Returns upstreams to ask for before a request is placed.
 
@@ -210,6 +215,7 @@
             excluded: Incarnations that it is not to go to.
             now_s: The time.
             is_loose: Whether its stream bears long pauses.
+            limited: As of `choose`.
         """
         if service.engine is None or not call.prompt:
             usable = [c for c in candidates if c.incarnation not in excluded]
@@ -218,8 +224,8 @@
         for loose, count in ((is_loose, ASKED), (not is_loose, ASKED_BESIDE)):
             entries = [
                 entry
-                for entry in self._lanes.of(
-                    service.name, candidates, now_s, is_loose=loose
+                for entry in self._lane(
+                    service.name, candidates, limited, now_s, is_loose=loose
                 )
                 if entry.incarnation not in excluded and entry not in found
             ]
@@ -315,6 +321,29 @@
         best = min(open_ones, key=cost)
         return Choice(best, 0, self._loads.at(best.incarnation, now_s).requests)
 
+    def _lane(
+        self,
+        service: str,
+        candidates: Sequence[UpstreamEntry],
+        limited: Collection[str],
+        now_s: float,
+        *,
+        is_loose: bool,
+    ) -> Sequence[UpstreamEntry]:
+        """Returns the upstreams of one lane, and those with a limit.
+
+        A lane whose upstreams have used up their limits would send its streams
+        to the other one.
+        """
+        if not limited:
+            return self._lanes.of(service, candidates, now_s, is_loose=is_loose)
+        free = [c for c in candidates if c.incarnation not in limited]
+        few = [c for c in candidates if c.incarnation in limited]
+        if not free:
+            return few
+        lane = self._lanes.of(service, free, now_s, is_loose=is_loose)
+        return [*lane, *few]
+
     def _engine(
         self,
         service: str,
@@ -327,8 +356,12 @@
         )
 
         def cheapest(is_loose: bool) -> _Offer | None:
-            entries = self._lanes.of(
-                service, candidates, asked.now_s, is_loose=is_loose
+            entries = self._lane(
+                service,
+                candidates,
+                asked.limited,
+                asked.now_s,
+                is_loose=is_loose,
             )
             return self._cheapest(entries, asked, holdings)
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_placement.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from hollyknot_coordination.forwarding import (
     CachedParts,
     Choice,
@@ -18,6 +20,7 @@
 )
 from hollyknot_state.routes import CallTraits
 
+ENGINE_SLOTS = 8
 POOL = [upstream(name) for name in ("a", "b", "c", "d", "e", "f")]
 
 
@@ -233,3 +236,57 @@
         )
         assert isinstance(other, Choice)
         assert other.entry is far
+
+
+class TestLimitedUpstreams:
+    """Upstreams that take few requests, beside others."""
+
+    def _places(
+        self, limited: frozenset[str], closed: frozenset[str] = frozenset()
+    ) -> tuple[set[str], set[str]]:
+        """Returns where loose streams are placed, and tight ones."""
+        host = _Host()
+        found: tuple[set[str], set[str]] = (set(), set())
+        for number in range(2 * ENGINE_SLOTS):
+            is_loose = number % 2 == 0
+            request = call((f"own-{number}", 100))
+            choice = host.placement.choose(
+                ENGINES,
+                POOL,
+                request,
+                closed,
+                0.0,
+                is_loose=is_loose,
+                urgency=0,
+                limited=limited,
+            )
+            assert isinstance(choice, Choice)
+            host.placement.begin(
+                choice, request, 0.0, is_loose=is_loose, urgency=0
+            )
+            found[not is_loose].add(choice.entry.incarnation)
+        return found
+
+    @pytest.mark.parametrize(
+        "limited", [{"a", "b", "c"}, {"d", "e", "f"}, {"a", "f"}]
+    )
+    def test_lanes_are_made_of_the_others(self, limited: set[str]) -> None:
+        """Guards against a lane that is lost with its limited upstreams."""
+        used_up = frozenset(limited)
+        loose, tight = self._places(used_up, used_up)
+        assert not loose & tight
+        assert loose | tight == {e.incarnation for e in POOL} - limited
+
+    def test_one_with_a_permit_takes_streams_of_both_lanes(self) -> None:
+        limited = frozenset({"a", "b", "c", "d"})
+        loose, tight = self._places(limited)
+        assert loose & limited
+        assert tight & limited
+
+    def test_where_all_are_limited_any_is_chosen(self) -> None:
+        loose, tight = self._places(frozenset(e.incarnation for e in POOL))
+        assert loose | tight == {e.incarnation for e in POOL}
+
+    def test_one_that_is_used_up_is_not_chosen(self) -> None:
+        loose, tight = self._places(frozenset({"a", "b"}), frozenset({"a"}))
+        assert "a" not in loose | tight
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -68,6 +68,7 @@
             excluded,
             now,
             is_loose=job.is_loose,
+            limited=parts.permits.limited(usable),
         )
         job.asked += self._cold_one(job, excluded, usable)
         is_known = await parts.neighbours.ask(
@@ -140,6 +141,7 @@
             away |= gate.exclude
         ejected = parts.health.ejected(usable, now)
         closed = self.closed(job, usable, now)
+        limited = parts.permits.limited(usable)
         found: Choice | NoPlace = NoPlace.NONE_KNOWN
         # One that fails often, or could not be reached lately, is better than
         # none at all.
@@ -153,6 +155,7 @@
                 is_loose=job.is_loose,
                 urgency=job.urgency,
                 among=frozenset(entry.incarnation for entry in job.asked),
+                limited=limited,
             )
             if isinstance(found, Choice):
                 break
