Add a soak of real host processes before stand-ins

make soak starts hosts as deploy/ does, each on a loopback address of its own, before stand-ins of store, engines and plain upstreams that refuse, reset, fall silent or crash by a request.

--- a/Makefile
+++ b/Makefile
@@ -7,10 +7,10 @@
 SOURCES := $(foreach p,$(PROJECTS),$(p)/src)
 CODE := packages platform conftest.py
 
-.PHONY: help install test lint format demo cost slopes scenario experiment matrix generate docs clean
+.PHONY: help install soak test lint format demo cost slopes scenario experiment matrix generate docs clean
 
 help:
-	@echo "make demo | test | lint | cost | slopes | scenario | experiment | matrix | docs | generate | clean"
+	@echo "make demo | soak | test | lint | cost | slopes | scenario | experiment | matrix | docs | generate | clean"
 
 install: $(VENV)/.installed
 
@@ -47,6 +47,10 @@
 scenario: install
 	$(BIN)/python -m hollyknot_bench.scenario
 
+# Options in SOAK, such as SOAK="--hosts 83 --seed 7"; --help lists them.
+soak: install
+	$(BIN)/python -m hollyknot_platform.tests.soak $(SOAK)
+
 experiment: install
 	$(BIN)/python -m hollyknot_bench.experiment examples/loads/short-answers.json
 
