Log retries, denials, crashes taken for cuts, suspects told and refused

No line says that a retry was sent or denied, what was left or among how many hosts the slack was divided; a crash that was taken for a cut, evidence that a peer told and a refusal by evidence have no line either.

Change: events retry, retry_denied, crash_or_cut, suspect_told, quarantine; the metric hollyknot_retries_total and the gauge hollyknot_hosts_counted. No decision changes.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -35,7 +35,10 @@
 )
 from hollyknot_coordination.forwarding._reachability import Reachability
 from hollyknot_coordination.forwarding._report_rate import ReportRate
-from hollyknot_coordination.forwarding._retry_budget import RetryBudget
+from hollyknot_coordination.forwarding._retry_budget import (
+    RetryAccount,
+    RetryBudget,
+)
 from hollyknot_coordination.forwarding._route_index import (
     NoOwner,
     NoRoute,
@@ -101,6 +104,7 @@
     "Reachability",
     "Queries",
     "ReportRate",
+    "RetryAccount",
     "RetryBudget",
     "RouteIndex",
     "Shed",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_retry_budget.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_retry_budget.py
@@ -31,6 +31,21 @@
                 times.popleft()
 
 
+@attrs.frozen
+class RetryAccount:
+    """What one host may send again, and what it has.
+
+    Attributes:
+        spent: Retries in the window.
+        allowed: How many there may be.
+        hosts: Among how many hosts the slack is divided.
+    """
+
+    spent: int
+    allowed: float
+    hosts: int
+
+
 class RetryBudget:
     """Counts first tries and retries of each service in a sliding window."""
 
@@ -54,12 +69,17 @@
 
     def left(self, service: str, now_s: float) -> float:
         """Returns how many retries may be sent now."""
+        account = self.account(service, now_s)
+        return account.allowed - account.spent
+
+    def account(self, service: str, now_s: float) -> RetryAccount:
+        """Returns what is allowed and spent in the window that ends now."""
         spent = self._service(service, now_s)
         allowed = (
             self._bounds.retry_share * _SHARE_PART * len(spent.first_tries)
             + self._bounds.retry_slack * _SLACK_PART / self._hosts
         )
-        return allowed - len(spent.retries)
+        return RetryAccount(len(spent.retries), allowed, self._hosts)
 
     def spend(self, service: str, now_s: float) -> None:
         """Notes a retry."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_steps.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_steps.py
@@ -51,10 +51,13 @@
     Attributes:
         status: The HTTP status.
         verdict: Whether the request may have run.
+        is_unpaid: Whether only the budget of retries stood against another
+            try.
     """
 
     status: int
     verdict: Verdict
+    is_unpaid: bool = False
 
 
 def next_step(
@@ -73,9 +76,10 @@
     is_allowed = state.sent < route.max_attempts
     is_retry = state.sent > 0
     is_paid = not is_retry or state.budget_left >= 1.0
-    if is_safe and has_time and is_allowed and is_paid and state.candidates:
+    may_follow = is_safe and has_time and is_allowed and state.candidates > 0
+    if may_follow and is_paid:
         return Again(is_retry)
-    return give_up(verdict, state)
+    return attrs.evolve(give_up(verdict, state), is_unpaid=may_follow)
 
 
 def give_up(verdict: Verdict, state: TryState) -> GiveUp:
--- a/packages/coordination/src/hollyknot_coordination/suspects/_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_register.py
@@ -78,15 +78,24 @@
 
     def on_records(
         self, records: tuple[SuspectRecord, ...], now_s: float
-    ) -> None:
-        """Takes in peers' evidence; telling it twice changes nothing."""
-        for record in records:
-            at_s = now_s - record.age_ms / 1000
-            size = record.companions + 1
-            if record.fingerprint != NO_FINGERPRINT:
-                self._evidence.add(
-                    record.fingerprint, record.upstream, size, at_s
-                )
+    ) -> tuple[SuspectRecord, ...]:
+        """Takes in peers' evidence; telling it twice changes nothing.
+
+        Returns:
+            What was not known.
+        """
+        return tuple(r for r in records if self._is_news(r, now_s))
+
+    def _is_news(self, record: SuspectRecord, now_s: float) -> bool:
+        """Takes in one record and returns whether it was not known."""
+        fingerprint = record.fingerprint
+        if fingerprint == NO_FINGERPRINT:
+            return False
+        at_s = now_s - record.age_ms / 1000
+        size = record.companions + 1
+        before = len(self._evidence.crashes(fingerprint))
+        self._evidence.add(fingerprint, record.upstream, size, at_s)
+        return len(self._evidence.crashes(fingerprint)) > before
 
     def records(self, now_s: float) -> tuple[SuspectRecord, ...]:
         """Returns evidence to tell peers.
@@ -112,6 +121,10 @@
             if self._evidence.crashes(f)
         }
 
+    def upstreams(self, fingerprint: int) -> tuple[str, ...]:
+        """Returns the upstreams whose crashes are held against a request."""
+        return tuple(c.upstream for c in self._evidence.crashes(fingerprint))
+
     def is_suspect(self, fingerprint: int) -> bool:
         """Whether any evidence is held against a fingerprint."""
         return bool(self._evidence.crashes(fingerprint))
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -106,6 +106,7 @@
         while True:
             gate = parts.suspects.gate(job.fingerprint, parts.clock())
             if isinstance(gate, Refuse):
+                self._tell_quarantine(job)
                 step = give_up(gate.verdict, self._state(job))
                 self._answers.give_up(job, result, step)
                 return
@@ -130,10 +131,43 @@
                 result = self._tries.nowhere(job)
             following = next_step(job.route, result.verdict, self._state(job))
             if isinstance(following, GiveUp):
+                if following.is_unpaid:
+                    self._tell_retry(job, is_sent=False)
                 self._answers.give_up(job, result, following)
                 return
             if following.is_retry:
                 parts.budget.spend(job.service.name, parts.clock())
+                self._tell_retry(job, is_sent=True)
+
+    def _tell_retry(self, job: Job, *, is_sent: bool) -> None:
+        """Tells by which account a retry was sent or denied."""
+        parts = self._parts
+        account = parts.budget.account(job.service.name, parts.clock())
+        parts.log.line(
+            "retry" if is_sent else "retry_denied",
+            request=job.call.attempt_id,
+            service=job.service.name,
+            spent=account.spent,
+            allowed=round(account.allowed, 2),
+            hosts=account.hosts,
+            heard=parts.neighbours.count + 1,
+        )
+        parts.metrics.count(
+            metrics.RETRIES,
+            service=job.service.name,
+            outcome="sent" if is_sent else "denied",
+        )
+
+    def _tell_quarantine(self, job: Job) -> None:
+        """Tells of which crashes a refused request is suspected."""
+        parts = self._parts
+        upstreams = parts.suspects.upstreams(job.fingerprint)
+        parts.log.line(
+            "quarantine",
+            request=job.call.attempt_id,
+            fingerprint=f"{job.fingerprint:016x}",
+            upstreams=",".join(upstreams),
+        )
 
     def _refusal(self, job: Job) -> GiveUp | None:
         """Refuses a request that would only make others late.
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -385,6 +385,7 @@
             lambda: float(self.limited_upstreams),
         )
         gauge("hollyknot_peers_heard", lambda: float(self._neighbours.count))
+        gauge("hollyknot_hosts_counted", lambda: float(self._size.hosts))
         gauge(
             "hollyknot_requests_in_work", lambda: float(self._callers.in_work)
         )
--- a/packages/gateway/src/hollyknot_gateway/_losses.py
+++ b/packages/gateway/src/hollyknot_gateway/_losses.py
@@ -26,6 +26,9 @@
 """From a refused connection to the verdict: a data centre that was cut off has
 fallen silent by then, twice over."""
 
+_TOLD = 8
+"""Fingerprints in one line."""
+
 _LOST = frozenset({Reason.UPSTREAM_LOST, Reason.TRUNCATED})
 _NO_CRASH = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT)
 _CRASH = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
@@ -83,14 +86,18 @@
     async def _judge(self, entry: UpstreamEntry) -> None:
         await asyncio.sleep(SETTLE_S)
         found = await self._prober.check(entry)
-        is_crash = found is ConnectFailure.REFUSED
-        if is_crash:
+        is_refused = found is ConnectFailure.REFUSED
+        is_crash = is_refused
+        if is_refused:
             await asyncio.sleep(JUDGE_S)
             is_crash = not self._is_cut(entry)
         lost = self._pending.pop(entry.incarnation)
-        if is_crash:
+        if is_refused:
             self._log.line(
-                "crash", upstream=entry.incarnation, requests=len(lost)
+                "crash" if is_crash else "crash_or_cut",
+                upstream=entry.incarnation,
+                requests=len(lost),
+                fingerprints=",".join(f"{f:016x}" for f in lost[:_TOLD]),
             )
         for fingerprint in lost:
             self._tell(entry, fingerprint, _CRASH if is_crash else _NO_CRASH)
--- a/packages/gateway/src/hollyknot_gateway/_metrics.py
+++ b/packages/gateway/src/hollyknot_gateway/_metrics.py
@@ -113,11 +113,13 @@
 ADDED = "hollyknot_added_seconds"
 ASKED = "hollyknot_asked_seconds"
 PERMITS = "hollyknot_permits_total"
+RETRIES = "hollyknot_retries_total"
 UNREADABLE = "hollyknot_unreadable_items_total"
 
 _HELP = {
     REQUESTS: "Requests by route, status and reason of their end.",
     UNREADABLE: "Items of the directory that could not be read, by source.",
+    RETRIES: "Retries by service, sent or denied by the budget.",
     PERMITS: "Permits asked for upstreams with a rate limit, by outcome.",
     TRIES: "Tries at upstreams by service, outcome and reason.",
 }
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -308,7 +308,13 @@
 
     def _take_report(self, report: Report) -> None:
         now = self._clock()
-        self._shared.suspects.on_records(report.suspects, now)
+        for record in self._shared.suspects.on_records(report.suspects, now):
+            self._log.line(
+                "suspect_told",
+                fingerprint=f"{record.fingerprint:016x}",
+                upstream=record.upstream,
+                age_ms=record.age_ms,
+            )
         self._shared.cached.take(report.held, now)
         for limit in self._permits.take(report.limits, now):
             self._log.line(
