Pass on evidence of crashes at once, from host to host

Cause: evidence travels in reports only. Each host tells its own for ten seconds, and where questions for loads take their part of the bytes it reaches a few peers a second, so that of 83 hosts most never hear of it. A report that doesn't fit its packet dropped all evidence.

Change: evidence that is new to a host is passed on once, in the next round, to five peers, each of which does the same: all hosts but about one in a hundred have it within a second, at 60 bytes and 30 more a record for each of five peers. It goes before reports and may overdraw their bytes; where none are left only evidence against requests of more than one crash is passed on. Reports that are too large leave out cached parts, lesser upstreams and limits before most of the evidence; evidence against requests of three crashes is told for as long as it counts, so that hosts which start later learn of it.

--- a/packages/coordination/src/hollyknot_coordination/suspects/_evidence.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_evidence.py
@@ -61,6 +61,12 @@
         self._crashes: deque[Crash] = deque()
         self._by_fingerprint: dict[int, list[Crash]] = {}
         self._cleared: OrderedDict[int, float] = OrderedDict()
+        self._often: set[int] = set()
+
+    @property
+    def often(self) -> frozenset[int]:
+        """Suspects of so many crashes that they may be refused for it."""
+        return frozenset(self._often)
 
     def add(
         self, fingerprint: int, upstream: str, size: int, at_s: float
@@ -84,6 +90,8 @@
         crash.suspects.add(fingerprint)
         before = self._by_fingerprint.setdefault(fingerprint, [])
         before.append(crash)
+        if len(before) >= self._options.refuse_crashes:
+            self._often.add(fingerprint)
         # A peer may tell of the earlier of two crashes after the later one.
         first_s = min(c.at_s for c in before)
         for later in before:
@@ -97,6 +105,7 @@
             crash.suspects.discard(fingerprint)
             crash.known.discard(fingerprint)
             crash.cleared += 1
+        self._often.discard(fingerprint)
         self._cleared[fingerprint] = now_s
         self._cleared.move_to_end(fingerprint)
         if len(self._cleared) > self._options.cleared_max:
@@ -136,5 +145,7 @@
         for fingerprint in crash.suspects:
             rest = self._by_fingerprint[fingerprint]
             rest.remove(crash)
+            if len(rest) < self._options.refuse_crashes:
+                self._often.discard(fingerprint)
             if not rest:
                 del self._by_fingerprint[fingerprint]
--- a/packages/coordination/src/hollyknot_coordination/suspects/_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_register.py
@@ -1,6 +1,6 @@
 """The register of suspects of one host, fed by its own losses and by peers."""
 
-from collections import Counter
+from collections import Counter, deque
 
 from hollyknot_coordination.suspects._evidence import Crash, Evidence
 from hollyknot_coordination.suspects._messages import (
@@ -32,6 +32,8 @@
         self._evidence = Evidence(options)
         self._in_flight: dict[str, Counter[int]] = {}
         self._refused: dict[int, float] = {}
+        # Evidence that is to be passed on, by fingerprint.
+        self._news: deque[tuple[int, Crash]] = deque(maxlen=options.told_max)
 
     def gate(self, fingerprint: int, now_s: float) -> Gate:
         """Says how a request may be sent, before each try.
@@ -94,21 +96,51 @@
         at_s = now_s - record.age_ms / 1000
         size = record.companions + 1
         before = len(self._evidence.crashes(fingerprint))
-        self._evidence.add(fingerprint, record.upstream, size, at_s)
+        self._add(fingerprint, record.upstream, size, at_s)
         return len(self._evidence.crashes(fingerprint)) > before
 
+    def _add(
+        self, fingerprint: int, upstream: str, size: int, at_s: float
+    ) -> Crash | None:
+        """Adds evidence, to be passed on if it was not known."""
+        before = len(self._evidence.crashes(fingerprint))
+        crash = self._evidence.add(fingerprint, upstream, size, at_s)
+        is_new = len(self._evidence.crashes(fingerprint)) > before
+        if crash is not None and is_new:
+            self._news.append((fingerprint, crash))
+        return crash
+
+    def take_news(self, now_s: float) -> tuple[SuspectRecord, ...]:
+        """Returns what was learnt since the last call, to be passed on once.
+
+        Evidence against those who were in most crashes comes first, since
+        there may be no room for all.
+        """
+        news = sorted(
+            self._news,
+            key=lambda item: len(self._evidence.crashes(item[0])),
+            reverse=True,
+        )
+        self._news.clear()
+        return tuple(_record(f, crash, now_s) for f, crash in news)
+
+    def is_repeated(self, fingerprint: int) -> bool:
+        """Whether a request is a suspect of more than one crash."""
+        return len(self._evidence.crashes(fingerprint)) > 1
+
     def records(self, now_s: float) -> tuple[SuspectRecord, ...]:
         """Returns evidence to tell peers.
 
-        That is this host's own while it is fresh, and all against refused
-        requests for as long as they are refused: a host that has just started
-        would else run each of them again.
+        That is this host's own while it is fresh, and all against requests
+        that may be refused for as long as it counts: a host that has just
+        started would else run each of them again.
         """
+        lasting = self._evidence.often | self._refused.keys()
         told: list[SuspectRecord] = []
         for crash in self._evidence.all_crashes():
             is_fresh = now_s - crash.at_s <= self._options.tell_s
             own = crash.own & crash.suspects if is_fresh else set()
-            wanted = own | (self._refused.keys() & crash.suspects)
+            wanted = own | (lasting & crash.suspects)
             told += [_record(f, crash, now_s) for f in sorted(wanted)]
         return tuple(told[: self._options.told_max])
 
@@ -167,7 +199,7 @@
     ) -> None:
         size = there.total()
         for other in {fingerprint, *there} - {NO_FINGERPRINT}:
-            crash = self._evidence.add(other, upstream, size, now_s)
+            crash = self._add(other, upstream, size, now_s)
             if crash is not None:
                 crash.own.add(other)
 
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -36,9 +36,16 @@
     PermitMessage,
     Report,
     ReportSocket,
+    encode_news,
     encode_report,
 )
-from hollyknot_state import Address, HostReport, UseReport
+from hollyknot_state import (
+    Address,
+    HostReport,
+    SuspectNews,
+    SuspectRecord,
+    UseReport,
+)
 from hollyknot_state.routes import GatewaySettings, UpstreamEntry
 
 REPORT_S = 0.1
@@ -49,6 +56,10 @@
 """One of so many short reports tells of all upstreams with work in flight; the
 others only of those where prompts wait, which change the soonest."""
 
+NEWS_TARGETS = 5
+"""Peers to which each host passes on new evidence of a crash, once: all hosts
+but one in a hundred then have it after a few rounds, however many they are."""
+
 _INCARNATION_BITS = 62
 """Of the random number that tells a restarted host from the one before it."""
 
@@ -216,8 +227,25 @@
             self._count(now_s)
             self._note_soon()
             self._look_at_silence(now_s)
+            self._pass_on(now_s)
             self._tell(now_s)
 
+    def _pass_on(self, now_s: float) -> None:
+        """Passes on new evidence of crashes, before anything else is told.
+
+        Where bytes are short, only that against requests that were in more
+        than one crash: an upstream that crashes takes many with it.
+        """
+        suspects = self._shared.suspects
+        news = suspects.take_news(now_s)
+        if news and not self._rate.affordable(self._size, now_s):
+            news = tuple(r for r in news if suspects.is_repeated(r.fingerprint))
+        if not news:
+            return
+        addresses = [host.address for host in self._peers.hosts]
+        most = min(NEWS_TARGETS, len(addresses))
+        self._send(encode_news(news), self._rng.sample(addresses, most))
+
     def _tell(self, now_s: float) -> None:
         """Sends as many reports as the budget of bytes allows."""
         if not self._rate.affordable(self._size, now_s):
@@ -301,18 +329,14 @@
             self._take_report(message)
         elif isinstance(message, PermitMessage):
             self._permit_requester.take(message, sender)
+        elif isinstance(message, SuspectNews):
+            self._take_suspects(message.suspects, self._clock())
         else:
             self._inquirer.take(message, sender)
 
     def _take_report(self, report: Report) -> None:
         now = self._clock()
-        for record in self._shared.suspects.on_records(report.suspects, now):
-            self._log.line(
-                "suspect_told",
-                fingerprint=f"{record.fingerprint:016x}",
-                upstream=record.upstream,
-                age_ms=record.age_ms,
-            )
+        self._take_suspects(report.suspects, now)
         self._shared.cached.take(report.held, now)
         for limit in self._permits.take(report.limits, now):
             self._log.line(
@@ -327,6 +351,17 @@
                 "peer_met", peer=report.host, data_centre=report.data_centre
             )
 
+    def _take_suspects(
+        self, records: tuple[SuspectRecord, ...], now_s: float
+    ) -> None:
+        for record in self._shared.suspects.on_records(records, now_s):
+            self._log.line(
+                "suspect_told",
+                fingerprint=f"{record.fingerprint:016x}",
+                upstream=record.upstream,
+                age_ms=record.age_ms,
+            )
+
     def _look_at_silence(self, now_s: float) -> None:
         """Probes an upstream of each data centre that has just gone silent.
 
--- a/packages/gateway/src/hollyknot_gateway/_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/_reports.py
@@ -7,7 +7,7 @@
 import asyncio
 import heapq
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, cast
 
 import attrs
@@ -29,13 +29,15 @@
     LoadQuery,
     PermitAnswer,
     PermitQuery,
+    SuspectNews,
+    SuspectRecord,
     UseReport,
 )
 
 MAX_BYTES = 1400
-"""Fits into one packet. A report that doesn't tells only of the busiest
-upstreams, and neither of suspects nor of cached parts: the next one may be
-shorter."""
+"""Fits into one packet. From a report that doesn't is left out, in this order,
+what does the least harm where it comes late: cached parts, upstreams that are
+not the busiest, limits, and most of the suspects."""
 
 MAX_USES = 48
 """Upstreams in such a report, of some 14 bytes each."""
@@ -52,7 +54,10 @@
 PermitMessage = PermitQuery | PermitAnswer
 """What issuers of permits are asked."""
 
-Message = Report | LoadMessage | PermitMessage
+MAX_SUSPECTS = 16
+"""Suspects in a report that is too large with all of them."""
+
+Message = Report | LoadMessage | PermitMessage | SuspectNews
 """All that hosts send each other in datagrams."""
 
 _TAGS: dict[type[Message], bytes] = {
@@ -63,23 +68,38 @@
     LoadAnswer: b"a",
     PermitQuery: b"p",
     PermitAnswer: b"r",
+    SuspectNews: b"s",
 }
-_WITHOUT_USES = (LoadQuery, PermitQuery, PermitAnswer)
+_WITHOUT_USES = (LoadQuery, PermitQuery, PermitAnswer, SuspectNews)
 _CLASSES = {tag: kind for kind, tag in _TAGS.items()}
 
 
 def encode_report(report: Report) -> bytes:
     """Returns a report as a datagram, with less in it if it is too large."""
+    busiest = heapq.nlargest(
+        MAX_USES, report.uses, key=lambda use: sum(use.waiting_tokens)
+    )
     data = encode_message(report)
-    if len(data) > MAX_BYTES:
-        busiest = heapq.nlargest(
-            MAX_USES, report.uses, key=lambda use: sum(use.waiting_tokens)
-        )
-        data = encode_message(
-            attrs.evolve(
-                report, uses=tuple(busiest), suspects=(), held=(), limits=()
-            )
-        )
+    for left_out in (
+        {"held": ()},
+        {"uses": tuple(busiest)},
+        {"limits": ()},
+        {"suspects": report.suspects[:MAX_SUSPECTS]},
+    ):
+        if len(data) <= MAX_BYTES:
+            break
+        report = attrs.evolve(report, **left_out)
+        data = encode_message(report)
+    return data
+
+
+def encode_news(records: Sequence[SuspectRecord]) -> bytes:
+    """Returns as much evidence as one datagram holds, the first of it."""
+    count = len(records)
+    data = encode_message(SuspectNews(tuple(records)))
+    while len(data) > MAX_BYTES:
+        count = count * MAX_BYTES // len(data)
+        data = encode_message(SuspectNews(tuple(records[:count])))
     return data
 
 
--- a/packages/gateway/src/hollyknot_gateway/tests/test_culprits.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_culprits.py
@@ -2,13 +2,23 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
+from typing import Protocol
 
 import attrs
-
-from hollyknot_coordination.suspects import Isolate, Refuse
-from hollyknot_gateway.tests._neighbour_network import Host, Network
+import pytest
+
+from hollyknot_coordination.suspects import (
+    Isolate,
+    Refuse,
+    SuspectOptions,
+    SuspectRegister,
+)
+from hollyknot_gateway._neighbours import NEWS_TARGETS, REPORT_S
+from hollyknot_gateway._reports import decode_message, encode_news
+from hollyknot_gateway.tests._neighbour_network import Network
 from hollyknot_gateway.tests._virtual_time import run_virtually
-from hollyknot_state import Outcome, Reason, Verdict
+from hollyknot_state import Outcome, Reason, SuspectNews, Verdict
 
 LOST = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
 CULPRIT = 99
@@ -28,13 +38,23 @@
 """Until all hosts know each other."""
 
 LENGTH_S = 18.0
+LOST_PART = 0.02
+"""Of datagrams."""
+
+
+class _Host(Protocol):
+    """What a culprit meets of a host."""
+
+    @property
+    def suspects(self) -> SuspectRegister:
+        """Its register."""
 
 
 @attrs.define
 class _Culprit:
     """A request whose caller sends it again for ever, through any host."""
 
-    network: Network
+    hosts: Sequence[_Host]
     rng: random.Random
     crashes: list[float] = attrs.Factory(list)
     sent: list[float] = attrs.Factory(list)
@@ -54,10 +74,10 @@
         async with asyncio.TaskGroup() as tasks:
             while loop.time() < until_s:
                 await asyncio.sleep(self.rng.expovariate(a_second))
-                host = self.rng.choice(self.network.hosts)
+                host = self.rng.choice(self.hosts)
                 tasks.create_task(self._send(host))
 
-    async def _send(self, host: Host) -> None:
+    async def _send(self, host: _Host) -> None:
         loop = asyncio.get_running_loop()
         gate = host.suspects.gate(CULPRIT, loop.time())
         if isinstance(gate, Refuse):
@@ -69,7 +89,7 @@
         self.sent.append(loop.time())
         host.suspects.on_dispatch(CULPRIT, upstream)
         beside = {
-            self.rng.getrandbits(60): self.rng.choice(self.network.hosts)
+            self.rng.getrandbits(60): self.rng.choice(self.hosts)
             for _ in range(BESIDE)
         }
         for number, other in beside.items():
@@ -87,7 +107,7 @@
         network = Network(hosts, seed, is_busy=True)
         network.start()
         await asyncio.sleep(LEARN_S)
-        culprit = _Culprit(network, random.Random(seed))
+        culprit = _Culprit(network.hosts, random.Random(seed))
         await culprit.repeat(a_second)
         network.stop()
         return culprit
@@ -95,6 +115,47 @@
     return run_virtually(main())
 
 
+@attrs.define(eq=False, repr=False)
+class _Teller:
+    """A host that only passes on news."""
+
+    peers: list["_Teller"] = attrs.Factory(list)
+    suspects: SuspectRegister = attrs.Factory(
+        lambda: SuspectRegister(SuspectOptions())
+    )
+
+    def pass_on(self, now_s: float, rng: random.Random) -> None:
+        """Passes on what is new; some of it is lost."""
+        data = self.suspects.take_news(now_s)
+        if not data:
+            return
+        message = decode_message(encode_news(data))
+        assert isinstance(message, SuspectNews)
+        for peer in rng.sample(self.peers, NEWS_TARGETS):
+            if rng.random() >= LOST_PART:
+                peer.suspects.on_records(message.suspects, now_s)
+
+
+def _play_news(hosts: int, heard: int, seed: int) -> _Culprit:
+    """Plays hosts that tell each other nothing but news of crashes."""
+
+    async def main() -> _Culprit:
+        rng = random.Random(seed)
+        tellers = [_Teller() for _ in range(hosts)]
+        for teller in tellers:
+            teller.peers = rng.sample(tellers, heard)
+        culprit = _Culprit(tellers, rng)
+        playing = asyncio.create_task(culprit.repeat(2.0))
+        while not playing.done():
+            await asyncio.sleep(REPORT_S)
+            now_s = asyncio.get_running_loop().time()
+            for teller in tellers:
+                teller.pass_on(now_s, rng)
+        return culprit
+
+    return run_virtually(main())
+
+
 class TestCulpritBeforeManyHosts:
     """Hosts that tell each other seldom still learn of crashes in time."""
 
@@ -106,3 +167,10 @@
             for seed in (1, 2)
         }
         assert max(late.values()) <= MOST_LATE, late
+
+    @pytest.mark.parametrize(("hosts", "heard"), [(300, 200), (2500, 400)])
+    def test_is_not_sent_on_where_only_news_is_told(
+        self, hosts: int, heard: int
+    ) -> None:
+        """A request goes on crashing upstreams where no bytes are left."""
+        assert _play_news(hosts, heard, seed=1).late <= MOST_LATE
--- a/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
@@ -9,9 +9,12 @@
 from hollyknot_coordination.forwarding import Demand, Loads
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._reports import (
+    MAX_BYTES,
+    MAX_SUSPECTS,
     Message,
     ReportSocket,
     decode_message,
+    encode_news,
     encode_report,
 )
 from hollyknot_state import (
@@ -19,6 +22,8 @@
     HeldRun,
     HostReport,
     LaneDemand,
+    SuspectNews,
+    SuspectRecord,
     UpstreamUse,
     UseReport,
 )
@@ -74,6 +79,31 @@
         )
         assert decode_message(encode_report(report)) == report
 
+    def test_one_that_is_too_large_still_tells_of_suspects(self) -> None:
+        """A request crashes upstreams while reports are too large."""
+        report = attrs.evolve(
+            _REPORT,
+            held=tuple(HeldRun(n, n) for n in range(100)),
+            suspects=tuple(
+                SuspectRecord(n, "i-5d1c20ff01", 20, 900) for n in range(60)
+            ),
+        )
+        (told,) = _taken(encode_report(report))
+        assert isinstance(told, HostReport)
+        assert told.suspects == report.suspects[:MAX_SUSPECTS]
+
+    def test_news_that_are_too_large_tell_the_first(self) -> None:
+        records = tuple(
+            SuspectRecord(n, "i-5d1c20ff01", 20, 900) for n in range(128)
+        )
+        data = encode_news(records)
+        assert len(data) <= MAX_BYTES
+        (told,) = _taken(data)
+        assert isinstance(told, SuspectNews)
+        count = len(told.suspects)
+        assert count >= 20
+        assert told.suspects == records[:count]
+
     def test_one_that_tells_what_waits_is_short(self) -> None:
         """Hosts decide by loads that are 0.7 s old.
 
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -117,6 +117,11 @@
   4: list<UpstreamPace> paces
 }
 
+// Passed on at once, apart from reports, which may be seconds apart.
+struct SuspectNews {
+  1: list<SuspectRecord> suspects
+}
+
 // These are explained in hollyknot_state/_limit_messages.py.
 struct PermitQuery {
   1: i32 number
--- a/packages/protocol/src/hollyknot_protocol/_kinds.py
+++ b/packages/protocol/src/hollyknot_protocol/_kinds.py
@@ -49,6 +49,7 @@
     Kind(0, state.LoadNote, report.LoadNote),
     Kind(0, state.LoadQuery, report.LoadQuery),
     Kind(0, state.LoadAnswer, report.LoadAnswer),
+    Kind(0, state.SuspectNews, report.SuspectNews),
     Kind(0, state.PermitQuery, report.PermitQuery),
     Kind(0, state.PermitAnswer, report.PermitAnswer),
 )
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -1786,6 +1786,83 @@
         return not (self == other)
 
 
+class SuspectNews(object):
+    """
+    Attributes:
+     - suspects
+
+    """
+
+    __slots__ = (
+        'suspects',
+    )
+
+
+    def __init__(self, suspects=None,):
+        self.suspects = suspects
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = SuspectRecord()
+                        _elem145.read(iprot)
+                        self.suspects.append(_elem145)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectNews')
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter146 in self.suspects:
+                iter146.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PermitQuery(object):
     """
     Attributes:
@@ -2144,6 +2221,11 @@
     (3, TType.LIST, 'held', (TType.STRUCT, [HeldRun, None], False), None, ),  # 3
     (4, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 4
 )
+all_structs.append(SuspectNews)
+SuspectNews.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 1
+)
 all_structs.append(PermitQuery)
 PermitQuery.thrift_spec = (
     None,  # 0
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -87,6 +87,7 @@
 from hollyknot_state._signals import (
     LoadReport,
     SignKind,
+    SuspectNews,
     SuspectRecord,
     TierPressure,
     UpstreamSign,
@@ -168,6 +169,7 @@
     "SlotAnswerKind",
     "SlotAnswers",
     "SlotQuestion",
+    "SuspectNews",
     "SuspectRecord",
     "Target",
     "TargetKind",
--- a/packages/state/src/hollyknot_state/_signals.py
+++ b/packages/state/src/hollyknot_state/_signals.py
@@ -69,6 +69,17 @@
     age_ms: int
 
 
+@attrs.frozen
+class SuspectNews:
+    """Evidence that its sender has just learnt, passed on from host to host.
+
+    Attributes:
+        suspects: The evidence.
+    """
+
+    suspects: tuple[SuspectRecord, ...]
+
+
 @attrs.frozen
 class LoadReport:
     """What an engine says of its load, with a lag.
