Take a crash for a cut only where upstreams beside it were lost with it

What callers saw: a request crashes upstream after upstream of a data centre in which one is away already.

Cause: a refused connection after a loss was held against nobody while any other upstream of the data centre was away, for whatever reason and for however long. An upstream that starts again is away for seconds to minutes, so that the first crash hid those that followed.

Change: only upstreams that were lost within the time in which those behind one cut are found count as a sign of a cut.

Test: an upstream that is away for five seconds hides no crash; on the code before it does.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_reachability.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_reachability.py
@@ -34,6 +34,7 @@
 @attrs.define
 class _Away:
     entry: UpstreamEntry
+    since_s: float
     next_try_s: float
     pause_s: float = FIRST_RETRY_S
 
@@ -58,7 +59,7 @@
         away = self._away.get(entry.incarnation)
         if away is None:
             next_try_s = now_s + FIRST_RETRY_S
-            self._away[entry.incarnation] = _Away(entry, next_try_s)
+            self._away[entry.incarnation] = _Away(entry, now_s, next_try_s)
             return True
         away.pause_s = min(away.pause_s * 2, LONGEST_RETRY_S)
         away.next_try_s = now_s + away.pause_s
@@ -91,6 +92,16 @@
             if entry.incarnation in self._away
         )
 
+    def has_lost(
+        self, entries: Sequence[UpstreamEntry], since_s: float
+    ) -> bool:
+        """Whether one of some upstreams is away since a time or later."""
+        return any(
+            away.since_s >= since_s
+            for entry in entries
+            if (away := self._away.get(entry.incarnation)) is not None
+        )
+
     def due(self, now_s: float) -> list[UpstreamEntry]:
         """Returns upstreams to connect to in the background now."""
         counts = Counter(a.entry.data_centre for a in self._away.values())
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -60,6 +60,9 @@
 """Peers to which each host passes on new evidence of a crash, once: all hosts
 but one in a hundred then have it after a few rounds, however many they are."""
 
+CUT_SPREAD_S = 1.5
+"""Within which upstreams behind one cut are found to be away, one by one."""
+
 _INCARNATION_BITS = 62
 """Of the random number that tells a restarted host from the one before it."""
 
@@ -379,10 +382,13 @@
 
         Two upstreams that crash within a second in one data centre are taken
         for a cut too: their requests are spared, which costs one more crash.
+        One that has been away for longer tells nothing: where upstreams take
+        minutes to start, no crash beside it would be held against anybody.
         """
         if entry.data_centre in self._silent:
             return True
-        return bool(self._reachability.away(self._beside(entry)))
+        since_s = self._clock() - CUT_SPREAD_S
+        return self._reachability.has_lost(self._beside(entry), since_s)
 
     def upstream_away(
         self, entry: UpstreamEntry, failure: ConnectFailure
--- a/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
@@ -169,6 +169,14 @@
         parts.away(entry, ConnectFailure.REFUSED)
         assert parts.neighbours.may_be_cut_off(FAR[0])
 
+    def test_one_that_is_long_away_hides_no_crash(self) -> None:
+        """A request goes on crashing upstreams beside one that starts anew."""
+        parts = _Parts()
+        parts.away(FAR[1], ConnectFailure.REFUSED)
+        parts.now_s += 5.0
+        parts.away(FAR[0], ConnectFailure.REFUSED)
+        assert not parts.neighbours.may_be_cut_off(FAR[0])
+
 
 class TestAsks:
     """When a choice asks trackers instead of believing reports."""
