Remember how many hosts were heard, not the largest estimate of them

What callers saw: a rate limit of an upstream is used to 0.36 to 0.51 before 83 real hosts, where 0.6 is the aim.

Cause: the number of hosts is estimated from how often the same ones are heard again. In the first seconds hardly any is, so that the estimate is off by up to ten times, and the largest was remembered for a minute. An issuer of permits then takes itself to hear a small part of all hosts and issues that part; cold starts and retries have too little as well.

Ruled out: remembering only estimates with 25 repeats or more. The mean of the heard part is then 0.67: the largest of many noisy values is still too large.

Change: the estimate counts as it is now; remembered is what was heard.

Test: 83 hosts, 16 s after their start, take themselves to hear 0.8 of all on the mean, which 0.6 of a limit needs; on the code before some take 0.03.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_fleet_size.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_fleet_size.py
@@ -12,7 +12,7 @@
 """How long a host takes to hear of the others after its start."""
 
 REMEMBER_S = 60.0
-"""How long the largest number of hosts counts."""
+"""How long the largest number of hosts that were heard counts."""
 
 
 class FleetSize:
@@ -33,18 +33,19 @@
         self._data_centres = data_centres
         self._learns_from_s = started_s
         self._hosts = 1
-        self._hosts_s = -math.inf
+        self._largest = 1
+        self._largest_s = -math.inf
         self._heard = 1
 
     @property
     def hosts(self) -> int:
-        """The largest number of hosts in the last while."""
-        return self._hosts
+        """How many hosts there are, or were heard lately."""
+        return max(self._hosts, self._largest)
 
     @property
     def heard_part(self) -> float:
         """The part of the hosts that are heard, this one among them."""
-        return min(1.0, self._heard / self._hosts)
+        return min(1.0, self._heard / self.hosts)
 
     def set(
         self,
@@ -66,12 +67,16 @@
         """
         self._heard = heard
         absent = max(0, self._data_centres - len(by_centre))
+        # Not the estimate, whose errors would be remembered one by one.
+        known = heard
         if by_centre and not self.is_alone:
             hosts += absent * round(hosts * max(by_centre) / heard)
-        is_forgotten = now_s - self._hosts_s > REMEMBER_S
-        if hosts >= self._hosts or is_forgotten:
-            self._hosts = hosts
-            self._hosts_s = now_s
+            known += absent * max(by_centre)
+        self._hosts = hosts
+        is_forgotten = now_s - self._largest_s > REMEMBER_S
+        if known >= self._largest or is_forgotten:
+            self._largest = known
+            self._largest_s = now_s
             if heard == 1 and not self.is_alone:
                 self._learns_from_s = now_s
 
@@ -84,4 +89,4 @@
                 last heard nobody and remembered nobody.
         """
         has_learnt = now_s >= self._learns_from_s + learn_s
-        return has_learnt and (self._hosts > 1 or self.is_alone)
+        return has_learnt and (self.hosts > 1 or self.is_alone)
