Pass on no evidence that was cleared meanwhile; sort uses only where it must

Found by reading the diff: a request that ended well within the round after a crash was still passed on as a suspect, and each report sorted its upstreams though few are too large.

--- a/packages/coordination/src/hollyknot_coordination/suspects/_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_register.py
@@ -117,7 +117,7 @@
         there may be no room for all.
         """
         news = sorted(
-            self._news,
+            ((f, crash) for f, crash in self._news if f in crash.suspects),
             key=lambda item: len(self._evidence.crashes(item[0])),
             reverse=True,
         )
--- a/packages/coordination/src/hollyknot_coordination/suspects/tests/test_suspects.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/tests/test_suspects.py
@@ -133,6 +133,21 @@
         found.on_records(peer.records(8.5), 8.6)
         assert isinstance(found.gate(1, 9.5), Isolate)
 
+    def test_news_are_passed_on_once_and_the_worst_first(self) -> None:
+        """A request goes on crashing upstreams while others fill the news."""
+        found = register()
+        crash(found, "u0", [POISON], 0.0)
+        assert [r.fingerprint for r in found.take_news(0.1)] == [POISON]
+        crash(found, "u1", [1, 2, POISON], 10.0)
+        complete(found, 2, 10.5)
+        news = found.take_news(10.6)
+        assert [r.fingerprint for r in news] == [POISON, 1]
+        assert found.take_news(10.7) == ()
+        peer = register()
+        assert peer.on_records(news, 10.7) == news
+        assert peer.on_records(news, 10.8) == ()
+        assert len(peer.take_news(10.9)) == 2
+
     def test_new_host_learns_of_refused_requests(self) -> None:
         """Symptom: each replaced host costs three more crashes.
 
--- a/packages/gateway/src/hollyknot_gateway/_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/_reports.py
@@ -31,6 +31,7 @@
     PermitQuery,
     SuspectNews,
     SuspectRecord,
+    UpstreamUse,
     UseReport,
 )
 
@@ -76,23 +77,34 @@
 
 def encode_report(report: Report) -> bytes:
     """Returns a report as a datagram, with less in it if it is too large."""
-    busiest = heapq.nlargest(
-        MAX_USES, report.uses, key=lambda use: sum(use.waiting_tokens)
-    )
     data = encode_message(report)
-    for left_out in (
-        {"held": ()},
-        {"uses": tuple(busiest)},
-        {"limits": ()},
-        {"suspects": report.suspects[:MAX_SUSPECTS]},
-    ):
+    for leave_out in _LEAVE_OUT:
         if len(data) <= MAX_BYTES:
             break
-        report = attrs.evolve(report, **left_out)
+        report = leave_out(report)
         data = encode_message(report)
     return data
 
 
+def _busiest(uses: tuple[UpstreamUse, ...]) -> tuple[UpstreamUse, ...]:
+    """Returns the upstreams with the most tokens that wait."""
+    busiest = heapq.nlargest(
+        MAX_USES, uses, key=lambda use: sum(use.waiting_tokens)
+    )
+    return tuple(busiest)
+
+
+_LEAVE_OUT: tuple[Callable[[Report], Report], ...] = (
+    lambda report: attrs.evolve(report, held=()),
+    lambda report: attrs.evolve(report, uses=_busiest(report.uses)),
+    lambda report: attrs.evolve(report, limits=()),
+    lambda report: attrs.evolve(
+        report, suspects=report.suspects[:MAX_SUSPECTS]
+    ),
+)
+"""Makes a report smaller, step by step."""
+
+
 def encode_news(records: Sequence[SuspectRecord]) -> bytes:
     """Returns as much evidence as one datagram holds, the first of it."""
     count = len(records)
