A lone host that has just started may send again

Cause, from its line retry_denied (allowed 0.32, hosts 0): a host has no part of the slack in its first window, a lone one neither, so that callers lose their second try. Whether 0.32 is rounded up is drawn by the host, so that the tests had passed before.

A lone host knows its number at once. It now has 0.35 of the slack in its first window, which with the 0.65 that the process before it may have spent makes all of it; a test holds both.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_retry_budget.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_retry_budget.py
@@ -22,6 +22,10 @@
 _SLACK_PART = 0.65
 """Of the slack, what hosts spend; the rest covers hosts not heard of yet."""
 
+_FIRST_SLACK_PART = 1.0 - _SLACK_PART
+"""The same in the first window of a host that is alone: the process before it
+may have spent the other part."""
+
 _SHARE_PART = 0.8
 """Of the share, what hosts spend: requests and retries fall into windows that
 slide, and a retry may fall into a window that its request has left."""
@@ -91,23 +95,27 @@
         """Returns what is allowed and spent in the window that ends now."""
         spent = self._service(service, now_s)
         bounds = self._bounds
-        hosts = self._hosts(now_s)
+        hosts, slack_part = self._slack(now_s)
         allowed = bounds.retry_share * _SHARE_PART * len(spent.first_tries)
         if hosts:
-            allowed += bounds.retry_slack * _SLACK_PART / hosts
+            allowed += bounds.retry_slack * slack_part / hosts
         return RetryAccount(len(spent.retries), allowed, hosts)
 
     def spend(self, service: str, now_s: float) -> None:
         """Notes a retry."""
         self._service(service, now_s).retries.append(now_s)
 
-    def _hosts(self, now_s: float) -> int:
-        """Returns among how many hosts the slack is divided, or 0.
+    def _slack(self, now_s: float) -> tuple[int, float]:
+        """Returns among how many hosts the slack is divided, and its part.
 
         A host that was restarted may have spent its part in this window.
         """
         learn_s = max(LEARN_S, self._bounds.retry_window_s)
-        return self._size.hosts if self._size.is_known(now_s, learn_s) else 0
+        if self._size.is_known(now_s, learn_s):
+            return self._size.hosts, _SLACK_PART
+        if self._size.is_alone:
+            return 1, _FIRST_SLACK_PART
+        return 0, 0.0
 
     def _service(self, service: str, now_s: float) -> _Spent:
         spent = self._spent.get(service)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_retry_budget.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_retry_budget.py
@@ -27,6 +27,18 @@
     return RetryBudget(bounds, size, random.Random(1))
 
 
+def _spend_all(started_s: float) -> int:
+    """Returns the retries of a lone host whose only request failed."""
+    size = FleetSize(started_s, is_alone=True)
+    budget = RetryBudget(BOUNDS, size, random.Random(1))
+    budget.on_first_try(SERVICE, 0.0)
+    spent = 0
+    while budget.left(SERVICE, 0.0) >= 1.0:
+        budget.spend(SERVICE, 0.0)
+        spent += 1
+    return spent
+
+
 @attrs.define
 class _Host:
     """One host of a fleet."""
@@ -222,6 +234,13 @@
             spent += 1
         assert spent == budget.account(SERVICE, 0.0).spent == 4
 
+    def test_a_lone_host_that_has_just_started_sends_again(self) -> None:
+        """A lone host refuses its first requests for want of peers."""
+        spent = [_spend_all(started_s) for started_s in (-60.0, 0.0)]
+        assert spent[1] >= 1
+        # Of the process before it and of its own, within one window.
+        assert sum(spent) <= BOUNDS.retry_slack + BOUNDS.retry_share
+
     def test_services_do_not_share(self) -> None:
         budget = _alone(Bounds(retry_share=0.5))
         for _ in range(10):
