Read that an upstream leaves or wants rest, and log it

AnswerTraits has a place for both, one reader takes all notices from an answer's head, limits included. Lines upstream_leaving, rest_asked, rest_unreadable; lines of tries carry leaving and rest_ms. Nothing is decided by them yet.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -34,6 +34,7 @@
 )
 from hollyknot_coordination.forwarding._reachability import Reachability
 from hollyknot_coordination.forwarding._report_rate import ReportRate
+from hollyknot_coordination.forwarding._rests import Rests
 from hollyknot_coordination.forwarding._retry_budget import (
     RetryAccount,
     RetryBudget,
@@ -103,6 +104,7 @@
     "Queries",
     "Reachability",
     "ReportRate",
+    "Rests",
     "RetryAccount",
     "RetryBudget",
     "RouteIndex",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_upstream_registry.py
@@ -31,6 +31,11 @@
 upstreams that left at the same time."""
 
 
+MAX_LEAVING = 4096
+"""Most incarnations of which the registry remembers that they were leaving; the
+oldest are dropped first. They stay known after their entry has gone, since an
+entry may be written again."""
+
 REMOVED_RETENTION_S = 60.0
 """Seconds for which a removed entry is remembered. A directory that is restored
 from an older copy may hold the entry again until it lapses."""
@@ -83,6 +88,8 @@
         self._evacuated: frozenset[str] = frozenset()
         self._ended: list[Ended] = []
         self._removed: dict[str, float] = {}
+        # An ordered set: from the incarnation that was marked first.
+        self._leaving: dict[str, None] = {}
         self._by_service: dict[str, list[UpstreamEntry]] | None = {}
         self._by_service_until = float("inf")
 
@@ -238,6 +245,25 @@
             known.is_replaced = True
             self._by_service = None
 
+    def mark_leaving(self, incarnation: str) -> bool:
+        """Records that an upstream has said that it is shutting down.
+
+        This holds until the incarnation ends, whatever its entry says.
+
+        Returns:
+            Whether this was not known before.
+        """
+        if incarnation in self._leaving:
+            return False
+        self._leaving[incarnation] = None
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        return True
+
+    def is_leaving(self, incarnation: str) -> bool:
+        """Whether an upstream has said that it is shutting down."""
+        return incarnation in self._leaving
+
     def is_usable(self, incarnation: str, now_s: float) -> bool:
         """Whether an upstream may get requests now."""
         self._refresh(now_s)
--- a/packages/ctl/src/hollyknot_ctl/_explain_failure.py
+++ b/packages/ctl/src/hollyknot_ctl/_explain_failure.py
@@ -35,6 +35,9 @@
         "crash",
         "upstream",
         "upstream_gone",
+        "upstream_leaving",
+        "rest_asked",
+        "limit_named",
     }
 )
 _HOST_EVENTS = frozenset(
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -17,6 +17,7 @@
     Shedding,
 )
 from hollyknot_coordination.suspects import SuspectRegister
+from hollyknot_gateway._answer_notices import AnswerNotices
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._loss_classifier import LossClassifier
 from hollyknot_gateway._metrics import Metrics
@@ -24,7 +25,6 @@
 from hollyknot_gateway._pool import Pool
 from hollyknot_gateway._ports import Dialect
 from hollyknot_gateway._prober import Prober
-from hollyknot_gateway._rate_limits import RateLimits
 from hollyknot_gateway._routing_state import RoutingState
 from hollyknot_gateway._stalls import Stalls
 
@@ -43,7 +43,7 @@
         reachability: Tracks upstreams that refuse or ignore connections.
         health: Tracks upstreams that fail a large part of their requests.
         cold_starts: Bounds requests to upstreams that have just started.
-        rate_limits: Reads the rate limits that upstreams announce.
+        notices: Reads what upstreams say about themselves in their answers.
         neighbours: Asks other hosts for loads and permits.
         permits: Tracks which rate-limited upstreams have no permits left.
         prober: Checks by new connections whether upstreams can be reached.
@@ -67,7 +67,7 @@
     reachability: Reachability
     health: Health
     cold_starts: ColdStarts
-    rate_limits: RateLimits
+    notices: AnswerNotices
     neighbours: Neighbours
     permits: Permits
     prober: Prober
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -23,12 +23,14 @@
     NamedLimits,
     Placement,
     Reachability,
+    Rests,
     RetryBudget,
     Shedding,
     UpstreamRegistry,
 )
 from hollyknot_coordination.suspects import SuspectOptions, SuspectRegister
 from hollyknot_gateway import _metrics as metrics
+from hollyknot_gateway._answer_notices import AnswerNotices
 from hollyknot_gateway._answers import NO_ROUTE
 from hollyknot_gateway._caller_server import CallerServer
 from hollyknot_gateway._directory import (
@@ -46,7 +48,6 @@
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._ports import Dialect, Source
 from hollyknot_gateway._prober import Prober
-from hollyknot_gateway._rate_limits import RateLimits
 from hollyknot_gateway._revision_gossip import RevisionGossip
 from hollyknot_gateway._routing_state import RoutingState
 from hollyknot_gateway._stalls import Stalls
@@ -141,7 +142,14 @@
             rng, self._size, self._routing_state.cold_start
         )
         self._named_limits = NamedLimits()
-        self._rate_limits = RateLimits(self._named_limits, self._log, clock)
+        self._rests = Rests()
+        self._notices = AnswerNotices(
+            self._named_limits,
+            self._rests,
+            self._routing_state.registry,
+            self._log,
+            clock,
+        )
         self._stalls = Stalls(clock)
         self._prober = Prober(
             self._pool,
@@ -218,7 +226,7 @@
             health=self._health,
             cold_starts=self._cold_starts,
             prober=self._prober,
-            rate_limits=self._rate_limits,
+            notices=self._notices,
             neighbours=self._neighbours,
             permits=self._neighbours.permits,
             suspects=self._suspects,
@@ -394,6 +402,10 @@
             "hollyknot_upstreams_limited",
             lambda: float(self.limited_upstreams),
         )
+        gauge(
+            "hollyknot_upstreams_resting",
+            lambda: float(self._rests.count(self._clock())),
+        )
         gauge("hollyknot_peers_heard", lambda: float(self._neighbours.count))
         gauge("hollyknot_hosts_counted", lambda: float(self._size.hosts))
         gauge(
@@ -453,7 +465,7 @@
         self._reachability.forget(incarnation)
         self._health.forget(incarnation)
         self._cold_starts.forget(incarnation)
-        self._rate_limits.forget(incarnation)
+        self._notices.forget(incarnation)
         self._neighbours.permits.forget(incarnation)
         self._forecasts.forget(incarnation)
 
--- a/packages/gateway/src/hollyknot_gateway/_job.py
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -43,6 +43,9 @@
             connected to.
         asked: Upstreams whose loads were queried for the next choice.
         asked_s: Seconds spent on all load queries so far.
+        was_leaving: Whether the upstream of the current try had said before the
+            request was sent that it is shutting down.
+        rest_left_s: Seconds that its rest still had to last at that time.
         permits_refused: Permits for rate-limited upstreams that were refused.
     """
 
@@ -65,6 +68,8 @@
     tried: frozenset[str] = frozenset()
     asked: Sequence[UpstreamEntry] = ()
     asked_s: float = 0.0
+    was_leaving: bool = False
+    rest_left_s: float = 0.0
     permits_refused: int = 0
 
     @property
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -305,9 +305,7 @@
             parts.clock,
             lambda: parts.placement.start(work),
             lambda interval_s: self._record_interval(entry, interval_s),
-            lambda traits, sent_s: parts.rate_limits.observe(
-                entry, traits, sent_s
-            ),
+            lambda traits, sent_s: parts.notices.observe(entry, traits, sent_s),
         )
         data = self._request_bytes(job, choice)
         if not job.sent:
@@ -315,6 +313,8 @@
                 metrics.ADDED_SECONDS, parts.clock() - job.request.arrived_s
             )
         job.sent += 1
+        job.was_leaving = parts.notices.is_leaving(entry)
+        job.rest_left_s = parts.notices.rest_left_s(entry)
         parts.suspects.on_dispatch(job.fingerprint, entry.incarnation)
         # From here on the request may run, even if this task is cancelled.
         job.may_have_run = True
@@ -454,7 +454,9 @@
             read=choice.tokens,
             ahead=choice.ahead,
             loose=job.is_loose,
-            limit=self._parts.rate_limits.rate(choice.entry),
+            limit=self._parts.notices.rate(choice.entry),
+            leaving=job.was_leaving,
+            rest_ms=_ms(job.rest_left_s),
         )
 
     def _observe_try(self, job: Job, result: Result) -> None:
--- a/packages/state/src/hollyknot_state/routes/__init__.py
+++ b/packages/state/src/hollyknot_state/routes/__init__.py
@@ -5,6 +5,7 @@
     CallTraits,
     Dispatch,
     NoLimit,
+    NoRest,
     PromptPart,
 )
 from hollyknot_state.routes._evacuation import Evacuation
@@ -41,6 +42,7 @@
     "GatewaySettings",
     "KeyOwner",
     "NoLimit",
+    "NoRest",
     "PromptPart",
     "Published",
     "Route",
--- a/packages/state/src/hollyknot_state/routes/_calls.py
+++ b/packages/state/src/hollyknot_state/routes/_calls.py
@@ -80,6 +80,16 @@
     """The value that the upstream named is not a rate and is ignored."""
 
 
+class NoRest(enum.Enum):
+    """Reasons why an answer asks for no rest."""
+
+    NOT_ASKED = "not-asked"
+    """The upstream takes further requests."""
+
+    UNREADABLE = "unreadable"
+    """The value that the upstream sent is not a duration and is ignored."""
+
+
 @attrs.frozen
 class AnswerTraits:
     """Values parsed from the head of an upstream's answer.
@@ -95,6 +105,9 @@
             it does not say.
         rate_limit: Requests per second that the upstream accepts from all hosts
             together, or why the answer has no limit.
+        is_leaving: Whether the upstream says that it is shutting down.
+        rest_s: Seconds for which the upstream wants no request from this host,
+            or why the answer asks for no rest.
     """
 
     attempt_id: str
@@ -104,3 +117,5 @@
     is_event_stream: bool
     keeps_s: float
     rate_limit: float | NoLimit = NoLimit.NOT_NAMED
+    is_leaving: bool = False
+    rest_s: float | NoRest = NoRest.NOT_ASKED
