Send nothing more to an upstream that says that it leaves

Cause: only the store's entry made a host stop, and the store was away. The registry, which placement, retries and the check just before a request is written all ask, now excludes an incarnation that has said that it leaves, for good: also when its entry lapses, returns or is written again as ready. Another incarnation under its name or at its address is used at once.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_upstream_registry.py
@@ -12,6 +12,9 @@
 the one that started later is kept: an entry of the earlier one that is written
 or read late never replaces it. Of two entries with one address the newer is
 kept, but only if its service exists, since anybody may write an entry.
+
+An upstream that says in its answers that it is leaving gets no more requests,
+even if the directory holds a ready entry of it: its own word is newer.
 """
 
 from collections.abc import Collection, Iterable
@@ -256,6 +259,7 @@
         if incarnation in self._leaving:
             return False
         self._leaving[incarnation] = None
+        self._by_service = None
         if len(self._leaving) > MAX_LEAVING:
             del self._leaving[next(iter(self._leaving))]
         return True
@@ -306,6 +310,8 @@
         entry = known.entry
         if known.is_replaced or entry.is_draining:
             return False
+        if entry.incarnation in self._leaving:
+            return False
         is_evacuated = entry.data_centre in self._evacuated
         return not is_evacuated and self._exists(entry.service)
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_upstream_registry.py
@@ -1,6 +1,9 @@
 """Tests which upstreams may get requests."""
 
+import pytest
+
 from hollyknot_coordination.forwarding import Ended, UpstreamRegistry
+from hollyknot_coordination.forwarding._upstream_registry import MAX_LEAVING
 from hollyknot_coordination.forwarding.tests._builders import upstream
 
 LAPSE_S = 1.7
@@ -28,6 +31,54 @@
         assert _names(registry) == []
         assert not registry.is_usable("a", 0.0)
 
+    def test_a_leaving_upstream_gets_no_work(self) -> None:
+        registry = UpstreamRegistry(LAPSE_S)
+        registry.put(upstream("a"))
+        registry.put(upstream("b"))
+        assert _names(registry) == ["a", "b"]
+        assert registry.mark_leaving("a")
+        assert not registry.mark_leaving("a")
+        assert _names(registry) == ["b"]
+        assert not registry.is_usable("a", 0.0)
+        assert registry.all_usable(0.0) == [upstream("b")]
+
+    @pytest.mark.parametrize("lapsed", [True, False])
+    @pytest.mark.parametrize("older", [True, False])
+    def test_an_entry_that_returns_does_not_undo_leaving(
+        self, lapsed: bool, older: bool
+    ) -> None:
+        """Guards against using it again after an outage of the directory."""
+        registry = UpstreamRegistry(LAPSE_S)
+        registry.put(upstream("a"))
+        registry.mark_leaving("a")
+        registry.put(upstream("a", port=7))
+        assert _names(registry) == []
+        registry.remove("a", 1.0, may_have_lapsed=lapsed)
+        assert _names(registry, 1.0 + LAPSE_S) == []
+        registry.replace(
+            [upstream("a")], 9.0, may_have_lapsed=lapsed, may_be_older=older
+        )
+        assert _names(registry, 9.0) == []
+
+    def test_incarnations_after_a_leaving_one_get_work_at_once(self) -> None:
+        """Guards against carrying the notice over to a restart."""
+        registry = UpstreamRegistry(LAPSE_S)
+        registry.put(upstream("a", born_ms=1))
+        registry.mark_leaving("a@1")
+        registry.put(upstream("a", born_ms=2))
+        assert _names(registry) == ["a@2"]
+        registry.mark_leaving("a@2")
+        registry.put(upstream("b", port=upstream("a").address.port, born_ms=3))
+        assert _names(registry) == ["b@3"]
+
+    def test_leaving_upstreams_are_remembered_up_to_a_number(self) -> None:
+        registry = UpstreamRegistry(LAPSE_S)
+        for number in range(MAX_LEAVING + 1):
+            registry.mark_leaving(f"{number}")
+        assert not registry.is_leaving("0")
+        assert registry.is_leaving("1")
+        assert registry.is_leaving(f"{MAX_LEAVING}")
+
     def test_renewing_an_entry_changes_nothing(self) -> None:
         registry = UpstreamRegistry(LAPSE_S)
         assert registry.put(upstream("a"))
