Send nothing to an upstream during the rest that it asks for

Cause: Retry-After of an upstream's 503 was read by nobody; hosts went by their own ejections, which end after 1.5 s and are relaxed where too few upstreams are left. Now the registry excludes a resting upstream from all that chooses, retries or refuses, and the check just before a request is written asks it again. If all rest, callers are refused at once with the time that is left of the shortest, not with half a second, and never before its end. Two rests in all_usable's other uses (evacuations, partition probes) keep resting upstreams: it is all_serving now.

--- a/packages/coordination/src/hollyknot_coordination/classification/_explain.py
+++ b/packages/coordination/src/hollyknot_coordination/classification/_explain.py
@@ -73,6 +73,11 @@
         "it would be answered too late for its target",
     ),
     (Reason.NO_UPSTREAM, Outcome.NOT_RUN, "no upstream of its pool is usable"),
+    (
+        Reason.UPSTREAMS_RESTING,
+        Outcome.NOT_RUN,
+        "all its upstreams asked for a rest",
+    ),
     (
         Reason.RATE_LIMITED,
         Outcome.NOT_RUN,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_rests.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_rests.py
@@ -52,16 +52,16 @@
         self._rests[incarnation] = _Rest(until_s)
         return True
 
+    def resting(self, now_s: float) -> frozenset[str]:
+        """Returns the incarnations that rest now."""
+        self._expire(now_s)
+        return frozenset(self._rests)
+
     def left_s(self, incarnation: str, now_s: float) -> float:
         """Returns the seconds until an upstream's rest ends; 0 for none."""
         rest = self._rests.get(incarnation)
         return max(0.0, rest.until_s - now_s) if rest is not None else 0.0
 
-    def count(self, now_s: float) -> int:
-        """Returns the number of upstreams that rest now."""
-        self._expire(now_s)
-        return len(self._rests)
-
     def _expire(self, now_s: float) -> None:
         ended = [n for n, rest in self._rests.items() if now_s >= rest.until_s]
         for incarnation in ended:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_steps.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_steps.py
@@ -52,11 +52,15 @@
         status: HTTP status of the answer.
         verdict: Outcome of the request, with its reason.
         is_budget_spent: Whether only the retry budget prevented another try.
+        rest_left_s: Seconds until an upstream may get the request, if all of
+            them rest; the caller would be refused again before. 0 if it may
+            come back earlier.
     """
 
     status: int
     verdict: Verdict
     is_budget_spent: bool = False
+    rest_left_s: float = 0.0
 
 
 def next_step(
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_upstream_registry.py
@@ -14,10 +14,11 @@
 kept, but only if its service exists, since anybody may write an entry.
 
 An upstream that says in its answers that it is leaving gets no more requests,
-even if the directory holds a ready entry of it: its own word is newer.
+even if the directory holds a ready entry of it: its own word is newer. One that
+asks for rest gets none until its rest ends.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
@@ -74,17 +75,27 @@
     is_superseded: bool
 
 
+def _none_resting(_: float) -> Collection[str]:
+    return ()
+
+
 class UpstreamRegistry:
     """All upstreams that a host has read from the directory."""
 
-    def __init__(self, lapse_s: float) -> None:
+    def __init__(
+        self,
+        lapse_s: float,
+        resting: Callable[[float], Collection[str]] = _none_resting,
+    ) -> None:
         """Creates an empty registry.
 
         Args:
             lapse_s: Seconds for which an upstream still gets requests after
                 its entry has lapsed.
+            resting: Returns the incarnations that rest at a time in seconds.
         """
         self._lapse_s = lapse_s
+        self._resting = resting
         self._known: dict[str, _UpstreamState] = {}
         self._names: dict[str, str] = {}
         self._services: frozenset[str] | None = None
@@ -272,17 +283,32 @@
         """Whether an upstream may get requests now."""
         self._refresh(now_s)
         known = self._known.get(incarnation)
-        return known is not None and self._accepts_work(known)
+        if known is None or not self._accepts_work(known):
+            return False
+        return incarnation not in self._resting(now_s)
 
     def usable(self, service: str, now_s: float) -> list[UpstreamEntry]:
-        """Returns a service's upstreams that may get requests.
+        """Returns a service's upstreams that may get requests now.
 
         Their order is the same at all hosts that know the same entries.
         """
-        return self._refresh(now_s).get(service, [])
-
-    def all_usable(self, now_s: float) -> list[UpstreamEntry]:
-        """Returns the upstreams of all services that may get requests."""
+        entries = self._refresh(now_s).get(service, [])
+        resting = self._resting(now_s)
+        if not resting:
+            return entries
+        return [entry for entry in entries if entry.incarnation not in resting]
+
+    def resting(self, service: str, now_s: float) -> list[UpstreamEntry]:
+        """Returns a service's upstreams that would get requests but rest."""
+        resting = self._resting(now_s)
+        entries = self._refresh(now_s).get(service, [])
+        return [entry for entry in entries if entry.incarnation in resting]
+
+    def all_serving(self, now_s: float) -> list[UpstreamEntry]:
+        """Returns the upstreams of all services that get requests.
+
+        Some of them may rest at present.
+        """
         found = self._refresh(now_s).values()
         return [entry for entries in found for entry in entries]
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_upstream_registry.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hollyknot_coordination.forwarding import Ended, UpstreamRegistry
+from hollyknot_coordination.forwarding import Ended, Rests, UpstreamRegistry
 from hollyknot_coordination.forwarding._upstream_registry import MAX_LEAVING
 from hollyknot_coordination.forwarding.tests._builders import upstream
 
@@ -40,7 +40,42 @@
         assert not registry.mark_leaving("a")
         assert _names(registry) == ["b"]
         assert not registry.is_usable("a", 0.0)
-        assert registry.all_usable(0.0) == [upstream("b")]
+        assert registry.all_serving(0.0) == [upstream("b")]
+
+    def test_a_resting_upstream_gets_no_work_until_its_rest_ends(self) -> None:
+        """Guards against work for it because it looks idle."""
+        rests = Rests()
+        registry = UpstreamRegistry(LAPSE_S, rests.resting)
+        registry.put(upstream("a"))
+        registry.put(upstream("b"))
+        rests.observe("a", 3.0, 0.0)
+        assert _names(registry, 2.9) == ["b"]
+        assert not registry.is_usable("a", 2.9)
+        assert registry.resting("engines", 2.9) == [upstream("a")]
+        assert registry.all_serving(2.9) == [upstream("a"), upstream("b")]
+        assert _names(registry, 3.0) == ["a", "b"]
+        assert registry.is_usable("a", 3.0)
+        assert registry.resting("engines", 3.0) == []
+
+    def test_an_entry_that_returns_does_not_end_a_rest(self) -> None:
+        """Guards against using it too early after a directory outage."""
+        rests = Rests()
+        registry = UpstreamRegistry(LAPSE_S, rests.resting)
+        registry.put(upstream("a"))
+        rests.observe("a", 9.0, 0.0)
+        registry.remove("a", 1.0, may_have_lapsed=False)
+        registry.pop_ended()
+        registry.put(upstream("a"))
+        assert _names(registry, 2.0) == []
+
+    def test_a_leaving_upstream_does_not_rest(self) -> None:
+        """Guards against asking callers to wait for it."""
+        rests = Rests()
+        registry = UpstreamRegistry(LAPSE_S, rests.resting)
+        registry.put(upstream("a"))
+        rests.observe("a", 9.0, 0.0)
+        registry.mark_leaving("a")
+        assert registry.resting("engines", 1.0) == []
 
     @pytest.mark.parametrize("lapsed", [True, False])
     @pytest.mark.parametrize("older", [True, False])
--- a/packages/gateway/src/hollyknot_gateway/_answers.py
+++ b/packages/gateway/src/hollyknot_gateway/_answers.py
@@ -17,6 +17,10 @@
 """Fraction by which Retry-After varies either way: callers that are refused
 together would otherwise return together."""
 
+MAX_RETURN_DELAY_S = 0.25
+"""Longest time in seconds between the end of a rest and the return of a caller
+that waits for it, so that callers do not all return at once."""
+
 NO_ROUTE = ""
 """The route in log lines and counters of a request that matches none."""
 
@@ -106,10 +110,7 @@
             name = self._parts.dialect.attempt_header
             headers.append((name, call.attempt_id.encode("latin-1")))
         if step.status == _UNAVAILABLE:
-            mean_s = verdict.retry_after_s or RETRY_AFTER_S
-            after_s = mean_s * self._parts.rng.uniform(
-                1 - RETRY_JITTER, 1 + RETRY_JITTER
-            )
+            after_s = self._retry_after_s(step)
             headers.append((b"Retry-After", b"%.2f" % after_s))
         reply.respond(
             step.status, headers, verdict.reason.value.encode() + b"\n"
@@ -117,6 +118,14 @@
         self._count(route, verdict, step.status)
         self._log_end("refused", call, route, verdict, step.status)
 
+    def _retry_after_s(self, step: GiveUp) -> float:
+        """Returns when the caller of a refused request is to come back."""
+        rng = self._parts.rng
+        if step.rest_left_s:
+            return step.rest_left_s + rng.uniform(0, MAX_RETURN_DELAY_S)
+        mean_s = step.verdict.retry_after_s or RETRY_AFTER_S
+        return mean_s * rng.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+
     def _log_end(
         self,
         event: str,
--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -246,7 +246,7 @@
         would send the requests of all hosts to them at once.
         """
         now_s = self._parts.clock()
-        for entry in self._parts.in_force.registry.all_usable(now_s):
+        for entry in self._parts.in_force.registry.all_serving(now_s):
             if entry.data_centre == data_centre:
                 self._parts.cold_starts.suspect(entry, now_s)
 
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -139,7 +139,8 @@
             if isinstance(following, GiveUp):
                 if following.is_budget_spent:
                     self._log_retry(job, is_sent=False)
-                self._answers.give_up(job, result, following)
+                refusal = self._tries.at_rest_end(job, following)
+                self._answers.give_up(job, result, refusal)
                 return
             if following.is_retry:
                 parts.budget.spend(job.service.name, parts.clock())
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -124,7 +124,10 @@
         self._rng = rng
         self._log = Log(settings.host, settings.data_centre, STANDARD_OUTPUT)
         self._pool = Pool(clock)
-        self._routing_state = RoutingState(UpstreamRegistry(LAPSE_GRACE_S))
+        self._rests = Rests()
+        self._routing_state = RoutingState(
+            UpstreamRegistry(LAPSE_GRACE_S, self._rests.resting)
+        )
         self._metrics = Metrics()
         self._loads = Loads()
         self._demand = Demand()
@@ -142,7 +145,6 @@
             rng, self._size, self._routing_state.cold_start
         )
         self._named_limits = NamedLimits()
-        self._rests = Rests()
         self._notices = AnswerNotices(
             self._named_limits,
             self._rests,
@@ -269,9 +271,9 @@
 
     @property
     def upstreams(self) -> frozenset[str]:
-        """The incarnations that may get requests."""
-        usable = self._routing_state.registry.all_usable(self._clock())
-        return frozenset(entry.incarnation for entry in usable)
+        """The incarnations that get requests; some of them may rest."""
+        serving = self._routing_state.registry.all_serving(self._clock())
+        return frozenset(entry.incarnation for entry in serving)
 
     async def __aenter__(self) -> Self:
         """Starts all servers and tasks.
@@ -404,7 +406,7 @@
         )
         gauge(
             "hollyknot_upstreams_resting",
-            lambda: float(self._rests.count(self._clock())),
+            lambda: float(len(self._rests.resting(self._clock()))),
         )
         gauge("hollyknot_peers_heard", lambda: float(self._neighbours.count))
         gauge("hollyknot_hosts_counted", lambda: float(self._size.hosts))
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -405,7 +405,7 @@
         silent = self._peers.silent_data_centres(now_s)
         for data_centre in silent - self._silent_data_centres:
             self._log.line("data_centre_silent", silent=data_centre)
-            self._probe_one(self._usable_in(data_centre))
+            self._probe_one(self._serving_in(data_centre))
         self._silent_data_centres = silent
 
     def may_be_partitioned(self, entry: UpstreamEntry) -> bool:
@@ -466,14 +466,14 @@
     ) -> list[UpstreamEntry]:
         return [
             other
-            for other in self._usable_in(entry.data_centre)
+            for other in self._serving_in(entry.data_centre)
             if other.incarnation != entry.incarnation
         ]
 
-    def _usable_in(self, data_centre: str) -> list[UpstreamEntry]:
-        """Returns the upstreams of a data centre that may receive requests."""
+    def _serving_in(self, data_centre: str) -> list[UpstreamEntry]:
+        """Returns the upstreams of a data centre that get requests."""
         return [
             entry
-            for entry in self._routing_state.registry.all_usable(self._clock())
+            for entry in self._routing_state.registry.all_serving(self._clock())
             if entry.data_centre == data_centre
         ]
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -7,6 +7,7 @@
 
 from hollyknot_coordination.forwarding import (
     Choice,
+    GiveUp,
     NoUpstream,
     PlacedRequest,
     runs_of,
@@ -33,7 +34,12 @@
 _DEADLINE_PASSED = "the request's deadline has passed"
 _CALLER_LEFT = "the caller has left"
 _NOT_SENT = frozenset(
-    {Reason.CONNECT_FAILED, Reason.NO_UPSTREAM, Reason.RATE_LIMITED}
+    {
+        Reason.CONNECT_FAILED,
+        Reason.NO_UPSTREAM,
+        Reason.UPSTREAMS_RESTING,
+        Reason.RATE_LIMITED,
+    }
 )
 
 MAX_PERMITS_REFUSED = 3
@@ -130,7 +136,9 @@
             usable, now, is_least_urgent=job.is_least_urgent
         )
         if wait_s is None:
-            return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
+            is_rest = parts.in_force.registry.resting(job.service.name, now)
+            reason = Reason.UPSTREAMS_RESTING if is_rest else Reason.NO_UPSTREAM
+            return Result(Verdict(Outcome.NOT_RUN, reason))
         verdict = Verdict(
             Outcome.NOT_RUN,
             Reason.RATE_LIMITED,
@@ -138,6 +146,32 @@
         )
         return Result(verdict)
 
+    def at_rest_end(self, job: Job, step: GiveUp) -> GiveUp:
+        """Adds to a refusal when the first upstream's rest ends.
+
+        It is added only if every upstream that could take the request rests or
+        has used up its rate limit for longer than that.
+        """
+        parts = self._parts
+        now = parts.clock()
+        registry = parts.in_force.registry
+        verdict = step.verdict
+        is_limited = verdict.reason is Reason.RATE_LIMITED
+        if registry.usable(job.service.name, now) and not is_limited:
+            return step
+        rest_left_s = min(
+            map(
+                parts.notices.rest_left_s,
+                registry.resting(job.service.name, now),
+            ),
+            default=None,
+        )
+        if rest_left_s is None:
+            return step
+        if is_limited and verdict.retry_after_s <= rest_left_s:
+            return step
+        return attrs.evolve(step, rest_left_s=rest_left_s)
+
     def choose(self, job: Job, gate: Clear | Isolate) -> Choice | NoUpstream:
         """Returns the upstream to send a request to next."""
         parts = self._parts
@@ -247,7 +281,7 @@
         """Whether an upstream still takes the request after connecting.
 
         While the connection was made, the upstream may have begun to shut
-        down, restarted or announced a rate limit.
+        down, restarted, asked for rest or announced a rate limit.
 
         Args:
             entry: The upstream.
--- a/packages/state/src/hollyknot_state/_verdict.py
+++ b/packages/state/src/hollyknot_state/_verdict.py
@@ -45,6 +45,7 @@
     SHED = "shed"
     TARGET_UNREACHABLE = "target-unreachable"
     NO_UPSTREAM = "no-upstream"
+    UPSTREAMS_RESTING = "upstreams-resting"
     RATE_LIMITED = "rate-limited"
     UPSTREAM_REFUSED = "upstream-refused"
     CONNECT_FAILED = "connect-failed"
