Return to a rested upstream one after the other, by one request first

After a rest the upstream looks idle: each host would send it all that comes, and the rests of many hosts may end together. A host now returns at a random time (10 ms a host on average, a quarter of the rest at most), and until its first request there is answered the others go elsewhere, unless there is no other upstream.

--- a/packages/gateway/src/hollyknot_gateway/_answer_notices.py
+++ b/packages/gateway/src/hollyknot_gateway/_answer_notices.py
@@ -75,7 +75,7 @@
             return
         self._observe_limit(entry, traits, sent_s)
         self._observe_leaving(entry, traits)
-        self._observe_rest(entry, traits)
+        self._observe_rest(entry, traits, sent_s)
 
     def forget(self, incarnation: str) -> None:
         """Discards the rate limit of an upstream that has left for good."""
@@ -111,12 +111,14 @@
         if self._registry.mark_leaving(entry.incarnation):
             self._log.line("upstream_leaving", upstream=entry.incarnation)
 
-    def _observe_rest(self, entry: UpstreamEntry, traits: AnswerTraits) -> None:
+    def _observe_rest(
+        self, entry: UpstreamEntry, traits: AnswerTraits, sent_s: float
+    ) -> None:
         rest_s = traits.rest_s
         if rest_s is NoRest.UNREADABLE:
             self._log_unreadable("rest_unreadable", entry)
-            return
         if isinstance(rest_s, NoRest):
+            self._rests.on_answer(entry.incarnation, sent_s)
             return
         self._unreadable.discard((entry.incarnation, "rest_unreadable"))
         if self._rests.observe(entry.incarnation, rest_s, self._clock()):
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -13,6 +13,7 @@
     Permits,
     Placement,
     Reachability,
+    Rests,
     RetryBudget,
     Shedding,
 )
@@ -43,6 +44,7 @@
         reachability: Tracks upstreams that refuse or ignore connections.
         health: Tracks upstreams that fail a large part of their requests.
         cold_starts: Bounds requests to upstreams that have just started.
+        rests: Upstreams that asked for rest, and those whose rest just ended.
         notices: Reads what upstreams say about themselves in their answers.
         neighbours: Asks other hosts for loads and permits.
         permits: Tracks which rate-limited upstreams have no permits left.
@@ -67,6 +69,7 @@
     reachability: Reachability
     health: Health
     cold_starts: ColdStarts
+    rests: Rests
     notices: AnswerNotices
     neighbours: Neighbours
     permits: Permits
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -124,7 +124,12 @@
         self._rng = rng
         self._log = Log(settings.host, settings.data_centre, STANDARD_OUTPUT)
         self._pool = Pool(clock)
-        self._rests = Rests()
+        self._size = HostCount(
+            clock(),
+            is_alone=not set(settings.seeds) - {settings.peers},
+            data_centres=settings.data_centres,
+        )
+        self._rests = Rests(self._size, rng)
         self._routing_state = RoutingState(
             UpstreamRegistry(LAPSE_GRACE_S, self._rests.resting)
         )
@@ -135,11 +140,6 @@
         self._forecasts = Forecasts()
         self._reachability = Reachability()
         self._health = Health()
-        self._size = HostCount(
-            clock(),
-            is_alone=not set(settings.seeds) - {settings.peers},
-            data_centres=settings.data_centres,
-        )
         self._budget = RetryBudget(settings.bounds, self._size, rng)
         self._cold_starts = ColdStarts(
             rng, self._size, self._routing_state.cold_start
@@ -229,6 +229,7 @@
             cold_starts=self._cold_starts,
             prober=self._prober,
             notices=self._notices,
+            rests=self._rests,
             neighbours=self._neighbours,
             permits=self._neighbours.permits,
             suspects=self._suspects,
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -69,6 +69,7 @@
         usable = parts.in_force.registry.usable(job.service.name, now)
         excluded = parts.reachability.unreachable(usable) | job.tried
         excluded |= parts.health.ejected(usable, now)
+        excluded |= parts.rests.on_trial(now)
         if isinstance(gate, Isolate):
             excluded |= gate.exclude
         excluded |= self.blocked(job, usable, now)
@@ -180,13 +181,14 @@
         unreachable = parts.reachability.unreachable(usable)
         if isinstance(gate, Isolate):
             unreachable |= gate.exclude
-        ejected = parts.health.ejected(usable, now)
+        doubtful = parts.health.ejected(usable, now)
+        doubtful |= parts.rests.on_trial(now)
         blocked = self.blocked(job, usable, now)
         limited = parts.permits.limited(usable)
         chosen: Choice | NoUpstream = NoUpstream.NONE_KNOWN
-        # An upstream that fails often or was unreachable lately is better than
-        # none, so the exclusions are relaxed step by step.
-        for avoided in (unreachable | ejected, unreachable, frozenset[str]()):
+        # An upstream that fails often, has just rested or was unreachable
+        # lately is better than none: the exclusions are relaxed step by step.
+        for avoided in (unreachable | doubtful, unreachable, frozenset[str]()):
             chosen = parts.placement.choose(
                 job.service,
                 usable,
@@ -349,6 +351,7 @@
         job.sent += 1
         job.was_leaving = parts.notices.is_leaving(entry)
         job.rest_left_s = parts.notices.rest_left_s(entry)
+        parts.rests.on_sent(entry.incarnation, parts.clock())
         parts.suspects.on_dispatch(job.fingerprint, entry.incarnation)
         # From here on the request may run, even if this task is cancelled.
         job.may_have_run = True
