Issue only the part of the hosts on this side of a partition

Traced: in a partition the issuer of each side hears no other claim for five seconds, takes itself for the only one, and issues the whole of its 0.75. A third and a fourth that are asked when answers are lost come on top. The rule is meant for large fleets, where each host hears only some of all.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_host_count.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_host_count.py
@@ -37,6 +37,7 @@
         self._largest = 1
         self._largest_s = -math.inf
         self._heard = 1
+        self._present = 1
 
     @property
     def hosts(self) -> int:
@@ -48,6 +49,15 @@
         """Fraction of the hosts whose reports arrive, including this one."""
         return min(1.0, self._heard / self.hosts)
 
+    @property
+    def present_fraction(self) -> float:
+        """Fraction of the hosts that seem to run on this side of a partition.
+
+        It is below 1 if far fewer hosts are estimated from the reports that
+        arrive now than were known recently, or if a data centre is silent.
+        """
+        return min(1.0, self._present / self.hosts)
+
     def set(
         self,
         hosts: int,
@@ -68,6 +78,7 @@
                 it isn't known.
         """
         self._heard = heard
+        self._present = hosts
         absent = max(0, self._data_centres - len(by_data_centre))
         # The peak is that of the hosts whose reports arrive: a peak of the
         # estimate would keep its largest error.
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_permit_issuer.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_permit_issuer.py
@@ -104,8 +104,8 @@
             now_s: The time.
             is_least_urgent: Whether the request is among the least urgent of
                 its service.
-            is_sole: Whether this host is the only issuer, also for hosts
-                whose reports don't arrive here.
+            is_sole: Whether this host is the only issuer on its side of a
+                partition, also for hosts whose reports don't arrive here.
 
         Returns:
             0 if the permit is issued, else the seconds after which to ask
@@ -113,7 +113,8 @@
         """
         if not self._size.is_known(now_s, DISCOVERY_S):
             return DISCOVERY_WAIT_S
-        fraction = 1.0 if is_sole else self._size.heard_fraction
+        size = self._size
+        fraction = size.present_fraction if is_sole else size.heard_fraction
         own_rate = max(rate, MIN_RATE) * RATE_FRACTION * fraction
         bucket = self._buckets.get(incarnation)
         if bucket is None:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_permits.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_permits.py
@@ -270,3 +270,18 @@
             _inject(network, fault, number)
             network.run(seconds, wanted=3 * rate + 2)
         assert network.busiest_window() <= _most(rate)
+
+    @pytest.mark.parametrize("seed", [17, 20, 28, 32, 52, 53])
+    def test_the_same_with_other_random_choices(self, seed: int) -> None:
+        """Guards against two sides that each issue the whole limit."""
+        network = Network(8, seed)
+        network.begin_reports()
+        network.name(30.0)
+        network.run(4.0, wanted=92.0)
+        _inject(network, "cut", 2)
+        network.run(0.5, wanted=92.0)
+        network.restart(network.hosts[0])
+        network.run(6.0, wanted=92.0)
+        network.loss_rate = 0.01
+        network.run(6.0, wanted=92.0)
+        assert network.busiest_window() <= _most(30.0)
