Let a refused caller return at once if only the refusing upstream rests

A route that allows one try answers the caller when its upstream turns the request away. The caller was told to come back after half a second on average, more than the target of most routes, though that upstream is excluded from then on and others are free. It may now return within a quarter of a second. Where the refusing upstream asked for no rest, the wait stays: it may refuse again.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_steps.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_steps.py
@@ -52,15 +52,14 @@
         status: HTTP status of the answer.
         verdict: Outcome of the request, with its reason.
         is_budget_spent: Whether only the retry budget prevented another try.
-        rest_left_s: Seconds until an upstream may get the request, if all of
-            them rest; the caller would be refused again before. 0 if it may
-            come back earlier.
+        return_s: Seconds from which an upstream may take the request, where
+            that is known; None if the caller is to come back after a while.
     """
 
     status: int
     verdict: Verdict
     is_budget_spent: bool = False
-    rest_left_s: float = 0.0
+    return_s: float | None = None
 
 
 def next_step(
--- a/packages/gateway/src/hollyknot_gateway/_answers.py
+++ b/packages/gateway/src/hollyknot_gateway/_answers.py
@@ -18,8 +18,9 @@
 together would otherwise return together."""
 
 MAX_RETURN_DELAY_S = 0.25
-"""Longest time in seconds between the end of a rest and the return of a caller
-that waits for it, so that callers do not all return at once."""
+"""Longest time in seconds between the moment from which an upstream may take a
+refused request and the return of its caller: callers that wait for the same
+moment, such as the end of a rest, would otherwise return together."""
 
 NO_ROUTE = ""
 """The route in log lines and counters of a request that matches none."""
@@ -121,8 +122,8 @@
     def _retry_after_s(self, step: GiveUp) -> float:
         """Returns when the caller of a refused request is to come back."""
         rng = self._parts.rng
-        if step.rest_left_s:
-            return step.rest_left_s + rng.uniform(0, MAX_RETURN_DELAY_S)
+        if step.return_s is not None:
+            return step.return_s + rng.uniform(0, MAX_RETURN_DELAY_S)
         mean_s = step.verdict.retry_after_s or RETRY_AFTER_S
         return mean_s * rng.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
 
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -139,7 +139,7 @@
             if isinstance(following, GiveUp):
                 if following.is_budget_spent:
                     self._log_retry(job, is_sent=False)
-                refusal = self._tries.at_rest_end(job, following)
+                refusal = self._tries.with_return_time(job, following)
                 self._answers.give_up(job, result, refusal)
                 return
             if following.is_retry:
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -147,11 +147,11 @@
         )
         return Result(verdict)
 
-    def at_rest_end(self, job: Job, step: GiveUp) -> GiveUp:
-        """Adds to a refusal when the first upstream's rest ends.
+    def with_return_time(self, job: Job, step: GiveUp) -> GiveUp:
+        """Adds to a refusal from when an upstream may take the request.
 
-        It is added only if every upstream that could take the request rests or
-        has used up its rate limit for longer than that.
+        This is known if all upstreams rest, or if those that turned the request
+        away are excluded since then and there are others.
         """
         parts = self._parts
         now = parts.clock()
@@ -159,6 +159,11 @@
         verdict = step.verdict
         is_limited = verdict.reason is Reason.RATE_LIMITED
         if registry.usable(job.service.name, now) and not is_limited:
+            is_refused = verdict.reason is Reason.UPSTREAM_REFUSED
+            if is_refused and not any(
+                registry.is_usable(name, now) for name in job.tried
+            ):
+                return attrs.evolve(step, return_s=0.0)
             return step
         rest_left_s = min(
             map(
@@ -171,7 +176,7 @@
             return step
         if is_limited and verdict.retry_after_s <= rest_left_s:
             return step
-        return attrs.evolve(step, rest_left_s=rest_left_s)
+        return attrs.evolve(step, return_s=rest_left_s)
 
     def choose(self, job: Job, gate: Clear | Isolate) -> Choice | NoUpstream:
         """Returns the upstream to send a request to next."""
