Show in explain-failure what upstreams had said before the request

Lines of the same seconds only were shown: that an upstream had said minutes ago that it leaves, or had asked for a rest that still lasts, was left out, and a refusal for want of upstreams named none. The newest notice in force of each upstream, at the hosts of the request, is shown with its age.

--- a/packages/ctl/src/hollyknot_ctl/_explain_failure.py
+++ b/packages/ctl/src/hollyknot_ctl/_explain_failure.py
@@ -1,7 +1,8 @@
 """The command `hollyknotctl explain-failure`: one request in hosts' logs."""
 
+import math
 import re
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from typing import TextIO
 
 import attrs
@@ -40,6 +41,10 @@
         "limit_named",
     }
 )
+_NOTICE_EVENTS = frozenset({"upstream_leaving", "rest_asked"})
+_REFUSED_FOR_ALL = frozenset({"upstreams-resting", "no-upstream"})
+"""Reasons of refusals that no single upstream caused."""
+
 _HOST_EVENTS = frozenset(
     {
         "source_lost",
@@ -95,6 +100,9 @@
 def request_timeline(request: str, lines: Iterable[Line]) -> list[Line]:
     """Returns a request's lines and those that may explain it, by time.
 
+    What upstreams said of themselves is included if it was still in force,
+    however long before the request they said it.
+
     Args:
         request: Identifier of the request.
         lines: Log lines of any number of hosts, in any order.
@@ -113,7 +121,8 @@
     upstreams = {line.fields.get("upstream") for line in own}
     hosts = {line.host for line in own}
     near = [line for line in by_time if since_s <= line.at_s <= until_s]
-    return [
+    earlier = [line for line in by_time if line.at_s < since_s]
+    return _notices_in_force(earlier, own) + [
         line
         for line in near
         if line in own
@@ -125,6 +134,41 @@
     ]
 
 
+def _notices_in_force(
+    earlier: Iterable[Line], own: Sequence[Line]
+) -> list[Line]:
+    """Returns what upstreams had told a request's hosts before its lines.
+
+    Args:
+        earlier: Lines before those that may explain the request, by time.
+        own: The request's lines.
+    """
+    hosts = {line.host for line in own}
+    upstreams = {line.fields.get("upstream") for line in own}
+    concerns_all = any(
+        line.fields.get("reason") in _REFUSED_FOR_ALL for line in own
+    )
+    newest: dict[tuple[str, str, str], Line] = {}
+    for line in earlier:
+        upstream = line.fields.get("upstream", "")
+        if line.event not in _NOTICE_EVENTS or line.host not in hosts:
+            continue
+        is_over = line.at_s + _lasts_s(line) < own[0].at_s
+        if not is_over and (concerns_all or upstream in upstreams):
+            newest[line.host, line.event, upstream] = line
+    return sorted(newest.values(), key=lambda line: line.at_s)
+
+
+def _lasts_s(line: Line) -> float:
+    """Returns how long a notice holds, in seconds."""
+    if line.event != "rest_asked":
+        return math.inf
+    try:
+        return float(line.fields.get("rest_s", "0"))
+    except ValueError:
+        return 0.0
+
+
 def format_line(line: Line, first_s: float) -> str:
     """Formats a line for people, with the time since `first_s`."""
     left_out = {"at", "event", "host", "data_centre", "request"}
@@ -152,7 +196,8 @@
     """Print what happened to a REQUEST, given by id, from hosts' log FILES.
 
     Besides the lines of the request it prints those of the same seconds about
-    the upstreams and hosts that handled it. "-" reads standard input.
+    the upstreams and hosts that handled it, and what upstreams had said of
+    themselves before, if it was still in force. "-" reads standard input.
     """
     lines = (line for file in files for line in read_lines(file))
     found = request_timeline(request, lines)
--- a/packages/ctl/src/hollyknot_ctl/tests/test_explain_failure.py
+++ b/packages/ctl/src/hollyknot_ctl/tests/test_explain_failure.py
@@ -43,6 +43,42 @@
         assert request_timeline("a9", read_lines(LINES.splitlines())) == []
 
 
+NOTICES = """\
+at=10.0 event=upstream_leaving upstream=i-1 host=h1
+at=11.0 event=upstream_leaving upstream=i-3 host=h1
+at=12.0 event=upstream_leaving upstream=i-1 host=h2
+at=20.0 event=rest_asked upstream=i-2 rest_s=60.0 host=h1
+at=30.0 event=rest_asked upstream=i-2 rest_s=45.0 host=h1
+at=40.0 event=rest_asked upstream=i-1 rest_s=2.0 host=h1
+at=50.0 event=failed_try request=a1 upstream=i-1 host=h1
+at=50.1 event=failed_try request=a1 upstream=i-2 host=h1
+at=50.2 event=refused request=a2 reason=upstreams-resting host=h1
+"""
+
+
+class TestNotices:
+    """What upstreams had said of themselves long before the request."""
+
+    def _notices(self, request: str) -> list[tuple[float, str]]:
+        found = request_timeline(request, read_lines(NOTICES.splitlines()))
+        return [
+            (line.at_s, line.fields["upstream"])
+            for line in found
+            if line.at_s < 50.0
+        ]
+
+    def test_notices_of_its_upstreams_are_included(self) -> None:
+        """Guards against a cause that is too old to be shown."""
+        assert self._notices("a1") == [(10.0, "i-1"), (30.0, "i-2")]
+
+    def test_all_notices_are_included_if_no_upstream_was_left(self) -> None:
+        assert self._notices("a2") == [
+            (10.0, "i-1"),
+            (11.0, "i-3"),
+            (30.0, "i-2"),
+        ]
+
+
 class TestCommand:
     """The command `explain-failure`."""
 
