Split the choice of upstreams off the tries

What selects an upstream, or says why and until when there is none, is UpstreamSelector now; the two places that named what is used only for want of others are one. No change of behaviour.

--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -22,6 +22,7 @@
 from hollyknot_gateway._flow_parts import FlowParts
 from hollyknot_gateway._job import Job, fingerprint
 from hollyknot_gateway._tries import Tries
+from hollyknot_gateway._upstream_selector import UpstreamSelector
 from hollyknot_state import Outcome, Reason, Verdict
 from hollyknot_state.routes import CallTraits, Route, Service
 
@@ -36,7 +37,8 @@
     def __init__(self, parts: FlowParts) -> None:
         """Builds the flow from its parts."""
         self._parts = parts
-        self._tries = Tries(parts)
+        self._selector = UpstreamSelector(parts)
+        self._tries = Tries(parts, self._selector)
         self._answers = Answers(parts)
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
@@ -112,14 +114,14 @@
                 step = give_up(gate.verdict, self._try_state(job))
                 self._answers.give_up(job, result, step)
                 return
-            await self._tries.ask(job, gate)
+            await self._selector.ask(job, gate)
             # Admission is decided once: an admitted request is not shed later
             # because its first upstream could not be connected to.
             refusal = None if is_admitted else self._shed_by_load(job)
             if refusal is not None:
                 self._answers.give_up(job, result, refusal)
                 return
-            choice = self._tries.choose(job, gate)
+            choice = self._selector.choose(job, gate)
             if isinstance(choice, Choice):
                 too_slow = (
                     None if is_admitted else self._shed_by_time(job, choice)
@@ -132,14 +134,14 @@
                 if self._answers.answer_if_settled(job, result):
                     return
             elif not job.sent:
-                result = self._tries.no_upstream_result(job)
+                result = self._selector.no_upstream_result(job)
             following = next_step(
                 job.route, result.verdict, self._try_state(job)
             )
             if isinstance(following, GiveUp):
                 if following.is_budget_spent:
                     self._log_retry(job, is_sent=False)
-                refusal = self._tries.with_return_time(job, following)
+                refusal = self._selector.with_return_time(job, following)
                 self._answers.give_up(job, result, refusal)
                 return
             if following.is_retry:
@@ -229,7 +231,7 @@
         parts = self._parts
         now = parts.clock()
         usable = parts.in_force.registry.usable(job.service.name, now)
-        excluded = job.tried | self._tries.blocked(job, usable, now)
+        excluded = job.tried | self._selector.blocked(job, usable, now)
         return TryState(
             sent=job.sent,
             may_have_run=job.may_have_run,
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
@@ -0,0 +1,199 @@
+"""Selects the upstream of each try, or says why and until when there is none."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from hollyknot_coordination.forwarding import (
+    Choice,
+    GiveUp,
+    NoUpstream,
+    runs_of,
+)
+from hollyknot_coordination.suspects import Clear, Isolate
+from hollyknot_gateway import _metrics as metrics
+from hollyknot_gateway._answers import RETRY_AFTER_S
+from hollyknot_gateway._exchange import Result
+from hollyknot_gateway._flow_parts import FlowParts
+from hollyknot_gateway._job import Job
+from hollyknot_state import Outcome, Reason, Verdict
+from hollyknot_state.routes import UpstreamEntry
+
+MAX_PERMITS_REFUSED = 3
+"""Refused permits after which a request avoids rate-limited upstreams: asking
+for a permit may take tens of milliseconds."""
+
+
+class UpstreamSelector:
+    """Selects among the upstreams that may get requests now."""
+
+    def __init__(self, parts: FlowParts) -> None:
+        """Builds the selector from the flow's parts."""
+        self._parts = parts
+
+    async def ask(self, job: Job, gate: Clear | Isolate) -> None:
+        """Queries the current loads of a few upstreams before the choice.
+
+        If no loads are queried, the choice is among all upstreams: a small
+        sample with loads as old as the last reports would not represent them.
+        """
+        parts = self._parts
+        if not parts.neighbours.should_query_trackers:
+            job.asked = ()
+            return
+        now = parts.clock()
+        usable = self._usable(job)
+        excluded = parts.reachability.unreachable(usable) | job.tried
+        excluded |= self._doubtful(usable, now)
+        if isinstance(gate, Isolate):
+            excluded |= gate.exclude
+        excluded |= self.blocked(job, usable, now)
+        job.asked = parts.placement.shortlist(
+            job.service,
+            usable,
+            job.call,
+            excluded,
+            now,
+            is_loose=job.is_loose,
+            limited=parts.permits.limited(usable),
+        )
+        job.asked += self._pick_cold(job, excluded, usable)
+        is_known = await parts.neighbours.ask(
+            job.asked, runs_of(job.call.prompt)
+        )
+        asked_s = parts.clock() - now
+        job.asked_s += asked_s
+        outcome = "known" if is_known else "old"
+        parts.metrics.observe(metrics.ASKED_SECONDS, asked_s, outcome=outcome)
+
+    def _pick_cold(
+        self,
+        job: Job,
+        excluded: frozenset[str],
+        usable: Sequence[UpstreamEntry],
+    ) -> list[UpstreamEntry]:
+        """Returns a random cold upstream that may get a request, if any."""
+        parts = self._parts
+        permitted = [
+            entry
+            for entry in parts.cold_starts.permitted(usable, parts.clock())
+            if entry.incarnation not in excluded and entry not in job.asked
+        ]
+        return [parts.rng.choice(permitted)] if permitted else []
+
+    def blocked(
+        self, job: Job, entries: Sequence[UpstreamEntry], now_s: float
+    ) -> frozenset[str]:
+        """Returns the incarnations that must not be sent a request now.
+
+        These upstreams are cold without a permit for a request, have used up
+        their rate limit, or are rate-limited after the request was refused
+        `MAX_PERMITS_REFUSED` permits.
+        """
+        parts = self._parts
+        blocked = parts.cold_starts.blocked(entries, now_s)
+        blocked |= parts.permits.blocked(
+            entries, now_s, is_least_urgent=job.is_least_urgent
+        )
+        if job.permits_refused >= MAX_PERMITS_REFUSED:
+            blocked |= {
+                entry.incarnation
+                for entry in entries
+                if parts.permits.is_limited(entry)
+            }
+        return blocked
+
+    def no_upstream_result(self, job: Job) -> Result:
+        """Returns the result of a request that no upstream can be sent."""
+        parts = self._parts
+        now = parts.clock()
+        usable = self._usable(job)
+        wait_s = parts.permits.shortest_wait_s(
+            usable, now, is_least_urgent=job.is_least_urgent
+        )
+        if wait_s is None:
+            is_rest = parts.in_force.registry.resting(job.service.name, now)
+            reason = Reason.UPSTREAMS_RESTING if is_rest else Reason.NO_UPSTREAM
+            return Result(Verdict(Outcome.NOT_RUN, reason))
+        verdict = Verdict(
+            Outcome.NOT_RUN,
+            Reason.RATE_LIMITED,
+            retry_after_s=max(wait_s, RETRY_AFTER_S),
+        )
+        return Result(verdict)
+
+    def with_return_time(self, job: Job, step: GiveUp) -> GiveUp:
+        """Adds to a refusal from when an upstream may take the request.
+
+        This is known if all upstreams rest, or if those that turned the request
+        away are excluded since then and there are others.
+        """
+        verdict = step.verdict
+        is_limited = verdict.reason is Reason.RATE_LIMITED
+        if self._usable(job) and not is_limited:
+            if self._is_refused_by_excluded(job, verdict):
+                return attrs.evolve(step, return_s=0.0)
+            return step
+        rest_left_s = self._shortest_rest_s(job)
+        if rest_left_s is None:
+            return step
+        if is_limited and verdict.retry_after_s <= rest_left_s:
+            return step
+        return attrs.evolve(step, return_s=rest_left_s)
+
+    def _usable(self, job: Job) -> list[UpstreamEntry]:
+        parts = self._parts
+        return parts.in_force.registry.usable(job.service.name, parts.clock())
+
+    def _doubtful(
+        self, usable: Sequence[UpstreamEntry], now_s: float
+    ) -> frozenset[str]:
+        """Returns the incarnations that get requests only if no other can."""
+        parts = self._parts
+        return parts.health.ejected(usable, now_s) | parts.rests.on_trial(now_s)
+
+    def _is_refused_by_excluded(self, job: Job, verdict: Verdict) -> bool:
+        """Whether only upstreams refused it that get no more requests now."""
+        if verdict.reason is not Reason.UPSTREAM_REFUSED:
+            return False
+        now = self._parts.clock()
+        registry = self._parts.in_force.registry
+        return not any(registry.is_usable(name, now) for name in job.tried)
+
+    def _shortest_rest_s(self, job: Job) -> float | None:
+        """Returns when the first upstream's rest ends; None if none rests."""
+        parts = self._parts
+        resting = parts.in_force.registry.resting(
+            job.service.name, parts.clock()
+        )
+        return min(map(parts.notices.rest_left_s, resting), default=None)
+
+    def choose(self, job: Job, gate: Clear | Isolate) -> Choice | NoUpstream:
+        """Returns the upstream to send a request to next."""
+        parts = self._parts
+        now = parts.clock()
+        usable = self._usable(job)
+        unreachable = parts.reachability.unreachable(usable)
+        if isinstance(gate, Isolate):
+            unreachable |= gate.exclude
+        doubtful = self._doubtful(usable, now)
+        blocked = self.blocked(job, usable, now)
+        limited = parts.permits.limited(usable)
+        chosen: Choice | NoUpstream = NoUpstream.NONE_KNOWN
+        # An upstream that fails often, has just rested or was unreachable
+        # lately is better than none: the exclusions are relaxed step by step.
+        for avoided in (unreachable | doubtful, unreachable, frozenset[str]()):
+            chosen = parts.placement.choose(
+                job.service,
+                usable,
+                job.call,
+                job.tried | avoided | blocked,
+                now,
+                is_loose=job.is_loose,
+                urgency=job.urgency,
+                among=frozenset(entry.incarnation for entry in job.asked),
+                limited=limited,
+            )
+            if isinstance(chosen, Choice):
+                break
+        return chosen
