--- a/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
@@ -1,4 +1,4 @@
-"""Selects the upstream of each try, or says why there is none and until when."""
+"""Selects the upstream of each try, or says why and how long there is none."""
 
 from collections.abc import Sequence
 
