--- a/packages/coordination/src/hollyknot_coordination/forwarding/_rests.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_rests.py
@@ -77,7 +77,7 @@
         self._expire(now_s)
         bounded_s = min(rest_s, MAX_REST_S)
         rest = self._rests.get(incarnation)
-        known_until_s = rest.until_s if rest is not None else now_s
+        known_until_s = now_s if rest is None else max(now_s, rest.until_s)
         if now_s + bounded_s <= known_until_s:
             return False
         until_s = now_s + bounded_s + self._delay_s(bounded_s)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_steps.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_steps.py
@@ -52,8 +52,8 @@
         status: HTTP status of the answer.
         verdict: Outcome of the request, with its reason.
         is_budget_spent: Whether only the retry budget prevented another try.
-        return_s: Seconds from which an upstream may take the request, where
-            that is known; None if the caller is to come back after a while.
+        return_s: Seconds until an upstream may take the request, where that is
+            known; None if the caller is to come back after a while.
     """
 
     status: int
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_rests.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_rests.py
@@ -46,6 +46,8 @@
         rests = _rests()
         assert not rests.observe("a", 0.0, 10.0)
         assert rests.resting(10.0) == frozenset()
+        rests.observe("a", 1.0, 10.0)
+        assert not rests.observe("a", 0.0, 12.0)
 
     def test_an_endless_rest_is_bounded(self) -> None:
         """Guards against losing the only upstream for good."""
