Put the forwarding decisions into rooms by decision

Cause: forwarding/ was one flat folder of 29 modules; which file holds a decision could not be told from its place. Change: placement/, refusals/, upstreams/, permits/ and peers/, each with a front that re-exports; GapTolerance moved out of the lanes, since the route index needs it without the rest of the placement. No behaviour changes.

--- a/packages/bench/src/hollyknot_bench/experiment/tests/test_experiment.py
+++ b/packages/bench/src/hollyknot_bench/experiment/tests/test_experiment.py
@@ -13,7 +13,7 @@
     EngineRequest,
 )
 from hollyknot_bench.experiment._play import DRAIN_S, Play
-from hollyknot_coordination.forwarding._report_rate import BYTES_PER_S
+from hollyknot_coordination.forwarding.peers._report_rate import BYTES_PER_S
 from hollyknot_state import Problem
 
 _FIGURES = EngineParameters(
--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -1,80 +1,71 @@
 """Decides how a host forwards calls by routes, without doing any I/O."""
 
-from hollyknot_coordination.forwarding._cached_parts import (
-    CachedParts,
-    runs_of,
-)
-from hollyknot_coordination.forwarding._cold_starts import ColdStarts
 from hollyknot_coordination.forwarding._events import EventFramer
-from hollyknot_coordination.forwarding._forecasts import Forecasts
-from hollyknot_coordination.forwarding._health import Health
-from hollyknot_coordination.forwarding._host_count import HostCount
-from hollyknot_coordination.forwarding._inquiries import (
+from hollyknot_coordination.forwarding._gap_tolerance import GapTolerance
+from hollyknot_coordination.forwarding._route_index import (
+    NoOwner,
+    NoRoute,
+    RouteIndex,
+)
+from hollyknot_coordination.forwarding.peers import (
     ANSWER_TIMEOUT_S,
     MIN_INTERVAL_TO_NOTE_S,
     MIN_INTERVAL_TO_QUERY_S,
+    RENEW_S,
+    HostCount,
     Inquiries,
     Inquiry,
+    Peers,
+    ReportRate,
+    TrackedLoads,
+    Tracker,
+    Trackers,
 )
-from hollyknot_coordination.forwarding._lanes import Demand, GapTolerance, Lanes
-from hollyknot_coordination.forwarding._loads import Load, Loads
-from hollyknot_coordination.forwarding._named_limits import NamedLimits
-from hollyknot_coordination.forwarding._peers import Peers
-from hollyknot_coordination.forwarding._permits import (
+from hollyknot_coordination.forwarding.permits import (
     PERMIT_ANSWER_TIMEOUT_S,
+    NamedLimits,
     PermitRequest,
     Permits,
     Queries,
 )
-from hollyknot_coordination.forwarding._placement import (
+from hollyknot_coordination.forwarding.placement import (
+    CachedParts,
     Choice,
+    Demand,
+    Forecasts,
+    Lanes,
+    Load,
+    Loads,
     NoUpstream,
     PlacedRequest,
     Placement,
+    runs_of,
 )
-from hollyknot_coordination.forwarding._reachability import Reachability
-from hollyknot_coordination.forwarding._report_rate import ReportRate
-from hollyknot_coordination.forwarding._rests import Rests
-from hollyknot_coordination.forwarding._retry_budget import (
-    RetryAccount,
-    RetryBudget,
-)
-from hollyknot_coordination.forwarding._route_index import (
-    NoOwner,
-    NoRoute,
-    RouteIndex,
-)
-from hollyknot_coordination.forwarding._shedding import (
+from hollyknot_coordination.forwarding.refusals import (
     SHED_RETRY_AFTER_S,
     Admission,
+    GiveUp,
+    RetryAccount,
+    RetryBudget,
     Shed,
     Shedding,
     TooSlow,
-)
-from hollyknot_coordination.forwarding._steps import (
-    GiveUp,
     TryAnother,
     TryState,
     give_up,
     next_step,
 )
-from hollyknot_coordination.forwarding._tracked_loads import (
-    RENEW_S,
-    TrackedLoads,
-)
-from hollyknot_coordination.forwarding._trackers import Tracker, Trackers
-from hollyknot_coordination.forwarding._upstream_registry import (
+from hollyknot_coordination.forwarding.upstreams import (
+    ColdStarts,
     Ended,
+    Health,
+    Reachability,
+    Rests,
     UpstreamRegistry,
 )
 
 __all__ = [
     "ANSWER_TIMEOUT_S",
-    "MIN_INTERVAL_TO_NOTE_S",
-    "MIN_INTERVAL_TO_QUERY_S",
-    "PERMIT_ANSWER_TIMEOUT_S",
-    "RENEW_S",
-    "SHED_RETRY_AFTER_S",
     "Admission",
     "CachedParts",
     "Choice",
@@ -92,22 +83,27 @@
     "Lanes",
     "Load",
     "Loads",
+    "MIN_INTERVAL_TO_NOTE_S",
+    "MIN_INTERVAL_TO_QUERY_S",
     "NamedLimits",
     "NoOwner",
     "NoRoute",
     "NoUpstream",
+    "PERMIT_ANSWER_TIMEOUT_S",
     "Peers",
     "PermitRequest",
     "Permits",
     "PlacedRequest",
     "Placement",
     "Queries",
+    "RENEW_S",
     "Reachability",
     "ReportRate",
     "Rests",
     "RetryAccount",
     "RetryBudget",
     "RouteIndex",
+    "SHED_RETRY_AFTER_S",
     "Shed",
     "Shedding",
     "TooSlow",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from hollyknot_coordination.forwarding._lanes import GapTolerance
+from hollyknot_coordination.forwarding._gap_tolerance import GapTolerance
 from hollyknot_state import TIERS
 from hollyknot_state.routes import KeyOwner, Route, RouteTable
 
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/__init__.py
@@ -0,0 +1,32 @@
+"""Tracks the other hosts and decides what hosts tell each other."""
+
+from hollyknot_coordination.forwarding.peers._host_count import HostCount
+from hollyknot_coordination.forwarding.peers._inquiries import (
+    ANSWER_TIMEOUT_S,
+    MIN_INTERVAL_TO_NOTE_S,
+    MIN_INTERVAL_TO_QUERY_S,
+    Inquiries,
+    Inquiry,
+)
+from hollyknot_coordination.forwarding.peers._peers import Peers
+from hollyknot_coordination.forwarding.peers._report_rate import ReportRate
+from hollyknot_coordination.forwarding.peers._tracked_loads import (
+    RENEW_S,
+    TrackedLoads,
+)
+from hollyknot_coordination.forwarding.peers._trackers import Tracker, Trackers
+
+__all__ = [
+    "ANSWER_TIMEOUT_S",
+    "HostCount",
+    "Inquiries",
+    "Inquiry",
+    "MIN_INTERVAL_TO_NOTE_S",
+    "MIN_INTERVAL_TO_QUERY_S",
+    "Peers",
+    "RENEW_S",
+    "ReportRate",
+    "TrackedLoads",
+    "Tracker",
+    "Trackers",
+]
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
@@ -10,14 +10,16 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding._cached_parts import CachedParts
-from hollyknot_coordination.forwarding._forecasts import Forecasts
-from hollyknot_coordination.forwarding._loads import Loads
-from hollyknot_coordination.forwarding._tracked_loads import (
+from hollyknot_coordination.forwarding.peers._tracked_loads import (
     RENEW_S,
     TrackedLoads,
 )
-from hollyknot_coordination.forwarding._trackers import Tracker, Trackers
+from hollyknot_coordination.forwarding.peers._trackers import Tracker, Trackers
+from hollyknot_coordination.forwarding.placement._cached_parts import (
+    CachedParts,
+)
+from hollyknot_coordination.forwarding.placement._forecasts import Forecasts
+from hollyknot_coordination.forwarding.placement._loads import Loads
 from hollyknot_state import (
     LoadAnswer,
     LoadNote,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_peers.py
@@ -12,15 +12,20 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding._contacts import MANY_PEERS, Contacts
-from hollyknot_coordination.forwarding._loads import merged_uses
-from hollyknot_coordination.forwarding._peer_count import (
+from hollyknot_coordination.forwarding._smoothing import smoothed
+from hollyknot_coordination.forwarding.peers._contacts import (
+    MANY_PEERS,
+    Contacts,
+)
+from hollyknot_coordination.forwarding.peers._peer_count import (
     ReportTimes,
     estimate_peers,
 )
-from hollyknot_coordination.forwarding._silence_detector import SilenceDetector
-from hollyknot_coordination.forwarding._smoothing import smoothed
-from hollyknot_coordination.forwarding._trackers import Tracker
+from hollyknot_coordination.forwarding.peers._silence_detector import (
+    SilenceDetector,
+)
+from hollyknot_coordination.forwarding.peers._trackers import Tracker
+from hollyknot_coordination.forwarding.placement._loads import merged_uses
 from hollyknot_state import Address, HostReport, UseReport
 
 FRESH_S = 1.0
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_tracked_loads.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_tracked_loads.py
@@ -11,8 +11,10 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding._cached_parts import CachedParts
-from hollyknot_coordination.forwarding._loads import summed_use
+from hollyknot_coordination.forwarding.placement._cached_parts import (
+    CachedParts,
+)
+from hollyknot_coordination.forwarding.placement._loads import summed_use
 from hollyknot_state import (
     HeldRun,
     LoadAnswer,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_contacts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_contacts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hollyknot_coordination.forwarding._contacts import Contacts
+from hollyknot_coordination.forwarding.peers._contacts import Contacts
 from hollyknot_state import Address
 
 OWN = Address("127.0.0.1", 1)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_inquiries.py
@@ -15,9 +15,9 @@
     Trackers,
     runs_of,
 )
-from hollyknot_coordination.forwarding._loads import TRACKED_S
-from hollyknot_coordination.forwarding._tracked_loads import EXPIRE_S
-from hollyknot_coordination.forwarding._trackers import MAX_MISSES
+from hollyknot_coordination.forwarding.peers._tracked_loads import EXPIRE_S
+from hollyknot_coordination.forwarding.peers._trackers import MAX_MISSES
+from hollyknot_coordination.forwarding.placement._loads import TRACKED_S
 from hollyknot_coordination.forwarding.tests._builders import (
     call,
     upstream,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_peers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hollyknot_coordination.forwarding import Peers
-from hollyknot_coordination.forwarding._peer_count import estimate_peers
+from hollyknot_coordination.forwarding.peers._peer_count import estimate_peers
 from hollyknot_coordination.forwarding.tests._builders import (
     address_of,
     report,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_report_rate.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_report_rate.py
@@ -3,7 +3,7 @@
 import pytest
 
 from hollyknot_coordination.forwarding import ReportRate
-from hollyknot_coordination.forwarding._report_rate import QUERY_SHARE
+from hollyknot_coordination.forwarding.peers._report_rate import QUERY_SHARE
 
 
 def _sent(size: int, wanted: int, seconds: int) -> int:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_silence_detector.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_silence_detector.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hollyknot_coordination.forwarding._silence_detector import (
+from hollyknot_coordination.forwarding.peers._silence_detector import (
     FALSE_ALARM_PROBABILITY,
     MIN_SILENCE_S,
     SilenceDetector,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_trackers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_trackers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hollyknot_coordination.forwarding import Tracker, Trackers
-from hollyknot_coordination.forwarding._trackers import (
+from hollyknot_coordination.forwarding.peers._trackers import (
     MAX_MISSES,
     SKIP_SILENT_S,
 )
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/permits/__init__.py
@@ -0,0 +1,17 @@
+"""Shares the rate limits of upstreams among all hosts."""
+
+from hollyknot_coordination.forwarding.permits._named_limits import NamedLimits
+from hollyknot_coordination.forwarding.permits._permits import (
+    PERMIT_ANSWER_TIMEOUT_S,
+    PermitRequest,
+    Permits,
+    Queries,
+)
+
+__all__ = [
+    "NamedLimits",
+    "PERMIT_ANSWER_TIMEOUT_S",
+    "PermitRequest",
+    "Permits",
+    "Queries",
+]
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_issuer_claims.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/permits/_issuer_claims.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding._host_count import HostCount
-from hollyknot_coordination.forwarding._trackers import Tracker, rank
+from hollyknot_coordination.forwarding.peers._host_count import HostCount
+from hollyknot_coordination.forwarding.peers._trackers import Tracker, rank
 from hollyknot_state import IssuerClaim
 
 CLAIM_LIFETIME_S = 10.0
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_permit_issuer.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/permits/_permit_issuer.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding._host_count import HostCount
+from hollyknot_coordination.forwarding.peers._host_count import HostCount
 
 OVERRUN_FACTOR = 1.5
 OVERRUN_REQUESTS = 5
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_permits.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/permits/_permits.py
@@ -12,16 +12,20 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding._host_count import HostCount
-from hollyknot_coordination.forwarding._issuer_claims import IssuerClaims
-from hollyknot_coordination.forwarding._named_limits import NamedLimits
-from hollyknot_coordination.forwarding._permit_issuer import PermitIssuer
-from hollyknot_coordination.forwarding._trackers import (
+from hollyknot_coordination.forwarding.peers._host_count import HostCount
+from hollyknot_coordination.forwarding.peers._trackers import (
     MAX_MISSES,
     Tracker,
     Trackers,
     rank,
 )
+from hollyknot_coordination.forwarding.permits._issuer_claims import (
+    IssuerClaims,
+)
+from hollyknot_coordination.forwarding.permits._named_limits import NamedLimits
+from hollyknot_coordination.forwarding.permits._permit_issuer import (
+    PermitIssuer,
+)
 from hollyknot_state import (
     Address,
     NamedLimit,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_named_limits.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/permits/tests/test_named_limits.py
@@ -4,7 +4,7 @@
 import pytest
 
 from hollyknot_coordination.forwarding import NamedLimits
-from hollyknot_coordination.forwarding._named_limits import (
+from hollyknot_coordination.forwarding.permits._named_limits import (
     MAX_REPORTED,
     MAX_REPORTED_AGE_S,
     REPORT_CHANGE_S,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_permit_issuer.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/permits/tests/test_permit_issuer.py
@@ -3,7 +3,7 @@
 import pytest
 
 from hollyknot_coordination.forwarding import HostCount
-from hollyknot_coordination.forwarding._permit_issuer import (
+from hollyknot_coordination.forwarding.permits._permit_issuer import (
     MAX_SAVED_PERMITS,
     MAX_WAIT_S,
     RATE_FRACTION,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_permits.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/permits/tests/test_permits.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hollyknot_coordination.forwarding.tests._permit_network import (
+from hollyknot_coordination.forwarding.permits.tests._permit_network import (
     ENTRY,
     WINDOW_S,
     Network,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lanes.py
@@ -23,14 +23,7 @@
 import attrs
 
 from hollyknot_state import LaneDemand
-from hollyknot_state.routes import Route, RouteKind, UpstreamEntry
-
-TIGHT_GAP_RATIO = 1.4
-"""Ratio to the shortest gap target below which a target still counts as tight.
-
-Streams that tolerate gaps half as long again can share an engine that prefills
-all the time, if its prompts are short or wait behind theirs. With such streams
-in the loose lane, the shortest targets are met even in a burst."""
+from hollyknot_state.routes import UpstreamEntry
 
 TIGHT_UTILISATION = 0.6
 """Utilisation of the tight lane's upstreams, relative to the loose lane's: a
@@ -66,27 +59,6 @@
 """Share of the loose lane below that demand."""
 
 
-class GapTolerance:
-    """Separates loose from tight routes of a service by their gap targets."""
-
-    def __init__(self, routes: Iterable[Route], service: str) -> None:
-        """Computes the gap target from which streams of a service are loose."""
-        targets_s = {
-            route.gap_target_s
-            for route in routes
-            if route.kind is RouteKind.STREAM
-            and route.gap_target_s > 0
-            and any(share.service == service for share in route.shares)
-        }
-        self._loose_from_s = min(targets_s, default=math.inf) * TIGHT_GAP_RATIO
-
-    def is_loose(self, route: Route) -> bool:
-        """Whether a route's streams tolerate long inter-token gaps."""
-        return (
-            not route.gap_target_s or route.gap_target_s >= self._loose_from_s
-        )
-
-
 @attrs.define
 class _Rate:
     value: float = 0.0
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_placement.py
@@ -6,15 +6,15 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding._cached_parts import (
+from hollyknot_coordination.forwarding.placement._cached_parts import (
     MIN_REPORTED_TOKENS,
     CacheCoverage,
     CachedParts,
     preferred,
     runs_of,
 )
-from hollyknot_coordination.forwarding._lanes import Demand, Lanes
-from hollyknot_coordination.forwarding._loads import Loads
+from hollyknot_coordination.forwarding.placement._lanes import Demand, Lanes
+from hollyknot_coordination.forwarding.placement._loads import Loads
 from hollyknot_state.routes import CallTraits, Service, UpstreamEntry
 
 MISSING_TOKEN_WEIGHT = 1.0
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_cached_parts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_cached_parts.py
@@ -1,7 +1,7 @@
 """Tests of which prompt parts hosts believe to be cached."""
 
 from hollyknot_coordination.forwarding import CachedParts
-from hollyknot_coordination.forwarding._cached_parts import (
+from hollyknot_coordination.forwarding.placement._cached_parts import (
     REMEMBERED_S,
     REPORTED_S,
     CacheCoverage,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_forecasts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_forecasts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from hollyknot_coordination.forwarding import Forecasts
-from hollyknot_coordination.forwarding._forecasts import (
+from hollyknot_coordination.forwarding.placement._forecasts import (
     FRESH_S,
     MIN_ANSWERS,
 )
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_loads.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_loads.py
@@ -1,7 +1,7 @@
 """Tests that work in flight is counted."""
 
 from hollyknot_coordination.forwarding import Loads
-from hollyknot_coordination.forwarding._loads import Load, merged_uses
+from hollyknot_coordination.forwarding.placement._loads import Load, merged_uses
 from hollyknot_coordination.forwarding.tests._builders import report
 
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_shortlist.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_shortlist.py
@@ -12,7 +12,7 @@
     Loads,
     Placement,
 )
-from hollyknot_coordination.forwarding._placement import (
+from hollyknot_coordination.forwarding.placement._placement import (
     OTHER_LANE_SHORTLIST,
     OWN_LANE_SHORTLIST,
 )
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_retry_budget.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/refusals/_retry_budget.py
@@ -16,7 +16,10 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding._host_count import DISCOVERY_S, HostCount
+from hollyknot_coordination.forwarding.peers._host_count import (
+    DISCOVERY_S,
+    HostCount,
+)
 from hollyknot_state.routes import Bounds
 
 _SLACK_FRACTION = 0.65
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_shedding.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/refusals/_shedding.py
@@ -21,7 +21,7 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding._loads import Loads
+from hollyknot_coordination.forwarding.placement._loads import Loads
 from hollyknot_state.routes import UpstreamEntry
 
 BACKLOG_SHARE = 0.6
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_retry_budget.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/refusals/tests/test_retry_budget.py
@@ -9,7 +9,7 @@
 import pytest
 
 from hollyknot_coordination.forwarding import HostCount, RetryBudget
-from hollyknot_coordination.forwarding._host_count import PEAK_RETENTION_S
+from hollyknot_coordination.forwarding.peers._host_count import PEAK_RETENTION_S
 from hollyknot_state.routes import Bounds
 
 BOUNDS = Bounds(retry_share=0.2, retry_window_s=10.0, retry_slack=206.0)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_shedding.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/refusals/tests/test_shedding.py
@@ -11,7 +11,7 @@
     Shedding,
     TooSlow,
 )
-from hollyknot_coordination.forwarding._shedding import ADMITTED_SHARE
+from hollyknot_coordination.forwarding.refusals._shedding import ADMITTED_SHARE
 from hollyknot_coordination.forwarding.tests._builders import upstream
 
 POOL = [upstream(name) for name in ("a", "b", "c", "d", "e")]
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_cold_starts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/_cold_starts.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding._host_count import HostCount
+from hollyknot_coordination.forwarding.peers._host_count import HostCount
 from hollyknot_state.routes import ColdStart, UpstreamEntry
 
 RATE_FRACTION = 0.5
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_rests.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/_rests.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding._host_count import HostCount
+from hollyknot_coordination.forwarding.peers._host_count import HostCount
 
 MAX_REST_S = 600.0
 """Longest rest in seconds. A longer one may be an error, and would exclude the
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_cold_starts.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/tests/test_cold_starts.py
@@ -7,15 +7,15 @@
 import pytest
 
 from hollyknot_coordination.forwarding import ColdStarts, HostCount
-from hollyknot_coordination.forwarding._cold_starts import (
-    PERMIT_LIFETIME_S,
-    RATE_FRACTION,
-)
-from hollyknot_coordination.forwarding._host_count import (
+from hollyknot_coordination.forwarding.peers._host_count import (
     DISCOVERY_S,
     PEAK_RETENTION_S,
 )
 from hollyknot_coordination.forwarding.tests._builders import upstream
+from hollyknot_coordination.forwarding.upstreams._cold_starts import (
+    PERMIT_LIFETIME_S,
+    RATE_FRACTION,
+)
 from hollyknot_state.routes import ColdStart, UpstreamEntry
 
 COLD_START = ColdStart(rate=7.6, lasts_s=3.0)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_rests.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/tests/test_rests.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hollyknot_coordination.forwarding import HostCount, Rests
-from hollyknot_coordination.forwarding._rests import (
+from hollyknot_coordination.forwarding.upstreams._rests import (
     MAX_DELAY_FRACTION,
     MAX_REST_S,
     RETURN_INTERVAL_S,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/tests/test_upstream_registry.py
@@ -10,8 +10,10 @@
     Rests,
     UpstreamRegistry,
 )
-from hollyknot_coordination.forwarding._upstream_registry import MAX_LEAVING
 from hollyknot_coordination.forwarding.tests._builders import upstream
+from hollyknot_coordination.forwarding.upstreams._upstream_registry import (
+    MAX_LEAVING,
+)
 
 LAPSE_S = 1.7
 _ALONE = HostCount(0.0, is_alone=True)
--- a/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
@@ -4,7 +4,8 @@
 import os
 from collections.abc import Awaitable, Callable
 
-from hollyknot_coordination.forwarding import Reachability, _silence_detector
+from hollyknot_coordination.forwarding import Reachability
+from hollyknot_coordination.forwarding.peers import _silence_detector
 from hollyknot_coordination.suspects import (
     Clear,
     SuspectOptions,
