--- a/packages/bench/src/hollyknot_bench/experiment/_engine.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_engine.py
@@ -5,6 +5,7 @@
 for all streams. Parts of prompts stay cached until newer ones need the memory.
 """
 
+import random
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -27,6 +28,12 @@
         stride: Number of tokens in an event, after a stream's first event.
         chunk: Maximum number of prompt tokens that one step prefills.
         cached_tokens: Memory for running streams and cached parts, in tokens.
+        pairs_ms_per_m: Milliseconds that each million pairs of a prefilled
+            token and an earlier one add to a step.
+        noise_share: Fraction of the periods of `noise_s` in which every step
+            takes `noise_times` as long.
+        noise_times: Factor on the length of a step in such a period.
+        noise_s: Length of a period in seconds.
     """
 
     slots: int
@@ -38,6 +45,10 @@
     stride: int
     chunk: int
     cached_tokens: int
+    pairs_ms_per_m: float = 0.0
+    noise_share: float = 0.0
+    noise_times: float = 1.0
+    noise_s: float = 0.6
 
 
 @attrs.define(eq=False)
@@ -79,15 +90,19 @@
 class Engine:
     """An emulated engine, whose owner must call `step` at the time `next_s`."""
 
-    def __init__(self, figures: EngineParameters, slowness: float) -> None:
+    def __init__(
+        self, figures: EngineParameters, slowness: float, seed: int = 0
+    ) -> None:
         """Builds an idle engine with an empty cache.
 
         Args:
             figures: Speed and memory of the engine.
             slowness: Factor on the length of each step; 1 for normal speed.
+            seed: Seed of the periods in which the engine is noisy.
         """
         self._figures = figures
         self._slowness = slowness
+        self._seed = seed
         self._waiting: list[EngineRequest] = []
         self._active: list[EngineRequest] = []
         self._cached: OrderedDict[str, int] = OrderedDict()
@@ -158,6 +173,7 @@
             return
         budget = figures.chunk
         self._prefills = []
+        pairs = 0
         decoding = 0
         context = 0
         for run in self._active:
@@ -168,6 +184,7 @@
             tokens = min(run.unread, budget)
             if tokens:
                 budget -= tokens
+                pairs += tokens * (run.context - run.unread)
                 self._prefills.append((run, tokens))
         read = figures.chunk - budget
         reading_ms = read / figures.tokens_per_ms
@@ -176,11 +193,22 @@
             + figures.step_ms_per_slot * decoding
             + figures.context_ms_per_k * context / 1000
             + reading_ms
-        ) * self._slowness
+            + figures.pairs_ms_per_m * pairs / 1e6
+        ) * self._slowness_at(now_s)
         self.tokens_read += read
         self.prefill_busy_s += reading_ms * self._slowness / 1000
         self.next_s = now_s + step_ms / 1000
 
+    def _slowness_at(self, now_s: float) -> float:
+        """Returns the factor on the length of a step that begins now."""
+        figures = self._figures
+        if not figures.noise_share:
+            return self._slowness
+        period = int(now_s / figures.noise_s)
+        drawn = random.Random(self._seed * 1_000_003 + period).random()
+        is_noisy = drawn < figures.noise_share
+        return self._slowness * (figures.noise_times if is_noisy else 1.0)
+
     def _admit(self) -> None:
         while self._waiting and self._make_room():
             run = self._waiting.pop(0)
--- a/packages/bench/src/hollyknot_bench/experiment/_load.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_load.py
@@ -51,6 +51,7 @@
         priority: Priority of the class; 0 is the most urgent.
         own_spread: Sigma of the lognormal distribution of `own_tokens`.
         out_spread: Sigma of the lognormal distribution of `out_tokens`.
+        resumes: Whether a request is sent again after its engine has crashed.
     """
 
     name: str
@@ -66,6 +67,7 @@
     priority: int
     own_spread: float = 1.0
     out_spread: float = 1.0
+    resumes: bool = True
 
 
 @attrs.frozen
@@ -92,7 +94,7 @@
     Attributes:
         at_s: Time of the crash.
         for_s: Time from the crash to the restart.
-        engines: Number of engines that crash, counted from the first engine.
+        engines: Number of engines that crash, drawn at random.
     """
 
     at_s: float
--- a/packages/bench/src/hollyknot_bench/experiment/_outcome.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_outcome.py
@@ -16,6 +16,7 @@
         gap_s: Longest inter-token gap.
         is_whole: Whether the complete answer came before the request timed out.
         refusals: Number of times that a host refused it.
+        tries: Number of engines that crashed while they had it.
         expected: Prompt tokens that the host expected the engine to prefill.
         read: Prompt tokens that the engine did prefill.
     """
@@ -25,6 +26,7 @@
     gap_s: float = 0.0
     is_whole: bool = False
     refusals: int = 0
+    tries: int = 0
     expected: int = 0
     read: int = 0
 
--- a/packages/bench/src/hollyknot_bench/experiment/_play.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_play.py
@@ -59,6 +59,9 @@
 
 _SERVICE = "engines"
 
+_MAX_TRIES = 2
+"""Number of engines to which one request may be sent."""
+
 
 class Play:
     """One simulated run of a load."""
@@ -97,7 +100,8 @@
         self._asks = asks and not is_shared
         slowness = itertools.cycle(load.slowness)
         self._engines = [
-            Engine(load.engine, next(slowness)) for _ in range(load.engines)
+            Engine(load.engine, next(slowness), number)
+            for number in range(load.engines)
         ]
         self._entries = [self._entry(n, 0) for n in range(load.engines)]
         self._by_incarnation = {e.incarnation: e for e in self._entries}
@@ -116,7 +120,9 @@
         for request in self._requests:
             self._call_at(request.at_s, self._arrive, request, request.host)
         for crash in self._load.crashes:
-            for number in range(crash.engines):
+            for number in self._rng.sample(
+                range(self._load.engines), crash.engines
+            ):
                 self._call_at(crash.at_s, self._crash, number)
                 back_s = crash.at_s + crash.for_s
                 self._call_at(back_s, self._restart, number)
@@ -341,7 +347,7 @@
                 return
             now_s = clock.now_s
             if not state.last_s:
-                ended.first_s = now_s - request.at_s
+                ended.first_s = ended.first_s or now_s - request.at_s
                 host.placement.start(work)
             else:
                 interval_s = now_s - state.last_s
@@ -366,12 +372,20 @@
                 host.placement.end(work)
                 engine.cancel(run)
 
+        def on_lost(_: float) -> None:
+            if state.is_over:
+                return
+            finish()
+            ended.tries += 1
+            if request.kind.resumes and ended.tries < _MAX_TRIES:
+                self._arrive(request, request.host)
+
         run = EngineRequest(
             request.prompt,
             request.out_tokens,
             work.urgency,
             on_event,
-            lambda _: finish(),
+            on_lost,
             self._engine_of(choice.source),
         )
 
