--- a/packages/bench/src/hollyknot_bench/experiment/_host.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_host.py
@@ -8,9 +8,11 @@
     CachedParts,
     Demand,
     Forecasts,
+    LaneShares,
     Loads,
     Placement,
     Shedding,
+    Speeds,
 )
 
 
@@ -22,6 +24,8 @@
     demand: Demand
     cached: CachedParts
     forecasts: Forecasts
+    speeds: Speeds
+    lane_shares: LaneShares
     placement: Placement
     shedding: Shedding
 
@@ -29,11 +33,23 @@
 def make_host(rng: random.Random) -> Host:
     """Returns a host that has no knowledge of loads, demand or caches yet."""
     loads, demand, cached = Loads(), Demand(), CachedParts()
+    speeds = Speeds()
+    lane_shares = LaneShares(rng.getrandbits(62))
     return Host(
         loads,
         demand,
         cached,
         Forecasts(),
-        Placement(loads, demand, cached, "one", rng),
+        speeds,
+        lane_shares,
+        Placement(
+            loads,
+            demand,
+            cached,
+            "one",
+            rng,
+            speeds=speeds,
+            lane_shares=lane_shares,
+        ),
         Shedding(loads, rng),
     )
--- a/packages/bench/src/hollyknot_bench/experiment/_play.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_play.py
@@ -231,11 +231,11 @@
         host.forecasts.note_request(request.kind.name, request.hint)
         if now_s - request.at_s >= request.kind.timeout_s:
             return
+        route = self._index.table.routes[_route_index(self._load, request)]
+        call = _call(request)
         if not self._asks or not self._host_network.may_ask(number):
             self._place(request, number, [])
             return
-        route = self._index.table.routes[_route_index(self._load, request)]
-        call = _call(request)
         asked = host.placement.shortlist(
             self._service,
             self._usable(),
@@ -336,6 +336,7 @@
         clock = self._clock
         ended = self._ended[request.number]
         ended.expected = choice.tokens
+        sent_s = clock.now_s
         engine = self._engines[choice.entry.address.port - 1]
         state = _Stream(request.at_s + request.kind.timeout_s)
 
@@ -349,6 +350,11 @@
             if not state.last_s:
                 ended.first_s = ended.first_s or now_s - request.at_s
                 host.placement.start(work)
+                host.speeds.observe(
+                    choice.entry.incarnation,
+                    choice.tokens + choice.queued_tokens,
+                    now_s - sent_s,
+                )
             else:
                 interval_s = now_s - state.last_s
                 state.intervals += 1
--- a/packages/bench/src/hollyknot_bench/experiment/_reports.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_reports.py
@@ -69,6 +69,9 @@
             self.host.loads,
             self.host.cached,
             self.host.forecasts,
+            self.host.demand,
+            self.host.speeds,
+            self.host.lane_shares,
         )
 
     def spend(self, message: Message) -> None:
@@ -113,6 +116,7 @@
         self.host.demand.apply_reported(
             (d for r in fresh for d in r.demands),
             min(1.0, (len(fresh) + 1) / (self.peers.estimated_count + 1)),
+            self.peers.estimated_count + 1,
         )
 
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/__init__.py
@@ -5,6 +5,7 @@
     ANSWER_TIMEOUT_S,
     MIN_INTERVAL_TO_NOTE_S,
     MIN_INTERVAL_TO_QUERY_S,
+    PLAIN_RESERVE,
     Inquiries,
     Inquiry,
 )
@@ -23,6 +24,7 @@
     "Inquiry",
     "MIN_INTERVAL_TO_NOTE_S",
     "MIN_INTERVAL_TO_QUERY_S",
+    "PLAIN_RESERVE",
     "Peers",
     "RENEW_S",
     "ReportRate",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
@@ -18,8 +18,11 @@
 from hollyknot_coordination.forwarding.placement._cached_parts import (
     CachedParts,
 )
+from hollyknot_coordination.forwarding.placement._demand import Demand
 from hollyknot_coordination.forwarding.placement._forecasts import Forecasts
+from hollyknot_coordination.forwarding.placement._lane_shares import LaneShares
 from hollyknot_coordination.forwarding.placement._loads import Loads
+from hollyknot_coordination.forwarding.speeds import Speeds
 from hollyknot_state import (
     LoadAnswer,
     LoadNote,
@@ -43,6 +46,14 @@
 """Longest wait for answers in seconds: three round trips between data centres
 of a region. Callers accept a few hundred milliseconds until the first event."""
 
+PLAIN_RESERVE = 0.5
+"""Fraction of the bytes for queries that requests without a prompt leave to the
+others: any upstream of a plain service takes about as long as the next."""
+
+FULL_ANSWER_EVERY = 4
+"""One in this many answers tells what seldom changes. A host gets some tens of
+answers a second, and each byte more means fewer queries."""
+
 _MAX_QUERY_NUMBER = 2**31 - 1
 """Largest number of a query; the next query has the number 1."""
 
@@ -71,6 +82,9 @@
         loads: Loads,
         cached: CachedParts,
         forecasts: Forecasts,
+        demand: Demand,
+        speeds: Speeds,
+        lane_shares: LaneShares,
     ) -> None:
         """Creates the state of a host that has not queried any tracker.
 
@@ -83,15 +97,23 @@
                 completed likewise.
             forecasts: Pace of upstreams' streams, reported and completed
                 likewise.
+            demand: Demand by lane; answers tell this host's own, and that of
+                the hosts that answer it is added.
+            speeds: Speeds of upstreams, reported and completed likewise.
+            lane_shares: Sizes of lanes, told and completed in answers.
         """
         self._incarnation = incarnation
         self._trackers = trackers
         self._loads = loads
         self._cached = cached
         self._forecasts = forecasts
+        self._demand = demand
+        self._speeds = speeds
+        self._lane_shares = lane_shares
         self._tracked = TrackedLoads(cached)
         self._number = 0
         self._sequence = 0
+        self._answers = 0
         self._waiting: dict[int, tuple[Tracker, Inquiry]] = {}
         self._last_renewal_s = float("-inf")
 
@@ -114,7 +136,13 @@
         for tracker, upstreams in self._by_tracker(entries, now_s):
             names = tuple(short_name(e.incarnation) for e in upstreams)
             self._number = self._number % _MAX_QUERY_NUMBER + 1
-            query = LoadQuery(self._incarnation, self._number, names, runs)
+            query = LoadQuery(
+                self._incarnation,
+                self._number,
+                names,
+                runs,
+                self._lane_shares.is_sizer(now_s),
+            )
             if tracker is None:
                 self._apply(self._tracked.answer(query, now_s), now_s)
                 continue
@@ -124,7 +152,16 @@
 
     def answer(self, query: LoadQuery, now_s: float) -> LoadAnswer:
         """Answers the query of another host, as a tracker."""
-        return self._tracked.answer(query, now_s)
+        self._answers += 1
+        is_full = self._answers % FULL_ANSWER_EVERY == 0
+        answer = self._tracked.answer(query, now_s)
+        demands = self._demand.to_report(now_s) if query.wants_demands else ()
+        return attrs.evolve(
+            answer,
+            demands=demands,
+            speeds=answer.speeds if is_full else (),
+            lane_shares=self._lane_shares.to_tell(now_s, only_news=not is_full),
+        )
 
     def handle_answer(self, answer: LoadAnswer, now_s: float) -> None:
         """Applies an answer; one that is late still serves later requests."""
@@ -133,6 +170,10 @@
         if tracker is None or inquiry is None:
             return
         self._trackers.answered(tracker)
+        if self._lane_shares.is_sizer(now_s):
+            self._demand.apply_answered(
+                tracker.incarnation, answer.demands, now_s
+            )
         if not any(i is inquiry for _, i in self._waiting.values()):
             inquiry.on_done()
 
@@ -186,6 +227,7 @@
             names = [entry.incarnation for entry in upstreams]
             uses = tuple(self._loads.use_of(name) for name in names)
             paces = (self._forecasts.pace(name, now_s) for name in names)
+            speeds = (self._speeds.pop_unsent(use.upstream) for use in uses)
             held = tuple(
                 held
                 for use in uses
@@ -197,6 +239,7 @@
                 uses,
                 held,
                 tuple(pace for pace in paces if pace is not None),
+                tuple(speed for speed in speeds if speed is not None),
             )
             if tracker is None:
                 self._tracked.apply_note(note, now_s)
@@ -217,4 +260,6 @@
     def _apply(self, answer: LoadAnswer, now_s: float) -> None:
         self._loads.add_tracked(answer.uses, now_s)
         self._forecasts.apply_reported(answer.paces, now_s)
+        self._speeds.apply_answered(answer.speeds, now_s)
+        self._lane_shares.apply_told(answer.lane_shares, now_s)
         self._cached.apply_reported(answer.held, now_s)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_report_rate.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_report_rate.py
@@ -90,10 +90,16 @@
         self._fill(now_s, max(self._report_capacity, size))
         return max(0, int(self._reports.level // max(size, 1)))
 
-    def may_query(self, now_s: float) -> bool:
-        """Returns whether a query may be sent now."""
+    def may_query(self, now_s: float, reserve: float = 0.0) -> bool:
+        """Returns whether a query may be sent now.
+
+        Args:
+            now_s: Current time, in seconds.
+            reserve: Fraction of the capacity for queries that is left to
+                others, from 0 to 1.
+        """
         self._fill(now_s, self._report_capacity)
-        return self._queries.level > 0
+        return self._queries.level > reserve * self._queries.capacity
 
     def spend(self, size: int) -> None:
         """Deducts bytes of reports that were sent."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_tracked_loads.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_tracked_loads.py
@@ -15,12 +15,14 @@
     CachedParts,
 )
 from hollyknot_coordination.forwarding.placement._loads import summed_use
+from hollyknot_coordination.forwarding.speeds import SpeedSamples
 from hollyknot_state import (
     HeldRun,
     LoadAnswer,
     LoadNote,
     LoadQuery,
     UpstreamPace,
+    UpstreamSpeed,
     UpstreamUse,
 )
 
@@ -62,6 +64,7 @@
                 as notes report it.
         """
         self._cached = cached
+        self._speeds = SpeedSamples()
         self._host_loads: dict[int, dict[int, _HostLoad]] = {}
 
     def __len__(self) -> int:
@@ -78,6 +81,8 @@
                 pace = paces.get(use.upstream)
                 host_load = _HostLoad(use, pace, note.sequence, now_s)
                 hosts[note.incarnation] = host_load
+        for speed in note.speeds:
+            self._speeds.record(speed.upstream, speed.token_ns, now_s)
         self._cached.apply_reported(note.held, now_s)
 
     def expire(self, now_s: float) -> None:
@@ -92,6 +97,7 @@
                     del hosts[incarnation]
             if not hosts:
                 del self._host_loads[upstream]
+        self._speeds.expire(now_s)
 
     def answer(self, query: LoadQuery, now_s: float) -> LoadAnswer:
         """Returns the in-flight work of all hosts except the one that asks."""
@@ -111,7 +117,12 @@
             if self._cached.has(HeldRun(name, run), now_s)
         )
         known_paces = tuple(pace for pace in paces if pace is not None)
-        return LoadAnswer(query.number, uses, held, known_paces)
+        speeds = tuple(
+            UpstreamSpeed(name, token_ns)
+            for name in query.upstreams
+            if (token_ns := self._speeds.token_ns(name, now_s)) is not None
+        )
+        return LoadAnswer(query.number, uses, held, known_paces, speeds=speeds)
 
     def _others(
         self, upstream: int, asker: int, now_s: float
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_inquiries.py
@@ -8,9 +8,12 @@
 from hollyknot_coordination.forwarding import (
     RENEW_S,
     CachedParts,
+    Demand,
     Forecasts,
     Inquiries,
+    LaneShares,
     Loads,
+    Speeds,
     Tracker,
     Trackers,
     runs_of,
@@ -59,7 +62,16 @@
         peers = tuple(other for other in trackers if other is not own)
         loads, cached, forecasts = Loads(), CachedParts(), Forecasts()
         found = Trackers(own, lambda: peers)
-        inquiries = Inquiries(own.incarnation, found, loads, cached, forecasts)
+        inquiries = Inquiries(
+            own.incarnation,
+            found,
+            loads,
+            cached,
+            forecasts,
+            Demand(),
+            Speeds(),
+            LaneShares(own.incarnation),
+        )
         return _Host(own, loads, cached, forecasts, inquiries)
 
     def send_notes(self, host: _Host) -> None:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/__init__.py
@@ -4,11 +4,10 @@
     CachedParts,
     runs_of,
 )
+from hollyknot_coordination.forwarding.placement._demand import Demand
 from hollyknot_coordination.forwarding.placement._forecasts import Forecasts
-from hollyknot_coordination.forwarding.placement._lanes import (
-    Demand,
-    Lanes,
-)
+from hollyknot_coordination.forwarding.placement._lane_shares import LaneShares
+from hollyknot_coordination.forwarding.placement._lanes import Lanes
 from hollyknot_coordination.forwarding.placement._loads import Load, Loads
 from hollyknot_coordination.forwarding.placement._placement import (
     Choice,
@@ -22,6 +21,7 @@
     "Choice",
     "Demand",
     "Forecasts",
+    "LaneShares",
     "Lanes",
     "Load",
     "Loads",
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lane_shares.py
@@ -0,0 +1,131 @@
+"""Lets all hosts divide a service's upstreams into lanes of the same sizes.
+
+Each host estimates the demand of all hosts from a sample. If each sized the
+lanes by its own estimate, an upstream would be in the loose lane for some hosts
+and in the tight lane for others, and tight streams would meet long prompts
+there. So all hosts use the size that one of them computes, the sizer.
+
+The sizer is not elected. Answers between hosts carry the size that their sender
+uses, with its age and the rank of the host that computed it. The size of the
+highest rank is used as long as it is fresh; a host that knows no fresh size of
+a higher rank computes its own. After the loss of the sizer, the host of the
+highest rank among the others takes over once its last size is old.
+"""
+
+import zlib
+from collections.abc import Iterable
+
+import attrs
+
+from hollyknot_state import LaneShare, short_name
+
+MAX_AGE_S = 3.0
+"""Age in seconds above which a size is no longer used."""
+
+NEWS_S = 0.6
+"""Seconds for which a changed size is part of each answer, until it has reached
+nearly all hosts."""
+
+_PERMILLE = 1000
+
+
+@attrs.frozen
+class _Known:
+    share: float
+    rank: int
+    computed_s: float
+    changed_s: float
+
+
+class LaneShares:
+    """Shares of upstreams that the loose lane gets, by service."""
+
+    def __init__(self, token: int) -> None:
+        """Creates shares of which none is known.
+
+        Args:
+            token: Random number of this host, from which its ranks follow.
+        """
+        self._token = token
+        self._known: dict[int, _Known] = {}
+        self._ranks: dict[str, int] = {}
+
+    def from_others(self, service: str, now_s: float) -> float | None:
+        """Returns the share that this host has to use.
+
+        Returns:
+            A share from 0 to 1; None if this host is the sizer.
+        """
+        known = self._known.get(short_name(service))
+        if known is None or now_s - known.computed_s > MAX_AGE_S:
+            return None
+        return known.share if known.rank > self._rank(service) else None
+
+    def publish(self, service: str, share: float, now_s: float) -> None:
+        """Records the share that this host computed as the sizer."""
+        name = short_name(service)
+        found = _Known(share, self._rank(service), now_s, now_s)
+        self._keep(name, found)
+
+    def apply_told(self, told: Iterable[LaneShare], now_s: float) -> None:
+        """Records the shares that another host uses."""
+        for share in told:
+            computed_s = now_s - share.age_ms / 1000
+            found = _Known(
+                share.permille / _PERMILLE, share.rank, computed_s, now_s
+            )
+            known = self._known.get(share.pool)
+            if known is None or _replaces(found, known, now_s):
+                self._keep(share.pool, found)
+
+    def is_sizer(self, now_s: float) -> bool:
+        """Whether this host knows no fresh share that another one computed."""
+        own = {short_name(name): rank for name, rank in self._ranks.items()}
+        return not any(
+            now_s - known.computed_s <= MAX_AGE_S
+            and known.rank != own.get(name)
+            for name, known in self._known.items()
+        )
+
+    def to_tell(
+        self, now_s: float, *, only_news: bool
+    ) -> tuple[LaneShare, ...]:
+        """Returns the fresh shares that this host knows, for its answers.
+
+        Args:
+            now_s: Current time in seconds.
+            only_news: Whether to leave out those that changed long ago.
+        """
+        return tuple(
+            LaneShare(
+                service,
+                round(known.share * _PERMILLE),
+                known.rank,
+                round((now_s - known.computed_s) * 1000),
+            )
+            for service, known in self._known.items()
+            if now_s - known.computed_s <= MAX_AGE_S
+            and (not only_news or now_s - known.changed_s <= NEWS_S)
+        )
+
+    def _keep(self, name: int, found: _Known) -> None:
+        known = self._known.get(name)
+        if known is not None and known.share == found.share:
+            found = attrs.evolve(found, changed_s=known.changed_s)
+        self._known[name] = found
+
+    def _rank(self, service: str) -> int:
+        rank = self._ranks.get(service)
+        if rank is None:
+            rank = zlib.crc32(f"{service}|{self._token}".encode()) >> 1
+            self._ranks[service] = rank
+        return rank
+
+
+def _replaces(found: _Known, known: _Known, now_s: float) -> bool:
+    """Whether a share that was told replaces the known one."""
+    if now_s - known.computed_s > MAX_AGE_S:
+        return True
+    if found.rank != known.rank:
+        return found.rank > known.rank
+    return found.computed_s > known.computed_s
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_placement.py
@@ -13,8 +13,11 @@
     preferred,
     runs_of,
 )
-from hollyknot_coordination.forwarding.placement._lanes import Demand, Lanes
-from hollyknot_coordination.forwarding.placement._loads import Loads
+from hollyknot_coordination.forwarding.placement._demand import Demand
+from hollyknot_coordination.forwarding.placement._lane_shares import LaneShares
+from hollyknot_coordination.forwarding.placement._lanes import Lanes
+from hollyknot_coordination.forwarding.placement._loads import Load, Loads
+from hollyknot_coordination.forwarding.speeds import Speeds
 from hollyknot_state.routes import CallTraits, Service, UpstreamEntry
 
 MISSING_TOKEN_WEIGHT = 1.0
@@ -80,12 +83,15 @@
             an engine, in requests for a plain service.
         source: Upstream from which it can fetch cached parts of the prompt
             that are missing there; None if there is none.
+        queued_tokens: Prompt tokens of other requests that the upstream is
+            expected to prefill before.
     """
 
     entry: UpstreamEntry
     tokens: int
     ahead: int
     source: UpstreamEntry | None = None
+    queued_tokens: int = 0
 
 
 @attrs.define
@@ -141,6 +147,8 @@
         data_centre: str,
         rng: random.Random,
         is_connected: Callable[[str], bool] = _not_connected,
+        speeds: Speeds | None = None,
+        lane_shares: LaneShares | None = None,
     ) -> None:
         """Builds the placement of one host.
 
@@ -154,13 +162,17 @@
                 all choose the same upstream.
             is_connected: Returns whether an idle connection to an incarnation
                 is kept open.
+            speeds: Speeds of upstreams; without them all count as equal.
+            lane_shares: Sizes of lanes that hosts agree on; without them this
+                host sizes the lanes by its own estimate.
         """
+        self._speeds = speeds if speeds is not None else Speeds()
         self._loads = loads
         self._data_centre = data_centre
         self._rng = rng
         self._is_connected = is_connected
         self._demand = demand
-        self._lanes = Lanes(demand)
+        self._lanes = Lanes(demand, lane_shares or LaneShares(0))
         self._cached = cached
 
     def choose(
@@ -406,6 +418,7 @@
     ) -> _CostedChoice | None:
         last = request.call.prompt[-1].tokens
         preferred_entry = coverage.preferred_entry(entries)
+        slowness = self._speeds.slowness(entries, request.now_s)
         best: _CostedChoice | None = None
         for entry in entries:
             if entry.incarnation in request.excluded:
@@ -416,28 +429,33 @@
                 else coverage.missing_tokens[entry.incarnation]
             )
             tokens = last + min(missing_tokens, coverage.uncached_tokens)
-            ahead = self._load_cost(entry, request.urgency, request.now_s)
-            cost = tokens + ahead + missing_tokens * MISSING_TOKEN_WEIGHT
+            load = self._loads.at(entry.incarnation, request.now_s)
+            queued = _queued_tokens(load, request.urgency)
+            ahead = queued + _occupation_cost(load, request.urgency, entry)
+            own_cost = (tokens + ahead) * slowness.get(entry.incarnation, 1.0)
+            cost = own_cost + missing_tokens * MISSING_TOKEN_WEIGHT
             if not self._is_connected(entry.incarnation):
                 cost += NEW_CONNECTION_TOKENS
             if best is None or cost < best.cost:
                 source = coverage.source(
                     entry, preferred_entry, request.excluded
                 )
-                best = _CostedChoice(cost, Choice(entry, tokens, ahead, source))
+                choice = Choice(entry, tokens, ahead, source, queued)
+                best = _CostedChoice(cost, choice)
         return best
 
-    def _load_cost(
-        self, entry: UpstreamEntry, urgency: int, now_s: float
-    ) -> int:
-        """Returns the load that a new request meets at an upstream, in tokens.
 
-        Less urgent prompts that wait there are prefilled after the request's,
-        except for the one whose prefill has begun.
-        """
-        load = self._loads.at(entry.incarnation, now_s)
-        beyond = load.requests_ahead_of(urgency) + 1 - entry.slots
-        full = max(0, beyond) * QUEUED_REQUEST_TOKENS
-        running = load.running * RUNNING_STREAM_TOKENS
-        prefilling = load.tokens_in_prefill(urgency)
-        return load.tokens_ahead_of(urgency) + prefilling + running + full
+def _queued_tokens(load: Load, urgency: int) -> int:
+    """Returns the prompt tokens that are prefilled before a new request's.
+
+    Less urgent prompts that wait are prefilled after it, except for the one
+    whose prefill has begun.
+    """
+    return load.tokens_ahead_of(urgency) + load.tokens_in_prefill(urgency)
+
+
+def _occupation_cost(load: Load, urgency: int, entry: UpstreamEntry) -> int:
+    """Returns the cost of running streams and of missing slots, in tokens."""
+    beyond = load.requests_ahead_of(urgency) + 1 - entry.slots
+    full = max(0, beyond) * QUEUED_REQUEST_TOKENS
+    return load.running * RUNNING_STREAM_TOKENS + full
--- /dev/null
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_lane_shares.py
@@ -0,0 +1,122 @@
+"""Tests that all hosts divide a service's upstreams alike."""
+
+import random
+
+from hollyknot_coordination.forwarding import Demand, Lanes, LaneShares
+from hollyknot_coordination.forwarding.placement._demand_samples import (
+    MIN_HOSTS,
+)
+from hollyknot_coordination.forwarding.placement._lane_shares import MAX_AGE_S
+from hollyknot_coordination.forwarding.tests._builders import upstream
+from hollyknot_state import LaneDemand, LaneShare, short_name
+
+POOL = [upstream(f"u{number:02}") for number in range(30)]
+ROUND_S = 0.05
+
+
+class _Host:
+    """A host that sizes lanes, and pulls the sizes that others use."""
+
+    def __init__(self, token: int, loose_tokens_s: int) -> None:
+        self._told = LaneDemand("engines", loose_tokens_s, 9_000, 1, 1)
+        self._demand = Demand()
+        self._demand.apply_reported([], 1.0, hosts=20)
+        self.shares = LaneShares(token)
+        self.lanes = Lanes(self._demand, self.shares)
+
+    def loose_count(self, now_s: float) -> int:
+        # Each host's estimate differs, as its sample of hosts does.
+        for host in range(MIN_HOSTS):
+            self._demand.apply_answered(host, [self._told], now_s)
+        return len(self.lanes.of("engines", POOL, now_s, is_loose=True))
+
+
+def _pull(hosts: list[_Host], rng: random.Random, now_s: float) -> None:
+    """Lets each host ask one other host and place one request."""
+    for host in hosts:
+        told = rng.choice(hosts).shares.to_tell(now_s, only_news=False)
+        host.shares.apply_told(told, now_s)
+        host.loose_count(now_s)
+
+
+def _play(hosts: list[_Host], rng: random.Random, rounds: range) -> set[int]:
+    """Plays rounds of pulls and returns the sizes that hosts use at the end."""
+    for number in rounds:
+        _pull(hosts, rng, number * ROUND_S)
+    return {host.loose_count(rounds.stop * ROUND_S) for host in hosts}
+
+
+def _fleet(size: int) -> list[_Host]:
+    return [_Host(token, 10_000 * (1 + token % 8)) for token in range(size)]
+
+
+class TestLaneShares:
+    """Hosts use the size that the sizer computes."""
+
+    def test_hosts_agree_though_their_estimates_differ(self) -> None:
+        """Guards against tight streams beside long prompts for disagreement.
+
+        Hosts with different sizes take an upstream at the boundary for part of
+        different lanes.
+        """
+        hosts = _fleet(20)
+        assert len({host.loose_count(0.0) for host in hosts}) > 1
+        assert len(_play(hosts, random.Random(1), range(20))) == 1
+
+    def test_another_host_takes_over_if_the_sizer_is_lost(self) -> None:
+        """Guards against lanes that keep their size after the sizer's loss."""
+        hosts = _fleet(20)
+        rng = random.Random(1)
+        _play(hosts, rng, range(20))
+        sizer = next(
+            host
+            for host in hosts
+            if host.shares.from_others("engines", 1.0) is None
+        )
+        hosts.remove(sizer)
+        last = int((1.0 + MAX_AGE_S) / ROUND_S) + 30
+        assert len(_play(hosts, rng, range(20, last))) == 1
+        sizers = [
+            host
+            for host in hosts
+            if host.shares.from_others("engines", last * ROUND_S) is None
+        ]
+        assert len(sizers) == 1
+
+    def test_both_sides_of_a_partition_have_a_sizer(self) -> None:
+        """Guards against a side that follows a sizer on the other side."""
+        hosts = _fleet(20)
+        rng = random.Random(1)
+        _play(hosts, rng, range(20))
+        last = int((1.0 + MAX_AGE_S) / ROUND_S) + 30
+        for side in (hosts[:10], hosts[10:]):
+            assert len(_play(side, rng, range(20, last))) == 1
+            is_told = [
+                host.shares.from_others("engines", last * ROUND_S) is not None
+                for host in side
+            ]
+            assert is_told.count(False) == 1
+
+    def test_old_share_is_not_used(self) -> None:
+        shares = LaneShares(1)
+        name = short_name("engines")
+        top_rank = 2**31 - 1
+        shares.apply_told([LaneShare(name, 500, top_rank, 0)], 0.0)
+        assert shares.from_others("engines", MAX_AGE_S) == 0.5
+        assert shares.from_others("engines", MAX_AGE_S + 0.1) is None
+
+    def test_older_or_lower_share_replaces_none(self) -> None:
+        shares = LaneShares(1)
+        name = short_name("engines")
+        top_rank = 2**31 - 1
+        shares.apply_told([LaneShare(name, 500, top_rank, 100)], 1.0)
+        shares.apply_told([LaneShare(name, 300, top_rank, 200)], 1.0)
+        shares.apply_told([LaneShare(name, 200, top_rank - 1, 0)], 1.0)
+        assert shares.from_others("engines", 1.0) == 0.5
+
+    def test_host_without_samples_publishes_nothing(self) -> None:
+        """Guards against a size that all use and that one host's load sets."""
+        shares = LaneShares(1)
+        lanes = Lanes(Demand(), shares)
+        lanes.of("engines", POOL, 0.0, is_loose=True)
+        assert not shares.to_tell(0.0, only_news=False)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_lanes.py
@@ -1,6 +1,6 @@
 """Tests that a service's upstreams are divided into lanes."""
 
-from hollyknot_coordination.forwarding import Demand, Lanes
+from hollyknot_coordination.forwarding import Demand, Lanes, LaneShares
 from hollyknot_coordination.forwarding.tests._builders import upstream
 from hollyknot_state import LaneDemand
 
@@ -19,7 +19,7 @@
 
     def test_lane_sizes_follow_the_demand_of_all_hosts(self) -> None:
         demand = Demand()
-        lanes = Lanes(demand)
+        lanes = Lanes(demand, LaneShares(1))
         assert _sizes(lanes, 0.0) == (3, 3)
         demand.apply_reported([LaneDemand("engines", 90_000, 9_000)])
         assert _sizes(lanes, 0.0) == (5, 1)
@@ -31,7 +31,7 @@
         lanes were sized by prompt tokens alone, these streams would fill the
         few upstreams of their lane and overflow to those with long prompts.
         """
-        lanes = Lanes(demand := Demand())
+        lanes = Lanes(demand := Demand(), LaneShares(1))
         demand.apply_reported([LaneDemand("engines", 90_000, 5_000, 4, 14)])
         # At 6 tenths of 8 slots per upstream, 14 streams need three.
         assert _sizes(lanes, 0.0) == (3, 3)
@@ -40,16 +40,16 @@
         demand = Demand()
         for _ in range(14):
             demand.begin("engines", 100, 0.0, is_loose=False)
-        assert demand.streams("engines", is_loose=False) == 14
+        assert demand.streams("engines", 0.0, is_loose=False) == 14
         for _ in range(14):
             demand.end("engines", is_loose=False)
-        assert demand.streams("engines", is_loose=False) == 0
+        assert demand.streams("engines", 0.0, is_loose=False) == 0
 
     def test_streams_of_unheard_hosts_are_estimated(self) -> None:
         demand = Demand()
         demand.apply_reported([LaneDemand("engines", 0, 0, 6, 3)], 0.5)
-        assert demand.streams("engines", is_loose=True) == 12
-        assert demand.streams("engines", is_loose=False) == 6
+        assert demand.streams("engines", 0.0, is_loose=True) == 12
+        assert demand.streams("engines", 0.0, is_loose=False) == 6
 
     def test_tight_lane_is_served_first_where_slots_are_short(self) -> None:
         """Guards against a burst of one lane that delays the streams of both.
@@ -58,23 +58,23 @@
         in proportion to streams, the loose lane would take slots that tight
         streams still need.
         """
-        lanes = Lanes(demand := Demand())
+        lanes = Lanes(demand := Demand(), LaneShares(1))
         demand.apply_reported([LaneDemand("engines", 90_000, 5_000, 80, 14)])
         assert _sizes(lanes, 0.0) == (3, 3)
         demand.apply_reported([LaneDemand("engines", 90_000, 5_000, 80, 80)])
-        assert _sizes(Lanes(demand), 0.0) == (2, 4)
+        assert _sizes(Lanes(demand, LaneShares(1)), 0.0) == (2, 4)
 
     def test_each_lane_keeps_one_upstream(self) -> None:
         demand = Demand()
         demand.apply_reported([LaneDemand("engines", 90_000, 0)])
-        assert _sizes(Lanes(demand), 0.0, count=2) == (1, 1)
+        assert _sizes(Lanes(demand, LaneShares(1)), 0.0, count=2) == (1, 1)
 
     def test_single_upstream_serves_both_lanes(self) -> None:
-        assert _sizes(Lanes(Demand()), 0.0, count=1) == (1, 1)
+        assert _sizes(Lanes(Demand(), LaneShares(1)), 0.0, count=1) == (1, 1)
 
     def test_small_changes_of_demand_keep_the_lane_sizes(self) -> None:
         demand = Demand()
-        lanes = Lanes(demand)
+        lanes = Lanes(demand, LaneShares(1))
         demand.apply_reported([LaneDemand("engines", 50_000, 30_000)])
         before = _sizes(lanes, 0.0)
         demand.apply_reported([LaneDemand("engines", 55_000, 30_000)])
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -16,6 +16,7 @@
     Rests,
     RetryBudget,
     Shedding,
+    Speeds,
 )
 from hollyknot_coordination.suspects import SuspectRegister
 from hollyknot_gateway._answer_notices import AnswerNotices
@@ -41,6 +42,7 @@
         shedding: Refuses streams while engines are nearly full.
         loads: In-flight work at each upstream.
         forecasts: Estimates how long streams take at each upstream.
+        speeds: How fast each upstream prefills, relative to the others.
         reachability: Tracks upstreams that refuse or ignore connections.
         health: Tracks upstreams that fail a large part of their requests.
         cold_starts: Bounds requests to upstreams that have just started.
@@ -66,6 +68,7 @@
     shedding: Shedding
     loads: Loads
     forecasts: Forecasts
+    speeds: Speeds
     reachability: Reachability
     health: Health
     cold_starts: ColdStarts
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -19,6 +19,7 @@
     Forecasts,
     Health,
     HostCount,
+    LaneShares,
     Loads,
     NamedLimits,
     Placement,
@@ -26,6 +27,7 @@
     Rests,
     RetryBudget,
     Shedding,
+    Speeds,
     UpstreamRegistry,
 )
 from hollyknot_coordination.suspects import SuspectOptions, SuspectRegister
@@ -78,6 +80,9 @@
 """Seconds before the end of the grace period, when the host is killed, at which
 it ends the remaining requests itself."""
 
+_TOKEN_BITS = 62
+"""Length in bits of the random number from which a host's ranks follow."""
+
 STANDARD_OUTPUT = 1
 """The file descriptor that log lines are written to."""
 
@@ -138,6 +143,8 @@
         self._demand = Demand()
         self._cached = CachedParts()
         self._forecasts = Forecasts()
+        self._speeds = Speeds()
+        self._lane_shares = LaneShares(rng.getrandbits(_TOKEN_BITS))
         self._reachability = Reachability()
         self._health = Health()
         self._budget = RetryBudget(settings.bounds, self._size, rng)
@@ -169,6 +176,8 @@
                 self._demand,
                 self._cached,
                 self._forecasts,
+                self._speeds,
+                self._lane_shares,
                 self._suspects,
                 self._size,
                 self._named_limits,
@@ -220,10 +229,13 @@
                 self._settings.data_centre,
                 self._rng,
                 self._pool.has_idle,
+                self._speeds,
+                self._lane_shares,
             ),
             shedding=Shedding(self._loads, self._rng),
             loads=self._loads,
             forecasts=self._forecasts,
+            speeds=self._speeds,
             reachability=self._reachability,
             health=self._health,
             cold_starts=self._cold_starts,
@@ -471,6 +483,7 @@
         self._notices.forget(incarnation)
         self._neighbours.permits.forget(incarnation)
         self._forecasts.forget(incarnation)
+        self._speeds.forget(incarnation)
 
     def _check_suspension(self) -> None:
         """Closes idle connections if the host has been suspended.
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -14,12 +14,14 @@
     Forecasts,
     HostCount,
     Inquiries,
+    LaneShares,
     Loads,
     NamedLimits,
     Peers,
     Permits,
     Reachability,
     ReportRate,
+    Speeds,
     Tracker,
     Trackers,
 )
@@ -79,6 +81,8 @@
         demand: Prompt tokens that hosts send per second, smoothed.
         cached: Prompt prefixes that each upstream has cached.
         forecasts: Expected durations of streams at the upstreams.
+        speeds: How fast the upstreams prefill.
+        lane_shares: Sizes of the lanes of upstreams.
         suspects: Requests that may crash upstreams.
         host_count: Number of hosts among which bounds are shared.
         limits: Rate limits that upstreams have named in their answers.
@@ -88,6 +92,8 @@
     demand: Demand
     cached: CachedParts
     forecasts: Forecasts
+    speeds: Speeds
+    lane_shares: LaneShares
     suspects: SuspectRegister
     host_count: HostCount
     limits: NamedLimits
@@ -158,6 +164,9 @@
                 shared.loads,
                 shared.cached,
                 shared.forecasts,
+                shared.demand,
+                shared.speeds,
+                shared.lane_shares,
             ),
             self._rate,
             self._socket.send,
@@ -204,15 +213,17 @@
         """The permits for rate-limited upstreams."""
         return self._permits
 
-    @property
-    def should_query_trackers(self) -> bool:
-        """Whether to ask trackers for loads instead of relying on reports.
+    def should_query_trackers(self, reserve: float) -> bool:
+        """Returns whether to ask trackers for loads instead of using reports.
 
         It is better to ask if reports are rare, as long as the byte budget for
         queries allows it.
+
+        Args:
+            reserve: Fraction of that budget to leave to other requests.
         """
         is_old = self._peers.interval_s >= MIN_INTERVAL_TO_QUERY_S
-        return is_old and self._rate.may_query(self._clock())
+        return is_old and self._rate.may_query(self._clock(), reserve)
 
     @property
     def count(self) -> int:
@@ -305,6 +316,7 @@
         shared.demand.apply_reported(
             (d for report in fresh for d in report.demands),
             min(1.0, (len(fresh) + 1) / self.hosts),
+            self.hosts,
         )
         shared.host_count.set(
             self.hosts, self.count + 1, now_s, self._peers.by_data_centre
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -180,6 +180,7 @@
         stream = job.stream
         stream.framer.drop_partial()
         stream.resumes_after = stream.framer.last_id or job.call.last_event_id
+        sent_s = parts.clock()
         exchange = Exchange(
             parts.dialect,
             job.call.attempt_id,
@@ -187,7 +188,7 @@
             stream,
             connection,
             parts.clock,
-            lambda: parts.placement.start(work),
+            lambda: self._record_first_event(choice, work, sent_s),
             lambda interval_s: self._record_interval(entry, interval_s),
             lambda traits, sent_s: parts.notices.observe(entry, traits, sent_s),
         )
@@ -207,6 +208,18 @@
         connection.send(data, exchange, is_head=is_head)
         return exchange
 
+    def _record_first_event(
+        self, choice: Choice, work: PlacedRequest, sent_s: float
+    ) -> None:
+        parts = self._parts
+        parts.placement.start(work)
+        if choice.tokens:
+            parts.speeds.observe(
+                choice.entry.incarnation,
+                choice.tokens + choice.queued_tokens,
+                parts.clock() - sent_s,
+            )
+
     def _record_interval(self, entry: UpstreamEntry, interval_s: float) -> None:
         parts = self._parts
         parts.forecasts.note_interval(
--- a/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
@@ -5,6 +5,7 @@
 import attrs
 
 from hollyknot_coordination.forwarding import (
+    PLAIN_RESERVE,
     Choice,
     GiveUp,
     NoUpstream,
@@ -38,7 +39,8 @@
         sample with loads as old as the last reports would not represent them.
         """
         parts = self._parts
-        if not parts.neighbours.should_query_trackers:
+        reserve = 0.0 if job.call.prompt else PLAIN_RESERVE
+        if not parts.neighbours.should_query_trackers(reserve):
             job.asked = ()
             return
         now = parts.clock()
--- a/packages/gateway/src/hollyknot_gateway/tests/_neighbour_network.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_neighbour_network.py
@@ -12,9 +12,11 @@
     Demand,
     Forecasts,
     HostCount,
+    LaneShares,
     Loads,
     NamedLimits,
     Reachability,
+    Speeds,
     UpstreamRegistry,
 )
 from hollyknot_coordination.suspects import SuspectOptions, SuspectRegister
@@ -168,6 +170,8 @@
                 Demand(),
                 CachedParts(),
                 Forecasts(),
+                Speeds(),
+                LaneShares(1),
                 suspects,
                 host_count,
                 NamedLimits(),
--- a/packages/gateway/src/hollyknot_gateway/tests/test_inquirer.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_inquirer.py
@@ -6,10 +6,13 @@
 
 from hollyknot_coordination.forwarding import (
     CachedParts,
+    Demand,
     Forecasts,
     Inquiries,
+    LaneShares,
     Loads,
     ReportRate,
+    Speeds,
     Tracker,
     Trackers,
 )
@@ -48,7 +51,14 @@
         trackers = Trackers(own, lambda: peers)
         self.inquirer = Inquirer(
             Inquiries(
-                self.number, trackers, self.loads, CachedParts(), Forecasts()
+                self.number,
+                trackers,
+                self.loads,
+                CachedParts(),
+                Forecasts(),
+                Demand(),
+                Speeds(),
+                LaneShares(self.number),
             ),
             self.rate,
             self.socket.send,
--- a/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
@@ -11,9 +11,11 @@
     Demand,
     Forecasts,
     HostCount,
+    LaneShares,
     Loads,
     NamedLimits,
     Reachability,
+    Speeds,
     UpstreamRegistry,
 )
 from hollyknot_coordination.suspects import SuspectOptions, SuspectRegister
@@ -73,6 +75,8 @@
                 Demand(),
                 CachedParts(),
                 Forecasts(),
+                Speeds(),
+                LaneShares(1),
                 SuspectRegister(SuspectOptions()),
                 HostCount(0.0, is_alone=True),
                 NamedLimits(),
@@ -192,12 +196,12 @@
     def test_does_not_query_if_reports_are_frequent(self) -> None:
         parts = _HostParts()
         parts.receive_reports(until_s=5.0)
-        assert not parts.neighbours.should_query_trackers
+        assert not parts.neighbours.should_query_trackers(0.0)
 
     def test_queries_if_reports_are_rare(self) -> None:
         parts = _HostParts()
         parts.receive_reports(until_s=30.0, every_s=2.0)
-        assert parts.neighbours.should_query_trackers
+        assert parts.neighbours.should_query_trackers(0.0)
 
     def test_does_not_query_beyond_byte_budget(self) -> None:
         """Guards against streams of a burst that fail late, not shed in time.
@@ -209,6 +213,6 @@
         """
         parts = _HostParts()
         parts.receive_reports(until_s=30.0, every_s=2.0)
-        assert parts.neighbours.should_query_trackers
+        assert parts.neighbours.should_query_trackers(0.0)
         parts.neighbours._rate.spend_on_queries(1_000_000)
-        assert not parts.neighbours.should_query_trackers
+        assert not parts.neighbours.should_query_trackers(0.0)
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -94,18 +94,31 @@
   9: list<NamedLimit> limits            // same condition as revisions
 }
 
-// UpstreamPace and the three Load structs are documented in _load_messages.py.
+// The structs of upstreams and the three Load structs are documented in _load_messages.py.
 struct UpstreamPace {
   1: i32 upstream           // same as in UpstreamUse
   2: i32 interval_ms
 }
 
+struct UpstreamSpeed {
+  1: i32 upstream           // same as in UpstreamUse
+  2: i32 token_ns
+}
+
+struct LaneShare {
+  1: i32 pool               // short name of the service
+  2: i32 permille
+  3: i32 rank
+  4: i32 age_ms
+}
+
 struct LoadNote {
   1: i64 incarnation
   2: i64 sequence
   3: list<UpstreamUse> uses
   4: list<HeldRun> held
   5: list<UpstreamPace> paces
+  6: list<UpstreamSpeed> speeds
 }
 
 struct LoadQuery {
@@ -113,6 +126,7 @@
   2: i32 number
   3: list<i32> upstreams
   4: list<i32> runs
+  5: bool wants_demands
 }
 
 struct LoadAnswer {
@@ -120,6 +134,9 @@
   2: list<UpstreamUse> uses
   3: list<HeldRun> held
   4: list<UpstreamPace> paces
+  5: list<LaneDemand> demands
+  6: list<UpstreamSpeed> speeds
+  8: list<LaneShare> lane_shares
 }
 
 // New evidence, sent immediately instead of with the next report, which may be
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -1392,6 +1392,190 @@
         return not (self == other)
 
 
+class UpstreamSpeed(object):
+    """
+    Attributes:
+     - upstream
+     - token_ns
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'token_ns',
+    )
+
+
+    def __init__(self, upstream=None, token_ns=None,):
+        self.upstream = upstream
+        self.token_ns = token_ns
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.upstream = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.token_ns = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamSpeed')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.I32, 1)
+            oprot.writeI32(self.upstream)
+            oprot.writeFieldEnd()
+        if self.token_ns is not None:
+            oprot.writeFieldBegin('token_ns', TType.I32, 2)
+            oprot.writeI32(self.token_ns)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LaneShare(object):
+    """
+    Attributes:
+     - pool
+     - permille
+     - rank
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'pool',
+        'permille',
+        'rank',
+        'age_ms',
+    )
+
+
+    def __init__(self, pool=None, permille=None, rank=None, age_ms=None,):
+        self.pool = pool
+        self.permille = permille
+        self.rank = rank
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.pool = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.permille = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LaneShare')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.I32, 1)
+            oprot.writeI32(self.pool)
+            oprot.writeFieldEnd()
+        if self.permille is not None:
+            oprot.writeFieldBegin('permille', TType.I32, 2)
+            oprot.writeI32(self.permille)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 3)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadNote(object):
     """
     Attributes:
@@ -1400,6 +1584,7 @@
      - uses
      - held
      - paces
+     - speeds
 
     """
 
@@ -1409,15 +1594,17 @@
         'uses',
         'held',
         'paces',
+        'speeds',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, uses=None, held=None, paces=None,):
+    def __init__(self, incarnation=None, sequence=None, uses=None, held=None, paces=None, speeds=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.uses = uses
         self.held = held
         self.paces = paces
+        self.speeds = speeds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1471,6 +1658,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = UpstreamSpeed()
+                        _elem107.read(iprot)
+                        self.speeds.append(_elem107)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1492,22 +1690,29 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter102 in self.uses:
-                iter102.write(oprot)
+            for iter108 in self.uses:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter103 in self.held:
-                iter103.write(oprot)
+            for iter109 in self.held:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter104 in self.paces:
-                iter104.write(oprot)
+            for iter110 in self.paces:
+                iter110.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter111 in self.speeds:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1542,6 +1747,7 @@
      - number
      - upstreams
      - runs
+     - wants_demands
 
     """
 
@@ -1550,14 +1756,16 @@
         'number',
         'upstreams',
         'runs',
+        'wants_demands',
     )
 
 
-    def __init__(self, incarnation=None, number=None, upstreams=None, runs=None,):
+    def __init__(self, incarnation=None, number=None, upstreams=None, runs=None, wants_demands=None,):
         self.incarnation = incarnation
         self.number = number
         self.upstreams = upstreams
         self.runs = runs
+        self.wants_demands = wants_demands
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1581,23 +1789,28 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readI32()
-                        self.upstreams.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readI32()
+                        self.upstreams.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = iprot.readI32()
-                        self.runs.append(_elem116)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = iprot.readI32()
+                        self.runs.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.wants_demands = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1619,17 +1832,21 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.upstreams))
-            for iter117 in self.upstreams:
-                oprot.writeI32(iter117)
+            for iter124 in self.upstreams:
+                oprot.writeI32(iter124)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.runs))
-            for iter118 in self.runs:
-                oprot.writeI32(iter118)
+            for iter125 in self.runs:
+                oprot.writeI32(iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.wants_demands is not None:
+            oprot.writeFieldBegin('wants_demands', TType.BOOL, 5)
+            oprot.writeBool(self.wants_demands)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1662,6 +1879,9 @@
      - uses
      - held
      - paces
+     - demands
+     - speeds
+     - lane_shares
 
     """
 
@@ -1670,14 +1890,20 @@
         'uses',
         'held',
         'paces',
+        'demands',
+        'speeds',
+        'lane_shares',
     )
 
 
-    def __init__(self, number=None, uses=None, held=None, paces=None,):
+    def __init__(self, number=None, uses=None, held=None, paces=None, demands=None, speeds=None, lane_shares=None,):
         self.number = number
         self.uses = uses
         self.held = held
         self.paces = paces
+        self.demands = demands
+        self.speeds = speeds
+        self.lane_shares = lane_shares
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1696,33 +1922,66 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = UpstreamUse()
-                        _elem124.read(iprot)
-                        self.uses.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = UpstreamUse()
+                        _elem131.read(iprot)
+                        self.uses.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = HeldRun()
-                        _elem130.read(iprot)
-                        self.held.append(_elem130)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = HeldRun()
+                        _elem137.read(iprot)
+                        self.held.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = UpstreamPace()
-                        _elem136.read(iprot)
-                        self.paces.append(_elem136)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = UpstreamPace()
+                        _elem143.read(iprot)
+                        self.paces.append(_elem143)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = LaneDemand()
+                        _elem149.read(iprot)
+                        self.demands.append(_elem149)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = UpstreamSpeed()
+                        _elem155.read(iprot)
+                        self.speeds.append(_elem155)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.lane_shares = []
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = LaneShare()
+                        _elem161.read(iprot)
+                        self.lane_shares.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1743,22 +2002,43 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter137 in self.uses:
-                iter137.write(oprot)
+            for iter162 in self.uses:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter138 in self.held:
-                iter138.write(oprot)
+            for iter163 in self.held:
+                iter163.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter139 in self.paces:
-                iter139.write(oprot)
+            for iter164 in self.paces:
+                iter164.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter165 in self.demands:
+                iter165.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter166 in self.speeds:
+                iter166.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.lane_shares is not None:
+            oprot.writeFieldBegin('lane_shares', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.lane_shares))
+            for iter167 in self.lane_shares:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1813,11 +2093,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = SuspectRecord()
-                        _elem145.read(iprot)
-                        self.suspects.append(_elem145)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = SuspectRecord()
+                        _elem173.read(iprot)
+                        self.suspects.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1834,8 +2114,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter146 in self.suspects:
-                iter146.write(oprot)
+            for iter174 in self.suspects:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2196,6 +2476,20 @@
     (1, TType.I32, 'upstream', None, None, ),  # 1
     (2, TType.I32, 'interval_ms', None, None, ),  # 2
 )
+all_structs.append(UpstreamSpeed)
+UpstreamSpeed.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'upstream', None, None, ),  # 1
+    (2, TType.I32, 'token_ns', None, None, ),  # 2
+)
+all_structs.append(LaneShare)
+LaneShare.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'pool', None, None, ),  # 1
+    (2, TType.I32, 'permille', None, None, ),  # 2
+    (3, TType.I32, 'rank', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
 all_structs.append(LoadNote)
 LoadNote.thrift_spec = (
     None,  # 0
@@ -2204,6 +2498,7 @@
     (3, TType.LIST, 'uses', (TType.STRUCT, [UpstreamUse, None], False), None, ),  # 3
     (4, TType.LIST, 'held', (TType.STRUCT, [HeldRun, None], False), None, ),  # 4
     (5, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 5
+    (6, TType.LIST, 'speeds', (TType.STRUCT, [UpstreamSpeed, None], False), None, ),  # 6
 )
 all_structs.append(LoadQuery)
 LoadQuery.thrift_spec = (
@@ -2212,6 +2507,7 @@
     (2, TType.I32, 'number', None, None, ),  # 2
     (3, TType.LIST, 'upstreams', (TType.I32, None, False), None, ),  # 3
     (4, TType.LIST, 'runs', (TType.I32, None, False), None, ),  # 4
+    (5, TType.BOOL, 'wants_demands', None, None, ),  # 5
 )
 all_structs.append(LoadAnswer)
 LoadAnswer.thrift_spec = (
@@ -2220,6 +2516,10 @@
     (2, TType.LIST, 'uses', (TType.STRUCT, [UpstreamUse, None], False), None, ),  # 2
     (3, TType.LIST, 'held', (TType.STRUCT, [HeldRun, None], False), None, ),  # 3
     (4, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 4
+    (5, TType.LIST, 'demands', (TType.STRUCT, [LaneDemand, None], False), None, ),  # 5
+    (6, TType.LIST, 'speeds', (TType.STRUCT, [UpstreamSpeed, None], False), None, ),  # 6
+    None,  # 7
+    (8, TType.LIST, 'lane_shares', (TType.STRUCT, [LaneShare, None], False), None, ),  # 8
 )
 all_structs.append(SuspectNews)
 SuspectNews.thrift_spec = (
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -65,10 +65,12 @@
     PermitQuery,
 )
 from hollyknot_state._load_messages import (
+    LaneShare,
     LoadAnswer,
     LoadNote,
     LoadQuery,
     UpstreamPace,
+    UpstreamSpeed,
 )
 from hollyknot_state._parse import (
     MAX_DECLARATIONS_BYTES,
@@ -136,6 +138,7 @@
     "IssuerClaim",
     "LaneDemand",
     "LearnSlots",
+    "LaneShare",
     "LoadAnswer",
     "LoadNote",
     "LoadQuery",
@@ -176,6 +179,7 @@
     "TierPressure",
     "Tls",
     "UpstreamPace",
+    "UpstreamSpeed",
     "UpstreamSign",
     "UpstreamUse",
     "UseReport",
--- a/packages/state/src/hollyknot_state/_load_messages.py
+++ b/packages/state/src/hollyknot_state/_load_messages.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from hollyknot_state._host_report import HeldRun, UpstreamUse
+from hollyknot_state._host_report import HeldRun, LaneDemand, UpstreamUse
 
 
 @attrs.frozen
@@ -22,6 +22,36 @@
     interval_ms: int
 
 
+@attrs.frozen
+class UpstreamSpeed:
+    """How long an upstream takes to prefill.
+
+    Attributes:
+        upstream: Short name of the upstream.
+        token_ns: Nanoseconds per prompt token until the first event.
+    """
+
+    upstream: int
+    token_ns: int
+
+
+@attrs.frozen
+class LaneShare:
+    """The share of a service's upstreams that the loose lane gets.
+
+    Attributes:
+        pool: Short name of the service; `service` is a reserved word of thrift.
+        permille: The share in thousandths.
+        rank: Rank of the host that computed it; the highest one counts.
+        age_ms: Milliseconds since it was computed.
+    """
+
+    pool: int
+    permille: int
+    rank: int
+    age_ms: int
+
+
 @attrs.frozen
 class LoadNote:
     """A host's own work at upstreams that the receiver tracks.
@@ -35,6 +65,7 @@
             the upstream has ended.
         held: Prompt prefixes that were newly sent to the upstreams.
         paces: Paces of the streams that the sender relays.
+        speeds: Speeds as seen from the sender's newest first events.
     """
 
     incarnation: int
@@ -42,6 +73,7 @@
     uses: tuple[UpstreamUse, ...] = ()
     held: tuple[HeldRun, ...] = ()
     paces: tuple[UpstreamPace, ...] = ()
+    speeds: tuple[UpstreamSpeed, ...] = ()
 
 
 @attrs.frozen
@@ -55,12 +87,15 @@
         upstreams: Short names of the upstreams.
         runs: Short names of prompt prefixes, as in `HeldRun`; the answer says
             which upstreams have them cached.
+        wants_demands: Whether the sender sizes the lanes of all hosts and
+            therefore needs samples of their demand.
     """
 
     incarnation: int
     number: int
     upstreams: tuple[int, ...]
     runs: tuple[int, ...] = ()
+    wants_demands: bool = False
 
 
 @attrs.frozen
@@ -72,9 +107,16 @@
         uses: Sums over hosts, for each upstream that was asked about.
         held: Which of these upstreams have which of the prefixes cached.
         paces: Paces of the upstreams' streams, where a host relays any.
+        demands: Demand of the answering host itself, by service, if the query
+            wants it.
+        speeds: Speeds of the upstreams, where enough is known.
+        lane_shares: Shares of the loose lanes, as the answering host uses them.
     """
 
     number: int
     uses: tuple[UpstreamUse, ...]
     held: tuple[HeldRun, ...] = ()
     paces: tuple[UpstreamPace, ...] = ()
+    demands: tuple[LaneDemand, ...] = ()
+    speeds: tuple[UpstreamSpeed, ...] = ()
+    lane_shares: tuple[LaneShare, ...] = ()
