--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/__init__.py
@@ -7,7 +7,7 @@
 from hollyknot_coordination.forwarding.placement._demand import Demand
 from hollyknot_coordination.forwarding.placement._forecasts import Forecasts
 from hollyknot_coordination.forwarding.placement._lane_shares import LaneShares
-from hollyknot_coordination.forwarding.placement._lanes import Lanes
+from hollyknot_coordination.forwarding.placement._lanes import Lanes, LaneSize
 from hollyknot_coordination.forwarding.placement._loads import Load, Loads
 from hollyknot_coordination.forwarding.placement._placement import (
     Choice,
@@ -22,6 +22,7 @@
     "Demand",
     "Forecasts",
     "LaneShares",
+    "LaneSize",
     "Lanes",
     "Load",
     "Loads",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lanes.py
@@ -16,7 +16,9 @@
 long prompts.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+
+import attrs
 
 from hollyknot_coordination.forwarding.placement._demand import Demand
 from hollyknot_coordination.forwarding.placement._lane_shares import (
@@ -43,6 +45,21 @@
 """Largest distance of a whole number of upstreams from the wanted number."""
 
 
+@attrs.frozen
+class LaneSize:
+    """How a service's upstreams are divided.
+
+    Attributes:
+        loose: Number of upstreams in the loose lane.
+        count: Number of upstreams in both lanes.
+        is_told: Whether another host sized the lanes.
+    """
+
+    loose: int
+    count: int
+    is_told: bool
+
+
 class Lanes:
     """Assigns the upstreams of each service to the two lanes."""
 
@@ -56,6 +73,12 @@
         self._demand = demand
         self._shares = shares
         self._loose_count: dict[str, int] = {}
+        self._sizes: dict[str, LaneSize] = {}
+
+    @property
+    def sizes(self) -> Mapping[str, LaneSize]:
+        """Sizes in use by service."""
+        return self._sizes
 
     def of(
         self,
@@ -78,17 +101,27 @@
         count = len(entries)
         if count == 1:
             return entries
-        loose = self._loose_of(service, entries, now_s)
+        loose = self._size(service, entries, now_s).loose
         return entries[:loose] if is_loose else entries[loose:]
 
-    def _loose_of(
+    def _size(
         self, service: str, entries: Sequence[UpstreamEntry], now_s: float
-    ) -> int:
-        """Returns how many upstreams the loose lane has."""
+    ) -> LaneSize:
         count = len(entries)
         share = self._shares.from_others(service, now_s)
-        if share is not None:
-            return min(max(round(share * count), 1), count - 1)
+        if share is None:
+            loose = self._own_size(service, entries, now_s)
+        else:
+            loose = min(max(round(share * count), 1), count - 1)
+        size = LaneSize(loose, count, is_told=share is not None)
+        self._sizes[service] = size
+        return size
+
+    def _own_size(
+        self, service: str, entries: Sequence[UpstreamEntry], now_s: float
+    ) -> int:
+        """Returns how many upstreams the loose lane gets by own estimate."""
+        count = len(entries)
         wanted = self._wanted(service, entries, now_s)
         known = self._loose_count.get(service)
         if known is None or abs(wanted - known) > _ROUNDING_ERROR + HYSTERESIS:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_placement.py
@@ -2,7 +2,7 @@
 
 import enum
 import random
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 import attrs
 
@@ -15,7 +15,7 @@
 )
 from hollyknot_coordination.forwarding.placement._demand import Demand
 from hollyknot_coordination.forwarding.placement._lane_shares import LaneShares
-from hollyknot_coordination.forwarding.placement._lanes import Lanes
+from hollyknot_coordination.forwarding.placement._lanes import Lanes, LaneSize
 from hollyknot_coordination.forwarding.placement._loads import Load, Loads
 from hollyknot_coordination.forwarding.speeds import Speeds
 from hollyknot_state.routes import CallTraits, Service, UpstreamEntry
@@ -175,6 +175,11 @@
         self._lanes = Lanes(demand, lane_shares or LaneShares(0))
         self._cached = cached
 
+    @property
+    def lane_sizes(self) -> Mapping[str, LaneSize]:
+        """Sizes of the lanes in use, by service."""
+        return self._lanes.sizes
+
     def choose(
         self,
         service: Service,
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -47,6 +47,7 @@
 from hollyknot_gateway._metrics import Metrics
 from hollyknot_gateway._neighbours import Neighbours, SharedState
 from hollyknot_gateway._operator_servers import OperatorServers
+from hollyknot_gateway._placement_log import PlacementLog
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._ports import Dialect, Source
 from hollyknot_gateway._prober import Prober
@@ -206,7 +207,11 @@
             ),
             settings.bounds,
         )
-        flow = Flow(self._flow_parts(ports.dialect))
+        parts = self._flow_parts(ports.dialect)
+        self._placement_log = PlacementLog(
+            lambda: parts.placement.lane_sizes, self._slowness, self._log
+        )
+        flow = Flow(parts)
         self._callers = CallerServer(
             flow.handle, self._limits, self._on_unreadable_request
         )
@@ -421,6 +426,14 @@
             "hollyknot_upstreams_resting",
             lambda: float(len(self._rests.resting(self._clock()))),
         )
+        gauge(
+            "hollyknot_upstreams_slow",
+            lambda: float(self._placement_log.slow_count),
+        )
+        gauge(
+            "hollyknot_lanes_sized_here",
+            lambda: float(self._placement_log.own_sizes),
+        )
         gauge("hollyknot_peers_heard", lambda: float(self._neighbours.count))
         gauge("hollyknot_hosts_counted", lambda: float(self._size.hosts))
         gauge(
@@ -445,6 +458,7 @@
             self._callers.sweep(self._clock())
             self._operator_servers.sweep(self._clock())
             self._pool.sweep()
+            self._placement_log.check()
 
     async def _probe_unreachable(self) -> None:
         """Probes upstreams that could not be reached, when they are due."""
@@ -453,6 +467,17 @@
             self._prober.check_all(self._reachability.due(self._clock()))
             self._suspects.expire(self._clock())
 
+    def _slowness(self) -> dict[str, float]:
+        """Returns the slowness of upstreams by incarnation."""
+        now_s = self._clock()
+        registry = self._routing_state.registry
+        index = self._routing_state.index
+        found: dict[str, float] = {}
+        for service in index.table.services if index is not None else ():
+            entries = registry.usable(service, now_s)
+            found |= self._speeds.slowness(entries, now_s)
+        return found
+
     def _on_peer_read(self, read: ReadRevisions) -> None:
         self._directory.on_peer_read(read)
 
