Refuse customers above their share of the room first

Cause: load shedding refuses the least urgent streams at random, so a customer that sends ten times its usual pushes out all others alike.

Change: hosts measure the least urgent work of their customers, tell each other the heaviest in answers of trackers while room is short, and divide refusals by max-min fairness. What can't be refused at once is owed and refused while engines are less full, so that the total stays. Where no customers are named, few hosts are heard or no customer is clearly above the others, the same draws decide as before.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -7,6 +7,10 @@
     NoRoute,
     RouteIndex,
 )
+from hollyknot_coordination.forwarding.customers import (
+    CustomerShares,
+    OfferedRequest,
+)
 from hollyknot_coordination.forwarding.peers import (
     ANSWER_TIMEOUT_S,
     MIN_INTERVAL_TO_NOTE_S,
@@ -70,6 +74,7 @@
     "CachedParts",
     "Choice",
     "ColdStarts",
+    "CustomerShares",
     "Demand",
     "Ended",
     "EventFramer",
@@ -89,6 +94,7 @@
     "NoOwner",
     "NoRoute",
     "NoUpstream",
+    "OfferedRequest",
     "PERMIT_ANSWER_TIMEOUT_S",
     "Peers",
     "PermitRequest",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
@@ -57,6 +57,11 @@
         """The table that is indexed."""
         return self._table
 
+    @property
+    def names_customers(self) -> bool:
+        """Whether the table names customers."""
+        return bool(self._table.owners_by_key)
+
     def find(self, host: str, path: str) -> Route | NoRoute:
         """Returns the route of a request.
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
@@ -24,6 +24,7 @@
     LoadAnswer,
     LoadNote,
     LoadQuery,
+    ServiceWork,
     short_name,
 )
 from hollyknot_state.routes import UpstreamEntry
@@ -43,6 +44,12 @@
 """Longest wait for answers in seconds: three round trips between data centres
 of a region. Callers accept a few hundred milliseconds until the first event."""
 
+Tell = Callable[[float], tuple[ServiceWork, ...]]
+"""Returns what an answer tells of customers' work at a time in seconds."""
+
+Hear = Callable[[int, tuple[ServiceWork, ...], float], None]
+"""Takes what an answer told: the host's incarnation, the work, the time."""
+
 _MAX_QUERY_NUMBER = 2**31 - 1
 """Largest number of a query; the next query has the number 1."""
 
@@ -71,6 +78,9 @@
         loads: Loads,
         cached: CachedParts,
         forecasts: Forecasts,
+        *,
+        tell: Tell = lambda _: (),
+        hear: Hear = lambda *_: None,
     ) -> None:
         """Creates the state of a host that has not queried any tracker.
 
@@ -83,12 +93,16 @@
                 completed likewise.
             forecasts: Pace of upstreams' streams, reported and completed
                 likewise.
+            tell: Returns the work of customers that an answer tells now.
+            hear: Takes the work that another host's answer tells.
         """
         self._incarnation = incarnation
         self._trackers = trackers
         self._loads = loads
         self._cached = cached
         self._forecasts = forecasts
+        self._tell = tell
+        self._hear = hear
         self._tracked = TrackedLoads(cached)
         self._number = 0
         self._sequence = 0
@@ -124,7 +138,8 @@
 
     def answer(self, query: LoadQuery, now_s: float) -> LoadAnswer:
         """Answers the query of another host, as a tracker."""
-        return self._tracked.answer(query, now_s)
+        answer = self._tracked.answer(query, now_s)
+        return attrs.evolve(answer, work=self._tell(now_s))
 
     def handle_answer(self, answer: LoadAnswer, now_s: float) -> None:
         """Applies an answer; one that is late still serves later requests."""
@@ -133,6 +148,7 @@
         if tracker is None or inquiry is None:
             return
         self._trackers.answered(tracker)
+        self._hear(tracker.incarnation, answer.work, now_s)
         if not any(i is inquiry for _, i in self._waiting.values()):
             inquiry.on_done()
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_inquiries.py
@@ -22,7 +22,7 @@
     call,
     upstream,
 )
-from hollyknot_state import Address
+from hollyknot_state import Address, CustomerWork, LoadAnswer, ServiceWork
 from hollyknot_state.routes import UpstreamEntry
 
 ENGINES = {f"i-{n}": upstream(f"i-{n}") for n in range(6)}
@@ -259,3 +259,28 @@
         fleet.now_s = EXPIRE_S + RENEW_S
         fleet.send_notes(host)
         assert len(host.inquiries._tracked) == 0
+
+
+class TestCustomersWork:
+    """Answers tell of the work that a tracker's own callers offer."""
+
+    def test_an_answer_tells_and_names_no_wrong_host(self) -> None:
+        """Guards against work that is credited to a host twice or to none."""
+        told = (ServiceWork(1, 500, 100, (CustomerWork(2, 400),)),)
+        heard: list[tuple[int, tuple[ServiceWork, ...], float]] = []
+        fleet = _Fleet(5)
+        tracker = fleet.tracker_of(ENGINE)
+        tracker.inquiries._tell = lambda _: told
+        asker = fleet.hosts[(tracker.tracker.incarnation + 1) % 5]
+        asker.inquiries._hear = lambda *words: heard.append(words)
+        assert fleet.ask(asker, [ENGINE])
+        assert heard == [(tracker.tracker.incarnation, told, 0.0)]
+
+    def test_an_answer_that_nobody_waits_for_tells_nothing(self) -> None:
+        """Guards against a stray datagram that speaks for customers."""
+        heard: list[int] = []
+        asker = _Fleet(2).hosts[0]
+        asker.inquiries._hear = lambda *_: heard.append(1)
+        stray = LoadAnswer(77, (), work=(ServiceWork(1, 500, 100),))
+        asker.inquiries.handle_answer(stray, 0.0)
+        assert not heard
--- a/packages/coordination/src/hollyknot_coordination/forwarding/refusals/_shedding.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/refusals/_shedding.py
@@ -12,12 +12,13 @@
 requests; all others are left to the engines, which order them by urgency. So no
 request is refused in favour of a less urgent route, and no route starves. Among
 requests of the least urgent routes the choice is random and does not depend on
-the customer's priority.
+the customer's priority. It may depend on the customer's share of the work
+(`customers`), which leaves the total refused as it is.
 """
 
 import enum
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -108,6 +109,7 @@
         entries: Sequence[UpstreamEntry],
         shed_from_urgency: int,
         now_s: float,
+        weigh: Callable[[float], float] = lambda share: share,
     ) -> Admission | Shed:
         """Decides by load whether one of the least urgent streams may be sent.
 
@@ -116,6 +118,8 @@
             shed_from_urgency: Urgency from which streams count as the least
                 urgent.
             now_s: Current time in seconds.
+            weigh: Turns the share of such streams that is refused now into
+                the probability with which this one is.
         """
         loads = [self._loads.at(e.incarnation, now_s) for e in entries]
         slots = sum(entry.slots for entry in entries)
@@ -124,11 +128,12 @@
         has_backlog = waiting >= BACKLOG_TOKENS * len(loads)
         share = BACKLOG_SHARE if has_backlog else NO_BACKLOG_SHARE
         least_urgent = sum(load.behind(shed_from_urgency) for load in loads)
-        if in_flight < share * slots or least_urgent <= MIN_SHED_SHARE * slots:
-            return Admission.ADMITTED
-        if self._rng.random() < ADMITTED_SHARE:
-            return Admission.ADMITTED
-        return Shed(in_flight, slots)
+        has_room = in_flight < share * slots
+        is_little = least_urgent <= MIN_SHED_SHARE * slots
+        refused = weigh(0.0 if has_room or is_little else 1 - ADMITTED_SHARE)
+        if refused and self._rng.random() > 1 - refused:
+            return Shed(in_flight, slots)
+        return Admission.ADMITTED
 
     def decide_by_time(
         self, needed_s: float, left_s: float
--- a/packages/coordination/src/hollyknot_coordination/forwarding/refusals/tests/test_shedding.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/refusals/tests/test_shedding.py
@@ -98,6 +98,47 @@
         assert found == {Admission.ADMITTED}
 
 
+class TestWeighing:
+    """Refusals that depend on who sends the request."""
+
+    @pytest.mark.parametrize(
+        ("least_urgent", "share"), [(10, 0.0), (40, 1 - ADMITTED_SHARE)]
+    )
+    def test_weighing_gets_the_share_that_is_refused(
+        self, least_urgent: int, share: float
+    ) -> None:
+        shares: list[float] = []
+
+        def weigh(refused: float) -> float:
+            shares.append(refused)
+            return 0.0
+
+        shedding = Shedding(_loads(0, least_urgent), random.Random(1))
+        found = shedding.decide(POOL, LEAST_URGENT, 0.0, weigh)
+        assert (found, shares) == (Admission.ADMITTED, [share])
+
+    def test_owed_refusals_are_drawn_while_there_is_room(self) -> None:
+        shedding = Shedding(_loads(0, 10), random.Random(1))
+        refused = sum(
+            isinstance(
+                shedding.decide(POOL, LEAST_URGENT, 0.0, lambda _: 0.5), Shed
+            )
+            for _ in range(TRIES)
+        )
+        assert 0.45 * TRIES < refused < 0.55 * TRIES
+
+    def test_unweighed_requests_are_drawn_as_by_the_admitted_share(
+        self,
+    ) -> None:
+        """Guards against other decisions where customers make no difference."""
+        shedding = Shedding(_loads(0, 40), random.Random(1))
+        draws = random.Random(1)
+        for _ in range(TRIES):
+            found = shedding.decide(POOL, LEAST_URGENT, 0.0)
+            is_admitted = draws.random() < ADMITTED_SHARE
+            assert (found is Admission.ADMITTED) == is_admitted
+
+
 class TestSheddingByTime:
     """Refusals of answers that would probably time out."""
 
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -8,7 +8,6 @@
     GiveUp,
     NoOwner,
     NoRoute,
-    Shed,
     TooSlow,
     TryState,
     give_up,
@@ -18,6 +17,7 @@
 from hollyknot_gateway import _metrics as metrics
 from hollyknot_gateway._answers import NO_ROUTE, Answers
 from hollyknot_gateway._caller_connection import CallerRequest, Reply
+from hollyknot_gateway._customer_refusals import refusal_by_load
 from hollyknot_gateway._exchange import Result
 from hollyknot_gateway._flow_parts import FlowParts
 from hollyknot_gateway._job import Job, fingerprint
@@ -199,12 +199,8 @@
         ]
         # Free slots of a rate-limited upstream don't relieve the others.
         unlimited = [e for e in entries if not parts.permits.is_limited(e)]
-        decision = parts.shedding.decide(
-            unlimited or entries, job.shed_from_urgency, now
-        )
-        if not isinstance(decision, Shed):
-            return None
-        return _shed(f"{decision.in_flight} in flight, {decision.slots} slots")
+        detail = refusal_by_load(parts, job, list(unlimited or entries), now)
+        return None if detail is None else _shed(detail)
 
     def _shed_by_time(self, job: Job, choice: Choice) -> GiveUp | None:
         """Sheds a request whose answer is unlikely to end before its deadline.
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -7,6 +7,7 @@
 
 from hollyknot_coordination.forwarding import (
     ColdStarts,
+    CustomerShares,
     Forecasts,
     Health,
     Loads,
@@ -39,6 +40,7 @@
         in_force: Current routes and upstreams.
         placement: Chooses an upstream for each try.
         shedding: Refuses streams while engines are nearly full.
+        customers: Shares that customers have of the room for streams.
         loads: In-flight work at each upstream.
         forecasts: Estimates how long streams take at each upstream.
         reachability: Tracks upstreams that refuse or ignore connections.
@@ -64,6 +66,7 @@
     in_force: RoutingState
     placement: Placement
     shedding: Shedding
+    customers: CustomerShares
     loads: Loads
     forecasts: Forecasts
     reachability: Reachability
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -14,6 +14,7 @@
 from hollyknot_coordination.forwarding import (
     CachedParts,
     ColdStarts,
+    CustomerShares,
     Demand,
     Ended,
     Forecasts,
@@ -138,6 +139,7 @@
         self._demand = Demand()
         self._cached = CachedParts()
         self._forecasts = Forecasts()
+        self._customers = CustomerShares(self._size)
         self._reachability = Reachability()
         self._health = Health()
         self._budget = RetryBudget(settings.bounds, self._size, rng)
@@ -172,6 +174,7 @@
                 self._suspects,
                 self._size,
                 self._named_limits,
+                self._customers,
             ),
             self._routing_state,
             self._reachability,
@@ -222,6 +225,7 @@
                 self._pool.has_idle,
             ),
             shedding=Shedding(self._loads, self._rng),
+            customers=self._customers,
             loads=self._loads,
             forecasts=self._forecasts,
             reachability=self._reachability,
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -10,6 +10,7 @@
     MIN_INTERVAL_TO_NOTE_S,
     MIN_INTERVAL_TO_QUERY_S,
     CachedParts,
+    CustomerShares,
     Demand,
     Forecasts,
     HostCount,
@@ -82,6 +83,7 @@
         suspects: Requests that may crash upstreams.
         host_count: Number of hosts among which bounds are shared.
         limits: Rate limits that upstreams have named in their answers.
+        customers: Work that the customers offer, which answers tell.
     """
 
     loads: Loads
@@ -91,6 +93,7 @@
     suspects: SuspectRegister
     host_count: HostCount
     limits: NamedLimits
+    customers: CustomerShares
 
 
 class Neighbours:
@@ -158,6 +161,8 @@
                 shared.loads,
                 shared.cached,
                 shared.forecasts,
+                tell=shared.customers.tell,
+                hear=shared.customers.hear,
             ),
             self._rate,
             self._socket.send,
--- a/packages/gateway/src/hollyknot_gateway/tests/_neighbour_network.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_neighbour_network.py
@@ -9,6 +9,7 @@
 
 from hollyknot_coordination.forwarding import (
     CachedParts,
+    CustomerShares,
     Demand,
     Forecasts,
     HostCount,
@@ -171,6 +172,7 @@
                 suspects,
                 host_count,
                 NamedLimits(),
+                CustomerShares(host_count),
             ),
             RoutingState(UpstreamRegistry(1.0)),
             Reachability(),
--- a/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
@@ -8,6 +8,7 @@
 
 from hollyknot_coordination.forwarding import (
     CachedParts,
+    CustomerShares,
     Demand,
     Forecasts,
     HostCount,
@@ -76,6 +77,7 @@
                 SuspectRegister(SuspectOptions()),
                 HostCount(0.0, is_alone=True),
                 NamedLimits(),
+                CustomerShares(HostCount(0.0, is_alone=True)),
             ),
             RoutingState(registry),
             self.reachability,
--- a/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
@@ -14,14 +14,18 @@
     Message,
     ReportSocket,
     decode_message,
+    encode_message,
     encode_report,
     encode_suspect_news,
 )
 from hollyknot_state import (
     Address,
+    CustomerWork,
     HeldRun,
     HostReport,
     LaneDemand,
+    LoadAnswer,
+    ServiceWork,
     SuspectNews,
     SuspectRecord,
     UpstreamUse,
@@ -171,3 +175,17 @@
             load = loads.at(str(use.upstream))
             assert isinstance(load.requests, int)
         demand.share_of_loose("engines", 0.0)
+
+
+class TestCustomersWork:
+    """What an answer tells of customers is small and arrives unchanged."""
+
+    def test_an_answer_bears_the_work_of_customers(self) -> None:
+        """Guards against words of customers that take the bytes of reports."""
+        largest = 2**31 - 1
+        heaviest = tuple(CustomerWork(largest - n, 99_999) for n in range(4))
+        told = ServiceWork(largest, 999_999, 999_999, heaviest)
+        answer = LoadAnswer(7, (), work=(told,))
+        data = encode_message(answer)
+        assert decode_message(data) == answer
+        assert len(data) - len(encode_message(LoadAnswer(7, ()))) <= 64
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -100,6 +100,19 @@
   2: i32 interval_ms
 }
 
+// CustomerWork and ServiceWork are documented in _customer_work.py.
+struct CustomerWork {
+  1: i32 customer           // short name
+  2: i32 tokens_s
+}
+
+struct ServiceWork {
+  1: i32 name               // short name of the service
+  2: i32 tokens_s
+  3: i32 shed_tokens_s
+  4: list<CustomerWork> heaviest
+}
+
 struct LoadNote {
   1: i64 incarnation
   2: i64 sequence
@@ -120,6 +133,7 @@
   2: list<UpstreamUse> uses
   3: list<HeldRun> held
   4: list<UpstreamPace> paces
+  7: list<ServiceWork> work
 }
 
 // New evidence, sent immediately instead of with the next report, which may be
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -1392,6 +1392,199 @@
         return not (self == other)
 
 
+class CustomerWork(object):
+    """
+    Attributes:
+     - customer
+     - tokens_s
+
+    """
+
+    __slots__ = (
+        'customer',
+        'tokens_s',
+    )
+
+
+    def __init__(self, customer=None, tokens_s=None,):
+        self.customer = customer
+        self.tokens_s = tokens_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.customer = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CustomerWork')
+        if self.customer is not None:
+            oprot.writeFieldBegin('customer', TType.I32, 1)
+            oprot.writeI32(self.customer)
+            oprot.writeFieldEnd()
+        if self.tokens_s is not None:
+            oprot.writeFieldBegin('tokens_s', TType.I32, 2)
+            oprot.writeI32(self.tokens_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceWork(object):
+    """
+    Attributes:
+     - name
+     - tokens_s
+     - shed_tokens_s
+     - heaviest
+
+    """
+
+    __slots__ = (
+        'name',
+        'tokens_s',
+        'shed_tokens_s',
+        'heaviest',
+    )
+
+
+    def __init__(self, name=None, tokens_s=None, shed_tokens_s=None, heaviest=None,):
+        self.name = name
+        self.tokens_s = tokens_s
+        self.shed_tokens_s = shed_tokens_s
+        self.heaviest = heaviest
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.name = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.shed_tokens_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.heaviest = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = CustomerWork()
+                        _elem89.read(iprot)
+                        self.heaviest.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceWork')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.I32, 1)
+            oprot.writeI32(self.name)
+            oprot.writeFieldEnd()
+        if self.tokens_s is not None:
+            oprot.writeFieldBegin('tokens_s', TType.I32, 2)
+            oprot.writeI32(self.tokens_s)
+            oprot.writeFieldEnd()
+        if self.shed_tokens_s is not None:
+            oprot.writeFieldBegin('shed_tokens_s', TType.I32, 3)
+            oprot.writeI32(self.shed_tokens_s)
+            oprot.writeFieldEnd()
+        if self.heaviest is not None:
+            oprot.writeFieldBegin('heaviest', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.heaviest))
+            for iter90 in self.heaviest:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadNote(object):
     """
     Attributes:
@@ -1441,33 +1634,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = UpstreamUse()
-                        _elem89.read(iprot)
-                        self.uses.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = UpstreamUse()
+                        _elem96.read(iprot)
+                        self.uses.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = HeldRun()
-                        _elem95.read(iprot)
-                        self.held.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = HeldRun()
+                        _elem102.read(iprot)
+                        self.held.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = UpstreamPace()
-                        _elem101.read(iprot)
-                        self.paces.append(_elem101)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = UpstreamPace()
+                        _elem108.read(iprot)
+                        self.paces.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1492,22 +1685,22 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter102 in self.uses:
-                iter102.write(oprot)
+            for iter109 in self.uses:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter103 in self.held:
-                iter103.write(oprot)
+            for iter110 in self.held:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter104 in self.paces:
-                iter104.write(oprot)
+            for iter111 in self.paces:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1581,20 +1774,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readI32()
-                        self.upstreams.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readI32()
+                        self.upstreams.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = iprot.readI32()
-                        self.runs.append(_elem116)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = iprot.readI32()
+                        self.runs.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1619,15 +1812,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.upstreams))
-            for iter117 in self.upstreams:
-                oprot.writeI32(iter117)
+            for iter124 in self.upstreams:
+                oprot.writeI32(iter124)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.runs))
-            for iter118 in self.runs:
-                oprot.writeI32(iter118)
+            for iter125 in self.runs:
+                oprot.writeI32(iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1662,6 +1855,7 @@
      - uses
      - held
      - paces
+     - work
 
     """
 
@@ -1670,14 +1864,16 @@
         'uses',
         'held',
         'paces',
+        'work',
     )
 
 
-    def __init__(self, number=None, uses=None, held=None, paces=None,):
+    def __init__(self, number=None, uses=None, held=None, paces=None, work=None,):
         self.number = number
         self.uses = uses
         self.held = held
         self.paces = paces
+        self.work = work
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1696,33 +1892,44 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = UpstreamUse()
-                        _elem124.read(iprot)
-                        self.uses.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = UpstreamUse()
+                        _elem131.read(iprot)
+                        self.uses.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = HeldRun()
-                        _elem130.read(iprot)
-                        self.held.append(_elem130)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = HeldRun()
+                        _elem137.read(iprot)
+                        self.held.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = UpstreamPace()
-                        _elem136.read(iprot)
-                        self.paces.append(_elem136)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = UpstreamPace()
+                        _elem143.read(iprot)
+                        self.paces.append(_elem143)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.work = []
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = ServiceWork()
+                        _elem149.read(iprot)
+                        self.work.append(_elem149)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1743,22 +1950,29 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter137 in self.uses:
-                iter137.write(oprot)
+            for iter150 in self.uses:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter138 in self.held:
-                iter138.write(oprot)
+            for iter151 in self.held:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter139 in self.paces:
-                iter139.write(oprot)
+            for iter152 in self.paces:
+                iter152.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter153 in self.work:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1813,11 +2027,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = SuspectRecord()
-                        _elem145.read(iprot)
-                        self.suspects.append(_elem145)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = SuspectRecord()
+                        _elem159.read(iprot)
+                        self.suspects.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1834,8 +2048,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter146 in self.suspects:
-                iter146.write(oprot)
+            for iter160 in self.suspects:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2196,6 +2410,20 @@
     (1, TType.I32, 'upstream', None, None, ),  # 1
     (2, TType.I32, 'interval_ms', None, None, ),  # 2
 )
+all_structs.append(CustomerWork)
+CustomerWork.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'customer', None, None, ),  # 1
+    (2, TType.I32, 'tokens_s', None, None, ),  # 2
+)
+all_structs.append(ServiceWork)
+ServiceWork.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'name', None, None, ),  # 1
+    (2, TType.I32, 'tokens_s', None, None, ),  # 2
+    (3, TType.I32, 'shed_tokens_s', None, None, ),  # 3
+    (4, TType.LIST, 'heaviest', (TType.STRUCT, [CustomerWork, None], False), None, ),  # 4
+)
 all_structs.append(LoadNote)
 LoadNote.thrift_spec = (
     None,  # 0
@@ -2220,6 +2448,9 @@
     (2, TType.LIST, 'uses', (TType.STRUCT, [UpstreamUse, None], False), None, ),  # 2
     (3, TType.LIST, 'held', (TType.STRUCT, [HeldRun, None], False), None, ),  # 3
     (4, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 4
+    None,  # 5
+    None,  # 6
+    (7, TType.LIST, 'work', (TType.STRUCT, [ServiceWork, None], False), None, ),  # 7
 )
 all_structs.append(SuspectNews)
 SuspectNews.thrift_spec = (
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -23,6 +23,7 @@
     SlotAnswers,
     SlotQuestion,
 )
+from hollyknot_state._customer_work import CustomerWork, ServiceWork
 from hollyknot_state._declarations import (
     TIERS,
     CallPattern,
@@ -100,9 +101,11 @@
 from hollyknot_state._verdict import Outcome, Reason, Verdict
 
 __all__ = [
+    "CustomerWork",
     "KEY_BYTES",
     "MAX_DECLARATIONS_BYTES",
     "MAX_SETTINGS_BYTES",
+    "ServiceWork",
     "TIERS",
     "Address",
     "Attempt",
--- a/packages/state/src/hollyknot_state/_load_messages.py
+++ b/packages/state/src/hollyknot_state/_load_messages.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from hollyknot_state._customer_work import ServiceWork
 from hollyknot_state._host_report import HeldRun, UpstreamUse
 
 
@@ -72,9 +73,12 @@
         uses: Sums over hosts, for each upstream that was asked about.
         held: Which of these upstreams have which of the prefixes cached.
         paces: Paces of the upstreams' streams, where a host relays any.
+        work: Work that the tracker's own callers offer to services that are
+            short of room; empty in most answers.
     """
 
     number: int
     uses: tuple[UpstreamUse, ...]
     held: tuple[HeldRun, ...] = ()
     paces: tuple[UpstreamPace, ...] = ()
+    work: tuple[ServiceWork, ...] = ()
