--- a/packages/coordination/src/hollyknot_coordination/forwarding/customers/_customer_shares.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/customers/_customer_shares.py
@@ -188,7 +188,7 @@
             # Other services than those that callers use here aren't of use,
             # and names may come from any process.
             service = self._services.get(work.name)
-            if service is not None:
+            if service is not None and _is_sound(work):
                 # The newest entries are last, so that old ones are found.
                 service.heard.pop(host, None)
                 service.heard[host] = (work, now_s)
@@ -227,7 +227,6 @@
     """Divides refusals by the work of hosts, each with its weight."""
     offered = sum(weight * work.tokens_s for work, weight in weighted)
     shed = sum(weight * work.shed_tokens_s for work, weight in weighted)
-    # Any process may have sent numbers that make no sense.
     if not 0 < shed < offered:
         return None
     by_customer: dict[int, float] = {}
@@ -237,3 +236,12 @@
             by_customer[heavy.customer] = before + weight * heavy.tokens_s
     rest = max(0.0, offered - sum(by_customer.values()))
     return fair_refusals(by_customer, rest, shed / offered)
+
+
+def _is_sound(work: ServiceWork) -> bool:
+    """Whether the numbers agree; any process may have sent them."""
+    rates = [heavy.tokens_s for heavy in work.heaviest]
+    named = sum(rates) - len(rates)  # Each may have been rounded up.
+    is_positive = all(rate > 0 for rate in rates)
+    is_part = 0 <= work.shed_tokens_s <= work.tokens_s
+    return is_positive and is_part and named <= work.tokens_s
--- a/packages/coordination/src/hollyknot_coordination/forwarding/customers/tests/test_customer_shares.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/customers/tests/test_customer_shares.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import attrs
 import pytest
 
 from hollyknot_coordination.forwarding import (
@@ -19,6 +20,7 @@
     TOKENS,
     Fleet,
 )
+from hollyknot_coordination.forwarding.refusals._shedding import ADMITTED_SHARE
 from hollyknot_state import CustomerWork, ServiceWork, short_name
 
 USUAL = [f"c-{n}" for n in range(9)]
@@ -138,8 +140,18 @@
     return CustomerShares(size)
 
 
-def _told(tokens_s: int = 200_000) -> ServiceWork:
+def _hearing(told: ServiceWork) -> CustomerShares:
+    """Returns what one of 90 hosts knows that has heard nine others."""
+    shares = _shares(90)
+    shares.refused_share(_request(CROWD), 0.0, 0.0)
+    for host in range(9):
+        shares.hear(host, (told,), 0.0)
+    return shares
+
+
+def _told() -> ServiceWork:
     """Returns work of a host with a crowd and nine usual customers."""
+    tokens_s = 200_000
     names = [
         (CROWD, tokens_s // 2),
         *((name, tokens_s // 20) for name in USUAL),
@@ -181,21 +193,44 @@
 
     def test_old_words_do_not_count(self) -> None:
         """Guards against shares of a network that has been cut since."""
-        shares = _shares(90)
-        shares.refused_share(_request(CROWD), 0.0, 0.0)
-        for host in range(9):
-            shares.hear(host, (_told(),), 0.0)
+        shares = _hearing(_told())
         late_s = MAX_AGE_S + 0.1
         assert shares.refused_share(_request(USUAL[0]), 0.3, late_s) == 0.3
 
-    def test_numbers_without_sense_change_nothing(self) -> None:
-        """Guards against a datagram from any process."""
-        shares = _shares(90)
-        shares.refused_share(_request(CROWD), 0.0, 0.0)
+    def test_the_newest_words_count(self) -> None:
+        """Guards against shares of a customer that has stopped since."""
+        shares = _hearing(_told())
+        even = tuple(CustomerWork(short_name(name), 9000) for name in USUAL)
+        later = attrs.evolve(_told(), tokens_s=81_000, heaviest=even)
         for host in range(9):
-            shares.hear(host, (_told(-200_000),), 0.0)
+            shares.hear(host, (later,), 0.1)
+        assert shares.refused_share(_request(USUAL[0]), 0.3, 0.2) == 0.3
+
+    @pytest.mark.parametrize(
+        ("tokens_s", "shed_tokens_s"),
+        [(-9, -9), (200_000, 900_000), (200_000, -9), (9, 3)],
+    )
+    def test_numbers_without_sense_change_nothing(
+        self, tokens_s: int, shed_tokens_s: int
+    ) -> None:
+        """Guards against a datagram from any process."""
+        told = attrs.evolve(
+            _told(), tokens_s=tokens_s, shed_tokens_s=shed_tokens_s
+        )
+        shares = _hearing(told)
         assert shares.refused_share(_request(USUAL[0]), 0.3, 0.1) == 0.3
 
+    def test_owed_refusals_are_forgiven(self) -> None:
+        """Guards against refusals for a shortage that is long over."""
+        shares = _hearing(_told())
+        for _ in range(5):
+            share = shares.refused_share(_request(CROWD), 0.9, 0.1)
+            assert share == pytest.approx(1 - ADMITTED_SHARE / 2)
+        assert shares.refused_share(_request(CROWD), 0.0, 0.2) > 0.5
+        for host in range(9):
+            shares.hear(host, (_told(),), 20.0)
+        assert shares.refused_share(_request(CROWD), 0.0, 20.1) < 0.01
+
     def test_hosts_tell_of_services_that_are_short(self) -> None:
         """Guards against bytes that are spent while there is room."""
         shares = _shares(90)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/customers/tests/test_fair_refusals.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/customers/tests/test_fair_refusals.py
@@ -3,9 +3,7 @@
 import pytest
 
 from hollyknot_coordination.forwarding.customers import fair_refusals
-from hollyknot_coordination.forwarding.customers._fair_refusals import (
-    MAX_REFUSED_SHARE,
-)
+from hollyknot_coordination.forwarding.refusals._shedding import ADMITTED_SHARE
 
 CROWD = 10
 WORK = dict.fromkeys(range(CROWD), 1000.0) | {CROWD: 10_000.0}
@@ -44,7 +42,7 @@
 
     def test_no_customer_is_refused_entirely(self) -> None:
         """Guards against a customer that starves while others are served."""
-        least = (1 - MAX_REFUSED_SHARE) * WORK[CROWD]
+        least = ADMITTED_SHARE / 2 * WORK[CROWD]
         assert _admitted(0.9)[CROWD] >= 0.999 * least
 
     def test_customers_that_are_not_named_share_the_rest(self) -> None:
