Merge shares of customers: refuse those above their share first

Reviewed: decisions without customers, with few hosts heard or without a clear crowd draw as before (TestWeighing, replay of draws).

--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
@@ -27,6 +27,7 @@
     LoadAnswer,
     LoadNote,
     LoadQuery,
+    ServiceWork,
     short_name,
 )
 from hollyknot_state.routes import UpstreamEntry
@@ -54,6 +55,12 @@
 """One in this many answers tells what seldom changes. A host gets some tens of
 answers a second, and each byte more means fewer queries."""
 
+Tell = Callable[[float], tuple[ServiceWork, ...]]
+"""Returns what an answer tells of customers' work at a time in seconds."""
+
+Hear = Callable[[int, tuple[ServiceWork, ...], float], None]
+"""Takes what an answer told: the host's incarnation, the work, the time."""
+
 _MAX_QUERY_NUMBER = 2**31 - 1
 """Largest number of a query; the next query has the number 1."""
 
@@ -85,6 +92,9 @@
         demand: Demand,
         speeds: Speeds,
         lane_shares: LaneShares,
+        *,
+        tell: Tell = lambda _: (),
+        hear: Hear = lambda *_: None,
     ) -> None:
         """Creates the state of a host that has not queried any tracker.
 
@@ -101,6 +111,8 @@
                 the hosts that answer it is added.
             speeds: Speeds of upstreams, reported and completed likewise.
             lane_shares: Sizes of lanes, told and completed in answers.
+            tell: Returns the work of customers that an answer tells now.
+            hear: Takes the work that another host's answer tells.
         """
         self._incarnation = incarnation
         self._trackers = trackers
@@ -110,6 +122,8 @@
         self._demand = demand
         self._speeds = speeds
         self._lane_shares = lane_shares
+        self._tell = tell
+        self._hear = hear
         self._tracked = TrackedLoads(cached)
         self._number = 0
         self._sequence = 0
@@ -161,6 +175,7 @@
             demands=demands,
             speeds=answer.speeds if is_full else (),
             lane_shares=self._lane_shares.to_tell(now_s, only_news=not is_full),
+            work=self._tell(now_s),
         )
 
     def handle_answer(self, answer: LoadAnswer, now_s: float) -> None:
@@ -174,6 +189,7 @@
             self._demand.apply_answered(
                 tracker.incarnation, answer.demands, now_s
             )
+        self._hear(tracker.incarnation, answer.work, now_s)
         if not any(i is inquiry for _, i in self._waiting.values()):
             inquiry.on_done()
 
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -14,6 +14,7 @@
 from hollyknot_coordination.forwarding import (
     CachedParts,
     ColdStarts,
+    CustomerShares,
     Demand,
     Ended,
     Forecasts,
@@ -146,6 +147,7 @@
         self._forecasts = Forecasts()
         self._speeds = Speeds()
         self._lane_shares = LaneShares(rng.getrandbits(_TOKEN_BITS))
+        self._customers = CustomerShares(self._size)
         self._reachability = Reachability()
         self._health = Health()
         self._budget = RetryBudget(settings.bounds, self._size, rng)
@@ -182,6 +184,7 @@
                 self._suspects,
                 self._size,
                 self._named_limits,
+                self._customers,
             ),
             self._routing_state,
             self._reachability,
@@ -238,6 +241,7 @@
                 self._lane_shares,
             ),
             shedding=Shedding(self._loads, self._rng),
+            customers=self._customers,
             loads=self._loads,
             forecasts=self._forecasts,
             speeds=self._speeds,
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -112,6 +112,19 @@
   4: i32 age_ms
 }
 
+// CustomerWork and ServiceWork are documented in _customer_work.py.
+struct CustomerWork {
+  1: i32 customer           // short name
+  2: i32 tokens_s
+}
+
+struct ServiceWork {
+  1: i32 name               // short name of the service
+  2: i32 tokens_s
+  3: i32 shed_tokens_s
+  4: list<CustomerWork> heaviest
+}
+
 struct LoadNote {
   1: i64 incarnation
   2: i64 sequence
@@ -137,6 +150,7 @@
   5: list<LaneDemand> demands
   6: list<UpstreamSpeed> speeds
   8: list<LaneShare> lane_shares
+  7: list<ServiceWork> work
 }
 
 // New evidence, sent immediately instead of with the next report, which may be
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -1576,6 +1576,199 @@
         return not (self == other)
 
 
+class CustomerWork(object):
+    """
+    Attributes:
+     - customer
+     - tokens_s
+
+    """
+
+    __slots__ = (
+        'customer',
+        'tokens_s',
+    )
+
+
+    def __init__(self, customer=None, tokens_s=None,):
+        self.customer = customer
+        self.tokens_s = tokens_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.customer = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CustomerWork')
+        if self.customer is not None:
+            oprot.writeFieldBegin('customer', TType.I32, 1)
+            oprot.writeI32(self.customer)
+            oprot.writeFieldEnd()
+        if self.tokens_s is not None:
+            oprot.writeFieldBegin('tokens_s', TType.I32, 2)
+            oprot.writeI32(self.tokens_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceWork(object):
+    """
+    Attributes:
+     - name
+     - tokens_s
+     - shed_tokens_s
+     - heaviest
+
+    """
+
+    __slots__ = (
+        'name',
+        'tokens_s',
+        'shed_tokens_s',
+        'heaviest',
+    )
+
+
+    def __init__(self, name=None, tokens_s=None, shed_tokens_s=None, heaviest=None,):
+        self.name = name
+        self.tokens_s = tokens_s
+        self.shed_tokens_s = shed_tokens_s
+        self.heaviest = heaviest
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.name = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.shed_tokens_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.heaviest = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = CustomerWork()
+                        _elem89.read(iprot)
+                        self.heaviest.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceWork')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.I32, 1)
+            oprot.writeI32(self.name)
+            oprot.writeFieldEnd()
+        if self.tokens_s is not None:
+            oprot.writeFieldBegin('tokens_s', TType.I32, 2)
+            oprot.writeI32(self.tokens_s)
+            oprot.writeFieldEnd()
+        if self.shed_tokens_s is not None:
+            oprot.writeFieldBegin('shed_tokens_s', TType.I32, 3)
+            oprot.writeI32(self.shed_tokens_s)
+            oprot.writeFieldEnd()
+        if self.heaviest is not None:
+            oprot.writeFieldBegin('heaviest', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.heaviest))
+            for iter90 in self.heaviest:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadNote(object):
     """
     Attributes:
@@ -1628,44 +1821,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = UpstreamUse()
-                        _elem89.read(iprot)
-                        self.uses.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = UpstreamUse()
+                        _elem96.read(iprot)
+                        self.uses.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = HeldRun()
-                        _elem95.read(iprot)
-                        self.held.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = HeldRun()
+                        _elem102.read(iprot)
+                        self.held.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = UpstreamPace()
-                        _elem101.read(iprot)
-                        self.paces.append(_elem101)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = UpstreamPace()
+                        _elem108.read(iprot)
+                        self.paces.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.speeds = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = UpstreamSpeed()
-                        _elem107.read(iprot)
-                        self.speeds.append(_elem107)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = UpstreamSpeed()
+                        _elem114.read(iprot)
+                        self.speeds.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1690,29 +1883,29 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter108 in self.uses:
-                iter108.write(oprot)
+            for iter115 in self.uses:
+                iter115.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter109 in self.held:
-                iter109.write(oprot)
+            for iter116 in self.held:
+                iter116.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter110 in self.paces:
-                iter110.write(oprot)
+            for iter117 in self.paces:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter111 in self.speeds:
-                iter111.write(oprot)
+            for iter118 in self.speeds:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1789,20 +1982,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = iprot.readI32()
-                        self.upstreams.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readI32()
+                        self.upstreams.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = iprot.readI32()
-                        self.runs.append(_elem123)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = iprot.readI32()
+                        self.runs.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1832,15 +2025,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.upstreams))
-            for iter124 in self.upstreams:
-                oprot.writeI32(iter124)
+            for iter131 in self.upstreams:
+                oprot.writeI32(iter131)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.runs))
-            for iter125 in self.runs:
-                oprot.writeI32(iter125)
+            for iter132 in self.runs:
+                oprot.writeI32(iter132)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wants_demands is not None:
@@ -1882,6 +2075,7 @@
      - demands
      - speeds
      - lane_shares
+     - work
 
     """
 
@@ -1892,11 +2086,12 @@
         'paces',
         'demands',
         'speeds',
+        'work',
         'lane_shares',
     )
 
 
-    def __init__(self, number=None, uses=None, held=None, paces=None, demands=None, speeds=None, lane_shares=None,):
+    def __init__(self, number=None, uses=None, held=None, paces=None, demands=None, speeds=None, lane_shares=None, work=None,):
         self.number = number
         self.uses = uses
         self.held = held
@@ -1904,6 +2099,7 @@
         self.demands = demands
         self.speeds = speeds
         self.lane_shares = lane_shares
+        self.work = work
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1922,66 +2118,77 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = UpstreamUse()
-                        _elem131.read(iprot)
-                        self.uses.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = UpstreamUse()
+                        _elem138.read(iprot)
+                        self.uses.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = HeldRun()
-                        _elem137.read(iprot)
-                        self.held.append(_elem137)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = HeldRun()
+                        _elem144.read(iprot)
+                        self.held.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype141, _size138) = iprot.readListBegin()
-                    for _i142 in range(_size138):
-                        _elem143 = UpstreamPace()
-                        _elem143.read(iprot)
-                        self.paces.append(_elem143)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = UpstreamPace()
+                        _elem150.read(iprot)
+                        self.paces.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype147, _size144) = iprot.readListBegin()
-                    for _i148 in range(_size144):
-                        _elem149 = LaneDemand()
-                        _elem149.read(iprot)
-                        self.demands.append(_elem149)
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = LaneDemand()
+                        _elem156.read(iprot)
+                        self.demands.append(_elem156)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.speeds = []
-                    (_etype153, _size150) = iprot.readListBegin()
-                    for _i154 in range(_size150):
-                        _elem155 = UpstreamSpeed()
-                        _elem155.read(iprot)
-                        self.speeds.append(_elem155)
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = UpstreamSpeed()
+                        _elem162.read(iprot)
+                        self.speeds.append(_elem162)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.lane_shares = []
-                    (_etype159, _size156) = iprot.readListBegin()
-                    for _i160 in range(_size156):
-                        _elem161 = LaneShare()
-                        _elem161.read(iprot)
-                        self.lane_shares.append(_elem161)
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = LaneShare()
+                        _elem168.read(iprot)
+                        self.lane_shares.append(_elem168)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.work = []
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = ServiceWork()
+                        _elem174.read(iprot)
+                        self.work.append(_elem174)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2002,43 +2209,50 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter162 in self.uses:
-                iter162.write(oprot)
+            for iter175 in self.uses:
+                iter175.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter163 in self.held:
-                iter163.write(oprot)
+            for iter176 in self.held:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter164 in self.paces:
-                iter164.write(oprot)
+            for iter177 in self.paces:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter165 in self.demands:
-                iter165.write(oprot)
+            for iter178 in self.demands:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter166 in self.speeds:
-                iter166.write(oprot)
+            for iter179 in self.speeds:
+                iter179.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter180 in self.work:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lane_shares is not None:
             oprot.writeFieldBegin('lane_shares', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.lane_shares))
-            for iter167 in self.lane_shares:
-                iter167.write(oprot)
+            for iter181 in self.lane_shares:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2093,11 +2307,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = SuspectRecord()
-                        _elem173.read(iprot)
-                        self.suspects.append(_elem173)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = SuspectRecord()
+                        _elem187.read(iprot)
+                        self.suspects.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2114,8 +2328,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter174 in self.suspects:
-                iter174.write(oprot)
+            for iter188 in self.suspects:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2490,6 +2704,20 @@
     (3, TType.I32, 'rank', None, None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
 )
+all_structs.append(CustomerWork)
+CustomerWork.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'customer', None, None, ),  # 1
+    (2, TType.I32, 'tokens_s', None, None, ),  # 2
+)
+all_structs.append(ServiceWork)
+ServiceWork.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'name', None, None, ),  # 1
+    (2, TType.I32, 'tokens_s', None, None, ),  # 2
+    (3, TType.I32, 'shed_tokens_s', None, None, ),  # 3
+    (4, TType.LIST, 'heaviest', (TType.STRUCT, [CustomerWork, None], False), None, ),  # 4
+)
 all_structs.append(LoadNote)
 LoadNote.thrift_spec = (
     None,  # 0
@@ -2518,7 +2746,7 @@
     (4, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 4
     (5, TType.LIST, 'demands', (TType.STRUCT, [LaneDemand, None], False), None, ),  # 5
     (6, TType.LIST, 'speeds', (TType.STRUCT, [UpstreamSpeed, None], False), None, ),  # 6
-    None,  # 7
+    (7, TType.LIST, 'work', (TType.STRUCT, [ServiceWork, None], False), None, ),  # 7
     (8, TType.LIST, 'lane_shares', (TType.STRUCT, [LaneShare, None], False), None, ),  # 8
 )
 all_structs.append(SuspectNews)
--- a/packages/state/src/hollyknot_state/_load_messages.py
+++ b/packages/state/src/hollyknot_state/_load_messages.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from hollyknot_state._customer_work import ServiceWork
 from hollyknot_state._host_report import HeldRun, LaneDemand, UpstreamUse
 
 
@@ -111,6 +112,8 @@
             wants it.
         speeds: Speeds of the upstreams, where enough is known.
         lane_shares: Shares of the loose lanes, as the answering host uses them.
+        work: Work that the tracker's own callers offer to services that are
+            short of room; empty in most answers.
     """
 
     number: int
@@ -120,3 +123,4 @@
     demands: tuple[LaneDemand, ...] = ()
     speeds: tuple[UpstreamSpeed, ...] = ()
     lane_shares: tuple[LaneShare, ...] = ()
+    work: tuple[ServiceWork, ...] = ()
