--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -149,8 +149,8 @@
   4: list<UpstreamPace> paces
   5: list<LaneDemand> demands
   6: list<UpstreamSpeed> speeds
-  8: list<LaneShare> lane_shares
-  7: list<ServiceWork> work
+  7: list<LaneShare> lane_shares
+  8: list<ServiceWork> work
 }
 
 // New evidence, sent immediately instead of with the next report, which may be
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -2086,8 +2086,8 @@
         'paces',
         'demands',
         'speeds',
-        'work',
         'lane_shares',
+        'work',
     )
 
 
@@ -2170,7 +2170,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
+            elif fid == 7:
                 if ftype == TType.LIST:
                     self.lane_shares = []
                     (_etype166, _size163) = iprot.readListBegin()
@@ -2181,7 +2181,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 8:
                 if ftype == TType.LIST:
                     self.work = []
                     (_etype172, _size169) = iprot.readListBegin()
@@ -2241,17 +2241,17 @@
                 iter179.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.work is not None:
-            oprot.writeFieldBegin('work', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter180 in self.work:
+        if self.lane_shares is not None:
+            oprot.writeFieldBegin('lane_shares', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.lane_shares))
+            for iter180 in self.lane_shares:
                 iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.lane_shares is not None:
-            oprot.writeFieldBegin('lane_shares', TType.LIST, 8)
-            oprot.writeListBegin(TType.STRUCT, len(self.lane_shares))
-            for iter181 in self.lane_shares:
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter181 in self.work:
                 iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -2746,8 +2746,8 @@
     (4, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 4
     (5, TType.LIST, 'demands', (TType.STRUCT, [LaneDemand, None], False), None, ),  # 5
     (6, TType.LIST, 'speeds', (TType.STRUCT, [UpstreamSpeed, None], False), None, ),  # 6
-    (7, TType.LIST, 'work', (TType.STRUCT, [ServiceWork, None], False), None, ),  # 7
-    (8, TType.LIST, 'lane_shares', (TType.STRUCT, [LaneShare, None], False), None, ),  # 8
+    (7, TType.LIST, 'lane_shares', (TType.STRUCT, [LaneShare, None], False), None, ),  # 7
+    (8, TType.LIST, 'work', (TType.STRUCT, [ServiceWork, None], False), None, ),  # 8
 )
 all_structs.append(SuspectNews)
 SuspectNews.thrift_spec = (
