Leave out empty fields, ask about fewer upstreams when bytes run short

Change: empty tuples are absent fields; below half of the bytes for queries a request asks two of its lane instead of three; speeds only from prompts of 3,000 tokens or more, once half of the upstreams are known, and alike within a quarter. expire() no longer reads an emptied deque.

--- a/packages/bench/src/hollyknot_bench/experiment/_host_network.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_host_network.py
@@ -60,15 +60,15 @@
         for reporter in self.reporters:
             self._begin_notes(reporter)
 
-    def may_ask(self, number: int) -> bool:
+    def may_ask(self, number: int, reserve: float = 0.0) -> bool:
         """Whether a host queries trackers now.
 
         It does if reports come so rarely that they are old, and if its byte
-        budget allows a query.
+        budget allows a query beyond what is left to others.
         """
         reporter = self.reporters[number]
         is_old = reporter.peers.interval_s >= MIN_INTERVAL_TO_QUERY_S
-        return is_old and reporter.rate.may_query(self._clock.now_s)
+        return is_old and reporter.rate.may_query(self._clock.now_s, reserve)
 
     def ask(
         self,
--- a/packages/bench/src/hollyknot_bench/experiment/_play.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_play.py
@@ -19,6 +19,7 @@
 from hollyknot_bench.experiment._load import Load, Request, draw_requests
 from hollyknot_bench.experiment._outcome import Outcome, RequestOutcome
 from hollyknot_coordination.forwarding import (
+    BRIEF_RESERVE,
     SHED_RETRY_AFTER_S,
     Choice,
     HostCount,
@@ -243,6 +244,7 @@
             frozenset(),
             now_s,
             is_loose=self._index.is_loose(route, _SERVICE),
+            is_brief=not self._host_network.may_ask(number, BRIEF_RESERVE),
         )
         self._host_network.ask(
             number,
@@ -352,7 +354,8 @@
                 host.placement.start(work)
                 host.speeds.observe(
                     choice.entry.incarnation,
-                    choice.tokens + choice.queued_tokens,
+                    choice.tokens,
+                    choice.queued_tokens,
                     now_s - sent_s,
                 )
             else:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -13,6 +13,7 @@
 )
 from hollyknot_coordination.forwarding.peers import (
     ANSWER_TIMEOUT_S,
+    BRIEF_RESERVE,
     MIN_INTERVAL_TO_NOTE_S,
     MIN_INTERVAL_TO_QUERY_S,
     PLAIN_RESERVE,
@@ -74,6 +75,7 @@
 
 __all__ = [
     "ANSWER_TIMEOUT_S",
+    "BRIEF_RESERVE",
     "Admission",
     "CachedParts",
     "Choice",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/__init__.py
@@ -3,6 +3,7 @@
 from hollyknot_coordination.forwarding.peers._host_count import HostCount
 from hollyknot_coordination.forwarding.peers._inquiries import (
     ANSWER_TIMEOUT_S,
+    BRIEF_RESERVE,
     MIN_INTERVAL_TO_NOTE_S,
     MIN_INTERVAL_TO_QUERY_S,
     PLAIN_RESERVE,
@@ -19,6 +20,7 @@
 
 __all__ = [
     "ANSWER_TIMEOUT_S",
+    "BRIEF_RESERVE",
     "HostCount",
     "Inquiries",
     "Inquiry",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
@@ -51,6 +51,10 @@
 """Fraction of the bytes for queries that requests without a prompt leave to the
 others: any upstream of a plain service takes about as long as the next."""
 
+BRIEF_RESERVE = 0.5
+"""Fraction of the bytes for queries below which requests ask about fewer
+upstreams: two fresh loads are worth more than none for some requests."""
+
 FULL_ANSWER_EVERY = 4
 """One in this many answers tells what seldom changes. A host gets some tens of
 answers a second, and each byte more means fewer queries."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_placement.py
@@ -232,6 +232,7 @@
         now_s: float,
         *,
         is_loose: bool,
+        is_brief: bool = False,
         limited: Collection[str] = (),
     ) -> list[UpstreamEntry]:
         """Returns the upstreams whose load is asked for before placement.
@@ -250,16 +251,16 @@
             excluded: Incarnations that must not be chosen.
             now_s: Current time in seconds.
             is_loose: Whether its stream tolerates long inter-token gaps.
+            is_brief: Whether to leave one out, since few bytes are left to ask.
             limited: Incarnations under a rate limit, as for `choose`.
         """
+        own_count = OWN_LANE_SHORTLIST - is_brief
         if service.engine is None or not call.prompt:
             usable = [c for c in candidates if c.incarnation not in excluded]
-            return self._rng.sample(
-                usable, min(OWN_LANE_SHORTLIST, len(usable))
-            )
+            return self._rng.sample(usable, min(own_count, len(usable)))
         found: list[UpstreamEntry] = []
         for loose, count in (
-            (is_loose, OWN_LANE_SHORTLIST),
+            (is_loose, own_count),
             (not is_loose, OTHER_LANE_SHORTLIST),
         ):
             entries = [
--- a/packages/coordination/src/hollyknot_coordination/forwarding/speeds/_speed_samples.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/speeds/_speed_samples.py
@@ -54,15 +54,14 @@
         Returns:
             Nanoseconds per prompt token; None if too little is known.
         """
-        samples = self._samples.get(upstream)
-        if samples is None:
+        fresh = sorted(
+            sample.token_ns
+            for sample in self._samples.get(upstream, ())
+            if now_s - sample.at_s <= MAX_AGE_S
+        )
+        if len(fresh) < MIN_SAMPLES:
             return None
-        while samples and now_s - samples[0].at_s > MAX_AGE_S:
-            samples.popleft()
-        if len(samples) < MIN_SAMPLES:
-            return None
-        ordered = sorted(sample.token_ns for sample in samples)
-        return ordered[len(ordered) // _QUARTER]
+        return fresh[len(fresh) // _QUARTER]
 
     def expire(self, now_s: float) -> None:
         """Drops upstreams without a sample that still counts."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/speeds/_speeds.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/speeds/_speeds.py
@@ -12,11 +12,19 @@
 """Tokens that an upstream prefills in the time that a first event takes without
 any prompt, about: round trips, the step that decodes it, its way out."""
 
+MIN_TOKENS = 3_000
+"""Prompt tokens from which a first event tells the speed of prefill: those of
+shorter prompts take as long as what is around them."""
+
 MAX_AGE_S = 10.0
 """Age in seconds above which an answer about an upstream no longer counts."""
 
-MIN_KNOWN = 3
-"""Upstreams of known speed from which there is a usual one."""
+MIN_KNOWN_SHARE = 0.5
+"""Share of a service's upstreams whose speed must be known before they are
+compared: the few that are known first would otherwise attract all requests."""
+
+USUAL_UP_TO = 1.25
+"""Ratio to the usual speed, either way, within which upstreams are alike."""
 
 MIN_SLOWNESS = 0.5
 MAX_SLOWNESS = 4.0
@@ -36,7 +44,7 @@
 
 @attrs.frozen
 class _Typical:
-    token_ns: float | None
+    token_ns: float
     at_s: float
 
 
@@ -49,16 +57,21 @@
         self._unsent: dict[int, UpstreamSpeed] = {}
         self._typical: dict[str, _Typical] = {}
 
-    def observe(self, upstream: str, tokens: int, first_s: float) -> None:
+    def observe(
+        self, upstream: str, tokens: int, queued_tokens: int, first_s: float
+    ) -> None:
         """Records the first event of a stream that this host relays.
 
         Args:
             upstream: Incarnation of the upstream.
-            tokens: Prompt tokens that it had to prefill before the event, of
-                this request and of those that waited ahead of it.
+            tokens: Prompt tokens of the request that it had to prefill.
+            queued_tokens: Those of other requests that it prefilled before.
             first_s: Seconds from sending the request to the event.
         """
-        token_ns = int(first_s * 1e9 / (tokens + OVERHEAD_TOKENS))
+        if tokens < MIN_TOKENS:
+            return
+        prefilled = tokens + queued_tokens + OVERHEAD_TOKENS
+        token_ns = int(first_s * 1e9 / prefilled)
         name = short_name(upstream)
         self._unsent[name] = UpstreamSpeed(name, max(1, token_ns))
 
@@ -103,9 +116,9 @@
             for entry in entries
             if (found := self._fresh(entry.incarnation, now_s)) is not None
         }
-        typical_ns = self._typical_ns(entries[0].service, known, now_s)
-        if typical_ns is None:
+        if len(known) < MIN_KNOWN_SHARE * len(entries):
             return {}
+        typical_ns = self._typical_ns(entries[0].service, known, now_s)
         return {
             incarnation: _bounded(token_ns / typical_ns)
             for incarnation, token_ns in known.items()
@@ -119,16 +132,15 @@
 
     def _typical_ns(
         self, service: str, known: dict[str, int], now_s: float
-    ) -> float | None:
-        """Returns the usual speed; None if too few speeds are known."""
+    ) -> float:
         typical = self._typical.get(service)
         if typical is None or now_s - typical.at_s > TYPICAL_AGE_S:
-            is_enough = len(known) >= MIN_KNOWN
-            median = statistics.median(known.values()) if is_enough else None
-            typical = _Typical(median, now_s)
+            typical = _Typical(statistics.median(known.values()), now_s)
             self._typical[service] = typical
         return typical.token_ns
 
 
 def _bounded(slowness: float) -> float:
+    if 1 / USUAL_UP_TO <= slowness <= USUAL_UP_TO:
+        return 1.0
     return min(max(slowness, MIN_SLOWNESS), MAX_SLOWNESS)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/speeds/tests/test_speeds.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/speeds/tests/test_speeds.py
@@ -20,7 +20,9 @@
 )
 from hollyknot_coordination.forwarding.speeds._speeds import (
     MAX_SLOWNESS,
+    MIN_TOKENS,
     OVERHEAD_TOKENS,
+    USUAL_UP_TO,
 )
 from hollyknot_coordination.forwarding.tests._builders import call, upstream
 from hollyknot_state import UpstreamSpeed, short_name
@@ -79,6 +81,7 @@
         samples = SpeedSamples()
         samples.record(1, USUAL_NS, 0.0)
         samples.record(2, USUAL_NS, MAX_AGE_S)
+        assert samples.token_ns(1, MAX_AGE_S + 0.1) is None
         samples.expire(MAX_AGE_S + 0.1)
         assert set(samples._samples) == {2}
 
@@ -87,14 +90,20 @@
     """A host compares the upstreams of a service."""
 
     def test_slowness_is_relative_to_the_usual_upstream(self) -> None:
-        speeds = _speeds(a=1, b=1, c=3, d=0.8)
+        speeds = _speeds(a=1, b=1, c=3, d=0.6)
         slowness = speeds.slowness(ENGINES, 0.0)
         assert slowness["a"] == pytest.approx(1)
         assert slowness["c"] == pytest.approx(3)
-        assert slowness["d"] == pytest.approx(0.8)
+        assert slowness["d"] == pytest.approx(0.6)
+
+    def test_small_differences_count_for_nothing(self) -> None:
+        """Guards against equal upstreams that get unequal work by chance."""
+        speeds = _speeds(a=1, b=1, c=USUAL_UP_TO, d=1 / USUAL_UP_TO + 0.01)
+        assert set(speeds.slowness(ENGINES, 0.0).values()) == {1.0}
 
     def test_unknown_upstreams_are_left_out(self) -> None:
-        assert not _speeds(a=1, b=3).slowness(ENGINES, 0.0)
+        """Guards against all requests at the first upstream that is known."""
+        assert not _speeds(a=0.5).slowness(ENGINES, 0.0)
         assert set(_speeds(a=1, b=1, c=3).slowness(ENGINES, 0.0)) == set("abc")
 
     def test_slowness_is_bounded(self) -> None:
@@ -119,12 +128,18 @@
 
     def test_sample_counts_tokens_and_overhead(self) -> None:
         speeds = Speeds()
-        speeds.observe("a", 8_500, 0.1)
+        speeds.observe("a", 5_000, 3_500, 0.1)
         sample = speeds.pop_unsent(short_name("a"))
         assert sample is not None
         assert sample.token_ns == int(1e8 / (8_500 + OVERHEAD_TOKENS))
         assert speeds.pop_unsent(short_name("a")) is None
 
+    def test_short_prompts_tell_nothing(self) -> None:
+        """Guards against upstreams that seem slow for what is around them."""
+        speeds = Speeds()
+        speeds.observe("a", MIN_TOKENS - 1, 50_000, 0.1)
+        assert speeds.pop_unsent(short_name("a")) is None
+
 
 class TestPlacementBySpeed:
     """Slow engines get the work that they finish in time."""
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -213,12 +213,12 @@
     ) -> None:
         parts = self._parts
         parts.placement.start(work)
-        if choice.tokens:
-            parts.speeds.observe(
-                choice.entry.incarnation,
-                choice.tokens + choice.queued_tokens,
-                parts.clock() - sent_s,
-            )
+        parts.speeds.observe(
+            choice.entry.incarnation,
+            choice.tokens,
+            choice.queued_tokens,
+            parts.clock() - sent_s,
+        )
 
     def _record_interval(self, entry: UpstreamEntry, interval_s: float) -> None:
         parts = self._parts
--- a/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
@@ -5,6 +5,7 @@
 import attrs
 
 from hollyknot_coordination.forwarding import (
+    BRIEF_RESERVE,
     PLAIN_RESERVE,
     Choice,
     GiveUp,
@@ -57,6 +58,7 @@
             excluded,
             now,
             is_loose=job.is_loose,
+            is_brief=not parts.neighbours.should_query_trackers(BRIEF_RESERVE),
             limited=parts.permits.limited(usable),
         )
         job.asked += self._pick_cold(job, excluded, usable)
--- a/packages/protocol/src/hollyknot_protocol/_convert.py
+++ b/packages/protocol/src/hollyknot_protocol/_convert.py
@@ -10,6 +10,8 @@
 - `tuple[X, ...]`: `list<X>`; `frozenset[X]`: `set<X>`;
 - `dict[K, V]`: `map<K, V>`;
 - `X | None`: any of these; `None` is an absent field.
+
+An empty tuple in a field whose default is one is an absent field too.
 """
 
 import enum
@@ -95,6 +97,9 @@
         )
         for name in names
     }
+    for field in attrs.fields(message):
+        if field.default == ():
+            pairs[field.name] = _without_empty(pairs[field.name])
     # The constructor of a generated struct takes the fields in the order of
     # its slots.
     order = tuple(struct.__slots__)
@@ -278,6 +283,13 @@
     )
 
 
+def _without_empty(pair: _Pair) -> _Pair:
+    """Returns the conversions of a field that is absent if it is empty."""
+    return attrs.evolve(
+        pair, to_wire=lambda value: pair.to_wire(value) if value else None
+    )
+
+
 def _make_map_pair(keys: _Pair, values: _Pair) -> _Pair:
     if keys is _IDENTITY and values is _IDENTITY:
         return _Pair(_identity, dict)
