Use no entry that lacks the start which others of its service name

Cause: an entry without born was believed even where every other upstream of its service names its start, and an entry whose address had answered 421 for it still held that address, so that the upstream there got no more requests for as long as the entry stood.

Change: the registry uses no entry without a start if more than half of the entries of its service name one, and an entry that was found to be replaced holds no address.

Seen: two of the three new tests failed before the change; the third (one entry with a start excludes no others) guards the change itself.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/_upstream_registry.py
@@ -11,13 +11,16 @@
 An upstream may restart under the same name. Of two incarnations with one name
 the one that started later is kept: an entry of the earlier one that is written
 or read late never replaces it. Of two entries with one address the newer is
-kept, but only if its service exists, since anybody may write an entry.
+kept, but only if its service exists, since anybody may write an entry. For the
+same reason an entry without a start is not used if most entries of its service
+name one.
 
 An upstream that says in its answers that it is leaving gets no more requests,
 even if the directory holds a ready entry of it: its own word is newer. One that
 asks for rest gets none until its rest ends.
 """
 
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable
 
 import attrs
@@ -100,6 +103,8 @@
         self._names: dict[str, str] = {}
         self._services: frozenset[str] | None = None
         self._evacuated: frozenset[str] = frozenset()
+        # Services most of whose entries name their start.
+        self._naming_start: frozenset[str] = frozenset()
         self._ended: list[Ended] = []
         self._removed: dict[str, float] = {}
         # An ordered set: from the incarnation that was marked first.
@@ -325,6 +330,7 @@
 
     def _index(self) -> dict[str, list[UpstreamEntry]]:
         by_service: dict[str, list[UpstreamEntry]] = {}
+        self._naming_start = self._services_naming_start()
         for incarnation in sorted(self._known):
             known = self._known[incarnation]
             if self._accepts_work(known):
@@ -332,12 +338,21 @@
                 by_service.setdefault(entry.service, []).append(entry)
         return by_service
 
+    def _services_naming_start(self) -> frozenset[str]:
+        """Returns the services most of whose entries name their start."""
+        entries = [known.entry for known in self._known.values()]
+        total = Counter(entry.service for entry in entries)
+        named = Counter(entry.service for entry in entries if entry.born_ms)
+        return frozenset(s for s, n in named.items() if n > total[s] / 2)
+
     def _accepts_work(self, known: _UpstreamState) -> bool:
         entry = known.entry
         if known.is_replaced or entry.is_draining:
             return False
         if entry.incarnation in self._leaving:
             return False
+        if not entry.born_ms and entry.service in self._naming_start:
+            return False
         is_evacuated = entry.data_centre in self._evacuated
         return not is_evacuated and self._exists(entry.service)
 
@@ -356,7 +371,7 @@
         # In the order in which they were first registered.
         for known in list(self._known.values()):
             entry = known.entry
-            if not self._exists(entry.service):
+            if known.is_replaced or not self._exists(entry.service):
                 continue
             other = holders.get(entry.address)
             holders[entry.address] = entry
--- a/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/tests/test_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/tests/test_upstream_registry.py
@@ -216,6 +216,21 @@
         assert registry.usable("none", 0.0) == []
         assert not registry.is_usable("b", 0.0)
 
+    def test_an_entry_that_proved_wrong_holds_no_address(self) -> None:
+        """A healthy upstream gets no more requests.
+
+        Anybody may write an entry with its address and a later start. It
+        happens if that entry holds the address even after the upstream there
+        has said that it is another one.
+        """
+        registry = UpstreamRegistry(LAPSE_S)
+        registry.put(upstream("a", port=7, born_ms=5))
+        registry.put(upstream("b", port=7, born_ms=9))
+        assert _names(registry) == ["b@9"]
+        registry.mark_replaced("b@9")
+        registry.put(upstream("a", port=7, born_ms=5))
+        assert _names(registry) == ["a@5"]
+
     def test_a_service_that_begins_to_exist_has_its_upstreams(self) -> None:
         registry = UpstreamRegistry(LAPSE_S)
         registry.set_services(["plain"])
@@ -225,6 +240,35 @@
         assert _names(registry) == ["a"]
 
 
+class TestMissingStarts:
+    """Entries that don't say when their upstream started."""
+
+    def test_most_entries_name_a_start_so_one_without_it_is_wrong(
+        self,
+    ) -> None:
+        """Requests are sent to whatever another program's entry names.
+
+        It happens if an entry is believed that lacks a field which the
+        upstreams of its service write.
+        """
+        registry = UpstreamRegistry(LAPSE_S)
+        registry.put(upstream("a", born_ms=5))
+        registry.put(upstream("x"))
+        registry.put(upstream("b", born_ms=6))
+        assert _names(registry) == ["a@5", "b@6"]
+        assert not registry.is_usable("x", 0.0)
+
+    def test_few_entries_with_a_start_exclude_no_others(self) -> None:
+        """One entry of another program takes a whole service out of use."""
+        registry = UpstreamRegistry(LAPSE_S)
+        for name in ("a", "b"):
+            registry.put(upstream(name))
+        registry.put(upstream("x", born_ms=5))
+        for name in ("y", "z"):
+            registry.put(upstream(name, service="plain", born_ms=5))
+        assert _names(registry) == ["a", "b", "x@5"]
+
+
 class TestIncarnations:
     """Upstreams that restart under the same name."""
 
