Don't reset a caller whose answer has just ended at the deadline

Cause: when the last part of a stream arrives, its task runs two steps of the event loop later. If the deadline passes in between, the request was taken for late and the caller's connection was reset, although the whole answer had been written.

Change: at the deadline an answer that has ended is counted and left alone. Seen failing before the change by the new test.

--- a/packages/gateway/src/hollyknot_gateway/_answers.py
+++ b/packages/gateway/src/hollyknot_gateway/_answers.py
@@ -71,6 +71,10 @@
 
     def time_out(self, job: Job) -> None:
         """Answers a request whose deadline has passed."""
+        if job.reply.has_ended:
+            # The answer ended just before its task could be woken.
+            self._count(job.route.name, Verdict(Outcome.COMPLETE), _OK)
+            return
         if job.may_have_run:
             verdict = Verdict(
                 Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT, _TIME_LIMIT_PASSED
