--- a/packages/bench/src/hollyknot_bench/experiment/tests/test_experiment.py
+++ b/packages/bench/src/hollyknot_bench/experiment/tests/test_experiment.py
@@ -12,6 +12,8 @@
     EngineParameters,
     EngineRequest,
 )
+from hollyknot_bench.experiment._load import Crash
+from hollyknot_bench.experiment._outcome import RequestOutcome
 from hollyknot_bench.experiment._play import DRAIN_S, Play
 from hollyknot_coordination.forwarding.peers._report_rate import BYTES_PER_S
 from hollyknot_state import Problem
@@ -107,6 +109,85 @@
         assert caller.is_lost
         assert engine.next_s is None
 
+    def test_pairs_of_a_prompt_lengthen_its_later_chunks(self) -> None:
+        figures = attrs.evolve(_FIGURES, pairs_ms_per_m=10.0)
+        engine = Engine(figures, 1.0)
+        caller = _Caller((("own", 1500),), 3)
+        engine.submit(caller.run, 0.0)
+        _run(engine)
+        # The 500 tokens of the second chunk follow 1000: half a million pairs.
+        assert caller.events_ms == [43, 47, 51]
+
+    def test_noise_lengthens_all_steps_of_a_period(self) -> None:
+        figures = attrs.evolve(
+            _FIGURES, noise_share=1.0, noise_times=2.5, noise_s=0.6
+        )
+        engine = Engine(figures, 2.0)
+        caller = _Caller((("own", 1000),), 2)
+        engine.submit(caller.run, 0.0)
+        _run(engine)
+        assert caller.events_ms == [120, 140]
+
+    def test_noise_comes_in_some_periods_of_each_engine(self) -> None:
+        """Guards against engines that are all noisy at once, or never."""
+        figures = attrs.evolve(_FIGURES, noise_share=0.25, noise_times=3.0)
+        noisy = [
+            [
+                Engine(figures, 1.0, seed)._slowness_at(0.6 * period + 0.3) > 1
+                for period in range(400)
+            ]
+            for seed in (0, 1, 0)
+        ]
+        assert 70 <= sum(noisy[0]) <= 130
+        assert 70 <= sum(noisy[1]) <= 130
+        assert noisy[0] == noisy[2] != noisy[1]
+
+
+class TestCrashes:
+    """Tests of engines that crash, and of the requests that they had."""
+
+    def test_engines_that_crash_are_drawn(self) -> None:
+        """Guards against crashes in one lane only.
+
+        Engines are ordered by lane, so that the first ones share it.
+        """
+        drawn = [_crashed(seed) for seed in (1, 2, 3, 1)]
+        assert all(len(set(numbers)) == 3 for numbers in drawn)
+        assert drawn[0] == drawn[3]
+        assert len({tuple(numbers) for numbers in drawn}) == 3
+
+    def test_lost_streams_are_resumed_once(self) -> None:
+        lost = _lost(resumes=True)
+        assert any(ended.is_whole for ended in lost)
+        assert all(ended.first_s > 0 for ended in lost if ended.is_whole)
+        assert max(ended.tries for ended in lost) <= 2
+
+    def test_streams_that_are_not_resumed_are_lost(self) -> None:
+        lost = _lost(resumes=False)
+        assert lost
+        assert not any(ended.is_whole for ended in lost)
+        assert {ended.tries for ended in lost} == {1}
+
+
+def _crashed(seed: int) -> list[int]:
+    """Returns the engines that crash in a run, in order."""
+    load = attrs.evolve(
+        _short_load(), length_s=0.5, crashes=(Crash(0.2, 0.2, 3),)
+    )
+    simulation = Play(load, seed)
+    found: list[int] = []
+    simulation._crash = found.append  # type: ignore[method-assign]
+    simulation.run()
+    return found
+
+
+def _lost(*, resumes: bool) -> list[RequestOutcome]:
+    """Returns the requests that engines had when they crashed."""
+    load = _short_load()
+    classes = tuple(attrs.evolve(k, resumes=resumes) for k in load.classes)
+    crashing = attrs.evolve(load, classes=classes, crashes=(Crash(3, 1, 3),))
+    return [ended for ended in play(crashing, 1).ended if ended.tries]
+
 
 class TestPlay:
     """Tests of whole simulated runs."""
