--- a/packages/bench/src/hollyknot_bench/experiment/tests/test_experiment.py
+++ b/packages/bench/src/hollyknot_bench/experiment/tests/test_experiment.py
@@ -176,7 +176,11 @@
     )
     simulation = Play(load, seed)
     found: list[int] = []
-    simulation._crash = found.append  # type: ignore[method-assign]
+
+    def note(number: int) -> None:
+        found.append(number)
+
+    simulation._crash = note  # type: ignore[method-assign]
     simulation.run()
     return found
 
