Judge late answers at the host; name customer and service in its lines

Lines of tries, refusals and cut-offs did not say whose request it was, nor whether an answer was late: operators could not tell who paid when room was short. The host judges each answer against its route's targets from the request's arrival, over all tries, and writes the first miss (late=first, gap, end) with the customer; ends have customer and service. A counter counts late answers by route and cause. Keys are added, none is renamed.

--- a/packages/gateway/src/hollyknot_gateway/_answers.py
+++ b/packages/gateway/src/hollyknot_gateway/_answers.py
@@ -67,7 +67,7 @@
             job.reply.respond(answer.status, answer.headers, answer.body)
             self._count(job.route.name, result.verdict, answer.status)
         else:
-            self.refuse(job.reply, job.call, step, job.route.name)
+            self.refuse(job.reply, job.call, step, job)
 
     def time_out(self, job: Job) -> None:
         """Answers a request whose deadline has passed."""
@@ -83,28 +83,31 @@
             self._cut_off(job, verdict)
             return
         status = _TIMEOUT if job.may_have_run else _UNAVAILABLE
-        self.refuse(
-            job.reply, job.call, GiveUp(status, verdict), job.route.name
-        )
+        self.refuse(job.reply, job.call, GiveUp(status, verdict), job)
 
     def caller_gone(self, job: Job) -> None:
         """Counts and logs a request whose caller has disconnected."""
         outcome = Outcome.MAY_HAVE_RUN if job.may_have_run else Outcome.NOT_RUN
         verdict = Verdict(outcome, Reason.CALLER_GONE)
         self._count(job.route.name, verdict, _NO_STATUS)
-        self._log_end(
-            "caller_gone", job.call, job.route.name, verdict, _NO_STATUS
-        )
+        self._log_end("caller_gone", job.call, job, verdict, _NO_STATUS)
 
     def _cut_off(self, job: Job, verdict: Verdict) -> None:
         job.reply.abort_answer()
         self._count(job.route.name, verdict, _NO_STATUS)
-        self._log_end("cut_off", job.call, job.route.name, verdict, _NO_STATUS)
+        self._log_end("cut_off", job.call, job, verdict, _NO_STATUS)
 
     def refuse(
-        self, reply: Reply, call: CallTraits, step: GiveUp, route: str
+        self, reply: Reply, call: CallTraits, step: GiveUp, job: Job | None
     ) -> None:
-        """Answers a request with a status that the host itself chooses."""
+        """Answers a request with a status that the host itself chooses.
+
+        Args:
+            reply: Writes the answer to the caller.
+            call: Values parsed from the request's headers.
+            step: The status and why the request is refused.
+            job: The request; None if it has no route or no customer.
+        """
         verdict = step.verdict
         headers = [(b"Content-Type", b"text/plain")]
         if call.attempt_id:
@@ -116,8 +119,9 @@
         reply.respond(
             step.status, headers, verdict.reason.value.encode() + b"\n"
         )
+        route = job.route.name if job is not None else NO_ROUTE
         self._count(route, verdict, step.status)
-        self._log_end("refused", call, route, verdict, step.status)
+        self._log_end("refused", call, job, verdict, step.status)
 
     def _retry_after_s(self, step: GiveUp) -> float:
         """Returns when the caller of a refused request is to come back."""
@@ -131,18 +135,20 @@
         self,
         event: str,
         call: CallTraits,
-        route: str,
+        job: Job | None,
         verdict: Verdict,
         status: int,
     ) -> None:
         self._parts.log.line(
             event,
             request=call.attempt_id,
-            route=route,
+            route=job.route.name if job is not None else NO_ROUTE,
             status=status,
             outcome=verdict.outcome.value,
             reason=verdict.reason.value,
             detail=verdict.detail,
+            customer=job.customer if job is not None else "",
+            service=job.service.name if job is not None else "",
         )
 
     def _count(self, route: str, verdict: Verdict, status: int) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -16,7 +16,7 @@
 )
 from hollyknot_coordination.suspects import Refuse
 from hollyknot_gateway import _metrics as metrics
-from hollyknot_gateway._answers import NO_ROUTE, Answers
+from hollyknot_gateway._answers import Answers
 from hollyknot_gateway._caller_connection import CallerRequest, Reply
 from hollyknot_gateway._exchange import Result
 from hollyknot_gateway._flow_parts import FlowParts
@@ -46,7 +46,7 @@
         call = self._parts.dialect.read_call(request.fields)
         job = self._admit(request, reply, call)
         if isinstance(job, GiveUp):
-            self._answers.refuse(reply, call, job, NO_ROUTE)
+            self._answers.refuse(reply, call, job, None)
             return
         try:
             async with asyncio.timeout_at(job.deadline_s):
--- a/packages/gateway/src/hollyknot_gateway/_job.py
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -8,6 +8,7 @@
 from hollyknot_coordination.forwarding import NoOwner
 from hollyknot_gateway._caller_connection import CallerRequest, Reply
 from hollyknot_gateway._exchange import StreamState
+from hollyknot_gateway._lateness import Late
 from hollyknot_state.routes import (
     CallTraits,
     KeyOwner,
@@ -47,6 +48,11 @@
             request was sent that it is shutting down.
         rest_left_s: Seconds that its rest still had to last at that time.
         permits_refused: Permits for rate-limited upstreams that were refused.
+        sent_s: Time at which the current try was sent, on the loop's clock.
+        is_resumed: Whether the current try goes on with a stream of which the
+            caller has received a part.
+        last_byte_s: Time of the last byte of all tries before the current one.
+        late: Why the answer is late so far.
     """
 
     request: CallerRequest
@@ -71,6 +77,15 @@
     was_leaving: bool = False
     rest_left_s: float = 0.0
     permits_refused: int = 0
+    sent_s: float = 0.0
+    is_resumed: bool = False
+    last_byte_s: float = 0.0
+    late: Late = Late.NO
+
+    @property
+    def customer(self) -> str:
+        """Name of the customer whose key the request has; empty if none."""
+        return self.owner.name if isinstance(self.owner, KeyOwner) else ""
 
     @property
     def is_least_urgent(self) -> bool:
--- a/packages/gateway/src/hollyknot_gateway/_metrics.py
+++ b/packages/gateway/src/hollyknot_gateway/_metrics.py
@@ -117,11 +117,13 @@
 ASKED_SECONDS = "hollyknot_asked_seconds"
 PERMITS = "hollyknot_permits_total"
 RETRIES = "hollyknot_retries_total"
+LATE = "hollyknot_late_requests_total"
 UNREADABLE = "hollyknot_unreadable_items_total"
 
 _HELP = {
     REQUESTS: "Requests by route, status and reason of their end.",
     UNREADABLE: "Items of the directory that could not be read, by source.",
+    LATE: "Complete answers after a target, by route and first cause.",
     RETRIES: "Retries by service, sent or denied by the budget.",
     PERMITS: "Permits asked for upstreams with a rate limit, by outcome.",
     TRIES: "Tries at upstreams by service, outcome and reason.",
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -13,13 +13,13 @@
 from hollyknot_gateway._flow_parts import FlowParts
 from hollyknot_gateway._headers import CONTENT_LENGTH, end_to_end, write_head
 from hollyknot_gateway._job import Job
+from hollyknot_gateway._lateness import Late, judge
 from hollyknot_gateway._pool import ConnectFailure
 from hollyknot_gateway._upstream_connection import UpstreamConnection
 from hollyknot_gateway._upstream_selector import UpstreamSelector
 from hollyknot_state import Outcome, Reason, Verdict
 from hollyknot_state.routes import (
     Dispatch,
-    KeyOwner,
     RouteKind,
     UpstreamEntry,
 )
@@ -105,6 +105,9 @@
                 raise
             finally:
                 parts.stalls.discard(exchange)
+            _judge(job, result)
+            if exchange.has_head:
+                job.last_byte_s = exchange.last_byte_s
             self._release(entry, connection)
             return result
         finally:
@@ -192,9 +195,11 @@
             lambda traits, sent_s: parts.notices.observe(entry, traits, sent_s),
         )
         data = self._request_bytes(job, choice)
+        job.sent_s = parts.clock()
+        job.is_resumed = job.reply.has_begun
         if not job.sent:
             parts.metrics.observe(
-                metrics.ADDED_SECONDS, parts.clock() - job.request.arrived_s
+                metrics.ADDED_SECONDS, job.sent_s - job.request.arrived_s
             )
         job.sent += 1
         job.was_leaving = parts.notices.is_leaving(entry)
@@ -216,11 +221,10 @@
     def _request_bytes(self, job: Job, choice: Choice) -> bytes:
         entry, source = choice.entry, choice.source
         request = job.request
-        owner = job.owner
         dispatch = Dispatch(
             upstream=entry.name,
             left_s=job.deadline_s - self._parts.clock(),
-            customer=owner.name if isinstance(owner, KeyOwner) else "",
+            customer=job.customer,
             urgency=job.urgency,
             last_event_id=job.stream.resumes_after,
             is_engine=job.service.engine is not None,
@@ -342,6 +346,8 @@
             limit=self._parts.notices.rate(choice.entry),
             leaving=job.was_leaving,
             rest_ms=_ms(job.rest_left_s),
+            customer=job.customer,
+            late=job.late.value,
         )
 
     def _observe_try(self, job: Job, result: Result) -> None:
@@ -353,6 +359,10 @@
             outcome=verdict.outcome.value,
             reason=verdict.reason.value,
         )
+        if verdict.is_complete and job.late is not Late.NO:
+            parts.metrics.count(
+                metrics.LATE, route=job.route.name, cause=job.late.value
+            )
         if result.first_s:
             parts.metrics.observe(
                 metrics.FIRST_EVENT_SECONDS,
@@ -379,5 +389,16 @@
             )
 
 
+def _judge(job: Job, result: Result) -> None:
+    """Notes on a job whether a try made its answer late."""
+    if job.late is not Late.NO:
+        return
+    pause_s = None
+    if job.is_resumed:
+        pause_s = job.sent_s + result.first_s - job.last_byte_s
+    waited_s = job.sent_s - job.request.arrived_s
+    job.late = judge(job.route, result, waited_s, pause_s)
+
+
 def _ms(seconds: float) -> float:
     return round(seconds * 1000, 1)
