Add hollyknotctl who-paid: whose requests were lost, and why

Reads hosts' lines and prints the loss by customer, route, data centre and cause, and the slowest engines. A request counts once, by its last line; what is unreadable or was left out is told.

--- a/packages/ctl/src/hollyknot_ctl/_explain_failure.py
+++ b/packages/ctl/src/hollyknot_ctl/_explain_failure.py
@@ -84,17 +84,28 @@
         return self.fields.get("host", "")
 
 
+def parse_line(text: str) -> Line | None:
+    """Parses a line of a host's log, whatever stands before its fields.
+
+    Returns:
+        The line, or None if the text has no readable time.
+    """
+    fields = {
+        name: value[1:-1] if value.startswith('"') else value
+        for name, value in _PAIR.findall(text)
+    }
+    try:
+        return Line(float(fields["at"]), fields)
+    except (KeyError, ValueError):
+        return None
+
+
 def read_lines(texts: Iterable[str]) -> Iterator[Line]:
     """Parses the lines of hosts' logs and skips any other text."""
     for text in texts:
-        fields = {
-            name: value[1:-1] if value.startswith('"') else value
-            for name, value in _PAIR.findall(text)
-        }
-        try:
-            yield Line(float(fields["at"]), fields)
-        except (KeyError, ValueError):
-            continue
+        line = parse_line(text)
+        if line is not None:
+            yield line
 
 
 def request_timeline(request: str, lines: Iterable[Line]) -> list[Line]:
--- a/packages/ctl/src/hollyknot_ctl/_main.py
+++ b/packages/ctl/src/hollyknot_ctl/_main.py
@@ -12,6 +12,7 @@
 from hollyknot_ctl._hash_key import hash_key
 from hollyknot_ctl._output import EXIT_BAD_INPUT, examples, fail
 from hollyknot_ctl._status import status
+from hollyknot_ctl._who_paid import who_paid
 
 
 @click.group(
@@ -34,6 +35,7 @@
     diff,
     explain_command,
     explain_failure,
+    who_paid,
     status,
     hash_key,
     completion,
