Refresh lane sizes at the sizer, tell them in reports, ask briefly

Cause: a sizer with few requests left its size as it was (23 of 45 engines for the first five seconds of a burst of long prompts); hosts without bytes to ask got no size and fell back to their own (68 of 90 hosts, second 14); a host of a high rank without samples followed nobody. Change: lanes are sized four times a second, sizes are part of reports, any fresh size of another host is used; streams of the loose lane ask two upstreams of it and none else while bytes are short.

--- a/packages/bench/src/hollyknot_bench/experiment/_play.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_play.py
@@ -55,6 +55,9 @@
 SHED_RETRY_JITTER = 0.5
 """By how much the wait before a shed request is retried varies either way."""
 
+SWEEP_S = 0.25
+"""Seconds between two sizings of a host's lanes."""
+
 DRAIN_S = 20.0
 """Time that a run goes on after sending ends, so that requests can end."""
 
@@ -135,6 +138,7 @@
                 end_s = limit.at_s + limit.for_s
                 self._call_at(end_s, self._set_rate_limit, number, None)
         self._begin_reports()
+        self._refresh_lanes()
         until_s = self._load.length_s + DRAIN_S
         self._clock.run(until_s)
         time_s = self._load.length_s * self._load.engines
@@ -163,6 +167,12 @@
         now_s = self._clock.now_s
         self._rate_limits.observe(name, rate, now_s, now_s)
 
+    def _refresh_lanes(self) -> None:
+        """Lets each host size its lanes again, as often as a real host does."""
+        for host in self._hosts:
+            host.placement.refresh_lanes(self._clock.now_s)
+        self._call_at(self._clock.now_s + SWEEP_S, self._refresh_lanes)
+
     def _begin_reports(self) -> None:
         if self._is_shared:
             return
--- a/packages/bench/src/hollyknot_bench/experiment/_reports.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_reports.py
@@ -93,6 +93,7 @@
             host.demand.to_report(now_s),
             held=host.cached.to_report(now_s),
             is_whole=is_whole,
+            lane_shares=host.lane_shares.to_tell(now_s, only_news=not is_whole),
         )
         self._size = len(encode_report(report))
         max_targets = self.rate.affordable(self._size, now_s)
@@ -103,6 +104,7 @@
     def take(self, report: UseReport, now_s: float) -> None:
         """Applies a report of a peer."""
         self.host.cached.apply_reported(report.held, now_s)
+        self.host.lane_shares.apply_told(report.lane_shares, now_s)
         self.peers.apply_use_report(report, now_s)
 
     def apply_fresh_reports(self, now_s: float) -> None:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lane_shares.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lane_shares.py
@@ -5,7 +5,7 @@
 and in the tight lane for others, and tight streams would meet long prompts
 there. So all hosts use the size that one of them computes, the sizer.
 
-The sizer is not elected. Answers between hosts carry the size that their sender
+The sizer is not elected. Answers and reports carry the size that their sender
 uses, with its age and the rank of the host that computed it. The size of the
 highest rank is used as long as it is fresh; a host that knows no fresh size of
 a higher rank computes its own. After the loss of the sizer, the host of the
@@ -19,7 +19,7 @@
 
 from hollyknot_state import LaneShare, short_name
 
-MAX_AGE_S = 3.0
+MAX_AGE_S = 2.0
 """Age in seconds above which a size is no longer used."""
 
 NEWS_S = 0.6
@@ -59,7 +59,7 @@
         known = self._known.get(short_name(service))
         if known is None or now_s - known.computed_s > MAX_AGE_S:
             return None
-        return known.share if known.rank > self._rank(service) else None
+        return known.share if known.rank != self._rank(service) else None
 
     def publish(self, service: str, share: float, now_s: float) -> None:
         """Records the share that this host computed as the sizer."""
@@ -90,7 +90,7 @@
     def to_tell(
         self, now_s: float, *, only_news: bool
     ) -> tuple[LaneShare, ...]:
-        """Returns the fresh shares that this host knows, for its answers.
+        """Returns the fresh shares that this host knows, to tell other hosts.
 
         Args:
             now_s: Current time in seconds.
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lanes.py
@@ -74,12 +74,18 @@
         self._shares = shares
         self._loose_count: dict[str, int] = {}
         self._sizes: dict[str, LaneSize] = {}
+        self._entries: dict[str, Sequence[UpstreamEntry]] = {}
 
     @property
     def sizes(self) -> Mapping[str, LaneSize]:
         """Sizes in use by service."""
         return self._sizes
 
+    def refresh(self, now_s: float) -> None:
+        """Sizes the lanes again, as a sizer without requests has to do too."""
+        for service, entries in self._entries.items():
+            self._size(service, entries, now_s)
+
     def of(
         self,
         service: str,
@@ -101,6 +107,7 @@
         count = len(entries)
         if count == 1:
             return entries
+        self._entries[service] = entries
         loose = self._size(service, entries, now_s).loose
         return entries[:loose] if is_loose else entries[loose:]
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_placement.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_placement.py
@@ -180,6 +180,10 @@
         """Sizes of the lanes in use, by service."""
         return self._lanes.sizes
 
+    def refresh_lanes(self, now_s: float) -> None:
+        """Sizes the lanes again; to be called several times a second."""
+        self._lanes.refresh(now_s)
+
     def choose(
         self,
         service: Service,
@@ -251,18 +255,19 @@
             excluded: Incarnations that must not be chosen.
             now_s: Current time in seconds.
             is_loose: Whether its stream tolerates long inter-token gaps.
-            is_brief: Whether to leave one out, since few bytes are left to ask.
+            is_brief: Whether to leave out the least useful, since few bytes are
+                left to ask: loose streams hardly ever leave their lane.
             limited: Incarnations under a rate limit, as for `choose`.
         """
         own_count = OWN_LANE_SHORTLIST - is_brief
         if service.engine is None or not call.prompt:
             usable = [c for c in candidates if c.incarnation not in excluded]
             return self._rng.sample(usable, min(own_count, len(usable)))
+        counts = {is_loose: own_count}
+        if not (is_brief and is_loose):
+            counts[not is_loose] = OTHER_LANE_SHORTLIST
         found: list[UpstreamEntry] = []
-        for loose, count in (
-            (is_loose, own_count),
-            (not is_loose, OTHER_LANE_SHORTLIST),
-        ):
+        for loose, count in counts.items():
             entries = [
                 entry
                 for entry in self._lane(
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_lane_shares.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_lane_shares.py
@@ -24,10 +24,13 @@
         self.shares = LaneShares(token)
         self.lanes = Lanes(self._demand, self.shares)
 
-    def loose_count(self, now_s: float) -> int:
-        # Each host's estimate differs, as its sample of hosts does.
+    def renew_samples(self, now_s: float) -> None:
         for host in range(MIN_HOSTS):
             self._demand.apply_answered(host, [self._told], now_s)
+
+    def loose_count(self, now_s: float) -> int:
+        # Each host's estimate differs, as its sample of hosts does.
+        self.renew_samples(now_s)
         return len(self.lanes.of("engines", POOL, now_s, is_loose=True))
 
 
@@ -114,6 +117,26 @@
         shares.apply_told([LaneShare(name, 200, top_rank - 1, 0)], 1.0)
         assert shares.from_others("engines", 1.0) == 0.5
 
+    def test_host_of_a_high_rank_without_samples_uses_what_it_is_told(
+        self,
+    ) -> None:
+        """Guards against a host that sizes lanes without knowing the demand."""
+        shares = LaneShares(1)
+        shares.apply_told([LaneShare(short_name("engines"), 500, 0, 0)], 0.0)
+        lanes = Lanes(Demand(), shares)
+        loose = lanes.of("engines", POOL, 0.0, is_loose=True)
+        assert len(loose) == len(POOL) // 2
+        assert lanes.sizes["engines"].is_told
+
+    def test_sizer_without_requests_goes_on(self) -> None:
+        """Guards against a size that is old since its sizer got no request."""
+        host = _Host(1, 50_000)
+        host.loose_count(0.0)
+        host.renew_samples(MAX_AGE_S)
+        host.lanes.refresh(MAX_AGE_S)
+        told = host.shares.to_tell(MAX_AGE_S + 0.1, only_news=False)
+        assert [share.age_ms for share in told] == [100]
+
     def test_host_without_samples_publishes_nothing(self) -> None:
         """Guards against a size that all use and that one host's load sets."""
         shares = LaneShares(1)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_shortlist.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_shortlist.py
@@ -51,10 +51,18 @@
         service: Service = ENGINES,
         pool: list[UpstreamEntry] = POOL,
         excluded: frozenset[str] = frozenset(),
+        *,
+        is_brief: bool = False,
     ) -> list[str]:
         """Returns the incarnations on the shortlist of a request."""
         found = self.placement.shortlist(
-            service, pool, request, excluded, 0.0, is_loose=True
+            service,
+            pool,
+            request,
+            excluded,
+            0.0,
+            is_loose=True,
+            is_brief=is_brief,
         )
         return [entry.incarnation for entry in found]
 
@@ -74,6 +82,11 @@
         }
         assert len(lists[0]) == OWN_LANE_SHORTLIST + OTHER_LANE_SHORTLIST
 
+    def test_brief_shortlist_leaves_out_the_least_useful(self) -> None:
+        """Guards against bytes that are spent before a burst ends."""
+        found = _Host(1).shortlist(LONG, is_brief=True)
+        assert found == _Host(1).shortlist(LONG)[: OWN_LANE_SHORTLIST - 1]
+
     def test_shortlist_is_random_where_little_is_shared(self) -> None:
         counts = Counter(
             name for seed in range(200) for name in _Host(seed).shortlist(SHORT)
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -211,8 +211,9 @@
             settings.bounds,
         )
         parts = self._flow_parts(ports.dialect)
+        self._placement = parts.placement
         self._placement_log = PlacementLog(
-            lambda: parts.placement.lane_sizes, self._slowness, self._log
+            lambda: self._placement.lane_sizes, self._slowness, self._log
         )
         flow = Flow(parts)
         self._callers = CallerServer(
@@ -462,6 +463,7 @@
             self._callers.sweep(self._clock())
             self._operator_servers.sweep(self._clock())
             self._pool.sweep()
+            self._placement.refresh_lanes(self._clock())
             self._placement_log.check()
 
     async def _probe_unreachable(self) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -345,6 +345,7 @@
             is_whole,
             self._directory_revisions.to_report(now_s, is_whole=is_whole),
             self._permits.to_report(now_s, is_all=is_whole),
+            shared.lane_shares.to_tell(now_s, only_news=not is_whole),
         )
 
     def _full_report(self, now_s: float) -> HostReport:
@@ -395,6 +396,7 @@
         if report.revisions is not None:
             self._directory_revisions.on_peer_read(report.revisions)
         if isinstance(report, UseReport):
+            self._shared.lane_shares.apply_told(report.lane_shares, now)
             self._peers.apply_use_report(report, now)
         elif self._peers.apply_report(report, now):
             self._log.line(
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -63,6 +63,13 @@
   4: optional IssuerClaim issuer
 }
 
+struct LaneShare {
+  1: i32 pool               // short name of the service
+  2: i32 permille
+  3: i32 rank
+  4: i32 age_ms
+}
+
 // A full report, which also identifies its host to unknown peers.
 struct HostReport {
   1: string host
@@ -92,9 +99,11 @@
   7: bool is_whole
   8: optional ReadRevisions revisions   // only if changed recently and is_whole
   9: list<NamedLimit> limits            // same condition as revisions
+  10: list<LaneShare> lane_shares
 }
 
-// The structs of upstreams and the three Load structs are documented in _load_messages.py.
+// The structs of upstreams and the Load structs are documented in
+// _load_messages.py.
 struct UpstreamPace {
   1: i32 upstream           // same as in UpstreamUse
   2: i32 interval_ms
@@ -105,13 +114,6 @@
   2: i32 token_ns
 }
 
-struct LaneShare {
-  1: i32 pool               // short name of the service
-  2: i32 permille
-  3: i32 rank
-  4: i32 age_ms
-}
-
 // CustomerWork and ServiceWork are documented in _customer_work.py.
 struct CustomerWork {
   1: i32 customer           // short name
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -834,6 +834,110 @@
         return not (self == other)
 
 
+class LaneShare(object):
+    """
+    Attributes:
+     - pool
+     - permille
+     - rank
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'pool',
+        'permille',
+        'rank',
+        'age_ms',
+    )
+
+
+    def __init__(self, pool=None, permille=None, rank=None, age_ms=None,):
+        self.pool = pool
+        self.permille = permille
+        self.rank = rank
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.pool = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.permille = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LaneShare')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.I32, 1)
+            oprot.writeI32(self.pool)
+            oprot.writeFieldEnd()
+        if self.permille is not None:
+            oprot.writeFieldBegin('permille', TType.I32, 2)
+            oprot.writeI32(self.permille)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 3)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HostReport(object):
     """
     Attributes:
@@ -1114,6 +1218,7 @@
      - is_whole
      - revisions
      - limits
+     - lane_shares
 
     """
 
@@ -1127,10 +1232,11 @@
         'is_whole',
         'revisions',
         'limits',
+        'lane_shares',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, uses=None, demands=None, suspects=None, held=None, is_whole=None, revisions=None, limits=None,):
+    def __init__(self, incarnation=None, sequence=None, uses=None, demands=None, suspects=None, held=None, is_whole=None, revisions=None, limits=None, lane_shares=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.uses = uses
@@ -1140,6 +1246,7 @@
         self.is_whole = is_whole
         self.revisions = revisions
         self.limits = limits
+        self.lane_shares = lane_shares
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1226,6 +1333,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.lane_shares = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = LaneShare()
+                        _elem84.read(iprot)
+                        self.lane_shares.append(_elem84)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1247,29 +1365,29 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter79 in self.uses:
-                iter79.write(oprot)
+            for iter85 in self.uses:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter80 in self.demands:
-                iter80.write(oprot)
+            for iter86 in self.demands:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter81 in self.suspects:
-                iter81.write(oprot)
+            for iter87 in self.suspects:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter82 in self.held:
-                iter82.write(oprot)
+            for iter88 in self.held:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_whole is not None:
@@ -1283,8 +1401,15 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter83 in self.limits:
-                iter83.write(oprot)
+            for iter89 in self.limits:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.lane_shares is not None:
+            oprot.writeFieldBegin('lane_shares', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.lane_shares))
+            for iter90 in self.lane_shares:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1472,110 +1597,6 @@
         return not (self == other)
 
 
-class LaneShare(object):
-    """
-    Attributes:
-     - pool
-     - permille
-     - rank
-     - age_ms
-
-    """
-
-    __slots__ = (
-        'pool',
-        'permille',
-        'rank',
-        'age_ms',
-    )
-
-
-    def __init__(self, pool=None, permille=None, rank=None, age_ms=None,):
-        self.pool = pool
-        self.permille = permille
-        self.rank = rank
-        self.age_ms = age_ms
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I32:
-                    self.pool = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I32:
-                    self.permille = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.rank = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I32:
-                    self.age_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('LaneShare')
-        if self.pool is not None:
-            oprot.writeFieldBegin('pool', TType.I32, 1)
-            oprot.writeI32(self.pool)
-            oprot.writeFieldEnd()
-        if self.permille is not None:
-            oprot.writeFieldBegin('permille', TType.I32, 2)
-            oprot.writeI32(self.permille)
-            oprot.writeFieldEnd()
-        if self.rank is not None:
-            oprot.writeFieldBegin('rank', TType.I32, 3)
-            oprot.writeI32(self.rank)
-            oprot.writeFieldEnd()
-        if self.age_ms is not None:
-            oprot.writeFieldBegin('age_ms', TType.I32, 4)
-            oprot.writeI32(self.age_ms)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class CustomerWork(object):
     """
     Attributes:
@@ -1707,11 +1728,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.heaviest = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = CustomerWork()
-                        _elem89.read(iprot)
-                        self.heaviest.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = CustomerWork()
+                        _elem96.read(iprot)
+                        self.heaviest.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1740,8 +1761,8 @@
         if self.heaviest is not None:
             oprot.writeFieldBegin('heaviest', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.heaviest))
-            for iter90 in self.heaviest:
-                iter90.write(oprot)
+            for iter97 in self.heaviest:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1821,44 +1842,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = UpstreamUse()
-                        _elem96.read(iprot)
-                        self.uses.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = UpstreamUse()
+                        _elem103.read(iprot)
+                        self.uses.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = HeldRun()
-                        _elem102.read(iprot)
-                        self.held.append(_elem102)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = HeldRun()
+                        _elem109.read(iprot)
+                        self.held.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = UpstreamPace()
-                        _elem108.read(iprot)
-                        self.paces.append(_elem108)
+                    (_etype113, _size110) = iprot.readListBegin()
+                    for _i114 in range(_size110):
+                        _elem115 = UpstreamPace()
+                        _elem115.read(iprot)
+                        self.paces.append(_elem115)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.speeds = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = UpstreamSpeed()
-                        _elem114.read(iprot)
-                        self.speeds.append(_elem114)
+                    (_etype119, _size116) = iprot.readListBegin()
+                    for _i120 in range(_size116):
+                        _elem121 = UpstreamSpeed()
+                        _elem121.read(iprot)
+                        self.speeds.append(_elem121)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1883,29 +1904,29 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter115 in self.uses:
-                iter115.write(oprot)
+            for iter122 in self.uses:
+                iter122.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter116 in self.held:
-                iter116.write(oprot)
+            for iter123 in self.held:
+                iter123.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter117 in self.paces:
-                iter117.write(oprot)
+            for iter124 in self.paces:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter118 in self.speeds:
-                iter118.write(oprot)
+            for iter125 in self.speeds:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1982,20 +2003,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = iprot.readI32()
-                        self.upstreams.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readI32()
+                        self.upstreams.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = iprot.readI32()
-                        self.runs.append(_elem130)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = iprot.readI32()
+                        self.runs.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2025,15 +2046,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.upstreams))
-            for iter131 in self.upstreams:
-                oprot.writeI32(iter131)
+            for iter138 in self.upstreams:
+                oprot.writeI32(iter138)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.runs))
-            for iter132 in self.runs:
-                oprot.writeI32(iter132)
+            for iter139 in self.runs:
+                oprot.writeI32(iter139)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wants_demands is not None:
@@ -2118,77 +2139,77 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = UpstreamUse()
-                        _elem138.read(iprot)
-                        self.uses.append(_elem138)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = UpstreamUse()
+                        _elem145.read(iprot)
+                        self.uses.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = HeldRun()
-                        _elem144.read(iprot)
-                        self.held.append(_elem144)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = HeldRun()
+                        _elem151.read(iprot)
+                        self.held.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype148, _size145) = iprot.readListBegin()
-                    for _i149 in range(_size145):
-                        _elem150 = UpstreamPace()
-                        _elem150.read(iprot)
-                        self.paces.append(_elem150)
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = UpstreamPace()
+                        _elem157.read(iprot)
+                        self.paces.append(_elem157)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype154, _size151) = iprot.readListBegin()
-                    for _i155 in range(_size151):
-                        _elem156 = LaneDemand()
-                        _elem156.read(iprot)
-                        self.demands.append(_elem156)
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = LaneDemand()
+                        _elem163.read(iprot)
+                        self.demands.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.speeds = []
-                    (_etype160, _size157) = iprot.readListBegin()
-                    for _i161 in range(_size157):
-                        _elem162 = UpstreamSpeed()
-                        _elem162.read(iprot)
-                        self.speeds.append(_elem162)
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = UpstreamSpeed()
+                        _elem169.read(iprot)
+                        self.speeds.append(_elem169)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.lane_shares = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = LaneShare()
-                        _elem168.read(iprot)
-                        self.lane_shares.append(_elem168)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = LaneShare()
+                        _elem175.read(iprot)
+                        self.lane_shares.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype172, _size169) = iprot.readListBegin()
-                    for _i173 in range(_size169):
-                        _elem174 = ServiceWork()
-                        _elem174.read(iprot)
-                        self.work.append(_elem174)
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = ServiceWork()
+                        _elem181.read(iprot)
+                        self.work.append(_elem181)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2209,50 +2230,50 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter175 in self.uses:
-                iter175.write(oprot)
+            for iter182 in self.uses:
+                iter182.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter176 in self.held:
-                iter176.write(oprot)
+            for iter183 in self.held:
+                iter183.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter177 in self.paces:
-                iter177.write(oprot)
+            for iter184 in self.paces:
+                iter184.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter178 in self.demands:
-                iter178.write(oprot)
+            for iter185 in self.demands:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter179 in self.speeds:
-                iter179.write(oprot)
+            for iter186 in self.speeds:
+                iter186.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lane_shares is not None:
             oprot.writeFieldBegin('lane_shares', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.lane_shares))
-            for iter180 in self.lane_shares:
-                iter180.write(oprot)
+            for iter187 in self.lane_shares:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter181 in self.work:
-                iter181.write(oprot)
+            for iter188 in self.work:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2307,11 +2328,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = SuspectRecord()
-                        _elem187.read(iprot)
-                        self.suspects.append(_elem187)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = SuspectRecord()
+                        _elem194.read(iprot)
+                        self.suspects.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2328,8 +2349,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter188 in self.suspects:
-                iter188.write(oprot)
+            for iter195 in self.suspects:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2652,6 +2673,14 @@
     (3, TType.DOUBLE, 'rate', None, None, ),  # 3
     (4, TType.STRUCT, 'issuer', [IssuerClaim, None], None, ),  # 4
 )
+all_structs.append(LaneShare)
+LaneShare.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'pool', None, None, ),  # 1
+    (2, TType.I32, 'permille', None, None, ),  # 2
+    (3, TType.I32, 'rank', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
 all_structs.append(HostReport)
 HostReport.thrift_spec = (
     None,  # 0
@@ -2683,6 +2712,7 @@
     (7, TType.BOOL, 'is_whole', None, None, ),  # 7
     (8, TType.STRUCT, 'revisions', [ReadRevisions, None], None, ),  # 8
     (9, TType.LIST, 'limits', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 9
+    (10, TType.LIST, 'lane_shares', (TType.STRUCT, [LaneShare, None], False), None, ),  # 10
 )
 all_structs.append(UpstreamPace)
 UpstreamPace.thrift_spec = (
@@ -2696,14 +2726,6 @@
     (1, TType.I32, 'upstream', None, None, ),  # 1
     (2, TType.I32, 'token_ns', None, None, ),  # 2
 )
-all_structs.append(LaneShare)
-LaneShare.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'pool', None, None, ),  # 1
-    (2, TType.I32, 'permille', None, None, ),  # 2
-    (3, TType.I32, 'rank', None, None, ),  # 3
-    (4, TType.I32, 'age_ms', None, None, ),  # 4
-)
 all_structs.append(CustomerWork)
 CustomerWork.thrift_spec = (
     None,  # 0
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -53,6 +53,7 @@
     HeldRun,
     HostReport,
     LaneDemand,
+    LaneShare,
     ReadRevisions,
     UpstreamUse,
     UseReport,
@@ -66,7 +67,6 @@
     PermitQuery,
 )
 from hollyknot_state._load_messages import (
-    LaneShare,
     LoadAnswer,
     LoadNote,
     LoadQuery,
--- a/packages/state/src/hollyknot_state/_host_report.py
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -136,6 +136,23 @@
     limits: tuple[NamedLimit, ...] = ()
 
 
+@attrs.frozen
+class LaneShare:
+    """The share of a service's upstreams that the loose lane gets.
+
+    Attributes:
+        pool: Short name of the service; `service` is a reserved word of thrift.
+        permille: The share in thousandths.
+        rank: Rank of the host that computed it; the highest one counts.
+        age_ms: Milliseconds since it was computed.
+    """
+
+    pool: int
+    permille: int
+    rank: int
+    age_ms: int
+
+
 @attrs.frozen
 class UseReport:
     """The frequently changing part of a report, for peers that know the rest.
@@ -151,6 +168,7 @@
             otherwise it covers only those with prompts that wait for prefill.
         revisions: Same as in a full report; None where they have not changed.
         limits: Rate limits that have changed.
+        lane_shares: Shares of the loose lanes, as the sender uses them.
     """
 
     incarnation: int
@@ -162,3 +180,4 @@
     is_whole: bool = True
     revisions: ReadRevisions | None = None
     limits: tuple[NamedLimit, ...] = ()
+    lane_shares: tuple[LaneShare, ...] = ()
--- a/packages/state/src/hollyknot_state/_load_messages.py
+++ b/packages/state/src/hollyknot_state/_load_messages.py
@@ -7,7 +7,12 @@
 import attrs
 
 from hollyknot_state._customer_work import ServiceWork
-from hollyknot_state._host_report import HeldRun, LaneDemand, UpstreamUse
+from hollyknot_state._host_report import (
+    HeldRun,
+    LaneDemand,
+    LaneShare,
+    UpstreamUse,
+)
 
 
 @attrs.frozen
@@ -36,23 +41,6 @@
     token_ns: int
 
 
-@attrs.frozen
-class LaneShare:
-    """The share of a service's upstreams that the loose lane gets.
-
-    Attributes:
-        pool: Short name of the service; `service` is a reserved word of thrift.
-        permille: The share in thousandths.
-        rank: Rank of the host that computed it; the highest one counts.
-        age_ms: Milliseconds since it was computed.
-    """
-
-    pool: int
-    permille: int
-    rank: int
-    age_ms: int
-
-
 @attrs.frozen
 class LoadNote:
     """A host's own work at upstreams that the receiver tracks.
