Let only hosts with enough samples size lanes; complete a test's fake

Cause: the first sizer of a trial had eight samples of hosts that had just started and then too few to go on, so that its half and half stood for four seconds of the burst. Change: twelve samples, and a size is used for 1.2 s; the fake names service and customer.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_demand_samples.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_demand_samples.py
@@ -9,7 +9,7 @@
 FRESH_S = 2.0
 """Seconds for which the demand that a host told counts."""
 
-MIN_HOSTS = 8
+MIN_HOSTS = 12
 """Hosts with a fresh answer from which their mean stands for all hosts. One
 host may have twice the demand of another."""
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lane_shares.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lane_shares.py
@@ -19,7 +19,7 @@
 
 from hollyknot_state import LaneShare, short_name
 
-MAX_AGE_S = 2.0
+MAX_AGE_S = 1.2
 """Age in seconds above which a size is no longer used."""
 
 NEWS_S = 0.6
--- a/packages/gateway/src/hollyknot_gateway/tests/test_answers.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_answers.py
@@ -51,6 +51,8 @@
             reply=reply,
             may_have_run=True,
             route=SimpleNamespace(name="r"),
+            service=SimpleNamespace(name="s"),
+            customer="c",
             call=SimpleNamespace(attempt_id="a"),
         )
         _answers(statuses).time_out(cast(Any, job))
