Answer each scrape of the metrics, not only the first

Cause: collectors without a registry of their own were also put into the library's default one, which refuses a second collector of a name: the second scrape of a host raised ValueError. Change: collectors get the registry of the scrape. Result: the new test fails before (ValueError) and passes after.

--- a/packages/gateway/src/hollyknot_gateway/_metrics.py
+++ b/packages/gateway/src/hollyknot_gateway/_metrics.py
@@ -80,12 +80,14 @@
         collectors: dict[str, CounterCollector] = {}
         for (name, labels), value in self._values().items():
             if name not in collectors:
-                collectors[name] = CounterCollector(name, _HELP.get(name, name))
-                registry.register(collectors[name])
+                # Without a registry the collector would be registered with the
+                # default one, which refuses it at the next scrape.
+                collectors[name] = CounterCollector(
+                    name, _HELP.get(name, name), registry=registry
+                )
             collectors[name].set(dict(labels), value)
         for name, read in self._gauges.items():
-            gauge = Gauge(name, _HELP.get(name, name))
-            registry.register(gauge)
+            gauge = Gauge(name, _HELP.get(name, name), registry=registry)
             gauge.set({}, read())
         content, _ = render(registry, [])
         return bytes(content)
--- a/packages/gateway/src/hollyknot_gateway/tests/test_metrics.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_metrics.py
@@ -28,3 +28,14 @@
             f'{FIRST_EVENT_SECONDS}_bucket{{le="+Inf",route="r1"}} 2' in buckets
         )
         assert f'{FIRST_EVENT_SECONDS}_count{{route="r1"}} 2' in lines
+
+    def test_renders_again_what_has_been_counted_since(self) -> None:
+        """Guards against a host that answers only its first scrape."""
+        metrics = Metrics()
+        metrics.gauge("hollyknot_ready", lambda: 1.0)
+        metrics.count(REQUESTS, route="r1", status="200")
+        metrics.render()
+        metrics.count(REQUESTS, route="r1", status="200")
+        lines = metrics.render().decode().splitlines()
+        assert 'hollyknot_requests_total{route="r1",status="200"} 2' in lines
+        assert "hollyknot_ready 1.0" in lines
