Keep an old lane size until a host that knows the demand takes over

Change: a size older than one second lets a host with samples take over; the others use it for up to four seconds.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lane_shares.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lane_shares.py
@@ -6,10 +6,10 @@
 there. So all hosts use the size that one of them computes, the sizer.
 
 The sizer is not elected. Answers and reports carry the size that their sender
-uses, with its age and the rank of the host that computed it. The size of the
-highest rank is used as long as it is fresh; a host that knows no fresh size of
-a higher rank computes its own. After the loss of the sizer, the host of the
-highest rank among the others takes over once its last size is old.
+uses, with its age and the rank of the host that computed it. Of fresh sizes the
+one of the highest rank counts. A host that knows the demand and no fresh size
+of another host computes its own, so another one takes over from a sizer that is
+lost.
 """
 
 import zlib
@@ -19,8 +19,14 @@
 
 from hollyknot_state import LaneShare, short_name
 
-MAX_AGE_S = 1.2
-"""Age in seconds above which a size is no longer used."""
+FRESH_S = 1.0
+"""Age in seconds up to which a size shows that its sizer goes on. A sizer
+computes one four times a second."""
+
+MAX_AGE_S = 4.0
+"""Age in seconds above which a size is no longer used. Between the two ages a
+host that knows the demand takes over; all others use the old size, since an
+older size is better than one that differs from host to host."""
 
 NEWS_S = 0.6
 """Seconds for which a changed size is part of each answer, until it has reached
@@ -50,14 +56,22 @@
         self._known: dict[int, _Known] = {}
         self._ranks: dict[str, int] = {}
 
-    def from_others(self, service: str, now_s: float) -> float | None:
+    def from_others(
+        self, service: str, now_s: float, *, can_size: bool
+    ) -> float | None:
         """Returns the share that this host has to use.
 
+        Args:
+            service: Name of the service.
+            now_s: Current time in seconds.
+            can_size: Whether this host knows the demand of all hosts.
+
         Returns:
             A share from 0 to 1; None if this host is the sizer.
         """
+        max_age_s = FRESH_S if can_size else MAX_AGE_S
         known = self._known.get(short_name(service))
-        if known is None or now_s - known.computed_s > MAX_AGE_S:
+        if known is None or now_s - known.computed_s > max_age_s:
             return None
         return known.share if known.rank != self._rank(service) else None
 
@@ -82,8 +96,7 @@
         """Whether this host knows no fresh share that another one computed."""
         own = {short_name(name): rank for name, rank in self._ranks.items()}
         return not any(
-            now_s - known.computed_s <= MAX_AGE_S
-            and known.rank != own.get(name)
+            now_s - known.computed_s <= FRESH_S and known.rank != own.get(name)
             for name, known in self._known.items()
         )
 
@@ -124,7 +137,8 @@
 
 def _replaces(found: _Known, known: _Known, now_s: float) -> bool:
     """Whether a share that was told replaces the known one."""
-    if now_s - known.computed_s > MAX_AGE_S:
+    is_stale = now_s - known.computed_s > FRESH_S
+    if is_stale and found.computed_s > known.computed_s:
         return True
     if found.rank != known.rank:
         return found.rank > known.rank
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lanes.py
@@ -115,7 +115,8 @@
         self, service: str, entries: Sequence[UpstreamEntry], now_s: float
     ) -> LaneSize:
         count = len(entries)
-        share = self._shares.from_others(service, now_s)
+        can_size = self._demand.is_sampled(now_s)
+        share = self._shares.from_others(service, now_s, can_size=can_size)
         if share is None:
             loose = self._own_size(service, entries, now_s)
         else:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_lane_shares.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_lane_shares.py
@@ -6,7 +6,10 @@
 from hollyknot_coordination.forwarding.placement._demand_samples import (
     MIN_HOSTS,
 )
-from hollyknot_coordination.forwarding.placement._lane_shares import MAX_AGE_S
+from hollyknot_coordination.forwarding.placement._lane_shares import (
+    FRESH_S,
+    MAX_AGE_S,
+)
 from hollyknot_coordination.forwarding.tests._builders import upstream
 from hollyknot_state import LaneDemand, LaneShare, short_name
 
@@ -28,6 +31,10 @@
         for host in range(MIN_HOSTS):
             self._demand.apply_answered(host, [self._told], now_s)
 
+    def is_sizer(self, now_s: float) -> bool:
+        told = self.shares.from_others("engines", now_s, can_size=True)
+        return told is None
+
     def loose_count(self, now_s: float) -> int:
         # Each host's estimate differs, as its sample of hosts does.
         self.renew_samples(now_s)
@@ -71,19 +78,11 @@
         hosts = _fleet(20)
         rng = random.Random(1)
         _play(hosts, rng, range(20))
-        sizer = next(
-            host
-            for host in hosts
-            if host.shares.from_others("engines", 1.0) is None
-        )
+        sizer = next(host for host in hosts if host.is_sizer(1.0))
         hosts.remove(sizer)
         last = int((1.0 + MAX_AGE_S) / ROUND_S) + 30
         assert len(_play(hosts, rng, range(20, last))) == 1
-        sizers = [
-            host
-            for host in hosts
-            if host.shares.from_others("engines", last * ROUND_S) is None
-        ]
+        sizers = [host for host in hosts if host.is_sizer(last * ROUND_S)]
         assert len(sizers) == 1
 
     def test_both_sides_of_a_partition_have_a_sizer(self) -> None:
@@ -94,10 +93,7 @@
         last = int((1.0 + MAX_AGE_S) / ROUND_S) + 30
         for side in (hosts[:10], hosts[10:]):
             assert len(_play(side, rng, range(20, last))) == 1
-            is_told = [
-                host.shares.from_others("engines", last * ROUND_S) is not None
-                for host in side
-            ]
+            is_told = [not host.is_sizer(last * ROUND_S) for host in side]
             assert is_told.count(False) == 1
 
     def test_old_share_is_not_used(self) -> None:
@@ -105,8 +101,22 @@
         name = short_name("engines")
         top_rank = 2**31 - 1
         shares.apply_told([LaneShare(name, 500, top_rank, 0)], 0.0)
-        assert shares.from_others("engines", MAX_AGE_S) == 0.5
-        assert shares.from_others("engines", MAX_AGE_S + 0.1) is None
+        assert shares.from_others("engines", MAX_AGE_S, can_size=False) == 0.5
+        assert not shares.from_others(
+            "engines", MAX_AGE_S + 0.1, can_size=False
+        )
+
+    def test_host_that_knows_the_demand_takes_over_from_an_old_share(
+        self,
+    ) -> None:
+        """Guards against lanes of the load before the sizer was lost."""
+        shares = LaneShares(1)
+        name = short_name("engines")
+        shares.apply_told([LaneShare(name, 500, 2**31 - 1, 0)], 0.0)
+        later_s = FRESH_S + 0.1
+        assert shares.from_others("engines", FRESH_S, can_size=True) == 0.5
+        assert shares.from_others("engines", later_s, can_size=True) is None
+        assert shares.from_others("engines", later_s, can_size=False) == 0.5
 
     def test_older_or_lower_share_replaces_none(self) -> None:
         shares = LaneShares(1)
@@ -115,7 +125,7 @@
         shares.apply_told([LaneShare(name, 500, top_rank, 100)], 1.0)
         shares.apply_told([LaneShare(name, 300, top_rank, 200)], 1.0)
         shares.apply_told([LaneShare(name, 200, top_rank - 1, 0)], 1.0)
-        assert shares.from_others("engines", 1.0) == 0.5
+        assert shares.from_others("engines", 1.0, can_size=True) == 0.5
 
     def test_host_of_a_high_rank_without_samples_uses_what_it_is_told(
         self,
