--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lanes.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lanes.py
@@ -83,6 +83,8 @@
 
     def refresh(self, now_s: float) -> None:
         """Sizes the lanes again, as a sizer without requests has to do too."""
+        if not self._demand.is_sampled(now_s):
+            return
         for service, entries in self._entries.items():
             self._size(service, entries, now_s)
 
