Let the sizer ask beyond its bytes

Change: the host whose sizes are in use asks whatever level its bytes have; it is one host, and still bounded by its requests.

--- a/packages/bench/src/hollyknot_bench/experiment/_host_network.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_host_network.py
@@ -14,6 +14,7 @@
     ANSWER_TIMEOUT_S,
     MIN_INTERVAL_TO_QUERY_S,
     RENEW_S,
+    SIZER_RESERVE,
     Inquiries,
     Inquiry,
 )
@@ -67,8 +68,11 @@
         budget allows a query beyond what is left to others.
         """
         reporter = self.reporters[number]
+        now_s = self._clock.now_s
         is_old = reporter.peers.interval_s >= MIN_INTERVAL_TO_QUERY_S
-        return is_old and reporter.rate.may_query(self._clock.now_s, reserve)
+        if reporter.host.lane_shares.is_publishing(now_s):
+            reserve = SIZER_RESERVE
+        return is_old and reporter.rate.may_query(now_s, reserve)
 
     def ask(
         self,
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/__init__.py
@@ -7,6 +7,7 @@
     MIN_INTERVAL_TO_NOTE_S,
     MIN_INTERVAL_TO_QUERY_S,
     PLAIN_RESERVE,
+    SIZER_RESERVE,
     Inquiries,
     Inquiry,
 )
@@ -27,6 +28,7 @@
     "MIN_INTERVAL_TO_NOTE_S",
     "MIN_INTERVAL_TO_QUERY_S",
     "PLAIN_RESERVE",
+    "SIZER_RESERVE",
     "Peers",
     "RENEW_S",
     "ReportRate",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
@@ -51,6 +51,10 @@
 """Fraction of the bytes for queries that requests without a prompt leave to the
 others: any upstream of a plain service takes about as long as the next."""
 
+SIZER_RESERVE = -1.0
+"""The same of the host that sizes the lanes for all: it needs answers most when
+all hosts have spent their bytes, and it is one host."""
+
 BRIEF_RESERVE = 0.5
 """Fraction of the bytes for queries below which requests ask about fewer
 upstreams: two fresh loads are worth more than none for some requests."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_report_rate.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_report_rate.py
@@ -96,7 +96,8 @@
         Args:
             now_s: Current time, in seconds.
             reserve: Fraction of the capacity for queries that is left to
-                others, from 0 to 1.
+                others, up to 1. If it is negative, more than the bytes saved
+                up may be spent.
         """
         self._fill(now_s, self._report_capacity)
         return self._queries.level > reserve * self._queries.capacity
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lane_shares.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lane_shares.py
@@ -100,6 +100,14 @@
             for name, known in self._known.items()
         )
 
+    def is_publishing(self, now_s: float) -> bool:
+        """Whether this host sizes lanes that others use now."""
+        return any(
+            now_s - known.computed_s <= FRESH_S
+            and known.rank in self._ranks.values()
+            for known in self._known.values()
+        )
+
     def to_tell(
         self, now_s: float, *, only_news: bool
     ) -> tuple[LaneShare, ...]:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_lane_shares.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_lane_shares.py
@@ -96,6 +96,14 @@
             is_told = [not host.is_sizer(last * ROUND_S) for host in side]
             assert is_told.count(False) == 1
 
+    def test_only_a_sizer_publishes(self) -> None:
+        shares = LaneShares(1)
+        shares.apply_told([LaneShare(short_name("engines"), 500, 0, 0)], 0.0)
+        assert not shares.is_publishing(0.0)
+        shares.publish("engines", 0.5, 0.0)
+        assert shares.is_publishing(FRESH_S)
+        assert not shares.is_publishing(FRESH_S + 0.1)
+
     def test_old_share_is_not_used(self) -> None:
         shares = LaneShares(1)
         name = short_name("engines")
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -9,6 +9,7 @@
 from hollyknot_coordination.forwarding import (
     MIN_INTERVAL_TO_NOTE_S,
     MIN_INTERVAL_TO_QUERY_S,
+    SIZER_RESERVE,
     CachedParts,
     CustomerShares,
     Demand,
@@ -227,8 +228,12 @@
         Args:
             reserve: Fraction of that budget to leave to other requests.
         """
-        is_old = self._peers.interval_s >= MIN_INTERVAL_TO_QUERY_S
-        return is_old and self._rate.may_query(self._clock(), reserve)
+        if self._peers.interval_s < MIN_INTERVAL_TO_QUERY_S:
+            return False
+        now_s = self._clock()
+        if self._shared.lane_shares.is_publishing(now_s):
+            reserve = SIZER_RESERVE
+        return self._rate.may_query(now_s, reserve)
 
     @property
     def count(self) -> int:
--- a/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
@@ -218,3 +218,12 @@
         assert parts.neighbours.should_query_trackers(0.0)
         parts.neighbours._rate.spend_on_queries(1_000_000)
         assert not parts.neighbours.should_query_trackers(0.0)
+
+    def test_sizer_queries_beyond_its_byte_budget(self) -> None:
+        """Guards against lanes that nobody sizes in a burst."""
+        parts = _HostParts()
+        parts.receive_reports(until_s=30.0, every_s=2.0)
+        parts.neighbours._rate.spend_on_queries(1_000_000)
+        shares = parts.neighbours._shared.lane_shares
+        shares.publish("engines", 0.5, parts.now_s)
+        assert parts.neighbours.should_query_trackers(0.5)
