Split the gauges off the host

No change of behaviour: gauges are read in a module of their own, and the slowness of upstreams beside the log that writes it.

--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -43,12 +43,16 @@
 )
 from hollyknot_gateway._flow import Flow
 from hollyknot_gateway._flow_parts import FlowParts
+from hollyknot_gateway._gauges import GaugeSources, add_gauges
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._loss_classifier import LossClassifier
 from hollyknot_gateway._metrics import Metrics
 from hollyknot_gateway._neighbours import Neighbours, SharedState
 from hollyknot_gateway._operator_servers import OperatorServers
-from hollyknot_gateway._placement_log import PlacementLog
+from hollyknot_gateway._placement_log import (
+    PlacementLog,
+    slowness_reader,
+)
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._ports import Dialect, Source
 from hollyknot_gateway._prober import Prober
@@ -213,7 +217,9 @@
         parts = self._flow_parts(ports.dialect)
         self._placement = parts.placement
         self._placement_log = PlacementLog(
-            lambda: self._placement.lane_sizes, self._slowness, self._log
+            lambda: self._placement.lane_sizes,
+            slowness_reader(self._routing_state, self._speeds, clock),
+            self._log,
         )
         flow = Flow(parts)
         self._callers = CallerServer(
@@ -222,7 +228,23 @@
         self._operator_servers = OperatorServers(
             lambda: self.is_ready, self._metrics, self._on_unreadable_request
         )
-        self._add_gauges()
+        add_gauges(
+            self._metrics,
+            GaugeSources(
+                is_ready=lambda: self.is_ready,
+                table_version=lambda: self.table_version,
+                upstreams=lambda: self.upstreams,
+                resting=lambda: self._rests.resting(self._clock()),
+                directory=self._directory,
+                named_limits=self._named_limits,
+                placement_log=self._placement_log,
+                neighbours=self._neighbours,
+                size=self._size,
+                callers=self._callers,
+                pool=self._pool,
+                log=self._log,
+            ),
+        )
         self._is_stopping = False
         self._suspension = Suspension()
         self._stack = contextlib.AsyncExitStack()
@@ -410,51 +432,6 @@
             reason="unread",
         )
 
-    def _add_gauges(self) -> None:
-        gauge = self._metrics.gauge
-        gauge("hollyknot_ready", lambda: float(self.is_ready))
-        gauge("hollyknot_routes_version", lambda: float(self.table_version))
-        gauge("hollyknot_upstreams_usable", lambda: float(len(self.upstreams)))
-        gauge(
-            "hollyknot_directory_era",
-            lambda: float(self._directory.read.upstreams_era),
-        )
-        gauge(
-            "hollyknot_directory_revision",
-            lambda: float(self._directory.read.upstreams),
-        )
-        gauge(
-            "hollyknot_upstreams_limited",
-            lambda: float(self.limited_upstreams),
-        )
-        gauge(
-            "hollyknot_upstreams_resting",
-            lambda: float(len(self._rests.resting(self._clock()))),
-        )
-        gauge(
-            "hollyknot_upstreams_slow",
-            lambda: float(self._placement_log.slow_count),
-        )
-        gauge(
-            "hollyknot_lanes_sized_here",
-            lambda: float(self._placement_log.own_sizes),
-        )
-        gauge("hollyknot_peers_heard", lambda: float(self._neighbours.count))
-        gauge("hollyknot_hosts_counted", lambda: float(self._size.hosts))
-        gauge(
-            "hollyknot_requests_in_work", lambda: float(self._callers.in_work)
-        )
-        gauge(
-            "hollyknot_caller_connections",
-            lambda: float(self._callers.connections),
-        )
-        gauge(
-            "hollyknot_upstream_connections_opened",
-            lambda: float(self._pool.opened),
-        )
-        gauge("hollyknot_log_lines_waiting", lambda: float(self._log.waiting))
-        gauge("hollyknot_log_lines_dropped", lambda: float(self._log.dropped))
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
@@ -473,17 +450,6 @@
             self._prober.check_all(self._reachability.due(self._clock()))
             self._suspects.expire(self._clock())
 
-    def _slowness(self) -> dict[str, float]:
-        """Returns the slowness of upstreams by incarnation."""
-        now_s = self._clock()
-        registry = self._routing_state.registry
-        index = self._routing_state.index
-        found: dict[str, float] = {}
-        for service in index.table.services if index is not None else ():
-            entries = registry.usable(service, now_s)
-            found |= self._speeds.slowness(entries, now_s)
-        return found
-
     def _on_peer_read(self, read: ReadRevisions) -> None:
         self._directory.on_peer_read(read)
 
--- a/packages/gateway/src/hollyknot_gateway/_placement_log.py
+++ b/packages/gateway/src/hollyknot_gateway/_placement_log.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable, Mapping
 
-from hollyknot_coordination.forwarding import LaneSize
+from hollyknot_coordination.forwarding import LaneSize, Speeds
 from hollyknot_gateway._log import Log
+from hollyknot_gateway._routing_state import RoutingState
 
 SLOW_FROM = 2.0
 """Slowness from which an upstream counts as slow."""
@@ -79,3 +80,26 @@
         for name in sorted(self._slow - slow):
             self._log.line("upstream_usual", upstream=name)
         self._slow = slow
+
+
+def slowness_reader(
+    in_force: RoutingState, speeds: Speeds, clock: Callable[[], float]
+) -> Callable[[], Mapping[str, float]]:
+    """Returns a function that returns the slowness of all usable upstreams.
+
+    Args:
+        in_force: Current routes and upstreams.
+        speeds: Speeds of upstreams.
+        clock: The loop's monotonic clock, in seconds.
+    """
+
+    def read() -> dict[str, float]:
+        now_s = clock()
+        index = in_force.index
+        found: dict[str, float] = {}
+        for service in index.table.services if index is not None else ():
+            entries = in_force.registry.usable(service, now_s)
+            found |= speeds.slowness(entries, now_s)
+        return found
+
+    return read
