Ignore relayed sizes of a lost sizer, and sizes that cannot be true

Cause: read in review: a size of a high rank that was older than a second replaced a fresh one of a lower rank, so relays brought back a lost sizer's; a negative age would have made a size fresh for good; services once named by any process were kept. Change: ranks decide among fresh sizes only, ages and shares are checked, old services are dropped.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lane_shares.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/_lane_shares.py
@@ -84,6 +84,8 @@
     def apply_told(self, told: Iterable[LaneShare], now_s: float) -> None:
         """Records the shares that another host uses."""
         for share in told:
+            if not _is_sound(share):
+                continue
             computed_s = now_s - share.age_ms / 1000
             found = _Known(
                 share.permille / _PERMILLE, share.rank, computed_s, now_s
@@ -131,10 +133,18 @@
 
     def _keep(self, name: int, found: _Known) -> None:
         known = self._known.get(name)
-        if known is not None and known.share == found.share:
+        if known is None:
+            self._drop_old(found.changed_s)
+        elif known.share == found.share:
             found = attrs.evolve(found, changed_s=known.changed_s)
         self._known[name] = found
 
+    def _drop_old(self, now_s: float) -> None:
+        """Drops services of which nothing was told for long."""
+        for name, known in list(self._known.items()):
+            if now_s - known.computed_s > MAX_AGE_S:
+                del self._known[name]
+
     def _rank(self, service: str) -> int:
         rank = self._ranks.get(service)
         if rank is None:
@@ -143,11 +153,14 @@
         return rank
 
 
+def _is_sound(share: LaneShare) -> bool:
+    """Whether a share can be true; any process may have sent it."""
+    return 0 <= share.permille <= _PERMILLE and share.age_ms >= 0
+
+
 def _replaces(found: _Known, known: _Known, now_s: float) -> bool:
     """Whether a share that was told replaces the known one."""
-    is_stale = now_s - known.computed_s > FRESH_S
-    if is_stale and found.computed_s > known.computed_s:
-        return True
-    if found.rank != known.rank:
+    oldest_s = min(found.computed_s, known.computed_s)
+    if now_s - oldest_s <= FRESH_S and found.rank != known.rank:
         return found.rank > known.rank
     return found.computed_s > known.computed_s
--- a/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_lane_shares.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/placement/tests/test_lane_shares.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from hollyknot_coordination.forwarding import Demand, Lanes, LaneShares
 from hollyknot_coordination.forwarding.placement._demand_samples import (
     MIN_HOSTS,
@@ -96,6 +98,27 @@
             is_told = [not host.is_sizer(last * ROUND_S) for host in side]
             assert is_told.count(False) == 1
 
+    @pytest.mark.parametrize(
+        ("permille", "age_ms"), [(-1, 0), (1001, 0), (500, -1)]
+    )
+    def test_share_that_cannot_be_true_is_ignored(
+        self, permille: int, age_ms: int
+    ) -> None:
+        """Guards against a size from the future, which would never be old."""
+        shares = LaneShares(1)
+        name = short_name("engines")
+        told = [LaneShare(name, permille, 2**31 - 1, age_ms)]
+        shares.apply_told(told, 0.0)
+        assert shares.from_others("engines", 0.0, can_size=False) is None
+
+    def test_services_that_are_gone_are_forgotten(self) -> None:
+        """Guards against memory that grows with each service ever named."""
+        shares = LaneShares(1)
+        for name in range(100):
+            at_s = name * 2 * MAX_AGE_S
+            shares.apply_told([LaneShare(name, 500, 1, 0)], at_s)
+        assert len(shares._known) == 1
+
     def test_only_a_sizer_publishes(self) -> None:
         shares = LaneShares(1)
         shares.apply_told([LaneShare(short_name("engines"), 500, 0, 0)], 0.0)
@@ -135,6 +158,15 @@
         shares.apply_told([LaneShare(name, 200, top_rank - 1, 0)], 1.0)
         assert shares.from_others("engines", 1.0, can_size=True) == 0.5
 
+    def test_old_share_of_a_lost_sizer_replaces_no_fresh_one(self) -> None:
+        """Guards against relays that bring back the size of a lost sizer."""
+        shares = LaneShares(1)
+        name = short_name("engines")
+        shares.apply_told([LaneShare(name, 300, 7, 0)], 5.0)
+        old_ms = int(FRESH_S * 1000) + 100
+        shares.apply_told([LaneShare(name, 500, 2**31 - 1, old_ms)], 5.0)
+        assert shares.from_others("engines", 5.0, can_size=True) == 0.3
+
     def test_host_of_a_high_rank_without_samples_uses_what_it_is_told(
         self,
     ) -> None:
