Count only answers to a sizer's own queries as samples of demand

Cause: read in review: an answer to a query that had not asked for demand was counted as that of an idle host when its asker had become the sizer meanwhile.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_inquiries.py
@@ -87,6 +87,15 @@
     on_done: Callable[[], None] = lambda: None
 
 
+@attrs.frozen
+class _Waiting:
+    """A query that its tracker has not answered yet."""
+
+    tracker: Tracker
+    query: LoadQuery
+    inquiry: Inquiry
+
+
 class Inquiries:
     """One host's queries and notes to trackers, and its answers as one."""
 
@@ -115,8 +124,8 @@
                 completed likewise.
             forecasts: Pace of upstreams' streams, reported and completed
                 likewise.
-            demand: Demand by lane; answers tell this host's own, and that of
-                the hosts that answer it is added.
+            demand: Demand by lane; answers to a sizer of lanes tell this
+                host's own, and those to this host are added.
             speeds: Speeds of upstreams, reported and completed likewise.
             lane_shares: Sizes of lanes, told and completed in answers.
             tell: Returns the work of customers that an answer tells now.
@@ -136,7 +145,7 @@
         self._number = 0
         self._sequence = 0
         self._answers = 0
-        self._waiting: dict[int, tuple[Tracker, Inquiry]] = {}
+        self._waiting: dict[int, _Waiting] = {}
         self._last_renewal_s = float("-inf")
 
     def ask(
@@ -169,7 +178,7 @@
                 self._apply(self._tracked.answer(query, now_s), now_s)
                 continue
             inquiry.sent.append((tracker, query))
-            self._waiting[query.number] = (tracker, inquiry)
+            self._waiting[query.number] = _Waiting(tracker, query, inquiry)
         return inquiry
 
     def answer(self, query: LoadQuery, now_s: float) -> LoadAnswer:
@@ -189,16 +198,16 @@
     def handle_answer(self, answer: LoadAnswer, now_s: float) -> None:
         """Applies an answer; one that is late still serves later requests."""
         self._apply(answer, now_s)
-        tracker, inquiry = self._waiting.pop(answer.number, (None, None))
-        if tracker is None or inquiry is None:
+        waiting = self._waiting.pop(answer.number, None)
+        if waiting is None:
             return
-        self._trackers.answered(tracker)
-        if self._lane_shares.is_sizer(now_s):
-            self._demand.apply_answered(
-                tracker.incarnation, answer.demands, now_s
-            )
-        self._hear(tracker.incarnation, answer.work, now_s)
-        if not any(i is inquiry for _, i in self._waiting.values()):
+        host = waiting.tracker.incarnation
+        self._trackers.answered(waiting.tracker)
+        if waiting.query.wants_demands:
+            self._demand.apply_answered(host, answer.demands, now_s)
+        self._hear(host, answer.work, now_s)
+        inquiry = waiting.inquiry
+        if not any(w.inquiry is inquiry for w in self._waiting.values()):
             inquiry.on_done()
 
     def give_up(self, inquiry: Inquiry, now_s: float) -> list[Tracker]:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_inquiries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_inquiries.py
@@ -18,14 +18,27 @@
     Trackers,
     runs_of,
 )
+from hollyknot_coordination.forwarding.peers._inquiries import (
+    FULL_ANSWER_EVERY,
+)
 from hollyknot_coordination.forwarding.peers._tracked_loads import EXPIRE_S
 from hollyknot_coordination.forwarding.peers._trackers import MAX_MISSES
+from hollyknot_coordination.forwarding.placement._demand_samples import (
+    MIN_HOSTS,
+)
 from hollyknot_coordination.forwarding.placement._loads import TRACKED_S
 from hollyknot_coordination.forwarding.tests._builders import (
     call,
     upstream,
 )
-from hollyknot_state import Address, CustomerWork, LoadAnswer, ServiceWork
+from hollyknot_state import (
+    Address,
+    CustomerWork,
+    LaneShare,
+    LoadAnswer,
+    ServiceWork,
+    short_name,
+)
 from hollyknot_state.routes import UpstreamEntry
 
 ENGINES = {f"i-{n}": upstream(f"i-{n}") for n in range(6)}
@@ -41,6 +54,9 @@
     loads: Loads
     cached: CachedParts
     forecasts: Forecasts
+    demand: Demand
+    speeds: Speeds
+    lane_shares: LaneShares
     inquiries: Inquiries
     is_lost: bool = False
 
@@ -61,6 +77,8 @@
     def _host(self, own: Tracker, trackers: list[Tracker]) -> _Host:
         peers = tuple(other for other in trackers if other is not own)
         loads, cached, forecasts = Loads(), CachedParts(), Forecasts()
+        demand, speeds = Demand(), Speeds()
+        lane_shares = LaneShares(own.incarnation)
         found = Trackers(own, lambda: peers)
         inquiries = Inquiries(
             own.incarnation,
@@ -68,11 +86,20 @@
             loads,
             cached,
             forecasts,
-            Demand(),
-            Speeds(),
-            LaneShares(own.incarnation),
+            demand,
+            speeds,
+            lane_shares,
+        )
+        return _Host(
+            own,
+            loads,
+            cached,
+            forecasts,
+            demand,
+            speeds,
+            lane_shares,
+            inquiries,
         )
-        return _Host(own, loads, cached, forecasts, inquiries)
 
     def send_notes(self, host: _Host) -> None:
         """Sends the due notes of a host to the trackers."""
@@ -273,6 +300,51 @@
         assert len(host.inquiries._tracked) == 0
 
 
+class TestDemandAndSpeeds:
+    """Answers tell sizers the demand, and all hosts sizes and speeds."""
+
+    def test_sizer_gets_the_demand_of_the_hosts_that_answer(self) -> None:
+        fleet = _Fleet(2 * MIN_HOSTS)
+        for host in fleet.hosts:
+            host.demand.begin("engines", 4_000, 0.0, is_loose=True)
+        asker = fleet.hosts[0]
+        asker.demand.apply_reported([], 1.0, hosts=len(fleet.hosts))
+        for number in range(200):
+            fleet.ask(asker, [upstream(f"i-{number}")])
+        streams = asker.demand.streams("engines", 0.0, is_loose=True)
+        assert streams == len(fleet.hosts)
+
+    def test_answer_to_a_host_that_sizes_nothing_is_no_sample(self) -> None:
+        """Guards against a demand of zero from answers that tell none."""
+        fleet = _Fleet(2 * MIN_HOSTS)
+        asker = fleet.hosts[0]
+        told = [LaneShare(short_name("engines"), 500, 2**31 - 1, 0)]
+        asker.lane_shares.apply_told(told, 0.0)
+        for number in range(200):
+            fleet.ask(asker, [upstream(f"i-{number}")])
+        assert not asker.demand.is_sampled(0.0)
+
+    def test_size_of_lanes_reaches_who_asks(self) -> None:
+        fleet = _Fleet(2)
+        tracker = fleet.tracker_of(ENGINE)
+        asker = next(host for host in fleet.hosts if host is not tracker)
+        tracker.lane_shares.publish("engines", 0.5, 0.0)
+        fleet.ask(asker, [ENGINE])
+        told = asker.lane_shares.from_others("engines", 0.0, can_size=True)
+        assert told == 0.5
+
+    def test_speed_seen_by_some_hosts_reaches_who_asks(self) -> None:
+        fleet = _Fleet(6)
+        for host in fleet.hosts:
+            host.loads.begin("i-0", 100, 2)
+            host.speeds.observe("i-0", 8_500, 0, 0.2)
+            fleet.send_notes(host)
+        asker = fleet.hosts[3]
+        for _ in range(FULL_ANSWER_EVERY):
+            fleet.ask(asker, [ENGINE])
+        assert set(asker.speeds.slowness([ENGINE], 0.0)) == {"i-0"}
+
+
 class TestCustomersWork:
     """Answers tell of the work that a tracker's own callers offer."""
 
