Log what a verdict on a loss went by, and sends of suspects

Hosts now write 'loss' as soon as a connection is refused after a loss, the sign of a partition (silent data centre, or the other upstream) with crash_or_cut, and 'suspect_sent' with the crashed upstreams that the host knows of. Neighbours.may_be_partitioned becomes partition_sign, which returns the reason in place of a truth value; Reachability names the upstream. No decision changes; tests of gateway and coordination pass.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/_reachability.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/_reachability.py
@@ -107,16 +107,19 @@
             if entry.incarnation in self._unreachable
         )
 
-    def has_become_unreachable(
+    def first_unreachable_since(
         self, entries: Sequence[UpstreamEntry], since_s: float
-    ) -> bool:
-        """Whether any of some upstreams became unreachable since a time."""
-        return any(
-            unreachable.since_s >= since_s
-            for entry in entries
-            if (unreachable := self._unreachable.get(entry.incarnation))
-            is not None
-        )
+    ) -> str:
+        """Returns which of some upstreams became unreachable since a time.
+
+        Returns:
+            The first such incarnation in the given order, or an empty string.
+        """
+        for entry in entries:
+            unreachable = self._unreachable.get(entry.incarnation)
+            if unreachable is not None and unreachable.since_s >= since_s:
+                return entry.incarnation
+        return ""
 
     def due(self, now_s: float) -> list[UpstreamEntry]:
         """Returns the upstreams to probe now, and records the probes."""
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -280,7 +280,7 @@
             losses=LossClassifier(
                 self._suspects,
                 self._prober,
-                self._neighbours.may_be_partitioned,
+                self._neighbours.partition_sign,
                 self._log,
                 self._clock,
             ),
--- a/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
@@ -42,7 +42,7 @@
         self,
         suspects: SuspectRegister,
         prober: Prober,
-        may_be_partitioned: Callable[[UpstreamEntry], bool],
+        partition_sign: Callable[[UpstreamEntry], str],
         log: Log,
         clock: Callable[[], float],
     ) -> None:
@@ -51,14 +51,14 @@
         Args:
             suspects: Weighs the evidence.
             prober: Probes upstreams; a refused connection shows a crash.
-            may_be_partitioned: Returns whether an upstream may be behind a
-                network partition.
+            partition_sign: Returns why an upstream may be behind a network
+                partition; an empty string if there is no sign of one.
             log: Logs crashes.
             clock: The loop's monotonic clock, in seconds.
         """
         self._suspects = suspects
         self._prober = prober
-        self._may_be_partitioned = may_be_partitioned
+        self._partition_sign = partition_sign
         self._log = log
         self._clock = clock
         self._pending: dict[str, list[int]] = {}
@@ -93,23 +93,32 @@
         await asyncio.sleep(PROBE_DELAY_S)
         failure = await self._prober.check(entry)
         is_refused = failure is ConnectFailure.REFUSED
-        is_crash = is_refused
+        sign = ""
         if is_refused:
+            self._log_loss("loss", entry, self._pending[entry.incarnation])
             await asyncio.sleep(VERDICT_DELAY_S)
-            is_crash = not self._may_be_partitioned(entry)
+            sign = self._partition_sign(entry)
+        is_crash = is_refused and not sign
         lost = self._pending.pop(entry.incarnation)
         if is_refused:
-            self._log.line(
-                "crash" if is_crash else "crash_or_cut",
-                upstream=entry.incarnation,
-                requests=len(lost),
-                fingerprints=",".join(f"{f:016x}" for f in lost[:_MAX_LOGGED]),
-            )
+            event = "crash" if is_crash else "crash_or_cut"
+            self._log_loss(event, entry, lost, sign=sign)
         for fingerprint in lost:
             self._report_end(
                 entry, fingerprint, _CRASH if is_crash else _NO_CRASH
             )
 
+    def _log_loss(
+        self, event: str, entry: UpstreamEntry, lost: list[int], **fields: str
+    ) -> None:
+        self._log.line(
+            event,
+            upstream=entry.incarnation,
+            requests=len(lost),
+            fingerprints=",".join(f"{f:016x}" for f in lost[:_MAX_LOGGED]),
+            **fields,
+        )
+
     def _report_end(
         self, entry: UpstreamEntry, fingerprint: int, verdict: Verdict
     ) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -69,6 +69,9 @@
 """Seconds within which the upstreams behind one network partition are found to
 be unreachable, one after the other."""
 
+SILENT = "silent"
+"""The sign of a partition that no report arrives from the data centre."""
+
 _INCARNATION_BITS = 62
 """Length in bits of the random number that distinguishes a restarted host from
 its earlier incarnation."""
@@ -432,8 +435,8 @@
             self._probe_one(self._serving_in(data_centre))
         self._silent_data_centres = silent
 
-    def may_be_partitioned(self, entry: UpstreamEntry) -> bool:
-        """Returns whether a refusing upstream may be behind a partition.
+    def partition_sign(self, entry: UpstreamEntry) -> str:
+        """Returns why a refusing upstream may be behind a partition.
 
         That is so if its data centre is silent or if another upstream there has
         just become unreachable. Two upstreams of one data centre that crash in
@@ -442,11 +445,14 @@
         unreachable for longer doesn't count: upstreams may take minutes to
         start, and until then no crash in the same data centre would be
         attributed to a request.
+
+        Returns:
+            `SILENT`, the other upstream, or an empty string for no sign.
         """
         if entry.data_centre in self._silent_data_centres:
-            return True
+            return SILENT
         since_s = self._clock() - PARTITION_DETECTION_S
-        return self._reachability.has_become_unreachable(
+        return self._reachability.first_unreachable_since(
             self._others_in_data_centre(entry), since_s
         )
 
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -206,6 +206,7 @@
         job.was_leaving = parts.notices.is_leaving(entry)
         job.rest_left_s = parts.notices.rest_left_s(entry)
         parts.rests.on_sent(entry.incarnation, parts.clock())
+        self._log_suspect(job, entry)
         parts.suspects.on_dispatch(job.fingerprint, entry.incarnation)
         # From here on the request may run, even if this task is cancelled.
         job.may_have_run = True
@@ -213,6 +214,18 @@
         connection.send(data, exchange, is_head=is_head)
         return exchange
 
+    def _log_suspect(self, job: Job, entry: UpstreamEntry) -> None:
+        """Logs that a request is sent that may have crashed upstreams."""
+        crashed = self._parts.suspects.upstreams(job.fingerprint)
+        if crashed:
+            self._parts.log.line(
+                "suspect_sent",
+                request=job.call.attempt_id,
+                fingerprint=f"{job.fingerprint:016x}",
+                upstream=entry.incarnation,
+                crashed=",".join(crashed),
+            )
+
     def _record_first_event(
         self, choice: Choice, work: PlacedRequest, sent_s: float
     ) -> None:
--- a/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
@@ -27,7 +27,7 @@
 class _LossJudgement:
     """The parts of one host that decide on lost answers."""
 
-    def __init__(self, port: int, *, is_partitioned: bool) -> None:
+    def __init__(self, port: int, sign: str = "") -> None:
         clock = asyncio.get_running_loop().time
         log = Log("h", "d", os.open(os.devnull, os.O_WRONLY))
         self.suspects = SuspectRegister(SuspectOptions())
@@ -41,7 +41,7 @@
             clock,
         )
         self.losses = LossClassifier(
-            self.suspects, self.prober, lambda _: is_partitioned, log, clock
+            self.suspects, self.prober, lambda _: sign, log, clock
         )
         self.entry = UpstreamEntry(
             "i-1", "s", Address("127.0.0.1", port), "north", 8
@@ -76,7 +76,7 @@
 
     def test_crash_makes_request_suspect(self) -> None:
         async def test() -> None:
-            parts = _LossJudgement(await _free_port(), is_partitioned=False)
+            parts = _LossJudgement(await _free_port())
             await parts.lose_request()
             assert parts.is_suspect
 
@@ -92,7 +92,7 @@
         async def test() -> None:
             server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
             port: int = server.sockets[0].getsockname()[1]
-            parts = _LossJudgement(port, is_partitioned=False)
+            parts = _LossJudgement(port)
             await parts.lose_request()
             assert not parts.is_suspect
             gate = parts.suspects.gate(FINGERPRINT, 0.0)
@@ -111,7 +111,7 @@
         """
 
         async def test() -> None:
-            parts = _LossJudgement(await _free_port(), is_partitioned=True)
+            parts = _LossJudgement(await _free_port(), sign="i-2")
             await parts.lose_request()
             assert not parts.is_suspect
 
--- a/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
@@ -174,10 +174,10 @@
         parts.make_unreachable(FAR[0], ConnectFailure.REFUSED)
         (probed,) = parts.prober.names
         assert probed != FAR[0].name
-        assert not parts.neighbours.may_be_partitioned(FAR[0])
+        assert parts.neighbours.partition_sign(FAR[0]) == ""
         entry = next(entry for entry in FAR if entry.name == probed)
         parts.make_unreachable(entry, ConnectFailure.REFUSED)
-        assert parts.neighbours.may_be_partitioned(FAR[0])
+        assert parts.neighbours.partition_sign(FAR[0]) == probed
 
     def test_long_unreachable_upstream_hides_no_crash(self) -> None:
         """Guards against more crashes by one request while an upstream starts.
@@ -189,7 +189,7 @@
         parts.make_unreachable(FAR[1], ConnectFailure.REFUSED)
         parts.now_s += 5.0
         parts.make_unreachable(FAR[0], ConnectFailure.REFUSED)
-        assert not parts.neighbours.may_be_partitioned(FAR[0])
+        assert parts.neighbours.partition_sign(FAR[0]) == ""
 
 
 class TestShouldQueryTrackers:
