--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
@@ -0,0 +1,463 @@
+"""Simulates hosts in front of upstreams that crash or are cut off.
+
+The hosts' own parts decide about lost answers: registers of suspects, loss
+classifiers, probers and the gossip between hosts. Upstreams, callers and the
+directory are simulated, and time is virtual.
+"""
+
+import asyncio
+import os
+import random
+from collections import defaultdict
+from collections.abc import Coroutine, Iterator
+from typing import Any, cast
+
+import attrs
+
+from hollyknot_coordination.suspects import Isolate, Refuse
+from hollyknot_gateway._log import Log
+from hollyknot_gateway._loss_classifier import LossClassifier
+from hollyknot_gateway._pool import ConnectFailure, Pool
+from hollyknot_gateway._prober import Prober
+from hollyknot_gateway._upstream_connection import UpstreamConnection
+from hollyknot_gateway.tests._neighbour_network import (
+    DATA_CENTRES,
+    Host,
+    Network,
+)
+from hollyknot_state import Address, Outcome, Reason, Verdict
+from hollyknot_state.routes import UpstreamEntry
+
+LOST = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
+GOOD = Verdict(Outcome.COMPLETE)
+
+ENGINES = "engines"
+PLAIN = "plain"
+
+DISCOVERY_S = 6.0
+"""Seconds until all hosts know each other."""
+
+CRASH_DELAY_S = 0.08
+"""Seconds from the arrival of a crashing request to the crash."""
+
+CONTACT_S = 3.0
+MAX_CRASHES = 3
+"""Sends later than `CONTACT_S` after this many crashes are late."""
+
+_ROUND_TRIP_S = 0.002
+_PROBE_INTERVAL_S = 0.05
+_LAPSE_S = 2.3
+"""Seconds from a crash until the directory drops the upstream's entry."""
+
+_LISTING_S = 0.3
+"""Seconds from an upstream's start until all hosts have its entry."""
+
+_RUN_S = (0.2, 1.5)
+"""Shortest and longest time of an innocent request in seconds."""
+
+_MAX_TRIES = 30
+
+
+@attrs.frozen
+class Load:
+    """What callers send and what fails in one simulation.
+
+    Attributes:
+        hosts: Number of hosts.
+        seed: Seed of all random choices.
+        engines: Number of upstreams of the service that crashes.
+        plain: Number of upstreams of another service.
+        seconds: Seconds for which callers send.
+        rate: Innocent requests per second.
+        culprits_per_s: Rate of each request that crashes upstreams.
+        culprits: Number of such requests.
+        downtime_s: Seconds until a successor of a crashed upstream listens.
+        crash_interval_s: Mean seconds between crashes for other reasons; 0 for
+            none.
+        cuts: Start and length, in seconds, of partitions that cut off the
+            first data centre. Connections across them are reset and refused.
+        ends: Times in seconds at which all upstreams of the last data centre
+            crash together.
+        is_busy: Whether load queries use up their part of the byte budget.
+    """
+
+    hosts: int = 8
+    seed: int = 1
+    engines: int = 12
+    plain: int = 3
+    seconds: float = 25.0
+    rate: float = 60.0
+    culprits_per_s: float = 3.0
+    culprits: int = 2
+    downtime_s: float = 3.0
+    crash_interval_s: float = 0.0
+    cuts: tuple[tuple[float, float], ...] = ()
+    ends: tuple[float, ...] = ()
+    is_busy: bool = False
+
+
+@attrs.define
+class Report:
+    """What was observed in one simulation.
+
+    Attributes:
+        crashes: Times of the crashes of each culprit, in seconds.
+        sends: Times at which each culprit was sent to an upstream.
+        refused_s: For each innocent request that was refused, seconds from its
+            first refusal until it was sent again.
+        lost: Innocent requests that lost an answer.
+    """
+
+    crashes: dict[int, list[float]] = attrs.Factory(lambda: defaultdict(list))
+    sends: dict[int, list[float]] = attrs.Factory(lambda: defaultdict(list))
+    refused_s: list[float] = attrs.Factory(list)
+    lost: int = 0
+
+    @property
+    def crash_counts(self) -> list[int]:
+        """Number of upstreams that each culprit crashed."""
+        return [len(times) for _, times in sorted(self.crashes.items())]
+
+    @property
+    def late_counts(self) -> list[int]:
+        """Late sends of each culprit."""
+        return [
+            sum(s > times[MAX_CRASHES - 1] + CONTACT_S for s in self.sends[f])
+            for f, times in sorted(self.crashes.items())
+            if len(times) >= MAX_CRASHES
+        ]
+
+    @property
+    def longest_refusal_s(self) -> float:
+        """Longest time for which an innocent request was refused."""
+        return max(self.refused_s, default=0.0)
+
+
+@attrs.define(eq=False)
+class _Upstream:
+    """A simulated upstream; its successors have other entries.
+
+    Attributes:
+        entry: The entry of the running incarnation.
+        is_up: Whether it listens.
+        ended: Set when the running incarnation ends.
+        starts: Number of incarnations so far.
+    """
+
+    entry: UpstreamEntry
+    is_up: bool = True
+    ended: asyncio.Event = attrs.Factory(asyncio.Event)
+    starts: int = 1
+
+
+@attrs.define
+class _SimulatedPool:
+    """Opens connections of one host in the simulated network."""
+
+    fleet: "CrashFleet"
+    data_centre: str
+
+    async def open(
+        self, address: Address, timeout_s: float
+    ) -> UpstreamConnection | ConnectFailure:
+        """Connects, unless the upstream is down or behind a partition."""
+        del timeout_s
+        await asyncio.sleep(_ROUND_TRIP_S)
+        upstream = self.fleet.upstream_at(address)
+        if self.fleet.is_cut(self.data_centre, upstream.entry.data_centre):
+            return ConnectFailure.REFUSED
+        if not upstream.is_up:
+            return ConnectFailure.REFUSED
+        return cast(UpstreamConnection, None)
+
+    def release(self, incarnation: str, connection: UpstreamConnection) -> None:
+        """Does nothing, as connections are not kept."""
+
+    def drop(self, incarnation: str) -> None:
+        """Does nothing, as connections are not kept."""
+
+
+@attrs.define(eq=False)
+class _Router:
+    """One host with the parts that decide about losses."""
+
+    host: Host
+    data_centre: str
+    prober: Prober
+    losses: LossClassifier
+
+
+class CrashFleet:
+    """Hosts, upstreams and callers of one simulation."""
+
+    def __init__(self, load: Load) -> None:
+        """Builds the fleet; `run` plays the load."""
+        self.report = Report()
+        self._load = load
+        self._rng = random.Random(load.seed)
+        self._network = Network(load.hosts, load.seed, is_busy=load.is_busy)
+        self._network.is_cut = self.is_cut
+        self._cut = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._cut_began = asyncio.Event()
+        self._fingerprints = iter(range(1_000, 10_000_000))
+        self._by_address: dict[Address, _Upstream] = {}
+        self._log = Log("h", "d", os.open(os.devnull, os.O_WRONLY))
+        for service, count in ((ENGINES, load.engines), (PLAIN, load.plain)):
+            for number in range(count):
+                self._add(service, number)
+        self._routers = [
+            self._router(number, host)
+            for number, host in enumerate(self._network.hosts)
+        ]
+        for upstream in self._by_address.values():
+            self._list(upstream.entry)
+
+    def upstream_at(self, address: Address) -> _Upstream:
+        """Returns the upstream that has an address."""
+        return self._by_address[address]
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Whether two data centres are partitioned from each other."""
+        return self._cut and one != other and DATA_CENTRES[0] in (one, other)
+
+    async def run(self) -> Report:
+        """Plays the load and returns what was observed."""
+        load = self._load
+        self._network.start()
+        for router in self._routers:
+            self._spawn(self._probe(router))
+        await asyncio.sleep(DISCOVERY_S)
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + load.seconds
+        self._spawn(self._send_innocents(until_s))
+        for culprit in range(1, load.culprits + 1):
+            self._spawn(self._send_culprit(culprit, until_s))
+        if load.crash_interval_s:
+            self._spawn(self._crash_others(until_s))
+        for at_s, length_s in load.cuts:
+            self._spawn(self._cut_off(at_s, length_s))
+        for at_s in load.ends:
+            self._spawn(self._end_data_centre(at_s))
+        await asyncio.sleep(load.seconds + 2.0)
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._network.stop()
+        return self.report
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _add(self, service: str, number: int) -> None:
+        name = f"{service}-{number}"
+        address = Address("10.9.0.1", 1000 + len(self._by_address))
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        entry = UpstreamEntry(name, service, address, data_centre, 48)
+        self._by_address[address] = _Upstream(entry)
+
+    def _router(self, number: int, host: Host) -> _Router:
+        loop = asyncio.get_running_loop()
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        prober = Prober(
+            cast(Pool, _SimulatedPool(self, data_centre)),
+            host.reachability,
+            host.neighbours.on_upstream_unreachable,
+            lambda _: None,
+            self._log,
+            loop.time,
+        )
+        host.neighbours._prober = prober
+        losses = LossClassifier(
+            host.suspects,
+            prober,
+            host.neighbours.partition_sign,
+            self._log,
+            loop.time,
+        )
+        return _Router(host, data_centre, prober, losses)
+
+    def _list(self, entry: UpstreamEntry) -> None:
+        """Writes an entry to the directories of all hosts."""
+        for router in self._routers:
+            router.host.registry.put(entry)
+            self._handle_ended(router)
+
+    def _unlist(self, entry: UpstreamEntry) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for router in self._routers:
+            router.host.registry.remove(
+                entry.name, now_s, may_have_lapsed=False
+            )
+            self._handle_ended(router)
+
+    def _handle_ended(self, router: _Router) -> None:
+        now_s = asyncio.get_running_loop().time()
+        router.host.registry.all_serving(now_s)
+        for ended in router.host.registry.pop_ended():
+            router.host.reachability.forget(ended.incarnation)
+
+    async def _probe(self, router: _Router) -> None:
+        """Probes unreachable upstreams and drops old evidence, as hosts do."""
+        while True:
+            await asyncio.sleep(_PROBE_INTERVAL_S)
+            now_s = asyncio.get_running_loop().time()
+            router.prober.check_all(router.host.reachability.due(now_s))
+            router.host.suspects.expire(now_s)
+
+    def _crash(self, upstream: _Upstream) -> bool:
+        """Ends an upstream's process; returns whether it was running."""
+        if not upstream.is_up:
+            return False
+        upstream.is_up = False
+        upstream.ended.set()
+        self._spawn(self._restart(upstream))
+        return True
+
+    async def _restart(self, upstream: _Upstream) -> None:
+        crashed = upstream.entry
+        lapse_s = max(0.0, _LAPSE_S - self._load.downtime_s)
+        await asyncio.sleep(min(self._load.downtime_s, _LAPSE_S))
+        if not lapse_s:
+            self._unlist(crashed)
+            await asyncio.sleep(self._load.downtime_s - _LAPSE_S)
+        name = f"{crashed.name.partition('+')[0]}+{upstream.starts}"
+        upstream.starts += 1
+        upstream.entry = attrs.evolve(crashed, name=name)
+        upstream.ended = asyncio.Event()
+        upstream.is_up = True
+        await asyncio.sleep(_LISTING_S)
+        self._list(upstream.entry)
+
+    async def _send_innocents(self, until_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            await asyncio.sleep(self._rng.expovariate(self._load.rate))
+            self._spawn(self._ask(next(self._fingerprints)))
+
+    async def _send_culprit(self, fingerprint: int, until_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            rate = self._load.culprits_per_s
+            await asyncio.sleep(self._rng.expovariate(rate))
+            router = self._rng.choice(self._routers)
+            self._spawn(self._try_culprit(router, fingerprint))
+
+    async def _try_culprit(self, router: _Router, fingerprint: int) -> None:
+        loop = asyncio.get_running_loop()
+        upstream = self._choose(router, fingerprint)
+        if upstream is None or isinstance(upstream, float):
+            return
+        entry = upstream.entry
+        self.report.sends[fingerprint].append(loop.time())
+        router.host.suspects.on_dispatch(fingerprint, entry.incarnation)
+        try:
+            async with asyncio.timeout(CRASH_DELAY_S):
+                await upstream.ended.wait()
+        except TimeoutError:
+            if self._crash(upstream):
+                self.report.crashes[fingerprint].append(loop.time())
+        router.losses.on_try_end(entry, fingerprint, LOST)
+
+    async def _ask(self, fingerprint: int) -> None:
+        """Sends an innocent request until it is answered."""
+        loop = asyncio.get_running_loop()
+        refused_since_s: float | None = None
+        for _ in range(_MAX_TRIES):
+            router = self._rng.choice(self._routers)
+            upstream = self._choose(router, fingerprint)
+            if isinstance(upstream, float):
+                refused_since_s = refused_since_s or loop.time()
+                await asyncio.sleep(upstream)
+                continue
+            if refused_since_s is not None:
+                self.report.refused_s.append(loop.time() - refused_since_s)
+                refused_since_s = None
+            if upstream is None:
+                await asyncio.sleep(0.1)
+                continue
+            if await self._runs(router, upstream, fingerprint):
+                return
+            self.report.lost += 1
+            await asyncio.sleep(0.01)
+        if refused_since_s is not None:
+            self.report.refused_s.append(loop.time() - refused_since_s)
+
+    async def _runs(
+        self, router: _Router, upstream: _Upstream, fingerprint: int
+    ) -> bool:
+        """Runs an innocent request; returns whether it was answered."""
+        entry = upstream.entry
+        router.host.suspects.on_dispatch(fingerprint, entry.incarnation)
+        waits = [asyncio.create_task(upstream.ended.wait())]
+        if DATA_CENTRES[0] in (router.data_centre, entry.data_centre):
+            waits.append(asyncio.create_task(self._cut_began.wait()))
+        run_s = self._rng.uniform(*_RUN_S)
+        done, pending = await asyncio.wait(
+            waits, timeout=run_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in pending:
+            task.cancel()
+        is_cut = self.is_cut(router.data_centre, entry.data_centre)
+        is_lost = upstream.ended.is_set() or is_cut
+        verdict = LOST if done and is_lost else GOOD
+        router.losses.on_try_end(entry, fingerprint, verdict)
+        return verdict is GOOD
+
+    def _choose(
+        self, router: _Router, fingerprint: int
+    ) -> _Upstream | float | None:
+        """Returns an upstream, the time until a retry, or None for neither."""
+        now_s = asyncio.get_running_loop().time()
+        host = router.host
+        gate = host.suspects.gate(fingerprint, now_s)
+        if isinstance(gate, Refuse):
+            return gate.verdict.retry_after_s
+        usable = host.registry.usable(ENGINES, now_s)
+        avoided = host.reachability.unreachable(usable)
+        excluded = gate.exclude if isinstance(gate, Isolate) else frozenset()
+        for barred in (avoided | excluded, avoided):
+            found = [e for e in usable if e.incarnation not in barred]
+            if found:
+                break
+        else:
+            return None
+        entry = self._rng.choice(found)
+        upstream = self._by_address[entry.address]
+        is_cut = self.is_cut(router.data_centre, entry.data_centre)
+        if is_cut or not upstream.is_up or upstream.entry is not entry:
+            router.prober.failed(entry, ConnectFailure.REFUSED)
+            return None
+        return upstream
+
+    async def _crash_others(self, until_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            mean_s = self._load.crash_interval_s
+            await asyncio.sleep(self._rng.expovariate(1 / mean_s))
+            running = list(self._running())
+            if len(running) > self._load.engines // 2:
+                self._crash(self._rng.choice(running))
+
+    def _running(self) -> Iterator[_Upstream]:
+        return (
+            upstream
+            for upstream in self._by_address.values()
+            if upstream.is_up and upstream.entry.service == ENGINES
+        )
+
+    async def _cut_off(self, at_s: float, length_s: float) -> None:
+        await asyncio.sleep(at_s)
+        self._cut = True
+        self._cut_began.set()
+        self._cut_began = asyncio.Event()
+        await asyncio.sleep(length_s)
+        self._cut = False
+
+    async def _end_data_centre(self, at_s: float) -> None:
+        await asyncio.sleep(at_s)
+        for upstream in list(self._by_address.values()):
+            if upstream.entry.data_centre == DATA_CENTRES[-1]:
+                self._crash(upstream)
--- a/packages/gateway/src/hollyknot_gateway/tests/_neighbour_network.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_neighbour_network.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+from collections.abc import Callable
 from typing import cast
 
 import attrs
@@ -45,6 +46,13 @@
     )
 
 
+def data_centre_at(target: Address) -> str:
+    """Returns the data centre of the host with an address."""
+    _, high, middle, low = map(int, target.ip.split("."))
+    number = high * 62500 + middle * 250 + low - 1
+    return DATA_CENTRES[number % len(DATA_CENTRES)]
+
+
 @attrs.define
 class _Transport:
     """Passes the datagrams of one host to the simulated network."""
@@ -67,6 +75,8 @@
     suspects: SuspectRegister
     neighbours: Neighbours
     host_count: HostCount
+    registry: UpstreamRegistry
+    reachability: Reachability
     task: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
@@ -82,12 +92,14 @@
 
         Args:
             count: Number of hosts.
-            seed: Seed of all random choices.
+            seed: Seed of all random choices. `is_cut` may be replaced to
+                drop datagrams between two data centres.
             is_busy: Whether load queries use up their part of each host's byte
                 budget, so that only the least part is left for reports.
         """
         self.rng = random.Random(seed)
         self.loss_fraction = 0.0
+        self.is_cut: Callable[[str, str], bool] = lambda *_: False
         self.sent_bytes = 0
         self._is_busy = is_busy
         self._log = Log("h", "d", os.open(os.devnull, os.O_WRONLY))
@@ -124,6 +136,8 @@
         self.sent_bytes += len(data)
         if self.loss_fraction and self.rng.random() < self.loss_fraction:
             return
+        if self.is_cut(data_centre_at(sender), data_centre_at(target)):
+            return
         loop = asyncio.get_running_loop()
         loop.call_later(ONE_WAY_DELAY_S, self._deliver, sender, target, data)
 
@@ -161,6 +175,8 @@
             seeds=tuple(map(address, seeds)),
         )
         suspects = SuspectRegister(SuspectOptions())
+        registry = UpstreamRegistry(1.0)
+        reachability = Reachability()
         host_count = HostCount(
             self._clock(), is_alone=not seeds, data_centres=len(DATA_CENTRES)
         )
@@ -178,8 +194,8 @@
                 NamedLimits(),
                 CustomerShares(host_count),
             ),
-            RoutingState(UpstreamRegistry(1.0)),
-            Reachability(),
+            RoutingState(registry),
+            reachability,
             cast(Prober, None),
             RevisionGossip(ReadRevisions, lambda _: None),
             self._log,
@@ -189,4 +205,4 @@
         neighbours._socket.connection_made(
             cast(asyncio.BaseTransport, _Transport(self, address(number)))
         )
-        return Host(suspects, neighbours, host_count)
+        return Host(suspects, neighbours, host_count, registry, reachability)
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
@@ -0,0 +1,67 @@
+"""Tests that requests that crash upstreams are stopped, and no others."""
+
+import attrs
+import pytest
+
+from hollyknot_gateway.tests._crash_fleet import CrashFleet, Load, Report
+from hollyknot_gateway.tests._virtual_time import run_virtually
+
+MAX_LATE_SENDS = 3
+MAX_REFUSAL_S = 1.1
+"""A second, which refused callers are told to wait, and the time to return."""
+
+SEEDS = (1, 2, 3)
+
+WAVES = {
+    "alone": Load(),
+    "six engines": Load(engines=6),
+    "other crashes": Load(crash_interval_s=0.7),
+    "fast restarts": Load(downtime_s=0.5),
+    "partition": Load(cuts=((3.0, 4.0),)),
+}
+"""Loads in which two requests crash upstreams as fast as these come back."""
+
+FAULTS = {
+    "refusing partition": Load(culprits=0, cuts=((3.0, 4.0), (12.0, 1.0))),
+    "crashed data centre": Load(culprits=0, ends=(3.0, 10.0)),
+    "crashes": Load(culprits=0, crash_interval_s=0.7),
+}
+"""Loads in which no request crashes upstreams."""
+
+
+def _simulate(load: Load) -> Report:
+    async def main() -> Report:
+        return await CrashFleet(load).run()
+
+    return run_virtually(main())
+
+
+def _with_seed(load: Load, seed: int) -> Load:
+    return attrs.evolve(load, seed=seed)
+
+
+class TestCrashingRequests:
+    """A request is stopped, however closely its crashes follow each other."""
+
+    def test_crashes_in_one_data_centre_do_not_excuse_each_other(self) -> None:
+        """Pairs of crashes that acquit a request let it crash more upstreams."""
+        late = {
+            (name, seed): _simulate(_with_seed(load, seed)).late_counts
+            for name, load in WAVES.items()
+            for seed in SEEDS
+        }
+        worst = max(max(counts, default=0) for counts in late.values())
+        assert worst <= MAX_LATE_SENDS, late
+
+
+class TestInnocentRequests:
+    """Requests that were only lost with others are hardly refused."""
+
+    @pytest.mark.parametrize("name", FAULTS)
+    def test_lost_requests_are_not_blamed_for_long(self, name: str) -> None:
+        """Requests must not be refused for what a partition or crash lost."""
+        refused_s = {
+            seed: _simulate(_with_seed(FAULTS[name], seed)).longest_refusal_s
+            for seed in SEEDS
+        }
+        assert max(refused_s.values()) <= MAX_REFUSAL_S, refused_s
