Keep a loss open until proof, instead of acquitting its requests for good

Where there is a sign of a partition, up to three other upstreams of the data centre are now probed: if one is reached and the lost one still refuses, it has crashed. Otherwise the loss stays open for up to 30 s: another incarnation at its address or under its name proves a crash, an answer of the upstream proves that there was none. Requests that were answered since stay cleared.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/_upstream_registry.py
@@ -257,6 +257,29 @@
         known = self._known.get(incarnation)
         return known.entry if known is not None else None
 
+    def has_successor(self, entry: UpstreamEntry) -> bool:
+        """Whether another incarnation has taken an upstream's place.
+
+        This proves that its process has ended. That its entry is missing proves
+        nothing: an upstream that is cut off from the directory loses it too.
+        """
+        known = self._known.get(entry.incarnation)
+        if known is not None and known.is_replaced:
+            return True
+        return any(
+            self._supersedes(other, entry) for other in self._known.values()
+        )
+
+    def _supersedes(self, other: _UpstreamState, entry: UpstreamEntry) -> bool:
+        newer = other.entry
+        if newer.incarnation == entry.incarnation or other.is_replaced:
+            return False
+        is_same_place = (
+            newer.name == entry.name or newer.address == entry.address
+        )
+        is_older = newer.born_ms < entry.born_ms
+        return is_same_place and not is_older and self._exists(newer.service)
+
     def mark_replaced(self, incarnation: str) -> None:
         """Records that another incarnation answered at an address."""
         known = self._known.get(incarnation)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/tests/test_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/tests/test_upstream_registry.py
@@ -201,6 +201,36 @@
         registry.put(upstream("a"))
         assert _names(registry) == []
 
+    def test_another_incarnation_proves_that_an_upstream_has_ended(
+        self,
+    ) -> None:
+        """A partition must not look like a crash because entries lapse."""
+        registry = UpstreamRegistry(LAPSE_S)
+        first = upstream("a", born_ms=2)
+        registry.put(first)
+        assert not registry.has_successor(first)
+        registry.remove("a", 0.0, may_have_lapsed=False)
+        assert not registry.has_successor(first)
+        registry.put(upstream("b", port=first.address.port, born_ms=1))
+        assert not registry.has_successor(first)
+        registry.put(upstream("c", port=first.address.port, born_ms=3))
+        assert registry.has_successor(first)
+
+    def test_a_wrong_entry_does_not_prove_that_an_upstream_has_ended(
+        self,
+    ) -> None:
+        registry = UpstreamRegistry(LAPSE_S)
+        registry.set_services(["engines"])
+        first = upstream("a")
+        registry.put(first)
+        registry.put(upstream("b", "unknown", port=first.address.port))
+        assert not registry.has_successor(first)
+        registry.put(upstream("c", port=first.address.port))
+        registry.mark_replaced("c")
+        assert not registry.has_successor(first)
+        registry.mark_replaced("a")
+        assert registry.has_successor(first)
+
     def test_an_entry_of_an_unknown_service_takes_no_address(self) -> None:
         """A healthy upstream gets no more requests.
 
--- a/packages/coordination/src/hollyknot_coordination/suspects/_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_register.py
@@ -1,6 +1,7 @@
 """Registers a host's suspects from its own losses and from peers' reports."""
 
 from collections import Counter, deque
+from collections.abc import Iterable
 
 from hollyknot_coordination.suspects._evidence import Crash, Evidence
 from hollyknot_coordination.suspects._messages import (
@@ -82,6 +83,22 @@
         if not in_flight:
             self._in_flight.pop(upstream, None)
 
+    def on_late_verdict(
+        self, fingerprints: Iterable[int], upstream: str, at_s: float
+    ) -> None:
+        """Records a loss whose tries have ended as a crash.
+
+        Requests that have ended in an answer since the loss stay cleared.
+
+        Args:
+            fingerprints: The requests that were lost.
+            upstream: The upstream that crashed.
+            at_s: Time of the loss in seconds of this host's monotonic clock.
+        """
+        lost = set(fingerprints) - {NO_FINGERPRINT}
+        for fingerprint in lost:
+            self._add_own(fingerprint, upstream, len(lost), at_s)
+
     def on_records(
         self, records: tuple[SuspectRecord, ...], now_s: float
     ) -> tuple[SuspectRecord, ...]:
@@ -205,9 +222,15 @@
     ) -> None:
         size = in_flight.total()
         for other in {fingerprint, *in_flight} - {NO_FINGERPRINT}:
-            crash = self._add(other, upstream, size, now_s)
-            if crash is not None:
-                crash.own.add(other)
+            self._add_own(other, upstream, size, now_s)
+
+    def _add_own(
+        self, fingerprint: int, upstream: str, size: int, at_s: float
+    ) -> None:
+        """Adds evidence that this host has seen itself."""
+        crash = self._add(fingerprint, upstream, size, at_s)
+        if crash is not None:
+            crash.own.add(fingerprint)
 
     def _upstreams_running(self, fingerprint: int) -> list[str]:
         return [
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -45,7 +45,7 @@
 from hollyknot_gateway._flow_parts import FlowParts
 from hollyknot_gateway._gauges import GaugeSources, add_gauges
 from hollyknot_gateway._log import Log
-from hollyknot_gateway._loss_classifier import LossClassifier
+from hollyknot_gateway._loss_classifier import LossClassifier, PartitionSigns
 from hollyknot_gateway._metrics import Metrics
 from hollyknot_gateway._neighbours import Neighbours, SharedState
 from hollyknot_gateway._operator_servers import OperatorServers
@@ -198,6 +198,17 @@
             rng,
             clock,
         )
+        self._losses = LossClassifier(
+            self._suspects,
+            self._prober,
+            PartitionSigns(
+                self._neighbours.partition_sign,
+                self._neighbours.witnesses,
+                self._routing_state.registry.has_successor,
+            ),
+            self._log,
+            clock,
+        )
         self._directory = Directory(
             DirectoryParts(
                 published=ports.published(self._pool),
@@ -277,13 +288,7 @@
             neighbours=self._neighbours,
             permits=self._neighbours.permits,
             suspects=self._suspects,
-            losses=LossClassifier(
-                self._suspects,
-                self._prober,
-                self._neighbours.partition_sign,
-                self._log,
-                self._clock,
-            ),
+            losses=self._losses,
             stalls=self._stalls,
             budget=self._budget,
             pool=self._pool,
@@ -444,10 +449,11 @@
             self._placement_log.check()
 
     async def _probe_unreachable(self) -> None:
-        """Probes upstreams that could not be reached, when they are due."""
+        """Probes unreachable upstreams that are due and settles losses."""
         while True:
             await asyncio.sleep(SWEEP_S / 2)
             self._prober.check_all(self._reachability.due(self._clock()))
+            self._losses.settle()
             self._suspects.expire(self._clock())
 
     def _on_peer_read(self, read: ReadRevisions) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
@@ -4,13 +4,21 @@
 host, so the register of suspects must know of its crashes. But most lost
 answers are no crashes: a connection reset on the network path loses an answer
 too, and blaming the request for it would refuse a harmless request. The two
-differ in that a crashed process refuses new connections. In some network
-partitions, connections to all upstreams behind the partition are refused as
-well, so the verdict waits until a partition would have been detected.
+differ in that a crashed process refuses new connections.
+
+In some network partitions, connections to all upstreams behind the partition
+are refused as well, so the verdict waits until a partition would have been
+detected. A sign of one proves little, since upstreams that crash beside each
+other look alike. The loss then stays open until there is proof: another
+upstream of the data centre can be reached while this one still refuses, or
+another incarnation takes its place, which show a crash; or the upstream answers
+again, which shows that there was none.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+
+import attrs
 
 from hollyknot_coordination.suspects import SuspectRegister
 from hollyknot_gateway._log import Log
@@ -27,14 +35,55 @@
 """Seconds from a refused connection to the verdict: twice the shortest silence
 that shows that a data centre is behind a network partition."""
 
+MAX_OPEN_S = 30.0
+"""Seconds for which a loss without proof stays open. Upstreams may take that
+long to start again."""
+
+MAX_OPEN_LOSSES = 256
+"""Most losses that stay open; the oldest are dropped first."""
+
 _MAX_LOGGED = 8
 """Largest number of fingerprints in one log line."""
 
 _LOST = frozenset({Reason.UPSTREAM_LOST, Reason.TRUNCATED})
+_ANSWERED = frozenset({Outcome.COMPLETE, Outcome.FAILED})
 _NO_CRASH = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT)
 _CRASH = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
 
 
+@attrs.frozen
+class PartitionSigns:
+    """What a host knows of partitions and of upstreams that have ended.
+
+    Attributes:
+        sign: Returns why an upstream may be behind a network partition; an
+            empty string if there is no sign of one.
+        witnesses: Returns other upstreams of an upstream's data centre that
+            count as reachable, to be probed for comparison.
+        has_successor: Returns whether another incarnation has taken an
+            upstream's place.
+    """
+
+    sign: Callable[[UpstreamEntry], str]
+    witnesses: Callable[[UpstreamEntry], list[UpstreamEntry]]
+    has_successor: Callable[[UpstreamEntry], bool]
+
+
+@attrs.frozen
+class _OpenLoss:
+    """A loss that may have been a crash or a partition.
+
+    Attributes:
+        entry: The upstream.
+        fingerprints: The requests that were lost.
+        at_s: Time of the first loss in seconds.
+    """
+
+    entry: UpstreamEntry
+    fingerprints: tuple[int, ...]
+    at_s: float
+
+
 class LossClassifier:
     """Reports to the register of suspects how each try ended."""
 
@@ -42,7 +91,7 @@
         self,
         suspects: SuspectRegister,
         prober: Prober,
-        partition_sign: Callable[[UpstreamEntry], str],
+        signs: PartitionSigns,
         log: Log,
         clock: Callable[[], float],
     ) -> None:
@@ -51,17 +100,17 @@
         Args:
             suspects: Weighs the evidence.
             prober: Probes upstreams; a refused connection shows a crash.
-            partition_sign: Returns why an upstream may be behind a network
-                partition; an empty string if there is no sign of one.
+            signs: What is known of partitions.
             log: Logs crashes.
             clock: The loop's monotonic clock, in seconds.
         """
         self._suspects = suspects
         self._prober = prober
-        self._partition_sign = partition_sign
+        self._signs = signs
         self._log = log
         self._clock = clock
         self._pending: dict[str, list[int]] = {}
+        self._open: list[_OpenLoss] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     def on_try_end(
@@ -73,6 +122,8 @@
         there until the verdict count as part of the same incident.
         """
         if verdict.reason not in _LOST:
+            if verdict.outcome in _ANSWERED:
+                self._drop_open(entry.incarnation)
             self._report_end(entry, fingerprint, verdict)
             return
         pending = self._pending.get(entry.incarnation)
@@ -84,32 +135,74 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def settle(self) -> None:
+        """Judges the open losses for which there is proof now.
+
+        Call it several times a second.
+        """
+        now_s = self._clock()
+        remaining = []
+        for loss in self._open:
+            if self._signs.has_successor(loss.entry):
+                self._log_loss("crash", loss.entry, loss.fingerprints)
+                self._suspects.on_late_verdict(
+                    loss.fingerprints, loss.entry.incarnation, loss.at_s
+                )
+            elif now_s - loss.at_s < MAX_OPEN_S:
+                remaining.append(loss)
+        self._open = remaining
+
     async def wait_until_judged(self) -> None:
-        """Waits until all losses so far have a verdict."""
+        """Waits until all losses so far have a verdict or are open."""
         while self._tasks:
             await asyncio.gather(*self._tasks)
 
     async def _judge(self, entry: UpstreamEntry) -> None:
+        lost_s = self._clock()
         await asyncio.sleep(PROBE_DELAY_S)
-        failure = await self._prober.check(entry)
-        is_refused = failure is ConnectFailure.REFUSED
-        sign = ""
-        if is_refused:
-            self._log_loss("loss", entry, self._pending[entry.incarnation])
-            await asyncio.sleep(VERDICT_DELAY_S)
-            sign = self._partition_sign(entry)
-        is_crash = is_refused and not sign
-        lost = self._pending.pop(entry.incarnation)
-        if is_refused:
-            event = "crash" if is_crash else "crash_or_cut"
-            self._log_loss(event, entry, lost, sign=sign)
-        for fingerprint in lost:
-            self._report_end(
-                entry, fingerprint, _CRASH if is_crash else _NO_CRASH
-            )
+        if await self._prober.check(entry) is not ConnectFailure.REFUSED:
+            self._report_lost(entry, self._pop_pending(entry), _NO_CRASH)
+            return
+        self._log_loss("loss", entry, self._pending[entry.incarnation])
+        await asyncio.sleep(VERDICT_DELAY_S)
+        sign = self._signs.sign(entry)
+        is_crash = not sign or await self._is_refused_alone(entry)
+        lost = self._pop_pending(entry)
+        if is_crash:
+            self._log_loss("crash", entry, lost)
+            self._report_lost(entry, lost, _CRASH)
+            return
+        self._log_loss("crash_or_cut", entry, lost, sign=sign)
+        self._report_lost(entry, lost, _NO_CRASH)
+        self._open.append(_OpenLoss(entry, tuple(lost), lost_s))
+        del self._open[:-MAX_OPEN_LOSSES]
+
+    async def _is_refused_alone(self, entry: UpstreamEntry) -> bool:
+        """Whether an upstream refuses while others beside it are reached."""
+        witnesses = self._signs.witnesses(entry)
+        failures = await asyncio.gather(*map(self._prober.check, witnesses))
+        if None not in failures:
+            return False
+        # Probed again after the others: a partition may have ended meanwhile.
+        return await self._prober.check(entry) is ConnectFailure.REFUSED
+
+    def _drop_open(self, incarnation: str) -> None:
+        """Drops the losses of an upstream that answers, so did not crash."""
+        if not self._open:
+            return
+        self._open = [
+            loss for loss in self._open if loss.entry.incarnation != incarnation
+        ]
+
+    def _pop_pending(self, entry: UpstreamEntry) -> list[int]:
+        return self._pending.pop(entry.incarnation)
 
     def _log_loss(
-        self, event: str, entry: UpstreamEntry, lost: list[int], **fields: str
+        self,
+        event: str,
+        entry: UpstreamEntry,
+        lost: Sequence[int],
+        **fields: str,
     ) -> None:
         self._log.line(
             event,
@@ -119,6 +212,12 @@
             **fields,
         )
 
+    def _report_lost(
+        self, entry: UpstreamEntry, lost: Sequence[int], verdict: Verdict
+    ) -> None:
+        for fingerprint in lost:
+            self._report_end(entry, fingerprint, verdict)
+
     def _report_end(
         self, entry: UpstreamEntry, fingerprint: int, verdict: Verdict
     ) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -72,6 +72,9 @@
 SILENT = "silent"
 """The sign of a partition that no report arrives from the data centre."""
 
+MAX_WITNESSES = 3
+"""Most upstreams that are probed to tell a partition from a crash."""
+
 _INCARNATION_BITS = 62
 """Length in bits of the random number that distinguishes a restarted host from
 its earlier incarnation."""
@@ -439,12 +442,10 @@
         """Returns why a refusing upstream may be behind a partition.
 
         That is so if its data centre is silent or if another upstream there has
-        just become unreachable. Two upstreams of one data centre that crash in
-        quick succession are therefore taken for a partition too: their requests
-        are not suspected, which costs one more crash. An upstream that has been
-        unreachable for longer doesn't count: upstreams may take minutes to
-        start, and until then no crash in the same data centre would be
-        attributed to a request.
+        just become unreachable, which two upstreams that crash in quick
+        succession do too. An upstream that has been unreachable for longer
+        doesn't count: upstreams may take minutes to start, and until then no
+        crash in the same data centre would be attributed to a request.
 
         Returns:
             `SILENT`, the other upstream, or an empty string for no sign.
@@ -456,6 +457,17 @@
             self._others_in_data_centre(entry), since_s
         )
 
+    def witnesses(self, entry: UpstreamEntry) -> list[UpstreamEntry]:
+        """Returns upstreams that tell a partition from a crash if probed.
+
+        Returns:
+            At most `MAX_WITNESSES` others of the same data centre that are not
+            known to be unreachable.
+        """
+        reachable = self._reachable(self._others_in_data_centre(entry))
+        count = min(MAX_WITNESSES, len(reachable))
+        return self._rng.sample(reachable, count)
+
     def on_upstream_unreachable(
         self, entry: UpstreamEntry, failure: ConnectFailure
     ) -> None:
--- a/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
@@ -16,7 +16,7 @@
 
 from hollyknot_coordination.suspects import Isolate, Refuse
 from hollyknot_gateway._log import Log
-from hollyknot_gateway._loss_classifier import LossClassifier
+from hollyknot_gateway._loss_classifier import LossClassifier, PartitionSigns
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._prober import Prober
 from hollyknot_gateway._upstream_connection import UpstreamConnection
@@ -273,7 +273,11 @@
         losses = LossClassifier(
             host.suspects,
             prober,
-            host.neighbours.partition_sign,
+            PartitionSigns(
+                host.neighbours.partition_sign,
+                host.neighbours.witnesses,
+                host.registry.has_successor,
+            ),
             self._log,
             loop.time,
         )
@@ -305,6 +309,7 @@
             await asyncio.sleep(_PROBE_INTERVAL_S)
             now_s = asyncio.get_running_loop().time()
             router.prober.check_all(router.host.reachability.due(now_s))
+            router.losses.settle()
             router.host.suspects.expire(now_s)
 
     def _crash(self, upstream: _Upstream) -> bool:
--- a/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
@@ -44,7 +44,7 @@
     """A request is stopped, however closely its crashes follow each other."""
 
     def test_crashes_in_one_data_centre_do_not_excuse_each_other(self) -> None:
-        """Pairs of crashes that acquit a request let it crash more upstreams."""
+        """Pairs of crashes that acquit a request allow further crashes."""
         late = {
             (name, seed): _simulate(_with_seed(load, seed)).late_counts
             for name, load in WAVES.items()
--- a/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
@@ -13,7 +13,7 @@
 )
 from hollyknot_gateway import _loss_classifier
 from hollyknot_gateway._log import Log
-from hollyknot_gateway._loss_classifier import LossClassifier
+from hollyknot_gateway._loss_classifier import LossClassifier, PartitionSigns
 from hollyknot_gateway._pool import Pool
 from hollyknot_gateway._prober import Prober
 from hollyknot_state import Address, Outcome, Reason, Verdict
@@ -30,6 +30,8 @@
     def __init__(self, port: int, sign: str = "") -> None:
         clock = asyncio.get_running_loop().time
         log = Log("h", "d", os.open(os.devnull, os.O_WRONLY))
+        self.witnesses: list[UpstreamEntry] = []
+        self.has_successor = False
         self.suspects = SuspectRegister(SuspectOptions())
         self.pool = Pool(clock)
         self.prober = Prober(
@@ -41,11 +43,17 @@
             clock,
         )
         self.losses = LossClassifier(
-            self.suspects, self.prober, lambda _: sign, log, clock
-        )
-        self.entry = UpstreamEntry(
-            "i-1", "s", Address("127.0.0.1", port), "north", 8
+            self.suspects,
+            self.prober,
+            PartitionSigns(
+                lambda _: sign,
+                lambda _: self.witnesses,
+                lambda _: self.has_successor,
+            ),
+            log,
+            clock,
         )
+        self.entry = _entry("i-1", port)
 
     async def lose_request(self) -> None:
         """Loses a request and waits for the verdict."""
@@ -59,6 +67,10 @@
         return self.suspects.is_suspect(FINGERPRINT)
 
 
+def _entry(name: str, port: int) -> UpstreamEntry:
+    return UpstreamEntry(name, "s", Address("127.0.0.1", port), "north", 8)
+
+
 async def _free_port() -> int:
     server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
     port: int = server.sockets[0].getsockname()[1]
@@ -117,6 +129,77 @@
 
         _run(test)
 
+    def test_reached_witness_shows_a_crash_beside_another(self) -> None:
+        """A request is acquitted for good if two upstreams crash together."""
+
+        async def test() -> None:
+            server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+            port: int = server.sockets[0].getsockname()[1]
+            parts = _LossJudgement(await _free_port(), sign="i-2")
+            parts.witnesses = [_entry("i-3", port)]
+            await parts.lose_request()
+            assert parts.is_suspect
+            parts.pool.close()
+            server.close()
+
+        _run(test)
+
+    def test_unreachable_witnesses_leave_a_loss_open(self) -> None:
+        async def test() -> None:
+            parts = _LossJudgement(await _free_port(), sign="i-2")
+            parts.witnesses = [_entry("i-3", await _free_port())]
+            await parts.lose_request()
+            assert not parts.is_suspect
+
+        _run(test)
+
+    def test_successor_shows_that_an_open_loss_was_a_crash(self) -> None:
+        """A request is acquitted for good if a whole data centre crashes."""
+
+        async def test() -> None:
+            parts = _LossJudgement(await _free_port(), sign="silent")
+            await parts.lose_request()
+            parts.losses.settle()
+            assert not parts.is_suspect
+            parts.has_successor = True
+            parts.losses.settle()
+            assert parts.is_suspect
+
+        _run(test)
+
+    def test_answer_shows_that_an_open_loss_was_no_crash(self) -> None:
+        """A partition must not count as a crash when its upstream is replaced.
+
+        The upstream answers after the partition and is replaced later, as
+        planned.
+        """
+
+        async def test() -> None:
+            parts = _LossJudgement(await _free_port(), sign="silent")
+            await parts.lose_request()
+            parts.suspects.on_dispatch(FINGERPRINT + 1, "i-1")
+            parts.losses.on_try_end(parts.entry, FINGERPRINT + 1, GOOD)
+            parts.has_successor = True
+            parts.losses.settle()
+            assert not parts.is_suspect
+
+        _run(test)
+
+    def test_answered_request_is_not_blamed_by_a_late_verdict(self) -> None:
+        """A harmless request must not become a suspect after its answer."""
+
+        async def test() -> None:
+            parts = _LossJudgement(await _free_port(), sign="silent")
+            await parts.lose_request()
+            parts.suspects.on_dispatch(FINGERPRINT, "i-3")
+            other = _entry("i-3", 1)
+            parts.losses.on_try_end(other, FINGERPRINT, GOOD)
+            parts.has_successor = True
+            parts.losses.settle()
+            assert not parts.is_suspect
+
+        _run(test)
+
     def test_verdict_waits_longer_than_partition_detection(self) -> None:
         assert (
             _loss_classifier.VERDICT_DELAY_S
