Tell losses by upstream and answers of suspects, within the byte budget

Two causes in what hosts tell each other, both found in its registers at each send:

News named the upstream with every request, 45 bytes each. A crash with 60 requests took a second of the byte budget of its host, first records only, and the news of the next losses were dropped meanwhile, so that hosts knew different crashes of one request. News now list requests by loss, 9 bytes each. Hosts of the release before read the old field, which has the evidence against requests of several crashes, and learn the rest from reports.

A request that was answered through one host stayed a suspect at all others, and the blame of the request that crashed upstreams was divided among up to 60. Answers of suspects are now told too; they clear losses before them.

--- a/packages/coordination/src/hollyknot_coordination/suspects/_evidence.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_evidence.py
@@ -114,14 +114,20 @@
                 later.known.add(fingerprint)
         return crash
 
-    def clear(self, fingerprint: int, now_s: float) -> None:
-        """Removes a request that an upstream survived from all crashes."""
-        for crash in self._by_fingerprint.pop(fingerprint, ()):
-            crash.suspects.discard(fingerprint)
-            crash.known.discard(fingerprint)
-            crash.cleared += 1
-        self._refusable.discard(fingerprint)
-        self._cleared[fingerprint] = now_s
+    def clear(self, fingerprint: int, at_s: float) -> None:
+        """Removes a request from all crashes before an upstream survived it."""
+        crashes = self._by_fingerprint.pop(fingerprint, [])
+        for crash in crashes:
+            if crash.at_s <= at_s:
+                crash.suspects.discard(fingerprint)
+                crash.known.discard(fingerprint)
+                crash.cleared += 1
+        remaining = [crash for crash in crashes if crash.at_s > at_s]
+        if remaining:
+            self._by_fingerprint[fingerprint] = remaining
+        if len(remaining) < self._options.refuse_crashes:
+            self._refusable.discard(fingerprint)
+        self._cleared[fingerprint] = at_s
         self._cleared.move_to_end(fingerprint)
         if len(self._cleared) > self._options.max_cleared:
             self._cleared.popitem(last=False)
--- a/packages/coordination/src/hollyknot_coordination/suspects/_pending_losses.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_pending_losses.py
@@ -47,9 +47,12 @@
         since_s = now_s - self._options.pending_s
         return {name: at_s for name, at_s in losses.items() if at_s > since_s}
 
-    def clear(self, fingerprint: int) -> None:
-        """Removes a request that has been answered since."""
-        self._losses.pop(fingerprint, None)
+    def clear(self, fingerprint: int, at_s: float) -> None:
+        """Removes the losses of a request before it was answered."""
+        losses = self._losses.pop(fingerprint, {})
+        remaining = {u: lost_s for u, lost_s in losses.items() if lost_s > at_s}
+        if remaining:
+            self._losses[fingerprint] = remaining
 
     def expire(self, now_s: float) -> None:
         """Drops losses that are too old to count."""
--- a/packages/coordination/src/hollyknot_coordination/suspects/_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_register.py
@@ -1,8 +1,10 @@
 """Registers a host's suspects from its own losses and from peers' reports."""
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
+import attrs
+
 from hollyknot_coordination.suspects._evidence import Crash, Evidence
 from hollyknot_coordination.suspects._messages import (
     Clear,
@@ -12,7 +14,15 @@
     SuspectOptions,
 )
 from hollyknot_coordination.suspects._pending_losses import PendingLosses
-from hollyknot_state import Outcome, Reason, SuspectRecord, Verdict
+from hollyknot_coordination.suspects._unsent_news import UnsentNews, record_of
+from hollyknot_state import (
+    LossNews,
+    Outcome,
+    Reason,
+    SuspectNews,
+    SuspectRecord,
+    Verdict,
+)
 
 NO_FINGERPRINT = 0
 """Marks a request without a fingerprint, which is never a suspect."""
@@ -37,14 +47,7 @@
         self._pending = PendingLosses(options)
         self._in_flight: dict[str, Counter[int]] = {}
         self._refused: dict[int, float] = {}
-        # New evidence that `next_updates` has not returned yet.
-        self._unsent: deque[tuple[int, Crash]] = deque(
-            maxlen=options.max_records
-        )
-        # New pending losses that `next_pending` has not returned yet.
-        self._unsent_pending: deque[tuple[int, str, float]] = deque(
-            maxlen=options.max_records
-        )
+        self._unsent = UnsentNews(options)
 
     def gate(self, fingerprint: int, now_s: float) -> Gate:
         """Decides before a try whether and where a request may be sent.
@@ -87,9 +90,7 @@
         in_flight = self._in_flight.get(upstream, Counter())
         if verdict.outcome in (Outcome.COMPLETE, Outcome.FAILED):
             if fingerprint != NO_FINGERPRINT:
-                self._evidence.clear(fingerprint, now_s)
-                self._pending.clear(fingerprint)
-                self._refused.pop(fingerprint, None)
+                self._clear(fingerprint, now_s, now_s)
         elif verdict.reason in _CRASH_REASONS:
             self._on_loss(fingerprint, upstream, in_flight, now_s)
         in_flight[fingerprint] -= 1
@@ -108,26 +109,6 @@
             if fingerprint != NO_FINGERPRINT:
                 self._add_pending(fingerprint, upstream, now_s, now_s)
 
-    def on_pending_records(
-        self, records: tuple[SuspectRecord, ...], now_s: float
-    ) -> tuple[SuspectRecord, ...]:
-        """Adds pending losses that peers have reported.
-
-        Returns:
-            The records that were new to this host.
-        """
-        return tuple(
-            record
-            for record in records
-            if record.fingerprint != NO_FINGERPRINT
-            and self._add_pending(
-                record.fingerprint,
-                record.upstream,
-                now_s - record.age_ms / 1000,
-                now_s,
-            )
-        )
-
     def _add_pending(
         self, fingerprint: int, upstream: str, at_s: float, now_s: float
     ) -> bool:
@@ -135,9 +116,18 @@
             return False
         is_new = self._pending.add(fingerprint, upstream, at_s, now_s)
         if is_new:
-            self._unsent_pending.append((fingerprint, upstream, at_s))
+            self._unsent.add_pending(fingerprint, upstream, at_s)
         return is_new
 
+    def _clear(self, fingerprint: int, at_s: float, now_s: float) -> None:
+        """Clears a request of all losses before an upstream survived it."""
+        pending = self._pending.find(fingerprint, now_s)
+        if pending or self._evidence.crashes(fingerprint):
+            self._unsent.add_cleared(fingerprint, at_s)
+        self._evidence.clear(fingerprint, at_s)
+        self._pending.clear(fingerprint, at_s)
+        self._refused.pop(fingerprint, None)
+
     def on_late_verdict(
         self, fingerprints: Iterable[int], upstream: str, at_s: float
     ) -> None:
@@ -178,42 +168,61 @@
     def _add(
         self, fingerprint: int, upstream: str, size: int, at_s: float
     ) -> Crash | None:
-        """Adds evidence and queues it for `next_updates` if it is new."""
+        """Adds evidence and queues it for `next_news` if it is new."""
         before = len(self._evidence.crashes(fingerprint))
         crash = self._evidence.add(fingerprint, upstream, size, at_s)
         is_new = len(self._evidence.crashes(fingerprint)) > before
         if crash is not None and is_new:
-            self._unsent.append((fingerprint, crash))
+            self._unsent.add_crash(fingerprint, crash)
         return crash
 
-    def next_updates(self, now_s: float) -> tuple[SuspectRecord, ...]:
-        """Returns the evidence added since the last call, to be sent once.
+    def on_news(self, news: SuspectNews, now_s: float) -> tuple[LossNews, ...]:
+        """Adds what a peer has told.
 
-        Evidence against the suspects of most crashes comes first, since a
-        message may not have room for all of it.
+        Returns:
+            The losses with the requests that were new to this host.
         """
-        updates = sorted(
-            ((f, crash) for f, crash in self._unsent if f in crash.suspects),
-            key=lambda item: len(self._evidence.crashes(item[0])),
-            reverse=True,
-        )
-        self._unsent.clear()
-        return tuple(_record(f, crash, now_s) for f, crash in updates)
-
-    def next_pending(self, now_s: float) -> tuple[SuspectRecord, ...]:
-        """Returns the pending losses added since the last call, sent once.
+        first_s = now_s - news.cleared_age_ms / 1000
+        for fingerprint in news.cleared:
+            if not self._evidence.is_cleared_since(fingerprint, first_s):
+                self._clear(fingerprint, first_s, now_s)
+        told = [self._add_loss(loss, now_s) for loss in news.losses]
+        self.on_records(news.suspects, now_s)
+        return tuple(loss for loss in told if loss.fingerprints)
+
+    def _add_loss(self, loss: LossNews, now_s: float) -> LossNews:
+        """Adds a loss and returns it with only the requests that were new."""
+        at_s = now_s - loss.age_ms / 1000
+        new = []
+        for fingerprint in loss.fingerprints:
+            if loss.is_crash:
+                record = SuspectRecord(
+                    fingerprint, loss.upstream, loss.companions, loss.age_ms
+                )
+                is_new = self._is_new_evidence(record, now_s)
+            else:
+                is_new = self._add_pending(
+                    fingerprint, loss.upstream, at_s, now_s
+                )
+            if is_new:
+                new.append(fingerprint)
+        return attrs.evolve(loss, fingerprints=tuple(new))
+
+    def next_news(
+        self, now_s: float, *, only_repeated: bool = False
+    ) -> SuspectNews:
+        """Returns the news since the last call, to be sent once.
 
-        Those of requests that were lost at several upstreams come first.
+        Args:
+            now_s: Current time in seconds of the host's monotonic clock.
+            only_repeated: Whether to drop news of requests that were lost only
+                once: each crash brings many under suspicion that were only in
+                flight there.
         """
-        updates = sorted(
-            self._unsent_pending,
-            key=lambda loss: self.is_repeated(loss[0], now_s),
-            reverse=True,
-        )
-        self._unsent_pending.clear()
-        return tuple(
-            SuspectRecord(fingerprint, upstream, 0, _age_ms(at_s, now_s))
-            for fingerprint, upstream, at_s in updates
+        return self._unsent.pop(
+            now_s,
+            lambda fingerprint: self.is_repeated(fingerprint, now_s),
+            only_repeated=only_repeated,
         )
 
     def is_repeated(self, fingerprint: int, now_s: float) -> bool:
@@ -241,7 +250,7 @@
             is_fresh = now_s - crash.at_s <= self._options.report_duration_s
             own = crash.own & crash.suspects if is_fresh else set()
             wanted = own | (lasting & crash.suspects)
-            reported += [_record(f, crash, now_s) for f in sorted(wanted)]
+            reported += [record_of(f, crash, now_s) for f in sorted(wanted)]
         return tuple(reported[: self._options.max_records])
 
     def expire(self, now_s: float) -> None:
@@ -337,16 +346,6 @@
         return frozenset(excluded)
 
 
-def _record(fingerprint: int, crash: Crash, now_s: float) -> SuspectRecord:
-    others = max(crash.size, len(crash.suspects) + crash.cleared) - 1
-    age_ms = _age_ms(crash.at_s, now_s)
-    return SuspectRecord(fingerprint, crash.upstream, others, age_ms)
-
-
-def _age_ms(at_s: float, now_s: float) -> int:
-    return max(0, int((now_s - at_s) * 1000))
-
-
 def _refusal(detail: str, retry_after_s: float) -> Refuse:
     return Refuse(
         Verdict(
--- a/packages/coordination/src/hollyknot_coordination/suspects/tests/test_suspects.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/tests/test_suspects.py
@@ -11,7 +11,7 @@
     SuspectOptions,
     SuspectRegister,
 )
-from hollyknot_state import Outcome, Reason, Verdict
+from hollyknot_state import Outcome, Reason, SuspectNews, Verdict
 
 COMPLETE = Verdict(Outcome.COMPLETE)
 LOST = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
@@ -51,6 +51,11 @@
     local.on_end(fingerprint, "spare", COMPLETE, now_s)
 
 
+def _told(news: SuspectNews) -> list[tuple[str, list[int]]]:
+    """Returns the losses in news, as upstreams with fingerprints."""
+    return [(loss.upstream, list(loss.fingerprints)) for loss in news.losses]
+
+
 class TestSuspectRegister:
     """Tests from the first crash to the refusal of its culprit."""
 
@@ -149,7 +154,7 @@
         local.on_records(peer.records(8.5), 8.6)
         assert isinstance(local.gate(1, 9.5), Isolate)
 
-    def test_updates_are_sent_once_and_the_most_suspect_first(self) -> None:
+    def test_news_are_sent_once_and_the_most_suspect_first(self) -> None:
         """Evidence against the culprit must come before that of bystanders.
 
         If the records of other requests fill the message first, peers go on
@@ -157,16 +162,52 @@
         """
         local = register()
         crash(local, "u0", [CULPRIT], 0.0)
-        assert [r.fingerprint for r in local.next_updates(0.1)] == [CULPRIT]
+        assert _told(local.next_news(0.1)) == [("u0", [CULPRIT])]
         crash(local, "u1", [1, 2, CULPRIT], 10.0)
         complete(local, 2, 10.5)
-        updates = local.next_updates(10.6)
-        assert [r.fingerprint for r in updates] == [CULPRIT, 1]
-        assert local.next_updates(10.7) == ()
+        news = local.next_news(10.6)
+        assert _told(news) == [("u1", [CULPRIT, 1])]
+        assert [r.fingerprint for r in news.suspects] == [CULPRIT]
+        assert news.cleared == (2,)
+        assert local.next_news(10.7).is_empty
         peer = register()
-        assert peer.on_records(updates, 10.7) == updates
-        assert peer.on_records(updates, 10.8) == ()
-        assert len(peer.next_updates(10.9)) == 2
+        assert peer.on_news(news, 10.7) == news.losses
+        assert peer.on_news(news, 10.8) == ()
+        assert _told(peer.next_news(10.9)) == [("u1", [CULPRIT, 1])]
+
+    def test_news_may_be_restricted_to_requests_lost_twice(self) -> None:
+        local = register()
+        crash(local, "u0", [1, CULPRIT], 0.0)
+        crash(local, "u1", [2, CULPRIT], 10.0)
+        complete(local, 2, 10.1)
+        news = local.next_news(10.2, only_repeated=True)
+        assert _told(news) == [("u0", [CULPRIT]), ("u1", [CULPRIT])]
+        assert news.cleared == ()
+        assert local.next_news(10.3).is_empty
+
+    def test_hosts_that_know_only_records_learn_of_repeated_suspects(
+        self,
+    ) -> None:
+        """Hosts of the release before must still refuse culprits."""
+        local, older = register(), register()
+        for number in range(3):
+            crash(local, f"u{number}", [CULPRIT], number * 10.0)
+        older.on_records(local.next_news(21.0).suspects, 21.0)
+        assert isinstance(older.gate(CULPRIT, 22.5), Refuse)
+
+    def test_answer_through_one_host_clears_a_request_at_all(self) -> None:
+        """Blame is diluted if hosts keep suspects that others have cleared."""
+        local, peer = register(), register()
+        crash(local, "u0", [1, CULPRIT], 0.0)
+        peer.on_news(local.next_news(0.1), 0.1)
+        complete(peer, 1, 2.0)
+        crash(local, "u1", [1, CULPRIT], 2.5)
+        local.on_news(peer.next_news(3.0), 3.0)
+        assert local.upstreams(1) == ("u1",)
+        assert local.score(CULPRIT) > 1.4
+        assert local.next_news(3.1).cleared == (1,)
+        local.on_news(peer.next_news(3.2), 3.2)
+        assert local.next_news(3.3).is_empty
 
     def test_new_host_learns_of_refused_requests(self) -> None:
         """Replacing a host must not cost three more crashes.
@@ -222,17 +263,15 @@
         local, peer = register(), register()
         _lose(local, "u0", [CULPRIT, 1], 0.0)
         _lose(peer, "u1", [CULPRIT], 0.2)
-        records = peer.next_pending(0.3)
-        assert [r.fingerprint for r in records] == [CULPRIT]
-        assert peer.next_pending(0.3) == ()
-        assert local.on_pending_records(records, 0.3) == records
-        assert local.on_pending_records(records, 0.3) == ()
+        news = peer.next_news(0.3)
+        assert _told(news) == [("u1", [CULPRIT])]
+        assert peer.next_news(0.3).is_empty
+        assert local.on_news(news, 0.3) == news.losses
+        assert local.on_news(news, 0.3) == ()
         assert isinstance(local.gate(CULPRIT, 0.4), Refuse)
-        told = local.next_pending(0.4)
-        assert [(r.fingerprint, r.upstream) for r in told] == [
-            (CULPRIT, "u0"),
-            (CULPRIT, "u1"),
-            (1, "u0"),
+        assert _told(local.next_news(0.4)) == [
+            ("u0", [CULPRIT, 1]),
+            ("u1", [CULPRIT]),
         ]
 
     def test_answered_request_is_not_held_for_its_earlier_losses(self) -> None:
@@ -240,7 +279,7 @@
         _lose(peer, "u0", [1], 0.0)
         _lose(local, "u1", [1], 0.1)
         complete(local, 1, 0.2)
-        local.on_pending_records(peer.next_pending(0.3), 0.3)
+        local.on_news(peer.next_news(0.3), 0.3)
         _lose(local, "u2", [1], 0.4)
         assert local.gate(1, 0.5) == Clear()
 
--- a/packages/gateway/src/hollyknot_gateway/_log.py
+++ b/packages/gateway/src/hollyknot_gateway/_log.py
@@ -8,7 +8,7 @@
 import os
 import time
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import structlog
 
@@ -27,9 +27,17 @@
 
 _ORDINARY = frozenset({"try"})
 
+_MAX_FINGERPRINTS = 8
+"""Largest number of fingerprints in one line."""
+
 _WRITE_BYTES = 65_536
 
 
+def fingerprints_text(fingerprints: Sequence[int]) -> str:
+    """Returns the value of a key that lists requests by their fingerprints."""
+    return ",".join(f"{f:016x}" for f in fingerprints[:_MAX_FINGERPRINTS])
+
+
 class Log:
     """A bounded buffer of the log lines of one process."""
 
--- a/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
@@ -21,7 +21,7 @@
 import attrs
 
 from hollyknot_coordination.suspects import SuspectRegister
-from hollyknot_gateway._log import Log
+from hollyknot_gateway._log import Log, fingerprints_text
 from hollyknot_gateway._pool import ConnectFailure
 from hollyknot_gateway._prober import Prober
 from hollyknot_state import Outcome, Reason, Verdict
@@ -42,9 +42,6 @@
 MAX_OPEN_LOSSES = 256
 """Most losses that stay open; the oldest are dropped first."""
 
-_MAX_LOGGED = 8
-"""Largest number of fingerprints in one log line."""
-
 _LOST = frozenset({Reason.UPSTREAM_LOST, Reason.TRUNCATED})
 _ANSWERED = frozenset({Outcome.COMPLETE, Outcome.FAILED})
 _NO_CRASH = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT)
@@ -209,7 +206,7 @@
             event,
             upstream=entry.incarnation,
             requests=len(lost),
-            fingerprints=",".join(f"{f:016x}" for f in lost[:_MAX_LOGGED]),
+            fingerprints=fingerprints_text(lost),
             **fields,
         )
 
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -29,7 +29,7 @@
 )
 from hollyknot_coordination.suspects import SuspectRegister
 from hollyknot_gateway._inquirer import Inquirer
-from hollyknot_gateway._log import Log
+from hollyknot_gateway._log import Log, fingerprints_text
 from hollyknot_gateway._permit_requester import PermitRequester
 from hollyknot_gateway._pool import ConnectFailure
 from hollyknot_gateway._prober import Prober
@@ -275,36 +275,24 @@
             self._send_reports(now_s)
 
     def _forward_suspect_news(self, now_s: float) -> None:
-        """Forwards new evidence of crashes, ahead of the regular reports.
+        """Forwards news of suspects, ahead of the regular reports.
 
-        If the byte budget is spent, only evidence against requests that were
-        part of more than one crash is forwarded: each crash of an upstream
-        brings many requests under suspicion that were only in flight there.
+        If the byte budget is spent, only news of requests that were lost more
+        than once is forwarded.
         """
-        suspects = self._shared.suspects
-        records = suspects.next_updates(now_s)
-        pending = suspects.next_pending(now_s)
-        if not self._rate.affordable(self._report_bytes, now_s):
-            records = self._repeated(records, now_s)
-            pending = self._repeated(pending, now_s)
-        if not records and not pending:
+        can_afford_all = self._rate.affordable(self._report_bytes, now_s) > 0
+        news = self._shared.suspects.next_news(
+            now_s, only_repeated=not can_afford_all
+        )
+        if news.is_empty:
             return
         addresses = [host.address for host in self._peers.hosts]
         max_targets = min(SUSPECT_NEWS_FANOUT, len(addresses))
         self._send(
-            encode_suspect_news(records, pending),
+            encode_suspect_news(news),
             self._rng.sample(addresses, max_targets),
         )
 
-    def _repeated(
-        self, records: tuple[SuspectRecord, ...], now_s: float
-    ) -> tuple[SuspectRecord, ...]:
-        """Returns the records of requests that were lost more than once."""
-        suspects = self._shared.suspects
-        return tuple(
-            r for r in records if suspects.is_repeated(r.fingerprint, now_s)
-        )
-
     def _send_reports(self, now_s: float) -> None:
         """Sends as many reports as the byte budget allows."""
         if not self._rate.affordable(self._report_bytes, now_s):
@@ -401,8 +389,7 @@
         elif isinstance(message, PermitMessage):
             self._permit_requester.handle(message, sender)
         elif isinstance(message, SuspectNews):
-            self._handle_suspects(message.suspects, self._clock())
-            self._handle_pending(message.pending, self._clock())
+            self._handle_news(message, self._clock())
         else:
             self._inquirer.handle(message, sender)
 
@@ -435,19 +422,14 @@
                 age_ms=record.age_ms,
             )
 
-    def _handle_pending(
-        self, records: tuple[SuspectRecord, ...], now_s: float
-    ) -> None:
-        """Adds pending losses; logs those of requests lost more than once."""
-        suspects = self._shared.suspects
-        for record in self._repeated(
-            suspects.on_pending_records(records, now_s), now_s
-        ):
+    def _handle_news(self, news: SuspectNews, now_s: float) -> None:
+        for loss in self._shared.suspects.on_news(news, now_s):
             self._log.line(
                 "loss_told",
-                fingerprint=f"{record.fingerprint:016x}",
-                upstream=record.upstream,
-                age_ms=record.age_ms,
+                upstream=loss.upstream,
+                verdict="crash" if loss.is_crash else "pending",
+                age_ms=loss.age_ms,
+                fingerprints=fingerprints_text(loss.fingerprints),
             )
 
     def _check_silent_data_centres(self, now_s: float) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/_reports.py
@@ -7,7 +7,7 @@
 import asyncio
 import heapq
 import struct
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Any, cast
 
 import attrs
@@ -30,7 +30,6 @@
     PermitAnswer,
     PermitQuery,
     SuspectNews,
-    SuspectRecord,
     UpstreamUse,
     UseReport,
 )
@@ -106,22 +105,34 @@
 """Steps that reduce a report, in the order in which they are applied."""
 
 
-def encode_suspect_news(
-    suspects: Sequence[SuspectRecord], pending: Sequence[SuspectRecord] = ()
-) -> bytes:
-    """Returns a datagram with as many of the first records as fit into it."""
-    news = SuspectNews(tuple(suspects), tuple(pending))
+def encode_suspect_news(news: SuspectNews) -> bytes:
+    """Returns news as a datagram, with as many first records as fit into it."""
     data = encode_message(news)
     while len(data) > MAX_DATAGRAM_BYTES:
-        fraction = MAX_DATAGRAM_BYTES / len(data)
-        news = SuspectNews(
-            news.suspects[: int(len(news.suspects) * fraction)],
-            news.pending[: int(len(news.pending) * fraction)],
-        )
+        news = _shortened(news, MAX_DATAGRAM_BYTES / len(data))
         data = encode_message(news)
     return data
 
 
+def _shortened(news: SuspectNews, fraction: float) -> SuspectNews:
+    """Returns news with about a fraction of the records."""
+    losses = [
+        attrs.evolve(
+            loss,
+            fingerprints=loss.fingerprints[
+                : int(len(loss.fingerprints) * fraction)
+            ],
+        )
+        for loss in news.losses
+    ]
+    return attrs.evolve(
+        news,
+        suspects=news.suspects[: int(len(news.suspects) * fraction)],
+        losses=tuple(loss for loss in losses if loss.fingerprints),
+        cleared=news.cleared[: int(len(news.cleared) * fraction)],
+    )
+
+
 def decode_message(data: bytes) -> Message:
     """Returns the message that a datagram holds.
 
--- a/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
@@ -200,7 +200,6 @@
         self._cut = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._cut_began = asyncio.Event()
-        self._fingerprints = iter(range(1_000, 10_000_000))
         self._by_address: dict[Address, _Upstream] = {}
         self._log = Log("h", "d", os.open(os.devnull, os.O_WRONLY))
         for service, count in ((ENGINES, load.engines), (PLAIN, load.plain)):
@@ -231,7 +230,8 @@
         loop = asyncio.get_running_loop()
         until_s = loop.time() + load.seconds
         self._spawn(self._send_innocents(until_s))
-        for culprit in range(1, load.culprits + 1):
+        for _ in range(load.culprits):
+            culprit = self._rng.getrandbits(60)
             self._spawn(self._send_culprit(culprit, until_s))
         if load.crash_interval_s:
             self._spawn(self._crash_others(until_s))
@@ -340,7 +340,7 @@
         loop = asyncio.get_running_loop()
         while loop.time() < until_s:
             await asyncio.sleep(self._rng.expovariate(self._load.rate))
-            self._spawn(self._ask(next(self._fingerprints)))
+            self._spawn(self._ask(self._rng.getrandbits(60)))
 
     async def _send_culprit(self, fingerprint: int, until_s: float) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
@@ -16,6 +16,7 @@
     "alone": Load(),
     "six engines": Load(engines=6),
     "other crashes": Load(crash_interval_s=0.7),
+    "six engines, other crashes": Load(engines=6, crash_interval_s=1.0),
     "fast restarts": Load(downtime_s=0.5),
     "partition": Load(cuts=((3.0, 4.0),)),
 }
--- a/packages/gateway/src/hollyknot_gateway/tests/test_culprits.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_culprits.py
@@ -127,14 +127,14 @@
 
     def gossip(self, now_s: float, rng: random.Random) -> None:
         """Gossips new records to random peers; some datagrams are lost."""
-        data = self.suspects.next_updates(now_s)
-        if not data:
+        news = self.suspects.next_news(now_s)
+        if news.is_empty:
             return
-        message = decode_message(encode_suspect_news(data))
+        message = decode_message(encode_suspect_news(news))
         assert isinstance(message, SuspectNews)
         for peer in rng.sample(self.peers, SUSPECT_NEWS_FANOUT):
             if rng.random() >= LOSS_FRACTION:
-                peer.suspects.on_records(message.suspects, now_s)
+                peer.suspects.on_news(message, now_s)
 
 
 def _simulate_news_only(hosts: int, heard: int, seed: int) -> _Culprit:
--- a/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
@@ -25,6 +25,7 @@
     HostReport,
     LaneDemand,
     LoadAnswer,
+    LossNews,
     ServiceWork,
     SuspectNews,
     SuspectRecord,
@@ -103,7 +104,7 @@
         records = tuple(
             SuspectRecord(n, "i-5d1c20ff01", 20, 900) for n in range(128)
         )
-        data = encode_suspect_news(records)
+        data = encode_suspect_news(SuspectNews(records))
         assert len(data) <= MAX_DATAGRAM_BYTES
         (received_message,) = _receive(data)
         assert isinstance(received_message, SuspectNews)
@@ -111,19 +112,28 @@
         assert count >= 20
         assert received_message.suspects == records[:count]
 
-    def test_pending_losses_share_a_datagram_with_evidence(self) -> None:
-        records = tuple(
-            SuspectRecord(n, "i-5d1c20ff01", 0, 30) for n in range(60)
+    def test_oversized_news_keep_the_first_requests_of_each_loss(self) -> None:
+        fingerprints = tuple(range(2**63, 2**63 + 300))
+        news = SuspectNews(
+            losses=(
+                LossNews("i-5d1c20ff01", 900, True, 20, fingerprints[:200]),
+                LossNews("i-5d1c20ff02", 30, False, 0, fingerprints[:100]),
+            ),
+            cleared=fingerprints[:30],
+            cleared_age_ms=80,
         )
-        data = encode_suspect_news(records[:40], records)
-        assert len(data) <= MAX_DATAGRAM_BYTES
+        data = encode_suspect_news(news)
+        assert MAX_DATAGRAM_BYTES / 2 < len(data) <= MAX_DATAGRAM_BYTES
         (received_message,) = _receive(data)
         assert isinstance(received_message, SuspectNews)
-        pending = received_message.pending
-        assert len(pending) >= 10
-        assert pending == records[: len(pending)]
-        suspects = received_message.suspects
-        assert suspects == records[: len(suspects)]
+        assert received_message.cleared_age_ms == 80
+        for loss, sent in zip(
+            received_message.losses, news.losses, strict=True
+        ):
+            count = len(loss.fingerprints)
+            assert count > len(sent.fingerprints) / 3
+            expected = sent.fingerprints[:count]
+            assert loss == attrs.evolve(sent, fingerprints=expected)
 
     def test_partial_report_is_short(self) -> None:
         """Guards against decisions by outdated loads.
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -155,11 +155,21 @@
   8: list<ServiceWork> work
 }
 
-// New evidence, sent immediately instead of with the next report, which may be
-// seconds away. Documented in _signals.py.
+struct LossNews {
+  1: string upstream
+  2: i32 age_ms
+  3: bool is_crash
+  4: i32 companions
+  5: list<binary> fingerprints   // unsigned 64 bits each, big endian
+}
+
+// News of suspects, sent immediately instead of with the next report, which may
+// be seconds away. Documented in _signals.py.
 struct SuspectNews {
   1: list<SuspectRecord> suspects
-  2: list<SuspectRecord> pending
+  2: list<LossNews> losses
+  3: list<binary> cleared        // unsigned 64 bits each, big endian
+  4: i32 cleared_age_ms
 }
 
 // PermitQuery and PermitAnswer are documented in _limit_messages.py.
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -2301,23 +2301,153 @@
         return not (self == other)
 
 
+class LossNews(object):
+    """
+    Attributes:
+     - upstream
+     - age_ms
+     - is_crash
+     - companions
+     - fingerprints
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'age_ms',
+        'is_crash',
+        'companions',
+        'fingerprints',
+    )
+
+
+    def __init__(self, upstream=None, age_ms=None, is_crash=None, companions=None, fingerprints=None,):
+        self.upstream = upstream
+        self.age_ms = age_ms
+        self.is_crash = is_crash
+        self.companions = companions
+        self.fingerprints = fingerprints
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_crash = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.companions = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.fingerprints = []
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = iprot.readBinary()
+                        self.fingerprints.append(_elem194)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LossNews')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.is_crash is not None:
+            oprot.writeFieldBegin('is_crash', TType.BOOL, 3)
+            oprot.writeBool(self.is_crash)
+            oprot.writeFieldEnd()
+        if self.companions is not None:
+            oprot.writeFieldBegin('companions', TType.I32, 4)
+            oprot.writeI32(self.companions)
+            oprot.writeFieldEnd()
+        if self.fingerprints is not None:
+            oprot.writeFieldBegin('fingerprints', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.fingerprints))
+            for iter195 in self.fingerprints:
+                oprot.writeBinary(iter195)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SuspectNews(object):
     """
     Attributes:
      - suspects
-     - pending
+     - losses
+     - cleared
+     - cleared_age_ms
 
     """
 
     __slots__ = (
         'suspects',
-        'pending',
+        'losses',
+        'cleared',
+        'cleared_age_ms',
     )
 
 
-    def __init__(self, suspects=None, pending=None,):
+    def __init__(self, suspects=None, losses=None, cleared=None, cleared_age_ms=None,):
         self.suspects = suspects
-        self.pending = pending
+        self.losses = losses
+        self.cleared = cleared
+        self.cleared_age_ms = cleared_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2331,25 +2461,40 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = SuspectRecord()
-                        _elem194.read(iprot)
-                        self.suspects.append(_elem194)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = SuspectRecord()
+                        _elem201.read(iprot)
+                        self.suspects.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
-                    self.pending = []
-                    (_etype198, _size195) = iprot.readListBegin()
-                    for _i199 in range(_size195):
-                        _elem200 = SuspectRecord()
-                        _elem200.read(iprot)
-                        self.pending.append(_elem200)
+                    self.losses = []
+                    (_etype205, _size202) = iprot.readListBegin()
+                    for _i206 in range(_size202):
+                        _elem207 = LossNews()
+                        _elem207.read(iprot)
+                        self.losses.append(_elem207)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.cleared = []
+                    (_etype211, _size208) = iprot.readListBegin()
+                    for _i212 in range(_size208):
+                        _elem213 = iprot.readBinary()
+                        self.cleared.append(_elem213)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.cleared_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2363,17 +2508,28 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter201 in self.suspects:
-                iter201.write(oprot)
+            for iter214 in self.suspects:
+                iter214.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.losses is not None:
+            oprot.writeFieldBegin('losses', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.losses))
+            for iter215 in self.losses:
+                iter215.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.pending is not None:
-            oprot.writeFieldBegin('pending', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.pending))
-            for iter202 in self.pending:
-                iter202.write(oprot)
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.cleared))
+            for iter216 in self.cleared:
+                oprot.writeBinary(iter216)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.cleared_age_ms is not None:
+            oprot.writeFieldBegin('cleared_age_ms', TType.I32, 4)
+            oprot.writeI32(self.cleared_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2792,11 +2948,22 @@
     (7, TType.LIST, 'lane_shares', (TType.STRUCT, [LaneShare, None], False), None, ),  # 7
     (8, TType.LIST, 'work', (TType.STRUCT, [ServiceWork, None], False), None, ),  # 8
 )
+all_structs.append(LossNews)
+LossNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.BOOL, 'is_crash', None, None, ),  # 3
+    (4, TType.I32, 'companions', None, None, ),  # 4
+    (5, TType.LIST, 'fingerprints', (TType.STRING, 'BINARY', False), None, ),  # 5
+)
 all_structs.append(SuspectNews)
 SuspectNews.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 1
-    (2, TType.LIST, 'pending', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 2
+    (2, TType.LIST, 'losses', (TType.STRUCT, [LossNews, None], False), None, ),  # 2
+    (3, TType.LIST, 'cleared', (TType.STRING, 'BINARY', False), None, ),  # 3
+    (4, TType.I32, 'cleared_age_ms', None, None, ),  # 4
 )
 all_structs.append(PermitQuery)
 PermitQuery.thrift_spec = (
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -89,6 +89,7 @@
 from hollyknot_state._settings import Address, Platform, Settings, Tls
 from hollyknot_state._signals import (
     LoadReport,
+    LossNews,
     SignKind,
     SuspectNews,
     SuspectRecord,
@@ -103,6 +104,7 @@
 from hollyknot_state._verdict import Outcome, Reason, Verdict
 
 __all__ = [
+    "LossNews",
     "CustomerWork",
     "KEY_BYTES",
     "MAX_DECLARATIONS_BYTES",
--- a/packages/state/src/hollyknot_state/_signals.py
+++ b/packages/state/src/hollyknot_state/_signals.py
@@ -72,17 +72,48 @@
     age_ms: int
 
 
+@attrs.frozen
+class LossNews:
+    """Requests that were lost together at one upstream.
+
+    Attributes:
+        upstream: The upstream.
+        age_ms: Milliseconds since the loss.
+        is_crash: Whether the upstream has crashed. While the verdict is
+            pending, it may also be behind a network partition.
+        companions: Number of other requests that were lost with each of them;
+            0 while the verdict is pending.
+        fingerprints: Fingerprints of the requests, unsigned 64 bits each.
+    """
+
+    upstream: str
+    age_ms: int
+    is_crash: bool
+    companions: int
+    fingerprints: tuple[int, ...]
+
+
 @attrs.frozen
 class SuspectNews:
-    """New evidence, which each host forwards to others when it learns it.
+    """News of suspects, which each host forwards to others when it learns them.
 
     Attributes:
-        suspects: The evidence.
-        pending: Losses that are not judged yet, with no companions.
+        suspects: Evidence against requests of several crashes, for hosts that
+            don't know the other fields. It is in `losses` too.
+        losses: New losses and verdicts.
+        cleared: Fingerprints of suspects that upstreams have answered.
+        cleared_age_ms: Milliseconds since the first of these answers.
     """
 
-    suspects: tuple[SuspectRecord, ...]
-    pending: tuple[SuspectRecord, ...] = ()
+    suspects: tuple[SuspectRecord, ...] = ()
+    losses: tuple[LossNews, ...] = ()
+    cleared: tuple[int, ...] = ()
+    cleared_age_ms: int = 0
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is nothing to tell."""
+        return not (self.suspects or self.losses or self.cleared)
 
 
 @attrs.frozen
