Don't clear a suspect by an upstream's error

An upstream that fails part of its requests while its checks are good therefore cleared a request that had crashed others each time it came by.

Only a complete answer clears a request now; an error neither clears nor blames. The test failed before (a request with three crashes and three errors was sent as one without evidence).

--- a/packages/coordination/src/hollyknot_coordination/suspects/_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_register.py
@@ -83,12 +83,14 @@
     ) -> None:
         """Records the end of a try.
 
-        A request that ended in an answer of any kind is cleared, since the
-        upstream survived it. A lost request becomes a suspect, and so do all
-        others in flight at the upstream, until they end otherwise.
+        A request that completed is cleared, since the upstream survived it. An
+        error doesn't clear it: an upstream that fails part of its requests may
+        not have reached the part that crashes others. A lost request becomes a
+        suspect, and so do all others in flight at the upstream, until they end
+        otherwise.
         """
         in_flight = self._in_flight.get(upstream, Counter())
-        if verdict.outcome in (Outcome.COMPLETE, Outcome.FAILED):
+        if verdict.is_complete:
             if fingerprint != NO_FINGERPRINT:
                 self._clear(fingerprint, now_s, now_s)
         elif verdict.reason in _CRASH_REASONS:
--- a/packages/coordination/src/hollyknot_coordination/suspects/tests/test_suspects.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/tests/test_suspects.py
@@ -16,6 +16,7 @@
 COMPLETE = Verdict(Outcome.COMPLETE)
 LOST = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
 SILENT = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT)
+ERROR = Verdict(Outcome.FAILED, Reason.UPSTREAM_ERROR, upstream_status=500)
 CULPRIT = 99
 
 
@@ -109,6 +110,19 @@
         assert local.score(CULPRIT) < 1.9
         assert isinstance(local.gate(CULPRIT, 21.5), Refuse)
 
+    def test_error_of_an_upstream_does_not_clear_a_request(self) -> None:
+        """Upstreams that fail some requests must not clear a culprit.
+
+        Such an upstream answers with an error before the part of the request
+        that crashes others has run.
+        """
+        local = register()
+        for number in range(3):
+            crash(local, f"u{number}", [CULPRIT], number * 10.0)
+            local.on_dispatch(CULPRIT, "failing")
+            local.on_end(CULPRIT, "failing", ERROR, number * 10.0 + 1)
+        assert isinstance(local.gate(CULPRIT, 25.0), Refuse)
+
     def test_suspects_are_kept_apart(self) -> None:
         local = register()
         crash(local, "u0", [1, 2, 3], 0.0)
