Move the signs of partitions out of the exchange with peers

PartitionDetector has the signs (silent data centres, upstreams that became unreachable), the witnesses and the probes; Neighbours only tells it which data centres are silent. The simulation of crashes is split into what it plays and observes and the fleet. No decision changes, and random draws come in the same order; tests of the gateway pass.

--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -49,6 +49,7 @@
 from hollyknot_gateway._metrics import Metrics
 from hollyknot_gateway._neighbours import Neighbours, SharedState
 from hollyknot_gateway._operator_servers import OperatorServers
+from hollyknot_gateway._partition_detector import PartitionDetector
 from hollyknot_gateway._placement_log import (
     PlacementLog,
     slowness_reader,
@@ -176,6 +177,14 @@
             clock,
         )
         self._suspects = SuspectRegister(SuspectOptions())
+        self._partitions = PartitionDetector(
+            self._routing_state.registry,
+            self._reachability,
+            self._prober,
+            self._log,
+            rng,
+            clock,
+        )
         self._neighbours = Neighbours(
             settings,
             SharedState(
@@ -191,8 +200,7 @@
                 self._customers,
             ),
             self._routing_state,
-            self._reachability,
-            self._prober,
+            self._partitions,
             RevisionGossip(lambda: self._directory.read, self._on_peer_read),
             self._log,
             rng,
@@ -202,8 +210,8 @@
             self._suspects,
             self._prober,
             PartitionSigns(
-                self._neighbours.partition_sign,
-                self._neighbours.witnesses,
+                self._partitions.sign,
+                self._partitions.witnesses,
                 self._routing_state.registry.has_successor,
             ),
             self._log,
@@ -464,7 +472,7 @@
     ) -> None:
         """Ends silent attempts at an upstream and probes others beside it."""
         self._stalls.on_upstream_unreachable(entry.incarnation)
-        self._neighbours.on_upstream_unreachable(entry, failure)
+        self._partitions.on_upstream_unreachable(entry, failure)
 
     def _on_upstream_reachable(self, entry: UpstreamEntry) -> None:
         """Treats an upstream as cold that may have restarted under its name.
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -1,4 +1,4 @@
-"""Exchanges reports with a host's peers and detects silent data centres."""
+"""Exchanges reports and news with a host's peers."""
 
 import asyncio
 import random
@@ -21,7 +21,6 @@
     NamedLimits,
     Peers,
     Permits,
-    Reachability,
     ReportRate,
     Speeds,
     Tracker,
@@ -30,9 +29,8 @@
 from hollyknot_coordination.suspects import SuspectRegister
 from hollyknot_gateway._inquirer import Inquirer
 from hollyknot_gateway._log import Log, fingerprints_text
+from hollyknot_gateway._partition_detector import PartitionDetector
 from hollyknot_gateway._permit_requester import PermitRequester
-from hollyknot_gateway._pool import ConnectFailure
-from hollyknot_gateway._prober import Prober
 from hollyknot_gateway._reports import (
     Message,
     PermitMessage,
@@ -65,16 +63,6 @@
 """Number of peers to which each host forwards new evidence of a crash, once. It
 then reaches 99 % of the hosts in a few rounds, whatever their number."""
 
-PARTITION_DETECTION_S = 1.5
-"""Seconds within which the upstreams behind one network partition are found to
-be unreachable, one after the other."""
-
-SILENT = "silent"
-"""The sign of a partition that no report arrives from the data centre."""
-
-MAX_WITNESSES = 3
-"""Most upstreams that are probed to tell a partition from a crash."""
-
 _INCARNATION_BITS = 62
 """Length in bits of the random number that distinguishes a restarted host from
 its earlier incarnation."""
@@ -117,8 +105,7 @@
         settings: GatewaySettings,
         shared: SharedState,
         in_force: RoutingState,
-        reachability: Reachability,
-        prober: Prober,
+        partitions: PartitionDetector,
         directory_revisions: RevisionGossip,
         log: Log,
         rng: random.Random,
@@ -130,19 +117,17 @@
             settings: The settings of this process.
             shared: State that is exchanged with peers.
             in_force: Newest route table and known upstreams.
-            reachability: Records which upstreams can't be connected to.
-            prober: Probes upstreams of silent data centres.
+            partitions: Told which data centres are silent.
             directory_revisions: Decides when reports carry the directory
                 revisions that were read.
             log: Logs new and lost peers.
-            rng: Chooses the peers to contact and the upstreams to probe.
+            rng: Chooses the peers to contact.
             clock: The loop's monotonic clock, in seconds.
         """
         self._settings = settings
         self._shared = shared
         self._routing_state = in_force
-        self._reachability = reachability
-        self._prober = prober
+        self._partitions = partitions
         self._directory_revisions = directory_revisions
         self._log = log
         self._rng = rng
@@ -187,7 +172,6 @@
             clock,
         )
         shared.loads.on_change = self._schedule_notes
-        self._silent_data_centres: frozenset[str] = frozenset()
 
     async def ask(
         self, entries: Sequence[UpstreamEntry], runs: tuple[int, ...]
@@ -270,7 +254,7 @@
             now_s = self._clock()
             self._aggregate_reports(now_s)
             self._schedule_notes()
-            self._check_silent_data_centres(now_s)
+            self._partitions.set_silent(self._peers.silent_data_centres(now_s))
             self._forward_suspect_news(now_s)
             self._send_reports(now_s)
 
@@ -431,98 +415,3 @@
                 age_ms=loss.age_ms,
                 fingerprints=fingerprints_text(loss.fingerprints),
             )
-
-    def _check_silent_data_centres(self, now_s: float) -> None:
-        """Probes one upstream of each data centre that has just fallen silent.
-
-        One upstream suffices to show whether the data centre is partitioned;
-        the others are probed only if it is. A silence may be due to chance, and
-        each probe opens a connection.
-        """
-        silent = self._peers.silent_data_centres(now_s)
-        for data_centre in silent - self._silent_data_centres:
-            self._log.line("data_centre_silent", silent=data_centre)
-            self._probe_one(self._serving_in(data_centre))
-        self._silent_data_centres = silent
-
-    def partition_sign(self, entry: UpstreamEntry) -> str:
-        """Returns why a refusing upstream may be behind a partition.
-
-        That is so if its data centre is silent or if another upstream there has
-        just become unreachable, which two upstreams that crash in quick
-        succession do too. An upstream that has been unreachable for longer
-        doesn't count: upstreams may take minutes to start, and until then no
-        crash in the same data centre would be attributed to a request.
-
-        Returns:
-            `SILENT`, the other upstream, or an empty string for no sign.
-        """
-        if entry.data_centre in self._silent_data_centres:
-            return SILENT
-        since_s = self._clock() - PARTITION_DETECTION_S
-        return self._reachability.first_unreachable_since(
-            self._others_in_data_centre(entry), since_s
-        )
-
-    def witnesses(self, entry: UpstreamEntry) -> list[UpstreamEntry]:
-        """Returns upstreams that tell a partition from a crash if probed.
-
-        Returns:
-            At most `MAX_WITNESSES` others of the same data centre that are not
-            known to be unreachable.
-        """
-        reachable = self._reachable(self._others_in_data_centre(entry))
-        count = min(MAX_WITNESSES, len(reachable))
-        return self._rng.sample(reachable, count)
-
-    def on_upstream_unreachable(
-        self, entry: UpstreamEntry, failure: ConnectFailure
-    ) -> None:
-        """Probes upstreams of a data centre that may be partitioned.
-
-        A refused connection is mostly a crash, so only one other upstream is
-        probed; it refuses too if it is the network that refuses. All others are
-        probed if the data centre is silent or if a connection hung: in a
-        partition, requests would wait for a timeout at each of them in turn.
-
-        Args:
-            entry: The upstream that became unreachable.
-            failure: Reason why the connection attempt failed.
-        """
-        others = self._others_in_data_centre(entry)
-        is_silent = entry.data_centre in self._silent_data_centres
-        if failure is ConnectFailure.REFUSED and not is_silent:
-            self._probe_one(others)
-            return
-        self._prober.check_all(self._reachable(others))
-
-    def _probe_one(self, entries: Sequence[UpstreamEntry]) -> None:
-        reachable = self._reachable(entries)
-        if reachable:
-            self._prober.check(self._rng.choice(reachable))
-
-    def _reachable(
-        self, entries: Sequence[UpstreamEntry]
-    ) -> list[UpstreamEntry]:
-        """Returns the upstreams that are not known to be unreachable."""
-        unreachable = self._reachability.unreachable(entries)
-        return [
-            entry for entry in entries if entry.incarnation not in unreachable
-        ]
-
-    def _others_in_data_centre(
-        self, entry: UpstreamEntry
-    ) -> list[UpstreamEntry]:
-        return [
-            other
-            for other in self._serving_in(entry.data_centre)
-            if other.incarnation != entry.incarnation
-        ]
-
-    def _serving_in(self, data_centre: str) -> list[UpstreamEntry]:
-        """Returns the upstreams of a data centre that get requests."""
-        return [
-            entry
-            for entry in self._routing_state.registry.all_serving(self._clock())
-            if entry.data_centre == data_centre
-        ]
--- a/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
@@ -8,7 +8,6 @@
 import asyncio
 import os
 import random
-from collections import defaultdict
 from collections.abc import Coroutine, Iterator
 from typing import Any, cast
 
@@ -20,6 +19,7 @@
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._prober import Prober
 from hollyknot_gateway._upstream_connection import UpstreamConnection
+from hollyknot_gateway.tests._crash_load import Load, Report
 from hollyknot_gateway.tests._neighbour_network import (
     DATA_CENTRES,
     Host,
@@ -40,10 +40,6 @@
 CRASH_DELAY_S = 0.08
 """Seconds from the arrival of a crashing request to the crash."""
 
-CONTACT_S = 3.0
-MAX_CRASHES = 3
-"""Sends later than `CONTACT_S` after this many crashes are late."""
-
 _ROUND_TRIP_S = 0.002
 _PROBE_INTERVAL_S = 0.05
 _LAPSE_S = 2.3
@@ -58,81 +54,6 @@
 _MAX_TRIES = 30
 
 
-@attrs.frozen
-class Load:
-    """What callers send and what fails in one simulation.
-
-    Attributes:
-        hosts: Number of hosts.
-        seed: Seed of all random choices.
-        engines: Number of upstreams of the service that crashes.
-        plain: Number of upstreams of another service.
-        seconds: Seconds for which callers send.
-        rate: Innocent requests per second.
-        culprits_per_s: Rate of each request that crashes upstreams.
-        culprits: Number of such requests.
-        downtime_s: Seconds until a successor of a crashed upstream listens.
-        crash_interval_s: Mean seconds between crashes for other reasons; 0 for
-            none.
-        cuts: Start and length, in seconds, of partitions that cut off the
-            first data centre. Connections across them are reset and refused.
-        ends: Times in seconds at which all upstreams of the last data centre
-            crash together.
-        is_busy: Whether load queries use up their part of the byte budget.
-    """
-
-    hosts: int = 8
-    seed: int = 1
-    engines: int = 12
-    plain: int = 3
-    seconds: float = 25.0
-    rate: float = 60.0
-    culprits_per_s: float = 3.0
-    culprits: int = 2
-    downtime_s: float = 3.0
-    crash_interval_s: float = 0.0
-    cuts: tuple[tuple[float, float], ...] = ()
-    ends: tuple[float, ...] = ()
-    is_busy: bool = False
-
-
-@attrs.define
-class Report:
-    """What was observed in one simulation.
-
-    Attributes:
-        crashes: Times of the crashes of each culprit, in seconds.
-        sends: Times at which each culprit was sent to an upstream.
-        refused_s: For each innocent request that was refused, seconds from its
-            first refusal until it was sent again.
-        lost: Innocent requests that lost an answer.
-    """
-
-    crashes: dict[int, list[float]] = attrs.Factory(lambda: defaultdict(list))
-    sends: dict[int, list[float]] = attrs.Factory(lambda: defaultdict(list))
-    refused_s: list[float] = attrs.Factory(list)
-    lost: int = 0
-
-    @property
-    def crash_counts(self) -> list[int]:
-        """Number of upstreams that each culprit crashed."""
-        return [len(times) for _, times in sorted(self.crashes.items())]
-
-    @property
-    def late_counts(self) -> list[int]:
-        """Late sends of each culprit."""
-        return [
-            sum(s > times[MAX_CRASHES - 1] + CONTACT_S for s in self.sends[f])
-            for f, times in sorted(self.crashes.items())
-            if len(times) >= MAX_CRASHES
-        ]
-
-    @property
-    def longest_refusal_s(self) -> float:
-        """Longest time for which an innocent request was refused."""
-        return max(self.refused_s, default=0.0)
-
-
 @attrs.define(eq=False)
 class _Upstream:
     """A simulated upstream; its successors have other entries.
@@ -264,18 +185,18 @@
         prober = Prober(
             cast(Pool, _SimulatedPool(self, data_centre)),
             host.reachability,
-            host.neighbours.on_upstream_unreachable,
+            host.partitions.on_upstream_unreachable,
             lambda _: None,
             self._log,
             loop.time,
         )
-        host.neighbours._prober = prober
+        host.partitions._prober = prober
         losses = LossClassifier(
             host.suspects,
             prober,
             PartitionSigns(
-                host.neighbours.partition_sign,
-                host.neighbours.witnesses,
+                host.partitions.sign,
+                host.partitions.witnesses,
                 host.registry.has_successor,
             ),
             self._log,
--- a/packages/gateway/src/hollyknot_gateway/tests/_neighbour_network.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_neighbour_network.py
@@ -24,6 +24,7 @@
 from hollyknot_coordination.suspects import SuspectOptions, SuspectRegister
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._neighbours import Neighbours, SharedState
+from hollyknot_gateway._partition_detector import PartitionDetector
 from hollyknot_gateway._prober import Prober
 from hollyknot_gateway._revision_gossip import RevisionGossip
 from hollyknot_gateway._routing_state import RoutingState
@@ -77,6 +78,7 @@
     host_count: HostCount
     registry: UpstreamRegistry
     reachability: Reachability
+    partitions: PartitionDetector
     task: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
@@ -180,6 +182,15 @@
         host_count = HostCount(
             self._clock(), is_alone=not seeds, data_centres=len(DATA_CENTRES)
         )
+        rng = random.Random(self.rng.random())
+        partitions = PartitionDetector(
+            registry,
+            reachability,
+            cast(Prober, None),
+            self._log,
+            rng,
+            self._clock,
+        )
         neighbours = Neighbours(
             settings,
             SharedState(
@@ -195,14 +206,15 @@
                 CustomerShares(host_count),
             ),
             RoutingState(registry),
-            reachability,
-            cast(Prober, None),
+            partitions,
             RevisionGossip(ReadRevisions, lambda _: None),
             self._log,
-            random.Random(self.rng.random()),
+            rng,
             self._clock,
         )
         neighbours._socket.connection_made(
             cast(asyncio.BaseTransport, _Transport(self, address(number)))
         )
-        return Host(suspects, neighbours, host_count, registry, reachability)
+        return Host(
+            suspects, neighbours, host_count, registry, reachability, partitions
+        )
--- a/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
@@ -3,7 +3,8 @@
 import attrs
 import pytest
 
-from hollyknot_gateway.tests._crash_fleet import CrashFleet, Load, Report
+from hollyknot_gateway.tests._crash_fleet import CrashFleet
+from hollyknot_gateway.tests._crash_load import Load, Report
 from hollyknot_gateway.tests._virtual_time import run_virtually
 
 MAX_LATE_SENDS = 3
--- a/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
@@ -22,6 +22,7 @@
 from hollyknot_coordination.suspects import SuspectOptions, SuspectRegister
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._neighbours import Neighbours, SharedState
+from hollyknot_gateway._partition_detector import PartitionDetector
 from hollyknot_gateway._pool import ConnectFailure
 from hollyknot_gateway._prober import Prober
 from hollyknot_gateway._revision_gossip import RevisionGossip
@@ -69,6 +70,15 @@
         self.now_s = 0.0
         self.prober = _RecordingProber()
         self.reachability = Reachability()
+        log = Log("a", "near", os.open(os.devnull, os.O_WRONLY))
+        self.partitions = PartitionDetector(
+            registry,
+            self.reachability,
+            cast(Prober, self.prober),
+            log,
+            random.Random(1),
+            lambda: self.now_s,
+        )
         self.neighbours = Neighbours(
             settings,
             SharedState(
@@ -84,10 +94,9 @@
                 CustomerShares(HostCount(0.0, is_alone=True)),
             ),
             RoutingState(registry),
-            self.reachability,
-            cast(Prober, self.prober),
+            self.partitions,
             RevisionGossip(ReadRevisions, lambda _: None),
-            Log("a", "near", os.open(os.devnull, os.O_WRONLY)),
+            log,
             random.Random(1),
             lambda: self.now_s,
         )
@@ -106,14 +115,15 @@
 
     def check_silence(self) -> None:
         """Checks for silent data centres, as hosts do ten times a second."""
-        self.neighbours._check_silent_data_centres(self.now_s)
+        silent = self.neighbours._peers.silent_data_centres(self.now_s)
+        self.partitions.set_silent(silent)
 
     def make_unreachable(
         self, entry: UpstreamEntry, failure: ConnectFailure
     ) -> None:
         """Reports that a connection attempt to an upstream failed."""
         self.reachability.failed(entry, self.now_s)
-        self.neighbours.on_upstream_unreachable(entry, failure)
+        self.partitions.on_upstream_unreachable(entry, failure)
 
 
 class TestSilentDataCentre:
@@ -174,10 +184,10 @@
         parts.make_unreachable(FAR[0], ConnectFailure.REFUSED)
         (probed,) = parts.prober.names
         assert probed != FAR[0].name
-        assert parts.neighbours.partition_sign(FAR[0]) == ""
+        assert parts.partitions.sign(FAR[0]) == ""
         entry = next(entry for entry in FAR if entry.name == probed)
         parts.make_unreachable(entry, ConnectFailure.REFUSED)
-        assert parts.neighbours.partition_sign(FAR[0]) == probed
+        assert parts.partitions.sign(FAR[0]) == probed
 
     def test_long_unreachable_upstream_hides_no_crash(self) -> None:
         """Guards against more crashes by one request while an upstream starts.
@@ -189,7 +199,7 @@
         parts.make_unreachable(FAR[1], ConnectFailure.REFUSED)
         parts.now_s += 5.0
         parts.make_unreachable(FAR[0], ConnectFailure.REFUSED)
-        assert parts.neighbours.partition_sign(FAR[0]) == ""
+        assert parts.partitions.sign(FAR[0]) == ""
 
 
 class TestShouldQueryTrackers:
