Find successors by address, probe silent data centres in a fixed order

An open loss asked for its successor by a look at all upstreams, ten times a second: at 10,000 upstreams and 256 open losses that is more than a core.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/_upstream_registry.py
@@ -109,6 +109,8 @@
         self._removed: dict[str, float] = {}
         # An ordered set: from the incarnation that was marked first.
         self._leaving: dict[str, None] = {}
+        # The upstream that has each address, as of the last refresh.
+        self._holders: dict[Address, UpstreamEntry] = {}
         self._by_service: dict[str, list[UpstreamEntry]] | None = {}
         self._by_service_until = float("inf")
 
@@ -257,29 +259,25 @@
         known = self._known.get(incarnation)
         return known.entry if known is not None else None
 
-    def has_successor(self, entry: UpstreamEntry) -> bool:
+    def has_successor(self, entry: UpstreamEntry, now_s: float) -> bool:
         """Whether another incarnation has taken an upstream's place.
 
         This proves that its process has ended. That its entry is missing proves
         nothing: an upstream that is cut off from the directory loses it too.
+
+        Args:
+            entry: Last entry of the upstream.
+            now_s: Current time, in seconds.
         """
+        self._refresh(now_s)
         known = self._known.get(entry.incarnation)
         if known is not None and known.is_replaced:
             return True
-        return any(
-            self._supersedes(other, entry) for other in self._known.values()
+        namesake = self._of_name(entry.name)
+        return _is_newer(self._holders.get(entry.address), entry) or (
+            namesake is not None and _is_newer(namesake.entry, entry)
         )
 
-    def _supersedes(self, other: _UpstreamState, entry: UpstreamEntry) -> bool:
-        newer = other.entry
-        if newer.incarnation == entry.incarnation or other.is_replaced:
-            return False
-        is_same_place = (
-            newer.name == entry.name or newer.address == entry.address
-        )
-        is_older = newer.born_ms < entry.born_ms
-        return is_same_place and not is_older and self._exists(newer.service)
-
     def mark_replaced(self, incarnation: str) -> None:
         """Records that another incarnation answered at an address."""
         known = self._known.get(incarnation)
@@ -391,6 +389,7 @@
     def _end_displaced(self) -> None:
         """Ends incarnations whose address now belongs to another one."""
         holders: dict[Address, UpstreamEntry] = {}
+        self._holders = holders
         # In the order in which they were first registered.
         for known in list(self._known.values()):
             entry = known.entry
@@ -412,3 +411,10 @@
         known = self._known.pop(incarnation)
         del self._names[known.entry.name]
         self._ended.append(Ended(incarnation, is_superseded))
+
+
+def _is_newer(other: UpstreamEntry | None, entry: UpstreamEntry) -> bool:
+    """Whether an entry is of another incarnation that started no earlier."""
+    if other is None or other.incarnation == entry.incarnation:
+        return False
+    return other.born_ms >= entry.born_ms
--- a/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/tests/test_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/tests/test_upstream_registry.py
@@ -208,13 +208,13 @@
         registry = UpstreamRegistry(LAPSE_S)
         first = upstream("a", born_ms=2)
         registry.put(first)
-        assert not registry.has_successor(first)
+        assert not registry.has_successor(first, 0.0)
         registry.remove("a", 0.0, may_have_lapsed=False)
-        assert not registry.has_successor(first)
+        assert not registry.has_successor(first, 0.0)
         registry.put(upstream("b", port=first.address.port, born_ms=1))
-        assert not registry.has_successor(first)
+        assert not registry.has_successor(first, 0.0)
         registry.put(upstream("c", port=first.address.port, born_ms=3))
-        assert registry.has_successor(first)
+        assert registry.has_successor(first, 0.0)
 
     def test_a_wrong_entry_does_not_prove_that_an_upstream_has_ended(
         self,
@@ -224,12 +224,12 @@
         first = upstream("a")
         registry.put(first)
         registry.put(upstream("b", "unknown", port=first.address.port))
-        assert not registry.has_successor(first)
+        assert not registry.has_successor(first, 0.0)
         registry.put(upstream("c", port=first.address.port))
         registry.mark_replaced("c")
-        assert not registry.has_successor(first)
+        assert not registry.has_successor(first, 0.0)
         registry.mark_replaced("a")
-        assert registry.has_successor(first)
+        assert registry.has_successor(first, 0.0)
 
     def test_an_entry_of_an_unknown_service_takes_no_address(self) -> None:
         """A healthy upstream gets no more requests.
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -212,7 +212,9 @@
             PartitionSigns(
                 self._partitions.sign,
                 self._partitions.witnesses,
-                self._routing_state.registry.has_successor,
+                lambda entry: self._routing_state.registry.has_successor(
+                    entry, self._clock()
+                ),
             ),
             self._log,
             clock,
--- a/packages/gateway/src/hollyknot_gateway/_partition_detector.py
+++ b/packages/gateway/src/hollyknot_gateway/_partition_detector.py
@@ -63,7 +63,7 @@
         only if it is. A silence may be due to chance, and each probe opens a
         connection.
         """
-        for data_centre in silent - self._silent:
+        for data_centre in sorted(silent - self._silent):
             self._log.line("data_centre_silent", silent=data_centre)
             self._probe_one(self._serving_in(data_centre))
         self._silent = silent
--- a/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
@@ -197,7 +197,7 @@
             PartitionSigns(
                 host.partitions.sign,
                 host.partitions.witnesses,
-                host.registry.has_successor,
+                lambda entry: host.registry.has_successor(entry, loop.time()),
             ),
             self._log,
             loop.time,
