--- a/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
@@ -135,6 +135,15 @@
             expected = sent.fingerprints[:count]
             assert loss == attrs.evolve(sent, fingerprints=expected)
 
+    def test_news_of_the_future_are_dropped(self) -> None:
+        """A wrong age would hold a harmless request for days."""
+        news = SuspectNews(losses=(LossNews("i-1", 5, False, 0, (7,)),))
+        data = encode_suspect_news(news)
+        assert _receive(data) == [news]
+        # Ages are zigzag-encoded: 5 milliseconds as 10, -5 as 9.
+        assert data.count(b"\x0a") == 1
+        assert _receive(data.replace(b"\x0a", b"\x09")) == []
+
     def test_partial_report_is_short(self) -> None:
         """Guards against decisions by outdated loads.
 
--- a/packages/state/src/hollyknot_state/_signals.py
+++ b/packages/state/src/hollyknot_state/_signals.py
@@ -10,6 +10,9 @@
 import enum
 
 import attrs
+from attrs import validators
+
+_not_negative = validators.ge(0)
 
 
 @attrs.frozen
@@ -87,9 +90,9 @@
     """
 
     upstream: str
-    age_ms: int
+    age_ms: int = attrs.field(validator=_not_negative)
     is_crash: bool
-    companions: int
+    companions: int = attrs.field(validator=_not_negative)
     fingerprints: tuple[int, ...]
 
 
@@ -108,7 +111,7 @@
     suspects: tuple[SuspectRecord, ...] = ()
     losses: tuple[LossNews, ...] = ()
     cleared: tuple[int, ...] = ()
-    cleared_age_ms: int = 0
+    cleared_age_ms: int = attrs.field(default=0, validator=_not_negative)
 
     @property
     def is_empty(self) -> bool:
