--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -211,7 +211,7 @@
             self._prober,
             PartitionSigns(
                 self._partitions.sign,
-                self._partitions.witnesses,
+                self._partitions.others_to_probe,
                 lambda entry: self._routing_state.registry.has_successor(
                     entry, self._clock()
                 ),
--- a/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
@@ -9,7 +9,7 @@
 In some network partitions, connections to all upstreams behind the partition
 are refused as well, so the verdict waits until a partition would have been
 detected. A sign of one proves little, since upstreams that crash beside each
-other look alike. The loss then stays open until there is proof: another
+other look alike. The loss then stays undecided until there is proof: another
 upstream of the data centre can be reached while this one still refuses, or
 another incarnation takes its place, which show a crash; or the upstream answers
 again, which shows that there was none.
@@ -35,12 +35,12 @@
 """Seconds from a refused connection to the verdict: twice the shortest silence
 that shows that a data centre is behind a network partition."""
 
-MAX_OPEN_S = 30.0
-"""Seconds for which a loss without proof stays open. Upstreams may take that
-long to start again."""
+MAX_UNDECIDED_S = 30.0
+"""Seconds for which a loss without proof stays undecided. Upstreams may take
+that long to start again."""
 
-MAX_OPEN_LOSSES = 256
-"""Most losses that stay open; the oldest are dropped first."""
+MAX_UNDECIDED = 256
+"""Most undecided losses; the oldest are dropped first."""
 
 _LOST = frozenset({Reason.UPSTREAM_LOST, Reason.TRUNCATED})
 _ANSWERED = frozenset({Outcome.COMPLETE, Outcome.FAILED})
@@ -55,19 +55,19 @@
     Attributes:
         sign: Returns why an upstream may be behind a network partition; an
             empty string if there is no sign of one.
-        witnesses: Returns other upstreams of an upstream's data centre that
-            count as reachable, to be probed for comparison.
+        others_to_probe: Returns other upstreams of an upstream's data centre
+            that count as reachable, to be compared with it.
         has_successor: Returns whether another incarnation has taken an
             upstream's place.
     """
 
     sign: Callable[[UpstreamEntry], str]
-    witnesses: Callable[[UpstreamEntry], list[UpstreamEntry]]
+    others_to_probe: Callable[[UpstreamEntry], list[UpstreamEntry]]
     has_successor: Callable[[UpstreamEntry], bool]
 
 
 @attrs.frozen
-class _OpenLoss:
+class _UndecidedLoss:
     """A loss that may have been a crash or a partition.
 
     Attributes:
@@ -107,7 +107,7 @@
         self._log = log
         self._clock = clock
         self._pending: dict[str, list[int]] = {}
-        self._open: list[_OpenLoss] = []
+        self._undecided: list[_UndecidedLoss] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     def on_try_end(
@@ -120,7 +120,7 @@
         """
         if verdict.reason not in _LOST:
             if verdict.outcome in _ANSWERED:
-                self._drop_open(entry.incarnation)
+                self._drop_undecided(entry.incarnation)
             self._report_end(entry, fingerprint, verdict)
             return
         pending = self._pending.get(entry.incarnation)
@@ -133,24 +133,24 @@
         task.add_done_callback(self._tasks.discard)
 
     def settle(self) -> None:
-        """Judges the open losses for which there is proof now.
+        """Judges the undecided losses for which there is proof now.
 
         Call it several times a second.
         """
         now_s = self._clock()
         remaining = []
-        for loss in self._open:
+        for loss in self._undecided:
             if self._signs.has_successor(loss.entry):
                 self._log_loss("crash", loss.entry, loss.fingerprints)
                 self._suspects.on_late_verdict(
                     loss.fingerprints, loss.entry.incarnation, loss.at_s
                 )
-            elif now_s - loss.at_s < MAX_OPEN_S:
+            elif now_s - loss.at_s < MAX_UNDECIDED_S:
                 remaining.append(loss)
-        self._open = remaining
+        self._undecided = remaining
 
     async def wait_until_judged(self) -> None:
-        """Waits until all losses so far have a verdict or are open."""
+        """Waits until all losses so far have a verdict or are undecided."""
         while self._tasks:
             await asyncio.gather(*self._tasks)
 
@@ -172,24 +172,26 @@
             return
         self._log_loss("crash_or_cut", entry, lost, sign=sign)
         self._report_lost(entry, lost, _NO_CRASH)
-        self._open.append(_OpenLoss(entry, tuple(lost), lost_s))
-        del self._open[:-MAX_OPEN_LOSSES]
+        self._undecided.append(_UndecidedLoss(entry, tuple(lost), lost_s))
+        del self._undecided[:-MAX_UNDECIDED]
 
     async def _is_refused_alone(self, entry: UpstreamEntry) -> bool:
         """Whether an upstream refuses while others beside it are reached."""
-        witnesses = self._signs.witnesses(entry)
-        failures = await asyncio.gather(*map(self._prober.check, witnesses))
+        others = self._signs.others_to_probe(entry)
+        failures = await asyncio.gather(*map(self._prober.check, others))
         if None not in failures:
             return False
         # Probed again after the others: a partition may have ended meanwhile.
         return await self._prober.check(entry) is ConnectFailure.REFUSED
 
-    def _drop_open(self, incarnation: str) -> None:
+    def _drop_undecided(self, incarnation: str) -> None:
         """Drops the losses of an upstream that answers, so did not crash."""
-        if not self._open:
+        if not self._undecided:
             return
-        self._open = [
-            loss for loss in self._open if loss.entry.incarnation != incarnation
+        self._undecided = [
+            loss
+            for loss in self._undecided
+            if loss.entry.incarnation != incarnation
         ]
 
     def _pop_pending(self, entry: UpstreamEntry) -> list[int]:
--- a/packages/gateway/src/hollyknot_gateway/_partition_detector.py
+++ b/packages/gateway/src/hollyknot_gateway/_partition_detector.py
@@ -21,7 +21,7 @@
 SILENT = "silent"
 """The sign of a partition that no report arrives from the data centre."""
 
-MAX_WITNESSES = 3
+MAX_OTHERS_PROBED = 3
 """Most upstreams that are probed to tell a partition from a crash."""
 
 
@@ -87,15 +87,15 @@
             self._others_in_data_centre(entry), since_s
         )
 
-    def witnesses(self, entry: UpstreamEntry) -> list[UpstreamEntry]:
+    def others_to_probe(self, entry: UpstreamEntry) -> list[UpstreamEntry]:
         """Returns upstreams that tell a partition from a crash if probed.
 
         Returns:
-            At most `MAX_WITNESSES` others of the same data centre that are not
-            known to be unreachable.
+            At most `MAX_OTHERS_PROBED` others of the same data centre that are
+            not known to be unreachable.
         """
         reachable = self._reachable(self._others_in_data_centre(entry))
-        count = min(MAX_WITNESSES, len(reachable))
+        count = min(MAX_OTHERS_PROBED, len(reachable))
         return self._rng.sample(reachable, count)
 
     def on_upstream_unreachable(
--- a/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
@@ -196,7 +196,7 @@
             prober,
             PartitionSigns(
                 host.partitions.sign,
-                host.partitions.witnesses,
+                host.partitions.others_to_probe,
                 lambda entry: host.registry.has_successor(entry, loop.time()),
             ),
             self._log,
--- a/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
@@ -30,7 +30,7 @@
     def __init__(self, port: int, sign: str = "") -> None:
         clock = asyncio.get_running_loop().time
         log = Log("h", "d", os.open(os.devnull, os.O_WRONLY))
-        self.witnesses: list[UpstreamEntry] = []
+        self.others: list[UpstreamEntry] = []
         self.has_successor = False
         self.suspects = SuspectRegister(SuspectOptions())
         self.pool = Pool(clock)
@@ -47,7 +47,7 @@
             self.prober,
             PartitionSigns(
                 lambda _: sign,
-                lambda _: self.witnesses,
+                lambda _: self.others,
                 lambda _: self.has_successor,
             ),
             log,
@@ -129,14 +129,14 @@
 
         _run(test)
 
-    def test_reached_witness_shows_a_crash_beside_another(self) -> None:
+    def test_reached_neighbour_shows_a_crash_beside_another(self) -> None:
         """A request is acquitted for good if two upstreams crash together."""
 
         async def test() -> None:
             server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
             port: int = server.sockets[0].getsockname()[1]
             parts = _LossJudgement(await _free_port(), sign="i-2")
-            parts.witnesses = [_entry("i-3", port)]
+            parts.others = [_entry("i-3", port)]
             await parts.lose_request()
             assert parts.is_suspect
             parts.pool.close()
@@ -144,16 +144,16 @@
 
         _run(test)
 
-    def test_unreachable_witnesses_leave_a_loss_open(self) -> None:
+    def test_unreachable_others_leave_a_loss_undecided(self) -> None:
         async def test() -> None:
             parts = _LossJudgement(await _free_port(), sign="i-2")
-            parts.witnesses = [_entry("i-3", await _free_port())]
+            parts.others = [_entry("i-3", await _free_port())]
             await parts.lose_request()
             assert not parts.is_suspect
 
         _run(test)
 
-    def test_successor_shows_that_an_open_loss_was_a_crash(self) -> None:
+    def test_successor_shows_that_the_loss_was_a_crash(self) -> None:
         """A request is acquitted for good if a whole data centre crashes."""
 
         async def test() -> None:
@@ -167,7 +167,7 @@
 
         _run(test)
 
-    def test_answer_shows_that_an_open_loss_was_no_crash(self) -> None:
+    def test_answer_shows_that_the_loss_was_no_crash(self) -> None:
         """A partition must not count as a crash when its upstream is replaced.
 
         The upstream answers after the partition and is replaced later, as
