--- a/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
@@ -211,6 +211,7 @@
             self._handle_ended(router)
 
     def _unlist(self, entry: UpstreamEntry) -> None:
+        """Drops an entry, as its lease has run out."""
         now_s = asyncio.get_running_loop().time()
         for router in self._routers:
             router.host.registry.remove(
@@ -243,12 +244,14 @@
         return True
 
     async def _restart(self, upstream: _Upstream) -> None:
+        """Starts the successor of a crashed upstream at its address."""
         crashed = upstream.entry
-        lapse_s = max(0.0, _LAPSE_S - self._load.downtime_s)
-        await asyncio.sleep(min(self._load.downtime_s, _LAPSE_S))
-        if not lapse_s:
+        downtime_s = self._load.downtime_s
+        if downtime_s >= _LAPSE_S:
+            await asyncio.sleep(_LAPSE_S)
             self._unlist(crashed)
-            await asyncio.sleep(self._load.downtime_s - _LAPSE_S)
+            downtime_s -= _LAPSE_S
+        await asyncio.sleep(downtime_s)
         name = f"{crashed.name.partition('+')[0]}+{upstream.starts}"
         upstream.starts += 1
         upstream.entry = attrs.evolve(crashed, name=name)
@@ -272,6 +275,7 @@
             self._spawn(self._try_culprit(router, fingerprint))
 
     async def _try_culprit(self, router: _Router, fingerprint: int) -> None:
+        """Sends a culprit once, unless its host refuses it."""
         loop = asyncio.get_running_loop()
         upstream = self._choose(router, fingerprint)
         if upstream is None or isinstance(upstream, float):
@@ -335,7 +339,12 @@
     def _choose(
         self, router: _Router, fingerprint: int
     ) -> _Upstream | float | None:
-        """Returns an upstream, the time until a retry, or None for neither."""
+        """Chooses as a host does, but among its reachable upstreams at random.
+
+        Returns:
+            The upstream; seconds until a retry if the host refuses the request;
+            None if no upstream could be connected to.
+        """
         now_s = asyncio.get_running_loop().time()
         host = router.host
         gate = host.suspects.gate(fingerprint, now_s)
--- a/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
@@ -50,10 +50,11 @@
         self, name: str
     ) -> None:
         """Pairs of crashes that acquit a request allow further crashes."""
-        late = {
-            seed: _simulate(_with_seed(WAVES[name], seed)).late_counts
-            for seed in SEEDS
+        reports = {
+            seed: _simulate(_with_seed(WAVES[name], seed)) for seed in SEEDS
         }
+        assert all(len(r.crash_counts) == 2 for r in reports.values())
+        late = {seed: r.late_counts for seed, r in reports.items()}
         worst = max(max(counts, default=0) for counts in late.values())
         assert worst <= MAX_LATE_SENDS, late
 
