Always send the field of news that older hosts require

Found while reading the diff: with a default, an empty list of records became an absent field, and a host of the release before rejected the whole message as malformed (decoded with the code of: missing argument 'suspects'). Without the default it reads news as ever and ignores the new fields.

--- a/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_reports.py
@@ -5,6 +5,8 @@
 import attrs
 from hypothesis import given
 from hypothesis import strategies as st
+from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.transport.TTransport import TMemoryBuffer
 
 from hollyknot_coordination.forwarding import Demand, Loads
 from hollyknot_gateway._log import Log
@@ -18,6 +20,7 @@
     encode_report,
     encode_suspect_news,
 )
+from hollyknot_protocol.gen.report import ttypes
 from hollyknot_state import (
     Address,
     CustomerWork,
@@ -115,6 +118,7 @@
     def test_oversized_news_keep_the_first_requests_of_each_loss(self) -> None:
         fingerprints = tuple(range(2**63, 2**63 + 300))
         news = SuspectNews(
+            suspects=(),
             losses=(
                 LossNews("i-5d1c20ff01", 900, True, 20, fingerprints[:200]),
                 LossNews("i-5d1c20ff02", 30, False, 0, fingerprints[:100]),
@@ -135,9 +139,17 @@
             expected = sent.fingerprints[:count]
             assert loss == attrs.evolve(sent, fingerprints=expected)
 
+    def test_news_always_have_the_field_that_older_hosts_require(self) -> None:
+        """Hosts of the release before must not drop news as malformed."""
+        data = encode_suspect_news(SuspectNews((), cleared=(7,)))
+        struct = ttypes.SuspectNews()
+        protocol = TCompactProtocol(TMemoryBuffer(data[3:]))
+        struct.read(protocol)
+        assert struct.suspects == []
+
     def test_news_of_the_future_are_dropped(self) -> None:
         """A wrong age would hold a harmless request for days."""
-        news = SuspectNews(losses=(LossNews("i-1", 5, False, 0, (7,)),))
+        news = SuspectNews((), losses=(LossNews("i-1", 5, False, 0, (7,)),))
         data = encode_suspect_news(news)
         assert _receive(data) == [news]
         # Ages are zigzag-encoded: 5 milliseconds as 10, -5 as 9.
--- a/packages/state/src/hollyknot_state/_signals.py
+++ b/packages/state/src/hollyknot_state/_signals.py
@@ -102,13 +102,14 @@
 
     Attributes:
         suspects: Evidence against requests of several crashes, for hosts that
-            don't know the other fields. It is in `losses` too.
+            don't know the other fields. It is in `losses` too. Without a
+            default it is sent if it is empty, as these hosts require it.
         losses: New losses and verdicts.
         cleared: Fingerprints of suspects that upstreams have answered.
         cleared_age_ms: Milliseconds since the first of these answers.
     """
 
-    suspects: tuple[SuspectRecord, ...] = ()
+    suspects: tuple[SuspectRecord, ...]
     losses: tuple[LossNews, ...] = ()
     cleared: tuple[int, ...] = ()
     cleared_age_ms: int = attrs.field(default=0, validator=_not_negative)
