--- a/packages/gateway/src/hollyknot_gateway/_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/_reports.py
@@ -115,20 +115,25 @@
 
 
 def _shortened(news: SuspectNews, fraction: float) -> SuspectNews:
-    """Returns news with about a fraction of the records."""
-    losses = [
-        attrs.evolve(
-            loss,
-            fingerprints=loss.fingerprints[
-                : int(len(loss.fingerprints) * fraction)
-            ],
+    """Returns news with about a fraction of the records.
+
+    Each loss keeps its first requests; only if none has more than one are the
+    last losses left out.
+    """
+    longest = max((len(loss.fingerprints) for loss in news.losses), default=0)
+    losses = news.losses
+    if longest > 1:
+        most = max(1, int(longest * fraction))
+        losses = tuple(
+            attrs.evolve(loss, fingerprints=loss.fingerprints[:most])
+            for loss in losses
         )
-        for loss in news.losses
-    ]
+    else:
+        losses = losses[: int(len(losses) * fraction)]
     return attrs.evolve(
         news,
         suspects=news.suspects[: int(len(news.suspects) * fraction)],
-        losses=tuple(loss for loss in losses if loss.fingerprints),
+        losses=losses,
         cleared=news.cleared[: int(len(news.cleared) * fraction)],
     )
 
