explain-failure: show losses, undecided verdicts and refused suspects

An operator who asked why a request was refused as a suspect saw neither the refusal's evidence nor verdicts that were left undecided: the new lines were known to nobody. The test of it failed before by its missing lines.

--- a/packages/ctl/src/hollyknot_ctl/_explain_failure.py
+++ b/packages/ctl/src/hollyknot_ctl/_explain_failure.py
@@ -26,14 +26,24 @@
 
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _REQUEST_EVENTS = frozenset(
-    {"try", "failed_try", "refused", "cut_off", "caller_gone"}
+    {
+        "try",
+        "failed_try",
+        "suspect_sent",
+        "quarantine",
+        "refused",
+        "cut_off",
+        "caller_gone",
+    }
 )
 _UPSTREAM_EVENTS = frozenset(
     {
         "unreachable",
         "reachable",
         "ejected",
+        "loss",
         "crash",
+        "crash_or_cut",
         "upstream",
         "upstream_gone",
         "upstream_leaving",
--- a/packages/ctl/src/hollyknot_ctl/tests/test_explain_failure.py
+++ b/packages/ctl/src/hollyknot_ctl/tests/test_explain_failure.py
@@ -43,6 +43,31 @@
         assert request_timeline("a9", read_lines(LINES.splitlines())) == []
 
 
+SUSPECT_LINES = """\
+at=49.900 event=suspect_sent request=a1 upstream=i-1 crashed=i-0 host=h1
+at=50.000 event=failed_try request=a1 upstream=i-1 host=h1
+at=50.030 event=loss upstream=i-1 requests=3 host=h1
+at=50.900 event=crash_or_cut upstream=i-1 requests=3 sign=i-2 host=h1
+at=55.000 event=quarantine request=a1 upstreams=i-0 pending=i-1 host=h2
+"""
+
+
+class TestSuspects:
+    """What hosts knew of a request that may crash upstreams."""
+
+    def test_verdicts_and_refusals_are_included(self) -> None:
+        """Guards against a refusal whose evidence is not shown."""
+        lines = read_lines(SUSPECT_LINES.splitlines())
+        found = request_timeline("a1", lines)
+        assert [line.event for line in found] == [
+            "suspect_sent",
+            "failed_try",
+            "loss",
+            "crash_or_cut",
+            "quarantine",
+        ]
+
+
 NOTICES = """\
 at=10.0 event=upstream_leaving upstream=i-1 host=h1
 at=11.0 event=upstream_leaving upstream=i-3 host=h1
