Name the parts of prompts in the lines of failed tries

The lines of a lost request had its fingerprint only, so that requests that share a part, and nothing else, could not be told from unrelated ones. At most eight names of 32 characters, in failed_try alone; whole tries pay nothing.

--- a/packages/gateway/src/hollyknot_gateway/_log.py
+++ b/packages/gateway/src/hollyknot_gateway/_log.py
@@ -12,6 +12,8 @@
 
 import structlog
 
+from hollyknot_state.routes import PromptPart
+
 BUFFERED_LINES = 4096
 """The capacity of the buffer in lines. It holds a few seconds of a busy host's
 lines in about a megabyte."""
@@ -30,6 +32,12 @@
 _MAX_FINGERPRINTS = 8
 """Largest number of fingerprints in one line."""
 
+_MAX_PARTS = 8
+"""Largest number of parts of a prompt in one line."""
+
+_MAX_PART_NAME = 32
+"""Largest number of characters of a part's name in a line."""
+
 _WRITE_BYTES = 65_536
 
 
@@ -38,6 +46,15 @@
     return ",".join(f"{f:016x}" for f in fingerprints[:_MAX_FINGERPRINTS])
 
 
+def parts_text(parts: Sequence[PromptPart]) -> str:
+    """Returns the value of a key that lists parts of a prompt by their names.
+
+    Callers choose the names, so only the beginning of a long one is listed.
+    """
+    names = [part.name[:_MAX_PART_NAME] for part in parts[:_MAX_PARTS]]
+    return ",".join(names)
+
+
 class Log:
     """A bounded buffer of the log lines of one process."""
 
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -14,6 +14,7 @@
 from hollyknot_gateway._headers import CONTENT_LENGTH, end_to_end, write_head
 from hollyknot_gateway._job import Job
 from hollyknot_gateway._lateness import Late, judge
+from hollyknot_gateway._log import parts_text
 from hollyknot_gateway._pool import ConnectFailure
 from hollyknot_gateway._relay_messages import tell_upstream
 from hollyknot_gateway._upstream_connection import UpstreamConnection
@@ -392,9 +393,11 @@
         verdict = result.verdict
         event = "try" if verdict.is_complete else "failed_try"
         relayed_for = {"relayed_for": job.relayed_for}
+        parts = {"parts": parts_text(job.call.shared_parts)}
         self._parts.log.line(
             f"relayed_{event}" if job.relayed_for else event,
             **(relayed_for if job.relayed_for else {}),
+            **({} if verdict.is_complete else parts),
             request=job.call.attempt_id,
             route=job.route.name,
             upstream=choice.entry.incarnation,
--- a/packages/gateway/src/hollyknot_gateway/tests/test_log.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_log.py
@@ -3,7 +3,13 @@
 import os
 import re
 
-from hollyknot_gateway._log import BUFFERED_LINES, EVENT_LINES_PER_S, Log
+from hollyknot_gateway._log import (
+    BUFFERED_LINES,
+    EVENT_LINES_PER_S,
+    Log,
+    parts_text,
+)
+from hollyknot_state.routes import PromptPart
 
 
 class _Clock:
@@ -34,6 +40,15 @@
     return data.decode().splitlines()
 
 
+class TestPartsText:
+    """Tests how parts of a prompt are listed."""
+
+    def test_bounds_what_callers_name(self) -> None:
+        """Guards against lines that grow with names that callers choose."""
+        parts = tuple(PromptPart("x" * 900, 1) for _ in range(500))
+        assert len(parts_text(parts)) < 300
+
+
 class TestLog:
     """Tests of the lines that are written and dropped."""
 
--- a/packages/state/src/hollyknot_state/routes/_calls.py
+++ b/packages/state/src/hollyknot_state/routes/_calls.py
@@ -48,6 +48,11 @@
     last_event_id: str = ""
     resumes: str = ""
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts of the prompt that other requests may have too."""
+        return self.prompt[:-1]
+
 
 @attrs.frozen
 class Dispatch:
