--- a/packages/coordination/src/hollyknot_coordination/suspects/_messages.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from hollyknot_state import Verdict
+from hollyknot_state import Outcome, Reason, Verdict
 
 
 @attrs.frozen
@@ -92,3 +92,15 @@
 
 
 Gate = Clear | Isolate | Refuse
+
+
+def refusal(detail: str, retry_after_s: float) -> Refuse:
+    """Returns the refusal of a request that no upstream was sent."""
+    return Refuse(
+        Verdict(
+            Outcome.NOT_RUN,
+            Reason.QUARANTINED,
+            f"Not sent: {detail}.",
+            retry_after_s,
+        )
+    )
