--- a/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
@@ -65,7 +65,7 @@
         if verdict.is_complete:
             if fingerprint != NO_FINGERPRINT:
                 self._clear(fingerprint, now_s, now_s)
-        elif verdict.reason in _CRASH_REASONS:
+        elif is_crash(verdict):
             self._on_loss(fingerprint, upstream, in_flight, now_s)
         in_flight[fingerprint] -= 1
         if in_flight[fingerprint] <= 0:
@@ -119,7 +119,7 @@
         self._evidence.clear(fingerprint, at_s)
         self._pending.clear(fingerprint, at_s)
         self._refused.pop(fingerprint, None)
-        self._on_cleared(fingerprint)
+        self._on_cleared(fingerprint, at_s)
 
     def on_late_verdict(
         self, fingerprints: Iterable[int], upstream: str, at_s: float
@@ -306,8 +306,8 @@
         """Returns whether there is any evidence against a request."""
         return bool(self._evidence.crashes(fingerprint))
 
-    def _on_cleared(self, fingerprint: int) -> None:
-        """Called when an answer has cleared a suspect."""
+    def _on_cleared(self, fingerprint: int, at_s: float) -> None:
+        """Called when an answer of a given time has cleared a suspect."""
 
     def _lost_together(
         self, fingerprint: int, in_flight: Iterable[int]
@@ -346,6 +346,11 @@
         return frozenset(excluded)
 
 
+def is_crash(verdict: Verdict) -> bool:
+    """Whether a try ended with a crash of its upstream."""
+    return verdict.reason in _CRASH_REASONS
+
+
 def _loss_of(fingerprint: int, crash: Crash) -> Loss:
     return Loss(
         fingerprint,
--- a/packages/coordination/src/hollyknot_coordination/suspects/_messages.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_messages.py
@@ -10,6 +10,10 @@
 REFUSE_CRASHES = 5
 """Crashes from which it is refused, except for rare trials."""
 
+RETRIAL_ALONE_S = 30.0
+"""Seconds from the crash of a trial in which nothing else was suspected to the
+next trial, if upstreams have crashed too often."""
+
 
 @attrs.frozen
 class SuspectOptions:
--- a/packages/coordination/src/hollyknot_coordination/suspects/_parts.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_parts.py
@@ -9,12 +9,16 @@
 """
 
 import zlib
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from itertools import islice
 
+import attrs
+
+from hollyknot_coordination.suspects._convictions import Convictions
 from hollyknot_coordination.suspects._loss_register import LossRegister
 from hollyknot_coordination.suspects._messages import (
     REFUSE_CRASHES,
+    RETRIAL_ALONE_S,
     TRIAL_CRASHES,
     Clear,
     Refuse,
@@ -22,7 +26,7 @@
     Trial,
     refusal,
 )
-from hollyknot_state import short_name
+from hollyknot_state import CrashingPart, LossNews, SuspectNews, short_name
 from hollyknot_state.routes import PromptPart
 
 MAX_PARTS = 64
@@ -72,6 +76,7 @@
     def __init__(self, options: SuspectOptions = OPTIONS) -> None:
         """Creates a register without evidence."""
         super().__init__(options)
+        self._convictions = Convictions(options.quarantine_s)
         self._denied: dict[tuple[int, bool], float] = {}
 
     def gate(
@@ -85,21 +90,28 @@
             is_repeat: Whether the request has just been lost. Then all of its
                 parts without a recent answer are suspected.
         """
-        if not (is_repeat or self.has_losses):
+        if not (is_repeat or self.has_losses or not self._convictions.is_empty):
             return Clear()
+        convicted_s = self._convicted_s(parts, now_s)
+        if convicted_s > 0:
+            return refused_part(convicted_s)
         suspected = self._suspected(parts, now_s, is_repeat=is_repeat)
         if not suspected:
             return Clear()
-        worst = max(suspected, key=lambda part: (suspected[part], part))
+        worst = max(suspected, key=lambda part: self._order(part, suspected))
         is_alone = len(suspected) == 1
         wait_s = self._denied.get((worst, is_alone), 0.0) - now_s
         if wait_s > 0:
-            self._refused.setdefault(worst, now_s)
             return refused_part(wait_s)
         return Trial(
             worst, suspected[worst], is_alone, self.excluded(suspected[worst])
         )
 
+    def convict(self, part: int, at_s: float) -> None:
+        """Records that an upstream crashed in a trial of a part alone."""
+        if not self._evidence.is_cleared_since(part, at_s):
+            self._convictions.add(part, at_s)
+
     def deny(self, trial: Trial, wait_s: float, now_s: float) -> None:
         """Refuses requests like one whose trial was denied for some time."""
         self._denied[trial.identity, trial.is_alone] = now_s + wait_s
@@ -120,9 +132,40 @@
         for part in parts:
             self._clear(part, now_s, now_s)
 
+    def on_news(self, news: SuspectNews, now_s: float) -> tuple[LossNews, ...]:
+        """Adds what a peer has told."""
+        told = super().on_news(news, now_s)
+        self.on_convictions(news.crashing_parts, now_s)
+        return told
+
+    def on_convictions(
+        self, records: Iterable[CrashingPart], now_s: float
+    ) -> None:
+        """Adds parts that have crashed upstreams in trials of peers."""
+        for record in records:
+            self.convict(record.identity, now_s - record.age_ms / 1000)
+
+    def convictions(self, count: int, now_s: float) -> tuple[CrashingPart, ...]:
+        """Returns the parts that were convicted last, for a report."""
+        return self._convictions.newest(count, now_s)
+
+    def next_news(
+        self, now_s: float, fits: Callable[[SuspectNews], bool] = lambda _: True
+    ) -> SuspectNews:
+        """Returns the news to send next; what doesn't fit waits."""
+        convicted = self._convictions.next_news(now_s)
+        self._convictions.on_told(convicted)
+
+        def with_convicted(news: SuspectNews) -> SuspectNews:
+            return attrs.evolve(news, crashing_parts=convicted)
+
+        news = super().next_news(now_s, lambda news: fits(with_convicted(news)))
+        return with_convicted(news)
+
     def expire(self, now_s: float) -> None:
         """Drops old evidence; call it every few seconds."""
         super().expire(now_s)
+        self._convictions.expire(now_s)
         self._denied = {
             key: until_s
             for key, until_s in self._denied.items()
@@ -133,17 +176,45 @@
         self, parts: Sequence[int], now_s: float, *, is_repeat: bool
     ) -> Mapping[int, int]:
         """Returns the suspected parts and the losses of each."""
-        if is_repeat:
-            # The loss that has just ended the request is not registered yet.
-            return {
-                part: self.count(part, now_s) + 1
-                for part in parts
-                if not self.is_proved(part, now_s)
-            }
         counts = {part: self.count(part, now_s) for part in parts}
-        return {p: n for p, n in counts.items() if n >= TRIAL_CRASHES}
+        suspected = {
+            part: count
+            for part, count in counts.items()
+            if count >= TRIAL_CRASHES
+            or self._convictions.at_s(part) is not None
+        }
+        if suspected or not is_repeat:
+            return suspected
+        # The loss that has just ended the request is not registered yet.
+        return {
+            part: count + 1
+            for part, count in counts.items()
+            if not self.is_proved(part, now_s)
+        }
 
-    def _on_cleared(self, fingerprint: int) -> None:
+    def _order(
+        self, part: int, suspected: Mapping[int, int]
+    ) -> tuple[int, float, int]:
+        """Returns a sort key that is the highest for the worst suspect."""
+        return suspected[part], -self._evidence.answered_s(part), part
+
+    def _convicted_s(self, parts: Sequence[int], now_s: float) -> float:
+        """Returns the seconds to the next trial of convicted parts, if any.
+
+        A part that few upstreams were lost with may have crashed in its trial
+        by chance. A host without any loss of it has just started.
+        """
+        waits_s = [
+            convicted_s + RETRIAL_ALONE_S - now_s
+            for part in parts
+            if (convicted_s := self._convictions.at_s(part)) is not None
+            and self.count(part, now_s) not in range(1, REFUSE_CRASHES)
+        ]
+        return max(waits_s, default=0.0)
+
+    def _on_cleared(self, fingerprint: int, at_s: float) -> None:
+        if self._convictions.clear(fingerprint, at_s):
+            self._unsent.add_cleared(fingerprint, at_s)
         for is_alone in (False, True):
             self._denied.pop((fingerprint, is_alone), None)
 
--- a/packages/coordination/src/hollyknot_coordination/suspects/_suspects.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_suspects.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from hollyknot_coordination.suspects._loss_register import is_crash
 from hollyknot_coordination.suspects._messages import (
     Gate,
     Refuse,
@@ -22,10 +23,13 @@
     Attributes:
         fingerprint: Hash of the whole request; 0 if it has none.
         parts: Identities of the parts of its prompt that others may share.
+        tried_part: The part that the request is a trial of, if it has no other
+            suspected part; None otherwise.
     """
 
     fingerprint: int
     parts: tuple[int, ...] = ()
+    tried_part: int | None = None
 
 
 class Suspects:
@@ -87,6 +91,8 @@
         self._requests.on_end(request.fingerprint, upstream, verdict, now_s)
         for part in request.parts:
             self._parts.on_end(part, upstream, verdict, now_s)
+        if request.tried_part is not None and is_crash(verdict):
+            self._parts.convict(request.tried_part, now_s)
 
     def on_pending_loss(self, upstream: str, now_s: float) -> None:
         """Records that all requests in flight at an upstream may be lost."""
@@ -110,6 +116,9 @@
         self._parts.on_late_verdict(
             (part for request in lost for part in request.parts), upstream, at_s
         )
+        for request in lost:
+            if request.tried_part is not None:
+                self._parts.convict(request.tried_part, at_s)
 
     def expire(self, now_s: float) -> None:
         """Drops old evidence; call it every few seconds."""
--- a/packages/coordination/src/hollyknot_coordination/suspects/_trials.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_trials.py
@@ -9,7 +9,10 @@
 
 import attrs
 
-from hollyknot_coordination.suspects._messages import REFUSE_CRASHES
+from hollyknot_coordination.suspects._messages import (
+    REFUSE_CRASHES,
+    RETRIAL_ALONE_S,
+)
 
 TRIAL_S = 1.0
 """Seconds from one trial of an identity to the next, unless an answer proves it
@@ -18,13 +21,9 @@
 RESULT_S = 5.0
 """Seconds after which a trial without any news has crashed nothing."""
 
-RETRIAL_ALONE_S = 60.0
-"""Seconds from the last allowed trial of an identity to the next one, if
-nothing else in the request is suspected."""
-
 RETRIAL_TOGETHER_S = 5.0
-"""The same if something else in the request is suspected as well, so that the
-identity may be sound."""
+"""Seconds from the last allowed trial to the next one if something else in the
+request is suspected as well, so that the identity may be sound."""
 
 RETRIAL_FACTOR = 4.0
 """Factor by which these seconds grow with each such trial."""
@@ -131,6 +130,8 @@
         return grants[-1].at_s + TRIAL_S - now_s
     if _expected_crashes(grants, crashes, now_s) < REFUSE_CRASHES:
         return 0.0
+    if any(g.is_alone and now_s < g.at_s + RESULT_S for g in grants):
+        return RESULT_S
     if not is_alone:
         return trials.together.wait_s(RETRIAL_TOGETHER_S, now_s)
     was_alone = any(g.is_alone and crashes > g.crashes for g in grants)
--- a/packages/coordination/src/hollyknot_coordination/suspects/tests/test_parts.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/tests/test_parts.py
@@ -7,6 +7,8 @@
     Trial,
     part_identities,
 )
+from hollyknot_coordination.suspects._convictions import MAX_CONVICTIONS
+from hollyknot_coordination.suspects._messages import RETRIAL_ALONE_S
 from hollyknot_coordination.suspects._parts import MAX_PARTS, PROOF_S
 from hollyknot_state import Outcome, Reason, SuspectNews, Verdict
 from hollyknot_state.routes import PromptPart
@@ -142,3 +144,48 @@
         assert told.cleared == ()
         assert told.parts.cleared == (CRASHING,)
         assert [loss.fingerprints for loss in told.parts.losses] == [(RARE,)]
+
+    def test_part_that_crashed_in_its_trial_is_refused_at_all_hosts(
+        self,
+    ) -> None:
+        """Guards against trials by each host that did not see the last one."""
+        local, peer = PartRegister(), PartRegister()
+        _lose_often(local, [CRASHING], 5)
+        local.convict(CRASHING, 5.0)
+        peer.on_news(local.next_news(5.1), 5.1)
+        for register in (local, peer):
+            gate = register.gate([CRASHING], 6.0)
+            assert isinstance(gate, Refuse)
+            assert gate.verdict.retry_after_s > 25
+        later_s = 5.0 + RETRIAL_ALONE_S + 0.1
+        assert isinstance(peer.gate([CRASHING], later_s), Trial)
+
+    def test_new_host_refuses_what_crashed_in_its_trial(self) -> None:
+        """Guards against hosts that are replaced and let a part through."""
+        old, new = PartRegister(), PartRegister()
+        old.convict(CRASHING, 5.0)
+        new.on_convictions(old.convictions(4, 7.0), 7.0)
+        assert isinstance(new.gate([CRASHING], 7.0), Refuse)
+
+    def test_trial_that_crashed_by_chance_does_not_refuse_a_part(self) -> None:
+        """Guards against refusing a sound part for a crash of another cause."""
+        register = PartRegister()
+        _lose_often(register, [RARE], 4)
+        register.convict(RARE, 4.0)
+        assert isinstance(register.gate([RARE], 5.0), Trial)
+
+    def test_answer_ends_a_conviction_everywhere(self) -> None:
+        local, peer = PartRegister(), PartRegister()
+        _lose_often(local, [CRASHING], 5)
+        local.convict(CRASHING, 5.0)
+        peer.on_news(local.next_news(5.1), 5.1)
+        local.on_answers([CRASHING], 40.0)
+        peer.on_news(local.next_news(40.1), 40.1)
+        assert local.gate([CRASHING], 40.2) == Clear()
+        assert peer.gate([CRASHING], 40.2) == Clear()
+
+    def test_convictions_are_bounded(self) -> None:
+        register = PartRegister()
+        for part in range(MAX_CONVICTIONS + 50):
+            register.convict(part, float(part))
+        assert len(register.convictions(10_000, 2000.0)) == MAX_CONVICTIONS
--- a/packages/coordination/src/hollyknot_coordination/suspects/tests/test_trials.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/tests/test_trials.py
@@ -3,12 +3,12 @@
 from hollyknot_coordination.suspects import TrialOwner
 from hollyknot_coordination.suspects._messages import (
     REFUSE_CRASHES,
+    RETRIAL_ALONE_S,
     TRIAL_CRASHES,
 )
 from hollyknot_coordination.suspects._trials import (
     MAX_IDENTITIES,
     RESULT_S,
-    RETRIAL_ALONE_S,
     RETRIAL_TOGETHER_S,
     TRIAL_S,
 )
--- a/packages/gateway/src/hollyknot_gateway/_job.py
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -81,7 +81,8 @@
             this host's own caller did.
         was_lost: Whether the last try was lost with its upstream.
         trial: The last trial that was granted to it; None for none.
-        began_s: Time at which its answer began, on the loop's clock; 0 before.
+        goes_on_try: Number of the last try with more than one part of a stream.
+        goes_on_s: Time of the second part in that try, on the loop's clock.
         is_proved: Whether an upstream has gone on with its answer, so that no
             part of it crashes upstreams.
         may_be_retried: Whether the host whose caller sent it can try again.
@@ -122,7 +123,8 @@
     version: str | None = None
     was_lost: bool = False
     trial: GrantedTrial | None = None
-    began_s: float = 0.0
+    goes_on_try: int = 0
+    goes_on_s: float = 0.0
     is_proved: bool = False
     relayed_for: str = ""
     may_be_retried: bool = False
--- a/packages/gateway/src/hollyknot_gateway/_report_contents.py
+++ b/packages/gateway/src/hollyknot_gateway/_report_contents.py
@@ -146,6 +146,9 @@
             )
             if is_whole
             else (),
+            shared.suspects.parts.convictions(MAX_SUSPECTS_IN_USE_REPORT, now_s)
+            if is_whole
+            else (),
         )
 
     def full_report(self, now_s: float) -> HostReport:
@@ -176,6 +179,9 @@
             parts=self._some_records(
                 self._shared.suspects.parts, now_s, MAX_SUSPECTS_IN_FULL_REPORT
             ),
+            crashing_parts=self._shared.suspects.parts.convictions(
+                MAX_SUSPECTS_IN_FULL_REPORT, now_s
+            ),
         )
 
     def _some_records(
--- a/packages/gateway/src/hollyknot_gateway/_suspect_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_suspect_exchange.py
@@ -69,6 +69,9 @@
         self._add_records(
             "part_suspect_told", self._suspects.parts, report.parts
         )
+        self._suspects.parts.on_convictions(
+            report.crashing_parts, self._clock()
+        )
 
     def _add_records(
         self,
--- a/packages/gateway/src/hollyknot_gateway/_suspect_gate.py
+++ b/packages/gateway/src/hollyknot_gateway/_suspect_gate.py
@@ -1,5 +1,7 @@
 """Decides before each try whether a request may crash upstreams."""
 
+import attrs
+
 from hollyknot_coordination.suspects import (
     Gate,
     Refuse,
@@ -51,6 +53,8 @@
         )
         if not wait_s:
             job.trial = granted
+            tried = gate.identity if gate.is_alone else None
+            job.identity = attrs.evolve(job.identity, tried_part=tried)
             return None
         self._on_refused(job)
         return refused_part(wait_s)
--- a/packages/gateway/src/hollyknot_gateway/_trial_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_trial_requester.py
@@ -10,7 +10,7 @@
 from hollyknot_gateway._reports import TrialMessage, encode_message
 from hollyknot_state import Address, TrialAnswer, TrialQuery
 
-ANSWER_TIMEOUT_S = 0.03
+ANSWER_TIMEOUT_S = 0.05
 """Seconds until a query is sent once more, as a datagram may be lost."""
 
 MAX_QUERIES = 2
@@ -19,6 +19,13 @@
 MAX_OWNERS = 3
 """Most hosts that are asked, each after the one before did not answer."""
 
+SILENCE_S = 3.0
+"""Seconds without an answer of any owner after which a host decides by itself:
+it may be cut off, or among hosts of a release without trials."""
+
+SILENT_WAIT_S = 1.0
+"""Seconds to the next trial if no owner answers."""
+
 SHORT_WAIT_S = 2.0
 """Longest wait that the owner is asked about again for each request."""
 
@@ -59,11 +66,13 @@
         self._owner = TrialOwner()
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[float]] = {}
+        self._silent_since_s: float | None = None
 
     async def ask(self, trial: Trial, request: str) -> float:
         """Asks whether a request may be sent.
 
-        A host that reaches none of the first owners decides by itself.
+        A host that reaches none of the first owners for `SILENCE_S` decides by
+        itself.
 
         Args:
             trial: What is suspected.
@@ -105,10 +114,16 @@
         owners = self._owners.first(trial.identity, MAX_OWNERS, self._own)
         for owner in owners:
             if owner is self._own:
-                break
+                return self._decide(trial)
             wait_s = await self._ask_peer(trial, owner.address)
             if wait_s is not None:
+                self._silent_since_s = None
                 return wait_s
+        now_s = self._clock()
+        if self._silent_since_s is None:
+            self._silent_since_s = now_s
+        if now_s - self._silent_since_s < SILENCE_S:
+            return SILENT_WAIT_S
         return self._decide(trial)
 
     def _decide(self, trial: Trial) -> float:
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -255,7 +255,6 @@
     ) -> None:
         parts = self._parts
         parts.neighbours.versions.on_first_event(job, choice.entry.version)
-        job.began_s = parts.clock()
         parts.placement.start(work)
         parts.speeds.observe(
             choice.entry.incarnation,
@@ -270,7 +269,9 @@
         parts = self._parts
         now = parts.clock()
         parts.forecasts.note_interval(entry.incarnation, interval_s, now)
-        if not job.is_proved and now - job.began_s >= PROOF_DELAY_S:
+        if job.goes_on_try != job.sent:
+            job.goes_on_try, job.goes_on_s = job.sent, now
+        elif not job.is_proved and now - job.goes_on_s >= PROOF_DELAY_S:
             job.is_proved = True
             parts.suspects.on_answer(job.identity, now)
 
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -35,6 +35,12 @@
   4: i64 age_ms
 }
 
+// Documented in _signals.py.
+struct CrashingPart {
+  1: binary identity         // unsigned 64 bits, big endian
+  2: i64 age_ms
+}
+
 // A prompt prefix and an upstream that has it cached.
 struct HeldRun {
   1: i32 upstream           // same as in UpstreamUse
@@ -90,6 +96,7 @@
   17: list<i32> cut_off     // short names of services
   18: list<NamedLimit> brittle  // of services in place of upstreams
   19: list<SuspectRecord> parts // of parts of prompts in place of requests
+  20: list<CrashingPart> crashing_parts
 }
 
 // The frequently changing part of a report, without the fields that identify
@@ -108,6 +115,7 @@
   11: list<i32> cut_off                 // same as in HostReport
   12: list<NamedLimit> brittle          // same as in HostReport
   13: list<SuspectRecord> parts         // same as in HostReport
+  14: list<CrashingPart> crashing_parts // same as in HostReport
 }
 
 // The structs of upstreams and the Load structs are documented in
@@ -181,6 +189,7 @@
   5: list<LossNews> part_losses  // of parts of prompts in place of requests
   6: list<binary> cleared_parts  // unsigned 64 bits each, big endian
   7: i32 cleared_parts_age_ms
+  8: list<CrashingPart> crashing_parts
 }
 
 // TrialQuery and TrialAnswer are documented in _trial_messages.py.
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -440,6 +440,86 @@
         return not (self == other)
 
 
+class CrashingPart(object):
+    """
+    Attributes:
+     - identity
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'identity',
+        'age_ms',
+    )
+
+
+    def __init__(self, identity=None, age_ms=None,):
+        self.identity = identity
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashingPart')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 1)
+            oprot.writeBinary(self.identity)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 2)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HeldRun(object):
     """
     Attributes:
@@ -958,6 +1038,7 @@
      - cut_off
      - brittle
      - parts
+     - crashing_parts
 
     """
 
@@ -979,10 +1060,11 @@
         'cut_off',
         'brittle',
         'parts',
+        'crashing_parts',
     )
 
 
-    def __init__(self, host=None, incarnation=None, sequence=None, address=None, data_centre=None, table_version=None, uses=None, suspects=None, contacts=None, demands=None, held=None, revisions=None, limits=None, takes_relays=None, cut_off=None, brittle=None, parts=None,):
+    def __init__(self, host=None, incarnation=None, sequence=None, address=None, data_centre=None, table_version=None, uses=None, suspects=None, contacts=None, demands=None, held=None, revisions=None, limits=None, takes_relays=None, cut_off=None, brittle=None, parts=None, crashing_parts=None,):
         self.host = host
         self.incarnation = incarnation
         self.sequence = sequence
@@ -1000,6 +1082,7 @@
         self.cut_off = cut_off
         self.brittle = brittle
         self.parts = parts
+        self.crashing_parts = crashing_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1150,6 +1233,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.crashing_parts = []
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = CrashingPart()
+                        _elem66.read(iprot)
+                        self.crashing_parts.append(_elem66)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1187,36 +1281,36 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter61 in self.uses:
-                iter61.write(oprot)
+            for iter67 in self.uses:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter62 in self.suspects:
-                iter62.write(oprot)
+            for iter68 in self.suspects:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.contacts is not None:
             oprot.writeFieldBegin('contacts', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.contacts))
-            for iter63 in self.contacts:
-                iter63.write(oprot)
+            for iter69 in self.contacts:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter64 in self.demands:
-                iter64.write(oprot)
+            for iter70 in self.demands:
+                iter70.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter65 in self.held:
-                iter65.write(oprot)
+            for iter71 in self.held:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revisions is not None:
@@ -1226,8 +1320,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter66 in self.limits:
-                iter66.write(oprot)
+            for iter72 in self.limits:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.takes_relays is not None:
@@ -1237,22 +1331,29 @@
         if self.cut_off is not None:
             oprot.writeFieldBegin('cut_off', TType.LIST, 17)
             oprot.writeListBegin(TType.I32, len(self.cut_off))
-            for iter67 in self.cut_off:
-                oprot.writeI32(iter67)
+            for iter73 in self.cut_off:
+                oprot.writeI32(iter73)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter68 in self.brittle:
-                iter68.write(oprot)
+            for iter74 in self.brittle:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter69 in self.parts:
-                iter69.write(oprot)
+            for iter75 in self.parts:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crashing_parts is not None:
+            oprot.writeFieldBegin('crashing_parts', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashing_parts))
+            for iter76 in self.crashing_parts:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1296,6 +1397,7 @@
      - cut_off
      - brittle
      - parts
+     - crashing_parts
 
     """
 
@@ -1313,10 +1415,11 @@
         'cut_off',
         'brittle',
         'parts',
+        'crashing_parts',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, uses=None, demands=None, suspects=None, held=None, is_whole=None, revisions=None, limits=None, lane_shares=None, cut_off=None, brittle=None, parts=None,):
+    def __init__(self, incarnation=None, sequence=None, uses=None, demands=None, suspects=None, held=None, is_whole=None, revisions=None, limits=None, lane_shares=None, cut_off=None, brittle=None, parts=None, crashing_parts=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.uses = uses
@@ -1330,6 +1433,7 @@
         self.cut_off = cut_off
         self.brittle = brittle
         self.parts = parts
+        self.crashing_parts = crashing_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1353,44 +1457,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = UpstreamUse()
-                        _elem75.read(iprot)
-                        self.uses.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = UpstreamUse()
+                        _elem82.read(iprot)
+                        self.uses.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = LaneDemand()
-                        _elem81.read(iprot)
-                        self.demands.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = LaneDemand()
+                        _elem88.read(iprot)
+                        self.demands.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype85, _size82) = iprot.readListBegin()
-                    for _i86 in range(_size82):
-                        _elem87 = SuspectRecord()
-                        _elem87.read(iprot)
-                        self.suspects.append(_elem87)
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = SuspectRecord()
+                        _elem94.read(iprot)
+                        self.suspects.append(_elem94)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = HeldRun()
-                        _elem93.read(iprot)
-                        self.held.append(_elem93)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = HeldRun()
+                        _elem100.read(iprot)
+                        self.held.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1408,54 +1512,65 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype97, _size94) = iprot.readListBegin()
-                    for _i98 in range(_size94):
-                        _elem99 = NamedLimit()
-                        _elem99.read(iprot)
-                        self.limits.append(_elem99)
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = NamedLimit()
+                        _elem106.read(iprot)
+                        self.limits.append(_elem106)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.lane_shares = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = LaneShare()
-                        _elem105.read(iprot)
-                        self.lane_shares.append(_elem105)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = LaneShare()
+                        _elem112.read(iprot)
+                        self.lane_shares.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.cut_off = []
-                    (_etype109, _size106) = iprot.readListBegin()
-                    for _i110 in range(_size106):
-                        _elem111 = iprot.readI32()
-                        self.cut_off.append(_elem111)
+                    (_etype116, _size113) = iprot.readListBegin()
+                    for _i117 in range(_size113):
+                        _elem118 = iprot.readI32()
+                        self.cut_off.append(_elem118)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.brittle = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = NamedLimit()
-                        _elem117.read(iprot)
-                        self.brittle.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = NamedLimit()
+                        _elem124.read(iprot)
+                        self.brittle.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = SuspectRecord()
-                        _elem123.read(iprot)
-                        self.parts.append(_elem123)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = SuspectRecord()
+                        _elem130.read(iprot)
+                        self.parts.append(_elem130)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.crashing_parts = []
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = CrashingPart()
+                        _elem136.read(iprot)
+                        self.crashing_parts.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1480,29 +1595,29 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter124 in self.uses:
-                iter124.write(oprot)
+            for iter137 in self.uses:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter125 in self.demands:
-                iter125.write(oprot)
+            for iter138 in self.demands:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter126 in self.suspects:
-                iter126.write(oprot)
+            for iter139 in self.suspects:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter127 in self.held:
-                iter127.write(oprot)
+            for iter140 in self.held:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_whole is not None:
@@ -1516,36 +1631,43 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter128 in self.limits:
-                iter128.write(oprot)
+            for iter141 in self.limits:
+                iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lane_shares is not None:
             oprot.writeFieldBegin('lane_shares', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.lane_shares))
-            for iter129 in self.lane_shares:
-                iter129.write(oprot)
+            for iter142 in self.lane_shares:
+                iter142.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cut_off is not None:
             oprot.writeFieldBegin('cut_off', TType.LIST, 11)
             oprot.writeListBegin(TType.I32, len(self.cut_off))
-            for iter130 in self.cut_off:
-                oprot.writeI32(iter130)
+            for iter143 in self.cut_off:
+                oprot.writeI32(iter143)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter131 in self.brittle:
-                iter131.write(oprot)
+            for iter144 in self.brittle:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter132 in self.parts:
-                iter132.write(oprot)
+            for iter145 in self.parts:
+                iter145.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crashing_parts is not None:
+            oprot.writeFieldBegin('crashing_parts', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashing_parts))
+            for iter146 in self.crashing_parts:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1864,11 +1986,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.heaviest = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = CustomerWork()
-                        _elem138.read(iprot)
-                        self.heaviest.append(_elem138)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = CustomerWork()
+                        _elem152.read(iprot)
+                        self.heaviest.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1897,8 +2019,8 @@
         if self.heaviest is not None:
             oprot.writeFieldBegin('heaviest', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.heaviest))
-            for iter139 in self.heaviest:
-                iter139.write(oprot)
+            for iter153 in self.heaviest:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1978,44 +2100,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = UpstreamUse()
-                        _elem145.read(iprot)
-                        self.uses.append(_elem145)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = UpstreamUse()
+                        _elem159.read(iprot)
+                        self.uses.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = HeldRun()
-                        _elem151.read(iprot)
-                        self.held.append(_elem151)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = HeldRun()
+                        _elem165.read(iprot)
+                        self.held.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype155, _size152) = iprot.readListBegin()
-                    for _i156 in range(_size152):
-                        _elem157 = UpstreamPace()
-                        _elem157.read(iprot)
-                        self.paces.append(_elem157)
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = UpstreamPace()
+                        _elem171.read(iprot)
+                        self.paces.append(_elem171)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.speeds = []
-                    (_etype161, _size158) = iprot.readListBegin()
-                    for _i162 in range(_size158):
-                        _elem163 = UpstreamSpeed()
-                        _elem163.read(iprot)
-                        self.speeds.append(_elem163)
+                    (_etype175, _size172) = iprot.readListBegin()
+                    for _i176 in range(_size172):
+                        _elem177 = UpstreamSpeed()
+                        _elem177.read(iprot)
+                        self.speeds.append(_elem177)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2040,29 +2162,29 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter164 in self.uses:
-                iter164.write(oprot)
+            for iter178 in self.uses:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter165 in self.held:
-                iter165.write(oprot)
+            for iter179 in self.held:
+                iter179.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter166 in self.paces:
-                iter166.write(oprot)
+            for iter180 in self.paces:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter167 in self.speeds:
-                iter167.write(oprot)
+            for iter181 in self.speeds:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2139,20 +2261,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = iprot.readI32()
-                        self.upstreams.append(_elem173)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = iprot.readI32()
+                        self.upstreams.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype177, _size174) = iprot.readListBegin()
-                    for _i178 in range(_size174):
-                        _elem179 = iprot.readI32()
-                        self.runs.append(_elem179)
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = iprot.readI32()
+                        self.runs.append(_elem193)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2182,15 +2304,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.upstreams))
-            for iter180 in self.upstreams:
-                oprot.writeI32(iter180)
+            for iter194 in self.upstreams:
+                oprot.writeI32(iter194)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.runs))
-            for iter181 in self.runs:
-                oprot.writeI32(iter181)
+            for iter195 in self.runs:
+                oprot.writeI32(iter195)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wants_demands is not None:
@@ -2275,77 +2397,77 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = UpstreamUse()
-                        _elem187.read(iprot)
-                        self.uses.append(_elem187)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = UpstreamUse()
+                        _elem201.read(iprot)
+                        self.uses.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = HeldRun()
-                        _elem193.read(iprot)
-                        self.held.append(_elem193)
+                    (_etype205, _size202) = iprot.readListBegin()
+                    for _i206 in range(_size202):
+                        _elem207 = HeldRun()
+                        _elem207.read(iprot)
+                        self.held.append(_elem207)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype197, _size194) = iprot.readListBegin()
-                    for _i198 in range(_size194):
-                        _elem199 = UpstreamPace()
-                        _elem199.read(iprot)
-                        self.paces.append(_elem199)
+                    (_etype211, _size208) = iprot.readListBegin()
+                    for _i212 in range(_size208):
+                        _elem213 = UpstreamPace()
+                        _elem213.read(iprot)
+                        self.paces.append(_elem213)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype203, _size200) = iprot.readListBegin()
-                    for _i204 in range(_size200):
-                        _elem205 = LaneDemand()
-                        _elem205.read(iprot)
-                        self.demands.append(_elem205)
+                    (_etype217, _size214) = iprot.readListBegin()
+                    for _i218 in range(_size214):
+                        _elem219 = LaneDemand()
+                        _elem219.read(iprot)
+                        self.demands.append(_elem219)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.speeds = []
-                    (_etype209, _size206) = iprot.readListBegin()
-                    for _i210 in range(_size206):
-                        _elem211 = UpstreamSpeed()
-                        _elem211.read(iprot)
-                        self.speeds.append(_elem211)
+                    (_etype223, _size220) = iprot.readListBegin()
+                    for _i224 in range(_size220):
+                        _elem225 = UpstreamSpeed()
+                        _elem225.read(iprot)
+                        self.speeds.append(_elem225)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.lane_shares = []
-                    (_etype215, _size212) = iprot.readListBegin()
-                    for _i216 in range(_size212):
-                        _elem217 = LaneShare()
-                        _elem217.read(iprot)
-                        self.lane_shares.append(_elem217)
+                    (_etype229, _size226) = iprot.readListBegin()
+                    for _i230 in range(_size226):
+                        _elem231 = LaneShare()
+                        _elem231.read(iprot)
+                        self.lane_shares.append(_elem231)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype221, _size218) = iprot.readListBegin()
-                    for _i222 in range(_size218):
-                        _elem223 = ServiceWork()
-                        _elem223.read(iprot)
-                        self.work.append(_elem223)
+                    (_etype235, _size232) = iprot.readListBegin()
+                    for _i236 in range(_size232):
+                        _elem237 = ServiceWork()
+                        _elem237.read(iprot)
+                        self.work.append(_elem237)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2366,50 +2488,50 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter224 in self.uses:
-                iter224.write(oprot)
+            for iter238 in self.uses:
+                iter238.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter225 in self.held:
-                iter225.write(oprot)
+            for iter239 in self.held:
+                iter239.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter226 in self.paces:
-                iter226.write(oprot)
+            for iter240 in self.paces:
+                iter240.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter227 in self.demands:
-                iter227.write(oprot)
+            for iter241 in self.demands:
+                iter241.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter228 in self.speeds:
-                iter228.write(oprot)
+            for iter242 in self.speeds:
+                iter242.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lane_shares is not None:
             oprot.writeFieldBegin('lane_shares', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.lane_shares))
-            for iter229 in self.lane_shares:
-                iter229.write(oprot)
+            for iter243 in self.lane_shares:
+                iter243.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter230 in self.work:
-                iter230.write(oprot)
+            for iter244 in self.work:
+                iter244.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2496,10 +2618,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.fingerprints = []
-                    (_etype234, _size231) = iprot.readListBegin()
-                    for _i235 in range(_size231):
-                        _elem236 = iprot.readBinary()
-                        self.fingerprints.append(_elem236)
+                    (_etype248, _size245) = iprot.readListBegin()
+                    for _i249 in range(_size245):
+                        _elem250 = iprot.readBinary()
+                        self.fingerprints.append(_elem250)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2532,8 +2654,8 @@
         if self.fingerprints is not None:
             oprot.writeFieldBegin('fingerprints', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.fingerprints))
-            for iter237 in self.fingerprints:
-                oprot.writeBinary(iter237)
+            for iter251 in self.fingerprints:
+                oprot.writeBinary(iter251)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2571,6 +2693,7 @@
      - part_losses
      - cleared_parts
      - cleared_parts_age_ms
+     - crashing_parts
 
     """
 
@@ -2582,10 +2705,11 @@
         'part_losses',
         'cleared_parts',
         'cleared_parts_age_ms',
+        'crashing_parts',
     )
 
 
-    def __init__(self, suspects=None, losses=None, cleared=None, cleared_age_ms=None, part_losses=None, cleared_parts=None, cleared_parts_age_ms=None,):
+    def __init__(self, suspects=None, losses=None, cleared=None, cleared_age_ms=None, part_losses=None, cleared_parts=None, cleared_parts_age_ms=None, crashing_parts=None,):
         self.suspects = suspects
         self.losses = losses
         self.cleared = cleared
@@ -2593,6 +2717,7 @@
         self.part_losses = part_losses
         self.cleared_parts = cleared_parts
         self.cleared_parts_age_ms = cleared_parts_age_ms
+        self.crashing_parts = crashing_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2606,32 +2731,32 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype241, _size238) = iprot.readListBegin()
-                    for _i242 in range(_size238):
-                        _elem243 = SuspectRecord()
-                        _elem243.read(iprot)
-                        self.suspects.append(_elem243)
+                    (_etype255, _size252) = iprot.readListBegin()
+                    for _i256 in range(_size252):
+                        _elem257 = SuspectRecord()
+                        _elem257.read(iprot)
+                        self.suspects.append(_elem257)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.losses = []
-                    (_etype247, _size244) = iprot.readListBegin()
-                    for _i248 in range(_size244):
-                        _elem249 = LossNews()
-                        _elem249.read(iprot)
-                        self.losses.append(_elem249)
+                    (_etype261, _size258) = iprot.readListBegin()
+                    for _i262 in range(_size258):
+                        _elem263 = LossNews()
+                        _elem263.read(iprot)
+                        self.losses.append(_elem263)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.cleared = []
-                    (_etype253, _size250) = iprot.readListBegin()
-                    for _i254 in range(_size250):
-                        _elem255 = iprot.readBinary()
-                        self.cleared.append(_elem255)
+                    (_etype267, _size264) = iprot.readListBegin()
+                    for _i268 in range(_size264):
+                        _elem269 = iprot.readBinary()
+                        self.cleared.append(_elem269)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2643,21 +2768,21 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.part_losses = []
-                    (_etype259, _size256) = iprot.readListBegin()
-                    for _i260 in range(_size256):
-                        _elem261 = LossNews()
-                        _elem261.read(iprot)
-                        self.part_losses.append(_elem261)
+                    (_etype273, _size270) = iprot.readListBegin()
+                    for _i274 in range(_size270):
+                        _elem275 = LossNews()
+                        _elem275.read(iprot)
+                        self.part_losses.append(_elem275)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.cleared_parts = []
-                    (_etype265, _size262) = iprot.readListBegin()
-                    for _i266 in range(_size262):
-                        _elem267 = iprot.readBinary()
-                        self.cleared_parts.append(_elem267)
+                    (_etype279, _size276) = iprot.readListBegin()
+                    for _i280 in range(_size276):
+                        _elem281 = iprot.readBinary()
+                        self.cleared_parts.append(_elem281)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2666,6 +2791,17 @@
                     self.cleared_parts_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.crashing_parts = []
+                    (_etype285, _size282) = iprot.readListBegin()
+                    for _i286 in range(_size282):
+                        _elem287 = CrashingPart()
+                        _elem287.read(iprot)
+                        self.crashing_parts.append(_elem287)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2679,22 +2815,22 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter268 in self.suspects:
-                iter268.write(oprot)
+            for iter288 in self.suspects:
+                iter288.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter269 in self.losses:
-                iter269.write(oprot)
+            for iter289 in self.losses:
+                iter289.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cleared is not None:
             oprot.writeFieldBegin('cleared', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.cleared))
-            for iter270 in self.cleared:
-                oprot.writeBinary(iter270)
+            for iter290 in self.cleared:
+                oprot.writeBinary(iter290)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cleared_age_ms is not None:
@@ -2704,21 +2840,28 @@
         if self.part_losses is not None:
             oprot.writeFieldBegin('part_losses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.part_losses))
-            for iter271 in self.part_losses:
-                iter271.write(oprot)
+            for iter291 in self.part_losses:
+                iter291.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cleared_parts is not None:
             oprot.writeFieldBegin('cleared_parts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.cleared_parts))
-            for iter272 in self.cleared_parts:
-                oprot.writeBinary(iter272)
+            for iter292 in self.cleared_parts:
+                oprot.writeBinary(iter292)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cleared_parts_age_ms is not None:
             oprot.writeFieldBegin('cleared_parts_age_ms', TType.I32, 7)
             oprot.writeI32(self.cleared_parts_age_ms)
             oprot.writeFieldEnd()
+        if self.crashing_parts is not None:
+            oprot.writeFieldBegin('crashing_parts', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashing_parts))
+            for iter293 in self.crashing_parts:
+                iter293.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3434,11 +3577,11 @@
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype276, _size273) = iprot.readListBegin()
-                    for _i277 in range(_size273):
-                        _elem278 = RelayedHeader()
-                        _elem278.read(iprot)
-                        self.headers.append(_elem278)
+                    (_etype297, _size294) = iprot.readListBegin()
+                    for _i298 in range(_size294):
+                        _elem299 = RelayedHeader()
+                        _elem299.read(iprot)
+                        self.headers.append(_elem299)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3460,10 +3603,10 @@
             elif fid == 24:
                 if ftype == TType.LIST:
                     self.tried = []
-                    (_etype282, _size279) = iprot.readListBegin()
-                    for _i283 in range(_size279):
-                        _elem284 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tried.append(_elem284)
+                    (_etype303, _size300) = iprot.readListBegin()
+                    for _i304 in range(_size300):
+                        _elem305 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tried.append(_elem305)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3556,8 +3699,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter285 in self.headers:
-                iter285.write(oprot)
+            for iter306 in self.headers:
+                iter306.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.has_body is not None:
@@ -3575,8 +3718,8 @@
         if self.tried is not None:
             oprot.writeFieldBegin('tried', TType.LIST, 24)
             oprot.writeListBegin(TType.STRING, len(self.tried))
-            for iter286 in self.tried:
-                oprot.writeString(iter286.encode('utf-8') if sys.version_info[0] == 2 else iter286)
+            for iter307 in self.tried:
+                oprot.writeString(iter307.encode('utf-8') if sys.version_info[0] == 2 else iter307)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3723,11 +3866,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype290, _size287) = iprot.readListBegin()
-                    for _i291 in range(_size287):
-                        _elem292 = StreamVersion()
-                        _elem292.read(iprot)
-                        self.streams.append(_elem292)
+                    (_etype311, _size308) = iprot.readListBegin()
+                    for _i312 in range(_size308):
+                        _elem313 = StreamVersion()
+                        _elem313.read(iprot)
+                        self.streams.append(_elem313)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3744,8 +3887,8 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter293 in self.streams:
-                iter293.write(oprot)
+            for iter314 in self.streams:
+                iter314.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3963,6 +4106,12 @@
     (3, TType.I32, 'companions', None, None, ),  # 3
     (4, TType.I64, 'age_ms', None, None, ),  # 4
 )
+all_structs.append(CrashingPart)
+CrashingPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'identity', 'BINARY', None, ),  # 1
+    (2, TType.I64, 'age_ms', None, None, ),  # 2
+)
 all_structs.append(HeldRun)
 HeldRun.thrift_spec = (
     None,  # 0
@@ -4023,6 +4172,7 @@
     (17, TType.LIST, 'cut_off', (TType.I32, None, False), None, ),  # 17
     (18, TType.LIST, 'brittle', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 18
     (19, TType.LIST, 'parts', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 19
+    (20, TType.LIST, 'crashing_parts', (TType.STRUCT, [CrashingPart, None], False), None, ),  # 20
 )
 all_structs.append(UseReport)
 UseReport.thrift_spec = (
@@ -4040,6 +4190,7 @@
     (11, TType.LIST, 'cut_off', (TType.I32, None, False), None, ),  # 11
     (12, TType.LIST, 'brittle', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 12
     (13, TType.LIST, 'parts', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 13
+    (14, TType.LIST, 'crashing_parts', (TType.STRUCT, [CrashingPart, None], False), None, ),  # 14
 )
 all_structs.append(UpstreamPace)
 UpstreamPace.thrift_spec = (
@@ -4117,6 +4268,7 @@
     (5, TType.LIST, 'part_losses', (TType.STRUCT, [LossNews, None], False), None, ),  # 5
     (6, TType.LIST, 'cleared_parts', (TType.STRING, 'BINARY', False), None, ),  # 6
     (7, TType.I32, 'cleared_parts_age_ms', None, None, ),  # 7
+    (8, TType.LIST, 'crashing_parts', (TType.STRUCT, [CrashingPart, None], False), None, ),  # 8
 )
 all_structs.append(TrialQuery)
 TrialQuery.thrift_spec = (
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -88,6 +88,7 @@
 from hollyknot_state._request import Nature, RequestInfo, TargetKind
 from hollyknot_state._settings import Address, Platform, Settings, Tls
 from hollyknot_state._signals import (
+    CrashingPart,
     LoadReport,
     LossNews,
     SignKind,
@@ -168,6 +169,7 @@
     "VersionAnswer",
     "VersionNote",
     "VersionQuery",
+    "CrashingPart",
     "TrialAnswer",
     "TrialQuery",
     "PermitQuery",
--- a/packages/state/src/hollyknot_state/_host_report.py
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -10,7 +10,7 @@
 
 from hollyknot_state._limit_messages import NamedLimit
 from hollyknot_state._settings import Address
-from hollyknot_state._signals import SuspectRecord
+from hollyknot_state._signals import CrashingPart, SuspectRecord
 
 _CHECKSUM_BITS = 0x7FFF_FFFF
 
@@ -125,6 +125,7 @@
             with the rejections per second that one can bear as the rate.
         parts: Evidence against parts of prompts that may crash upstreams, in
             place of requests.
+        crashing_parts: Parts that have crashed an upstream in a trial.
     """
 
     host: str
@@ -144,6 +145,7 @@
     cut_off: tuple[int, ...] = ()
     brittle: tuple[NamedLimit, ...] = ()
     parts: tuple[SuspectRecord, ...] = ()
+    crashing_parts: tuple[CrashingPart, ...] = ()
 
 
 @attrs.frozen
@@ -182,6 +184,7 @@
         cut_off: Same as in a full report.
         brittle: Brittle services that have changed.
         parts: Same as in a full report.
+        crashing_parts: Same as in a full report.
     """
 
     incarnation: int
@@ -197,3 +200,4 @@
     cut_off: tuple[int, ...] = ()
     brittle: tuple[NamedLimit, ...] = ()
     parts: tuple[SuspectRecord, ...] = ()
+    crashing_parts: tuple[CrashingPart, ...] = ()
--- a/packages/state/src/hollyknot_state/_signals.py
+++ b/packages/state/src/hollyknot_state/_signals.py
@@ -97,6 +97,19 @@
     fingerprints: tuple[int, ...]
 
 
+@attrs.frozen
+class CrashingPart:
+    """A part of prompts that has crashed an upstream in a trial of its own.
+
+    Attributes:
+        identity: The part, unsigned 64 bits.
+        age_ms: Milliseconds since that crash.
+    """
+
+    identity: int
+    age_ms: int = attrs.field(validator=_not_negative)
+
+
 @attrs.frozen
 class SuspectNews:
     """News of suspects, which each host forwards to others when it learns them.
@@ -112,6 +125,7 @@
         part_losses: New losses and verdicts of parts of prompts.
         cleared_parts: Suspected parts that upstreams have answered.
         cleared_parts_age_ms: Milliseconds since the first of these answers.
+        crashing_parts: Parts that have crashed an upstream in a trial.
     """
 
     suspects: tuple[SuspectRecord, ...]
@@ -121,6 +135,7 @@
     part_losses: tuple[LossNews, ...] = ()
     cleared_parts: tuple[int, ...] = ()
     cleared_parts_age_ms: int = attrs.field(default=0, validator=_not_negative)
+    crashing_parts: tuple[CrashingPart, ...] = ()
 
     @property
     def is_empty(self) -> bool:
@@ -132,6 +147,7 @@
                 self.cleared,
                 self.part_losses,
                 self.cleared_parts,
+                self.crashing_parts,
             )
         )
 
@@ -143,6 +159,7 @@
             part_losses=news.losses,
             cleared_parts=news.cleared,
             cleared_parts_age_ms=news.cleared_age_ms,
+            crashing_parts=news.crashing_parts,
         )
 
     @property
