--- a/packages/coordination/src/hollyknot_coordination/suspects/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/__init__.py
@@ -18,7 +18,10 @@
     part_identities,
     refused_part,
 )
-from hollyknot_coordination.suspects._register import SuspectRegister
+from hollyknot_coordination.suspects._register import (
+    SuspectRegister,
+    refused_request,
+)
 from hollyknot_coordination.suspects._suspects import RequestIdentity, Suspects
 from hollyknot_coordination.suspects._trials import TrialOwner
 
@@ -38,4 +41,5 @@
     "TrialOwner",
     "part_identities",
     "refused_part",
+    "refused_request",
 ]
--- a/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
@@ -238,7 +238,7 @@
         """
         return self._unsent.pop(
             now_s,
-            lambda fingerprint: self._count_losses(fingerprint, now_s),
+            lambda fingerprint: self.count(fingerprint, now_s),
             fits,
         )
 
@@ -258,10 +258,13 @@
 
     def is_repeated(self, fingerprint: int, now_s: float) -> bool:
         """Returns whether a request was lost at more than one upstream."""
-        return self._count_losses(fingerprint, now_s) > 1
+        return self.count(fingerprint, now_s) > 1
 
-    def _count_losses(self, fingerprint: int, now_s: float) -> int:
-        """Returns at how many upstreams a request was lost."""
+    def count(self, fingerprint: int, now_s: float) -> int:
+        """Returns at how many upstreams a request was lost.
+
+        Losses whose verdict is pending count.
+        """
         pending = self._pending.find(fingerprint, now_s)
         return len(self._lost_at(fingerprint, pending))
 
--- a/packages/coordination/src/hollyknot_coordination/suspects/_parts.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_parts.py
@@ -116,13 +116,6 @@
         """Refuses requests like one whose trial was denied for some time."""
         self._denied[trial.identity, trial.is_alone] = now_s + wait_s
 
-    def count(self, part: int, now_s: float) -> int:
-        """Returns at how many upstreams a part was lost since its last answer.
-
-        Losses whose verdict is pending count.
-        """
-        return self._count_losses(part, now_s)
-
     def is_proved(self, part: int, now_s: float) -> bool:
         """Whether a request with the part was answered a short time ago."""
         return self._evidence.is_cleared_since(part, now_s)
--- a/packages/coordination/src/hollyknot_coordination/suspects/_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_register.py
@@ -6,10 +6,13 @@
     LossRegister,
 )
 from hollyknot_coordination.suspects._messages import (
+    REFUSE_CRASHES,
+    TRIAL_CRASHES,
     Clear,
     Gate,
     Isolate,
     Refuse,
+    Trial,
     refusal,
 )
 
@@ -28,7 +31,8 @@
         upstreams, until the verdict on its newest loss is known, and a suspect
         that is in flight from this host already: a second copy from its caller
         could crash another upstream before the end of the first gives any
-        evidence.
+        evidence. A request that shares the blame for several crashes is tried
+        once at a time over all hosts.
         """
         crashes = self._evidence.crashes(fingerprint)
         pending = self._pending.find(fingerprint, now_s)
@@ -44,7 +48,10 @@
         running = self._upstreams_running(fingerprint)
         if running:
             return refusal("the same request is being tried", RETRY_AFTER_S)
-        return Isolate(self.excluded(len(crashes)))
+        excluded = self.excluded(len(crashes))
+        if len(crashes) >= TRIAL_CRASHES:
+            return Trial(fingerprint, len(crashes), True, excluded)
+        return Isolate(excluded)
 
     def score(self, fingerprint: int) -> float:
         """Returns the blame of a request, summed over its crashes."""
@@ -53,7 +60,7 @@
         return sum(c.blame(fingerprint, share) for c in crashes)
 
     def _is_culprit(self, fingerprint: int, crashes: list[Crash]) -> bool:
-        if fingerprint in self._refused:
+        if fingerprint in self._refused or len(crashes) >= REFUSE_CRASHES:
             return True
         if len(crashes) >= self._options.refuse_crashes:
             in_all = set.intersection(*(c.suspects for c in crashes))
@@ -74,7 +81,7 @@
             return refusal("evidence against it is being gathered", wait_s)
         self._refused.setdefault(fingerprint, now_s)
         remaining_s = max(RETRY_AFTER_S, self._options.quarantine_s - age_s)
-        return refusal("upstreams that ran it have crashed", remaining_s)
+        return refused_request(remaining_s)
 
     def _upstreams_running(self, fingerprint: int) -> list[str]:
         return [
@@ -82,3 +89,8 @@
             for u, in_flight in self._in_flight.items()
             if fingerprint in in_flight
         ]
+
+
+def refused_request(wait_s: float) -> Refuse:
+    """Returns the refusal of a request for its own crashes."""
+    return refusal("upstreams that ran it have crashed", wait_s)
--- a/packages/coordination/src/hollyknot_coordination/suspects/_suspects.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_suspects.py
@@ -70,6 +70,21 @@
             return attrs.evolve(by_part, exclude=by_part.exclude | gate.exclude)
         return gate
 
+    def count(self, identity: int, now_s: float) -> int:
+        """Returns at how many upstreams a request or a part was lost."""
+        return max(
+            register.count(identity, now_s)
+            for register in (self._requests, self._parts)
+        )
+
+    def is_proved(self, identity: int, now_s: float) -> bool:
+        """Whether a request with a part was answered a short time ago."""
+        return self._parts.is_proved(identity, now_s)
+
+    def deny(self, trial: Trial, wait_s: float, now_s: float) -> None:
+        """Refuses requests like one whose trial was denied for some time."""
+        self._parts.deny(trial, wait_s, now_s)
+
     def on_dispatch(self, request: RequestIdentity, upstream: str) -> None:
         """Records the start of a try; `on_end` must follow exactly once."""
         self._requests.on_dispatch(request.fingerprint, upstream)
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -171,7 +171,7 @@
             clock,
         )
         self._trial_requester = TrialRequester(
-            shared.suspects.parts,
+            shared.suspects,
             Rendezvous(lambda: self._peers.hosts),
             self._own,
             self._rate,
--- a/packages/gateway/src/hollyknot_gateway/_suspect_gate.py
+++ b/packages/gateway/src/hollyknot_gateway/_suspect_gate.py
@@ -8,6 +8,7 @@
     Sendable,
     Trial,
     refused_part,
+    refused_request,
 )
 from hollyknot_gateway import _metrics as metrics
 from hollyknot_gateway._flow_parts import FlowParts
@@ -53,10 +54,13 @@
         )
         if not wait_s:
             job.trial = granted
-            tried = gate.identity if gate.is_alone else None
+            is_part = gate.identity in job.identity.parts
+            tried = gate.identity if gate.is_alone and is_part else None
             job.identity = attrs.evolve(job.identity, tried_part=tried)
             return None
         self._on_refused(job)
+        if gate.identity == job.identity.fingerprint:
+            return refused_request(wait_s)
         return refused_part(wait_s)
 
     def _on_refused(self, job: Job) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_trial_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_trial_requester.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from hollyknot_coordination.forwarding import Rendezvous, ReportRate, Tracker
-from hollyknot_coordination.suspects import PartRegister, Trial, TrialOwner
+from hollyknot_coordination.suspects import Suspects, Trial, TrialOwner
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._reports import TrialMessage, encode_message
 from hollyknot_state import Address, TrialAnswer, TrialQuery
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        parts: PartRegister,
+        suspects: Suspects,
         owners: Rendezvous,
         own: Tracker,
         rate: ReportRate,
@@ -48,7 +48,7 @@
         """Builds a requester that has asked for nothing.
 
         Args:
-            parts: What may crash upstreams, and what was answered.
+            suspects: What may crash upstreams, and what was answered.
             owners: Ranks the hosts by identity.
             own: This host, as its peers know it.
             rate: Byte budget that all sent messages are charged to.
@@ -56,7 +56,7 @@
             log: Logs trials.
             clock: The loop's monotonic clock, in seconds.
         """
-        self._parts = parts
+        self._suspects = suspects
         self._owners = owners
         self._own = own
         self._rate = rate
@@ -83,7 +83,7 @@
         """
         wait_s = await self._decision(trial)
         if wait_s > SHORT_WAIT_S:
-            self._parts.deny(trial, wait_s, self._clock())
+            self._suspects.deny(trial, wait_s, self._clock())
         self._log.line(
             "trial_denied" if wait_s else "trial_granted",
             request=request,
@@ -130,10 +130,10 @@
         """Decides on a trial as the owner of its identity."""
         now_s = self._clock()
         identity = trial.identity
-        if self._parts.is_proved(identity, now_s):
+        if self._suspects.is_proved(identity, now_s):
             self._owner.clear(identity)
             return 0.0
-        crashes = max(trial.crashes, self._parts.count(identity, now_s))
+        crashes = max(trial.crashes, self._suspects.count(identity, now_s))
         return self._owner.decide(
             identity, crashes, now_s, is_alone=trial.is_alone
         )
--- a/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from hollyknot_coordination.suspects import Isolate, Refuse, RequestIdentity
+from hollyknot_coordination.suspects import Refuse, RequestIdentity, Trial
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._loss_classifier import LossClassifier, PartitionSigns
 from hollyknot_gateway._pool import ConnectFailure, Pool
@@ -52,6 +52,7 @@
 """Shortest and longest time of an innocent request in seconds."""
 
 _MAX_TRIES = 30
+_MASK = 2**60 - 1
 
 
 @attrs.define(eq=False)
@@ -277,19 +278,24 @@
     async def _try_culprit(self, router: _Router, fingerprint: int) -> None:
         """Sends a culprit once, unless its host refuses it."""
         loop = asyncio.get_running_loop()
-        upstream = self._choose(router, fingerprint)
+        upstream = await self._choose(router, fingerprint)
         if upstream is None or isinstance(upstream, float):
             return
         entry = upstream.entry
         self.report.sends[fingerprint].append(loop.time())
-        router.host.suspects.on_dispatch(fingerprint, entry.incarnation)
+        lost = [fingerprint]
+        if len(self.report.crashes[fingerprint]) < self._load.shared_crashes:
+            lost.append(~fingerprint & _MASK)
+        for number in lost:
+            router.host.suspects.on_dispatch(number, entry.incarnation)
         try:
             async with asyncio.timeout(CRASH_DELAY_S):
                 await upstream.ended.wait()
         except TimeoutError:
             if self._crash(upstream):
                 self.report.crashes[fingerprint].append(loop.time())
-        router.losses.on_try_end(entry, RequestIdentity(fingerprint), LOST)
+        for number in lost:
+            router.losses.on_try_end(entry, RequestIdentity(number), LOST)
 
     async def _ask(self, fingerprint: int) -> None:
         """Sends an innocent request until it is answered."""
@@ -297,7 +303,7 @@
         refused_since_s: float | None = None
         for _ in range(_MAX_TRIES):
             router = self._rng.choice(self._routers)
-            upstream = self._choose(router, fingerprint)
+            upstream = await self._choose(router, fingerprint)
             if isinstance(upstream, float):
                 refused_since_s = refused_since_s or loop.time()
                 await asyncio.sleep(upstream)
@@ -336,7 +342,7 @@
         router.losses.on_try_end(entry, RequestIdentity(fingerprint), verdict)
         return verdict is GOOD
 
-    def _choose(
+    async def _choose(
         self, router: _Router, fingerprint: int
     ) -> _Upstream | float | None:
         """Chooses as a host does, but among its reachable upstreams at random.
@@ -350,9 +356,13 @@
         gate = host.suspects.gate(fingerprint, now_s)
         if isinstance(gate, Refuse):
             return gate.verdict.retry_after_s
+        if isinstance(gate, Trial):
+            wait_s = await host.neighbours.trials.ask(gate, "")
+            if wait_s:
+                return wait_s
         usable = host.registry.usable(ENGINES, now_s)
         avoided = host.reachability.unreachable(usable)
-        excluded = gate.exclude if isinstance(gate, Isolate) else frozenset()
+        excluded = gate.exclude
         for barred in (avoided | excluded, avoided):
             found = [e for e in usable if e.incarnation not in barred]
             if found:
--- a/packages/gateway/src/hollyknot_gateway/tests/_crash_load.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_crash_load.py
@@ -29,6 +29,8 @@
             first data centre. Connections across them are reset and refused.
         ends: Times in seconds at which all upstreams of the last data centre
             crash together.
+        shared_crashes: Number of crashes of each culprit in which the same
+            other request is lost too, whose caller does not repeat it.
         is_busy: Whether load queries use up their part of the byte budget.
     """
 
@@ -44,6 +46,7 @@
     crash_interval_s: float = 0.0
     cuts: tuple[tuple[float, float], ...] = ()
     ends: tuple[float, ...] = ()
+    shared_crashes: int = 0
     is_busy: bool = False
 
 
--- a/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
@@ -76,6 +76,18 @@
         worst = max(max(counts, default=0) for counts in late.values())
         assert worst <= MAX_LATE_SENDS, late
 
+    @pytest.mark.parametrize("rate", [1.0, 3.0, 6.0])
+    def test_requests_that_are_lost_together_do_not_absolve_each_other(
+        self, rate: float
+    ) -> None:
+        """Blame that two requests share lets both crash further upstreams."""
+        load = Load(culprits=1, culprits_per_s=rate, shared_crashes=8)
+        late = {
+            seed: max(_simulate(_with_seed(load, seed)).late_counts, default=0)
+            for seed in SEEDS
+        }
+        assert max(late.values()) <= MAX_LATE_SENDS, late
+
     @pytest.mark.parametrize("name", CROWDS)
     def test_crowds_of_losses_do_not_keep_news_of_a_loss_back(
         self, name: str
