Do not avoid peers for seconds that have no free slot (RECOVER)

Cause, from its lines: a peer that was offered a request and had no free slot was taken for one that reaches no upstream, and avoided for 3 s, whenever this host's own slot had become free meanwhile; a request was then refused after one offer.

Whether a peer was asked for a slot is noted when it is chosen.

--- a/packages/gateway/src/hollyknot_gateway/_job.py
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -75,6 +75,7 @@
             that holds for all hosts.
         full_peers: Incarnations of the peers that had no free slot for it.
         is_without_slot: Whether the last try ended so.
+        wants_slot: Whether a peer is offered it for a slot that the peer owns.
         version: Version of the upstreams' software that began the stream; None
             before its first event.
         relayed_for: Name of the host whose caller sent the request; empty if
@@ -120,6 +121,7 @@
     is_refused_by_peer: bool = False
     full_peers: frozenset[int] = frozenset()
     is_without_slot: bool = False
+    wants_slot: bool = False
     version: str | None = None
     was_lost: bool = False
     trial: GrantedTrial | None = None
--- a/packages/gateway/src/hollyknot_gateway/_relay_sender.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_sender.py
@@ -102,6 +102,7 @@
         if job.relayed_for or job.relays >= MAX_RELAYS:
             return None
         owners = self._selector.other_slot_owners(job) - job.full_peers
+        job.wants_slot = bool(owners)
         if owners and len(job.full_peers) < MAX_SLOT_OFFERS:
             return parts.relays.choose(job.service.name, parts.clock(), owners)
         if not parts.reachability.has_unreachable:
@@ -286,7 +287,7 @@
         now_s = self._parts.clock()
         reason = told.verdict.reason
         job.is_refused_by_peer = reason in _REFUSED_BY_ALL
-        if reason is Reason.NO_UPSTREAM and self._has_no_slot(job, peer):
+        if reason is Reason.NO_UPSTREAM and job.wants_slot:
             job.full_peers |= {peer.incarnation}
             job.is_without_slot = True
         elif reason in _UNSERVED:
@@ -294,9 +295,6 @@
         elif not job.is_refused_by_peer:
             self._parts.relays.failed(peer, now_s)
 
-    def _has_no_slot(self, job: Job, peer: Tracker) -> bool:
-        return peer.incarnation in self._selector.other_slot_owners(job)
-
     def _log(
         self, job: Job, peer: Tracker, result: Result, told: PeerHeaders
     ) -> None:
