Log the errors of a host's tasks when they end

A task of a host that failed was kept by the exit stack, so that its error was never logged. Found while looking for the reason why hosts fell silent; it was not the reason.

--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -479,8 +479,16 @@
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
+        task.add_done_callback(self._on_task_end)
         self._stack.push_async_callback(_cancel, task)
 
+    def _on_task_end(self, task: asyncio.Task[None]) -> None:
+        """Logs the error of a task, which nothing awaits before the end."""
+        if task.cancelled() or task.exception() is None:
+            return
+        context = {"message": "a task failed", "exception": task.exception()}
+        self._on_error(asyncio.get_running_loop(), context)
+
     def _limits(self) -> CallerLimits:
         index = self._routing_state.index
         return index.table.limits if index is not None else CallerLimits()
