--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_report_rate.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_report_rate.py
@@ -3,6 +3,10 @@
 Without a limit, the bytes of reports grow with the number of peers and of
 upstreams: among eight hosts, ten reports a second to each peer take 28 KB/s.
 
+News of crashes are sent at once, whatever they cost, and paid from what queries
+leave unused. Reports keep their own part meanwhile: hosts that hear nothing of
+each other for seconds would part.
+
 Part of the budget is for messages that requests wait for: queries to load
 trackers, their answers, and notes about in-flight requests. Reports have the
 rest of the budget to themselves, and what queries leave unused. If queries
@@ -27,6 +31,9 @@
 of several peers at once, but no large burst after the process was suspended."""
 
 
+MAX_NEWS_DEBT_S = 2.0
+"""Largest debt for news, in seconds of the whole budget."""
+
 _QUERY_BURST_S = 10.0
 """Burst size for queries, answers and notes, in seconds of their budget. Bursts
 of requests last some seconds, and choices by outdated loads do the most harm
@@ -78,6 +85,7 @@
         # whole budget.
         self._report_capacity = bytes_per_s * _REPORT_BURST_S
         self._reports.level = self._report_capacity
+        self._news_debt = 0.0
         self._filled_s = 0.0
 
     def affordable(self, size: int, now_s: float) -> int:
@@ -106,6 +114,15 @@
         """Deducts bytes of reports that were sent."""
         self._reports.level -= size
 
+    def spend_on_news(self, size: int) -> None:
+        """Deducts bytes of news that were sent.
+
+        The debt is bounded, so that a crowd of news does not slow down reports
+        for long after its end.
+        """
+        debt = self._news_debt + size
+        self._news_debt = min(debt, MAX_NEWS_DEBT_S * BYTES_PER_S)
+
     def spend_on_queries(self, size: int) -> None:
         """Deducts bytes of queries, answers and notes that were sent.
 
@@ -119,5 +136,7 @@
         passed_s = max(0.0, now_s - self._filled_s)
         self._filled_s = now_s
         overflow = self._queries.fill(passed_s * self._queries.rate)
-        wanted = passed_s * self._reports.rate + overflow
+        paid = min(overflow, self._news_debt)
+        self._news_debt -= paid
+        wanted = passed_s * self._reports.rate + overflow - paid
         self._reports.level = min(self._reports.level + wanted, report_capacity)
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -62,6 +62,9 @@
 """Bytes that these reports may take together, half of the byte budget of that
 time."""
 
+MAX_HEARTBEAT_PEERS = 10
+"""Most peers that a host sends reports without bytes for them."""
+
 LONG_REPORT_GAP_S = 0.4
 """Seconds without reports after which peers may take a data centre of few hosts
 for silent."""
@@ -117,7 +120,7 @@
         self._reported_s = clock()
         self._news_bytes = 0
         self._suspect_exchange = SuspectExchange(
-            shared.suspects, self._send, log, rng, clock
+            shared.suspects, self._send_news, log, rng, clock
         )
         self._own = Tracker(
             self._incarnation, settings.peers, settings.data_centre
@@ -345,11 +348,12 @@
         """Sends a few partial reports beyond the byte budget, if few hosts do.
 
         Fewer reports follow until the bytes are made up for, but this data
-        centre doesn't seem to be silent. Where hosts are many and reports rare,
-        longer silences are usual.
+        centre doesn't seem to be silent. Where hosts are many, longer silences
+        are usual. Their number decides, not the time between reports: reports
+        that become rare for want of bytes would stop altogether.
         """
         is_due = now_s - self._reported_s >= HEARTBEAT_S
-        if not is_due or self._peers.interval_s >= MIN_INTERVAL_TO_QUERY_S:
+        if not is_due or self._peers.count > MAX_HEARTBEAT_PEERS:
             return
         self._log_report_gap(now_s)
         self._contents.next_sequence()
@@ -391,6 +395,10 @@
         self._socket.send(data, targets)
         self._rate.spend(len(data) * len(targets))
 
+    def _send_news(self, data: bytes, targets: list[Address]) -> None:
+        self._socket.send(data, targets)
+        self._rate.spend_on_news(len(data) * len(targets))
+
     def _aggregate_reports(self, now_s: float) -> None:
         """Sums up the newest reports of the peers and removes silent peers."""
         for host in self._peers.expire(now_s):
--- a/packages/gateway/src/hollyknot_gateway/tests/test_losses_and_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_losses_and_reports.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hollyknot_coordination.suspects import RequestIdentity
 from hollyknot_gateway.tests._neighbour_network import Network
 from hollyknot_gateway.tests._virtual_time import run_virtually
 from hollyknot_state import Outcome, Reason, Verdict
@@ -18,6 +19,10 @@
 KNOWN_S = 8.0
 WATCHED_S = 4.0
 ROUND_S = 0.1
+BUSY_UPSTREAMS = 12
+CRASHES = 25
+CRASH_INTERVAL_S = 0.4
+AFTERWARDS_S = 15.0
 
 
 class TestLossesAndReports:
@@ -44,6 +49,51 @@
 
         assert run_virtually(main()) == set()
 
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_crashes_in_a_row_do_not_part_hosts(self, seed: int) -> None:
+        """Guards against reports that become rare and then stop."""
+
+        async def main() -> int:
+            network = Network(HOSTS, seed, is_busy=False)
+            _load(network)
+            network.start()
+            await asyncio.sleep(KNOWN_S)
+            rng = random.Random(seed)
+            fewest = HOSTS
+            for number in range(CRASHES):
+                _crash(network, f"upstream-{number}", rng)
+                await asyncio.sleep(CRASH_INTERVAL_S)
+            for _ in range(round(AFTERWARDS_S / ROUND_S)):
+                await asyncio.sleep(ROUND_S)
+                counts = [host.neighbours.count for host in network.hosts]
+                fewest = min(fewest, *counts)
+            network.stop()
+            return fewest
+
+        assert run_virtually(main()) == HOSTS - 1
+
+
+def _load(network: Network) -> None:
+    """Has all hosts report work in flight at many upstreams."""
+    for host in network.hosts:
+        for number in range(BUSY_UPSTREAMS):
+            host.neighbours._shared.loads.begin(f"busy-{number}", 500, 0)
+
+
+def _crash(network: Network, upstream: str, rng: random.Random) -> None:
+    """Has all hosts lose requests and parts of prompts at one upstream."""
+    now_s = asyncio.get_running_loop().time()
+    for host in network.hosts:
+        lost = [
+            RequestIdentity(rng.getrandbits(64), (rng.getrandbits(64),))
+            for _ in range(LOSSES)
+        ]
+        for request in lost:
+            host.all_suspects.on_dispatch(request, upstream)
+        host.all_suspects.on_pending_loss(upstream, now_s)
+        for request in lost:
+            host.all_suspects.on_end(request, upstream, LOST, now_s)
+
 
 def lose_requests(network: Network, rng: random.Random) -> None:
     """Has three hosts lose requests at all upstreams at once."""
