--- a/packages/coordination/src/hollyknot_coordination/suspects/_parts.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_parts.py
@@ -92,7 +92,9 @@
         """
         if not (is_repeat or self.has_losses or not self._convictions.is_empty):
             return Clear()
-        convicted_s = self._convicted_s(parts, now_s)
+        convicted_s = max(
+            (self.convicted_s(part, now_s) for part in parts), default=0.0
+        )
         if convicted_s > 0:
             return refused_part(convicted_s)
         suspected = self._suspected(parts, now_s, is_repeat=is_repeat)
@@ -107,6 +109,17 @@
             worst, suspected[worst], is_alone, self.excluded(suspected[worst])
         )
 
+    def convicted_s(self, part: int, now_s: float) -> float:
+        """Returns the seconds to the next trial of a part if it is convicted.
+
+        A part that few upstreams were lost with may have crashed in its trial
+        by chance. A host without any loss of it has just started.
+        """
+        at_s = self._convictions.at_s(part)
+        if at_s is None or self.count(part, now_s) in range(1, REFUSE_CRASHES):
+            return 0.0
+        return max(0.0, at_s + RETRIAL_ALONE_S - now_s)
+
     def convict(self, part: int, at_s: float) -> None:
         """Records that an upstream crashed in a trial of a part alone."""
         if not self._evidence.is_cleared_since(part, at_s):
@@ -191,20 +204,6 @@
         """Returns a sort key that is the highest for the worst suspect."""
         return suspected[part], -self._evidence.answered_s(part), part
 
-    def _convicted_s(self, parts: Sequence[int], now_s: float) -> float:
-        """Returns the seconds to the next trial of convicted parts, if any.
-
-        A part that few upstreams were lost with may have crashed in its trial
-        by chance. A host without any loss of it has just started.
-        """
-        waits_s = [
-            convicted_s + RETRIAL_ALONE_S - now_s
-            for part in parts
-            if (convicted_s := self._convictions.at_s(part)) is not None
-            and self.count(part, now_s) not in range(1, REFUSE_CRASHES)
-        ]
-        return max(waits_s, default=0.0)
-
     def _on_cleared(self, fingerprint: int, at_s: float) -> None:
         if self._convictions.clear(fingerprint, at_s):
             self._unsent.add_cleared(fingerprint, at_s)
--- a/packages/coordination/src/hollyknot_coordination/suspects/_suspects.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_suspects.py
@@ -81,6 +81,10 @@
         """Whether a request with a part was answered a short time ago."""
         return self._parts.is_proved(identity, now_s)
 
+    def convicted_s(self, identity: int, now_s: float) -> float:
+        """Returns the seconds to the next trial of a convicted part, or 0."""
+        return self._parts.convicted_s(identity, now_s)
+
     def deny(self, trial: Trial, wait_s: float, now_s: float) -> None:
         """Refuses requests like one whose trial was denied for some time."""
         self._parts.deny(trial, wait_s, now_s)
--- a/packages/gateway/src/hollyknot_gateway/_trial_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_trial_requester.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections import OrderedDict
 from collections.abc import Callable
 
 from hollyknot_coordination.forwarding import Rendezvous, ReportRate, Tracker
@@ -19,6 +20,9 @@
 MAX_OWNERS = 3
 """Most hosts that are asked, each after the one before did not answer."""
 
+MAX_ANSWERS = 256
+"""Most answers that are kept for queries that are repeated."""
+
 SILENCE_S = 3.0
 """Seconds without an answer of any owner after which a host decides by itself:
 it may be cut off, or among hosts of a release without trials."""
@@ -29,6 +33,7 @@
 SHORT_WAIT_S = 2.0
 """Longest wait that the owner is asked about again for each request."""
 
+_FIRST_NUMBERS = 2**30
 _MS = 1000
 
 
@@ -64,9 +69,14 @@
         self._log = log
         self._clock = clock
         self._owner = TrialOwner()
-        self._numbers = itertools.count(1)
+        self._answers: OrderedDict[tuple[Address, int], TrialAnswer] = (
+            OrderedDict()
+        )
+        # A host that has just started must not repeat its earlier numbers.
+        self._numbers = itertools.count(own.incarnation % _FIRST_NUMBERS)
         self._waiting: dict[int, asyncio.Future[float]] = {}
-        self._silent_since_s: float | None = None
+        self._silent_since_s = 0.0
+        self._last_silence_s = float("-inf")
 
     async def ask(self, trial: Trial, request: str) -> float:
         """Asks whether a request may be sent.
@@ -103,13 +113,27 @@
                 message.is_alone,
                 frozenset(),
             )
-            wait_ms = round(self._decide(trial) * _MS)
-            self._send_to(TrialAnswer(message.number, wait_ms), sender)
+            self._send_to(self._answer(message, trial, sender), sender)
             return
+        self._last_silence_s = float("-inf")
         waiting = self._waiting.get(message.number)
         if waiting is not None and not waiting.done():
             waiting.set_result(message.wait_ms / _MS)
 
+    def _answer(
+        self, query: TrialQuery, trial: Trial, sender: Address
+    ) -> TrialAnswer:
+        """Answers a query; one that is repeated gets the same answer."""
+        key = (sender, query.number)
+        answer = self._answers.get(key)
+        if answer is None:
+            wait_ms = round(self._decide(trial) * _MS)
+            answer = TrialAnswer(query.number, wait_ms)
+            self._answers[key] = answer
+            if len(self._answers) > MAX_ANSWERS:
+                self._answers.popitem(last=False)
+        return answer
+
     async def _decision(self, trial: Trial) -> float:
         owners = self._owners.first(trial.identity, MAX_OWNERS, self._own)
         for owner in owners:
@@ -117,14 +141,16 @@
                 return self._decide(trial)
             wait_s = await self._ask_peer(trial, owner.address)
             if wait_s is not None:
-                self._silent_since_s = None
                 return wait_s
+        return self._decide(trial) if self._is_silence() else SILENT_WAIT_S
+
+    def _is_silence(self) -> bool:
+        """Whether no owner has answered for so long that none may exist."""
         now_s = self._clock()
-        if self._silent_since_s is None:
+        if now_s - self._last_silence_s > SILENCE_S:
             self._silent_since_s = now_s
-        if now_s - self._silent_since_s < SILENCE_S:
-            return SILENT_WAIT_S
-        return self._decide(trial)
+        self._last_silence_s = now_s
+        return now_s - self._silent_since_s >= SILENCE_S
 
     def _decide(self, trial: Trial) -> float:
         """Decides on a trial as the owner of its identity."""
@@ -133,6 +159,10 @@
         if self._suspects.is_proved(identity, now_s):
             self._owner.clear(identity)
             return 0.0
+        wait_s = self._suspects.convicted_s(identity, now_s)
+        if wait_s > 0:
+            # The host that asks has missed some of the crashes.
+            return wait_s
         crashes = max(trial.crashes, self._suspects.count(identity, now_s))
         return self._owner.decide(
             identity, crashes, now_s, is_alone=trial.is_alone
