Take a stream without a length, chunks or events for one that broke off

A stream that has neither a length nor chunks ends with its connection. An upstream that crashed after the head of such an answer closed the connection cleanly, so that its caller got an empty stream that looked complete, and all parts of the prompt counted as proved sound. Found by reading, beside the parts that crash upstreams; test_a_stream_that_ends_before_its_first_event_is_not_whole got 200 before and 502 now. A stream that is taken up after its last event may still be empty.

--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -34,6 +34,8 @@
 """Statuses by which a caller concludes that its request has not run."""
 
 _ENCODING = "Content-Encoding"
+_LENGTH = "Content-Length"
+_TRANSFER_ENCODING = "Transfer-Encoding"
 
 _REASONS = {
     Lost.CLOSED: Reason.UPSTREAM_LOST,
@@ -169,6 +171,20 @@
         """Whether the head of the answer has arrived."""
         return self._head is not None
 
+    @property
+    def _ends_before_it_begins(self) -> bool:
+        """Whether a stream without events may have been broken off.
+
+        The end of an answer with neither a length nor chunks looks like that of
+        an upstream that crashes.
+        """
+        assert self._head is not None
+        fields = self._head.fields
+        is_framed = _LENGTH in fields or _TRANSFER_ENCODING in fields
+        return not (
+            is_framed or self._reply.has_begun or self._stream.resumes_after
+        )
+
     def on_head(self, head: Head) -> None:
         """Reads the head and rejects answers that must not be forwarded."""
         self._head = head
@@ -337,6 +353,9 @@
             return
         if rest := self._stream.framer.flush():
             self._write_to_caller(rest)
+        if self._ends_before_it_begins:
+            self._fail(Reason.TRUNCATED, "the stream ended before an event")
+            return
         if not self._reply.has_begun:
             self._write_to_caller(b"")
         self._reply.finish()
