--- a/packages/gateway/src/hollyknot_gateway/_pool.py
+++ b/packages/gateway/src/hollyknot_gateway/_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 from collections.abc import Callable
+from typing import Any
 
 from hollyknot_gateway._upstream_connection import UpstreamConnection
 from hollyknot_state import Address
@@ -125,7 +126,6 @@
         """Opens a new connection."""
         self._opened += 1
         loop = asyncio.get_running_loop()
-        due_s = loop.time() + timeout_s
         attempt = asyncio.ensure_future(
             loop.create_connection(
                 UpstreamConnection,
@@ -135,11 +135,7 @@
             )
         )
         try:
-            await asyncio.wait((attempt,), timeout=timeout_s)
-            if not attempt.done() and loop.time() > due_s + STALL_S:
-                # This process stood still, so the time says nothing about the
-                # upstream; the connection may be established already.
-                await asyncio.wait((attempt,), timeout=STALL_S)
+            await _wait(attempt, timeout_s)
         except asyncio.CancelledError:
             _discard(attempt)
             raise
@@ -152,6 +148,20 @@
         return connection
 
 
+async def _wait(attempt: "asyncio.Future[Any]", timeout_s: float) -> None:
+    """Waits until an attempt ends or times out.
+
+    If this process stood still meanwhile, the time says nothing about the
+    upstream, and the connection may be established already.
+    """
+    loop = asyncio.get_running_loop()
+    due_s = loop.time() + timeout_s
+    await asyncio.wait((attempt,), timeout=timeout_s)
+    while not attempt.done() and loop.time() > due_s + STALL_S:
+        due_s = loop.time() + STALL_S
+        await asyncio.wait((attempt,), timeout=STALL_S)
+
+
 def _discard(
     attempt: "asyncio.Future[tuple[asyncio.Transport, UpstreamConnection]]",
 ) -> None:
--- a/packages/gateway/src/hollyknot_gateway/tests/test_pool.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_pool.py
@@ -3,7 +3,12 @@
 import asyncio
 import time
 
-from hollyknot_gateway._pool import CONNECT_TIMEOUT_S, ConnectFailure, Pool
+from hollyknot_gateway._pool import (
+    CONNECT_TIMEOUT_S,
+    ConnectFailure,
+    Pool,
+    _wait,
+)
 from hollyknot_state import Address
 
 IP = "127.0.0.1"
@@ -30,6 +35,20 @@
 
         assert not isinstance(asyncio.run(main()), ConnectFailure)
 
+    def test_stalls_that_follow_each_other_are_no_timeout(self) -> None:
+        """Guards against a second stall in the time that the first one adds."""
+
+        async def main() -> bool:
+            loop = asyncio.get_running_loop()
+            attempt = loop.create_future()
+            for at_s in (0.0, 0.22, 0.44):
+                loop.call_later(at_s, time.sleep, 0.2)
+            loop.call_later(0.65, attempt.set_result, None)
+            await _wait(attempt, 0.1)
+            return attempt.done()
+
+        assert asyncio.run(main())
+
     def test_a_port_without_a_listener_refuses(self) -> None:
         """Guards against errors of an attempt that nobody reads."""
 
