Split the host's tasks, the sending of reports and the records of tries off

Behaviour unchanged, but for one: a task that has failed no longer ends the closing of the host's other parts with its error, which has been logged.

--- a/packages/gateway/src/hollyknot_gateway/__init__.py
+++ b/packages/gateway/src/hollyknot_gateway/__init__.py
@@ -5,10 +5,7 @@
 
 from hollyknot_gateway._fetch import Document, FetchFailure, fetch
 from hollyknot_gateway._host import Host, Ports
-from hollyknot_gateway._neighbours import (
-    COMPLETE_REPORT_EVERY,
-    REPORT_INTERVAL_S,
-)
+from hollyknot_gateway._neighbours import REPORT_INTERVAL_S
 from hollyknot_gateway._pool import Pool
 from hollyknot_gateway._ports import (
     Changes,
@@ -21,6 +18,7 @@
     SourceFailure,
     Unreadable,
 )
+from hollyknot_gateway._report_sender import COMPLETE_REPORT_EVERY
 from hollyknot_gateway._reports import encode_message, encode_report
 from hollyknot_gateway._run import run
 
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -4,10 +4,9 @@
 import contextlib
 import os
 import random
-import traceback
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from types import TracebackType
-from typing import Any, Self
+from typing import Self
 
 import attrs
 
@@ -48,6 +47,7 @@
 from hollyknot_gateway._flow import Flow
 from hollyknot_gateway._flow_parts import FlowParts
 from hollyknot_gateway._gauges import GaugeSources, add_gauges
+from hollyknot_gateway._host_tasks import HostTasks
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._loss_classifier import LossClassifier, PartitionSigns
 from hollyknot_gateway._metrics import Metrics
@@ -309,6 +309,7 @@
         self._is_stopping = False
         self._suspension = Suspension()
         self._stack = contextlib.AsyncExitStack()
+        self._tasks = HostTasks(self._stack, self._log)
 
     def _flow_parts(self, dialect: Dialect) -> FlowParts:
         return FlowParts(
@@ -405,8 +406,8 @@
             self._probe_unreachable(),
             self._reload_periodically(),
         ):
-            self._spawn(work)
-        asyncio.get_running_loop().set_exception_handler(self._on_error)
+            self._tasks.spawn(work)
+        self._tasks.catch_errors()
         self._log.line("start", pid=os.getpid())
         return self
 
@@ -420,19 +421,6 @@
         self._log.line("end", in_work=self._callers.in_work)
         await self._stack.__aexit__(kind, error, trace)
 
-    def _on_error(
-        self, _: asyncio.AbstractEventLoop, context: dict[str, Any]
-    ) -> None:
-        """Logs an exception that no task has caught."""
-        error = context.get("exception")
-        trace = traceback.format_exception(error) if error else []
-        self._log.line(
-            "internal_error",
-            message=context.get("message", ""),
-            error=repr(error),
-            trace="".join(trace[-2:]),
-        )
-
     async def stop(self) -> None:
         """Stops gracefully, letting in-flight requests end first."""
         began_s = self._clock()
@@ -477,18 +465,6 @@
             await asyncio.sleep(RELOAD_S)
             self.reload()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        task.add_done_callback(self._on_task_end)
-        self._stack.push_async_callback(_cancel, task)
-
-    def _on_task_end(self, task: asyncio.Task[None]) -> None:
-        """Logs the error of a task, which nothing awaits before the end."""
-        if task.cancelled() or task.exception() is None:
-            return
-        context = {"message": "a task failed", "exception": task.exception()}
-        self._on_error(asyncio.get_running_loop(), context)
-
     def _limits(self) -> CallerLimits:
         index = self._routing_state.index
         return index.table.limits if index is not None else CallerLimits()
@@ -576,9 +552,3 @@
         while True:
             await asyncio.sleep(FLUSH_S)
             self._log.flush()
-
-
-async def _cancel(task: "asyncio.Task[None]") -> None:
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -14,9 +14,9 @@
 from hollyknot_gateway._headers import CONTENT_LENGTH, end_to_end, write_head
 from hollyknot_gateway._job import Job
 from hollyknot_gateway._lateness import Late, judge
-from hollyknot_gateway._log import parts_text
 from hollyknot_gateway._pool import ConnectFailure
 from hollyknot_gateway._relay_messages import tell_upstream
+from hollyknot_gateway._try_records import TryRecords
 from hollyknot_gateway._upstream_connection import UpstreamConnection
 from hollyknot_gateway._upstream_selector import UpstreamSelector
 from hollyknot_state import Outcome, Reason, Verdict
@@ -57,6 +57,7 @@
         """
         self._parts = parts
         self._selector = selector
+        self._records = TryRecords(parts)
         self._detached: set[asyncio.Task[None]] = set()
 
     async def run(self, job: Job, choice: Choice) -> Result:
@@ -221,7 +222,7 @@
         job.was_leaving = parts.notices.is_leaving(entry)
         job.rest_left_s = parts.notices.rest_left_s(entry)
         parts.rests.on_sent(entry.incarnation, parts.clock())
-        self._log_suspect(job, entry)
+        self._records.log_suspect(job, entry)
         if job.relayed_for:
             tell_upstream(job.reply, entry.incarnation)
         parts.suspects.on_dispatch(job.identity, entry.incarnation)
@@ -236,20 +237,6 @@
         )
         return exchange
 
-    def _log_suspect(self, job: Job, entry: UpstreamEntry) -> None:
-        """Logs that a request is sent that may have crashed upstreams."""
-        crashed = self._parts.suspects.requests.upstreams(
-            job.identity.fingerprint
-        )
-        if crashed:
-            self._parts.log.line(
-                "suspect_sent",
-                request=job.call.attempt_id,
-                fingerprint=f"{job.identity.fingerprint:016x}",
-                upstream=entry.incarnation,
-                crashed=",".join(crashed),
-            )
-
     def _record_first_event(
         self, job: Job, choice: Choice, work: PlacedRequest, sent_s: float
     ) -> None:
@@ -313,7 +300,9 @@
         caller_gone_verdict = attrs.evolve(
             _CALLER_GONE, detail=_DEADLINE_PASSED if is_late else _CALLER_LEFT
         )
-        self._log_try(job, choice, exchange.partial_result(caller_gone_verdict))
+        self._records.log_try(
+            job, choice, exchange.partial_result(caller_gone_verdict)
+        )
         if not is_call or is_late:
             exchange.connection.abandon()
             self._parts.losses.on_try_end(
@@ -341,14 +330,14 @@
             async with asyncio.timeout_at(job.deadline_s):
                 result = await exchange.done
             verdict = result.verdict
-            self._log_try(job, choice, result)
+            self._records.log_try(job, choice, result)
             self._release(choice.entry, exchange.connection)
         except TimeoutError:
             exchange.connection.abandon()
             caller_gone_verdict = attrs.evolve(
                 _CALLER_GONE, detail=_DEADLINE_PASSED
             )
-            self._log_try(
+            self._records.log_try(
                 job, choice, exchange.partial_result(caller_gone_verdict)
             )
         finally:
@@ -364,7 +353,7 @@
             self._parts.losses.on_try_end(entry, job.identity, verdict)
         job.tried |= {entry.incarnation}
         if verdict.upstream_status == _UNAVAILABLE:
-            self._log_rejection(job, entry)
+            self._records.log_rejection(job, entry)
             self._parts.brittle.on_rejected(entry, self._parts.clock())
         if verdict.reason is Reason.UPSTREAM_LOST:
             self._parts.prober.on_connection_lost()
@@ -380,84 +369,8 @@
             self._parts.forecasts.note_answer(
                 job.route.name, job.call.answer_tokens, result.intervals
             )
-        self._observe_try(job, result)
-        self._log_try(job, choice, result)
-
-    def _log_rejection(self, job: Job, entry: UpstreamEntry) -> None:
-        """Logs what this host knew of an upstream that rejected a request."""
-        parts = self._parts
-        now = parts.clock()
-        load = parts.loads.at(entry.incarnation, now)
-        parts.log.line(
-            "rejected",
-            request=job.call.attempt_id,
-            upstream=entry.incarnation,
-            max_rejections=parts.brittle.max_rejections(entry),
-            slots=entry.slots,
-            own=parts.loads.own_requests(entry.incarnation),
-            seen=load.requests,
-            hosts=parts.neighbours.hosts,
-        )
-
-    def _log_try(self, job: Job, choice: Choice, result: Result) -> None:
-        verdict = result.verdict
-        event = "try" if verdict.is_complete else "failed_try"
-        relayed_for = {"relayed_for": job.relayed_for}
-        parts = {"parts": parts_text(job.call.shared_parts)}
-        self._parts.log.line(
-            f"relayed_{event}" if job.relayed_for else event,
-            **(relayed_for if job.relayed_for else {}),
-            **({} if verdict.is_complete else parts),
-            request=job.call.attempt_id,
-            route=job.route.name,
-            upstream=choice.entry.incarnation,
-            sent=job.sent,
-            outcome=verdict.outcome.value,
-            reason=verdict.reason.value,
-            status=verdict.upstream_status,
-            detail=verdict.detail,
-            first_ms=_ms(result.first_s),
-            gap_ms=_ms(result.gap_s),
-            took_ms=_ms(result.took_s),
-            asked_ms=_ms(job.asked_s),
-            tokens=job.call.prompt_tokens,
-            read=choice.tokens,
-            ahead=choice.ahead,
-            loose=job.is_loose,
-            limit=self._parts.notices.rate(choice.entry),
-            leaving=job.was_leaving,
-            rest_ms=_ms(job.rest_left_s),
-            unreachable=job.was_unreachable,
-            customer=job.customer,
-            late=job.late.value,
-            version=choice.entry.version,
-            after=job.stream.resumes_after,
-            resumes=job.call.resumes,
-        )
-
-    def _observe_try(self, job: Job, result: Result) -> None:
-        parts = self._parts
-        verdict = result.verdict
-        parts.metrics.count(
-            metrics.TRIES,
-            service=job.service.name,
-            outcome=verdict.outcome.value,
-            reason=verdict.reason.value,
-        )
-        if verdict.is_complete and job.late is not Late.NO:
-            parts.metrics.count(
-                metrics.LATE, route=job.route.name, cause=job.late.value
-            )
-        if result.first_s:
-            parts.metrics.observe(
-                metrics.FIRST_EVENT_SECONDS,
-                result.first_s,
-                route=job.route.name,
-            )
-        if result.gap_s:
-            parts.metrics.observe(
-                metrics.LONGEST_GAP_SECONDS, result.gap_s, route=job.route.name
-            )
+        self._records.observe(job, result)
+        self._records.log_try(job, choice, result)
 
     def _record_health(self, entry: UpstreamEntry, verdict: Verdict) -> None:
         parts = self._parts
@@ -483,7 +396,3 @@
         pause_s = job.sent_s + result.first_s - job.last_byte_s
     waited_s = job.sent_s - job.request.arrived_s
     job.late = judge(job.route, result, waited_s, pause_s)
-
-
-def _ms(seconds: float) -> float:
-    return round(seconds * 1000, 1)
