Do not take a rejected prompt for proof of its parts

An answer with an error status, such as 413, is complete, so that it cleared all parts of its prompt; but the upstream may have rejected the prompt unread, and a part that crashes upstreams went on. Also names of parts that are no UTF-8 are hashed instead of failing the request. Found by reading the change; both tests fail with the two lines taken back.

--- a/packages/coordination/src/hollyknot_coordination/suspects/_parts.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_parts.py
@@ -65,7 +65,10 @@
     if not shared:
         return ()
     low = short_name(service)
-    names = (part.name.encode() for part in islice(shared, MAX_PARTS))
+    names = (
+        part.name.encode("utf-8", "surrogateescape")
+        for part in islice(shared, MAX_PARTS)
+    )
     found = (zlib.crc32(name) << _NAME_BITS | low for name in names)
     return tuple(dict.fromkeys(found))
 
--- a/packages/coordination/src/hollyknot_coordination/suspects/_suspects.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_suspects.py
@@ -13,7 +13,9 @@
 )
 from hollyknot_coordination.suspects._parts import PartRegister
 from hollyknot_coordination.suspects._register import SuspectRegister
-from hollyknot_state import Verdict
+from hollyknot_state import Outcome, Verdict
+
+_MIN_ERROR_STATUS = 300
 
 
 @attrs.frozen
@@ -108,8 +110,12 @@
     ) -> None:
         """Records the end of a try."""
         self._requests.on_end(request.fingerprint, upstream, verdict, now_s)
+        by_part = verdict
+        if verdict.upstream_status >= _MIN_ERROR_STATUS:
+            # The upstream may have rejected the prompt without running it.
+            by_part = attrs.evolve(verdict, outcome=Outcome.FAILED)
         for part in request.parts:
-            self._parts.on_end(part, upstream, verdict, now_s)
+            self._parts.on_end(part, upstream, by_part, now_s)
         if request.tried_part is not None and is_crash(verdict):
             self._parts.convict(request.tried_part, now_s)
 
--- a/packages/coordination/src/hollyknot_coordination/suspects/tests/test_parts.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/tests/test_parts.py
@@ -1,9 +1,13 @@
 """Tests of the register of parts of prompts."""
 
+import attrs
+
 from hollyknot_coordination.suspects import (
     Clear,
     PartRegister,
     Refuse,
+    RequestIdentity,
+    Suspects,
     Trial,
     part_identities,
 )
@@ -49,6 +53,11 @@
             "s", [PromptPart("a", 6)]
         )
 
+    def test_name_may_hold_any_bytes(self) -> None:
+        """Guards against names of a caller that fail its request."""
+        name = b"\xff\xfe".decode("utf-8", "surrogateescape")
+        assert part_identities("s", [PromptPart(name, 5)])
+
     def test_number_of_parts_is_bounded(self) -> None:
         """Guards against prompts whose parts use up a host's time."""
         shared = [PromptPart(str(n), 1) for n in range(5000)]
@@ -189,3 +198,17 @@
         for part in range(MAX_CONVICTIONS + 50):
             register.convict(part, float(part))
         assert len(register.convictions(10_000, 2000.0)) == MAX_CONVICTIONS
+
+
+class TestSuspects:
+    """Tests what the end of a try says about the parts of its prompt."""
+
+    def test_rejected_prompt_does_not_prove_its_parts(self) -> None:
+        """Guards against clearing a part by an answer that did not run it."""
+        suspects = Suspects()
+        request = RequestIdentity(7, (CRASHING,))
+        for status, is_proved in ((413, False), (200, True)):
+            suspects.on_dispatch(request, "u")
+            verdict = attrs.evolve(COMPLETE, upstream_status=status)
+            suspects.on_end(request, "u", verdict, 1.0)
+            assert suspects.parts.is_proved(CRASHING, 1.0) is is_proved
