Serve requests whose parts of prompts have names that are no UTF-8

Such a request ended its connection without an answer: the short name of a prefix could not be computed.

--- a/packages/state/src/hollyknot_state/_host_report.py
+++ b/packages/state/src/hollyknot_state/_host_report.py
@@ -22,7 +22,8 @@
     upstreams two share a checksum with a probability of 1 in 40; each of them
     is then credited with the load of both.
     """
-    return zlib.crc32(incarnation.encode()) & _CHECKSUM_BITS
+    encoded = incarnation.encode("utf-8", "surrogateescape")
+    return zlib.crc32(encoded) & _CHECKSUM_BITS
 
 
 @attrs.frozen
