--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_peers.py
@@ -172,14 +172,15 @@
         """Processes a full report.
 
         Returns:
-            Whether it is from a peer that was not known.
+            Whether it is from a process that was not known.
         """
         if report.address == self._own:
             return False
         known = self._peers.get(report.host)
         if known is not None and _is_older(report, known.report):
             return False
-        if known is None or known.report.incarnation != report.incarnation:
+        is_new = known is None or known.report.incarnation != report.incarnation
+        if is_new:
             # A host that has just started needs a full report.
             self._last_full_report_s.pop(report.address, None)
         if known is None:
@@ -187,7 +188,7 @@
         self._note(report, now_s)
         for contact in report.contacts:
             self._contacts.add(contact)
-        return known is None
+        return is_new
 
     def apply_use_report(self, report: UseReport, now_s: float) -> None:
         """Processes a use report; one of an unknown peer is ignored."""
--- a/packages/coordination/src/hollyknot_coordination/suspects/_evidence.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_evidence.py
@@ -90,6 +90,11 @@
         """Whether there is no suspect."""
         return not self._by_fingerprint
 
+    @property
+    def suspects(self) -> int:
+        """Number of suspects."""
+        return len(self._by_fingerprint)
+
     def add(
         self, fingerprint: int, upstream: str, size: int, at_s: float
     ) -> Crash | None:
--- a/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
@@ -247,6 +247,11 @@
         """Whether there is any loss without an answer since."""
         return not (self._evidence.is_empty and self._pending.is_empty)
 
+    @property
+    def suspects(self) -> int:
+        """Number of requests or parts with a crash and no answer since."""
+        return self._evidence.suspects
+
     @property
     def news_waiting(self) -> int:
         """Number of news that wait to be sent."""
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -61,6 +61,7 @@
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._ports import Dialect, Source
 from hollyknot_gateway._prober import Prober
+from hollyknot_gateway._readiness import Readiness
 from hollyknot_gateway._relay_server import RelayServer
 from hollyknot_gateway._report_contents import SharedState
 from hollyknot_gateway._revision_gossip import RevisionGossip
@@ -306,7 +307,13 @@
                 log=self._log,
             ),
         )
-        self._is_stopping = False
+        self._readiness = Readiness(
+            self._routing_state,
+            self._neighbours,
+            self._suspects,
+            self._log,
+            clock,
+        )
         self._suspension = Suspension()
         self._stack = contextlib.AsyncExitStack()
         self._tasks = HostTasks(self._stack, self._log)
@@ -355,7 +362,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers to this host."""
-        return self._routing_state.is_complete and not self._is_stopping
+        return self._readiness.is_ready
 
     @property
     def table_version(self) -> int:
@@ -424,7 +431,7 @@
     async def stop(self) -> None:
         """Stops gracefully, letting in-flight requests end first."""
         began_s = self._clock()
-        self._is_stopping = True
+        self._readiness.stop()
         self._log.line("stop", in_work=self._callers.in_work)
         self._callers.announce_close()
         self._relay_server.announce_close()
@@ -483,6 +490,7 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             self._check_suspension()
+            self._readiness.check()
             self._stalls.sweep()
             self._callers.sweep(self._clock())
             self._operator_servers.sweep(self._clock())
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -371,5 +371,9 @@
             self._peers.apply_use_report(report, now)
         elif self._peers.apply_report(report, now):
             self._log.line(
-                "peer_met", peer=report.host, data_centre=report.data_centre
+                "peer_met",
+                peer=report.host,
+                data_centre=report.data_centre,
+                suspects=len(report.suspects),
+                parts=len(report.parts),
             )
