Introduce hosts to processes that have just started, whatever bytes are left

Callers saw requests that crash upstreams sent again by hosts that had just started. Cause: only full reports introduce a host, and hosts without bytes for reports send heartbeats, which are use reports that strangers ignore. A process that reports for the first time now gets a full report in the next round, four a round, and an unknown address is always sent a full one.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_peers.py
@@ -52,6 +52,13 @@
 """Seconds between two full reports to one peer. Only these contain the sender's
 name and address and the addresses of other hosts, which seldom change."""
 
+INTRODUCED_S = 0.5
+"""Seconds after a full report in which a host that reports for the first time
+has got it: its own report is the answer."""
+
+MAX_FULL_REPORTS = 1024
+"""Times of full reports from which on old ones are forgotten."""
+
 CONTACTS_PER_REPORT = 4
 """Addresses in one report. With four, eight hosts know each other within a
 second."""
@@ -101,6 +108,8 @@
         # Times of the last report and of the last full one to each peer.
         self._last_report_s: dict[Address, float] = {}
         self._last_full_report_s: dict[Address, float] = {}
+        # Processes that reported first and have got no full report since.
+        self._strangers: dict[Address, None] = {}
         self._times = ReportTimes()
         self._interval_s = 0.0
 
@@ -151,6 +160,10 @@
             peer.report.address.ip == ip for peer in self._peers.values()
         )
 
+    def has_address(self, address: Address) -> bool:
+        """Whether a peer receives reports at an address."""
+        return address in self._data_centres
+
     @property
     def count(self) -> int:
         """Number of peers that sent reports recently."""
@@ -180,9 +193,11 @@
         if known is not None and _is_older(report, known.report):
             return False
         is_new = known is None or known.report.incarnation != report.incarnation
-        if is_new:
-            # A host that has just started needs a full report.
+        if known is not None and is_new:
+            # Full reports so far went to the process before.
             self._last_full_report_s.pop(report.address, None)
+        if is_new and not self._was_introduced(report.address, now_s):
+            self._strangers[report.address] = None
         if known is None:
             self._contacts.reset(report.address)
         self._note(report, now_s)
@@ -280,12 +295,30 @@
     def needs_full_report(self, target: Address, now_s: float) -> bool:
         """Returns whether a full report to a target is due, and records it."""
         last_s = self._last_full_report_s.get(target, -math.inf)
-        if now_s - last_s < FULL_REPORT_INTERVAL_S:
+        if self.has_address(target) and now_s - last_s < FULL_REPORT_INTERVAL_S:
             return False
-        if target in self._last_report_s:
-            self._last_full_report_s[target] = now_s
+        self._strangers.pop(target, None)
+        self._last_full_report_s[target] = now_s
         return True
 
+    def pop_strangers(self, count: int, now_s: float) -> list[Address]:
+        """Returns hosts that don't know this one, and counts a full report.
+
+        Args:
+            count: Most hosts to return; the others are kept.
+            now_s: Current time, in seconds.
+        """
+        chosen = list(self._strangers)[:count]
+        for address in chosen:
+            del self._strangers[address]
+            self._last_full_report_s[address] = now_s
+        return chosen
+
+    def _was_introduced(self, address: Address, now_s: float) -> bool:
+        """Whether the process at an address answers to a full report."""
+        sent_s = self._last_full_report_s.get(address, -math.inf)
+        return now_s - sent_s < INTRODUCED_S
+
     def contacts(self) -> tuple[Address, ...]:
         """Returns addresses of random peers, for a full report."""
         known = [peer.report.address for peer in self._peers.values()]
@@ -315,10 +348,20 @@
             self._hosts.pop(report.incarnation, None)
             self._data_centres.pop(report.address, None)
             self._last_report_s.pop(report.address, None)
-            self._last_full_report_s.pop(report.address, None)
+            self._strangers.pop(report.address, None)
             self._contacts.reset(report.address)
+        self._forget_full_reports(now_s)
         return expired
 
+    def _forget_full_reports(self, now_s: float) -> None:
+        """Forgets full reports to addresses that may have been replaced."""
+        if len(self._last_full_report_s) > MAX_FULL_REPORTS:
+            self._last_full_report_s = {
+                address: at_s
+                for address, at_s in self._last_full_report_s.items()
+                if now_s - at_s < FULL_REPORT_INTERVAL_S
+            }
+
 
 def _is_older(report: HostReport, known: HostReport) -> bool:
     if report.incarnation != known.incarnation:
--- a/packages/gateway/src/hollyknot_gateway/_report_sender.py
+++ b/packages/gateway/src/hollyknot_gateway/_report_sender.py
@@ -28,6 +28,10 @@
 MAX_HEARTBEAT_PEERS = 10
 """Most peers that a host sends reports without bytes for them."""
 
+MAX_INTRODUCTIONS = 4
+"""Most processes that a host introduces itself to in one round; the others
+follow in the next rounds."""
+
 LONG_REPORT_GAP_S = 0.4
 """Seconds without reports after which peers may take a data centre of few hosts
 for silent."""
@@ -73,6 +77,7 @@
             now_s: Current time, in seconds.
         """
         self._news_bytes += news_bytes
+        self._introduce(now_s)
         if not self._rate.affordable(self._report_bytes, now_s):
             self._send_heartbeat(now_s)
             return
@@ -84,13 +89,18 @@
         )
         self._report_bytes = len(data)
         max_targets = self._rate.affordable(self._report_bytes, now_s)
-        targets = self._peers.targets(now_s, max_targets)
-        full = self._full_report_targets(targets, now_s)
-        self._send(data, [target for target in targets if target not in full])
-        if full:
-            full_data = encode_report(self._contents.full_report(now_s))
-            self._full_report_bytes = len(full_data)
-            self._send(full_data, full)
+        self._send_reports(data, self._peers.targets(now_s, max_targets), now_s)
+
+    def _introduce(self, now_s: float) -> None:
+        """Answers processes that have just reported for the first time.
+
+        They ignore use reports until they have a full one, so that it does not
+        wait for bytes.
+        """
+        strangers = self._peers.pop_strangers(MAX_INTRODUCTIONS, now_s)
+        if strangers:
+            self._contents.next_sequence()
+            self._send_full_report(strangers, now_s)
 
     def _send_heartbeat(self, now_s: float) -> None:
         """Sends a few partial reports beyond the byte budget, if few hosts do.
@@ -108,17 +118,36 @@
         report = self._contents.use_report(now_s, is_whole=False)
         data = encode_report(report)
         max_targets = max(1, HEARTBEAT_BYTES // len(data))
-        self._send(data, self._peers.targets(now_s, max_targets))
+        self._send_reports(data, self._peers.targets(now_s, max_targets), now_s)
+
+    def _send_reports(
+        self, data: bytes, targets: list[Address], now_s: float
+    ) -> None:
+        """Sends a use report, or a full report to those that need one."""
+        full = self._full_report_targets(targets, now_s)
+        self._send(data, [target for target in targets if target not in full])
+        if full:
+            self._send_full_report(full, now_s)
+
+    def _send_full_report(self, targets: list[Address], now_s: float) -> None:
+        data = encode_report(self._contents.full_report(now_s))
+        self._full_report_bytes = len(data)
+        self._send(data, targets)
 
     def _full_report_targets(
         self, targets: list[Address], now_s: float
     ) -> list[Address]:
-        """Returns which targets get a full report, as many as is affordable."""
+        """Returns which targets get a full report.
+
+        These are all that are not known, as they would ignore another one, and
+        as many others as is affordable.
+        """
         affordable = self._rate.affordable(self._full_report_bytes, now_s)
         full: list[Address] = []
         for target in targets:
-            if len(full) >= max(1, affordable):
-                break
+            is_allowed = len(full) < max(1, affordable)
+            if not is_allowed and self._peers.has_address(target):
+                continue
             if self._peers.needs_full_report(target, now_s):
                 full.append(target)
         return full
--- a/packages/gateway/src/hollyknot_gateway/tests/_neighbour_network.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_neighbour_network.py
@@ -128,11 +128,16 @@
             if host.task is not None:
                 host.task.cancel()
 
+    def end(self, number: int) -> None:
+        """Ends a host, which then neither sends nor receives."""
+        ended = self.hosts[number]
+        if ended.task is not None:
+            ended.task.cancel()
+        self._by_address.pop(address(number), None)
+
     def restart(self, number: int) -> Host:
         """Replaces a host by a newly started one without any state."""
-        before = self.hosts[number]
-        if before.task is not None:
-            before.task.cancel()
+        self.end(number)
         host = self._make_host(number, len(self.hosts))
         self.hosts[number] = host
         self._by_address[address(number)] = host
--- a/packages/gateway/src/hollyknot_gateway/tests/test_losses_and_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_losses_and_reports.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hollyknot_coordination.suspects import RequestIdentity
-from hollyknot_gateway.tests._neighbour_network import Network
+from hollyknot_gateway.tests._neighbour_network import Network, address
 from hollyknot_gateway.tests._virtual_time import run_virtually
 from hollyknot_state import Outcome, Reason, Verdict
 
@@ -23,6 +23,8 @@
 CRASHES = 25
 CRASH_INTERVAL_S = 0.4
 AFTERWARDS_S = 15.0
+INTRODUCTION_S = 3.0
+"""Seconds in which a host that has just started has to know its peers."""
 
 
 class TestLossesAndReports:
@@ -72,6 +74,38 @@
 
         assert run_virtually(main()) == HOSTS - 1
 
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_a_started_host_meets_its_peers_beside_losses(
+        self, seed: int
+    ) -> None:
+        """Guards against hosts that have no bytes left for introductions."""
+
+        async def main() -> tuple[int, list[int]]:
+            network = Network(HOSTS, seed, is_busy=True)
+            _load(network)
+            network.start()
+            await asyncio.sleep(KNOWN_S)
+            rng = random.Random(seed)
+            for number in range(CRASHES):
+                _crash(network, f"upstream-{number}", rng)
+                await asyncio.sleep(CRASH_INTERVAL_S)
+                if number == CRASHES // 2:
+                    network.end(0)
+            started = network.restart(0)
+            _crash(network, "upstream-last", rng)
+            await asyncio.sleep(INTRODUCTION_S)
+            network.stop()
+            incarnation = started.neighbours.incarnation
+            knowing = [
+                host.neighbours.host_of(incarnation, address(0).ip)
+                for host in network.hosts[1:]
+            ]
+            return started.neighbours.count, [len(name) for name in knowing]
+
+        count, names = run_virtually(main())
+        assert count == HOSTS - 1
+        assert all(names)
+
 
 def _load(network: Network) -> None:
     """Has all hosts report work in flight at many upstreams."""
