--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/__init__.py
@@ -1,5 +1,8 @@
 """Tracks the other hosts and decides what hosts tell each other."""
 
+from hollyknot_coordination.forwarding.peers._evidence_queries import (
+    EvidenceQueries,
+)
 from hollyknot_coordination.forwarding.peers._host_count import HostCount
 from hollyknot_coordination.forwarding.peers._inquiries import (
     ANSWER_TIMEOUT_S,
@@ -24,6 +27,7 @@
 __all__ = [
     "ANSWER_TIMEOUT_S",
     "BRIEF_RESERVE",
+    "EvidenceQueries",
     "HostCount",
     "Inquiries",
     "Inquiry",
--- a/packages/coordination/src/hollyknot_coordination/suspects/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/__init__.py
@@ -3,6 +3,10 @@
 That may be a single request, or any request with a certain part in its prompt.
 """
 
+from hollyknot_coordination.suspects._evidence_answer import (
+    Evidence,
+    all_evidence,
+)
 from hollyknot_coordination.suspects._loss_register import LossRegister
 from hollyknot_coordination.suspects._messages import (
     Clear,
@@ -27,6 +31,7 @@
 
 __all__ = [
     "Clear",
+    "Evidence",
     "Gate",
     "Isolate",
     "LossRegister",
@@ -39,6 +44,7 @@
     "Suspects",
     "Trial",
     "TrialOwner",
+    "all_evidence",
     "part_identities",
     "refused_part",
     "refused_request",
--- a/packages/coordination/src/hollyknot_coordination/suspects/_convictions.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_convictions.py
@@ -34,15 +34,22 @@
         """Whether no part is remembered."""
         return not self._convicted
 
-    def add(self, part: int, at_s: float) -> bool:
-        """Adds the crash of a trial and returns whether it is news."""
+    def add(self, part: int, at_s: float, *, is_news: bool = True) -> bool:
+        """Adds the crash of a trial and returns whether it was not known.
+
+        Args:
+            part: The part.
+            at_s: Time of the crash in seconds.
+            is_news: Whether peers are to be told if it was not.
+        """
         before_s = self._convicted.get(part)
         # Ages are told in milliseconds, so that times differ a little.
         if before_s is not None and at_s <= before_s + 0.5:
             return False
         self._convicted[part] = at_s
         self._convicted.move_to_end(part)
-        self._untold[part] = None
+        if is_news:
+            self._untold[part] = None
         if len(self._convicted) > MAX_CONVICTIONS:
             dropped, _ = self._convicted.popitem(last=False)
             self._untold.pop(dropped, None)
--- a/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
@@ -28,6 +28,9 @@
 NO_FINGERPRINT = 0
 """Marks a request without a fingerprint, which is never a suspect."""
 
+ANSWER_TOLD_S = 1.0
+"""Seconds in which the answer to a suspect has reached all peers."""
+
 _CRASH_REASONS = frozenset({Reason.UPSTREAM_LOST, Reason.TRUNCATED})
 """Reasons with which tries end in a crash. A silent upstream isn't among them,
 since silence is a connection's fault far more often than a crash and would put
@@ -91,13 +94,15 @@
                 )
                 self._add_pending(loss, now_s)
 
-    def _add_pending(self, loss: Loss, now_s: float) -> bool:
+    def _add_pending(
+        self, loss: Loss, now_s: float, *, is_news: bool = True
+    ) -> bool:
         """Adds a loss without a verdict and returns whether it was new."""
         fingerprint = loss.fingerprint
         if self._evidence.is_cleared_since(fingerprint, loss.at_s):
             return False
         is_new = self._pending.add(fingerprint, loss.upstream, loss.at_s, now_s)
-        if is_new:
+        if is_new and is_news:
             self._unsent.add_loss(loss)
         return is_new
 
@@ -145,9 +150,14 @@
         Returns:
             The records that were new to this host.
         """
+        for record in records:
+            at_s = now_s - record.age_ms / 1000
+            self._tell_missed_answer(record.fingerprint, at_s, now_s)
         return tuple(r for r in records if self._is_new_evidence(r, now_s))
 
-    def _is_new_evidence(self, record: SuspectRecord, now_s: float) -> bool:
+    def _is_new_evidence(
+        self, record: SuspectRecord, now_s: float, *, is_news: bool = True
+    ) -> bool:
         """Adds one record and returns whether it was new."""
         fingerprint = record.fingerprint
         if fingerprint == NO_FINGERPRINT:
@@ -155,7 +165,7 @@
         at_s = now_s - record.age_ms / 1000
         size = record.companions + 1
         before = len(self._evidence.crashes(fingerprint))
-        self._add(fingerprint, record.upstream, size, at_s)
+        self._add(fingerprint, record.upstream, size, at_s, is_news=is_news)
         return len(self._evidence.crashes(fingerprint)) > before
 
     def _add(
@@ -166,13 +176,15 @@
         at_s: float,
         *,
         is_own: bool = False,
+        is_news: bool = True,
     ) -> None:
-        """Adds evidence and queues it for `next_news` if it is new."""
+        """Adds evidence and queues it for `next_news` if peers may not know."""
         before = len(self._evidence.crashes(fingerprint))
         crash = self._evidence.add(fingerprint, upstream, size, at_s)
         if crash is not None and is_own:
             crash.own.add(fingerprint)
-        if len(self._evidence.crashes(fingerprint)) > before:
+        is_new = len(self._evidence.crashes(fingerprint)) > before
+        if is_new and is_news:
             self._tell_newest_crash(fingerprint)
 
     def on_news(self, news: SuspectNews, now_s: float) -> tuple[LossNews, ...]:
@@ -189,7 +201,44 @@
         self.on_records(news.suspects, now_s)
         return tuple(loss for loss in told if loss.fingerprints)
 
-    def _add_loss(self, loss: LossNews, now_s: float) -> LossNews:
+    def on_evidence(self, news: SuspectNews, now_s: float) -> int:
+        """Adds all that a peer knows, which this host does not pass on.
+
+        Returns:
+            The number of losses that were new to this host.
+        """
+        for loss in news.losses:
+            at_s = now_s - loss.age_ms / 1000
+            for fingerprint in loss.fingerprints:
+                self._tell_missed_answer(fingerprint, at_s, now_s)
+        told = [
+            self._add_loss(loss, now_s, is_news=False) for loss in news.losses
+        ]
+        return sum(len(loss.fingerprints) for loss in told)
+
+    def all_losses(self, now_s: float) -> list[Loss]:
+        """Returns all losses without an answer, those that matter most first.
+
+        These are the losses of what was lost most often, then the newest.
+        """
+        found = [
+            _loss_of(fingerprint, crash)
+            for crash in self._evidence.all_crashes()
+            for fingerprint in crash.suspects
+        ]
+        found += [
+            Loss(fingerprint, upstream, at_s, 0, is_own=False)
+            for fingerprint, upstream, at_s in self._pending.all(now_s)
+        ]
+        found.sort(key=lambda loss: (-self._losses_of(loss), -loss.at_s))
+        return found
+
+    def _losses_of(self, loss: Loss) -> int:
+        return len(self._evidence.crashes(loss.fingerprint))
+
+    def _add_loss(
+        self, loss: LossNews, now_s: float, *, is_news: bool = True
+    ) -> LossNews:
         """Adds a loss and returns it with only the requests that were new."""
         at_s = now_s - loss.age_ms / 1000
         new = []
@@ -198,7 +247,7 @@
                 record = SuspectRecord(
                     fingerprint, loss.upstream, loss.companions, loss.age_ms
                 )
-                is_new = self._is_new_evidence(record, now_s)
+                is_new = self._is_new_evidence(record, now_s, is_news=is_news)
             else:
                 pending = Loss(
                     fingerprint,
@@ -207,7 +256,7 @@
                     len(loss.fingerprints) - 1,
                     is_own=False,
                 )
-                is_new = self._add_pending(pending, now_s)
+                is_new = self._add_pending(pending, now_s, is_news=is_news)
             if is_new:
                 new.append(fingerprint)
             else:
@@ -224,6 +273,17 @@
         if answered_s < at_s <= answered_s + self._options.proof_s:
             self._unsent.add_cleared(fingerprint, answered_s)
 
+    def _tell_missed_answer(
+        self, fingerprint: int, at_s: float, now_s: float
+    ) -> None:
+        """Queues an answer that a peer has missed, as it still tells the loss.
+
+        Evidence of such a peer would go on to each host that starts.
+        """
+        answered_s = self._evidence.answered_s(fingerprint)
+        if at_s <= answered_s < now_s - ANSWER_TOLD_S:
+            self._unsent.add_cleared(fingerprint, answered_s)
+
     def next_news(
         self, now_s: float, fits: Callable[[SuspectNews], bool] = lambda _: True
     ) -> SuspectNews:
--- a/packages/coordination/src/hollyknot_coordination/suspects/_parts.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_parts.py
@@ -14,7 +14,10 @@
 
 import attrs
 
-from hollyknot_coordination.suspects._convictions import Convictions
+from hollyknot_coordination.suspects._convictions import (
+    MAX_CONVICTIONS,
+    Convictions,
+)
 from hollyknot_coordination.suspects._loss_register import LossRegister
 from hollyknot_coordination.suspects._messages import (
     REFUSE_CRASHES,
@@ -158,6 +161,21 @@
         """Returns the parts that were convicted last, for a report."""
         return self._convictions.newest(count, now_s)
 
+    def all_convictions(self, now_s: float) -> tuple[CrashingPart, ...]:
+        """Returns all parts that have crashed an upstream in a trial."""
+        return self._convictions.newest(MAX_CONVICTIONS, now_s)
+
+    def on_evidence(self, news: SuspectNews, now_s: float) -> int:
+        """Adds all that a peer knows, which this host does not pass on."""
+        found = super().on_evidence(news, now_s)
+        for record in news.crashing_parts:
+            at_s = now_s - record.age_ms / 1000
+            if not self._evidence.is_cleared_since(record.identity, at_s):
+                found += self._convictions.add(
+                    record.identity, at_s, is_news=False
+                )
+        return found
+
     def next_news(
         self, now_s: float, fits: Callable[[SuspectNews], bool] = lambda _: True
     ) -> SuspectNews:
--- a/packages/coordination/src/hollyknot_coordination/suspects/_pending_losses.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_pending_losses.py
@@ -7,6 +7,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterator
 
 from hollyknot_coordination.suspects._messages import SuspectOptions
 
@@ -52,6 +53,12 @@
         since_s = now_s - self._options.pending_s
         return {name: at_s for name, at_s in losses.items() if at_s > since_s}
 
+    def all(self, now_s: float) -> Iterator[tuple[int, str, float]]:
+        """Yields each request with an upstream and the time of its loss."""
+        for fingerprint in self._losses:
+            for upstream, at_s in self.find(fingerprint, now_s).items():
+                yield fingerprint, upstream, at_s
+
     def clear(self, fingerprint: int, at_s: float) -> None:
         """Removes the losses that the answer to a request speaks against."""
         losses = self._losses.pop(fingerprint, {})
--- a/packages/coordination/src/hollyknot_coordination/suspects/_suspects.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_suspects.py
@@ -13,7 +13,7 @@
 )
 from hollyknot_coordination.suspects._parts import PartRegister
 from hollyknot_coordination.suspects._register import SuspectRegister
-from hollyknot_state import Outcome, Verdict
+from hollyknot_state import Outcome, SuspectNews, Verdict
 
 _MIN_ERROR_STATUS = 300
 
@@ -145,6 +145,16 @@
             if request.tried_part is not None:
                 self._parts.convict(request.tried_part, at_s)
 
+    def on_evidence(self, news: SuspectNews, now_s: float) -> int:
+        """Adds evidence that a peer has handed over.
+
+        Returns:
+            The number of losses and convictions that were new to this host.
+        """
+        return self._requests.on_evidence(
+            news, now_s
+        ) + self._parts.on_evidence(news.parts, now_s)
+
     def expire(self, now_s: float) -> None:
         """Drops old evidence; call it every few seconds."""
         self._requests.expire(now_s)
--- a/packages/coordination/src/hollyknot_coordination/suspects/_unsent_news.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_unsent_news.py
@@ -227,7 +227,7 @@
             if loss.crash is not None
             and count_losses(loss.fingerprint) >= refuse_crashes
         ),
-        losses=_grouped(losses, now_s),
+        losses=grouped(losses, now_s),
         cleared=tuple(item.fingerprint for item in cleared),
         cleared_age_ms=_age_ms(first_s, now_s),
     )
@@ -239,20 +239,21 @@
     return SuspectRecord(fingerprint, crash.upstream, crash.companions, age_ms)
 
 
-def _grouped(losses: Sequence[Loss], now_s: float) -> tuple[LossNews, ...]:
+def grouped(losses: Sequence[Loss], now_s: float) -> tuple[LossNews, ...]:
     """Returns one item for each loss of several requests."""
-    groups: dict[tuple[str, bool], list[Loss]] = defaultdict(list)
+    groups: dict[tuple[str, float | None], list[Loss]] = defaultdict(list)
     for loss in losses:
-        groups[loss.upstream, loss.crash is not None].append(loss)
+        crash_s = loss.crash.at_s if loss.crash else None
+        groups[loss.upstream, crash_s].append(loss)
     return tuple(
         LossNews(
             upstream=upstream,
             age_ms=_age_ms(min(loss.at_s for loss in group), now_s),
-            is_crash=is_crash,
+            is_crash=crash_s is not None,
             companions=group[0].crash.companions if group[0].crash else 0,
             fingerprints=tuple(loss.fingerprint for loss in group),
         )
-        for (upstream, is_crash), group in groups.items()
+        for (upstream, crash_s), group in groups.items()
     )
 
 
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -18,6 +18,7 @@
     Trackers,
     VersionHistory,
 )
+from hollyknot_gateway._evidence_exchange import EvidenceExchange
 from hollyknot_gateway._inquirer import Inquirer
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._partition_detector import PartitionDetector
@@ -25,6 +26,7 @@
 from hollyknot_gateway._report_contents import ReportContents, SharedState
 from hollyknot_gateway._report_sender import ReportSender
 from hollyknot_gateway._reports import (
+    EvidenceMessage,
     Message,
     PermitMessage,
     Report,
@@ -101,6 +103,15 @@
         self._own = Tracker(
             self._incarnation, settings.peers, settings.data_centre
         )
+        self._evidence_exchange = EvidenceExchange(
+            shared.suspects,
+            self._own,
+            self._send_news,
+            log,
+            rng,
+            clock,
+            is_alone=not set(settings.seeds) - {settings.peers},
+        )
         trackers = Trackers(self._own, lambda: self._peers.hosts)
         self._permits = Permits(
             trackers,
@@ -161,6 +172,7 @@
             shared.suspects,
             Rendezvous(lambda: self._peers.hosts),
             self._own,
+            lambda: self._evidence_exchange.is_informed,
             self._rate,
             self._socket.send,
             log,
@@ -204,6 +216,11 @@
         """Trials of what may crash upstreams."""
         return self._trial_requester
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether this host knows what its peers know, or can't learn it."""
+        return self._evidence_exchange.is_informed
+
     @property
     def incarnation(self) -> int:
         """Number that peers know this process by."""
@@ -269,7 +286,7 @@
     @property
     def news_dropped(self) -> int:
         """Number of news of lost requests that were never sent."""
-        return self._suspect_exchange.dropped
+        return self._suspect_exchange.dropped + self._evidence_exchange.dropped
 
     @property
     def count(self) -> int:
@@ -303,6 +320,7 @@
             registry = self._routing_state.registry
             self._version_requester.on_listed(registry.by_service(now_s))
             self._partitions.set_silent(self._peers.silent_data_centres(now_s))
+            self._evidence_exchange.run(self._peers.hosts)
             addresses = [host.address for host in self._peers.hosts]
             news_bytes = self._suspect_exchange.send(addresses)
             self._report_sender.send(news_bytes, now_s)
@@ -345,6 +363,8 @@
             self._version_requester.handle(message, sender)
         elif isinstance(message, TrialMessage):
             self._trial_requester.handle(message, sender)
+        elif isinstance(message, EvidenceMessage):
+            self._evidence_exchange.handle(message, sender)
         elif isinstance(message, SuspectNews):
             self._suspect_exchange.on_news(message)
         else:
--- a/packages/gateway/src/hollyknot_gateway/_readiness.py
+++ b/packages/gateway/src/hollyknot_gateway/_readiness.py
@@ -9,7 +9,10 @@
 
 
 class Readiness:
-    """A host is ready once it knows its routes and upstreams."""
+    """A host is ready once it knows its routes, its upstreams and evidence.
+
+    Without the evidence of its peers it would send what crashes upstreams.
+    """
 
     def __init__(
         self,
@@ -40,7 +43,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers to this host."""
-        return self._routing_state.is_complete and not self._is_stopping
+        return (
+            self._routing_state.is_complete
+            and self._neighbours.is_informed
+            and not self._is_stopping
+        )
 
     def stop(self) -> None:
         """Ends the readiness of a host that is stopping."""
--- a/packages/gateway/src/hollyknot_gateway/_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/_reports.py
@@ -23,6 +23,8 @@
 )
 from hollyknot_state import (
     Address,
+    EvidenceAnswer,
+    EvidenceQuery,
     HostReport,
     LoadAnswer,
     LoadNote,
@@ -69,6 +71,9 @@
 TrialMessage = TrialQuery | TrialAnswer
 """A message about trials of what may crash upstreams."""
 
+EvidenceMessage = EvidenceQuery | EvidenceAnswer
+"""A message by which a host learns what may crash upstreams."""
+
 Message = (
     Report
     | LoadMessage
@@ -76,6 +81,7 @@
     | SuspectNews
     | VersionMessage
     | TrialMessage
+    | EvidenceMessage
 )
 """Any message that hosts send each other in a datagram."""
 
@@ -93,6 +99,8 @@
     VersionAnswer: b"x",
     TrialQuery: b"t",
     TrialAnswer: b"y",
+    EvidenceQuery: b"e",
+    EvidenceAnswer: b"f",
 }
 _WITHOUT_USES = (
     LoadQuery,
@@ -104,6 +112,8 @@
     VersionAnswer,
     TrialQuery,
     TrialAnswer,
+    EvidenceQuery,
+    EvidenceAnswer,
 )
 _CLASSES = {tag: kind for kind, tag in _TAGS.items()}
 
--- a/packages/gateway/src/hollyknot_gateway/_trial_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_trial_requester.py
@@ -45,6 +45,7 @@
         suspects: Suspects,
         owners: Rendezvous,
         own: Tracker,
+        is_informed: Callable[[], bool],
         rate: ReportRate,
         send: Callable[[bytes, list[Address]], None],
         log: Log,
@@ -56,6 +57,8 @@
             suspects: What may crash upstreams, and what was answered.
             owners: Ranks the hosts by identity.
             own: This host, as its peers know it.
+            is_informed: Whether this host knows what its peers know. Until
+                then it decides on no trial.
             rate: Byte budget that all sent messages are charged to.
             send: Sends a datagram to the given hosts.
             log: Logs trials.
@@ -64,6 +67,7 @@
         self._suspects = suspects
         self._owners = owners
         self._own = own
+        self._is_informed = is_informed
         self._rate = rate
         self._send = send
         self._log = log
@@ -107,6 +111,9 @@
     def handle(self, message: TrialMessage, sender: Address) -> None:
         """Handles a message of a peer."""
         if isinstance(message, TrialQuery):
+            if not self._is_informed():
+                # The host that asks goes on to the next owner.
+                return
             trial = Trial(
                 message.identity,
                 message.crashes,
@@ -138,7 +145,9 @@
         owners = self._owners.first(trial.identity, MAX_OWNERS, self._own)
         for owner in owners:
             if owner is self._own:
-                return self._decide(trial)
+                if self._is_informed():
+                    return self._decide(trial)
+                continue
             wait_s = await self._ask_peer(trial, owner.address)
             if wait_s is not None:
                 return wait_s
--- a/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
@@ -19,7 +19,7 @@
 from hollyknot_gateway._pool import ConnectFailure, Pool
 from hollyknot_gateway._prober import Prober
 from hollyknot_gateway._upstream_connection import UpstreamConnection
-from hollyknot_gateway.tests._crash_load import Load, Report
+from hollyknot_gateway.tests._crash_load import CONTACT_S, Load, Report
 from hollyknot_gateway.tests._neighbour_network import (
     DATA_CENTRES,
     Host,
@@ -37,6 +37,9 @@
 DISCOVERY_S = 6.0
 """Seconds until all hosts know each other."""
 
+ROLL_FROM_S = 6.0
+"""Seconds from the first request to the first restart of a host."""
+
 CRASH_DELAY_S = 0.08
 """Seconds from the arrival of a crashing request to the crash."""
 
@@ -101,12 +104,25 @@
 
 @attrs.define(eq=False)
 class _Router:
-    """One host with the parts that decide about losses."""
+    """One host with the parts that decide about losses.
+
+    Attributes:
+        host: The host.
+        data_centre: Its data centre.
+        prober: Probes upstreams.
+        losses: Judges lost answers.
+        is_up: Whether its process runs.
+        takes_requests: Whether callers send to it.
+        started_s: Time in seconds at which its process started.
+    """
 
     host: Host
     data_centre: str
     prober: Prober
     losses: LossClassifier
+    is_up: bool = True
+    takes_requests: bool = True
+    started_s: float = float("-inf")
 
 
 class CrashFleet:
@@ -161,6 +177,11 @@
             self._spawn(self._cut_off(at_s, length_s))
         for at_s in load.ends:
             self._spawn(self._end_data_centre(at_s))
+        for number in range(load.rolls):
+            half_s = load.hosts * load.roll_gap_s / 2
+            self._spawn(self._roll(ROLL_FROM_S + number * half_s))
+        for at_s, share in load.kills:
+            self._spawn(self._kill(at_s, share))
         await asyncio.sleep(load.seconds + 2.0)
         for task in list(self._tasks):
             task.cancel()
@@ -205,6 +226,49 @@
         )
         return _Router(host, data_centre, prober, losses)
 
+    async def _roll(self, at_s: float) -> None:
+        """Stops and starts all hosts in turn, each overlapping the next."""
+        await asyncio.sleep(at_s)
+        order = list(range(self._load.hosts))
+        self._rng.shuffle(order)
+        for number in order:
+            self._spawn(self._restart_host(number, self._load.drain_s))
+            await asyncio.sleep(self._load.roll_gap_s)
+
+    async def _kill(self, at_s: float, share: float) -> None:
+        """Kills some hosts at once, which are back after a while."""
+        await asyncio.sleep(at_s)
+        count = round(share * self._load.hosts)
+        for number in self._rng.sample(range(self._load.hosts), count):
+            self._spawn(self._restart_host(number, 0.0))
+
+    async def _restart_host(self, number: int, drain_s: float) -> None:
+        """Replaces the process of a host, unless that has begun already."""
+        ended = self._routers[number]
+        if not ended.takes_requests:
+            return
+        ended.takes_requests = False
+        await asyncio.sleep(drain_s)
+        ended.is_up = False
+        self._network.end(number)
+        await asyncio.sleep(self._load.down_s)
+        router = self._router(number, self._network.restart(number))
+        router.takes_requests = False
+        router.started_s = asyncio.get_running_loop().time()
+        self._routers[number] = router
+        for upstream in self._by_address.values():
+            if upstream.is_up:
+                router.host.registry.put(upstream.entry)
+        self._spawn(self._probe(router))
+        while not router.host.neighbours.is_informed:
+            await asyncio.sleep(_PROBE_INTERVAL_S)
+        router.takes_requests = True
+
+    def _choose_router(self) -> _Router | None:
+        """Returns a host that takes requests, if there is any."""
+        found = [router for router in self._routers if router.takes_requests]
+        return self._rng.choice(found) if found else None
+
     def _list(self, entry: UpstreamEntry) -> None:
         """Writes an entry to the directories of all hosts."""
         for router in self._routers:
@@ -228,7 +292,7 @@
 
     async def _probe(self, router: _Router) -> None:
         """Probes unreachable upstreams and drops old evidence, as hosts do."""
-        while True:
+        while router.is_up:
             await asyncio.sleep(_PROBE_INTERVAL_S)
             now_s = asyncio.get_running_loop().time()
             router.prober.check_all(router.host.reachability.due(now_s))
@@ -272,8 +336,9 @@
         while loop.time() < until_s:
             rate = self._load.culprits_per_s
             await asyncio.sleep(self._rng.expovariate(rate))
-            router = self._rng.choice(self._routers)
-            self._spawn(self._try_culprit(router, fingerprint))
+            router = self._choose_router()
+            if router is not None:
+                self._spawn(self._try_culprit(router, fingerprint))
 
     async def _try_culprit(self, router: _Router, fingerprint: int) -> None:
         """Sends a culprit once, unless its host refuses it."""
@@ -282,7 +347,8 @@
         if upstream is None or isinstance(upstream, float):
             return
         entry = upstream.entry
-        self.report.sends[fingerprint].append(loop.time())
+        if loop.time() - router.started_s >= CONTACT_S:
+            self.report.sends[fingerprint].append(loop.time())
         lost = [fingerprint]
         if len(self.report.crashes[fingerprint]) < self._load.shared_crashes:
             lost.append(~fingerprint & _MASK)
@@ -302,7 +368,10 @@
         loop = asyncio.get_running_loop()
         refused_since_s: float | None = None
         for _ in range(_MAX_TRIES):
-            router = self._rng.choice(self._routers)
+            router = self._choose_router()
+            if router is None:
+                await asyncio.sleep(0.1)
+                continue
             upstream = await self._choose(router, fingerprint)
             if isinstance(upstream, float):
                 refused_since_s = refused_since_s or loop.time()
--- a/packages/gateway/src/hollyknot_gateway/tests/_crash_load.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_crash_load.py
@@ -32,6 +32,12 @@
         shared_crashes: Number of crashes of each culprit in which the same
             other request is lost too, whose caller does not repeat it.
         is_busy: Whether load queries use up their part of the byte budget.
+        rolls: Times that all hosts are stopped and started in turn.
+        roll_gap_s: Seconds between two hosts of a roll; the next roll begins in
+            the middle of the one before.
+        drain_s: Seconds for which a stopping host still talks to its peers.
+        down_s: Seconds from the end of a host to its next start.
+        kills: Time in seconds and share of the hosts that are killed then.
     """
 
     hosts: int = 8
@@ -48,6 +54,11 @@
     ends: tuple[float, ...] = ()
     shared_crashes: int = 0
     is_busy: bool = False
+    rolls: int = 0
+    roll_gap_s: float = 1.5
+    drain_s: float = 3.5
+    down_s: float = 4.0
+    kills: tuple[tuple[float, float], ...] = ()
 
 
 @attrs.define
--- a/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
@@ -4,7 +4,7 @@
 import pytest
 
 from hollyknot_gateway.tests._crash_fleet import CrashFleet
-from hollyknot_gateway.tests._crash_load import Load, Report
+from hollyknot_gateway.tests._crash_load import MAX_CRASHES, Load, Report
 from hollyknot_gateway.tests._virtual_time import run_virtually
 
 MAX_LATE_SENDS = 3
@@ -39,6 +39,34 @@
 }
 """Loads with so many losses that the byte budget of news binds."""
 
+ROLLS = {
+    "8 hosts": Load(rolls=1, seconds=40.0, culprits_per_s=1.0),
+    "8 hosts, twice": Load(rolls=2, seconds=40.0, culprits_per_s=1.0),
+    "8 busy hosts, crowds of losses": Load(
+        rolls=2,
+        engines=6,
+        culprits=6,
+        culprits_per_s=0.5,
+        seconds=40.0,
+        is_busy=True,
+    ),
+    "half the hosts killed": Load(
+        kills=((6.0, 0.5), (16.0, 0.5)), seconds=30.0
+    ),
+    "83 hosts": Load(
+        hosts=83,
+        engines=30,
+        rolls=1,
+        roll_gap_s=0.08,
+        seconds=18.0,
+        rate=30.0,
+        culprits_per_s=1.0,
+    ),
+}
+"""Loads beside which hosts are replaced by new processes."""
+
+ROLL_SEEDS = (1, 2)
+
 CROWD_SEEDS = (1, 2)
 
 FAULTS = {
@@ -102,6 +130,19 @@
         }
         assert max(late.values()) <= MAX_LATE_SENDS, late
 
+    @pytest.mark.parametrize("name", ROLLS)
+    def test_replaced_hosts_do_not_forget_what_crashed(self, name: str) -> None:
+        """Evidence that ends with its hosts lets a request crash upstreams."""
+        reports = {
+            seed: _simulate(_with_seed(ROLLS[name], seed))
+            for seed in ROLL_SEEDS
+        }
+        crashes = {seed: r.crash_counts for seed, r in reports.items()}
+        late = {seed: r.late_counts for seed, r in reports.items()}
+        assert all(crashes.values())
+        worst = max(max(counts) for counts in crashes.values())
+        assert worst <= MAX_CRASHES + MAX_LATE_SENDS, (crashes, late)
+
 
 class TestInnocentRequests:
     """Requests that were only lost with others are hardly refused."""
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -192,6 +192,20 @@
   8: list<CrashingPart> crashing_parts
 }
 
+// EvidenceQuery and EvidenceAnswer are documented in _evidence_messages.py.
+struct EvidenceQuery {
+  1: i32 number
+}
+
+struct EvidenceAnswer {
+  1: i32 number
+  2: i32 index
+  3: i32 count
+  4: bool is_informed
+  5: i32 left_out
+  6: SuspectNews news
+}
+
 // TrialQuery and TrialAnswer are documented in _trial_messages.py.
 struct TrialQuery {
   1: i32 number
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -2887,6 +2887,203 @@
         return not (self == other)
 
 
+class EvidenceQuery(object):
+    """
+    Attributes:
+     - number
+
+    """
+
+    __slots__ = (
+        'number',
+    )
+
+
+    def __init__(self, number=None,):
+        self.number = number
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EvidenceQuery')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 1)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EvidenceAnswer(object):
+    """
+    Attributes:
+     - number
+     - index
+     - count
+     - is_informed
+     - left_out
+     - news
+
+    """
+
+    __slots__ = (
+        'number',
+        'index',
+        'count',
+        'is_informed',
+        'left_out',
+        'news',
+    )
+
+
+    def __init__(self, number=None, index=None, count=None, is_informed=None, left_out=None, news=None,):
+        self.number = number
+        self.index = index
+        self.count = count
+        self.is_informed = is_informed
+        self.left_out = left_out
+        self.news = news
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.index = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_informed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.left_out = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.news = SuspectNews()
+                    self.news.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EvidenceAnswer')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 1)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I32, 2)
+            oprot.writeI32(self.index)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        if self.is_informed is not None:
+            oprot.writeFieldBegin('is_informed', TType.BOOL, 4)
+            oprot.writeBool(self.is_informed)
+            oprot.writeFieldEnd()
+        if self.left_out is not None:
+            oprot.writeFieldBegin('left_out', TType.I32, 5)
+            oprot.writeI32(self.left_out)
+            oprot.writeFieldEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.STRUCT, 6)
+            self.news.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class TrialQuery(object):
     """
     Attributes:
@@ -4270,6 +4467,21 @@
     (7, TType.I32, 'cleared_parts_age_ms', None, None, ),  # 7
     (8, TType.LIST, 'crashing_parts', (TType.STRUCT, [CrashingPart, None], False), None, ),  # 8
 )
+all_structs.append(EvidenceQuery)
+EvidenceQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'number', None, None, ),  # 1
+)
+all_structs.append(EvidenceAnswer)
+EvidenceAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'number', None, None, ),  # 1
+    (2, TType.I32, 'index', None, None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+    (4, TType.BOOL, 'is_informed', None, None, ),  # 4
+    (5, TType.I32, 'left_out', None, None, ),  # 5
+    (6, TType.STRUCT, 'news', [SuspectNews, None], None, ),  # 6
+)
 all_structs.append(TrialQuery)
 TrialQuery.thrift_spec = (
     None,  # 0
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -34,6 +34,7 @@
     ServiceDeclaration,
     Target,
 )
+from hollyknot_state._evidence_messages import EvidenceAnswer, EvidenceQuery
 from hollyknot_state._gossip_messages import (
     DocumentDelta,
     DocumentKind,
@@ -138,6 +139,8 @@
     "DocumentRecord",
     "DocumentVersion",
     "EntryState",
+    "EvidenceAnswer",
+    "EvidenceQuery",
     "FetchDocument",
     "Gossip",
     "GrantClaim",
