Know a request that crashes upstreams by what it asks, not by who asks it

Callers of sound requests lost upstreams to one request that came with many customers' keys. Cause: the fingerprint had the key in it, so that each key had three crashes of its own. It is now a hash of method, target and body; parts of prompts are shared by customers already. What a customer can do to another's request: only one that was lost with three upstreams without an answer in between is refused, and any answer to it, to whomever, ends that. Beside hosts of the release before, each half of the fleet needs three crashes of its own, as their fingerprints differ.

--- a/packages/gateway/src/hollyknot_gateway/_job.py
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -152,12 +152,16 @@
 ) -> RequestIdentity:
     """Returns what is the same at each host if a request is repeated."""
     parts = part_identities(service.name, call.shared_parts)
-    return RequestIdentity(_fingerprint(request, call), parts)
+    return RequestIdentity(_fingerprint(request), parts)
 
 
-def _fingerprint(request: CallerRequest, call: CallTraits) -> int:
-    """Returns a hash of the method, target, customer key and body."""
-    head = f"{request.method} {request.target} {call.key}\n"
+def _fingerprint(request: CallerRequest) -> int:
+    """Returns a hash of the method, target and body.
+
+    The customer's key isn't in it: the same request crashes upstreams whoever
+    sends it.
+    """
+    head = f"{request.method} {request.target}\n"
     digest = hashlib.blake2b(head.encode("utf-8", "replace"), digest_size=8)
     digest.update(request.body)
     return int.from_bytes(digest.digest(), "big")
