Tell peers of the last crashes before a stopped host ends

Cause: a host that was stopped ended as soon as no request was in work, up to 0.8 s before the verdict on a loss that only it had seen, so that the crash was never known. It now waits, within its grace period, for such verdicts and for its own news to be sent. What it takes along all the same is logged (evidence_lost).

--- a/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
@@ -317,6 +317,11 @@
         """Number of news that wait to be sent."""
         return self._unsent.waiting
 
+    @property
+    def has_own_news(self) -> bool:
+        """Whether peers were not told yet of a loss that this host saw."""
+        return self._unsent.has_own
+
     def pop_dropped_news(self) -> tuple[Dropped, ...]:
         """Returns the news that were dropped since the last call."""
         return self._unsent.pop_dropped()
--- a/packages/coordination/src/hollyknot_coordination/suspects/_unsent_news.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_unsent_news.py
@@ -91,6 +91,11 @@
         """Number of news that wait to be sent."""
         return len(self._losses) + len(self._cleared)
 
+    @property
+    def has_own(self) -> bool:
+        """Whether a loss waits that this host saw itself."""
+        return any(loss.is_own for loss in self._losses.values())
+
     def add_loss(self, loss: Loss) -> None:
         """Adds a loss; a verdict replaces the same loss without one."""
         key = (loss.fingerprint, loss.upstream)
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -380,6 +380,19 @@
         """Number of upstreams that are known to have a rate limit."""
         return self._named_limits.count
 
+    @property
+    def _has_work(self) -> bool:
+        """Whether a stopping host must go on: for callers, or for its peers.
+
+        Peers may not know of the crashes that it has seen last.
+        """
+        return bool(
+            self._callers.in_work
+            or self._relay_server.in_work
+            or self._losses.is_judging
+            or self._neighbours.has_own_news
+        )
+
     @property
     def upstreams(self) -> frozenset[str]:
         """The incarnations that get requests; some of them may rest."""
@@ -441,9 +454,11 @@
         while self._clock() < last_s:
             self._callers.close_idle()
             self._relay_server.close_idle()
-            if not self._callers.in_work and not self._relay_server.in_work:
+            if not self._has_work:
                 break
             await asyncio.sleep(SWEEP_S / 2)
+        if self._losses.is_judging or self._neighbours.has_own_news:
+            self._log.line("evidence_lost", judging=self._losses.is_judging)
 
     def reload(self) -> None:
         """Reads the settings again and applies those that may change.
--- a/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
@@ -152,6 +152,11 @@
                 remaining.append(loss)
         self._undecided = remaining
 
+    @property
+    def is_judging(self) -> bool:
+        """Whether a loss awaits its verdict, of which this host alone knows."""
+        return bool(self._tasks)
+
     async def wait_until_judged(self) -> None:
         """Waits until all losses so far have a verdict or are undecided."""
         while self._tasks:
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -288,6 +288,11 @@
         """Number of news of lost requests that were never sent."""
         return self._suspect_exchange.dropped + self._evidence_exchange.dropped
 
+    @property
+    def has_own_news(self) -> bool:
+        """Whether there are peers to be told of losses that this host saw."""
+        return self.count > 0 and self._suspect_exchange.has_own_news
+
     @property
     def count(self) -> int:
         """Number of peers that send reports to this host."""
--- a/packages/gateway/src/hollyknot_gateway/_suspect_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_suspect_exchange.py
@@ -47,6 +47,12 @@
         """Number of news that were never sent."""
         return sum(sender.dropped for sender in self._senders)
 
+    @property
+    def has_own_news(self) -> bool:
+        """Whether peers were not told yet of a loss that this host saw."""
+        registers = (self._suspects.requests, self._suspects.parts)
+        return any(register.has_own_news for register in registers)
+
     def send(self, peers: Sequence[Address]) -> int:
         """Sends the news of one round and returns the number of bytes."""
         return sum(sender.send(peers) for sender in self._senders)
