--- a/packages/coordination/src/hollyknot_coordination/suspects/_evidence.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_evidence.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Iterator
+from itertools import islice
 
 import attrs
 
@@ -95,6 +96,25 @@
         """Number of suspects."""
         return len(self._by_fingerprint)
 
+    @property
+    def losses(self) -> int:
+        """Number of losses, each of one suspect in one crash."""
+        return sum(len(crash.suspects) for crash in self._crashes)
+
+    def repeated(self) -> list[int]:
+        """Returns the suspects of several crashes."""
+        return [f for f, c in self._by_fingerprint.items() if len(c) > 1]
+
+    def newest_single(self, most: int) -> list[tuple[int, Crash]]:
+        """Returns the newest suspects of one crash only, up to a number."""
+        found = (
+            (fingerprint, crash)
+            for crash in self.all_crashes()
+            for fingerprint in crash.suspects
+            if len(self._by_fingerprint[fingerprint]) == 1
+        )
+        return list(islice(found, most))
+
     def add(
         self, fingerprint: int, upstream: str, size: int, at_s: float
     ) -> Crash | None:
--- a/packages/coordination/src/hollyknot_coordination/suspects/_evidence_answer.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_evidence_answer.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from hollyknot_coordination.suspects._loss_register import LossRegister
 from hollyknot_coordination.suspects._suspects import Suspects
 from hollyknot_coordination.suspects._unsent_news import Loss, grouped
 from hollyknot_state import SuspectNews
@@ -19,6 +20,8 @@
 """Most bytes of a convicted part, of a loss, and of what the losses of one
 crash have in common beside the name of its upstream."""
 
+_ToMessage = Callable[[Sequence[Loss]], SuspectNews]
+
 
 @attrs.frozen
 class Evidence:
@@ -59,12 +62,15 @@
         SuspectNews((), crashing_parts=convicted[start : start + size])
         for start in range(0, len(convicted), size)
     ]
-    found: list[tuple[Callable[[Sequence[Loss]], SuspectNews], list[Loss]]] = [
-        (of_parts, suspects.parts.all_losses(now_s)),
-        (of_requests, suspects.requests.all_losses(now_s)),
-    ]
+    most = max_messages * max_bytes // _LOSS_BYTES
+    registers: tuple[tuple[LossRegister, _ToMessage], ...] = (
+        (suspects.parts, of_parts),
+        (suspects.requests, of_requests),
+    )
     left_out = 0
-    for to_message, losses in found:
+    for register, to_message in registers:
+        losses, without_room = register.all_losses(most, now_s)
+        left_out += without_room
         for fitting in _divide(losses, max_bytes):
             if len(messages) < max_messages:
                 messages.append(to_message(fitting))
--- a/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
@@ -216,25 +216,34 @@
         ]
         return sum(len(loss.fingerprints) for loss in told)
 
-    def all_losses(self, now_s: float) -> list[Loss]:
-        """Returns all losses without an answer, those that matter most first.
+    def all_losses(self, most: int, now_s: float) -> tuple[list[Loss], int]:
+        """Returns the losses without an answer that matter most.
 
-        These are the losses of what was lost most often, then the newest.
+        These are the losses of what was lost most often, then those without a
+        verdict, then the newest.
+
+        Returns:
+            At most `most` losses, and the number of those left out.
         """
+        repeated = sorted(self._evidence.repeated(), key=self._crash_count)
         found = [
             _loss_of(fingerprint, crash)
-            for crash in self._evidence.all_crashes()
-            for fingerprint in crash.suspects
+            for fingerprint in reversed(repeated)
+            for crash in self._evidence.crashes(fingerprint)
         ]
         found += [
             Loss(fingerprint, upstream, at_s, 0, is_own=False)
             for fingerprint, upstream, at_s in self._pending.all(now_s)
         ]
-        found.sort(key=lambda loss: (-self._losses_of(loss), -loss.at_s))
-        return found
+        found += [
+            _loss_of(fingerprint, crash)
+            for fingerprint, crash in self._evidence.newest_single(most)
+        ]
+        count = self._evidence.losses + self._pending.count(now_s)
+        return found[:most], max(0, count - most)
 
-    def _losses_of(self, loss: Loss) -> int:
-        return len(self._evidence.crashes(loss.fingerprint))
+    def _crash_count(self, fingerprint: int) -> int:
+        return len(self._evidence.crashes(fingerprint))
 
     def _add_loss(
         self, loss: LossNews, now_s: float, *, is_news: bool = True
--- a/packages/coordination/src/hollyknot_coordination/suspects/_pending_losses.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_pending_losses.py
@@ -59,6 +59,10 @@
             for upstream, at_s in self.find(fingerprint, now_s).items():
                 yield fingerprint, upstream, at_s
 
+    def count(self, now_s: float) -> int:
+        """Returns the number of losses."""
+        return sum(1 for _ in self.all(now_s))
+
     def clear(self, fingerprint: int, at_s: float) -> None:
         """Removes the losses that the answer to a request speaks against."""
         losses = self._losses.pop(fingerprint, {})
