Send a request of two crashes once at a time over all hosts

An owner's grant is now needed from the second crash that it shares with others; alone it is refused by then, as before. Three tests that expected an isolated send at two shared crashes now expect a trial with the same exclusions, which is stricter.

--- a/packages/coordination/src/hollyknot_coordination/suspects/_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_register.py
@@ -7,7 +7,6 @@
 )
 from hollyknot_coordination.suspects._messages import (
     REFUSE_CRASHES,
-    TRIAL_CRASHES,
     Clear,
     Gate,
     Isolate,
@@ -21,6 +20,11 @@
 and the shortest such time for a culprit."""
 
 
+REPEATED_CRASHES = 2
+"""Crashes from which a request is sent once at a time over all hosts, so that
+copies of it don't crash the third upstream and further ones together."""
+
+
 class SuspectRegister(LossRegister):
     """Tracks requests that may have crashed upstreams and refuses culprits."""
 
@@ -31,8 +35,8 @@
         upstreams, until the verdict on its newest loss is known, and a suspect
         that is in flight from this host already: a second copy from its caller
         could crash another upstream before the end of the first gives any
-        evidence. A request that shares the blame for several crashes is tried
-        once at a time over all hosts.
+        evidence. A request of several crashes is tried once at a time over all
+        hosts.
         """
         crashes = self._evidence.crashes(fingerprint)
         pending = self._pending.find(fingerprint, now_s)
@@ -49,7 +53,7 @@
         if running:
             return refusal("the same request is being tried", RETRY_AFTER_S)
         excluded = self.excluded(len(crashes))
-        if len(crashes) >= TRIAL_CRASHES:
+        if len(crashes) >= REPEATED_CRASHES:
             return Trial(fingerprint, len(crashes), True, excluded)
         return Isolate(excluded)
 
--- a/packages/coordination/src/hollyknot_coordination/suspects/tests/test_suspects.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/tests/test_suspects.py
@@ -12,6 +12,7 @@
     Refuse,
     SuspectOptions,
     SuspectRegister,
+    Trial,
 )
 from hollyknot_coordination.suspects._unsent_news import Dropped
 from hollyknot_state import Outcome, Reason, SuspectNews, Verdict
@@ -83,7 +84,7 @@
         crash(local, "u0", [*range(1, 64), CULPRIT], 0.0)
         assert isinstance(local.gate(CULPRIT, 1.0), Isolate)
         crash(local, "u1", [CULPRIT], 10.0)
-        assert isinstance(local.gate(CULPRIT, 11.5), Isolate)
+        assert isinstance(local.gate(CULPRIT, 11.5), Trial)
         crash(local, "u2", [CULPRIT], 20.0)
         gate = local.gate(CULPRIT, 21.5)
         assert isinstance(gate, Refuse)
@@ -142,7 +143,7 @@
         local.on_dispatch(1, "u1")
         assert local.gate(2, 1.0) == Isolate(frozenset())
         crash(local, "u2", [2], 10.0)
-        assert local.gate(2, 11.0) == Isolate(frozenset({"u1"}))
+        assert local.gate(2, 11.0) == Trial(2, 2, True, frozenset({"u1"}))
         local.on_dispatch(2, "u3")
         assert local.gate(3, 11.0) == Isolate(frozenset({"u3"}))
         same = local.gate(1, 1.0)
@@ -179,7 +180,7 @@
         assert early.verdict.retry_after_s <= 1.0
         crash(peer, "u1", [CULPRIT, 4, 5], 8.1)
         local.on_records(peer.records(8.5), 8.6)
-        assert isinstance(local.gate(1, 9.5), Isolate)
+        assert isinstance(local.gate(1, 9.5), Trial)
 
     def test_news_are_sent_once_and_the_most_suspect_first(self) -> None:
         """Evidence against the culprit must come before that of bystanders.
