--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -66,11 +66,14 @@
 from hollyknot_gateway._report_contents import SharedState
 from hollyknot_gateway._revision_gossip import RevisionGossip
 from hollyknot_gateway._routing_state import RoutingState
+from hollyknot_gateway._settings_reload import SettingsReload
+from hollyknot_gateway._shutdown import Shutdown
 from hollyknot_gateway._silent_upstreams import SilentUpstreams
 from hollyknot_gateway._stalls import Stalls
 from hollyknot_gateway._suspension import Suspension
 from hollyknot_state import ReadRevisions
 from hollyknot_state.routes import (
+    Bounds,
     CallerLimits,
     GatewaySettings,
     Published,
@@ -83,18 +86,6 @@
 FLUSH_S = 0.1
 """Seconds between two writes of buffered log lines."""
 
-RELOAD_S = 5.0
-"""Seconds between two reads of the settings, which may change without a
-signal."""
-
-BALANCER_DELAY_S = 3.0
-"""Seconds for which a stopping host still accepts connections. The balancer
-checks readiness once a second and removes a host after two failed checks."""
-
-STOP_MARGIN_S = 0.8
-"""Seconds before the end of the grace period, when the host is killed, at which
-it ends the remaining requests itself."""
-
 _TOKEN_BITS = 62
 """Length in bits of the random number from which a host's ranks follow."""
 
@@ -138,8 +129,6 @@
         """
         clock = asyncio.get_running_loop().time
         self._settings = settings
-        self._last_settings = settings
-        self._read_settings = read_settings
         self._clock = clock
         self._rng = rng
         self._log = Log(settings.host, settings.data_centre, STANDARD_OUTPUT)
@@ -314,6 +303,18 @@
             self._log,
             clock,
         )
+        self._shutdown = Shutdown(
+            self._readiness,
+            self._callers,
+            self._relay_server,
+            self._losses,
+            self._neighbours,
+            self._log,
+            clock,
+        )
+        self._settings_reload = SettingsReload(
+            settings, read_settings, self._set_bounds, self._log
+        )
         self._suspension = Suspension()
         self._stack = contextlib.AsyncExitStack()
         self._tasks = HostTasks(self._stack, self._log)
@@ -380,19 +381,6 @@
         """Number of upstreams that are known to have a rate limit."""
         return self._named_limits.count
 
-    @property
-    def _has_work(self) -> bool:
-        """Whether a stopping host must go on: for callers, or for its peers.
-
-        Peers may not know of the crashes that it has seen last.
-        """
-        return bool(
-            self._callers.in_work
-            or self._relay_server.in_work
-            or self._losses.is_judging
-            or self._neighbours.has_own_news
-        )
-
     @property
     def upstreams(self) -> frozenset[str]:
         """The incarnations that get requests; some of them may rest."""
@@ -424,7 +412,7 @@
             self._sweep(),
             self._flush(),
             self._probe_unreachable(),
-            self._reload_periodically(),
+            self._settings_reload.run(),
         ):
             self._tasks.spawn(work)
         self._tasks.catch_errors()
@@ -443,49 +431,15 @@
 
     async def stop(self) -> None:
         """Stops gracefully, letting in-flight requests end first."""
-        began_s = self._clock()
-        self._readiness.stop()
-        self._log.line("stop", in_work=self._callers.in_work)
-        self._callers.announce_close()
-        self._relay_server.announce_close()
-        grace_s = self._settings.bounds.grace_s
-        last_s = began_s + grace_s - min(STOP_MARGIN_S, grace_s / 2)
-        await asyncio.sleep(min(BALANCER_DELAY_S, grace_s / 2))
-        while self._clock() < last_s:
-            self._callers.close_idle()
-            self._relay_server.close_idle()
-            if not self._has_work:
-                break
-            await asyncio.sleep(SWEEP_S / 2)
-        if self._losses.is_judging or self._neighbours.has_own_news:
-            self._log.line("evidence_lost", judging=self._losses.is_judging)
+        await self._shutdown.run(self._settings_reload.bounds.grace_s)
 
     def reload(self) -> None:
-        """Reads the settings again and applies those that may change.
+        """Reads the settings again and applies those that may change."""
+        self._settings_reload.reload()
 
-        Addresses stay as they are until the next start, since callers, peers
-        and the balancer use them. Settings that can't be read change nothing.
-        """
-        found = self._read_settings()
-        if isinstance(found, str):
-            self._log.line("reload_failed", reason=found)
-            return
-        if found == self._last_settings:
-            return
-        before = attrs.asdict(self._last_settings, recurse=False)
-        after = attrs.asdict(found, recurse=False)
-        changed = [name for name in after if after[name] != before[name]]
-        self._last_settings = found
-        self._settings = attrs.evolve(self._settings, bounds=found.bounds)
-        self._budget.set_bounds(found.bounds)
-        self._directory.set_bounds(found.bounds)
-        self._log.line("reload", changed=",".join(changed))
-
-    async def _reload_periodically(self) -> None:
-        """Applies settings that change without a signal."""
-        while True:
-            await asyncio.sleep(RELOAD_S)
-            self.reload()
+    def _set_bounds(self, bounds: Bounds) -> None:
+        self._budget.set_bounds(bounds)
+        self._directory.set_bounds(bounds)
 
     def _limits(self) -> CallerLimits:
         index = self._routing_state.index
