Let trials of convicted parts become rarer at all hosts, not at their owner alone

Cause: only the owner of a part knew how often it had been tried since its fifth crash; one that had just started granted a trial every 30 s. The pause now follows from the number of crashes, which all hosts know and hand over. The test fails without the change.

--- a/packages/coordination/src/hollyknot_coordination/suspects/_messages.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_messages.py
@@ -14,6 +14,12 @@
 """Seconds from the crash of a trial in which nothing else was suspected to the
 next trial, if upstreams have crashed too often."""
 
+RETRIAL_FACTOR = 4.0
+"""Factor by which the seconds between such trials grow with each of them."""
+
+MAX_RETRIAL_S = 3600.0
+"""Most seconds between two such trials."""
+
 
 @attrs.frozen
 class SuspectOptions:
--- a/packages/coordination/src/hollyknot_coordination/suspects/_parts.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_parts.py
@@ -20,8 +20,10 @@
 )
 from hollyknot_coordination.suspects._loss_register import LossRegister
 from hollyknot_coordination.suspects._messages import (
+    MAX_RETRIAL_S,
     REFUSE_CRASHES,
     RETRIAL_ALONE_S,
+    RETRIAL_FACTOR,
     TRIAL_CRASHES,
     Clear,
     Refuse,
@@ -120,11 +122,17 @@
 
         A part that few upstreams were lost with may have crashed in its trial
         by chance. A host without any loss of it has just started.
+
+        Trials become rarer with the crashes, which all hosts know: an owner
+        that has just started knows of no earlier trial.
         """
         at_s = self._convictions.at_s(part)
-        if at_s is None or self.count(part, now_s) in range(1, REFUSE_CRASHES):
+        count = self.count(part, now_s)
+        if at_s is None or count in range(1, REFUSE_CRASHES):
             return 0.0
-        return max(0.0, at_s + RETRIAL_ALONE_S - now_s)
+        trials = max(0, count - REFUSE_CRASHES)
+        pause_s = min(RETRIAL_ALONE_S * RETRIAL_FACTOR**trials, MAX_RETRIAL_S)
+        return max(0.0, at_s + pause_s - now_s)
 
     def convict(self, part: int, at_s: float) -> None:
         """Records that an upstream crashed in a trial of a part alone."""
--- a/packages/coordination/src/hollyknot_coordination/suspects/_trials.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_trials.py
@@ -10,8 +10,10 @@
 import attrs
 
 from hollyknot_coordination.suspects._messages import (
+    MAX_RETRIAL_S,
     REFUSE_CRASHES,
     RETRIAL_ALONE_S,
+    RETRIAL_FACTOR,
 )
 
 TRIAL_S = 1.0
@@ -25,11 +27,6 @@
 """Seconds from the last allowed trial to the next one if something else in the
 request is suspected as well, so that the identity may be sound."""
 
-RETRIAL_FACTOR = 4.0
-"""Factor by which these seconds grow with each such trial."""
-
-MAX_RETRIAL_S = 3600.0
-
 MAX_IDENTITIES = 1024
 """Most identities whose grants an owner remembers; the oldest are dropped."""
 
--- a/packages/coordination/src/hollyknot_coordination/suspects/tests/test_parts.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/tests/test_parts.py
@@ -12,8 +12,13 @@
     part_identities,
 )
 from hollyknot_coordination.suspects._convictions import MAX_CONVICTIONS
-from hollyknot_coordination.suspects._messages import RETRIAL_ALONE_S
+from hollyknot_coordination.suspects._messages import (
+    REFUSE_CRASHES,
+    RETRIAL_ALONE_S,
+    RETRIAL_FACTOR,
+)
 from hollyknot_coordination.suspects._parts import MAX_PARTS, PROOF_S
+from hollyknot_coordination.suspects._unsent_news import grouped
 from hollyknot_state import Outcome, Reason, SuspectNews, Verdict
 from hollyknot_state.routes import PromptPart
 
@@ -176,6 +181,21 @@
         new.on_convictions(old.convictions(4, 7.0), 7.0)
         assert isinstance(new.gate([CRASHING], 7.0), Refuse)
 
+    def test_trials_become_rarer_at_hosts_that_were_replaced(self) -> None:
+        """Guards against a trial in each interval by an owner that is new."""
+        old, new = PartRegister(), PartRegister()
+        _lose_often(old, [CRASHING], REFUSE_CRASHES + 1)
+        old.convict(CRASHING, 6.0)
+        losses, _ = old.all_losses(100, 7.0)
+        evidence = SuspectNews(
+            (),
+            losses=grouped(losses, 7.0),
+            crashing_parts=old.all_convictions(7.0),
+        )
+        new.on_evidence(evidence, 7.0)
+        later_s = 6.0 + RETRIAL_ALONE_S * (RETRIAL_FACTOR - 1)
+        assert isinstance(new.gate([CRASHING], later_s), Refuse)
+
     def test_trial_that_crashed_by_chance_does_not_refuse_a_part(self) -> None:
         """Guards against refusing a sound part for a crash of another cause."""
         register = PartRegister()
