Ask peers again for evidence after a host stood still

It now asks one peer of each data centre again, after a second without a round or a suspension that the steady clock does not show. The test of the queries fails without it.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_evidence_queries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_evidence_queries.py
@@ -2,7 +2,8 @@
 
 A host that has just started asks one peer of each data centre. So does one that
 meets the first host of a data centre after a partition, since each side has
-learnt things that the other has not. A peer that has just started itself is no
+learnt things that the other has not, and one that stood still and has missed
+news. A peer that has just started itself is no
 help, and one of an older release does not answer: then another one is asked.
 """
 
@@ -25,6 +26,9 @@
 UNINFORMED_S = 0.5
 """Seconds after which a peer is asked again that was not informed itself."""
 
+STOOD_STILL_S = 1.0
+"""Seconds between two rounds in which a host has missed news."""
+
 MAX_UNTOLD_S = 1.0
 """Seconds from the first peer that is met after which a host goes on without an
 answer: all may have started at the same time, or be of an older release."""
@@ -63,6 +67,7 @@
         """
         self._rng = rng
         self._started_s = now_s
+        self._last_round_s = now_s
         self._met_s: float | None = None
         self._numbers = itertools.count(first_number)
         self._queries: dict[int, _Query] = {}
@@ -90,6 +95,12 @@
             return now_s - self._started_s >= MAX_ALONE_S
         return now_s - self._met_s >= MAX_UNTOLD_S
 
+    def ask_again(self) -> None:
+        """Has all data centres asked, since this host may have missed news."""
+        self._answered.clear()
+        self._tries.clear()
+        self._settled = None
+
     def next(
         self, peers: Sequence[Tracker], now_s: float
     ) -> list[tuple[int, Tracker]]:
@@ -99,6 +110,9 @@
             peers: All known peers; the same object until they change.
             now_s: Current time, in seconds.
         """
+        if now_s - self._last_round_s > STOOD_STILL_S:
+            self.ask_again()
+        self._last_round_s = now_s
         if peers is self._settled:
             return []
         if self._met_s is None and peers:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_evidence_queries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/tests/test_evidence_queries.py
@@ -7,6 +7,7 @@
     MAX_ALONE_S,
     MAX_TRIES,
     MAX_UNTOLD_S,
+    STOOD_STILL_S,
     UNINFORMED_S,
     EvidenceQueries,
 )
@@ -43,7 +44,7 @@
         for number, _ in queries.next(PEERS, 0.1):
             queries.on_answer(_answer(number), 0.2)
         assert queries.was_answered
-        assert queries.next(PEERS, 5.0) == []
+        assert queries.next(PEERS, 0.3) == []
 
     def test_another_peer_is_asked_if_one_is_silent(self) -> None:
         """Guards against a host that waits for a peer of an older release."""
@@ -55,7 +56,7 @@
     def test_a_silent_peer_is_asked_a_few_times_only(self) -> None:
         queries = _queries()
         asked = [
-            queries.next(PEERS[2:], step * 2 * ANSWER_TIMEOUT_S)
+            queries.next(PEERS[2:], step * 1.5 * ANSWER_TIMEOUT_S)
             for step in range(20)
         ]
         assert sum(map(len, asked)) == MAX_TRIES
@@ -83,9 +84,17 @@
         queries = _queries()
         for number, _ in queries.next(PEERS, 0.1):
             queries.on_answer(_answer(number), 0.2)
-        assert queries.next(PEERS[:2], 60.0) == []
+        assert queries.next(PEERS[:2], 0.3) == []
         returned = (*PEERS[:2], _peer(3, "south"))
-        assert [p.incarnation for _, p in queries.next(returned, 70.0)] == [3]
+        assert [p.incarnation for _, p in queries.next(returned, 0.4)] == [3]
+
+    def test_a_host_that_stood_still_asks_again(self) -> None:
+        """Guards against news that a frozen host has missed."""
+        queries = _queries()
+        for number, _ in queries.next(PEERS, 0.1):
+            queries.on_answer(_answer(number), 0.2)
+        assert queries.next(PEERS, 0.3) == []
+        assert len(queries.next(PEERS, 0.4 + STOOD_STILL_S)) == 2
 
     def test_a_host_goes_on_without_an_answer(self) -> None:
         queries = _queries()
--- a/packages/gateway/src/hollyknot_gateway/_evidence_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_evidence_exchange.py
@@ -80,6 +80,10 @@
         """Number of losses left out of answers, and of queries not answered."""
         return self._dropped
 
+    def ask_again(self) -> None:
+        """Asks peers of all data centres, as this host may have missed news."""
+        self._queries.ask_again()
+
     def run(self, peers: Sequence[Tracker]) -> None:
         """Asks peers; call it in each round.
 
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -513,7 +513,7 @@
         self._speeds.forget(incarnation)
 
     def _check_suspension(self) -> None:
-        """Closes idle connections if the host has been suspended.
+        """Closes idle connections and learns of news after a suspension.
 
         The monotonic clock does not advance during a suspension. Connections
         seem to have been idle only briefly, although their other ends may have
@@ -522,6 +522,7 @@
         suspended_s = self._suspension.suspended_s()
         if suspended_s:
             self._log.line("suspended", seconds=round(suspended_s, 2))
+            self._neighbours.on_suspended()
             self._pool.close()
             self._relay_pool.close()
 
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -221,6 +221,10 @@
         """Whether this host knows what its peers know, or can't learn it."""
         return self._evidence_exchange.is_informed
 
+    def on_suspended(self) -> None:
+        """Handles a suspension, in which this host has missed news."""
+        self._evidence_exchange.ask_again()
+
     @property
     def incarnation(self) -> int:
         """Number that peers know this process by."""
