--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_evidence_queries.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_evidence_queries.py
@@ -99,6 +99,7 @@
         """Has all data centres asked, since this host may have missed news."""
         self._answered.clear()
         self._tries.clear()
+        self._next_s.clear()
         self._settled = None
 
     def next(
@@ -117,26 +118,32 @@
             return []
         if self._met_s is None and peers:
             self._met_s = now_s
+        self._forget(peers, now_s)
+        candidates = [
+            peer
+            for peer in peers
+            if peer.data_centre not in self._answered
+            and self._tries[peer.incarnation] < MAX_TRIES
+        ]
+        self._settled = None if candidates or self._queries else peers
+        chosen = self._choose(candidates, now_s)
+        return [(self._add(peer, now_s), peer) for peer in chosen]
+
+    def _forget(self, peers: Sequence[Tracker], now_s: float) -> None:
+        """Forgets queries without an answer in time, and hosts that have gone.
+
+        A data centre whose hosts have all gone may come back from a cut.
+        """
         self._queries = {
             number: query
             for number, query in self._queries.items()
             if now_s - query.sent_s < ANSWER_TIMEOUT_S
         }
-        # A data centre whose hosts have all gone may come back from a cut.
         self._answered &= {peer.data_centre for peer in peers}
         known = {peer.incarnation for peer in peers}
         for gone in self._tries.keys() - known:
             del self._tries[gone]
             self._next_s.pop(gone, None)
-        candidates = [
-            peer
-            for peer in peers
-            if peer.data_centre not in self._answered
-            and self._tries[peer.incarnation] < MAX_TRIES
-        ]
-        self._settled = None if candidates or self._queries else peers
-        chosen = self._choose(candidates, now_s)
-        return [(self._add(peer, now_s), peer) for peer in chosen]
 
     def _choose(
         self, candidates: Sequence[Tracker], now_s: float
