--- a/packages/bench/src/hollyknot_bench/_suspects_model.py
+++ b/packages/bench/src/hollyknot_bench/_suspects_model.py
@@ -19,6 +19,8 @@
     Refuse,
     SuspectOptions,
     SuspectRegister,
+    Trial,
+    TrialOwner,
 )
 from hollyknot_state import Outcome, Reason, Verdict
 
@@ -99,6 +101,7 @@
     events: list[tuple[float, int, Callable[[], None]]] = attrs.Factory(list)
     order: Iterator[int] = attrs.Factory(itertools.count)
     registers: list[SuspectRegister] = attrs.Factory(list)
+    owner: TrialOwner = attrs.Factory(TrialOwner)
     running: list[dict[int, int]] = attrs.Factory(list)
     down_until_s: list[float] = attrs.Factory(list)
     lost_s: dict[int, float] = attrs.Factory(dict)
@@ -133,7 +136,14 @@
             if isinstance(gate, Refuse):
                 self.on_refused(fingerprint, gate.verdict.retry_after_s)
                 return
-            if isinstance(gate, Isolate):
+            if isinstance(gate, Trial):
+                wait_s = self.owner.decide(
+                    fingerprint, gate.crashes, self.now_s, is_alone=True
+                )
+                if wait_s:
+                    self.on_refused(fingerprint, wait_s)
+                    return
+            if isinstance(gate, Isolate | Trial):
                 exclude = gate.exclude
             else:
                 assert isinstance(gate, Clear)
@@ -175,6 +185,7 @@
         if fingerprint in self.lost_s:
             delay_s = self.now_s - self.lost_s.pop(fingerprint)
             self.delay_max_s = max(self.delay_max_s, delay_s)
+        self.owner.clear(fingerprint)
         self.end(fingerprint, host, upstream, COMPLETE)
 
     def crash(self, upstream: int) -> None:
