Stand-in service: answer load queries without counting them as calls

Cause, by reading and by a test: each host asks two upstreams a second for their load (GET /v1/load); the stand-in of a plain service took any path for a call, so that a load query between the test's order to crash and its call crashed the service instead. The call then met a closed listener behind the relay, whose reset says "may have run". Nothing in a host is at fault.

test_load_query_is_not_taken_for_a_call fails before (the query is dropped by the crash) and passes now.

--- a/packages/standins/src/hollyknot_standins/_service.py
+++ b/packages/standins/src/hollyknot_standins/_service.py
@@ -21,6 +21,8 @@
     text,
 )
 
+_NOT_FOUND = 404
+
 
 @attrs.frozen
 class ServiceOptions(ServerOptions):
@@ -76,6 +78,10 @@
     async def calls(_request: web.Request) -> web.Response:
         return json_body({"calls": [attrs.asdict(c) for c in control.calls]})
 
+    @routes.get("/v1/load")
+    async def load(_request: web.Request) -> web.Response:
+        return json_body({"error": "no load report"}, _NOT_FOUND)
+
     @routes.route("*", "/{path:.*}")
     async def call(request: web.Request) -> web.Response:
         body = (await request.read()).decode(errors="replace")
--- a/packages/standins/src/hollyknot_standins/tests/test_others.py
+++ b/packages/standins/src/hollyknot_standins/tests/test_others.py
@@ -74,6 +74,21 @@
 
         run_scenario(start_service, ServiceOptions(), scenario)
 
+    def test_load_query_is_not_taken_for_a_call(self) -> None:
+        """Guards against a load query that crashes the service for a call."""
+
+        async def scenario(service: Any, get: Get) -> None:
+            service.control.crash = "after"
+            status, _ = await get("/v1/load")
+            assert (status, service.control.calls) == (404, [])
+            with pytest.raises(aiohttp.ClientError):
+                await get("/crews?a=1")
+            assert [call.path for call in service.control.calls] == [
+                "/crews?a=1"
+            ]
+
+        run_scenario(start_service, ServiceOptions(), scenario)
+
     def test_draining_service_runs_nothing(self) -> None:
         async def scenario(service: Any, get: Get) -> None:
             service.control.draining = True
