Offer requests for slots no more often than offers are accepted

What takes the time are offers: a host whose own slots are in use offers each request to up to four peers. At 390 requests/s that are 1,600 offers/s, of which 1 to 3% are accepted; they take the processors, so that answers come late, slots stay in use from the hosts' point of view, and more requests are offered. 100 to 120 of the 300 requests/s that fit were served.

Accepted offers now earn further ones (four, as many as one request gets), beside 20 a second that are free.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/permits/_brittle_services.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/permits/_brittle_services.py
@@ -13,6 +13,7 @@
 
 from hollyknot_coordination.forwarding.peers._host_count import HostCount
 from hollyknot_coordination.forwarding.permits._named_limits import NamedLimits
+from hollyknot_coordination.forwarding.permits._slot_offers import SlotOffers
 from hollyknot_coordination.forwarding.permits._slot_owners import SlotOwners
 from hollyknot_coordination.forwarding.placement._loads import Loads
 from hollyknot_state.routes import UpstreamEntry
@@ -55,6 +56,7 @@
         self._size = size
         self._owners = owners
         self._rng = rng
+        self._offers = SlotOffers()
         # Times until which this host sends nothing to an incarnation.
         self._away_until_s: dict[str, float] = {}
 
@@ -100,6 +102,14 @@
             entry for entry in entries if self.max_rejections(entry) is not None
         )
 
+    def spend_offer(self, service: str, now_s: float) -> bool:
+        """Counts an offer to an owner; returns False if none may be made."""
+        return self._offers.spend(service, now_s)
+
+    def on_offer_accepted(self, service: str, now_s: float) -> None:
+        """Records that a peer had a free slot for an offered request."""
+        self._offers.on_accepted(service, now_s)
+
     def on_rejected(self, entry: UpstreamEntry, now_s: float) -> None:
         """Records that an upstream has rejected a request for want of room."""
         max_rejections = self.max_rejections(entry)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/permits/tests/_brittle_fleet.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/permits/tests/_brittle_fleet.py
@@ -111,7 +111,7 @@
         """
         self.rng = random.Random(seed)
         self.now_s = 0.0
-        self.served = self.sent = 0
+        self.served = self.sent = self.offers = 0
         self.upstreams = [
             Upstream(
                 UpstreamEntry(
@@ -205,9 +205,15 @@
                 for peer in self.rng.sample(offered, most)
             ),
         ]:
+            if sender is not host:
+                if not host.brittle.spend_offer(SERVICE, self.now_s):
+                    return
+                self.offers += 1
             blocked = sender.brittle.blocked([u.entry for u in up], self.now_s)
             free = [u for u in up if u.entry.incarnation not in blocked | tried]
             if free:
+                if sender is not host:
+                    host.brittle.on_offer_accepted(SERVICE, self.now_s)
                 self._try(sender, free, service_s, tried)
                 return
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/permits/tests/test_brittle_services.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/permits/tests/test_brittle_services.py
@@ -2,6 +2,11 @@
 
 import pytest
 
+from hollyknot_coordination.forwarding.permits._slot_offers import (
+    EARNED_OFFERS,
+    FREE_OFFERS_PER_S,
+    MAX_SAVED_OFFERS,
+)
 from hollyknot_coordination.forwarding.permits.tests._brittle_fleet import (
     Fleet,
 )
@@ -13,6 +18,9 @@
 CROWDED = 1.5
 """Offered work as a multiple of what the upstreams can process."""
 
+OVERRUN = 10.0
+"""The same, if upstreams can process but a small part."""
+
 SHAPES = [
     # hosts, upstreams, slots, rejections max_rejections, seconds of a request
     (2, 3, 6, 4, 0.09),
@@ -54,6 +62,18 @@
         fleet.run(FOR_S, CROWDED, service_s)
         assert fleet.used(FOR_S) >= MIN_USED_FRACTION
 
+    @pytest.mark.parametrize("shape", SHORT_SHAPES)
+    def test_offers_end_while_all_slots_are_in_use(
+        self, shape: tuple[int, int, int, float, float]
+    ) -> None:
+        """Guards against offers that take the time of the requests in slots."""
+        hosts, upstreams, slots, max_rejections, service_s = shape
+        fleet = Fleet(hosts, upstreams, slots, max_rejections, seed=1)
+        fleet.run(FOR_S, OVERRUN, service_s)
+        free_offers = (MAX_SAVED_OFFERS + FREE_OFFERS_PER_S * FOR_S) * hosts
+        assert fleet.offers <= free_offers + EARNED_OFFERS * fleet.served
+        assert fleet.used(FOR_S) >= MIN_USED_FRACTION
+
     def test_hosts_that_hear_few_others_do_not_own_each_slot_twice(
         self,
     ) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_relay_sender.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_sender.py
@@ -103,7 +103,7 @@
             return None
         owners = self._selector.other_slot_owners(job) - job.full_peers
         job.wants_slot = bool(owners)
-        if owners and len(job.full_peers) < MAX_SLOT_OFFERS:
+        if owners and self._may_offer(job):
             return parts.relays.choose(job.service.name, parts.clock(), owners)
         if not parts.reachability.has_unreachable:
             return None
@@ -111,6 +111,13 @@
             return None
         return parts.relays.choose(job.service.name, parts.clock())
 
+    def _may_offer(self, job: Job) -> bool:
+        """Counts an offer of a request to the owner of a slot, if allowed."""
+        if len(job.full_peers) >= MAX_SLOT_OFFERS:
+            return False
+        parts = self._parts
+        return parts.brittle.spend_offer(job.service.name, parts.clock())
+
     async def run(self, job: Job, peer: Tracker) -> Result:
         """Makes one try through a peer and returns its result."""
         parts = self._parts
@@ -278,6 +285,8 @@
         if is_sent:
             parts.relays.answered(peer)
             self._note_refusal(job, peer, told)
+        if job.wants_slot and told.upstream:
+            parts.brittle.on_offer_accepted(job.service.name, parts.clock())
         self._log(job, peer, result, told)
 
     def _note_refusal(self, job: Job, peer: Tracker, told: PeerHeaders) -> None:
