--- a/packages/gateway/src/hollyknot_gateway/_relay_sender.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_sender.py
@@ -19,6 +19,7 @@
     to_message,
     without_peer_headers,
 )
+from hollyknot_gateway._running_time import wait_while_running
 from hollyknot_gateway._tries import note_lateness
 from hollyknot_gateway._upstream_connection import (
     Head,
@@ -220,11 +221,7 @@
         exchange.connection.send_expecting(
             _head(peer, body), body, receiver, on_body_sent
         )
-        await asyncio.wait(
-            (accepted, exchange.done),
-            timeout=ACCEPT_TIMEOUT_S,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
+        await wait_while_running((accepted, exchange.done), ACCEPT_TIMEOUT_S)
         return accepted.done()
 
     def _on_sent(self, job: Job) -> None:
