--- a/packages/gateway/src/hollyknot_gateway/_metrics.py
+++ b/packages/gateway/src/hollyknot_gateway/_metrics.py
@@ -125,6 +125,7 @@
 UNREADABLE = "hollyknot_unreadable_items_total"
 RELAYED = "hollyknot_relayed_total"
 RELAYS_TAKEN = "hollyknot_relays_taken_total"
+OFFERS_WITHHELD = "hollyknot_offers_withheld_total"
 
 _HELP = {
     REQUESTS: "Requests by route, status and reason of their end.",
@@ -136,5 +137,6 @@
     PERMITS: "Permits asked for upstreams with a rate limit, by outcome.",
     RELAYED: "Tries relayed through peers, by service, outcome and reason.",
     RELAYS_TAKEN: "Tries made for peers, by service and outcome.",
+    OFFERS_WITHHELD: "Offers not made, as peers accept few, by service.",
     TRIES: "Tries at upstreams by service, outcome and reason.",
 }
--- a/packages/gateway/src/hollyknot_gateway/_relay_sender.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_sender.py
@@ -117,7 +117,11 @@
         if len(job.full_peers) >= MAX_SLOT_OFFERS:
             return False
         parts = self._parts
-        return parts.brittle.spend_offer(job.service.name, parts.clock())
+        service = job.service.name
+        if parts.brittle.spend_offer(service, parts.clock()):
+            return True
+        parts.metrics.count(metrics.OFFERS_WITHHELD, service=service)
+        return False
 
     async def run(self, job: Job, peer: Tracker) -> Result:
         """Makes one try through a peer and returns its result."""
