Count the tries in flight in a class of their own

The register of losses keeps losses and news; what is in flight at each upstream is the state of InFlight now. No change of behaviour: the tests of suspects and of the gateway pass unchanged.

--- a/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_loss_register.py
@@ -9,6 +9,7 @@
 import attrs
 
 from hollyknot_coordination.suspects._evidence import Crash, Evidence
+from hollyknot_coordination.suspects._in_flight import InFlight
 from hollyknot_coordination.suspects._messages import SuspectOptions
 from hollyknot_coordination.suspects._pending_losses import PendingLosses
 from hollyknot_coordination.suspects._unsent_news import (
@@ -45,13 +46,13 @@
         self._options = options
         self._evidence = Evidence(options)
         self._pending = PendingLosses(options)
-        self._in_flight: dict[str, Counter[int]] = {}
+        self._in_flight = InFlight()
         self._refused: dict[int, float] = {}
         self._unsent = UnsentNews(options)
 
     def on_dispatch(self, fingerprint: int, upstream: str) -> None:
         """Records the start of a try; `on_end` must follow exactly once."""
-        self._in_flight.setdefault(upstream, Counter())[fingerprint] += 1
+        self._in_flight.begin(fingerprint, upstream)
 
     def on_end(
         self, fingerprint: int, upstream: str, verdict: Verdict, now_s: float
@@ -64,17 +65,13 @@
         suspect, and so do all others in flight at the upstream, until they end
         otherwise.
         """
-        in_flight = self._in_flight.get(upstream, Counter())
         if verdict.is_complete:
             if fingerprint != NO_FINGERPRINT:
                 self._clear(fingerprint, now_s, now_s)
         elif is_crash(verdict):
+            in_flight = self._in_flight.at(upstream)
             self._on_loss(fingerprint, upstream, in_flight, now_s)
-        in_flight[fingerprint] -= 1
-        if in_flight[fingerprint] <= 0:
-            del in_flight[fingerprint]
-        if not in_flight:
-            self._in_flight.pop(upstream, None)
+        self._in_flight.end(fingerprint, upstream)
 
     def on_pending_loss(self, upstream: str, now_s: float) -> None:
         """Records that all requests in flight at an upstream may be lost.
@@ -82,7 +79,7 @@
         Call it as soon as the upstream seems to have crashed; `on_end` follows
         with the verdict.
         """
-        in_flight = self._in_flight.get(upstream, Counter())
+        in_flight = self._in_flight.at(upstream)
         for fingerprint in in_flight:
             if fingerprint != NO_FINGERPRINT:
                 loss = Loss(
@@ -420,7 +417,7 @@
         """Returns the upstreams barred to a suspect of so many crashes."""
         max_per_upstream = self._options.max_per_upstream if crashes == 1 else 1
         excluded = set()
-        for upstream, in_flight in self._in_flight.items():
+        for upstream, in_flight in self._in_flight.all():
             counts = [len(self._evidence.crashes(f)) for f in in_flight]
             suspects = sum(c > 0 for c in counts)
             if suspects >= max_per_upstream or max(counts) > 1:
--- a/packages/coordination/src/hollyknot_coordination/suspects/_register.py
+++ b/packages/coordination/src/hollyknot_coordination/suspects/_register.py
@@ -90,7 +90,7 @@
     def _upstreams_running(self, fingerprint: int) -> list[str]:
         return [
             u
-            for u, in_flight in self._in_flight.items()
+            for u, in_flight in self._in_flight.all()
             if fingerprint in in_flight
         ]
 
