--- a/packages/coordination/src/hollyknot_coordination/forwarding/permits/_slot_offers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/permits/_slot_offers.py
@@ -2,8 +2,8 @@
 
 A host whose own slots of a brittle upstream are in use offers a request to
 peers that own others. If all slots are in use everywhere, each offer is work
-that serves nobody and delays the requests in the slots. Accepted offers
-therefore earn further ones, as accepted work does in congestion control.
+that serves nobody and delays the requests in the slots. Therefore each accepted
+offer allows a few more, as acknowledgements do in congestion control.
 """
 
 import attrs
