--- a/review/1/case.py
+++ b/review/1/case.py
@@ -62,11 +62,9 @@
     await fleet.start_gate()
     await fleet.start()
     await fleet.wait_ready()
-    loads = [
-        asyncio.create_task(load(fleet, host, f"{number}-{who}", path, pause_s))
-        for number, host in enumerate(fleet.hosts)
-        for who, (path, pause_s) in enumerate(REQUESTERS)
-    ]
+    for number, host in enumerate(fleet.hosts):
+        for who, (path, pause_s) in enumerate(REQUESTERS):
+            fleet.spawn(load(fleet, host, f"{number}-{who}", path, pause_s))
     await asyncio.sleep(2)
     if TROUBLE:
         await fleet.reset_store_for(RESETS_S)
@@ -92,8 +90,6 @@
             if answer.status != 401:
                 wrong.append((host.name, name, answer.status))
     await asyncio.sleep(1)
-    for task in loads:
-        task.cancel()
     late = [run for run in old.ran if run[0] > since]
     checks = [run for run in old.ran if run[1].startswith("check-")]
     hosts = sorted({name for name, _, _ in wrong})
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -92,6 +92,7 @@
         self.refuses = lambda ip: None
         self.calls = 0
         self.resets = 0
+        self._waiting = set()
         self._changed = asyncio.Event()
 
     async def start(self, ip):
@@ -147,7 +148,9 @@
                 if refusal == "busy":
                     status, body = 503, b"{}"
                 else:
-                    status, document = await self._answer(line.split()[1])
+                    status, document = await self._answer(
+                        line.split()[1], writer
+                    )
                     body = json.dumps(document).encode()
                 if self.refuses(ip) == "reset":
                     reset(writer)
@@ -159,7 +162,14 @@
                 await writer.drain()
         writer.close()
 
-    async def _answer(self, target):
+    def cut_watches(self):
+        """Cuts the watches that are waiting; returns how many."""
+        waiting, self._waiting = self._waiting, set()
+        for writer in waiting:
+            writer.close()
+        return len(waiting)
+
+    async def _answer(self, target, writer):
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         prefix = query.get("prefix", "")
@@ -188,8 +198,10 @@
             left = until - time.monotonic()
             if events or left <= 0:
                 return 200, {"events": events, "as_of": self.revision}
+            self._waiting.add(writer)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left)
+            self._waiting.discard(writer)
 
 
 class Replica:
@@ -515,6 +527,7 @@
         }
         self.store = Store(record)
         self.gate = None
+        self._tasks = []
         self.store_address = ""
         self.replicas = []
         self.hosts = []
@@ -540,9 +553,12 @@
                 if f"servers/{replica.name}" in self.store.items:
                     self.store.put(f"servers/{replica.name}", replica.entry())
 
+    def spawn(self, work):
+        """Starts a task that ends with the fleet."""
+        self._tasks.append(asyncio.create_task(work))
+
     async def start(self):
-        self._beats = asyncio.create_task(self.beat())
-        self._load = []
+        self.spawn(self.beat())
         for host in self.hosts:
             await host.start()
 
@@ -575,6 +591,9 @@
         self.record.note("store_resets_end", channels=count)
 
     async def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for host in self.hosts:
             await host.stop()
         if self.gate is not None:
