--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -202,6 +202,8 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left)
             self._waiting.discard(writer)
+            if writer.is_closing():
+                raise ConnectionResetError("the watch was cut")
 
 
 class Replica:
