--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Watches are cut now and then, and replicas leave without a `draining`."""
+"""Watches are cut now and then, while replicas are replaced one by one."""
 
 import asyncio
 import pathlib
@@ -24,7 +24,11 @@
 """Seconds between two cuts of the watches that are waiting."""
 
 HEARTBEAT_S = 1.2
-LEAVES_EACH_S = 5.0
+LEAVES_EACH_S = 4.5
+REPLICAS = 12
+REPLACED = 5
+"""Less than the largest share of `release` on the site (0.45)."""
+
 REQUESTERS = 5
 PAUSE_S = 0.08
 
@@ -83,7 +87,7 @@
 
 async def play(fleet):
     record = fleet.record
-    for number in range(12):
+    for number in range(REPLICAS):
         await fleet.add_replica(Replica(record, f"i-{number}", "svc"))
     fleet.store.put(
         "op/config", configuration(1, [route("a", "svc")], [service("svc")])
@@ -101,7 +105,9 @@
     await asyncio.sleep(4)
     drain_s = fleet.bounds["drain_ms"] / 1000
     late = 0
-    for replica in fleet.replicas[-3:]:
+    for number, replica in enumerate(fleet.replicas[-REPLACED:]):
+        await fleet.add_replica(Replica(record, f"i-new-{number}", "svc"))
+        await asyncio.sleep(1)
         left_s = await beats.leave(replica)
         await asyncio.sleep(LEAVES_EACH_S)
         after = [at_s - left_s for at_s, _, _ in replica.ran if at_s > left_s]
