--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""The store resets channels for 4.5 s; later the configuration changes."""
+"""The store resets channels for 4.5 s, twice; later the configuration changes."""
 
 import asyncio
 import pathlib
@@ -23,7 +23,10 @@
 RESETS_S = 4.5
 """As long as the site file's `platform_down` with `reset`."""
 
-REQUESTERS = [("/a/x", 0.15)] + 5 * [("/s/x", 0.15)]
+TIMES = 2
+BETWEEN_S = 5.0
+
+REQUESTERS = [("/a/x", 0.15)] + 8 * [("/s/x", 0.15)]
 """Paths that the requesters at a host ask for, and their pauses in seconds."""
 
 KEYS = [{"name": "tenant-1", "api_keys": ["key-1", "key-2"], "priority": 1}]
@@ -65,11 +68,12 @@
     for number, host in enumerate(fleet.hosts):
         for who, (path, pause_s) in enumerate(REQUESTERS):
             fleet.spawn(load(fleet, host, f"{number}-{who}", path, pause_s))
-    await asyncio.sleep(2)
-    if TROUBLE:
-        await fleet.reset_store_for(RESETS_S)
-    else:
-        await asyncio.sleep(RESETS_S)
+    for _ in range(TIMES):
+        await asyncio.sleep(BETWEEN_S)
+        if TROUBLE:
+            await fleet.reset_store_for(RESETS_S)
+        else:
+            await asyncio.sleep(RESETS_S)
     bounds = fleet.bounds
     # The core is stable `contact_ms` after the end of the impairment.
     await asyncio.sleep(bounds["contact_ms"] / 1000 + 3)
