--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import random
 import sys
 import time
 
@@ -20,12 +21,13 @@
     service,
 )
 
-CUT_EACH_S = 1.0
-"""Seconds between two cuts of the watches that are waiting."""
+CUT_EACH_S = (0.4, 1.0)
+"""Range of the seconds between two cuts of the watches that are waiting."""
 
 HEARTBEAT_S = 1.2
-LEAVES_EACH_S = 4.5
+OBSERVED_S = 3.2
 REPLICAS = 12
+RELEASES = 2
 REPLACED = 5
 """Less than the largest share of `release` on the site (0.45)."""
 
@@ -46,7 +48,7 @@
 
 async def cut_watches(fleet):
     while True:
-        await asyncio.sleep(CUT_EACH_S)
+        await asyncio.sleep(random.uniform(*CUT_EACH_S))
         fleet.record.note("watches_cut", count=fleet.store.cut_watches())
 
 
@@ -105,11 +107,11 @@
     await asyncio.sleep(4)
     drain_s = fleet.bounds["drain_ms"] / 1000
     late = 0
-    for number, replica in enumerate(fleet.replicas[-REPLACED:]):
+    for number, replica in enumerate(fleet.replicas[-RELEASES * REPLACED :]):
         await fleet.add_replica(Replica(record, f"i-new-{number}", "svc"))
         await asyncio.sleep(1)
         left_s = await beats.leave(replica)
-        await asyncio.sleep(LEAVES_EACH_S)
+        await asyncio.sleep(OBSERVED_S)
         after = [at_s - left_s for at_s, _, _ in replica.ran if at_s > left_s]
         count = sum(at_s > drain_s for at_s in after)
         late += count
