Never send on a connection that was lost as it was established (CONFIG)

Cause: the event loop may deliver the end of a connection between its establishment and the return of Pool.open; send then failed by an assertion, which no reader of the store expects. Evidence: the log of a host that stayed behind has 'AssertionError ... _upstream_connection.py, line 141, in send' at the second of each reset span, and no line of the follower after it. Change: open returns ConnectFailure.LOST, by which nothing was sent; it says nothing of reachability. send reports a loss rather than asserting. The paths to upstreams and between hosts use the same pool.

--- a/packages/gateway/src/hollyknot_gateway/_pool.py
+++ b/packages/gateway/src/hollyknot_gateway/_pool.py
@@ -32,6 +32,8 @@
 
     REFUSED = "refused"
     TIMEOUT = "timeout"
+    LOST = "lost"
+    """The connection was established and ended before it could be used."""
 
 
 class Pool:
@@ -119,7 +121,13 @@
     async def open(
         self, address: Address, timeout_s: float
     ) -> UpstreamConnection | ConnectFailure:
-        """Opens a new connection."""
+        """Opens a new connection.
+
+        Returns:
+            A connection that is open, or why there is none. A connection may
+            end between its establishment and the event loop's return to this
+            coroutine.
+        """
         self._opened += 1
         loop = asyncio.get_running_loop()
         attempt = asyncio.ensure_future(
@@ -141,7 +149,7 @@
         if attempt.exception() is not None:
             return ConnectFailure.REFUSED
         _, connection = attempt.result()
-        return connection
+        return connection if connection.is_open else ConnectFailure.LOST
 
 
 def _discard(
--- a/packages/gateway/src/hollyknot_gateway/_prober.py
+++ b/packages/gateway/src/hollyknot_gateway/_prober.py
@@ -86,7 +86,13 @@
             self.check(entry)
 
     def failed(self, entry: UpstreamEntry, failure: ConnectFailure) -> None:
-        """Records a connection attempt that failed."""
+        """Records a connection attempt that failed.
+
+        A connection that was lost at once says nothing: its upstream may have
+        too many connections, or may be ending.
+        """
+        if failure is ConnectFailure.LOST:
+            return
         now_s = self._clock()
         is_refusal = failure is ConnectFailure.REFUSED
         if not self._reachability.failed(entry, now_s, is_refusal=is_refusal):
--- a/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
@@ -131,6 +131,8 @@
     ) -> None:
         """Writes a complete request.
 
+        If the connection has ended, the answer counts as lost at once.
+
         Args:
             data: The request's head and body.
             receiver: Receives the answer.
@@ -138,7 +140,9 @@
                 if its headers announce one.
             is_patient: Whether the connection outlasts a longer silence.
         """
-        assert self._transport is not None
+        if self._transport is None:
+            receiver.on_lost(Lost.CLOSED)
+            return
         self._set_patient(is_patient=is_patient)
         self._receiver = receiver
         self._payload = None
