Judge losses at an upstream after a judgement has failed

Cause: a judgement that ended with an error left its upstream among the pending ones, so that each later loss there was appended and never judged. Change: the losses then count as no crash, and the error is logged as before. Result: the test fails without the change and passes with it.

--- a/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
@@ -160,9 +160,22 @@
     async def wait_until_judged(self) -> None:
         """Waits until all losses so far have a verdict or are undecided."""
         while self._tasks:
-            await asyncio.gather(*self._tasks)
+            await asyncio.wait(self._tasks)
 
     async def _judge(self, entry: UpstreamEntry) -> None:
+        """Judges the losses at an upstream.
+
+        If that fails, they count as no crash: as long as they were pending,
+        no later loss there would be judged.
+        """
+        try:
+            await self._probe_and_judge(entry)
+        except Exception:
+            lost = self._pending.pop(entry.incarnation, [])
+            self._report_lost(entry, lost, _NO_CRASH)
+            raise
+
+    async def _probe_and_judge(self, entry: UpstreamEntry) -> None:
         lost_s = self._clock()
         await asyncio.sleep(PROBE_DELAY_S)
         if await self._prober.check(entry) is not ConnectFailure.REFUSED:
--- a/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 from collections.abc import Awaitable, Callable
+from typing import NoReturn
 
 from hollyknot_coordination.forwarding import Reachability
 from hollyknot_coordination.forwarding.peers import _silence_detector
@@ -80,6 +81,10 @@
     return port
 
 
+def _fail(_: UpstreamEntry) -> NoReturn:
+    raise AssertionError("a bug")
+
+
 def _run(test: Callable[[], Awaitable[None]]) -> None:
     asyncio.run(test())  # type: ignore[arg-type]
 
@@ -201,6 +206,20 @@
 
         _run(test)
 
+    def test_losses_are_judged_after_a_judgement_has_failed(self) -> None:
+        """Guards against crashes that stay unnoticed at one upstream."""
+
+        async def test() -> None:
+            parts = _LossJudgement(await _free_port())
+            parts.prober.check = _fail  # type: ignore[method-assign]
+            await parts.lose_request()
+            del parts.prober.check
+            assert not parts.is_suspect
+            await parts.lose_request()
+            assert parts.is_suspect
+
+        _run(test)
+
     def test_verdict_waits_longer_than_partition_detection(self) -> None:
         assert (
             _loss_classifier.VERDICT_DELAY_S
