Read on at an upstream after a slow caller has left

Cause: reading is paused while a caller is slow and resumed by a task; if the caller left meanwhile, the task ended with an error and reading stayed paused, so that a call that is not cancelled counted as in flight until its deadline.

--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import attrs
@@ -330,7 +331,9 @@
             )
 
     async def _resume_when_drained(self) -> None:
-        await self._reply.drained()
+        # A caller that has left takes nothing, and the answer may go on.
+        with contextlib.suppress(ConnectionError):
+            await self._reply.drained()
         self._is_paused = False
         self._connection.resume()
 
