Start tasks of a host again that fail, and give up readiness if they keep failing (CONFIG)

Cause: the end of a task was logged once, and neither the host nor its readiness depended on it. Change: each task has a name and is started again after a pause that doubles; failures are logged and counted; from the third in a row on the host is not ready until the task has run for ten seconds (decision 0035). Result: with only one start of a task, both whole-host tests fail (removed key stays; ready though the task has ended); with restarts all pass.

--- a/packages/gateway/src/hollyknot_gateway/_gauges.py
+++ b/packages/gateway/src/hollyknot_gateway/_gauges.py
@@ -20,6 +20,7 @@
 
     Attributes:
         is_ready: Returns whether the balancer may send callers to the host.
+        failing_tasks: Returns the tasks that fail again and again.
         table_version: Returns the version of the routes in force; 0 for none.
         upstreams: Returns the incarnations that get requests.
         resting: Returns the incarnations that asked for rest.
@@ -36,6 +37,7 @@
     """
 
     is_ready: Callable[[], bool]
+    failing_tasks: Callable[[], Collection[str]]
     table_version: Callable[[], int]
     upstreams: Callable[[], Collection[str]]
     resting: Callable[[], Collection[str]]
@@ -55,6 +57,7 @@
     """Adds the gauges of a host to its metrics."""
     readers: dict[str, Callable[[], float]] = {
         "ready": sources.is_ready,
+        "tasks_failing": lambda: len(sources.failing_tasks()),
         "routes_version": sources.table_version,
         "upstreams_usable": lambda: len(sources.upstreams()),
         "directory_era": lambda: sources.directory.read.upstreams_era,
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -4,7 +4,7 @@
 import contextlib
 import os
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from types import TracebackType
 from typing import Self
 
@@ -145,6 +145,8 @@
             UpstreamRegistry(LAPSE_GRACE_S, self._rests.resting)
         )
         self._metrics = Metrics()
+        self._stack = contextlib.AsyncExitStack()
+        self._tasks = HostTasks(self._stack, self._log, self._metrics, clock)
         self._loads = Loads()
         self._demand = Demand()
         self._cached = CachedParts()
@@ -281,6 +283,7 @@
             self._metrics,
             GaugeSources(
                 is_ready=lambda: self.is_ready,
+                failing_tasks=lambda: self._tasks.failing,
                 table_version=lambda: self.table_version,
                 upstreams=lambda: self.upstreams,
                 resting=lambda: self._rests.resting(self._clock()),
@@ -300,6 +303,7 @@
             self._routing_state,
             self._neighbours,
             self._suspects,
+            self._tasks,
             self._log,
             clock,
         )
@@ -316,8 +320,6 @@
             settings, read_settings, self._set_bounds, self._log
         )
         self._suspension = Suspension()
-        self._stack = contextlib.AsyncExitStack()
-        self._tasks = HostTasks(self._stack, self._log)
 
     def _flow_parts(self, dialect: Dialect) -> FlowParts:
         return FlowParts(
@@ -405,20 +407,25 @@
         stack.callback(self._neighbours.close)
         await self._relay_server.start(self._settings.peers)
         stack.callback(self._relay_server.close)
-        for work in (
-            self._directory.follow_published(),
-            self._directory.follow_upstreams(),
-            self._neighbours.run(),
-            self._sweep(),
-            self._flush(),
-            self._probe_unreachable(),
-            self._settings_reload.run(),
-        ):
-            self._tasks.spawn(work)
         self._tasks.catch_errors()
+        for name, work in self._periodic_work.items():
+            self._tasks.spawn(name, work)
         self._log.line("start", pid=os.getpid())
         return self
 
+    @property
+    def _periodic_work(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """What the tasks of the host do, by their names."""
+        return {
+            "follow_published": self._directory.follow_published,
+            "follow_upstreams": self._directory.follow_upstreams,
+            "exchange_reports": self._neighbours.run,
+            "sweep": self._sweep,
+            "flush_log": self._flush,
+            "probe_unreachable": self._probe_unreachable,
+            "reload_settings": self._settings_reload.run,
+        }
+
     async def __aexit__(
         self,
         kind: type[BaseException] | None,
--- a/packages/gateway/src/hollyknot_gateway/_readiness.py
+++ b/packages/gateway/src/hollyknot_gateway/_readiness.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from hollyknot_coordination.suspects import Suspects
+from hollyknot_gateway._host_tasks import HostTasks
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._neighbours import Neighbours
 from hollyknot_gateway._routing_state import RoutingState
@@ -11,7 +12,9 @@
 class Readiness:
     """A host is ready once it knows its routes, its upstreams and evidence.
 
-    Without the evidence of its peers it would send what crashes upstreams.
+    Without the evidence of its peers it would send what crashes upstreams. A
+    host with a task that keeps failing is not ready, since what it knows is
+    out of date or will be.
     """
 
     def __init__(
@@ -19,6 +22,7 @@
         routing_state: RoutingState,
         neighbours: Neighbours,
         suspects: Suspects,
+        tasks: HostTasks,
         log: Log,
         clock: Callable[[], float],
     ) -> None:
@@ -28,12 +32,14 @@
             routing_state: Routes in force and known upstreams.
             neighbours: The host's peers.
             suspects: What may crash upstreams.
+            tasks: The host's tasks.
             log: Logs what the host knows once it is ready.
             clock: The loop's monotonic clock, in seconds.
         """
         self._routing_state = routing_state
         self._neighbours = neighbours
         self._suspects = suspects
+        self._tasks = tasks
         self._log = log
         self._clock = clock
         self._started_s = clock()
@@ -46,6 +52,7 @@
         return (
             self._routing_state.is_complete
             and self._neighbours.is_informed
+            and not self._tasks.failing
             and not self._is_stopping
         )
 
