--- a/packages/gateway/src/hollyknot_gateway/_host_tasks.py
+++ b/packages/gateway/src/hollyknot_gateway/_host_tasks.py
@@ -126,7 +126,8 @@
             state.failures = 0
         state.is_running = False
         state.failures += 1
-        pause_s = FIRST_PAUSE_S * 2 ** min(state.failures - 1, MAX_DOUBLINGS)
+        doublings = min(state.failures - 1, MAX_DOUBLINGS)
+        pause_s = FIRST_PAUSE_S * float(2**doublings)
         self._metrics.count(TASK_FAILURES, task=name)
         self._log_error(
             "a task failed",
--- a/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 from collections.abc import Awaitable, Callable
-from typing import NoReturn
+from typing import Any, NoReturn, cast
 
 from hollyknot_coordination.forwarding import Reachability
 from hollyknot_coordination.forwarding.peers import _silence_detector
@@ -211,9 +211,9 @@
 
         async def test() -> None:
             parts = _LossJudgement(await _free_port())
-            parts.prober.check = _fail  # type: ignore[method-assign]
+            cast(Any, parts.prober).check = _fail
             await parts.lose_request()
-            del parts.prober.check
+            del cast(Any, parts.prober).check
             assert not parts.is_suspect
             await parts.lose_request()
             assert parts.is_suspect
