--- a/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/_upstream_registry.py
@@ -43,6 +43,9 @@
 oldest are dropped first. They stay known after their entry has gone, since an
 entry may be written again."""
 
+NO_LAPSE = float("-inf")
+"""End of the time in which an entry may be written again, if it was removed."""
+
 REMOVED_RETENTION_S = 60.0
 """Seconds for which a removed entry is remembered. A directory that is restored
 from an older copy may hold the entry again until it lapses."""
@@ -87,17 +90,17 @@
 
     def __init__(
         self,
-        lapse_s: float,
+        mass_lapse_s: float,
         resting: Callable[[float], Collection[str]] = _none_resting,
     ) -> None:
         """Creates an empty registry.
 
         Args:
-            lapse_s: Seconds for which an upstream still gets requests after
-                its entry has lapsed.
+            mass_lapse_s: Seconds for which upstreams still get requests after
+                most entries were removed at once.
             resting: Returns the incarnations that rest at a time in seconds.
         """
-        self._lapse_s = lapse_s
+        self._mass_lapse_s = mass_lapse_s
         self._resting = resting
         self._known: dict[str, _UpstreamState] = {}
         self._names: dict[str, str] = {}
@@ -155,15 +158,16 @@
         return True
 
     def remove(
-        self, name: str, now_s: float, *, may_have_lapsed: bool
+        self, name: str, now_s: float, lapse_ends_s: float = NO_LAPSE
     ) -> str | None:
         """Removes an entry.
 
         Args:
             name: Name of the upstream.
             now_s: Current time, in seconds.
-            may_have_lapsed: Whether the directory was unavailable, so that the
-                entry may have been removed only because it lapsed.
+            lapse_ends_s: Time until which the entry may be written again since
+                it may only have lapsed, in seconds. The upstream gets requests
+                until then.
 
         Returns:
             The incarnation whose entry it was; None if none is known.
@@ -173,8 +177,8 @@
             return None
         self._by_service = None
         incarnation = known.entry.incarnation
-        if may_have_lapsed and not known.entry.is_draining:
-            known.lapses_at = min(known.lapses_at, now_s + self._lapse_s)
+        if lapse_ends_s > now_s and not known.entry.is_draining:
+            known.lapses_at = min(known.lapses_at, lapse_ends_s)
         else:
             self._end(incarnation, is_superseded=False)
             self._remember_removed(incarnation, now_s)
@@ -195,6 +199,24 @@
         known = len(self._names.keys() & set(removed))
         return known >= max(MIN_LAPSED, len(self._names) * LAPSED_FRACTION)
 
+    def lapse_end(
+        self, removed: Collection[str], now_s: float, lapse_ends_s: float
+    ) -> float:
+        """Returns until when removed entries may be written again.
+
+        That may be later than the directory's answers show, if so many are
+        removed at once that they have lapsed.
+
+        Args:
+            removed: Names of the upstreams whose entries were removed.
+            now_s: Current time, in seconds.
+            lapse_ends_s: The time that the directory's answers show, in
+                seconds.
+        """
+        if not self.are_lapses(removed):
+            return lapse_ends_s
+        return max(lapse_ends_s, now_s + self._mass_lapse_s)
+
     def _from_older_copy(
         self, entry: UpstreamEntry, now_s: float
     ) -> UpstreamEntry | None:
@@ -218,8 +240,8 @@
         self,
         entries: Iterable[UpstreamEntry],
         now_s: float,
+        lapse_ends_s: float = NO_LAPSE,
         *,
-        may_have_lapsed: bool,
         may_be_older: bool = False,
     ) -> list[UpstreamEntry]:
         """Replaces all entries by those of a list.
@@ -227,8 +249,8 @@
         Args:
             entries: All entries in the directory.
             now_s: Current time, in seconds.
-            may_have_lapsed: Whether the directory was unavailable, so that
-                missing entries may only have lapsed.
+            lapse_ends_s: Time until which missing entries may be written again
+                since they may only have lapsed, in seconds.
             may_be_older: Whether the list may be older than what is known.
 
         Returns:
@@ -239,9 +261,9 @@
             entries = [entry for entry in older if entry is not None]
         listed = {entry.name: entry for entry in entries}
         removed = self._names.keys() - listed.keys()
-        lapsed = may_have_lapsed or self.are_lapses(removed)
+        lapse_ends_s = self.lapse_end(removed, now_s, lapse_ends_s)
         for name in sorted(removed):
-            self.remove(name, now_s, may_have_lapsed=lapsed)
+            self.remove(name, now_s, lapse_ends_s)
         return [entry for entry in listed.values() if self.put(entry)]
 
     def pop_ended(self) -> list[Ended]:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/tests/test_upstream_registry.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/upstreams/tests/test_upstream_registry.py
@@ -13,6 +13,7 @@
 from hollyknot_coordination.forwarding.tests._builders import upstream
 from hollyknot_coordination.forwarding.upstreams._upstream_registry import (
     MAX_LEAVING,
+    NO_LAPSE,
 )
 
 LAPSE_S = 1.7
@@ -73,7 +74,7 @@
         registry = UpstreamRegistry(LAPSE_S, rests.resting)
         registry.put(upstream("a"))
         rests.observe("a", 9.0, 0.0)
-        registry.remove("a", 1.0, may_have_lapsed=False)
+        registry.remove("a", 1.0)
         registry.pop_ended()
         registry.put(upstream("a"))
         assert _names(registry, 2.0) == []
@@ -87,10 +88,10 @@
         registry.mark_leaving("a")
         assert registry.resting("engines", 1.0) == []
 
-    @pytest.mark.parametrize("lapsed", [True, False])
+    @pytest.mark.parametrize("lapse_s", [LAPSE_S, NO_LAPSE])
     @pytest.mark.parametrize("older", [True, False])
     def test_an_entry_that_returns_does_not_undo_leaving(
-        self, lapsed: bool, older: bool
+        self, lapse_s: float, older: bool
     ) -> None:
         """Guards against using it again after an outage of the directory."""
         registry = UpstreamRegistry(LAPSE_S)
@@ -98,10 +99,10 @@
         registry.mark_leaving("a")
         registry.put(upstream("a", port=7))
         assert _names(registry) == []
-        registry.remove("a", 1.0, may_have_lapsed=lapsed)
+        registry.remove("a", 1.0, 1.0 + lapse_s)
         assert _names(registry, 1.0 + LAPSE_S) == []
         registry.replace(
-            [upstream("a")], 9.0, may_have_lapsed=lapsed, may_be_older=older
+            [upstream("a")], 9.0, 9.0 + lapse_s, may_be_older=older
         )
         assert _names(registry, 9.0) == []
 
@@ -132,7 +133,7 @@
     def test_a_removed_upstream_gets_no_work_at_once(self) -> None:
         registry = UpstreamRegistry(LAPSE_S)
         registry.put(upstream("a"))
-        assert registry.remove("a", 0.0, may_have_lapsed=False)
+        assert registry.remove("a", 0.0)
         assert _names(registry) == []
 
     def test_most_entries_going_at_once_have_lapsed(self) -> None:
@@ -148,7 +149,7 @@
         assert registry.are_lapses("abcd")
         assert not registry.are_lapses("abc")
         assert not registry.are_lapses("wxyzuv")
-        registry.replace([upstream("a")], 0.0, may_have_lapsed=False)
+        registry.replace([upstream("a")], 0.0)
         assert _names(registry) == list("abcdefgh")
         assert _names(registry, LAPSE_S) == ["a"]
 
@@ -156,7 +157,7 @@
         registry = UpstreamRegistry(LAPSE_S)
         for name in "abc":
             registry.put(upstream(name))
-        registry.replace([], 0.0, may_have_lapsed=False)
+        registry.replace([], 0.0)
         assert _names(registry) == []
 
     def test_entries_that_lapse_with_the_directory_keep_their_work(
@@ -170,7 +171,7 @@
         registry = UpstreamRegistry(LAPSE_S)
         registry.put(upstream("a"))
         registry.put(upstream("b"))
-        registry.replace([], 10.0, may_have_lapsed=True)
+        registry.replace([], 10.0, 10.0 + LAPSE_S)
         assert _names(registry, 10.1) == ["a", "b"]
         registry.put(upstream("a"))
         assert _names(registry, 10.0 + LAPSE_S) == ["a"]
@@ -179,7 +180,7 @@
     def test_a_draining_entry_that_is_gone_did_not_lapse(self) -> None:
         registry = UpstreamRegistry(LAPSE_S)
         registry.put(upstream("a", is_draining=True))
-        registry.remove("a", 0.0, may_have_lapsed=True)
+        registry.remove("a", 0.0, LAPSE_S)
         assert "a" not in registry
 
     def test_an_address_that_is_given_to_another_ends_the_first(self) -> None:
@@ -209,7 +210,7 @@
         first = upstream("a", born_ms=2)
         registry.put(first)
         assert not registry.has_successor(first, 0.0)
-        registry.remove("a", 0.0, may_have_lapsed=False)
+        registry.remove("a", 0.0)
         assert not registry.has_successor(first, 0.0)
         registry.put(upstream("b", port=first.address.port, born_ms=1))
         assert not registry.has_successor(first, 0.0)
@@ -340,7 +341,7 @@
     def test_lapse_of_an_older_incarnation_spares_the_newer(self) -> None:
         registry = UpstreamRegistry(LAPSE_S)
         registry.put(upstream("a", born_ms=5))
-        registry.remove("a", 10.0, may_have_lapsed=True)
+        registry.remove("a", 10.0, 10.0 + LAPSE_S)
         registry.put(upstream("a", born_ms=9))
         assert _names(registry, 10.0 + 2 * LAPSE_S) == ["a@9"]
 
@@ -355,8 +356,8 @@
         registry = UpstreamRegistry(LAPSE_S)
         registry.put(upstream("a"))
         registry.put(upstream("b"))
-        registry.remove("a", 0.0, may_have_lapsed=False)
-        registry.remove("b", 0.0, may_have_lapsed=True)
+        registry.remove("a", 0.0)
+        registry.remove("b", 0.0, LAPSE_S)
         assert _names(registry, LAPSE_S) == []
         assert registry.pop_ended() == [
             Ended("a", is_superseded=False),
--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -29,9 +29,15 @@
     UpstreamEntry,
 )
 
-LAPSE_GRACE_S = 1.7
-"""Seconds that an upstream stays usable after its entry disappeared during a
-directory outage. Entries that only lapsed are renewed within two seconds."""
+RENEWAL_S = 2.0
+"""Seconds after a directory outage within which the entries that have only
+lapsed are written again. Until then their upstreams stay usable."""
+
+LEASE_HEARTBEATS = 3
+"""Heartbeats without a renewal after which an entry lapses."""
+
+REPORT_DELAY_S = 0.5
+"""Seconds after which the reports of peers about a change have arrived."""
 
 READ_PAUSE_FRACTION = 0.4
 """The pause between two reads of the upstreams, as a fraction of the time after
@@ -68,6 +74,15 @@
 before they have to be in force."""
 
 
+_MASS_LAPSE_S = 1.7
+"""Seconds that upstreams stay usable after most entries went at once."""
+
+
+def mass_lapse_s(_: Bounds) -> float:
+    """Returns how long upstreams are used after most entries went at once."""
+    return _MASS_LAPSE_S
+
+
 @attrs.frozen
 class DirectoryParts:
     """The collaborators of a `Directory`.
@@ -179,9 +194,20 @@
             pause_s=pause_s,
             settle_s=self._bounds.contact_s,
             longest_pause_s=self._longest_pause_s(),
+            lapse_after_s=self._lapse_after_s(),
+            renewal_s=RENEWAL_S,
             restored_s=self._bounds.heartbeat_s * RESTORED_HEARTBEATS,
         )
 
+    def _lapse_after_s(self) -> float:
+        """Returns how long an outage lasts at least in which entries lapse.
+
+        The first entries to lapse are those that were due for renewal as it
+        began. It seems shorter if a peer's report arrives after it has begun.
+        """
+        due_s = self._bounds.heartbeat_s * (LEASE_HEARTBEATS - 1)
+        return max(due_s - REPORT_DELAY_S, due_s / 2)
+
     def _longest_pause_s(self) -> float:
         """Returns the longest pause before a lost source is tried again.
 
@@ -267,7 +293,7 @@
             )
 
     def _apply_upstream_listing(
-        self, listing: Listing[UpstreamEntry], may_have_lapsed: bool
+        self, listing: Listing[UpstreamEntry], lapse_ends_s: float
     ) -> None:
         in_force = self._parts.in_force
         self._remove_unreadable(listing.unreadable, are_all=True)
@@ -275,7 +301,7 @@
         changed = in_force.registry.replace(
             listing.items.values(),
             now_s,
-            may_have_lapsed=may_have_lapsed,
+            lapse_ends_s=lapse_ends_s,
             may_be_older=self._upstreams.is_restored,
         )
         for entry in changed:
@@ -292,15 +318,16 @@
         self._forget_ended()
 
     def _apply_upstream_changes(
-        self, changes: Changes[UpstreamEntry], may_have_lapsed: bool
+        self, changes: Changes[UpstreamEntry], lapse_ends_s: float
     ) -> None:
         for entry in changes.items.values():
             self._apply_entry(entry, changes.revision)
-        registry = self._parts.in_force.registry
-        lapsed = may_have_lapsed or registry.are_lapses(changes.removed)
+        lapse_ends_s = self._parts.in_force.registry.lapse_end(
+            changes.removed, self._parts.clock(), lapse_ends_s
+        )
         for name in changes.removed:
             self._unreadable.pop(name, None)
-            self._remove(name, changes.revision, lapsed)
+            self._remove(name, changes.revision, lapse_ends_s)
         self._remove_unreadable(changes.unreadable, are_all=False)
         self._forget_ended()
 
@@ -322,9 +349,7 @@
                 self._parts.log.line(
                     "unreadable_upstream", key=item.name, reason=item.reason
                 )
-            self._parts.in_force.registry.remove(
-                item.name, self._parts.clock(), may_have_lapsed=False
-            )
+            self._parts.in_force.registry.remove(item.name, self._parts.clock())
         if are_all:
             self._unreadable.clear()
         self._unreadable.update((item.name, item.reason) for item in found)
@@ -345,18 +370,17 @@
         if entry.is_draining:
             self._parts.pool.drop(entry.incarnation)
 
-    def _remove(self, name: str, revision: int, may_have_lapsed: bool) -> None:
+    def _remove(self, name: str, revision: int, lapse_ends_s: float) -> None:
         parts = self._parts
         registry = parts.in_force.registry
         service = registry.service_of(name)
-        incarnation = registry.remove(
-            name, parts.clock(), may_have_lapsed=may_have_lapsed
-        )
+        now_s = parts.clock()
+        incarnation = registry.remove(name, now_s, lapse_ends_s)
         parts.log.line(
             "upstream_gone",
             upstream=incarnation or name,
             service=service,
-            lapsed=may_have_lapsed,
+            lapsed=lapse_ends_s > now_s,
             revision=revision,
         )
 
--- a/packages/gateway/src/hollyknot_gateway/_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/_follower.py
@@ -38,7 +38,7 @@
 short enough that a version is in force within its bound once the source is
 back."""
 
-_PAUSE_JITTER = 0.25
+PAUSE_JITTER = 0.25
 """The fraction by which a pause varies either way, so that the hosts of a fleet
 don't all read at the same moment when a source returns."""
 
@@ -75,9 +75,12 @@
             jitter in its length, none of them would notice a source that has
             stopped answering for `wait_s`.
         pause_s: Seconds between a watch that returned changes and the next.
-        settle_s: Seconds after a failure in which a removed item may only have
-            lapsed.
+        settle_s: Seconds after a failure after which the list is read again.
         longest_pause_s: The longest pause between failed reads, in seconds.
+        lapse_after_s: Seconds without a proof that the source is available
+            after which items may have lapsed.
+        renewal_s: Seconds after the end of an outage within which items that
+            have lapsed are written again.
         restored_s: Seconds after a restore of the source from an older copy in
             which items may be missing or present again only because of that.
     """
@@ -87,6 +90,8 @@
     pause_s: float
     settle_s: float
     longest_pause_s: float = LONGEST_PAUSE_S
+    lapse_after_s: float = float("inf")
+    renewal_s: float = 0.0
     restored_s: float = 0.0
 
 
@@ -97,8 +102,8 @@
         self,
         source: Source[T],
         options: Callable[[], FollowOptions],
-        on_listing: Callable[[Listing[T], bool], None],
-        on_changes: Callable[[Changes[T], bool], None],
+        on_listing: Callable[[Listing[T], float], None],
+        on_changes: Callable[[Changes[T], float], None],
         log: Log,
         rng: random.Random,
         clock: Callable[[], float],
@@ -109,10 +114,11 @@
             source: The source to read.
             options: Returns how to read it. Called at each read, since settings
                 may change.
-            on_listing: Called with each full list, and whether items missing
-                from it may only have lapsed while the source was unavailable.
-            on_changes: Called with each set of changes, and whether removed
-                items may only have lapsed.
+            on_listing: Called with each full list, and the time until which
+                items missing from it may be written again, in seconds. It has
+                passed unless they may only have lapsed.
+            on_changes: Called with each set of changes, and the same time for
+                removed items.
             log: Receives a line when the source is lost or regained.
             rng: Adds jitter to pauses and waits.
             clock: A monotonic clock, in seconds.
@@ -134,6 +140,8 @@
         self._peer_read = asyncio.Event()
         self._failures = 0
         self._failed_at = float("-inf")
+        self._available_at = float("-inf")
+        self._returned_at = float("-inf")
 
     @property
     def position(self) -> Position:
@@ -151,10 +159,14 @@
         return self._changed
 
     def on_peer_read(self, changed: Position) -> None:
-        """Notes the newest change that a peer reports to have read."""
+        """Notes the newest change that a peer reports to have read.
+
+        It proves that the source is available, even if it refuses this host.
+        """
         if changed > max(
             self._position, self._peer_position, self._unconfirmed
         ):
+            self._record_availability()
             self._peer_position = changed
             self._peer_read.set()
 
@@ -170,6 +182,7 @@
         if isinstance(found, SourceFailure):
             await self._back_off(found)
             return False
+        self._record_availability()
         position = Position(self._era(found), found.revision)
         if position < self._position:
             self._record_success()
@@ -184,10 +197,9 @@
             return False
         if position.era > self._position.era:
             self._record_restore(position)
-        may_have_lapsed = self._is_settling()
         self._record_success()
         self._record_answer(found, peer_position)
-        self._on_listing(found, may_have_lapsed)
+        self._on_listing(found, self._lapse_end())
         return True
 
     async def _watch(self) -> None:
@@ -209,9 +221,9 @@
                 if self._failures >= _MAX_FAILED_WATCHES:
                     return
                 continue
+            self._record_availability()
             if found is Compacted.COMPACTED:
                 self._log.line("history_lost", source=self._source.name)
-                self._failed_at = self._clock()
                 return
             era = self._era(found)
             if era != self._position.era:
@@ -225,11 +237,10 @@
                 )
                 await self._pause(_FIRST_PAUSE_S * self._rng.random())
                 return
-            may_have_lapsed = self._is_settling()
             self._record_success()
             self._record_answer(found, peer_position)
             if found.items or found.removed or found.unreadable:
-                self._on_changes(found, may_have_lapsed)
+                self._on_changes(found, self._lapse_end())
                 await self._pause(options.pause_s)
                 wait_s = self._jittered_wait_s()
             if needs_second_list and not self._is_settling():
@@ -360,9 +371,26 @@
         least_s = min(options.first_wait_s, options.wait_s)
         return self._rng.uniform(least_s, options.wait_s)
 
+    def _record_availability(self) -> None:
+        """Notes that the source is available, and the end of an outage."""
+        now_s = self._clock()
+        away_s = now_s - self._available_at
+        has_failed = self._failed_at > self._available_at
+        self._available_at = now_s
+        if has_failed and away_s >= self._options().lapse_after_s:
+            self._returned_at = now_s
+
+    def _lapse_end(self) -> float:
+        """Returns the time until which missing items may be written again."""
+        renewal_s = self._options().renewal_s
+        if self.is_restored:
+            return self._clock() + renewal_s
+        return self._returned_at + renewal_s
+
     def _is_settling(self) -> bool:
-        is_failed = self._clock() - self._failed_at < self._options().settle_s
-        return is_failed or self.is_restored
+        now_s = self._clock()
+        is_failed = now_s - self._failed_at < self._options().settle_s
+        return is_failed or now_s < self._lapse_end()
 
     def _record_success(self) -> None:
         if self._failures:
@@ -391,7 +419,7 @@
 
     async def _pause(self, seconds: float) -> None:
         if seconds > 0:
-            factor = self._rng.uniform(1 - _PAUSE_JITTER, 1 + _PAUSE_JITTER)
+            factor = self._rng.uniform(1 - PAUSE_JITTER, 1 + PAUSE_JITTER)
             await asyncio.sleep(seconds * factor)
 
 
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -40,9 +40,9 @@
 from hollyknot_gateway._caller_server import CallerServer
 from hollyknot_gateway._cut_off_services import CutOffServices
 from hollyknot_gateway._directory import (
-    LAPSE_GRACE_S,
     Directory,
     DirectoryParts,
+    mass_lapse_s,
 )
 from hollyknot_gateway._flow import Flow
 from hollyknot_gateway._flow_parts import FlowParts
@@ -142,7 +142,7 @@
         )
         self._rests = Rests(self._size, rng)
         self._routing_state = RoutingState(
-            UpstreamRegistry(LAPSE_GRACE_S, self._rests.resting)
+            UpstreamRegistry(mass_lapse_s(settings.bounds), self._rests.resting)
         )
         self._metrics = Metrics()
         self._stack = contextlib.AsyncExitStack()
--- a/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_crash_fleet.py
@@ -279,9 +279,7 @@
         """Drops an entry, as its lease has run out."""
         now_s = asyncio.get_running_loop().time()
         for router in self._routers:
-            router.host.registry.remove(
-                entry.name, now_s, may_have_lapsed=False
-            )
+            router.host.registry.remove(entry.name, now_s)
             self._handle_ended(router)
 
     def _handle_ended(self, router: _Router) -> None:
--- a/packages/gateway/src/hollyknot_gateway/tests/test_cut_off_services.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_cut_off_services.py
@@ -30,7 +30,7 @@
             _entry("b", "s", 2),
             _entry("c", "t", 3),
         ]
-        registry.replace(entries, 0.0, may_have_lapsed=False)
+        registry.replace(entries, 0.0)
         reachability = Reachability()
         log = _Lines()
         now_s = 5.0
--- a/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
@@ -67,9 +67,15 @@
 
     follower = Follower(
         Source("test", read, watch),
-        lambda: FollowOptions(2.0, 2.0, 0.0, 3.0),
-        lambda listing, lapsed: seen.listings.append((listing, lapsed)),
-        lambda changes, lapsed: seen.changes.append((changes, lapsed)),
+        lambda: FollowOptions(
+            2.0, 2.0, 0.0, 3.0, lapse_after_s=1.9, renewal_s=2.0
+        ),
+        lambda listing, ends_s: seen.listings.append(
+            (listing, ends_s > clock[0])
+        ),
+        lambda changes, ends_s: seen.changes.append(
+            (changes, ends_s > clock[0])
+        ),
         Log("h", "d", os.open(os.devnull, os.O_WRONLY)),
         random.Random(1),
         lambda: clock[0],
@@ -309,7 +315,7 @@
         await asyncio.sleep(self._lasts_s)
         return Changes({"a": "1"}, (), 7, changed=7)
 
-    def _take(self, _: Changes[str], __: bool) -> None:
+    def _take(self, _: Changes[str], __: float) -> None:
         self.read_at_s = asyncio.get_running_loop().time()
         self._done.set()
 
--- a/packages/gateway/src/hollyknot_gateway/tests/test_restored_source.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_restored_source.py
@@ -141,14 +141,13 @@
     holds: dict[str, int] = attrs.Factory(dict)
     follower: Follower[int] = attrs.field(init=False)
 
-    def apply_listing(
-        self, listing: Listing[int], may_have_lapsed: bool
-    ) -> None:
+    def apply_listing(self, listing: Listing[int], lapse_ends_s: float) -> None:
         """Applies a list, and keeps items that may only have lapsed."""
-        kept = self.holds if may_have_lapsed else {}
+        now_s = asyncio.get_running_loop().time()
+        kept = self.holds if lapse_ends_s > now_s else {}
         self.holds = {**kept, **listing.items}
 
-    def apply_changes(self, changes: Changes[int], _: bool) -> None:
+    def apply_changes(self, changes: Changes[int], _: float) -> None:
         """Applies changes."""
         self.holds.update(changes.items)
         for name in changes.removed:
@@ -160,7 +159,14 @@
     host.follower = Follower(
         Source("test", directory.read_all, directory.watch),
         lambda: FollowOptions(
-            6.0, 2.0, 0.0, 3.0, longest_pause_s=0.4, restored_s=RESTORED_S
+            6.0,
+            2.0,
+            0.0,
+            3.0,
+            longest_pause_s=0.4,
+            lapse_after_s=1.9,
+            renewal_s=2.0,
+            restored_s=RESTORED_S,
         ),
         host.apply_listing,
         host.apply_changes,
