Bound the use of upstreams most of whose entries went at once (DRAIN)

If most entries are removed at once they count as lapsed, and were kept for 1.7 s from their reading, up to 1.0 s after their removal, beside a bound of 2 s. Found by reading.

--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -12,6 +12,7 @@
 from hollyknot_coordination.forwarding import ColdStarts, Ended
 from hollyknot_gateway._follower import (
     LONGEST_PAUSE_S,
+    PAUSE_JITTER,
     Follower,
     FollowOptions,
 )
@@ -74,13 +75,18 @@
 before they have to be in force."""
 
 
-_MASS_LAPSE_S = 1.7
-"""Seconds that upstreams stay usable after most entries went at once."""
+_MASS_LAPSE_FRACTION = 0.8
+"""Fraction of the time that is left to stop the use of an upstream after the
+longest pause between two reads; the rest is for the read itself."""
 
 
-def mass_lapse_s(_: Bounds) -> float:
-    """Returns how long upstreams are used after most entries went at once."""
-    return _MASS_LAPSE_S
+def mass_lapse_s(bounds: Bounds) -> float:
+    """Returns how long upstreams are used after most entries went at once.
+
+    If they have left in fact, they get no request later than the bound allows.
+    """
+    longest_pause_s = bounds.drain_s * READ_PAUSE_FRACTION * (1 + PAUSE_JITTER)
+    return (bounds.drain_s - longest_pause_s) * _MASS_LAPSE_FRACTION
 
 
 @attrs.frozen
--- a/packages/gateway/src/hollyknot_gateway/tests/test_lapses.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_lapses.py
@@ -8,6 +8,12 @@
 import pytest
 
 from hollyknot_gateway import SourceFailure
+from hollyknot_gateway._directory import (
+    READ_PAUSE_FRACTION,
+    RENEWAL_S,
+    mass_lapse_s,
+)
+from hollyknot_gateway._follower import PAUSE_JITTER
 from hollyknot_gateway.tests._leased_entries import (
     BOUNDS,
     REFUSED,
@@ -180,6 +186,26 @@
 
         _play(test, seed)
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_most_upstreams_that_leave_at_once_are_used_in_time(
+        self, seed: int
+    ) -> None:
+        """Guards against a grace that exceeds the bound with the read pause."""
+
+        async def test(play: _Play) -> None:
+            for name in sorted(play.renewals)[2:]:
+                play.leave(name)
+            assert await play.seconds_in_use("u-3") < BOUNDS.drain_s
+
+        _play(test, seed)
+
+    def test_pause_jitter_and_grace_stay_below_the_bound(self) -> None:
+        """Guards against bounds that hold each alone and not in sum."""
+        pause_s = BOUNDS.drain_s * READ_PAUSE_FRACTION * (1 + PAUSE_JITTER)
+        assert pause_s + mass_lapse_s(BOUNDS) < BOUNDS.drain_s
+        # A grace after an outage ends before the directory counts as sound.
+        assert BOUNDS.contact_s > RENEWAL_S
+
 
 class TestLapses:
     """Upstreams whose entries lapse while the directory is unavailable."""
