Tell 'keys are required, and there is none' from 'no keys are required' (ROUTE)

Cause: a table held a dictionary of owners by key, and an empty one meant that no key is required. Evidence: the route index answered 'no key needed' for it. Change: RouteTable.keys is either RequiredKeys or NoKeys.NOT_REQUIRED, so that the wrong state can't be written. Priorities of customers without keys still count, so that urgencies stay on one scale.

--- a/packages/bench/src/hollyknot_bench/experiment/_play.py
+++ b/packages/bench/src/hollyknot_bench/experiment/_play.py
@@ -38,6 +38,7 @@
     CallTraits,
     KeyOwner,
     PromptPart,
+    RequiredKeys,
     Route,
     RouteKind,
     RouteTable,
@@ -474,8 +475,9 @@
         for kind in load.classes
     )
     service = Service(_SERVICE, EngineService(load.engine.slots))
-    owners = {"key": KeyOwner("customer", 0)}
-    return RouteTable(1, routes, {_SERVICE: service}, owners_by_key=owners)
+    owner = KeyOwner("customer", 0)
+    keys = RequiredKeys({"key": owner}, (owner,))
+    return RouteTable(1, routes, {_SERVICE: service}, keys=keys)
 
 
 def play(
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_route_index.py
@@ -4,7 +4,13 @@
 
 from hollyknot_coordination.forwarding._gap_tolerance import GapTolerance
 from hollyknot_state import TIERS
-from hollyknot_state.routes import KeyOwner, Route, RouteTable
+from hollyknot_state.routes import (
+    KeyOwner,
+    NoKeys,
+    RequiredKeys,
+    Route,
+    RouteTable,
+)
 
 LEAST_URGENT = 9
 """The least urgent of the ten urgencies that engines support; 0 is the most
@@ -36,8 +42,11 @@
         self._table = table
         self._by_host: dict[str, dict[str, Route]] = {}
         self._longest_prefix = 0
-        self._has_owner_priorities = any(
-            owner.priority is not None for owner in table.owners_by_key.values()
+        keys = table.keys
+        # Those of customers whose keys are revoked count too: urgencies must
+        # not change with the keys.
+        self._has_owner_priorities = isinstance(keys, RequiredKeys) and any(
+            customer.priority is not None for customer in keys.customers
         )
         # With more route priorities than this, customers' priorities are
         # ignored: the numbers would exceed the least urgent one, and requests
@@ -60,7 +69,7 @@
     @property
     def names_customers(self) -> bool:
         """Whether the table names customers."""
-        return bool(self._table.owners_by_key)
+        return isinstance(self._table.keys, RequiredKeys)
 
     def find(self, host: str, path: str) -> Route | NoRoute:
         """Returns the route of a request.
@@ -140,6 +149,7 @@
 
     def owner(self, route: Route, key: str) -> KeyOwner | NoOwner:
         """Returns the customer that holds a key, or why there is none."""
-        if not self._table.owners_by_key or not route.needs_key:
+        keys = self._table.keys
+        if isinstance(keys, NoKeys) or not route.needs_key:
             return NoOwner.NOT_NEEDED
-        return self._table.owners_by_key.get(key, NoOwner.UNKNOWN)
+        return keys.owners.get(key, NoOwner.UNKNOWN)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/_builders.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/_builders.py
@@ -5,7 +5,9 @@
     CallTraits,
     Engine,
     KeyOwner,
+    NoKeys,
     PromptPart,
+    RequiredKeys,
     Route,
     RouteKind,
     RouteTable,
@@ -67,15 +69,20 @@
 
 
 def table(*routes: Route, **owners: int | None) -> RouteTable:
-    """Returns a table whose keys have the given priorities, as key=priority."""
+    """Returns a table whose keys have the given priorities, as key=priority.
+
+    Without keys, the table requires none.
+    """
+    by_key = {
+        key: KeyOwner(f"customer-{key}", priority)
+        for key, priority in owners.items()
+    }
+    keys = RequiredKeys(by_key, tuple(by_key.values()))
     return RouteTable(
         version=1,
         routes=routes,
         services={"engines": ENGINES},
-        owners_by_key={
-            key: KeyOwner(f"customer-{key}", priority)
-            for key, priority in owners.items()
-        },
+        keys=keys if owners else NoKeys.NOT_REQUIRED,
     )
 
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_route_index.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_route_index.py
@@ -6,7 +6,12 @@
 from hollyknot_coordination.forwarding import NoOwner, NoRoute, RouteIndex
 from hollyknot_coordination.forwarding._route_index import LEAST_URGENT
 from hollyknot_coordination.forwarding.tests._builders import route, table
-from hollyknot_state.routes import KeyOwner, RouteKind
+from hollyknot_state.routes import (
+    KeyOwner,
+    RequiredKeys,
+    RouteKind,
+    RouteTable,
+)
 
 
 class TestFind:
@@ -61,6 +66,14 @@
         open_index = RouteIndex(table(route()))
         assert open_index.owner(found, "") is NoOwner.NOT_NEEDED
 
+    @pytest.mark.parametrize("key", ["", "k1", "k2"])
+    def test_without_any_key_left_no_request_may_run(self, key: str) -> None:
+        """Guards against open routes after the last key was revoked."""
+        index = RouteIndex(RouteTable(1, (route(),), keys=RequiredKeys()))
+        assert index.owner(route(), key) is NoOwner.UNKNOWN
+        exempt = attrs.evolve(route(), needs_key=False)
+        assert index.owner(exempt, key) is NoOwner.NOT_NEEDED
+
 
 class TestUrgency:
     """Computes the same urgency at all hosts."""
@@ -110,6 +123,18 @@
         after = RouteIndex(table(route(), usual=1))
         assert before.urgency(route(), usual) == after.urgency(route(), usual)
 
+    def test_urgency_does_not_depend_on_which_customers_have_a_key(
+        self,
+    ) -> None:
+        """Guards against urgencies of two scales after the last key goes."""
+        usual = KeyOwner("u", 1)
+        keys = RequiredKeys({}, (usual,))
+        before = RouteIndex(table(route(priority=2), usual=1))
+        after = RouteIndex(RouteTable(1, (route(priority=2),), keys=keys))
+        assert before.urgency(route(priority=2), usual) == after.urgency(
+            route(priority=2), usual
+        )
+
     def test_routes_alone_where_no_customer_has_a_priority(self) -> None:
         index = RouteIndex(table(route(priority=4), k1=None))
         owner = KeyOwner("customer-k1", None)
--- a/packages/gateway/src/hollyknot_gateway/tests/test_customer_refusals.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_customer_refusals.py
@@ -20,13 +20,15 @@
 from hollyknot_state.routes import (
     CallTraits,
     KeyOwner,
+    NoKeys,
+    RequiredKeys,
     RouteTable,
     Service,
     UpstreamEntry,
 )
 
 URGENCY = 9
-OWNERS = {"k": KeyOwner("crowd")}
+KEYS = RequiredKeys({"k": KeyOwner("crowd")})
 ENTRY = UpstreamEntry(
     name="e",
     service="engines",
@@ -39,11 +41,11 @@
 class _Host:
     """The parts of one host that decide, before engines that are full."""
 
-    def __init__(self, owners: dict[str, KeyOwner]) -> None:
+    def __init__(self, keys: RequiredKeys | NoKeys) -> None:
         loads = Loads()
         for _ in range(ENTRY.slots):
             loads.begin(ENTRY.incarnation, 10_000, URGENCY)
-        index = RouteIndex(RouteTable(1, owners_by_key=owners))
+        index = RouteIndex(RouteTable(1, keys=keys))
         self.customers = CustomerShares(HostCount(-9.0, is_alone=True))
         self.metrics = Metrics()
         parts = SimpleNamespace(
@@ -84,14 +86,14 @@
             loads.begin(ENTRY.incarnation, 10_000, URGENCY)
         shedding = Shedding(loads, random.Random(1))
         expected = [shedding.decide([ENTRY], URGENCY, 0.0) for _ in range(600)]
-        found = _refusals(_Host({}))
+        found = _refusals(_Host(NoKeys.NOT_REQUIRED))
         assert [text is None for text in found] == [
             not hasattr(decision, "slots") for decision in expected
         ]
         assert {text for text in found if text} == {"8 in flight, 8 slots"}
 
     def test_refusals_say_whether_the_customer_is_above(self) -> None:
-        host = _Host(OWNERS)
+        host = _Host(KEYS)
         found = _refusals(host)
         assert any(text and "over_share=" in text for text in found)
         rendered = host.metrics.render().decode()
--- a/packages/state/src/hollyknot_state/routes/_table.py
+++ b/packages/state/src/hollyknot_state/routes/_table.py
@@ -149,6 +149,28 @@
     priority: int | None = None
 
 
+class NoKeys(enum.Enum):
+    """Says that requests need no key."""
+
+    NOT_REQUIRED = "not-required"
+
+
+@attrs.frozen
+class RequiredKeys:
+    """The keys of which a request has to carry one.
+
+    There may be none, such as after the last one was revoked. Then no request
+    may run whose route needs a key.
+
+    Attributes:
+        owners: Customers by key.
+        customers: All customers, with or without a key.
+    """
+
+    owners: dict[str, KeyOwner] = attrs.field(factory=dict, repr=False)
+    customers: tuple[KeyOwner, ...] = attrs.field(default=(), repr=False)
+
+
 @attrs.frozen
 class RouteTable:
     """All routes, services and customers of one version.
@@ -158,11 +180,11 @@
         routes: Routes in any order.
         services: Services by name.
         limits: Limits for callers.
-        owners_by_key: Customers by key; empty if no key is required.
+        keys: The keys that requests need.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: dict[str, Service] = attrs.Factory(dict)
     limits: CallerLimits = attrs.Factory(CallerLimits)
-    owners_by_key: dict[str, KeyOwner] = attrs.field(factory=dict, repr=False)
+    keys: RequiredKeys | NoKeys = NoKeys.NOT_REQUIRED
