Tell a caller without time left from one that names no time

A job whose deadline has passed could be sent before its first wait. Change: no budget is None; a job without time is answered at once, as not run.

--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -68,6 +68,10 @@
 
     async def serve(self, job: Job) -> None:
         """Runs a request until it is answered, late or cancelled."""
+        if self._parts.clock() >= job.deadline_s:
+            # The timeout below ends it at its first wait only.
+            self._answers.time_out(job)
+            return
         try:
             async with asyncio.timeout_at(job.deadline_s):
                 await self._run(job)
@@ -92,7 +96,7 @@
             return _not_run(_UNAUTHORISED, Reason.BAD_KEY)
         service = self._service(route, index.table.services)
         limit_s = route.timeout_s
-        if call.budget_s:
+        if call.budget_s is not None:
             limit_s = min(limit_s, call.budget_s)
         return Job(
             request=request,
--- a/packages/state/src/hollyknot_state/routes/_calls.py
+++ b/packages/state/src/hollyknot_state/routes/_calls.py
@@ -26,7 +26,7 @@
 
     Attributes:
         attempt_id: The caller's name for this sending of the request.
-        budget_s: Seconds that the caller waits; 0 if it does not say.
+        budget_s: Seconds that the caller waits; None if it does not say.
         key: Key of a customer; empty if there is none.
         prompt: Parts of the prompt in order; only this request or its session
             has the last one.
@@ -40,7 +40,7 @@
     """
 
     attempt_id: str = ""
-    budget_s: float = 0.0
+    budget_s: float | None = None
     key: str = attrs.field(default="", repr=False)
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
