Bound bytes without end, in size and in the time that they hold the event loop

Callers of sound upstreams would wait. By reading: an event of a stream, a document of the directory, and the framing of a caller's body had no bound either; a body could pause for ever. Change: 64 KiB up to the end of a head, with all informational ones; 64 KiB of framing beside eight bytes for each of content; events of 1 MiB; documents of 32 MiB; a caller's head of twice its limit, the same framing, and pauses of the idle timeout. What is over is closed, logged as 'flooded' (callers: 'unread') and counted; a try may have run, as before.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
@@ -34,6 +34,11 @@
         """Whether bytes of an incomplete event are buffered."""
         return bool(self._rest.strip())
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of buffered bytes of an incomplete event."""
+        return len(self._rest)
+
     def feed(self, data: bytes) -> bytes:
         """Adds bytes and returns all whole events that are buffered."""
         if self._rest:
--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -22,11 +22,20 @@
 from aiohttp.http_writer import HttpVersion11
 
 from hollyknot_gateway._headers import CONTENT_LENGTH, write_head
+from hollyknot_gateway._paced_input import PacedInput
 from hollyknot_gateway._ports import Fields, Headers
-from hollyknot_gateway._upstream_connection import set_socket_options
+from hollyknot_gateway._upstream_connection import (
+    FRAMING_PER_BYTE,
+    MAX_FRAMING_BYTES,
+    set_socket_options,
+)
 from hollyknot_state.routes import CallerLimits
 
 _BODY_BUFFER_BYTES = 65_536
+_HEADS = 2
+"""Most bytes before the end of a head, as a multiple of the largest field. It
+bounds empty lines before a request too."""
+
 _MAX_PIPELINED_REQUESTS = 16
 """Requests that a caller may send without waiting for the answers."""
 
@@ -190,14 +199,18 @@
 
     __slots__ = (
         "_accepts",
+        "_body_bytes",
         "_closes",
         "_handler",
         "_has_request",
+        "_head_bytes",
         "_idle_since",
+        "_input",
         "_is_reading_body",
         "_limits",
         "_on_lost",
         "_on_unread",
+        "_payload",
         "_queue",
         "_task",
         "_waiting_head",
@@ -235,6 +248,14 @@
             max_field_size=limits.max_head_bytes,
             auto_decompress=False,
         )
+        # aiohttp's own flow control holds the transport too.
+        self._input = PacedInput(
+            self._parse,
+            self._pause_reading_for_buffer,
+            self._resume_reading_for_buffer,
+        )
+        self._payload: Any = None
+        self._body_bytes = 0
         self._queue: list[tuple[RawRequestMessage, Any]] = []
         self._task: asyncio.Task[None] | None = None
         self._has_request = False
@@ -242,6 +263,7 @@
         self._closes = False
         self._idle_since = loop.time()
         self._waiting_head = False
+        self._head_bytes = 0
 
     @property
     def has_request(self) -> bool:
@@ -290,9 +312,10 @@
 
         The head timeout counts from the first byte: a caller that sends its
         head at a byte per second would otherwise keep its connection for ever,
-        and such connections accumulate until no file descriptor is left.
+        and such connections accumulate until no file descriptor is left. A body
+        may take long, but not make pauses longer than the idle timeout.
         """
-        if self._has_request:
+        if self._has_request and not self._is_reading_body:
             return False
         limits = self._limits
         limit_s = (
@@ -315,6 +338,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancels the handling of the caller's requests."""
         super().connection_lost(exc)
+        self._input.clear()
         self._queue.clear()
         if self._task is not None:
             self._task.cancel()
@@ -322,6 +346,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses requests and starts to handle the next one."""
+        self._input.feed(data)
+
+    def _parse(self, data: bytes) -> None:
+        if self.transport is None or self.transport.is_closing():
+            self._input.clear()
+            return
         assert self._parser is not None
         try:
             messages, is_upgraded, _ = self._parser.feed_data(data)
@@ -336,12 +366,30 @@
             self._on_unread(0, "too many pipelined requests")
             self.abort()
             return
+        if self._is_reading_body and data:
+            self._idle_since = self._loop.time()
+            self._check_framing(data)
         if not messages and data and not self._has_request:
             if not self._waiting_head:
                 self._idle_since = self._loop.time()
+                self._head_bytes = 0
             self._waiting_head = True
+            self._head_bytes += len(data)
+            if self._head_bytes > _HEADS * self._limits.max_head_bytes:
+                self._reject_unparsable(LineTooLong(b"", 0))
+                return
         self._start_next()
 
+    def _check_framing(self, data: bytes) -> None:
+        """Resets a connection whose body brings little but framing."""
+        self._body_bytes += len(data)
+        content_bytes = self._payload.total_bytes
+        allowed_bytes = MAX_FRAMING_BYTES + content_bytes * FRAMING_PER_BYTE
+        if self._body_bytes - content_bytes > allowed_bytes:
+            self._on_unread(0, "a body without end")
+            self._input.clear()
+            self.abort()
+
     def _start_next(self) -> None:
         if self._has_request or not self._queue or self.transport is None:
             return
@@ -357,6 +405,8 @@
         is_http11 = message.version >= HttpVersion11
         reply = Reply(self, message.method, is_http11=is_http11)
         self._is_reading_body = True
+        self._payload = payload
+        self._body_bytes = 0
         body = await self._body(message, payload)
         self._is_reading_body = False
         if body is None:
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -28,6 +28,10 @@
 caller, so that after a truncated one the request can be tried elsewhere and
 the caller never takes a truncated answer for a complete one."""
 
+MAX_EVENT_BYTES = 1_048_576
+"""Largest event of a stream. Events are held back until their end arrives, so a
+larger one is treated as bytes without end."""
+
 _OK = 200
 _MIN_ERROR_STATUS = 300
 _MIN_SERVER_ERROR_STATUS = 500
@@ -43,6 +47,7 @@
     Lost.RESET: Reason.UPSTREAM_LOST,
     Lost.TRUNCATED: Reason.TRUNCATED,
     Lost.GARBLED: Reason.TRUNCATED,
+    Lost.FLOODED: Reason.TRUNCATED,
 }
 
 
@@ -309,9 +314,12 @@
 
     def _relay_events(self, data: bytes) -> None:
         complete = self._stream.framer.feed(data)
-        if not complete:
-            return
-        self._write_to_caller(complete)
+        if complete:
+            self._write_to_caller(complete)
+        if self._stream.framer.partial_bytes > MAX_EVENT_BYTES:
+            self._fail(Reason.TRUNCATED, Lost.FLOODED.value)
+            self._stream.framer.drop_partial()
+            self._connection.abandon()
 
     def _write_to_caller(self, data: bytes) -> None:
         assert self._head is not None
--- a/packages/gateway/src/hollyknot_gateway/_fetch.py
+++ b/packages/gateway/src/hollyknot_gateway/_fetch.py
@@ -24,12 +24,18 @@
 congested by answers to callers delays a part for less than this."""
 
 
+MAX_DOCUMENT_BYTES = 33_554_432
+"""Largest document in bytes. A page of a list has a megabyte, and a watch may
+bring some dozens of versions of a large configuration at once."""
+
+
 class FetchFailure(enum.Enum):
     """Reasons why a document was not read."""
 
     CONNECT = "connect-failed"
     TIMEOUT = "timeout"
     LOST = "connection-lost"
+    TOO_LARGE = "too-large"
 
 
 @attrs.frozen
@@ -55,6 +61,7 @@
         self._status = 0
         self._fields: Any = {}
         self._parts: list[bytes] = []
+        self._size = 0
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[Document | FetchFailure] = (
             loop.create_future()
@@ -66,7 +73,13 @@
         self._note_progress()
 
     def on_data(self, data: bytes) -> None:
+        if self.done.done():
+            return
         self._parts.append(data)
+        self._size += len(data)
+        if self._size > MAX_DOCUMENT_BYTES:
+            self._parts.clear()
+            self._set(FetchFailure.TOO_LARGE)
         self._note_progress()
 
     def on_end(self) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_metrics.py
+++ b/packages/gateway/src/hollyknot_gateway/_metrics.py
@@ -126,6 +126,7 @@
 RELAYED = "hollyknot_relayed_total"
 RELAYS_TAKEN = "hollyknot_relays_taken_total"
 OFFERS_WITHHELD = "hollyknot_offers_withheld_total"
+FLOODS = "hollyknot_floods_total"
 TASK_FAILURES = "hollyknot_task_failures_total"
 
 _HELP = {
@@ -139,6 +140,7 @@
     RELAYED: "Tries relayed through peers, by service, outcome and reason.",
     RELAYS_TAKEN: "Tries made for peers, by service and outcome.",
     OFFERS_WITHHELD: "Offers not made, as peers accept few, by service.",
+    FLOODS: "Tries that ended as the upstream sent no end, by service.",
     TASK_FAILURES: "Ends of tasks that should run all the time, by task.",
     TRIES: "Tries at upstreams by service, outcome and reason.",
 }
--- a/packages/gateway/src/hollyknot_gateway/_try_records.py
+++ b/packages/gateway/src/hollyknot_gateway/_try_records.py
@@ -7,6 +7,7 @@
 from hollyknot_gateway._job import Job
 from hollyknot_gateway._lateness import Late
 from hollyknot_gateway._log import parts_text
+from hollyknot_gateway._upstream_connection import Lost
 from hollyknot_state.routes import UpstreamEntry
 
 
@@ -94,6 +95,8 @@
             outcome=verdict.outcome.value,
             reason=verdict.reason.value,
         )
+        if verdict.detail == Lost.FLOODED.value:
+            parts.metrics.count(metrics.FLOODS, service=job.service.name)
         if verdict.is_complete and job.late is not Late.NO:
             parts.metrics.count(
                 metrics.LATE, route=job.route.name, cause=job.late.value
--- a/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
@@ -18,8 +18,19 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import HttpResponseParser
 
+from hollyknot_gateway._paced_input import PacedInput
+
 MAX_HEAD_BYTES = 65_536
-"""Largest head of an answer; a larger one is treated as malformed."""
+"""Most bytes of an answer up to the end of its head, with the informational
+heads before it; more are treated as malformed."""
+
+MAX_FRAMING_BYTES = 65_536
+"""Most bytes of a body that are no content: the sizes, extensions and ends of
+chunks, and trailers. Each byte of content allows some more."""
+
+FRAMING_PER_BYTE = 8
+"""Framing that each byte of content allows, in bytes. A chunk of one byte has
+five."""
 
 USER_TIMEOUT_MS = 1_000
 """A connection ends if sent bytes are not acknowledged for this long: behind a
@@ -48,6 +59,8 @@
     TRUNCATED = "truncated"
     RESET = "reset"
     GARBLED = "garbled"
+    FLOODED = "flooded"
+    """More bytes than any answer has beside its content."""
 
 
 @attrs.frozen
@@ -92,8 +105,13 @@
         self._transport: asyncio.Transport | None = None
         self._parser: HttpResponseParser | None = None
         self._receiver: Receiver | None = None
+        self._input = PacedInput(self._handle, self._hold, self._release)
+        self._is_held = False
+        self._is_paused = False
         self._payload: StreamReader | None = None
         self._head = b""
+        self._head_bytes = 0
+        self._framing_bytes = 0
         self._body = b""
         self._on_body_sent: Callable[[], None] | None = None
         self._is_kept_alive = True
@@ -109,7 +127,8 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the connection is idle and can carry another request."""
-        return self.is_open and self._receiver is None and self._is_kept_alive
+        is_idle = self._receiver is None and not self._input.is_waiting
+        return self.is_open and is_idle and self._is_kept_alive
 
     @property
     def idle_since(self) -> float:
@@ -147,6 +166,8 @@
         self._receiver = receiver
         self._payload = None
         self._head = b""
+        self._head_bytes = 0
+        self._framing_bytes = 0
         self._parser = HttpResponseParser(
             # The parser calls only the protocol methods that are defined here.
             cast(BaseProtocol, self),
@@ -196,6 +217,7 @@
     def abandon(self) -> None:
         """Resets the connection, which cancels the request at the upstream."""
         self._receiver = None
+        self._input.clear()
         if self._transport is not None:
             self._transport.abort()
 
@@ -206,14 +228,32 @@
 
     def pause(self) -> None:
         """Stops reading while the caller is slow."""
-        if self.is_open:
-            assert self._transport is not None
-            self._transport.pause_reading()
+        self._is_paused = True
+        self._update_reading()
 
     def resume(self) -> None:
         """Starts to read again."""
-        if self.is_open:
-            assert self._transport is not None
+        self._is_paused = False
+        self._update_reading()
+
+    def _hold(self) -> None:
+        """Stops reading while input waits to be parsed."""
+        self._is_held = True
+        self._update_reading()
+
+    def _release(self) -> None:
+        """Starts to read again."""
+        if self._is_held:
+            self._is_held = False
+            self._update_reading()
+
+    def _update_reading(self) -> None:
+        if not self.is_open:
+            return
+        assert self._transport is not None
+        if self._is_paused or self._is_held:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     def pause_reading(self) -> None:
@@ -229,11 +269,15 @@
         set_socket_options(self._transport)
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes and passes them to the receiver at once."""
+        """Parses received bytes and passes them to the receiver."""
+        self._input.feed(data)
+
+    def _handle(self, data: bytes) -> None:
         if self._receiver is None:
             # No request is in flight: this is a late or duplicate answer, which
             # must not be treated as the answer to the next request.
             self._is_kept_alive = False
+            self._input.clear()
             if self._transport is not None:
                 self._transport.abort()
             return
@@ -244,10 +288,12 @@
 
     def eof_received(self) -> None:
         """Ends the answer in progress after the upstream closed its side."""
+        self._input.finish()
         self._on_close(is_clean=True)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the answer in progress after the connection ended."""
+        self._input.finish()
         self._on_close(is_clean=exc is None)
         self._transport = None
 
@@ -255,11 +301,12 @@
         while self._payload is None:
             self._head += data
             end = self._head.find(_HEAD_END)
+            if self._head_bytes + len(self._head) > MAX_HEAD_BYTES and end < 0:
+                self._fail(Lost.FLOODED)
             if end < 0:
-                if len(self._head) > MAX_HEAD_BYTES:
-                    self._fail(Lost.GARBLED)
                 return
             end += len(_HEAD_END)
+            self._head_bytes += end
             head, data = self._head[:end], self._head[end:]
             self._head = b""
             if not self._parse_head(head):
@@ -278,7 +325,9 @@
         if message.code < _INFORMATIONAL:
             if message.code == _CONTINUE:
                 self._send_body()
-            return True
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self._fail(Lost.FLOODED)
+            return self._receiver is not None
         self._payload = payload
         self._is_kept_alive = not message.should_close
         self._receiver.on_head(
@@ -315,11 +364,16 @@
                 self._is_kept_alive = False
                 if not payload.is_eof():
                     raise
-            if part := payload.read_nowait():
+            part = payload.read_nowait()
+            framing_bytes = len(data) - len(part) * (1 + FRAMING_PER_BYTE)
+            self._framing_bytes = max(0, self._framing_bytes + framing_bytes)
+            if part:
                 assert self._receiver is not None
                 self._receiver.on_data(part)
         if payload.is_eof():
             self._finish()
+        elif self._framing_bytes > MAX_FRAMING_BYTES:
+            self._fail(Lost.FLOODED)
 
     def _finish(self) -> None:
         receiver = self._receiver
@@ -356,6 +410,7 @@
         receiver = self._receiver
         self._receiver = None
         self._is_kept_alive = False
+        self._input.clear()
         if self._transport is not None:
             self._transport.abort()
         if receiver is not None:
--- /dev/null
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
@@ -0,0 +1,278 @@
+"""Tests that bytes without end are cut off, whoever sends them."""
+
+import asyncio
+from typing import Any, cast
+
+import attrs
+import pytest
+
+from hollyknot_coordination.forwarding import EventFramer
+from hollyknot_gateway._caller_connection import CallerConnection
+from hollyknot_gateway._exchange import MAX_EVENT_BYTES, Exchange, StreamState
+from hollyknot_gateway._fetch import MAX_DOCUMENT_BYTES, _Collector
+from hollyknot_gateway._ports import Dialect
+from hollyknot_gateway._upstream_connection import (
+    FRAMING_PER_BYTE,
+    MAX_FRAMING_BYTES,
+    MAX_HEAD_BYTES,
+    Head,
+    Lost,
+    UpstreamConnection,
+)
+from hollyknot_state import Outcome
+from hollyknot_state.routes import AnswerTraits, CallerLimits
+
+READ_BYTES = 262_144
+"""Most bytes that one read returns."""
+
+_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+_POST = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+ANSWERS = {
+    "informational heads": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "empty lines": (b"", b"\r\n"),
+    "no answer": (b"", b"x"),
+    "a field": (b"HTTP/1.1 200 OK\r\nA: ", b"x"),
+    "fields": (b"HTTP/1.1 200 OK\r\n", b"A: x\r\n"),
+    "a chunk's size": (_CHUNKED, b"0"),
+    "an extension": (_CHUNKED + b"1;", b"x"),
+    "extensions": (_CHUNKED + b"1", b";a=x"),
+    "trailers": (_CHUNKED + b"0\r\n", b"A: x\r\n"),
+    "a trailer": (_CHUNKED + b"0\r\nA: ", b"x"),
+}
+
+REQUESTS = {
+    "empty lines": (b"", b"\r\n"),
+    "a field": (b"GET / HTTP/1.1\r\nA: ", b"x"),
+    "fields": (b"GET / HTTP/1.1\r\n", b"A: x\r\n"),
+    "a chunk's size": (_POST, b"0"),
+    "an extension": (_POST + b"1;", b"x"),
+    "extensions": (_POST + b"1", b";a=x"),
+    "trailers": (_POST + b"0\r\n", b"A: x\r\n"),
+    "requests": (b"", b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+}
+
+
+class _Transport(asyncio.Transport):
+    """Notes whether it was closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_closed = False
+
+    def write(self, data: Any) -> None:
+        """Discards bytes."""
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    def abort(self) -> None:
+        self.is_closed = True
+
+    def is_closing(self) -> bool:
+        return self.is_closed
+
+    def pause_reading(self) -> None:
+        """Does nothing; the test feeds no more than one read at a time."""
+
+    def resume_reading(self) -> None:
+        """Does nothing."""
+
+
+@attrs.define
+class _Receiver:
+    """Receives an answer and records how it ended."""
+
+    lost: Lost | None = None
+    content: int = 0
+    is_ended: bool = False
+
+    def on_head(self, _: Head) -> None:
+        """Takes a head."""
+
+    def on_data(self, data: bytes) -> None:
+        self.content += len(data)
+
+    def on_end(self) -> None:
+        self.is_ended = True
+
+    def on_lost(self, lost: Lost) -> None:
+        self.lost = lost
+
+
+async def _flood(protocol: Any, transport: _Transport, piece: bytes) -> int:
+    """Sends pieces until the connection is closed.
+
+    Returns:
+        The number of bytes that were sent, 16 MiB at most.
+    """
+    block = piece * (READ_BYTES // len(piece))
+    sent = 0
+    while sent < 2**24 and not transport.is_closed:
+        protocol.data_received(block)
+        sent += len(block)
+        while protocol._input.is_waiting:
+            await asyncio.sleep(0.005)
+    return sent
+
+
+class TestAnswers:
+    """Upstreams, the directory and peers that send bytes without end."""
+
+    @pytest.mark.parametrize("form", ANSWERS)
+    def test_bytes_without_end_are_cut_off(self, form: str) -> None:
+        """Guards against a host that parses nothing else."""
+        first, piece = ANSWERS[form]
+        receiver = _Receiver()
+
+        async def main() -> int:
+            connection, transport = UpstreamConnection(), _Transport()
+            connection.connection_made(transport)
+            connection.send(b"", receiver, is_head=False)
+            connection.data_received(first)
+            return await _flood(connection, transport, piece)
+
+        assert asyncio.run(main()) <= READ_BYTES
+        assert receiver.lost in (Lost.FLOODED, Lost.GARBLED)
+        assert not receiver.is_ended
+        assert receiver.content <= 1
+
+    @pytest.mark.parametrize("size", [1, 2, 40])
+    def test_small_chunks_are_no_flood(self, size: int) -> None:
+        """Guards against cutting off streams of small events."""
+        receiver = _Receiver()
+        piece = b"%x\r\n%b\r\n" % (size, bytes(size))
+
+        async def main() -> None:
+            connection, transport = UpstreamConnection(), _Transport()
+            connection.connection_made(transport)
+            connection.send(b"", receiver, is_head=False)
+            connection.data_received(_CHUNKED)
+            await _flood(connection, transport, piece)
+            connection.data_received(b"0\r\n\r\n")
+
+        asyncio.run(main())
+        assert receiver.lost is None
+        assert receiver.is_ended
+        assert receiver.content > MAX_FRAMING_BYTES
+
+    def test_limits_admit_large_heads(self) -> None:
+        """Guards against refusing what an upstream may send."""
+        receiver = _Receiver()
+        hint = b"HTTP/1.1 103 Early Hints\r\nA: %b\r\n\r\n" % (b"x" * 1000)
+        head = b"HTTP/1.1 200 OK\r\nA: %b\r\nContent-Length: 2\r\n\r\nok" % (
+            b"x" * (MAX_HEAD_BYTES - 10 * len(hint) - 100)
+        )
+
+        async def main() -> None:
+            connection = UpstreamConnection()
+            connection.connection_made(_Transport())
+            connection.send(b"", receiver, is_head=False)
+            connection.data_received(hint * 10 + head)
+
+        asyncio.run(main())
+        assert receiver.is_ended
+
+    def test_an_event_without_end_is_cut_off(self) -> None:
+        """Guards against a stream that fills the host's memory."""
+
+        async def main() -> tuple[int, Any]:
+            framer = EventFramer()
+            connection = _EndlessStream()
+            exchange = Exchange(
+                _DIALECT,
+                "",
+                cast(Any, _Reply()),
+                StreamState(framer),
+                cast(Any, connection),
+                asyncio.get_running_loop().time,
+                lambda: None,
+                lambda _: None,
+                lambda *_: None,
+            )
+            exchange.on_head(Head(200, (), {}, should_close=False))
+            sent = 0
+            while not connection.is_abandoned:
+                exchange.on_data(b"x" * READ_BYTES)
+                sent += READ_BYTES
+            return sent, await exchange.done
+
+        sent, result = asyncio.run(main())
+        assert sent <= MAX_EVENT_BYTES + READ_BYTES
+        assert result.verdict.outcome is Outcome.MAY_HAVE_RUN
+        assert result.answer is None
+
+    def test_a_document_without_end_is_not_collected(self) -> None:
+        """Guards against a directory that fills the host's memory."""
+
+        async def main() -> int:
+            collector = _Collector(lambda: None)
+            for _ in range(2 * MAX_DOCUMENT_BYTES // READ_BYTES):
+                collector.on_data(bytes(READ_BYTES))
+            assert collector.done.done()
+            return sum(map(len, collector._parts))
+
+        assert asyncio.run(main()) == 0
+
+
+@attrs.define
+class _EndlessStream:
+    """The connection of an upstream that streams without end."""
+
+    keeps_s: float = 0.0
+    is_abandoned: bool = False
+
+    def abandon(self) -> None:
+        self.is_abandoned = True
+
+
+@attrs.define
+class _Reply:
+    """A reply of which nothing is written."""
+
+    has_begun: bool = False
+
+
+_DIALECT = Dialect(
+    read_call=cast(Any, None),
+    upstream_headers=cast(Any, None),
+    read_answer=lambda *_: AnswerTraits(
+        attempt_id="",
+        is_refusal=False,
+        is_other_upstream=False,
+        is_sealed=True,
+        is_event_stream=True,
+        keeps_s=0.0,
+    ),
+    attempt_header=b"",
+)
+
+
+class TestRequests:
+    """Callers that send bytes without end."""
+
+    @pytest.mark.parametrize("form", REQUESTS)
+    def test_bytes_without_end_are_cut_off(self, form: str) -> None:
+        """Guards against a host that parses nothing else."""
+        first, piece = REQUESTS[form]
+        handled: list[object] = []
+
+        async def handle(request: object, _: object) -> None:
+            handled.append(request)
+
+        async def main() -> int:
+            transport = _Transport()
+            connection = CallerConnection(
+                handle, CallerLimits(), lambda _: None, lambda *_: None
+            )
+            connection.connection_made(transport)
+            if first:
+                connection.data_received(first)
+                await asyncio.sleep(0)
+            sent = await _flood(connection, transport, piece)
+            connection.connection_lost(None)
+            return sent
+
+        allowed = CallerLimits().max_body_bytes * FRAMING_PER_BYTE
+        assert asyncio.run(main()) <= min(2 * READ_BYTES, allowed)
+        assert len(handled) <= 1
