--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -70,7 +70,7 @@
 from hollyknot_gateway._shutdown import Shutdown
 from hollyknot_gateway._silent_upstreams import SilentUpstreams
 from hollyknot_gateway._stalls import Stalls
-from hollyknot_gateway._suspension import Suspension
+from hollyknot_gateway._upkeep import Upkeep, UpkeepParts
 from hollyknot_state import ReadRevisions
 from hollyknot_state.routes import (
     Bounds,
@@ -80,12 +80,6 @@
     UpstreamEntry,
 )
 
-SWEEP_S = 0.25
-"""Seconds between two checks of timers that need no precision."""
-
-FLUSH_S = 0.1
-"""Seconds between two writes of buffered log lines."""
-
 _TOKEN_BITS = 62
 """Length in bits of the random number from which a host's ranks follow."""
 
@@ -319,7 +313,26 @@
         self._settings_reload = SettingsReload(
             settings, read_settings, self._set_bounds, self._log
         )
-        self._suspension = Suspension()
+        self._upkeep = Upkeep(
+            UpkeepParts(
+                callers=self._callers,
+                operators=self._operator_servers,
+                relays=self._relay_server,
+                pools=(self._pool, self._relay_pool),
+                stalls=self._stalls,
+                placement=parts.placement,
+                placement_log=self._placement_log,
+                readiness=self._readiness,
+                neighbours=self._neighbours,
+                prober=self._prober,
+                reachability=self._reachability,
+                cut_off_services=self._cut_off_services,
+                losses=self._losses,
+                suspects=self._suspects,
+                log=self._log,
+                clock=clock,
+            )
+        )
 
     def _flow_parts(self, dialect: Dialect) -> FlowParts:
         return FlowParts(
@@ -420,9 +433,9 @@
             "follow_published": self._directory.follow_published,
             "follow_upstreams": self._directory.follow_upstreams,
             "exchange_reports": self._neighbours.run,
-            "sweep": self._sweep,
-            "flush_log": self._flush,
-            "probe_unreachable": self._probe_unreachable,
+            "sweep": self._upkeep.sweep,
+            "flush_log": self._upkeep.flush_log,
+            "probe_unreachable": self._upkeep.probe_unreachable,
             "reload_settings": self._settings_reload.run,
         }
 
@@ -462,29 +475,6 @@
             reason="unread",
         )
 
-    async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_S)
-            self._check_suspension()
-            self._readiness.check()
-            self._stalls.sweep()
-            self._callers.sweep(self._clock())
-            self._operator_servers.sweep(self._clock())
-            self._relay_server.sweep(self._clock())
-            self._pool.sweep()
-            self._relay_pool.sweep()
-            self._placement.refresh_lanes(self._clock())
-            self._placement_log.check()
-
-    async def _probe_unreachable(self) -> None:
-        """Probes unreachable upstreams that are due and settles losses."""
-        while True:
-            await asyncio.sleep(SWEEP_S / 2)
-            self._prober.check_all(self._reachability.due(self._clock()))
-            self._cut_off_services.check()
-            self._losses.settle()
-            self._suspects.expire(self._clock())
-
     def _on_peer_read(self, read: ReadRevisions) -> None:
         self._directory.on_peer_read(read)
 
@@ -518,22 +508,3 @@
         self._neighbours.permits.forget(incarnation)
         self._forecasts.forget(incarnation)
         self._speeds.forget(incarnation)
-
-    def _check_suspension(self) -> None:
-        """Closes idle connections and learns of news after a suspension.
-
-        The monotonic clock does not advance during a suspension. Connections
-        seem to have been idle only briefly, although their other ends may have
-        closed them long ago.
-        """
-        suspended_s = self._suspension.suspended_s()
-        if suspended_s:
-            self._log.line("suspended", seconds=round(suspended_s, 2))
-            self._neighbours.on_suspended()
-            self._pool.close()
-            self._relay_pool.close()
-
-    async def _flush(self) -> None:
-        while True:
-            await asyncio.sleep(FLUSH_S)
-            self._log.flush()
