--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -366,7 +366,7 @@
             self._on_unread(0, "too many pipelined requests")
             self.abort()
             return
-        if self._is_reading_body and data:
+        if self._is_reading_body and not self._payload.is_eof():
             self._idle_since = self._loop.time()
             self._check_framing(data)
         if not messages and data and not self._has_request:
@@ -405,6 +405,7 @@
         is_http11 = message.version >= HttpVersion11
         reply = Reply(self, message.method, is_http11=is_http11)
         self._is_reading_body = True
+        self._idle_since = arrived_s
         self._payload = payload
         self._body_bytes = 0
         body = await self._body(message, payload)
