--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -32,7 +32,7 @@
 from hollyknot_state.routes import CallerLimits
 
 _BODY_BUFFER_BYTES = 65_536
-_HEADS = 2
+_HEAD_FACTOR = 2
 """Most bytes before the end of a head, as a multiple of the largest field. It
 bounds empty lines before a request too."""
 
@@ -375,7 +375,7 @@
                 self._head_bytes = 0
             self._waiting_head = True
             self._head_bytes += len(data)
-            if self._head_bytes > _HEADS * self._limits.max_head_bytes:
+            if self._head_bytes > _HEAD_FACTOR * self._limits.max_head_bytes:
                 self._reject_unparsable(LineTooLong(b"", 0))
                 return
         self._start_next()
--- a/packages/gateway/src/hollyknot_gateway/_fetch.py
+++ b/packages/gateway/src/hollyknot_gateway/_fetch.py
@@ -35,6 +35,7 @@
     CONNECT = "connect-failed"
     TIMEOUT = "timeout"
     LOST = "connection-lost"
+    FLOODED = "flooded"
     TOO_LARGE = "too-large"
 
 
@@ -86,8 +87,9 @@
         body = b"".join(self._parts)
         self._set(Document(self._status, body, self._fields))
 
-    def on_lost(self, _: Lost) -> None:
-        self._set(FetchFailure.LOST)
+    def on_lost(self, lost: Lost) -> None:
+        is_flooded = lost is Lost.FLOODED
+        self._set(FetchFailure.FLOODED if is_flooded else FetchFailure.LOST)
 
     def _note_progress(self) -> None:
         # A part may still arrive just after the wait has ended.
--- a/packages/gateway/src/hollyknot_gateway/tests/test_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_exchange.py
@@ -10,23 +10,8 @@
     Exchange,
     StreamState,
 )
-from hollyknot_gateway._ports import Dialect
 from hollyknot_gateway._upstream_connection import Head
-from hollyknot_state.routes import AnswerTraits
-
-_DIALECT = Dialect(
-    read_call=cast(Any, None),
-    upstream_headers=cast(Any, None),
-    read_answer=lambda *_: AnswerTraits(
-        attempt_id="",
-        is_refusal=False,
-        is_other_upstream=False,
-        is_sealed=True,
-        is_event_stream=False,
-        keeps_s=0.0,
-    ),
-    attempt_header=b"",
-)
+from hollyknot_gateway.tests._dialects import sealed_dialect
 
 
 @attrs.define
@@ -68,7 +53,7 @@
         async def main() -> None:
             connection, caller = _Connection(), _LeavingCaller()
             exchange = Exchange(
-                _DIALECT,
+                sealed_dialect(is_event_stream=False),
                 "",
                 cast(Any, caller),
                 StreamState(),
--- a/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
@@ -14,7 +14,6 @@
 )
 from hollyknot_gateway._exchange import MAX_EVENT_BYTES, Exchange, StreamState
 from hollyknot_gateway._fetch import MAX_DOCUMENT_BYTES, _Collector
-from hollyknot_gateway._ports import Dialect
 from hollyknot_gateway._upstream_connection import (
     MAX_FRAMING_BYTES,
     MAX_HEAD_BYTES,
@@ -22,9 +21,10 @@
     Lost,
     UpstreamConnection,
 )
+from hollyknot_gateway.tests._dialects import sealed_dialect
 from hollyknot_gateway.tests._virtual_time import run_virtually
 from hollyknot_state import Outcome
-from hollyknot_state.routes import AnswerTraits, CallerLimits
+from hollyknot_state.routes import CallerLimits
 
 READ_BYTES = 262_144
 """Most bytes that one read returns."""
@@ -184,7 +184,7 @@
             framer = EventFramer()
             connection = _EndlessStream()
             exchange = Exchange(
-                _DIALECT,
+                sealed_dialect(is_event_stream=True),
                 "",
                 cast(Any, _Reply()),
                 StreamState(framer),
@@ -237,21 +237,6 @@
     has_begun: bool = False
 
 
-_DIALECT = Dialect(
-    read_call=cast(Any, None),
-    upstream_headers=cast(Any, None),
-    read_answer=lambda *_: AnswerTraits(
-        attempt_id="",
-        is_refusal=False,
-        is_other_upstream=False,
-        is_sealed=True,
-        is_event_stream=True,
-        keeps_s=0.0,
-    ),
-    attempt_header=b"",
-)
-
-
 class TestRequests:
     """Callers that send bytes without end."""
 
