--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -79,7 +79,11 @@
     Keepers,
     StreamVersions,
     VersionHistory,
+    copy_holder,
+    has_secret_name,
     part_id,
+    possible_holders,
+    run_key,
     stream_id,
 )
 from hollyknot_coordination.forwarding.upstreams import (
@@ -101,6 +105,10 @@
     "Keepers",
     "StreamVersions",
     "VersionHistory",
+    "copy_holder",
+    "has_secret_name",
+    "possible_holders",
+    "run_key",
     "stream_id",
     "BrittleServices",
     "ANSWER_TIMEOUT_S",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/__init__.py
@@ -13,6 +13,12 @@
     PARTS_TOLD,
     Keepers,
 )
+from hollyknot_coordination.forwarding.streams._run_copies import (
+    copy_holder,
+    has_secret_name,
+    possible_holders,
+    run_key,
+)
 from hollyknot_coordination.forwarding.streams._stream_versions import (
     StreamVersions,
     stream_id,
@@ -30,6 +36,10 @@
     "Keepers",
     "StreamVersions",
     "VersionHistory",
+    "copy_holder",
+    "has_secret_name",
     "part_id",
+    "possible_holders",
+    "run_key",
     "stream_id",
 ]
--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/_version_history.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/_version_history.py
@@ -114,6 +114,16 @@
                 del listed_s[version]
         return len(listed_s) > 1
 
+    def is_changing(self, service: str, now_s: float) -> bool:
+        """Whether streams of several versions may be taken up from now on."""
+        if not self.is_mixed(service, now_s):
+            return False
+        current = {entry.version for entry in self._entries.get(service, ())}
+        since_s = now_s - BREAK_S
+        listed_s = self._listed_s[service]
+        late = {version for version, at_s in listed_s.items() if at_s > since_s}
+        return len(current | late) > 1
+
     def may_have_missed(self, service: str, now_s: float) -> bool:
         """Whether a stream may have begun at a version that was never seen."""
         since_s = min(
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -20,6 +20,7 @@
 from hollyknot_gateway import _metrics as metrics
 from hollyknot_gateway._answers import Answers
 from hollyknot_gateway._caller_connection import CallerRequest, Reply
+from hollyknot_gateway._copy_tries import CopyTries
 from hollyknot_gateway._customer_refusals import refusal_by_load
 from hollyknot_gateway._exchange import Result
 from hollyknot_gateway._flow_parts import FlowParts
@@ -47,6 +48,7 @@
         self._parts = parts
         self._selector = UpstreamSelector(parts)
         self._tries = Tries(parts, self._selector)
+        self._copies = CopyTries(parts, self._selector, self._tries)
         self._relay = RelaySender(parts, self._selector)
         self._answers = Answers(parts)
         self._suspect_gate = SuspectGate(parts)
@@ -145,12 +147,12 @@
                 parts.budget.spend(job.service.name, parts.clock())
                 self._log_retry(job, is_sent=True)
 
-    async def _attempt(self, job: Job, result: Result) -> Result | GiveUp:
+    async def _attempt(self, job: Job, last: Result) -> Result | GiveUp:
         """Makes one try, through a peer if this host reaches no upstream.
 
         Args:
             job: The request.
-            result: The result of the try before.
+            last: The result of the try before.
 
         Returns:
             The result of the last try, or the refusal of a request that must
@@ -162,17 +164,27 @@
             return give_up(gate.verdict, self._try_state(job))
         unknown = await self._resolve_version(job)
         if unknown is not None:
-            return give_up(unknown, self._try_state(job))
+            result = await self._resume_copy(job, gate)
+            return result or give_up(unknown, self._try_state(job))
         peer = self._relay.peer_for(job)
         if peer is not None:
             refusal = await self._refusal(job, gate)
             return refusal or await self._relay.run(job, peer)
         choice = await self._choose(job, gate)
         if not isinstance(choice, Choice):
-            return choice or self._without_choice(job, result)
+            return choice or self._without_choice(job, last)
         refusal = await self._refusal(job, gate)
         return refusal or await self._tries.run(job, choice)
 
+    async def _resume_copy(
+        self, job: Job, gate: Sendable
+    ) -> Result | GiveUp | None:
+        """Goes on with a stream of unknown version from a copy, if any."""
+        if not self._copies.may_exist(job):
+            return None
+        refusal = await self._refusal(job, gate)
+        return refusal or await self._copies.run(job, gate)
+
     async def _refusal(self, job: Job, gate: Sendable) -> GiveUp | None:
         """Returns why a suspect must not be tried now, or None if it may be."""
         denied = await self._suspect_gate.ask(job, gate)
--- a/packages/gateway/src/hollyknot_gateway/_job.py
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -88,6 +88,7 @@
         is_proved: Whether an upstream has gone on with its answer, so that no
             part of it crashes upstreams.
         may_be_retried: Whether the host whose caller sent it can try again.
+        resumes_copy: Whether the current try goes on from the copy of a run.
     """
 
     request: CallerRequest
@@ -132,6 +133,7 @@
     is_proved: bool = False
     relayed_for: str = ""
     may_be_retried: bool = False
+    resumes_copy: bool = False
 
     @property
     def is_take_up(self) -> bool:
--- a/packages/gateway/src/hollyknot_gateway/_metrics.py
+++ b/packages/gateway/src/hollyknot_gateway/_metrics.py
@@ -130,6 +130,7 @@
 TASK_FAILURES = "hollyknot_task_failures_total"
 TAKE_UPS = "hollyknot_take_ups_total"
 CACHE_READS = "hollyknot_cache_reads_total"
+COPY_TRIES = "hollyknot_copy_tries_total"
 
 _HELP = {
     REQUESTS: "Requests by route, status and reason of their end.",
@@ -146,5 +147,6 @@
     TASK_FAILURES: "Ends of tasks that should run all the time, by task.",
     TAKE_UPS: "Streams taken up, by the ground of their version.",
     CACHE_READS: "Upstreams asked which parts of prompts they hold.",
+    COPY_TRIES: "Tries to go on with a stream from the copy of its run.",
     TRIES: "Tries at upstreams by service, outcome and reason.",
 }
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -16,6 +16,7 @@
 from hollyknot_gateway._lateness import Late, judge
 from hollyknot_gateway._pool import ConnectFailure
 from hollyknot_gateway._relay_messages import tell_upstream
+from hollyknot_gateway._run_copies import copy_target
 from hollyknot_gateway._try_records import TryRecords
 from hollyknot_gateway._upstream_connection import UpstreamConnection
 from hollyknot_gateway._upstream_selector import UpstreamSelector
@@ -23,6 +24,7 @@
 from hollyknot_state.routes import (
     Dispatch,
     RouteKind,
+    RunCopy,
     UpstreamEntry,
 )
 
@@ -279,6 +281,10 @@
             last_event_id=job.stream.resumes_after,
             is_engine=job.service.engine is not None,
             source=source.address if source is not None else None,
+            copy_to=copy_target(self._parts, job, entry),
+            goes_on_from=RunCopy(entry.address, job.call.resumes)
+            if job.resumes_copy
+            else None,
         )
         headers = self._parts.dialect.upstream_headers(
             end_to_end(request.headers), dispatch
@@ -353,12 +359,14 @@
     def _record_result(self, job: Job, choice: Choice, result: Result) -> None:
         entry = choice.entry
         verdict = result.verdict
-        self._record_health(entry, verdict)
+        if not job.resumes_copy:
+            # That an upstream lacks a copy says nothing about its health.
+            self._record_health(entry, verdict)
         if job.sent > job.sent_before:
             job.sent_before = job.sent
             self._parts.losses.on_try_end(entry, job.identity, verdict)
         job.tried |= {entry.incarnation}
-        if verdict.upstream_status == _UNAVAILABLE:
+        if verdict.upstream_status == _UNAVAILABLE and not job.resumes_copy:
             self._records.log_rejection(job, entry)
             now = self._parts.clock()
             self._parts.brittle.on_rejected(entry, job.sent_s, now)
--- a/packages/gateway/src/hollyknot_gateway/_version_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_version_requester.py
@@ -150,6 +150,10 @@
             )
             self._tell(service, dict.fromkeys(streams, version))
 
+    def are_changing(self, service: str) -> bool:
+        """Whether streams of several versions of a service may be taken up."""
+        return self._history.is_changing(service, self._clock())
+
     def find(self, stream: int, now_s: float) -> str | None:
         """Returns the version that began a stream, if this host knows it."""
         return self._versions.find(stream, now_s)
--- a/packages/state/src/hollyknot_state/routes/__init__.py
+++ b/packages/state/src/hollyknot_state/routes/__init__.py
@@ -7,6 +7,7 @@
     NoLimit,
     NoRest,
     PromptPart,
+    RunCopy,
 )
 from hollyknot_state.routes._evacuation import Evacuation
 from hollyknot_state.routes._gateway_settings import (
@@ -55,6 +56,7 @@
     "Route",
     "RouteKind",
     "RouteTable",
+    "RunCopy",
     "Service",
     "Share",
     "UpstreamEntry",
--- a/packages/state/src/hollyknot_state/routes/_calls.py
+++ b/packages/state/src/hollyknot_state/routes/_calls.py
@@ -54,6 +54,19 @@
         return self.prompt[:-1]
 
 
+@attrs.frozen
+class RunCopy:
+    """The copy of a run's memory that an upstream keeps.
+
+    Attributes:
+        holder: Address of the upstream.
+        attempt_id: The caller's name for the sending that was run.
+    """
+
+    holder: Address
+    attempt_id: str
+
+
 @attrs.frozen
 class Dispatch:
     """Values that a host adds to a caller's request for the upstream.
@@ -67,6 +80,10 @@
         is_engine: Whether the upstream is a model engine.
         source: Another engine that has parts of the prompt cached, which the
             upstream may fetch from there; None if there is none.
+        copy_to: Another engine that is to keep a copy of the run; None for no
+            copy.
+        goes_on_from: The copy from which the upstream goes on. It refuses the
+            request if it has none. None if it needs no copy.
     """
 
     upstream: str
@@ -76,6 +93,8 @@
     last_event_id: str
     is_engine: bool
     source: Address | None = None
+    copy_to: Address | None = None
+    goes_on_from: RunCopy | None = None
 
 
 class NoLimit(enum.Enum):
--- a/packages/state/src/hollyknot_state/routes/_table.py
+++ b/packages/state/src/hollyknot_state/routes/_table.py
@@ -83,9 +83,12 @@
 
     Attributes:
         slots: Number of requests in one batch.
+        copy_s: Seconds of link time that the copy of a token to another
+            upstream takes; None if the upstreams keep no copies of runs.
     """
 
     slots: int
+    copy_s: float | None = None
 
 
 @attrs.frozen
