Ask callers to outwait a partition that hides the version of their streams (LOST)

Cause: a search that can't read an upstream was taken for one that goes on, or for one that has found nothing for good.

Change: while an upstream of the service ignores connections, a stream of unknown version is refused with a mean Retry-After of 5 s. Copies don't help here: the run goes on unheard behind the cut, and its copy is freed at its end.

--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -36,6 +36,13 @@
 _NOT_FOUND = 404
 _UNAUTHORISED = 401
 _UNAVAILABLE = 503
+
+UNREACHABLE_RETRY_S = 5.0
+"""Mean Retry-After in seconds while upstreams that may know the version of a
+stream are unreachable. A network partition mostly lasts longer than a search,
+and callers come back a few times only."""
+
+_UNREACHABLE = "an upstream that may have begun the stream is unreachable"
 _LOST = frozenset({Reason.UPSTREAM_LOST, Reason.TRUNCATED})
 """Reasons of tries that were lost with their upstream or its connection."""
 
@@ -165,7 +172,7 @@
         unknown = await self._resolve_version(job)
         if unknown is not None:
             result = await self._resume_copy(job, gate)
-            return result or give_up(unknown, self._try_state(job))
+            return result or self._give_up_unknown(job, unknown)
         peer = self._relay.peer_for(job)
         if peer is not None:
             refusal = await self._refusal(job, gate)
@@ -185,6 +192,16 @@
         refusal = await self._refusal(job, gate)
         return refusal or await self._copies.run(job, gate)
 
+    def _give_up_unknown(self, job: Job, unknown: Verdict) -> GiveUp:
+        """Refuses to go on with a stream of unknown version."""
+        if self._selector.has_silent(job.service.name):
+            unknown = attrs.evolve(
+                unknown,
+                detail=_UNREACHABLE,
+                retry_after_s=UNREACHABLE_RETRY_S,
+            )
+        return give_up(unknown, self._try_state(job))
+
     async def _refusal(self, job: Job, gate: Sendable) -> GiveUp | None:
         """Returns why a suspect must not be tried now, or None if it may be."""
         denied = await self._suspect_gate.ask(job, gate)
--- a/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
@@ -224,6 +224,15 @@
             )
         )
 
+    def has_silent(self, service: str) -> bool:
+        """Whether an upstream of a service ignores connections."""
+        parts = self._parts
+        entries = parts.in_force.registry.of_service(service)
+        return any(
+            not parts.reachability.is_refusing(incarnation)
+            for incarnation in parts.reachability.unreachable(entries)
+        )
+
     def _doubtful(
         self, usable: Sequence[UpstreamEntry], now_s: float
     ) -> frozenset[str]:
