--- a/packages/gateway/src/hollyknot_gateway/_copy_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_copy_tries.py
@@ -58,7 +58,8 @@
             no upstream could be asked.
         """
         for entry in self._holders(job, gate):
-            if not self._has_budget(job):
+            is_allowed = job.sent < job.route.max_attempts
+            if not is_allowed or not self._takes_from_budget(job):
                 return None
             job.resumes_copy = True
             result = await self._tries.run(job, Choice(entry, 0, 0))
@@ -89,8 +90,8 @@
             if entry.incarnation not in excluded and not is_brittle:
                 yield entry
 
-    def _has_budget(self, job: Job) -> bool:
-        """Takes a further try out of the retry budget, if there is enough."""
+    def _takes_from_budget(self, job: Job) -> bool:
+        """Charges a further try to the retry budget, if it allows one."""
         if not job.sent:
             return True
         parts = self._parts
