Take one version for the only one after a minute, not after 15 s (ORDER)

Cause: a host that has followed the directory for 15 s and seen one version took it for the only one that a stream can be of. Streams are remembered for a minute.

Change: the time is the minute for which streams and versions count everywhere. A host that starts with all others for the first time has missed nothing, by its settings (first_start). Copies of runs are still made for 15 s after a version has left only: they are an aid, not a ground.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/_version_history.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/_version_history.py
@@ -15,29 +15,35 @@
 remembered which version began a stream. No caller goes on with a stream after
 a longer time."""
 
-BREAK_S = 15.0
-"""Longest time between the removal of an upstream's entry and the return of a
-caller whose stream it broke off, in seconds. The upstream serves on for its
-drain time, and callers return within a third of the time that they have left.
-"""
+CHANGE_S = 15.0
+"""Seconds after the removal of a version's last entry in which most callers
+whose streams it broke off come back: the upstreams serve on for their drain
+time, and callers return within a third of the time that they have left."""
 
 
 class VersionHistory:
     """The versions of each service, as one host has learned them."""
 
-    def __init__(self, is_current: Callable[[], bool] = lambda: True) -> None:
+    def __init__(
+        self,
+        is_current: Callable[[], bool] = lambda: True,
+        *,
+        is_first_start: bool = False,
+    ) -> None:
         """Creates a history that knows nothing.
 
         Args:
             is_current: Returns whether this host still follows the directory,
                 so that no version can have come that it has not seen.
+            is_first_start: Whether no host has run before, so that no stream
+                can have begun at a version that has left.
         """
         self._is_current = is_current
         # Entries as of the last update, compared by identity.
         self._entries: dict[str, Sequence[UpstreamEntry]] = {}
         # By service: time at which each version was listed last, in seconds.
         self._listed_s: dict[str, dict[str, float]] = {}
-        self._since_s = math.inf
+        self._since_s = -math.inf if is_first_start else math.inf
         # By service: time since which a peer's word names every version.
         self._vouched_since_s: dict[str, float] = {}
 
@@ -95,7 +101,7 @@
             now_s: Current time, in seconds.
         """
         self._listed_s.setdefault(service, {})[version] = now_s
-        self._vouched_since_s[service] = now_s - BREAK_S
+        self._vouched_since_s[service] = now_s - STREAM_RETENTION_S
 
     def miss(self, now_s: float) -> None:
         """Notes that versions may have come and gone unseen until now."""
@@ -115,11 +121,11 @@
         return len(listed_s) > 1
 
     def is_changing(self, service: str, now_s: float) -> bool:
-        """Whether streams of several versions may be taken up from now on."""
+        """Whether many streams of several versions may be taken up from now."""
         if not self.is_mixed(service, now_s):
             return False
         current = {entry.version for entry in self._entries.get(service, ())}
-        since_s = now_s - BREAK_S
+        since_s = now_s - CHANGE_S
         listed_s = self._listed_s[service]
         late = {version for version, at_s in listed_s.items() if at_s > since_s}
         return len(current | late) > 1
@@ -129,7 +135,7 @@
         since_s = min(
             self._since_s, self._vouched_since_s.get(service, math.inf)
         )
-        return now_s - since_s < BREAK_S
+        return now_s - since_s < STREAM_RETENTION_S
 
     def only_version(self, service: str, now_s: float) -> str | None:
         """Returns the only version that served lately.
--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/tests/test_stream_versions.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/tests/test_stream_versions.py
@@ -11,7 +11,7 @@
     _stream_versions as stream_versions,
 )
 from hollyknot_coordination.forwarding.streams._version_history import (
-    BREAK_S,
+    CHANGE_S,
     STREAM_RETENTION_S,
 )
 from hollyknot_state import Address
@@ -24,6 +24,16 @@
 class TestVersionHistory:
     """Tests when a service counts as served by several versions."""
 
+    def test_versions_change_for_a_while_after_one_has_left(self) -> None:
+        history = VersionHistory()
+        history.update("s", [FIRST], 1.0)
+        assert not history.is_changing("s", 1.0)
+        history.update("s", [FIRST, SECOND], 5.0)
+        assert history.is_changing("s", 5.0 + STREAM_RETENTION_S)
+        history.update("s", [SECOND], 100.0)
+        assert history.is_changing("s", 100.0 + CHANGE_S - 1)
+        assert not history.is_changing("s", 100.0 + CHANGE_S)
+
     def test_a_second_version_is_reported_once(self) -> None:
         history = VersionHistory()
         alone, both = [FIRST], [FIRST, SECOND]
@@ -47,10 +57,18 @@
         history = VersionHistory()
         assert history.may_have_missed("s", 100.0)
         history.update("s", [FIRST], 100.0)
-        assert history.may_have_missed("s", 100.0 + BREAK_S - 1)
-        assert history.only_version("s", 100.0 + BREAK_S - 1) is None
-        assert not history.may_have_missed("s", 100.0 + BREAK_S)
-        assert history.only_version("s", 100.0 + BREAK_S) == "v1"
+        assert history.may_have_missed("s", 100.0 + STREAM_RETENTION_S - 1)
+        assert history.only_version("s", 100.0 + STREAM_RETENTION_S - 1) is None
+        assert not history.may_have_missed("s", 100.0 + STREAM_RETENTION_S)
+        assert history.only_version("s", 100.0 + STREAM_RETENTION_S) == "v1"
+
+    def test_no_version_was_missed_before_the_first_start(self) -> None:
+        """Guards against questions about streams that can't exist."""
+        history = VersionHistory(is_first_start=True)
+        history.update("s", [FIRST], 100.0)
+        assert history.only_version("s", 100.0) == "v1"
+        history.miss(101.0)
+        assert history.only_version("s", 101.0) is None
 
     def test_a_version_that_was_named_makes_a_service_mixed_once(self) -> None:
         """Guards against joining what a version wrote that gets no requests."""
@@ -77,8 +95,8 @@
         history.update("s", [FIRST], 0.0)
         history.vouch("s", "v1", 50.0)
         history.miss(100.0)
-        assert history.only_version("s", 100.0 + BREAK_S - 1) is None
-        assert history.only_version("s", 100.0 + BREAK_S) == "v1"
+        assert history.only_version("s", 100.0 + STREAM_RETENTION_S - 1) is None
+        assert history.only_version("s", 100.0 + STREAM_RETENTION_S) == "v1"
 
     def test_a_host_that_no_longer_follows_knows_no_only_version(self) -> None:
         """Guards against a list that the directory has left behind."""
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -440,7 +440,9 @@
         self._tasks.catch_errors()
         for name, work in self._periodic_work.items():
             self._tasks.spawn(name, work)
-        self._log.line("start", pid=os.getpid())
+        self._log.line(
+            "start", pid=os.getpid(), first=self._settings.is_first_start
+        )
         return self
 
     @property
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -192,7 +192,9 @@
             log,
             clock,
         )
-        history = VersionHistory(is_current)
+        history = VersionHistory(
+            is_current, is_first_start=settings.is_first_start
+        )
         cached = CachedVersions()
         self._version_requester = VersionRequester(
             history,
--- a/packages/state/src/hollyknot_state/routes/_gateway_settings.py
+++ b/packages/state/src/hollyknot_state/routes/_gateway_settings.py
@@ -63,6 +63,8 @@
         bounds: Times and limits that the deployment guarantees.
         metrics: Address at which metrics are served; None for no metrics.
         data_centres: Number of data centres that have hosts.
+        is_first_start: Whether all hosts start for the first time, so that
+            there was no caller before.
     """
 
     host: str = attrs.field(validator=is_long_name)
@@ -75,6 +77,7 @@
     bounds: Bounds = attrs.Factory(Bounds)
     metrics: Address | None = None
     data_centres: int = attrs.field(default=1, validator=validators.ge(1))
+    is_first_start: bool = False
 
 
 def parse_gateway_settings(data: bytes | str) -> GatewaySettings | Problems:
