--- a/packages/gateway/src/hollyknot_gateway/_try_records.py
+++ b/packages/gateway/src/hollyknot_gateway/_try_records.py
@@ -83,6 +83,7 @@
             version=choice.entry.version,
             after=job.stream.resumes_after,
             resumes=job.call.resumes,
+            from_copy=job.resumes_copy,
         )
 
     def observe(self, job: Job, result: Result) -> None:
