Admit none of the least urgent while more urgent requests wait for slots

A tenth of the least urgent is admitted under any load, so that none starves, and all while they hold a fiftieth of the slots. Beside slots that are full of more urgent streams they wait behind these at one engine, and begin there as soon as its queue has ended, while more urgent requests expire at another whose queue is longer.

Beyond the bound of refusals, and while more than a twentieth of all slots is wanted by more urgent requests that wait, none is admitted, whoever sends it.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/refusals/_shedding.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/refusals/_shedding.py
@@ -8,9 +8,12 @@
 preempted requests. A stream refused early gets a time to retry after, and its
 engine time goes to the others.
 
-Only the least urgent routes of a service are refused, and never all of their
-requests; all others are left to the engines, which order them by urgency. So no
-request is refused in favour of a less urgent route, and no route starves. Among
+Only the least urgent routes of a service are refused; all others are left to
+the engines, which order them by urgency. So no request is refused in favour of
+a less urgent route. A part of the least urgent requests is admitted under any
+load, so that no route starves, except while more urgent requests wait for slots
+of their engines: each engine orders only its own queue, and less urgent streams
+would begin at one engine while more urgent ones expire at another. Among
 requests of the least urgent routes the choice is random and does not depend on
 the customer's priority. It may depend on the customer's share of the work
 (`customers`), which leaves the total refused as it is.
@@ -40,8 +43,13 @@
 sixth of a second. With more, the bottleneck is prefill, not slots."""
 
 ADMITTED_SHARE = 0.1
-"""Share of the least urgent requests that is admitted under any load, so that
-no route starves."""
+"""Share of the least urgent requests that is admitted even if engines are
+nearly full, so that no route starves."""
+
+MAX_QUEUED_SHARE = 0.05
+"""Number of more urgent requests that wait for slots, as a share of all slots,
+above which none of the least urgent is admitted: the last of them waits for
+about this part of a stream's duration."""
 
 MIN_SHED_SHARE = 0.02
 """Share of all slots up to which the least urgent requests are never refused:
@@ -119,7 +127,8 @@
                 urgent.
             now_s: Current time in seconds.
             weigh: Turns the share of such streams that is refused now into
-                the probability with which this one is.
+                the probability with which this one is. While more urgent
+                requests wait for slots, it is called but does not count.
         """
         loads = [self._loads.at(e.incarnation, now_s) for e in entries]
         slots = sum(entry.slots for entry in entries)
@@ -129,9 +138,15 @@
         share = BACKLOG_SHARE if has_backlog else NO_BACKLOG_SHARE
         least_urgent = sum(load.behind(shed_from_urgency) for load in loads)
         has_room = in_flight < share * slots
-        is_little = least_urgent <= MIN_SHED_SHARE * slots
+        queued = sum(
+            max(0, load.requests_ahead_of(shed_from_urgency - 1) - entry.slots)
+            for entry, load in zip(entries, loads, strict=True)
+        )
+        must_yield = not has_room and queued > MAX_QUEUED_SHARE * slots
+        is_little = least_urgent <= MIN_SHED_SHARE * slots and not must_yield
+        # Weighing also counts the request as offered.
         refused = weigh(0.0 if has_room or is_little else 1 - ADMITTED_SHARE)
-        if refused and self._rng.random() > 1 - refused:
+        if must_yield or (refused and self._rng.random() > 1 - refused):
             return Shed(in_flight, slots)
         return Admission.ADMITTED
 
