A process that is back before its probe has crashed all the same

Cause: 30 ms after a lost answer the upstream is probed, and a connection that is accepted acquitted the request for good. A process that starts again within that time accepts it, so that its crash is held against nobody, for as long as a request goes on crashing upstreams.

Change: such a loss stays undecided for five seconds, like one with a sign of a partition. Another incarnation at the upstream's address, by its entry or by an answer (421), shows the crash; an answer of the upstream shows none.

--- a/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
@@ -13,6 +13,10 @@
 upstream of the data centre can be reached while this one still refuses, or
 another incarnation takes its place, which show a crash; or the upstream answers
 again, which shows that there was none.
+
+A process that starts again before it is probed accepts the connection, as if it
+had not crashed. A loss at an upstream that is reached therefore stays undecided
+as well, for as long as its successor may take to be listed.
 """
 
 import asyncio
@@ -39,6 +43,11 @@
 """Seconds for which a loss without proof stays undecided. Upstreams may take
 that long to start again."""
 
+MAX_RESTART_S = 5.0
+"""Seconds for which a loss at an upstream that is reached stays undecided: time
+for its successor's entry to arrive, and short enough that a later replacement
+as planned is rarely taken for one."""
+
 MAX_UNDECIDED = 256
 """Most undecided losses; the oldest are dropped first."""
 
@@ -74,11 +83,13 @@
         entry: The upstream.
         requests: The requests that were lost.
         at_s: Time of the first loss in seconds.
+        until_s: Time in seconds at which it is dropped.
     """
 
     entry: UpstreamEntry
     requests: tuple[RequestIdentity, ...]
     at_s: float
+    until_s: float
 
 
 class LossClassifier:
@@ -148,7 +159,7 @@
                 self._suspects.on_late_verdict(
                     loss.requests, loss.entry.incarnation, loss.at_s
                 )
-            elif now_s - loss.at_s < MAX_UNDECIDED_S:
+            elif now_s < loss.until_s:
                 remaining.append(loss)
         self._undecided = remaining
 
@@ -179,21 +190,32 @@
         lost_s = self._clock()
         await asyncio.sleep(PROBE_DELAY_S)
         if await self._prober.check(entry) is not ConnectFailure.REFUSED:
-            self._report_lost(entry, self._pop_pending(entry), _NO_CRASH)
+            self._leave_undecided(entry, lost_s, MAX_RESTART_S)
             return
         self._suspects.on_pending_loss(entry.incarnation, self._clock())
         self._log_loss("loss", entry, self._pending[entry.incarnation])
         await asyncio.sleep(VERDICT_DELAY_S)
         sign = self._signs.sign(entry)
         is_crash = not sign or await self._is_refused_alone(entry)
-        lost = self._pop_pending(entry)
         if is_crash:
+            lost = self._pop_pending(entry)
             self._log_loss("crash", entry, lost)
             self._report_lost(entry, lost, _CRASH)
             return
-        self._log_loss("crash_or_cut", entry, lost, sign=sign)
+        self._log_loss(
+            "crash_or_cut", entry, self._pending[entry.incarnation], sign=sign
+        )
+        self._leave_undecided(entry, lost_s, MAX_UNDECIDED_S)
+
+    def _leave_undecided(
+        self, entry: UpstreamEntry, lost_s: float, for_s: float
+    ) -> None:
+        """Ends the tries at an upstream and waits for proof of its crash."""
+        lost = self._pop_pending(entry)
         self._report_lost(entry, lost, _NO_CRASH)
-        self._undecided.append(_UndecidedLoss(entry, tuple(lost), lost_s))
+        self._undecided.append(
+            _UndecidedLoss(entry, tuple(lost), lost_s, lost_s + for_s)
+        )
         del self._undecided[:-MAX_UNDECIDED]
 
     async def _is_refused_alone(self, entry: UpstreamEntry) -> bool:
--- a/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
@@ -19,6 +19,7 @@
     "other crashes": Load(crash_interval_s=0.7),
     "six engines, other crashes": Load(engines=6, crash_interval_s=1.0),
     "fast restarts": Load(downtime_s=0.5),
+    "restarts before the probe": Load(downtime_s=0.0),
     "partition": Load(cuts=((3.0, 4.0),)),
 }
 """Loads in which two requests crash upstreams as fast as these come back."""
--- a/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_loss_classifier.py
@@ -1,10 +1,13 @@
 """Tests that crashes are distinguished from other lost answers."""
 
 import asyncio
+import contextlib
 import os
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NoReturn, cast
 
+import attrs
+
 from hollyknot_coordination.forwarding import Reachability
 from hollyknot_coordination.forwarding.peers import _silence_detector
 from hollyknot_coordination.suspects import (
@@ -26,23 +29,38 @@
 REQUEST = RequestIdentity(FINGERPRINT)
 
 
+@attrs.define
+class _Clock:
+    """A clock that stands still.
+
+    Attributes:
+        now_s: Its time in seconds.
+    """
+
+    now_s: float = 0.0
+
+    def read(self) -> float:
+        """Returns the time in seconds."""
+        return self.now_s
+
+
 class _LossJudgement:
     """The parts of one host that decide on lost answers."""
 
     def __init__(self, port: int, sign: str = "") -> None:
-        clock = asyncio.get_running_loop().time
+        self.clock = _Clock()
         log = Log("h", "d", os.open(os.devnull, os.O_WRONLY))
         self.others: list[UpstreamEntry] = []
         self.has_successor = False
         self.suspects = Suspects()
-        self.pool = Pool(clock)
+        self.pool = Pool(self.clock.read)
         self.prober = Prober(
             self.pool,
             Reachability(),
             lambda *_: None,
             lambda _: None,
             log,
-            clock,
+            self.clock.read,
         )
         self.losses = LossClassifier(
             self.suspects,
@@ -53,7 +71,7 @@
                 lambda _: self.has_successor,
             ),
             log,
-            clock,
+            self.clock.read,
         )
         self.entry = _entry("i-1", port)
 
@@ -73,6 +91,20 @@
     return UpstreamEntry(name, "s", Address("127.0.0.1", port), "north", 8)
 
 
+@contextlib.asynccontextmanager
+async def _lost_at_reached_upstream() -> AsyncIterator[_LossJudgement]:
+    """Loses a request at an upstream that listens."""
+    async with contextlib.AsyncExitStack() as stack:
+        server = await asyncio.start_server(
+            lambda _, writer: writer.close(), "127.0.0.1", 0
+        )
+        stack.callback(server.close)
+        parts = _LossJudgement(server.sockets[0].getsockname()[1])
+        stack.callback(parts.pool.close)
+        await parts.lose_request()
+        yield parts
+
+
 async def _free_port() -> int:
     server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
     port: int = server.sockets[0].getsockname()[1]
@@ -173,6 +205,31 @@
 
         _run(test)
 
+    def test_successor_shows_that_a_reached_upstream_had_crashed(self) -> None:
+        """Guards against upstreams that start again before they are probed."""
+
+        async def test() -> None:
+            async with _lost_at_reached_upstream() as parts:
+                assert not parts.is_suspect
+                parts.has_successor = True
+                parts.losses.settle()
+                assert parts.is_suspect
+
+        _run(test)
+
+    def test_upstream_replaced_long_after_a_reset_had_not_crashed(self) -> None:
+        """Guards against blaming a reset request for a planned replacement."""
+
+        async def test() -> None:
+            async with _lost_at_reached_upstream() as parts:
+                parts.clock.now_s += _loss_classifier.MAX_RESTART_S
+                parts.losses.settle()
+                parts.has_successor = True
+                parts.losses.settle()
+                assert not parts.is_suspect
+
+        _run(test)
+
     def test_answer_shows_that_the_loss_was_no_crash(self) -> None:
         """A partition must not count as a crash when its upstream is replaced.
 
