Requests and answers of callers in modules of their own

An answer names what it needs of its connection as a protocol, so that the two modules don't import each other. No change of behaviour.

--- a/packages/gateway/src/hollyknot_gateway/_answers.py
+++ b/packages/gateway/src/hollyknot_gateway/_answers.py
@@ -2,11 +2,11 @@
 
 from hollyknot_coordination.forwarding import GiveUp
 from hollyknot_gateway import _metrics as metrics
-from hollyknot_gateway._caller_connection import Reply
 from hollyknot_gateway._exchange import Result
 from hollyknot_gateway._flow_parts import FlowParts
 from hollyknot_gateway._job import Job
 from hollyknot_gateway._relay_messages import tell_verdict
+from hollyknot_gateway._reply import Reply
 from hollyknot_state import Outcome, Reason, Verdict
 from hollyknot_state.routes import CallTraits
 
--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -7,11 +7,9 @@
 """
 
 import asyncio
-import http
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
-import attrs
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_exceptions import (
     BadHttpMessage,
@@ -21,9 +19,10 @@
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 from aiohttp.http_writer import HttpVersion11
 
-from hollyknot_gateway._headers import CONTENT_LENGTH, write_head
+from hollyknot_gateway._caller_request import CallerRequest
+from hollyknot_gateway._headers import CONTENT_LENGTH
 from hollyknot_gateway._paced_input import PacedInput
-from hollyknot_gateway._ports import Fields, Headers
+from hollyknot_gateway._reply import Reply
 from hollyknot_gateway._upstream_connection import (
     FRAMING_PER_BYTE,
     MAX_FRAMING_BYTES,
@@ -40,149 +39,11 @@
 """Requests that a caller may send without waiting for the answers."""
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_LAST_CHUNK = b"0\r\n\r\n"
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _BAD_REQUEST = 400
 _TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
 
 
-@attrs.frozen
-class CallerRequest:
-    """A request that has been read in full.
-
-    Attributes:
-        method: The HTTP method in capitals.
-        target: Path and query as they were sent.
-        headers: Names and values as they were sent, in order.
-        fields: The same headers, looked up by case-insensitive name.
-        body: The body without its framing.
-        has_body: Whether the head announced a body, even an empty one.
-        arrived_s: Time at which the head was read, on the loop's clock.
-    """
-
-    method: str
-    target: str
-    headers: Headers
-    fields: Fields
-    body: bytes
-    has_body: bool
-    arrived_s: float
-
-
-class Reply:
-    """Writes the one answer to a request."""
-
-    def __init__(
-        self, connection: "CallerConnection", method: str, *, is_http11: bool
-    ) -> None:
-        """Builds a reply of which nothing has been written.
-
-        Args:
-            connection: The caller's connection.
-            method: The request's method; HEAD gets no body.
-            is_http11: Whether the caller understands chunked bodies.
-        """
-        self._connection = connection
-        self._method = method
-        self._is_http11 = is_http11
-        self._has_begun = False
-        self._has_ended = False
-        self._extra_headers: dict[bytes, bytes] = {}
-
-    @property
-    def sender_ip(self) -> str:
-        """IP address of the caller; empty if it has disconnected."""
-        return self._connection.sender_ip
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether a part of the answer has been written."""
-        return self._has_begun
-
-    @property
-    def has_ended(self) -> bool:
-        """Whether the answer has been completed or aborted."""
-        return self._has_ended
-
-    @property
-    def is_slow(self) -> bool:
-        """Whether unsent bytes to the caller exceed the high-water mark."""
-        return self._connection.writing_paused
-
-    async def drained(self) -> None:
-        """Waits until unsent bytes fall below the low-water mark."""
-        await self._connection.drained()
-
-    def add_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header to the answer, or replaces one that was added."""
-        self._extra_headers[name] = value
-
-    def respond(
-        self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes
-    ) -> None:
-        """Writes a complete answer."""
-        self._has_begun = self._has_ended = True
-        framed = list(headers)
-        if status not in _STATUSES_WITHOUT_BODY and self._method != "HEAD":
-            framed.append((b"Content-Length", b"%d" % len(body)))
-        head = self._head(status, framed)
-        if self._method == "HEAD" or status in _STATUSES_WITHOUT_BODY:
-            body = b""
-        self._connection.write(head + body)
-
-    def start(
-        self, status: int, headers: Iterable[tuple[bytes, bytes]], data: bytes
-    ) -> None:
-        """Writes the head of an answer of unknown length and its first part."""
-        self._has_begun = True
-        framed = list(headers)
-        if self._is_http11:
-            framed.append((b"Transfer-Encoding", b"chunked"))
-        else:
-            self._connection.close_after_answer()
-        head = self._head(status, framed)
-        self._connection.write(head + self._framed(data))
-
-    def write(self, data: bytes) -> None:
-        """Writes a further part of the body."""
-        self._connection.write(self._framed(data))
-
-    def finish(self) -> None:
-        """Ends the body of an answer that is complete."""
-        self._has_ended = True
-        if self._is_http11:
-            self._connection.write(_LAST_CHUNK)
-
-    def abort_answer(self) -> None:
-        """Resets the connection, so that the answer is seen to be incomplete.
-
-        A plain close would show that only for a chunked body: a body that is
-        delimited by the end of the connection would look complete.
-        """
-        self._has_ended = True
-        self._connection.abort()
-
-    def _head(
-        self, status: int, headers: Iterable[tuple[bytes, bytes]]
-    ) -> bytes:
-        try:
-            phrase = http.HTTPStatus(status).phrase.encode()
-        except ValueError:
-            phrase = b"Unknown"
-        line = b"HTTP/1.1 %d %s" % (status, phrase)
-        if self._extra_headers:
-            headers = (*headers, *self._extra_headers.items())
-        if self._connection.closes_after_answer:
-            headers = (*headers, (b"Connection", b"close"))
-        return write_head(line, headers)
-
-    def _framed(self, data: bytes) -> bytes:
-        if not self._is_http11:
-            return data
-        return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
-
-
 def accept_any(_: str) -> bool:
     """Accepts connections from any IP address."""
     return True
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -12,9 +12,9 @@
 import attrs
 
 from hollyknot_coordination.forwarding import EventFramer
-from hollyknot_gateway._caller_connection import Reply
 from hollyknot_gateway._headers import end_to_end
 from hollyknot_gateway._ports import Dialect, Headers
+from hollyknot_gateway._reply import Reply
 from hollyknot_gateway._upstream_connection import (
     Head,
     Lost,
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -19,7 +19,7 @@
 from hollyknot_coordination.suspects import Refuse, Sendable
 from hollyknot_gateway import _metrics as metrics
 from hollyknot_gateway._answers import Answers
-from hollyknot_gateway._caller_connection import CallerRequest, Reply
+from hollyknot_gateway._caller_request import CallerRequest
 from hollyknot_gateway._copy_tries import CopyTries
 from hollyknot_gateway._customer_refusals import refusal_by_load
 from hollyknot_gateway._exchange import Result
@@ -27,6 +27,7 @@
 from hollyknot_gateway._job import Job, identify
 from hollyknot_gateway._pool import ConnectFailure
 from hollyknot_gateway._relay_sender import RelaySender
+from hollyknot_gateway._reply import Reply
 from hollyknot_gateway._suspect_gate import SuspectGate
 from hollyknot_gateway._tries import Tries
 from hollyknot_gateway._upstream_selector import UpstreamSelector
--- a/packages/gateway/src/hollyknot_gateway/_job.py
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -7,9 +7,10 @@
 
 from hollyknot_coordination.forwarding import NoOwner
 from hollyknot_coordination.suspects import RequestIdentity, part_identities
-from hollyknot_gateway._caller_connection import CallerRequest, Reply
+from hollyknot_gateway._caller_request import CallerRequest
 from hollyknot_gateway._exchange import StreamState
 from hollyknot_gateway._lateness import Late
+from hollyknot_gateway._reply import Reply
 from hollyknot_state.routes import (
     CallTraits,
     KeyOwner,
--- a/packages/gateway/src/hollyknot_gateway/_operator_servers.py
+++ b/packages/gateway/src/hollyknot_gateway/_operator_servers.py
@@ -3,13 +3,11 @@
 import contextlib
 from collections.abc import Callable
 
-from hollyknot_gateway._caller_connection import (
-    CallerRequest,
-    OnUnread,
-    Reply,
-)
+from hollyknot_gateway._caller_connection import OnUnread
+from hollyknot_gateway._caller_request import CallerRequest
 from hollyknot_gateway._caller_server import CallerServer
 from hollyknot_gateway._metrics import Metrics
+from hollyknot_gateway._reply import Reply
 from hollyknot_state.routes import CallerLimits, GatewaySettings
 
 _READY = 200
--- a/packages/gateway/src/hollyknot_gateway/_relay_messages.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_messages.py
@@ -13,9 +13,10 @@
 
 from hollyknot_coordination.forwarding import NoOwner
 from hollyknot_coordination.suspects import RequestIdentity, part_identities
-from hollyknot_gateway._caller_connection import CallerRequest, Reply
+from hollyknot_gateway._caller_request import CallerRequest
 from hollyknot_gateway._job import Job
 from hollyknot_gateway._ports import Dialect, Fields, Headers
+from hollyknot_gateway._reply import Reply
 from hollyknot_state import Outcome, Reason, Verdict
 from hollyknot_state.routes import (
     KeyOwner,
--- a/packages/gateway/src/hollyknot_gateway/_relay_server.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_server.py
@@ -5,11 +5,12 @@
 import attrs
 
 from hollyknot_gateway import _metrics as metrics
-from hollyknot_gateway._caller_connection import CallerRequest, Reply
+from hollyknot_gateway._caller_request import CallerRequest
 from hollyknot_gateway._caller_server import CallerServer
 from hollyknot_gateway._flow_parts import FlowParts
 from hollyknot_gateway._job import Job
 from hollyknot_gateway._relay_messages import PATH, tell_verdict, to_job
+from hollyknot_gateway._reply import Reply
 from hollyknot_protocol import (
     MalformedMessageError,
     UnknownValueError,
--- a/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
@@ -7,13 +7,11 @@
 import pytest
 
 from hollyknot_coordination.forwarding import EventFramer
-from hollyknot_gateway._caller_connection import (
-    CallerConnection,
-    CallerRequest,
-    Reply,
-)
+from hollyknot_gateway._caller_connection import CallerConnection
+from hollyknot_gateway._caller_request import CallerRequest
 from hollyknot_gateway._exchange import MAX_EVENT_BYTES, Exchange, StreamState
 from hollyknot_gateway._fetch import MAX_DOCUMENT_BYTES, _Collector
+from hollyknot_gateway._reply import Reply
 from hollyknot_gateway._upstream_connection import (
     MAX_FRAMING_BYTES,
     MAX_HEAD_BYTES,
--- a/packages/gateway/src/hollyknot_gateway/tests/test_job.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_job.py
@@ -1,6 +1,6 @@
 """Tests by which identity hosts know a request that is sent again."""
 
-from hollyknot_gateway._caller_connection import CallerRequest
+from hollyknot_gateway._caller_request import CallerRequest
 from hollyknot_gateway._job import identify
 from hollyknot_state.routes import CallTraits, Service
 
