--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -4,8 +4,6 @@
 import random
 from collections.abc import Callable, Sequence
 
-import attrs
-
 from hollyknot_coordination.forwarding import (
     MIN_INTERVAL_TO_NOTE_S,
     MIN_INTERVAL_TO_QUERY_S,
@@ -24,6 +22,7 @@
     Trackers,
     VersionHistory,
 )
+from hollyknot_gateway._awaited_routes import AwaitedRoutes
 from hollyknot_gateway._cache_searches import CacheSearches
 from hollyknot_gateway._evidence_exchange import EvidenceExchange
 from hollyknot_gateway._inquirer import Inquirer
@@ -33,19 +32,20 @@
 from hollyknot_gateway._permit_requester import PermitRequester
 from hollyknot_gateway._ports import ReadParts
 from hollyknot_gateway._report_contents import ReportContents, SharedState
+from hollyknot_gateway._report_receiver import ReportReceiver, without_ages
 from hollyknot_gateway._report_sender import ReportSender
 from hollyknot_gateway._reports import (
     CacheMessage,
     EvidenceMessage,
     Message,
     PermitMessage,
-    Report,
     ReportSocket,
     TrialMessage,
     VersionMessage,
 )
 from hollyknot_gateway._revision_gossip import RevisionGossip
 from hollyknot_gateway._routing_state import RoutingState
+from hollyknot_gateway._standstills import Standstills
 from hollyknot_gateway._suspect_exchange import SuspectExchange
 from hollyknot_gateway._take_ups import TakeUps
 from hollyknot_gateway._trial_requester import TrialRequester
@@ -63,12 +63,6 @@
 """Seconds between two rounds of reports. In-flight work changes within tens of
 milliseconds, and a report costs some tens of microseconds."""
 
-STOOD_STILL_S = 1.0
-"""Seconds between two rounds from which messages count as having waited."""
-
-DRAIN_S = 0.25
-"""Seconds after such a round in which the last of them are read."""
-
 _INCARNATION_BITS = 62
 """Length in bits of the random number that distinguishes a restarted host from
 its earlier incarnation."""
@@ -112,17 +106,15 @@
         self._shared = shared
         self._routing_state = in_force
         self._partitions = partitions
-        self._directory_revisions = directory_revisions
         self._log = log
         self._rng = rng
         self._clock = clock
-        self._last_round_s = clock()
-        self._waited_until_s = float("-inf")
-        self._went_on_s = clock()
+        self._standstills = Standstills(clock())
         self._is_current = is_current
         self._was_current = False
-        # None until a peer has told the version of its routes.
-        self._awaits_until_s: float | None = None
+        self._awaited_routes = AwaitedRoutes(
+            in_force, settings.bounds.apply_s, log
+        )
         self._peers = Peers(
             settings.peers, settings.data_centre, settings.seeds, rng
         )
@@ -152,6 +144,16 @@
             in_force.registry.entry_of,
             rng,
         )
+        self._report_receiver = ReportReceiver(
+            shared,
+            self._peers,
+            self._permits,
+            self._suspect_exchange,
+            directory_revisions,
+            self._awaited_routes,
+            lambda: self.is_informed,
+            log,
+        )
         self._contents = ReportContents(
             settings,
             self._incarnation,
@@ -373,10 +375,7 @@
     @property
     def running_s(self) -> float:
         """Seconds for which this host has run since it last stood still."""
-        now_s = self._clock()
-        if now_s - self._last_round_s > STOOD_STILL_S:
-            return 0.0
-        return now_s - self._went_on_s
+        return self._standstills.running_s(self._clock())
 
     @property
     def is_alone(self) -> bool:
@@ -405,16 +404,13 @@
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
             now_s = self._clock()
-            if now_s - self._last_round_s > STOOD_STILL_S:
-                self._waited_until_s = now_s + DRAIN_S
-                self._went_on_s = now_s
-            self._last_round_s = now_s
+            self._standstills.on_round(now_s)
             self._aggregate_reports(now_s)
             self._schedule_notes()
             registry = self._routing_state.registry
             self._version_requester.on_listed(registry.by_service(now_s))
             self._check_current()
-            self._check_awaited_table(now_s)
+            self._awaited_routes.check(now_s)
             self._partitions.set_silent(self._peers.silent_data_centres(now_s))
             self._evidence_exchange.run(self._peers.hosts)
             addresses = [host.address for host in self._peers.hosts]
@@ -456,24 +452,16 @@
             # it would grow to the names of all upstreams.
             self._shared.loads.pop_changed()
 
-    def _may_have_waited(self, now_s: float) -> bool:
-        """Whether messages that are read now may have waited for this host.
-
-        It stood still, and the ages in them are too low by an unknown time.
-        """
-        has_stood_still = now_s - self._last_round_s > STOOD_STILL_S
-        return has_stood_still or now_s < self._waited_until_s
-
     def _handle_message(self, message: Message, sender: Address) -> None:
         now_s = self._clock()
         self._peers.on_message(sender, now_s)
-        if self._may_have_waited(now_s):
+        if self._standstills.may_have_waited(now_s):
             if self._is_outdated(message):
                 return
             if isinstance(message, HostReport | UseReport):
-                message = _without_ages(message)
+                message = without_ages(message)
         if isinstance(message, HostReport | UseReport):
-            self._handle_report(message)
+            self._report_receiver.handle(message, now_s)
         elif isinstance(message, PermitMessage):
             self._permit_requester.handle(message, sender)
         elif isinstance(message, VersionMessage):
@@ -497,71 +485,3 @@
         if isinstance(message, EvidenceAnswer):
             return not self._evidence_exchange.awaits(message)
         return isinstance(message, SuspectNews)
-
-    def _handle_report(self, report: Report) -> None:
-        now = self._clock()
-        self._suspect_exchange.on_report(report)
-        self._shared.cached.apply_reported(report.held, now)
-        for limit in self._permits.apply_reported(report.limits, now):
-            self._log.line(
-                "limit_told", upstream=limit.upstream, rate=limit.rate
-            )
-        for service in self._shared.brittle.apply_reported(report.brittle, now):
-            self._log.line(
-                "brittle_told",
-                service=service.upstream,
-                rejections=service.rate,
-            )
-        if report.revisions is not None:
-            self._directory_revisions.on_peer_read(report.revisions)
-        if isinstance(report, HostReport) and not self.is_informed:
-            self._await_table(report, now)
-        if isinstance(report, UseReport):
-            self._shared.lane_shares.apply_told(report.lane_shares, now)
-            self._peers.apply_use_report(report, now)
-        elif self._peers.apply_report(report, now):
-            self._log.line(
-                "peer_met",
-                peer=report.host,
-                data_centre=report.data_centre,
-                suspects=len(report.suspects),
-                parts=len(report.parts),
-            )
-
-    def _await_table(self, report: HostReport, now_s: float) -> None:
-        """Waits for the routes that a peer has in force.
-
-        This host has just started, and the directory may have been restored
-        from a copy that is older than them.
-        """
-        if self._awaits_until_s is None:
-            self._awaits_until_s = now_s + self._settings.bounds.apply_s
-        if now_s >= self._awaits_until_s:
-            return
-        if self._routing_state.await_table(report.table_version):
-            self._log.line(
-                "routes_withdrawn",
-                peer=report.host,
-                peer_version=report.table_version,
-            )
-
-    def _check_awaited_table(self, now_s: float) -> None:
-        """Ends the wait for routes that the directory doesn't have in time."""
-        if self._awaits_until_s is None or now_s < self._awaits_until_s:
-            return
-        if self._routing_state.stop_awaiting():
-            self._log.line("routes_not_awaited")
-
-
-def _without_ages(report: Report) -> Report:
-    """Returns a report without what is as old as it says when it is sent."""
-    if isinstance(report, UseReport):
-        report = attrs.evolve(report, lane_shares=())
-    return attrs.evolve(
-        report,
-        suspects=(),
-        parts=(),
-        crashing_parts=(),
-        limits=(),
-        brittle=(),
-    )
--- a/packages/gateway/src/hollyknot_gateway/tests/test_frozen_hosts.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_frozen_hosts.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hollyknot_coordination.suspects import RequestIdentity
-from hollyknot_gateway._neighbours import DRAIN_S
+from hollyknot_gateway._standstills import DRAIN_S
 from hollyknot_gateway.tests._neighbour_network import (
     BUFFERED,
     Host,
--- a/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_neighbours.py
@@ -115,7 +115,7 @@
             report = HostReport(
                 "b", 1, sequence, Address("127.0.0.1", 6), "far", 1
             )
-            self.neighbours._handle_report(report)
+            self.neighbours._report_receiver.handle(report, self.now_s)
             self.check_silence()
 
     def check_silence(self) -> None:
