--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -24,7 +24,6 @@
     Loads,
     NamedLimits,
     Placement,
-    Reachability,
     Relays,
     Rests,
     RetryBudget,
@@ -38,7 +37,6 @@
 from hollyknot_gateway._answer_notices import AnswerNotices
 from hollyknot_gateway._answers import NO_ROUTE
 from hollyknot_gateway._caller_server import CallerServer
-from hollyknot_gateway._cut_off_services import CutOffServices
 from hollyknot_gateway._directory import (
     Directory,
     DirectoryParts,
@@ -49,23 +47,21 @@
 from hollyknot_gateway._gauges import GaugeSources, add_gauges
 from hollyknot_gateway._host_tasks import HostTasks
 from hollyknot_gateway._log import Log
-from hollyknot_gateway._loss_classifier import LossClassifier, PartitionSigns
+from hollyknot_gateway._loss_classifier import LossClassifier
 from hollyknot_gateway._metrics import Metrics
 from hollyknot_gateway._neighbours import Neighbours
 from hollyknot_gateway._operator_servers import OperatorServers
-from hollyknot_gateway._partition_detector import PartitionDetector
 from hollyknot_gateway._placement_log import (
     PlacementLog,
     slowness_reader,
 )
-from hollyknot_gateway._pool import ConnectFailure, Pool
+from hollyknot_gateway._pool import Pool
 from hollyknot_gateway._ports import (
     Dialect,
     ReadParts,
     Source,
     read_no_parts,
 )
-from hollyknot_gateway._prober import Prober
 from hollyknot_gateway._readiness import Readiness
 from hollyknot_gateway._relay_server import RelayServer
 from hollyknot_gateway._report_contents import SharedState
@@ -73,9 +69,8 @@
 from hollyknot_gateway._routing_state import RoutingState
 from hollyknot_gateway._settings_reload import SettingsReload
 from hollyknot_gateway._shutdown import Shutdown
-from hollyknot_gateway._silent_upstreams import SilentUpstreams
-from hollyknot_gateway._stalls import Stalls
 from hollyknot_gateway._upkeep import Upkeep, UpkeepParts
+from hollyknot_gateway._upstream_watch import watch_upstreams
 from hollyknot_state import ReadRevisions
 from hollyknot_state.routes import (
     Bounds,
@@ -156,7 +151,6 @@
         self._speeds = Speeds()
         self._lane_shares = LaneShares(rng.getrandbits(_TOKEN_BITS))
         self._customers = CustomerShares(self._size)
-        self._reachability = Reachability()
         self._health = Health()
         self._budget = RetryBudget(settings.bounds, self._size, rng)
         self._cold_starts = ColdStarts(
@@ -172,35 +166,15 @@
             self._log,
             clock,
         )
-        self._stalls = Stalls(clock)
-        self._prober = Prober(
+        self._watch = watch_upstreams(
             self._pool,
-            self._reachability,
-            self._on_upstream_unreachable,
-            self._on_upstream_reachable,
-            self._log,
-            clock,
-        )
-        self._silent_upstreams = SilentUpstreams(
-            self._stalls,
-            self._routing_state.registry,
-            self._reachability,
-            self._prober,
-            rng,
-            clock,
-        )
-        self._cut_off_services = CutOffServices(
-            self._routing_state.registry, self._reachability, self._log, clock
-        )
-        self._suspects = Suspects()
-        self._partitions = PartitionDetector(
             self._routing_state.registry,
-            self._reachability,
-            self._prober,
+            self._cold_starts,
             self._log,
             rng,
             clock,
         )
+        self._suspects = Suspects()
         self._neighbours = Neighbours(
             settings,
             SharedState(
@@ -214,11 +188,11 @@
                 self._size,
                 self._named_limits,
                 self._customers,
-                lambda: self._cut_off_services.names,
+                lambda: self._watch.cut_off_services.names,
                 self._brittle_limits,
             ),
             self._routing_state,
-            self._partitions,
+            self._watch.partitions,
             RevisionGossip(lambda: self._directory.read, self._on_peer_read),
             ports.read_cached(self._pool),
             self._metrics,
@@ -244,14 +218,8 @@
         )
         self._losses = LossClassifier(
             self._suspects,
-            self._prober,
-            PartitionSigns(
-                self._partitions.sign,
-                self._partitions.others_to_probe,
-                lambda entry: self._routing_state.registry.has_successor(
-                    entry, self._clock()
-                ),
-            ),
+            self._watch.prober,
+            self._watch.partition_signs,
             self._log,
             clock,
         )
@@ -305,7 +273,7 @@
                 size=self._size,
                 callers=self._callers,
                 relays_in_work=lambda: self._relay_server.in_work,
-                cut_off=lambda: self._cut_off_services.names,
+                cut_off=lambda: self._watch.cut_off_services.names,
                 pool=self._pool,
                 log=self._log,
             ),
@@ -336,14 +304,14 @@
                 operators=self._operator_servers,
                 relays=self._relay_server,
                 pools=(self._pool, self._relay_pool),
-                stalls=self._stalls,
+                stalls=self._watch.stalls,
                 placement=parts.placement,
                 placement_log=self._placement_log,
                 readiness=self._readiness,
                 neighbours=self._neighbours,
-                prober=self._prober,
-                reachability=self._reachability,
-                cut_off_services=self._cut_off_services,
+                prober=self._watch.prober,
+                reachability=self._watch.reachability,
+                cut_off_services=self._watch.cut_off_services,
                 losses=self._losses,
                 suspects=self._suspects,
                 log=self._log,
@@ -370,10 +338,10 @@
             loads=self._loads,
             forecasts=self._forecasts,
             speeds=self._speeds,
-            reachability=self._reachability,
+            reachability=self._watch.reachability,
             health=self._health,
             cold_starts=self._cold_starts,
-            prober=self._prober,
+            prober=self._watch.prober,
             notices=self._notices,
             rests=self._rests,
             neighbours=self._neighbours,
@@ -381,7 +349,7 @@
             suspects=self._suspects,
             losses=self._losses,
             brittle=self._brittle,
-            stalls=self._stalls,
+            stalls=self._watch.stalls,
             budget=self._budget,
             pool=self._pool,
             relays=Relays(self._neighbours.relays, self._rng),
@@ -429,7 +397,7 @@
         stack.callback(self._log.flush)
         stack.callback(self._pool.close)
         stack.callback(self._relay_pool.close)
-        stack.push_async_callback(self._prober.close)
+        stack.push_async_callback(self._watch.prober.close)
         await self._callers.start(self._settings.callers)
         stack.callback(self._callers.close)
         await self._operator_servers.start(self._settings, stack)
@@ -498,29 +466,12 @@
     def _on_peer_read(self, read: ReadRevisions) -> None:
         self._directory.on_peer_read(read)
 
-    def _on_upstream_unreachable(
-        self, entry: UpstreamEntry, failure: ConnectFailure
-    ) -> None:
-        """Ends silent attempts at an upstream and probes others beside it."""
-        if failure is ConnectFailure.TIMEOUT:
-            self._silent_upstreams.on_timeout(entry)
-        self._partitions.on_upstream_unreachable(entry, failure)
-
-    def _on_upstream_reachable(self, entry: UpstreamEntry) -> None:
-        """Treats an upstream as cold that may have restarted under its name.
-
-        Where entries don't say when a run began, each run has a new name, so
-        an upstream that is reachable again has not restarted.
-        """
-        if entry.born_ms:
-            self._cold_starts.suspect(entry, self._clock())
-
     def _on_upstream_ended(self, ended: Ended) -> None:
         """Discards all state that is kept for an incarnation that has left."""
         incarnation = ended.incarnation
         if ended.is_superseded:
-            self._stalls.on_upstream_unreachable(incarnation)
-        self._reachability.forget(incarnation)
+            self._watch.stalls.on_upstream_unreachable(incarnation)
+        self._watch.reachability.forget(incarnation)
         self._health.forget(incarnation)
         self._cold_starts.forget(incarnation)
         self._notices.forget(incarnation)
