Upstreams that are back after 20 ms in simulated crash waves

Change: the wave in which upstreams are back before their probe takes 20 ms instead of none, so that requests beside the crash are lost with it, and the same crashes without a request that causes them guard against blame that the longer doubt puts on harmless requests.

--- a/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_crash_waves.py
@@ -19,7 +19,7 @@
     "other crashes": Load(crash_interval_s=0.7),
     "six engines, other crashes": Load(engines=6, crash_interval_s=1.0),
     "fast restarts": Load(downtime_s=0.5),
-    "restarts before the probe": Load(downtime_s=0.0),
+    "restarts before the probe": Load(downtime_s=0.02),
     "partition": Load(cuts=((3.0, 4.0),)),
 }
 """Loads in which two requests crash upstreams as fast as these come back."""
@@ -74,6 +74,9 @@
     "refusing partition": Load(culprits=0, cuts=((3.0, 4.0), (12.0, 1.0))),
     "crashed data centre": Load(culprits=0, ends=(3.0, 10.0)),
     "crashes": Load(culprits=0, crash_interval_s=0.7),
+    "crashes, restarts before the probe": Load(
+        culprits=0, crash_interval_s=0.7, downtime_s=0.02
+    ),
 }
 """Loads in which no request crashes upstreams."""
 
