--- a/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
+++ b/packages/gateway/src/hollyknot_gateway/_loss_classifier.py
@@ -15,8 +15,8 @@
 again, which shows that there was none.
 
 A process that starts again before it is probed accepts the connection, as if it
-had not crashed. A loss at an upstream that is reached therefore stays undecided
-as well, for as long as its successor may take to be listed.
+had not crashed. A loss at an upstream that refuses no connection stays
+undecided as well, for as long as its successor may take to be listed.
 """
 
 import asyncio
@@ -44,9 +44,9 @@
 that long to start again."""
 
 MAX_RESTART_S = 5.0
-"""Seconds for which a loss at an upstream that is reached stays undecided: time
-for its successor's entry to arrive, and short enough that a later replacement
-as planned is rarely taken for one."""
+"""Seconds for which a loss stays undecided at an upstream that refuses no
+connection: time for its successor's entry to arrive, and short enough that a
+planned replacement is rarely taken for the end of a crash."""
 
 MAX_UNDECIDED = 256
 """Most undecided losses; the oldest are dropped first."""
