Name the upstream in the line of a stream's beginning

The lines of a take-up that finds no ground don't tell which upstream began the stream when all hosts were killed meanwhile: a try is logged at its end. stream_began names it, so that cache_read, cache_unread and upstream_gone of that upstream can be looked up. No behaviour changes.

--- a/packages/gateway/src/hollyknot_gateway/_relay_sender.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_sender.py
@@ -181,7 +181,9 @@
             # The peer remembers the true one.
             job.version = version
             return
-        self._parts.neighbours.versions.on_first_event(job, version)
+        self._parts.neighbours.versions.on_first_event(
+            job, version, told.upstream
+        )
 
     def _version(self, told: PeerHeaders) -> str:
         """Returns the version of the upstream that a peer has used."""
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -249,7 +249,9 @@
         self, job: Job, choice: Choice, work: PlacedRequest, sent_s: float
     ) -> None:
         parts = self._parts
-        parts.neighbours.versions.on_first_event(job, choice.entry.version)
+        parts.neighbours.versions.on_first_event(
+            job, choice.entry.version, choice.entry.incarnation
+        )
         parts.placement.start(work)
         parts.speeds.observe(
             choice.entry.incarnation,
--- a/packages/gateway/src/hollyknot_gateway/_version_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_version_requester.py
@@ -125,11 +125,16 @@
         for service in self._listed:
             self._tell(service, self._versions.of_service(service, now_s))
 
-    def on_first_event(self, job: Job, version: str) -> None:
+    def on_first_event(self, job: Job, version: str, upstream: str) -> None:
         """Notes the version that began the stream of a request.
 
         A caller that takes the stream up again may name either the attempt that
         brought its first event or the last one that brought any.
+
+        Args:
+            job: The request.
+            version: The version of the upstream that began the stream.
+            upstream: Incarnation of that upstream.
         """
         job.version = version
         attempts = {job.call.resumes, job.call.attempt_id} - {""}
@@ -147,6 +152,7 @@
                 request=job.call.resumes or job.call.attempt_id,
                 service=service,
                 version=version,
+                upstream=upstream,
             )
             self._tell(service, dict.fromkeys(streams, version))
 
