Have hosts that have just started ask seeds for the other hosts

Where all hosts have the same three seeds and start at once, a host has met no peer after 0.3 s and 7 to 8 of 84 after 0.6 s, as a seed introduces itself to four a round. Each host takes itself for the reader of nearly all upstreams of its data centre, begins a search of its own that reaches nobody, and tells and asks other peers for a stream than the next host does.

A host younger than 15 s that searches, or whose first streams begin beside several versions, asks two seeds; they name up to 24 hosts of each data centre that report to them, the first by a hash of their addresses. Only these read upstreams and keep parts, so that all hosts choose the same ones. Streams begun meanwhile are told to the peers that turn out to keep them. A search that has just ended is used before another begins, which had every upstream read a second time. One version is believed 0.3 s after a search began, no longer 0.2 s, as readers may first have to ask.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/__init__.py
@@ -14,6 +14,12 @@
     Inquiries,
     Inquiry,
 )
+from hollyknot_coordination.forwarding.peers._known_hosts import (
+    FIRST_HOSTS,
+    KnownHosts,
+    pack_hosts,
+    unpack_hosts,
+)
 from hollyknot_coordination.forwarding.peers._peers import Peers
 from hollyknot_coordination.forwarding.peers._relays import Relays
 from hollyknot_coordination.forwarding.peers._rendezvous import Rendezvous
@@ -28,9 +34,11 @@
     "ANSWER_TIMEOUT_S",
     "BRIEF_RESERVE",
     "EvidenceQueries",
+    "FIRST_HOSTS",
     "HostCount",
     "Inquiries",
     "Inquiry",
+    "KnownHosts",
     "MIN_INTERVAL_TO_NOTE_S",
     "MIN_INTERVAL_TO_QUERY_S",
     "PLAIN_RESERVE",
@@ -43,4 +51,6 @@
     "TrackedLoads",
     "Tracker",
     "Trackers",
+    "pack_hosts",
+    "unpack_hosts",
 ]
--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/__init__.py
@@ -23,6 +23,7 @@
     StreamVersions,
     stream_id,
 )
+from hollyknot_coordination.forwarding.streams._told_streams import ToldStreams
 from hollyknot_coordination.forwarding.streams._version_history import (
     VersionHistory,
 )
@@ -35,6 +36,7 @@
     "Held",
     "Keepers",
     "StreamVersions",
+    "ToldStreams",
     "VersionHistory",
     "copy_holder",
     "has_secret_name",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/_cache_readers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/_cache_readers.py
@@ -20,16 +20,21 @@
     """
 
     def __init__(
-        self, own: Tracker, peers: Callable[[], Sequence[Tracker]]
+        self,
+        own: Tracker,
+        peers: Callable[[], Sequence[Tracker]],
+        is_reader: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates an instance.
 
         Args:
             own: This host.
-            peers: Returns the peers that this host knows. It must return the
-                same object until they change.
+            peers: Returns the peers that may read. It must return the same
+                object until they change.
+            is_reader: Returns whether this host may read.
         """
         self._own = own
+        self._is_reader = is_reader
         self._peers = peers
         self._last_peers: Sequence[Tracker] = ()
         self._near: dict[str, Rendezvous] = {}
@@ -44,6 +49,8 @@
             entries: The upstreams.
             copies: Number of hosts that are to read each upstream.
         """
+        if not self._is_reader():
+            return
         for entry in entries:
             key = short_name(entry.incarnation)
             ranking = self._ranking(entry.data_centre)
--- a/packages/gateway/src/hollyknot_gateway/_cache_searches.py
+++ b/packages/gateway/src/hollyknot_gateway/_cache_searches.py
@@ -43,7 +43,7 @@
 """Seconds after which a search has ended. Where it has failed to find a part, a
 second host reads each upstream, as the first may be frozen or cut off."""
 
-BELIEF_S = 0.2
+BELIEF_S = 0.3
 """Seconds after the beginning of a search from which one version is believed:
 upstreams of another one may be read a little later."""
 
@@ -101,6 +101,7 @@
         read: ReadParts,
         upstreams: Callable[[str], Iterable[UpstreamEntry]],
         peers: Callable[[], Sequence[Tracker]],
+        learn_hosts: Callable[[], Awaitable[None]],
         rate: ReportRate,
         send: Callable[[bytes, list[Address]], None],
         log: Log,
@@ -115,7 +116,8 @@
             keepers: Chooses the peers that keep a part.
             read: Reads the parts that an upstream holds.
             upstreams: Returns the upstreams of a service, leaving ones as well.
-            peers: Returns the known peers.
+            peers: Returns the peers that read upstreams and keep parts.
+            learn_hosts: Learns of further peers, if this host has just started.
             rate: Byte budget that all sent messages are charged to.
             send: Sends a datagram to the given hosts.
             log: Logs searches and failed reads.
@@ -128,6 +130,7 @@
         self._read = read
         self._upstreams = upstreams
         self._peers = peers
+        self._learn_hosts = learn_hosts
         self._rate = rate
         self._send = send
         self._log = log
@@ -171,6 +174,10 @@
             The version; None if no upstream holds the part, or several of
             different versions do, or this can't be learnt.
         """
+        if self._has_searched(service):
+            found = await ask()
+            if isinstance(found, str):
+                return found
         search = self._begin(service)
         while True:
             found = await ask()
@@ -187,6 +194,7 @@
     async def until_met(self) -> None:
         """Waits until a host that has just started has met peers."""
         await asyncio.sleep(self._started_s + MEETING_S - self._clock())
+        await self._learn_hosts()
 
     def is_over(self, service: str) -> bool:
         """Whether another search of a service can find no more for now."""
@@ -204,6 +212,14 @@
         if known is None or self._may_follow(known, message.copies):
             self._record(message)
 
+    def _has_searched(self, service: str) -> bool:
+        """Whether the results of a search count that has just been made."""
+        search = self._searches.get(service)
+        if search is None or self._has_paused(search):
+            return False
+        searched_s = self._clock() - search.at_s
+        return searched_s >= SETTLE_S and not self._reading[service]
+
     def _begin(self, service: str) -> _Search:
         """Begins a search unless one has just been made."""
         known = self._searches.get(service)
@@ -249,6 +265,7 @@
 
     async def _read_all(self, search: CacheSearch) -> None:
         """Reads the upstreams that this host is to read."""
+        await self._learn_hosts()
         limit = asyncio.Semaphore(MAX_READS)
         entries = list(
             self._readers.to_read(
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -14,6 +14,7 @@
     CacheReaders,
     Inquiries,
     Keepers,
+    KnownHosts,
     Peers,
     Permits,
     Rendezvous,
@@ -25,6 +26,7 @@
 from hollyknot_gateway._awaited_routes import AwaitedRoutes
 from hollyknot_gateway._cache_searches import CacheSearches
 from hollyknot_gateway._evidence_exchange import EvidenceExchange
+from hollyknot_gateway._host_queries import HostQueries
 from hollyknot_gateway._inquirer import Inquirer
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._metrics import Metrics
@@ -37,6 +39,7 @@
 from hollyknot_gateway._reports import (
     CacheMessage,
     EvidenceMessage,
+    HostsMessage,
     Message,
     PermitMessage,
     ReportSocket,
@@ -194,6 +197,15 @@
             log,
             clock,
         )
+        self._known_hosts = KnownHosts(self._own, lambda: self._peers.hosts)
+        self._host_queries = HostQueries(
+            self._known_hosts,
+            sorted(set(settings.seeds) - {settings.peers}, key=str),
+            self._rate,
+            self._socket.send,
+            rng,
+            clock,
+        )
         history = VersionHistory(
             is_current, is_first_start=settings.is_first_start
         )
@@ -201,7 +213,8 @@
         self._version_requester = VersionRequester(
             history,
             cached,
-            Keepers(lambda: self._peers.hosts),
+            Keepers(lambda: self._known_hosts.hosts),
+            self._host_queries,
             self._rate,
             self._socket.send,
             log,
@@ -209,11 +222,16 @@
         )
         self._cache_searches = CacheSearches(
             cached,
-            CacheReaders(self._own, lambda: self._peers.hosts),
-            Keepers(lambda: self._peers.hosts, PARTS_TOLD, PARTS_ASKED),
+            CacheReaders(
+                self._own,
+                lambda: self._known_hosts.first,
+                lambda: self._known_hosts.is_first,
+            ),
+            Keepers(lambda: self._known_hosts.first, PARTS_TOLD, PARTS_ASKED),
             read_parts,
             in_force.registry.of_service,
-            lambda: self._peers.hosts,
+            lambda: self._known_hosts.first,
+            self._host_queries.learn,
             self._rate,
             self._socket.send,
             log,
@@ -409,6 +427,8 @@
             self._schedule_notes()
             registry = self._routing_state.registry
             self._version_requester.on_listed(registry.by_service(now_s))
+            self._known_hosts.expire(now_s)
+            self._version_requester.on_round()
             self._check_current()
             self._awaited_routes.check(now_s)
             self._partitions.set_silent(self._peers.silent_data_centres(now_s))
@@ -468,6 +488,9 @@
             self._version_requester.handle(message, sender)
         elif isinstance(message, CacheMessage):
             self._cache_searches.handle(message)
+        elif isinstance(message, HostsMessage):
+            self._host_queries.handle(message, sender)
+            self._version_requester.tell_new_keepers()
         elif isinstance(message, TrialMessage):
             self._trial_requester.handle(message, sender)
         elif isinstance(message, EvidenceMessage):
--- a/packages/gateway/src/hollyknot_gateway/_reports.py
+++ b/packages/gateway/src/hollyknot_gateway/_reports.py
@@ -28,6 +28,8 @@
     EvidenceAnswer,
     EvidenceQuery,
     HostReport,
+    HostsNote,
+    HostsQuery,
     LoadAnswer,
     LoadNote,
     LoadQuery,
@@ -73,6 +75,9 @@
 CacheMessage = CacheSearch | CachedNote
 """A message about the parts of prompts that upstreams hold."""
 
+HostsMessage = HostsQuery | HostsNote
+"""A message about which hosts there are."""
+
 TrialMessage = TrialQuery | TrialAnswer
 """A message about trials of what may crash upstreams."""
 
@@ -86,6 +91,7 @@
     | SuspectNews
     | VersionMessage
     | CacheMessage
+    | HostsMessage
     | TrialMessage
     | EvidenceMessage
 )
@@ -109,6 +115,8 @@
     EvidenceAnswer: b"f",
     CacheSearch: b"c",
     CachedNote: b"d",
+    HostsQuery: b"g",
+    HostsNote: b"k",
 }
 _WITHOUT_USES = (
     LoadQuery,
@@ -124,6 +132,8 @@
     EvidenceAnswer,
     CacheSearch,
     CachedNote,
+    HostsQuery,
+    HostsNote,
 )
 _CLASSES = {tag: kind for kind, tag in _TAGS.items()}
 
--- a/packages/gateway/src/hollyknot_gateway/_version_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_version_requester.py
@@ -11,10 +11,12 @@
     Keepers,
     ReportRate,
     StreamVersions,
+    ToldStreams,
     Tracker,
     VersionHistory,
     stream_id,
 )
+from hollyknot_gateway._host_queries import HostQueries
 from hollyknot_gateway._job import Job
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._reports import VersionMessage, encode_message
@@ -39,6 +41,10 @@
 TELLING_PAUSE_S = 10.0
 """Seconds between two times at which all known streams are told."""
 
+NEW_KEEPERS_PAUSE_S = 1.0
+"""Seconds between two times at which a host that has just started tells streams
+to peers that it knows by now."""
+
 MAX_STREAMS_PER_NOTE = 24
 """Most streams in a datagram, at some 40 bytes each."""
 
@@ -51,6 +57,7 @@
         history: VersionHistory,
         cached: CachedVersions,
         keepers: Keepers,
+        hosts: HostQueries,
         rate: ReportRate,
         send: Callable[[bytes, list[Address]], None],
         log: Log,
@@ -62,6 +69,7 @@
             history: The versions of each service.
             cached: The versions whose upstreams hold parts of prompts.
             keepers: Chooses the peers that are told and asked.
+            hosts: Learns of further peers while this host has just started.
             rate: Byte budget that all sent messages are charged to.
             send: Sends a datagram to the given hosts.
             log: Logs which version began a stream, and what is forgotten.
@@ -71,12 +79,15 @@
         self._history = history
         self._cached = cached
         self._keepers = keepers
+        self._hosts = hosts
+        self._told = ToldStreams(keepers)
         self._rate = rate
         self._send = send
         self._log = log
         self._clock = clock
         self._logged_forgotten = 0
         self._told_all_s = -math.inf
+        self._told_new_s = -math.inf
         self._listed: Mapping[str, Sequence[UpstreamEntry]] = {}
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Queue[VersionAnswer]] = {}
@@ -154,7 +165,20 @@
                 version=version,
                 upstream=upstream,
             )
-            self._tell(service, dict.fromkeys(streams, version))
+            self._tell_first(service, dict.fromkeys(streams, version))
+
+    def on_round(self) -> None:
+        """Tells streams to peers that are known by now, now and then."""
+        now_s = self._clock()
+        if self._hosts.has_joined:
+            self._told.clear()
+        elif now_s - self._told_new_s >= NEW_KEEPERS_PAUSE_S:
+            self.tell_new_keepers()
+
+    def tell_new_keepers(self) -> None:
+        """Tells streams to the peers that keep them, as more are known."""
+        self._told_new_s = self._clock()
+        self._send_notes(self._told.pop_untold())
 
     def are_changing(self, service: str) -> bool:
         """Whether streams of several versions of a service may be taken up."""
@@ -291,6 +315,18 @@
                 told.setdefault(peer.address, []).append(
                     StreamVersion(stream, service, version)
                 )
+        self._send_notes(told)
+
+    def _tell_first(self, service: str, versions: dict[int, str]) -> None:
+        """Tells peers of streams that have just begun."""
+        self._tell(service, versions)
+        if self._hosts.has_joined:
+            return
+        self._hosts.ask()
+        for stream, version in versions.items():
+            self._told.add(StreamVersion(stream, service, version))
+
+    def _send_notes(self, told: dict[Address, list[StreamVersion]]) -> None:
         for address, streams in told.items():
             for first in range(0, len(streams), MAX_STREAMS_PER_NOTE):
                 part = streams[first : first + MAX_STREAMS_PER_NOTE]
--- a/packages/gateway/src/hollyknot_gateway/tests/_neighbour_network.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_neighbour_network.py
@@ -113,6 +113,7 @@
         *,
         is_busy: bool,
         read_parts: ReadParts = read_no_parts,
+        has_same_seeds: bool = False,
     ) -> None:
         """Builds a network whose hosts are not started yet.
 
@@ -123,7 +124,10 @@
             is_busy: Whether load queries use up their part of each host's byte
                 budget, so that only the least part is left for reports.
             read_parts: Reads the parts of prompts that an upstream holds.
+            has_same_seeds: Whether the settings of all hosts name the first
+                ones as seeds, and not random ones.
         """
+        self._has_same_seeds = has_same_seeds
         self._read_parts = read_parts
         self.rng = random.Random(seed)
         self.loss_fraction = 0.0
@@ -222,7 +226,8 @@
 
     def _make_host(self, number: int, count: int) -> Host:
         others = [n for n in range(count) if n != number]
-        seeds = self.rng.sample(others, min(SEEDS, len(others)))
+        chosen = self.rng.sample(others, min(SEEDS, len(others)))
+        seeds = others[:SEEDS] if self._has_same_seeds else chosen
         settings = GatewaySettings(
             host=f"host-{number}",
             data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
--- a/packages/gateway/src/hollyknot_gateway/tests/test_cache_searches.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_cache_searches.py
@@ -64,8 +64,20 @@
     )
 
 
-def _network(hosts: int, upstreams: _Upstreams, seed: int = 1) -> Network:
-    network = Network(hosts, seed, is_busy=False, read_parts=upstreams.read)
+def _network(
+    hosts: int,
+    upstreams: _Upstreams,
+    seed: int = 1,
+    *,
+    has_same_seeds: bool = False,
+) -> Network:
+    network = Network(
+        hosts,
+        seed,
+        is_busy=False,
+        read_parts=upstreams.read,
+        has_same_seeds=has_same_seeds,
+    )
     for host in network.hosts:
         for entry in upstreams.entries:
             host.registry.put(entry)
@@ -108,6 +120,21 @@
 
         run_virtually(test())
 
+    def test_hosts_with_the_same_seeds_read_an_upstream_once(self) -> None:
+        """Guards against readers that have met nobody but their seeds."""
+
+        async def test() -> None:
+            upstreams = _upstreams(24)
+            network = _network(48, upstreams, has_same_seeds=True)
+            found = await asyncio.gather(
+                *(_find(network, host, host % 24) for host in range(48))
+            )
+            network.stop()
+            assert found == [f"v{host % 2}" for host in range(48)]
+            assert max(upstreams.reads.values()) <= 2
+
+        run_virtually(test())
+
     def test_a_second_host_reads_what_a_dead_one_was_to_read(self) -> None:
         """Guards against parts that nobody finds beside a dead host."""
 
--- a/packages/protocol/idl/report.thrift
+++ b/packages/protocol/idl/report.thrift
@@ -305,3 +305,12 @@
   2: string version
   3: list<binary> parts      // unsigned 64 bits each, big endian
 }
+
+struct HostsQuery {
+  1: i32 most
+}
+
+struct HostsNote {
+  1: list<string> data_centres
+  2: list<binary> hosts      // unsigned 64 bits each, big endian
+}
--- a/packages/protocol/src/hollyknot_protocol/_kinds.py
+++ b/packages/protocol/src/hollyknot_protocol/_kinds.py
@@ -59,6 +59,8 @@
     Kind(0, state.VersionAnswer, report.VersionAnswer),
     Kind(0, state.CacheSearch, report.CacheSearch),
     Kind(0, state.CachedNote, report.CachedNote),
+    Kind(0, state.HostsQuery, report.HostsQuery),
+    Kind(0, state.HostsNote, report.HostsNote),
     Kind(0, state.EvidenceQuery, report.EvidenceQuery),
     Kind(0, state.EvidenceAnswer, report.EvidenceAnswer),
     Kind(0, state.TrialQuery, report.TrialQuery),
--- a/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
+++ b/packages/protocol/src/hollyknot_protocol/gen/report/ttypes.py
@@ -4499,6 +4499,170 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class HostsQuery(object):
+    """
+    Attributes:
+     - most
+
+    """
+
+    __slots__ = (
+        'most',
+    )
+
+
+    def __init__(self, most=None,):
+        self.most = most
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.most = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostsQuery')
+        if self.most is not None:
+            oprot.writeFieldBegin('most', TType.I32, 1)
+            oprot.writeI32(self.most)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HostsNote(object):
+    """
+    Attributes:
+     - data_centres
+     - hosts
+
+    """
+
+    __slots__ = (
+        'data_centres',
+        'hosts',
+    )
+
+
+    def __init__(self, data_centres=None, hosts=None,):
+        self.data_centres = data_centres
+        self.hosts = hosts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.data_centres = []
+                    (_etype325, _size322) = iprot.readListBegin()
+                    for _i326 in range(_size322):
+                        _elem327 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.data_centres.append(_elem327)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.hosts = []
+                    (_etype331, _size328) = iprot.readListBegin()
+                    for _i332 in range(_size328):
+                        _elem333 = iprot.readBinary()
+                        self.hosts.append(_elem333)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostsNote')
+        if self.data_centres is not None:
+            oprot.writeFieldBegin('data_centres', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.data_centres))
+            for iter334 in self.data_centres:
+                oprot.writeString(iter334.encode('utf-8') if sys.version_info[0] == 2 else iter334)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.hosts))
+            for iter335 in self.hosts:
+                oprot.writeBinary(iter335)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Address)
 Address.thrift_spec = (
     None,  # 0
@@ -4817,5 +4981,16 @@
     (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'parts', (TType.STRING, 'BINARY', False), None, ),  # 3
 )
+all_structs.append(HostsQuery)
+HostsQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'most', None, None, ),  # 1
+)
+all_structs.append(HostsNote)
+HostsNote.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'data_centres', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'hosts', (TType.STRING, 'BINARY', False), None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -108,6 +108,8 @@
 from hollyknot_state._version_messages import (
     CachedNote,
     CacheSearch,
+    HostsNote,
+    HostsQuery,
     StreamVersion,
     VersionAnswer,
     VersionNote,
@@ -154,6 +156,8 @@
     "HostList",
     "HostListEntry",
     "HostReport",
+    "HostsNote",
+    "HostsQuery",
     "IndirectProbe",
     "IssuerClaim",
     "LaneDemand",
--- a/packages/state/src/hollyknot_state/_version_messages.py
+++ b/packages/state/src/hollyknot_state/_version_messages.py
@@ -94,3 +94,28 @@
     pool: str
     version: str
     parts: tuple[int, ...]
+
+
+@attrs.frozen
+class HostsQuery:
+    """Asks a host which hosts it knows.
+
+    Attributes:
+        most: Most hosts of each data centre that the answer may name.
+    """
+
+    most: int
+
+
+@attrs.frozen
+class HostsNote:
+    """Tells which hosts the sender knows.
+
+    Attributes:
+        data_centres: Names of data centres.
+        hosts: Addresses of hosts, packed into unsigned numbers of 64 bits. Each
+            begins with the index of the host's data centre, in 16 bits.
+    """
+
+    data_centres: tuple[str, ...]
+    hosts: tuple[int, ...]
