Ask all three seeds for hosts, more rarely each time, and await them all

Of two seeds that are asked one may be down and the other just started; eight hosts that start one by one with random seeds then miss a peer that began a stream.

All seeds are asked (the settings name three at most), 0.5, 1, 2, 4 and 8 s apart, and 0.1 s is waited for all answers.

--- a/packages/gateway/src/hollyknot_gateway/_host_queries.py
+++ b/packages/gateway/src/hollyknot_gateway/_host_queries.py
@@ -18,14 +18,14 @@
 JOINED_S = 15.0
 """Seconds after the start of a host by which it gets reports of its peers."""
 
-ASK_PAUSE_S = 0.5
-"""Seconds between two times at which seeds are asked."""
+FIRST_PAUSE_S = 0.5
+"""Seconds until seeds are asked again, which double each time."""
 
-SEEDS_ASKED = 2
-"""Seeds that are asked at a time: one may be down, or have started late."""
+SEEDS_ASKED = 3
+"""Seeds that are asked: some may be down, or have started late."""
 
 ANSWER_TIMEOUT_S = 0.1
-"""Seconds for which an answer is awaited."""
+"""Seconds for which answers are awaited."""
 
 _HOSTS_PER_NOTE = 128
 """Most hosts in a datagram, at 9 bytes each."""
@@ -61,7 +61,9 @@
         self._clock = clock
         self._started_s = clock()
         self._asked_s = -math.inf
-        self._answered = asyncio.Event()
+        self._pause_s = FIRST_PAUSE_S
+        self._unanswered = 0
+        self._all_answered = asyncio.Event()
 
     @property
     def has_joined(self) -> bool:
@@ -71,22 +73,26 @@
     def ask(self) -> None:
         """Asks seeds, unless this host knows its peers or has just asked."""
         now_s = self._clock()
-        if self.has_joined or now_s - self._asked_s < ASK_PAUSE_S:
+        asked_for_s = now_s - self._asked_s
+        if self.has_joined or asked_for_s < self._pause_s or not self._seeds:
             return
+        if self._asked_s > -math.inf:
+            self._pause_s *= 2
         self._asked_s = now_s
-        self._answered.clear()
-        count = min(SEEDS_ASKED, len(self._seeds))
+        self._unanswered = min(SEEDS_ASKED, len(self._seeds))
+        self._all_answered.clear()
         data = encode_message(HostsQuery(FIRST_HOSTS))
-        self._send_to(data, self._rng.sample(self._seeds, count))
+        self._send_to(data, self._rng.sample(self._seeds, self._unanswered))
 
     async def learn(self) -> None:
-        """Asks seeds and waits for the first answer."""
-        if self.has_joined or not self._seeds:
-            return
+        """Asks seeds and waits for their answers."""
         self.ask()
+        left_s = self._asked_s + ANSWER_TIMEOUT_S - self._clock()
+        if left_s <= 0:
+            return
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                await self._answered.wait()
+            async with asyncio.timeout(left_s):
+                await self._all_answered.wait()
         except TimeoutError:
             return
 
@@ -94,7 +100,9 @@
         """Handles a message of a peer."""
         if isinstance(message, HostsNote):
             self._known.note(unpack_hosts(message), self._clock())
-            self._answered.set()
+            self._unanswered -= 1
+            if self._unanswered <= 0:
+                self._all_answered.set()
             return
         hosts = self._known.to_tell(message.most)
         for start in range(0, len(hosts), _HOSTS_PER_NOTE):
--- a/packages/gateway/src/hollyknot_gateway/tests/test_known_hosts.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_known_hosts.py
@@ -70,6 +70,31 @@
     return sum(job.version == "v1" for job in jobs)
 
 
+async def _taken_up_one_by_one(seed: int) -> int:
+    """Counts the streams that go on through another host, of seven.
+
+    Eight hosts with random seeds start one after another. Each one begins a
+    stream at once, which the next one takes up as soon as it has started.
+    """
+    network = Network(8, seed, is_busy=False)
+    jobs: list[Job] = []
+    began = ""
+    for number in range(8):
+        host = network.restart(number)
+        for version in range(2):
+            host.registry.put(_entry(version))
+        await asyncio.sleep(0.05)
+        if began:
+            jobs.append(_job("second", began))
+            await host.neighbours.take_ups.resolve(jobs[-1])
+        began = f"first-{number}"
+        host.neighbours.versions.on_first_event(
+            _job(began, ""), "v1", _entry(1).incarnation
+        )
+    network.stop()
+    return sum(job.version == "v1" for job in jobs)
+
+
 class TestStreamsOfHostsThatStart:
     """The host that began a stream is found before all hosts have met."""
 
@@ -83,3 +108,10 @@
             _taken_up(hosts, began_s=0.25, taken_up_s=taken_up_s)
         )
         assert found == hosts
+
+    @pytest.mark.parametrize("seed", range(1, 9))
+    def test_hosts_that_start_one_by_one_find_the_stream(
+        self, seed: int
+    ) -> None:
+        """Guards against peers that a host meets only after its take-ups."""
+        assert run_virtually(_taken_up_one_by_one(seed)) == 7
