Read upstreams that a partition hid as soon as it is over (LOST)

Change: a host reads an upstream that it could not read again each second, for 10 s after the search. The test fails before: the part is not found 1.1 s after its upstream can be read again. An upstream that stays away is given up.

--- a/packages/gateway/src/hollyknot_gateway/_cache_searches.py
+++ b/packages/gateway/src/hollyknot_gateway/_cache_searches.py
@@ -57,6 +57,11 @@
 CALM_S = 60.0
 """Seconds without a search after which the first pause counts again."""
 
+UNREAD_PAUSE_S = 1.0
+UNREAD_S = 10.0
+"""Seconds between two reads of an upstream that could not be read, and for
+which it is tried: callers whose streams it began come back meanwhile."""
+
 MAX_COPIES = 2
 MAX_PARTS_PER_NOTE = 128
 """Most parts in a datagram, at 10 bytes each."""
@@ -142,17 +147,37 @@
         # By incarnation: what the last successful read found.
         self._found: dict[str, _Parts] = {}
         self._unsupported: set[str] = set()
+        # By incarnation: upstreams that are to be read once they can be.
+        self._unread: dict[str, UpstreamEntry] = {}
         # By service: number of searches for which this host reads upstreams.
         self._reading: Counter[str] = Counter()
 
     async def run(self) -> None:
         """Reads upstreams for the searches until it is cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._read_again())
+            while True:
+                search = await self._wanted.get()
+                try:
+                    await self._read_all(search)
+                finally:
+                    self._reading[search.pool] -= 1
+
+    async def _read_again(self) -> None:
+        """Reads the upstreams that could not be read, until they can be."""
         while True:
-            search = await self._wanted.get()
-            try:
-                await self._read_all(search)
-            finally:
-                self._reading[search.pool] -= 1
+            await asyncio.sleep(UNREAD_PAUSE_S)
+            unread = [e for e in self._unread.values() if self._is_wanted(e)]
+            self._unread.clear()
+            limit = asyncio.Semaphore(MAX_READS)
+            async with asyncio.TaskGroup() as tasks:
+                for entry in unread:
+                    tasks.create_task(self._read_one(entry, limit))
+
+    def _is_wanted(self, entry: UpstreamEntry) -> bool:
+        """Whether the search for which an upstream is read still matters."""
+        search = self._searches.get(entry.service)
+        return search is not None and self._clock() - search.at_s < UNREAD_S
 
     @property
     def keepers(self) -> Keepers:
@@ -315,6 +340,8 @@
         self._metrics.count(CACHE_READS, outcome=failure.reason)
         if failure.reason == UNSUPPORTED:
             self._unsupported.add(entry.incarnation)
+        else:
+            self._unread[entry.incarnation] = entry
         self._log.line(
             "cache_unread",
             upstream=entry.incarnation,
@@ -338,4 +365,5 @@
     def forget(self, incarnation: str) -> None:
         """Discards what is known of an upstream that has left."""
         self._found.pop(incarnation, None)
+        self._unread.pop(incarnation, None)
         self._unsupported.discard(incarnation)
--- a/packages/gateway/src/hollyknot_gateway/tests/test_cache_searches.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_cache_searches.py
@@ -10,6 +10,8 @@
 from hollyknot_coordination.forwarding import Held, part_id
 from hollyknot_gateway._cache_searches import (
     FIRST_PAUSE_S,
+    UNREAD_PAUSE_S,
+    UNREAD_S,
 )
 from hollyknot_gateway._ports import UNSUPPORTED, SourceFailure
 from hollyknot_gateway.tests._neighbour_network import DATA_CENTRES, Network
@@ -135,6 +137,42 @@
 
         run_virtually(test())
 
+    def test_what_a_partition_hid_is_read_once_it_is_over(self) -> None:
+        """Guards against searches that give up upstreams that are cut off."""
+
+        async def test() -> None:
+            upstreams = _upstreams(2)
+            network = _network(3, upstreams)
+            upstreams.failure = SourceFailure("connect-failed")
+            assert await _find(network, 0, 0) is None
+            assert await _find(network, 0, 0) is None
+            upstreams.failure = None
+            await asyncio.sleep(UNREAD_PAUSE_S + 0.1)
+            assert await _find(network, 1, 0) == "v0"
+            reads = max(upstreams.reads.values())
+            await asyncio.sleep(2 * UNREAD_PAUSE_S)
+            assert max(upstreams.reads.values()) == reads
+            network.stop()
+
+        run_virtually(test())
+
+    def test_an_upstream_that_stays_cut_off_is_given_up(self) -> None:
+        """Guards against reads of a dead upstream for ever."""
+
+        async def test() -> None:
+            upstreams = _upstreams(1)
+            network = _network(1, upstreams)
+            upstreams.failure = SourceFailure("connect-failed")
+            assert await _find(network, 0, 0) is None
+            await asyncio.sleep(UNREAD_S + UNREAD_PAUSE_S)
+            reads = max(upstreams.reads.values())
+            assert reads <= 1 + UNREAD_S / UNREAD_PAUSE_S
+            await asyncio.sleep(UNREAD_S)
+            assert max(upstreams.reads.values()) == reads
+            network.stop()
+
+        run_virtually(test())
+
     def test_a_second_host_reads_what_a_dead_one_was_to_read(self) -> None:
         """Guards against parts that nobody finds beside a dead host."""
 
