Ask callers to come back late for a partition only, not for a crashed upstream

An upstream that crashed silently or was taken away looked like one behind a cut, so that callers whose streams are lost for good were asked to come back later.

Change: all upstreams of a data centre have to ignore connections, two at least.

--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -39,11 +39,11 @@
 _UNAVAILABLE = 503
 
 UNREACHABLE_RETRY_S = 5.0
-"""Mean Retry-After in seconds while upstreams that may know the version of a
-stream are unreachable. A network partition mostly lasts longer than a search,
-and callers come back a few times only."""
+"""Mean Retry-After in seconds while a network partition hides upstreams that
+may have begun a stream. It mostly lasts longer than a search, and callers come
+back a few times only."""
 
-_UNREACHABLE = "an upstream that may have begun the stream is unreachable"
+_UNREACHABLE = "upstreams that may have begun the stream are unreachable"
 _LOST = frozenset({Reason.UPSTREAM_LOST, Reason.TRUNCATED})
 """Reasons of tries that were lost with their upstream or its connection."""
 
@@ -195,7 +195,7 @@
 
     def _give_up_unknown(self, job: Job, unknown: Verdict) -> GiveUp:
         """Refuses to go on with a stream of unknown version."""
-        if self._selector.has_silent(job.service.name):
+        if self._selector.are_hidden(job.service.name):
             unknown = attrs.evolve(
                 unknown,
                 detail=_UNREACHABLE,
--- a/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
@@ -1,5 +1,6 @@
 """Selects the upstream of each try, or says why and how long there is none."""
 
+from collections import Counter
 from collections.abc import Sequence
 
 import attrs
@@ -21,6 +22,9 @@
 from hollyknot_state import Outcome, Reason, Verdict
 from hollyknot_state.routes import UpstreamEntry
 
+MIN_HIDDEN = 2
+"""Least upstreams of a data centre that show a network partition."""
+
 MAX_PERMITS_REFUSED = 3
 """Refused permits after which a request avoids rate-limited upstreams: asking
 for a permit may take tens of milliseconds."""
@@ -224,13 +228,31 @@
             )
         )
 
-    def has_silent(self, service: str) -> bool:
-        """Whether an upstream of a service ignores connections."""
+    def are_hidden(self, service: str) -> bool:
+        """Whether a network partition seems to hide upstreams of a service.
+
+        All upstreams of a data centre then ignore connections. A single one
+        that does so may have crashed.
+        """
         parts = self._parts
-        entries = parts.in_force.registry.of_service(service)
+        serving = parts.in_force.registry.all_serving(parts.clock())
+        unreachable = parts.reachability.unreachable(serving)
+        silent: Counter[str] = Counter()
+        answering = set()
+        for entry in serving:
+            name = entry.incarnation
+            if name in unreachable and not parts.reachability.is_refusing(name):
+                silent[entry.data_centre] += 1
+            else:
+                answering.add(entry.data_centre)
+        hidden = {
+            data_centre
+            for data_centre, count in silent.items()
+            if data_centre not in answering and count >= MIN_HIDDEN
+        }
         return any(
-            not parts.reachability.is_refusing(incarnation)
-            for incarnation in parts.reachability.unreachable(entries)
+            entry.service == service and entry.data_centre in hidden
+            for entry in serving
         )
 
     def _doubtful(
