--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/_stream_versions.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/_stream_versions.py
@@ -7,11 +7,12 @@
 
 import hashlib
 from collections import OrderedDict
+from collections.abc import Callable
 
 import attrs
 
 from hollyknot_coordination.forwarding.streams._version_history import (
-    STREAM_RETENTION_S,
+    MIN_RETENTION_S,
 )
 
 MAX_STREAMS = 16_384
@@ -36,8 +37,15 @@
 class StreamVersions:
     """The version of each stream that began lately, as one host knows it."""
 
-    def __init__(self) -> None:
-        """Creates a memory without streams."""
+    def __init__(
+        self, retention_s: Callable[[], float] = lambda: MIN_RETENTION_S
+    ) -> None:
+        """Creates a memory without streams.
+
+        Args:
+            retention_s: Returns the seconds for which a stream is remembered.
+        """
+        self._retention_s = retention_s
         self._streams: OrderedDict[int, _Stream] = OrderedDict()
         self._forgotten = 0
 
@@ -59,7 +67,7 @@
     def find(self, stream: int, now_s: float) -> str | None:
         """Returns the version that began a stream, or None if unknown."""
         known = self._streams.get(stream)
-        if known is None or now_s - known.at_s >= STREAM_RETENTION_S:
+        if known is None or now_s - known.at_s >= self._retention_s():
             return None
         return known.version
 
@@ -75,7 +83,7 @@
     def _expire(self, now_s: float) -> None:
         while self._streams:
             oldest = next(iter(self._streams.values()))
-            is_old = now_s - oldest.at_s >= STREAM_RETENTION_S
+            is_old = now_s - oldest.at_s >= self._retention_s()
             if not is_old and len(self._streams) <= MAX_STREAMS:
                 return
             self._streams.popitem(last=False)
--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/_version_history.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/_version_history.py
@@ -10,10 +10,10 @@
 
 from hollyknot_state.routes import UpstreamEntry
 
-STREAM_RETENTION_S = 60.0
-"""Seconds for which a version that has left still counts, and for which it is
-remembered which version began a stream. No caller goes on with a stream after
-a longer time."""
+MIN_RETENTION_S = 60.0
+"""Least time in seconds for which a version that has left still counts, and for
+which it is remembered which version began a stream. Some routes let callers
+wait for longer."""
 
 CHANGE_S = 15.0
 """Seconds after the removal of a version's last entry in which most callers
@@ -29,6 +29,7 @@
         is_current: Callable[[], bool] = lambda: True,
         *,
         is_first_start: bool = False,
+        longest_stream_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Creates a history that knows nothing.
 
@@ -37,8 +38,11 @@
                 so that no version can have come that it has not seen.
             is_first_start: Whether no host has run before, so that no stream
                 can have begun at a version that has left.
+            longest_stream_s: Returns the seconds for which callers may go on
+                with a stream.
         """
         self._is_current = is_current
+        self._longest_stream_s = longest_stream_s
         # Entries as of the last update, compared by identity.
         self._entries: dict[str, Sequence[UpstreamEntry]] = {}
         # By service: time at which each version was listed last, in seconds.
@@ -47,6 +51,11 @@
         # By service: time since which a peer's word names every version.
         self._vouched_since_s: dict[str, float] = {}
 
+    @property
+    def retention_s(self) -> float:
+        """Seconds for which streams and versions that have left count."""
+        return max(MIN_RETENTION_S, self._longest_stream_s())
+
     def update(
         self, service: str, entries: Sequence[UpstreamEntry], now_s: float
     ) -> bool:
@@ -101,7 +110,7 @@
             now_s: Current time, in seconds.
         """
         self._listed_s.setdefault(service, {})[version] = now_s
-        self._vouched_since_s[service] = now_s - STREAM_RETENTION_S
+        self._vouched_since_s[service] = now_s - self.retention_s
 
     def miss(self, now_s: float) -> None:
         """Notes that versions may have come and gone unseen until now."""
@@ -114,7 +123,7 @@
         if len(listed_s) <= 1:
             return False
         current = {entry.version for entry in self._entries.get(service, ())}
-        since_s = now_s - STREAM_RETENTION_S
+        since_s = now_s - self.retention_s
         for version, at_s in list(listed_s.items()):
             if version not in current and at_s < since_s:
                 del listed_s[version]
@@ -135,7 +144,7 @@
         since_s = min(
             self._since_s, self._vouched_since_s.get(service, math.inf)
         )
-        return now_s - since_s < STREAM_RETENTION_S
+        return now_s - since_s < self.retention_s
 
     def only_version(self, service: str, now_s: float) -> str | None:
         """Returns the only version that served lately.
--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/tests/test_stream_versions.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/tests/test_stream_versions.py
@@ -12,7 +12,7 @@
 )
 from hollyknot_coordination.forwarding.streams._version_history import (
     CHANGE_S,
-    STREAM_RETENTION_S,
+    MIN_RETENTION_S,
 )
 from hollyknot_state import Address
 from hollyknot_state.routes import UpstreamEntry
@@ -29,7 +29,7 @@
         history.update("s", [FIRST], 1.0)
         assert not history.is_changing("s", 1.0)
         history.update("s", [FIRST, SECOND], 5.0)
-        assert history.is_changing("s", 5.0 + STREAM_RETENTION_S)
+        assert history.is_changing("s", 5.0 + MIN_RETENTION_S)
         history.update("s", [SECOND], 100.0)
         assert history.is_changing("s", 100.0 + CHANGE_S - 1)
         assert not history.is_changing("s", 100.0 + CHANGE_S)
@@ -49,18 +49,18 @@
         history = VersionHistory()
         history.update("s", [FIRST], 1.0)
         history.update("s", [SECOND], 5.0)
-        assert history.is_mixed("s", 5.0 + STREAM_RETENTION_S - 1)
-        assert not history.is_mixed("s", 5.0 + STREAM_RETENTION_S + 1)
+        assert history.is_mixed("s", 5.0 + MIN_RETENTION_S - 1)
+        assert not history.is_mixed("s", 5.0 + MIN_RETENTION_S + 1)
 
     def test_a_new_host_may_have_missed_a_version(self) -> None:
         """Guards against taking one version now for one version lately."""
         history = VersionHistory()
         assert history.may_have_missed("s", 100.0)
         history.update("s", [FIRST], 100.0)
-        assert history.may_have_missed("s", 100.0 + STREAM_RETENTION_S - 1)
-        assert history.only_version("s", 100.0 + STREAM_RETENTION_S - 1) is None
-        assert not history.may_have_missed("s", 100.0 + STREAM_RETENTION_S)
-        assert history.only_version("s", 100.0 + STREAM_RETENTION_S) == "v1"
+        assert history.may_have_missed("s", 100.0 + MIN_RETENTION_S - 1)
+        assert history.only_version("s", 100.0 + MIN_RETENTION_S - 1) is None
+        assert not history.may_have_missed("s", 100.0 + MIN_RETENTION_S)
+        assert history.only_version("s", 100.0 + MIN_RETENTION_S) == "v1"
 
     def test_no_version_was_missed_before_the_first_start(self) -> None:
         """Guards against questions about streams that can't exist."""
@@ -77,7 +77,7 @@
         assert history.note({"s": {"v1", "v2"}}, 101.0) == ["s"]
         assert history.note({"s": {"v1"}}, 102.0) == []
         assert history.only_version("s", 103.0) is None
-        later_s = 103.0 + STREAM_RETENTION_S
+        later_s = 103.0 + MIN_RETENTION_S
         assert history.only_version("s", later_s) == "v2"
 
     def test_a_peer_vouches_for_one_service(self) -> None:
@@ -95,8 +95,8 @@
         history.update("s", [FIRST], 0.0)
         history.vouch("s", "v1", 50.0)
         history.miss(100.0)
-        assert history.only_version("s", 100.0 + STREAM_RETENTION_S - 1) is None
-        assert history.only_version("s", 100.0 + STREAM_RETENTION_S) == "v1"
+        assert history.only_version("s", 100.0 + MIN_RETENTION_S - 1) is None
+        assert history.only_version("s", 100.0 + MIN_RETENTION_S) == "v1"
 
     def test_a_host_that_no_longer_follows_knows_no_only_version(self) -> None:
         """Guards against a list that the directory has left behind."""
@@ -123,8 +123,8 @@
     def test_old_streams_are_forgotten(self) -> None:
         versions = StreamVersions()
         versions.note(1, "s", "v1", 0.0)
-        assert versions.find(1, STREAM_RETENTION_S) is None
-        assert versions.of_service("s", STREAM_RETENTION_S) == {}
+        assert versions.find(1, MIN_RETENTION_S) is None
+        assert versions.of_service("s", MIN_RETENTION_S) == {}
         assert versions.forgotten == 0
 
     def test_streams_are_bounded_and_losses_counted(self) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -207,7 +207,11 @@
             clock,
         )
         history = VersionHistory(
-            is_current, is_first_start=settings.is_first_start
+            is_current,
+            is_first_start=settings.is_first_start,
+            longest_stream_s=lambda: (
+                in_force.longest_stream_s + settings.bounds.drain_s
+            ),
         )
         cached = CachedVersions()
         self._version_requester = VersionRequester(
--- a/packages/gateway/src/hollyknot_gateway/_routing_state.py
+++ b/packages/gateway/src/hollyknot_gateway/_routing_state.py
@@ -18,12 +18,15 @@
         index: The index of the route table in force; None for none.
         has_upstreams: Whether the upstreams have been listed at least once.
         evacuated: The data centres that get no new requests.
+        longest_stream_s: Longest time in seconds for which any table so far has
+            let callers wait for a stream that they may resume.
     """
 
     registry: UpstreamRegistry
     index: RouteIndex | None = None
     has_upstreams: bool = False
     evacuated: frozenset[str] = frozenset()
+    longest_stream_s: float = 0.0
     _newest: RouteIndex | None = attrs.field(default=None, init=False)
     _awaited: int = attrs.field(default=0, init=False)
 
@@ -67,6 +70,8 @@
         if newest is not None and table.version <= newest.table.version:
             return False
         self._newest = RouteIndex(table)
+        timeouts = (r.timeout_s for r in table.routes if r.may_resume)
+        self.longest_stream_s = max(self.longest_stream_s, *timeouts, 0.0)
         self.registry.set_services(table.services)
         self._update_index()
         return self.index is not None
--- a/packages/gateway/src/hollyknot_gateway/_version_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_version_requester.py
@@ -75,7 +75,7 @@
             log: Logs which version began a stream, and what is forgotten.
             clock: The loop's monotonic clock, in seconds.
         """
-        self._versions = StreamVersions()
+        self._versions = StreamVersions(lambda: history.retention_s)
         self._history = history
         self._cached = cached
         self._keepers = keepers
