--- a/packages/gateway/src/hollyknot_gateway/_job.py
+++ b/packages/gateway/src/hollyknot_gateway/_job.py
@@ -90,6 +90,7 @@
             part of it crashes upstreams.
         may_be_retried: Whether the host whose caller sent it can try again.
         resumes_copy: Whether the current try goes on from the copy of a run.
+        is_copied: Whether any run of it may have been copied.
     """
 
     request: CallerRequest
@@ -135,6 +136,7 @@
     relayed_for: str = ""
     may_be_retried: bool = False
     resumes_copy: bool = False
+    is_copied: bool = False
 
     @property
     def is_take_up(self) -> bool:
--- a/packages/gateway/src/hollyknot_gateway/_relay_sender.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_sender.py
@@ -110,6 +110,9 @@
         parts = self._parts
         if job.relayed_for or job.relays >= MAX_RELAYS:
             return None
+        if job.is_copied and job.may_have_run and job.version is None:
+            # A peer does not know at which version it may have left a copy.
+            return None
         owners = self._selector.other_slot_owners(job) - job.full_peers
         job.wants_slot = bool(owners)
         if owners and self._may_offer(job):
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -20,7 +20,7 @@
 from hollyknot_gateway._try_records import TryRecords
 from hollyknot_gateway._upstream_connection import UpstreamConnection
 from hollyknot_gateway._upstream_selector import UpstreamSelector
-from hollyknot_state import Outcome, Reason, Verdict
+from hollyknot_state import Address, Outcome, Reason, Verdict
 from hollyknot_state.routes import (
     Dispatch,
     RouteKind,
@@ -218,7 +218,9 @@
             lambda interval_s: self._record_interval(job, entry, interval_s),
             lambda traits, sent_s: parts.notices.observe(entry, traits, sent_s),
         )
-        data = self._request_bytes(job, choice)
+        copy_to = copy_target(parts, job, entry)
+        job.is_copied = job.is_copied or copy_to is not None
+        data = self._request_bytes(job, choice, copy_to)
         job.sent_s = parts.clock()
         job.is_resumed = job.reply.has_begun
         if not job.sent:
@@ -272,7 +274,9 @@
             job.is_proved = True
             parts.suspects.on_answer(job.identity, now)
 
-    def _request_bytes(self, job: Job, choice: Choice) -> bytes:
+    def _request_bytes(
+        self, job: Job, choice: Choice, copy_to: Address | None
+    ) -> bytes:
         entry, source = choice.entry, choice.source
         request = job.request
         dispatch = Dispatch(
@@ -283,7 +287,7 @@
             last_event_id=job.stream.resumes_after,
             is_engine=job.service.engine is not None,
             source=source.address if source is not None else None,
-            copy_to=copy_target(self._parts, job, entry),
+            copy_to=copy_to,
             goes_on_from=RunCopy(entry.address, job.call.resumes)
             if job.resumes_copy
             else None,
@@ -361,14 +365,15 @@
     def _record_result(self, job: Job, choice: Choice, result: Result) -> None:
         entry = choice.entry
         verdict = result.verdict
-        if not job.resumes_copy:
+        lacks_copy = job.resumes_copy and verdict.is_proved_not_run
+        if not lacks_copy:
             # That an upstream lacks a copy says nothing about its health.
             self._record_health(entry, verdict)
         if job.sent > job.sent_before:
             job.sent_before = job.sent
             self._parts.losses.on_try_end(entry, job.identity, verdict)
         job.tried |= {entry.incarnation}
-        if verdict.upstream_status == _UNAVAILABLE and not job.resumes_copy:
+        if verdict.upstream_status == _UNAVAILABLE and not lacks_copy:
             self._records.log_rejection(job, entry)
             now = self._parts.clock()
             self._parts.brittle.on_rejected(entry, job.sent_s, now)
--- a/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_selector.py
@@ -123,7 +123,8 @@
 
         A request leaves the parts of its prompt at upstreams before its first
         event. Tries at one version keep these a proof of the version, so that
-        others are used only if that one has no upstream left.
+        others are used only if that one has no upstream left, and none if a run
+        may have left a copy.
         """
         version = job.tried_version
         is_fixed = job.version is not None or version is None
@@ -136,7 +137,7 @@
             return others
         excluded = others | blocked | job.tried | self.unreachable(entries)
         is_left = any(e.incarnation not in excluded for e in entries)
-        return others if is_left else frozenset()
+        return others if is_left or job.is_copied else frozenset()
 
     def reaches_none(self, job: Job) -> bool:
         """Whether all upstreams that may get a request are unreachable.
