Tell what upstreams held for as long as it counts, also after they have left (LOST)

Cause: with each upstream read by one host, what it held was forgotten as it left; later searches, whose askers know more peers, did not tell it again.

The test fails before: None in place of v0.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -75,6 +75,7 @@
 )
 from hollyknot_coordination.forwarding.speeds import Speeds
 from hollyknot_coordination.forwarding.streams import (
+    CACHED_RETENTION_S,
     PARTS_ASKED,
     PARTS_TOLD,
     CachedVersions,
@@ -101,6 +102,7 @@
 )
 
 __all__ = [
+    "CACHED_RETENTION_S",
     "PARTS_ASKED",
     "PARTS_TOLD",
     "CacheReaders",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/__init__.py
@@ -4,6 +4,7 @@
     CacheReaders,
 )
 from hollyknot_coordination.forwarding.streams._cached_versions import (
+    CACHED_RETENTION_S,
     CachedVersions,
     Held,
     part_id,
@@ -29,6 +30,7 @@
 )
 
 __all__ = [
+    "CACHED_RETENTION_S",
     "PARTS_ASKED",
     "PARTS_TOLD",
     "CacheReaders",
--- a/packages/gateway/src/hollyknot_gateway/_cache_searches.py
+++ b/packages/gateway/src/hollyknot_gateway/_cache_searches.py
@@ -11,6 +11,7 @@
 import attrs
 
 from hollyknot_coordination.forwarding import (
+    CACHED_RETENTION_S,
     CachedVersions,
     CacheReaders,
     Held,
@@ -88,10 +89,12 @@
 
     Attributes:
         at_s: Time of the read in seconds.
+        entry: The upstream.
         numbers: Numbers of the parts.
     """
 
     at_s: float
+    entry: UpstreamEntry
     numbers: Sequence[int]
 
 
@@ -146,6 +149,8 @@
         self._wanted: asyncio.Queue[CacheSearch] = asyncio.Queue()
         # By incarnation: what the last successful read found.
         self._found: dict[str, _Parts] = {}
+        # The same of upstreams that have left since.
+        self._departed: dict[str, _Parts] = {}
         self._unsupported: set[str] = set()
         # By incarnation: upstreams that are to be read once they can be.
         self._unread: dict[str, UpstreamEntry] = {}
@@ -300,6 +305,19 @@
         async with asyncio.TaskGroup() as tasks:
             for entry in entries:
                 tasks.create_task(self._read_one(entry, limit))
+        self._tell_of_departed(search.pool)
+
+    def _tell_of_departed(self, service: str) -> None:
+        """Tells the parts of upstreams that were read and have left since.
+
+        The peers that were told may not be those that are asked by now.
+        """
+        now_s = self._clock()
+        for name, known in list(self._departed.items()):
+            if now_s - known.at_s >= CACHED_RETENTION_S:
+                del self._departed[name]
+            elif known.entry.service == service:
+                self._tell(known.entry, known.numbers)
 
     async def _read_one(
         self, entry: UpstreamEntry, limit: asyncio.Semaphore
@@ -332,7 +350,7 @@
             parts=len(found),
         )
         numbers = [part_id(entry.service, n) for n in found[:MAX_PARTS_READ]]
-        parts = _Parts(at_s, numbers)
+        parts = _Parts(at_s, entry, numbers)
         self._found[entry.incarnation] = parts
         return parts
 
@@ -363,7 +381,9 @@
                 self._rate.spend_on_queries(len(data))
 
     def forget(self, incarnation: str) -> None:
-        """Discards what is known of an upstream that has left."""
-        self._found.pop(incarnation, None)
+        """Handles an upstream that has left."""
+        found = self._found.pop(incarnation, None)
+        if found is not None:
+            self._departed[incarnation] = found
         self._unread.pop(incarnation, None)
         self._unsupported.discard(incarnation)
--- a/packages/gateway/src/hollyknot_gateway/tests/test_cache_searches.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_cache_searches.py
@@ -156,6 +156,25 @@
 
         run_virtually(test())
 
+    def test_what_upstreams_held_is_found_after_they_have_left(self) -> None:
+        """Guards against parts that only early keepers were told of."""
+
+        async def test() -> None:
+            upstreams = _upstreams(1)
+            network = _network(2, upstreams)
+            assert await _find(network, 0, 0) == "v0"
+            for host in network.hosts:
+                host.registry.remove("0", 0.0)
+                host.neighbours.cache_searches.forget("0")
+            late = network.hosts[1].neighbours.versions
+            late._cached._parts.clear()
+            network.hosts[0].neighbours.versions._cached._parts.clear()
+            await asyncio.sleep(FIRST_PAUSE_S)
+            assert await _find(network, 1, 0) == "v0"
+            network.stop()
+
+        run_virtually(test())
+
     def test_an_upstream_that_stays_cut_off_is_given_up(self) -> None:
         """Guards against reads of a dead upstream for ever."""
 
