Lines that tell garbage in a stream from joined answers (ORDER)

The lines of a try name neither such blocks nor whether its connection had been used, so that garbage within an answer looks like an answer that came late. Tries now tell both: strays, reused.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
@@ -20,6 +20,7 @@
         self._rest = b""
         self._last_id = ""
         self._events = 0
+        self._strays = 0
         self._resumes_after = ""
         self._goes_back = False
         self._is_resumable = True
@@ -34,6 +35,11 @@
         """Number of whole events with an id."""
         return self._events
 
+    @property
+    def strays(self) -> int:
+        """Number of blocks without an id after the first event with one."""
+        return self._strays
+
     @property
     def is_resumable(self) -> bool:
         """Whether the last whole event with data, if any, had an id."""
@@ -71,6 +77,8 @@
             self._resumes_after = ""
         if self._goes_back:
             return b""
+        if ids or self._last_id:
+            self._strays += _count_strays(whole)
         if ids:
             self._last_id = ids[-1]
             self._events += len(ids)
@@ -123,6 +131,19 @@
     return ids, ends_with_id
 
 
+def _count_strays(whole: bytes) -> int:
+    """Counts blocks that hold more than comments but no id."""
+    blocks = b"\n".join(whole.splitlines()).split(b"\n\n")
+    fields = [
+        [line for line in block.split(b"\n") if line and line[:1] != b":"]
+        for block in blocks
+    ]
+    return sum(
+        bool(lines) and not any(line.startswith(_ID) for line in lines)
+        for lines in fields
+    )
+
+
 def _follows(event_id: str, before: str) -> bool:
     """Whether an event may follow another one, as far as their ids tell."""
     if _is_number(event_id) and _is_number(before):
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -80,6 +80,8 @@
         intervals: Number of observed gaps between parts of a stream.
         is_other_upstream: Whether another incarnation now has the address.
         took_s: Seconds from sending the request to the end of the try.
+        strays: Blocks of a stream without an id, after events with ids.
+        is_reused: Whether the connection had carried other requests.
     """
 
     verdict: Verdict
@@ -89,6 +91,8 @@
     intervals: int = 0
     is_other_upstream: bool = False
     took_s: float = 0.0
+    strays: int = 0
+    is_reused: bool = False
 
 
 @attrs.define
@@ -318,6 +322,8 @@
             gap_s=self._gap_s,
             intervals=self._intervals,
             took_s=self._clock() - self._sent_s,
+            strays=self._stream.framer.strays,
+            is_reused=self._connection.requests > 1,
         )
 
     def _relay_events(self, data: bytes) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_try_records.py
+++ b/packages/gateway/src/hollyknot_gateway/_try_records.py
@@ -84,6 +84,8 @@
             after=job.stream.resumes_after,
             resumes=job.call.resumes,
             from_copy=job.resumes_copy,
+            reused=result.is_reused,
+            strays=result.strays,
         )
 
     def observe(self, job: Job, result: Result) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
@@ -117,6 +117,7 @@
         self._is_kept_alive = True
         self._is_patient = False
         self._idle_since = self._loop.time()
+        self._requests = 0
         self.keeps_s = 0.0
 
     @property
@@ -130,6 +131,11 @@
         is_idle = self._receiver is None and not self._input.is_waiting
         return self.is_open and is_idle and self._is_kept_alive
 
+    @property
+    def requests(self) -> int:
+        """Number of requests that have been written."""
+        return self._requests
+
     @property
     def idle_since(self) -> float:
         """Time at which the last answer ended, on the loop's clock."""
@@ -163,6 +169,7 @@
             receiver.on_lost(Lost.CLOSED)
             return
         self._set_patient(is_patient=is_patient)
+        self._requests += 1
         self._receiver = receiver
         self._payload = None
         self._head = b""
