--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Decides how a host forwards calls by routes, without doing any I/O."""
 
+from hollyknot_coordination.forwarding._event_blocks import EventFault
 from hollyknot_coordination.forwarding._events import EventFramer
 from hollyknot_coordination.forwarding._gap_tolerance import GapTolerance
 from hollyknot_coordination.forwarding._route_index import (
@@ -132,6 +133,7 @@
     "CustomerShares",
     "Demand",
     "Ended",
+    "EventFault",
     "EventFramer",
     "Forecasts",
     "GapTolerance",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
@@ -1,29 +1,59 @@
-"""Frames a stream of server-sent events into whole events without parsing them.
+"""Forwards of a stream of server-sent events only whole events of its run.
 
 An upstream may crash in the middle of an event. If the partial event were
 relayed, it would be joined to the first event of the upstream that resumes the
-stream, and the caller would read an event that nobody sent. So bytes are
-relayed only up to the end of an event, and the id of the last one is kept.
+stream, and the caller would read an event that nobody sent. A faulty upstream
+may send bytes that are no events, which its caller would read as some. So bytes
+are relayed only up to the end of an event that follows the one before it, and
+the id of the last one is kept.
 """
 
-_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
-_ID = b"id:"
-_DATA = b"data:"
-_MAX_DIGITS = 18
+import re
+
+from hollyknot_coordination.forwarding._event_blocks import (
+    MAX_NAME_BYTES,
+    EventFault,
+    Numbering,
+    follows,
+    has_bad_line,
+    is_number,
+    is_text,
+    numbering_of,
+    read_block,
+)
+
+MAX_BYTES_BETWEEN_EVENTS = 65_536
+"""Most bytes of comments and blank lines between two events; more are treated
+as bytes without end."""
+
+_USUAL_EVENT = re.compile(
+    rb"(?:id: ?([0-9]{1,18})\r?\n)?data:[^\r\n]*\r?\n\r?\n"
+)
+_END = re.compile(rb"\n\n|\r\n\r\n|\r\r|\n\r\n|\r\n\n")
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 class EventFramer:
-    """Buffers the partial event at the end of one stream."""
+    """Checks the events of one stream and buffers the partial one at its end.
+
+    The first event tells how all events of the stream are identified: by
+    increasing numbers, by other names, or not at all.
+    """
 
     def __init__(self) -> None:
         """Builds a framer at the beginning of a stream."""
-        self._rest = b""
+        self._rest = bytearray()
+        # Indices in the partial event: the end of the bytes that have been
+        # checked, and the beginning of the line that they end in.
+        self._checked = self._line = 0
         self._last_id = ""
         self._events = 0
-        self._strays = 0
-        self._resumes_after = ""
-        self._goes_back = False
-        self._is_resumable = True
+        self._before = ""
+        self._numbering: Numbering | None = None
+        self._number = -1
+        self._bytes_between = 0
+        self._fault: EventFault | None = None
+        self._may_have_mark = True
 
     @property
     def last_id(self) -> str:
@@ -32,23 +62,18 @@
 
     @property
     def events(self) -> int:
-        """Number of whole events with an id."""
+        """Number of whole events."""
         return self._events
 
-    @property
-    def strays(self) -> int:
-        """Number of blocks without an id after the first event with one."""
-        return self._strays
-
     @property
     def is_resumable(self) -> bool:
-        """Whether the last whole event with data, if any, had an id."""
-        return self._is_resumable
+        """Whether the events so far, if any, have ids."""
+        return self._numbering is not Numbering.NONE
 
     @property
-    def goes_back(self) -> bool:
-        """Whether the events of a resumed stream begin before their place."""
-        return self._goes_back
+    def fault(self) -> EventFault | None:
+        """Why the bytes after those returned are no events of the stream."""
+        return self._fault
 
     @property
     def has_partial_event(self) -> bool:
@@ -61,30 +86,32 @@
         return len(self._rest)
 
     def feed(self, data: bytes) -> bytes:
-        """Adds bytes and returns all whole events that are buffered."""
-        if self._rest:
-            data = self._rest + data
-        end = max(
-            data.rfind(mark) + len(mark) * (mark in data) for mark in _ENDS
-        )
-        if end <= 0:
-            self._rest = data
-            return b""
-        whole, self._rest = data[:end], data[end:]
-        ids, ends_with_id = _read(whole)
-        if ids and self._resumes_after:
-            self._goes_back = not _follows(ids[0], self._resumes_after)
-            self._resumes_after = ""
-        if self._goes_back:
+        """Adds bytes and returns all whole events that are buffered.
+
+        Returns:
+            The events up to the first bytes that are none. If there are such
+            bytes, `fault` is set, and they and all further ones are discarded.
+        """
+        if self._fault is not None:
             return b""
-        if ids or self._last_id:
-            self._strays += _count_strays(whole)
-        if ids:
-            self._last_id = ids[-1]
-            self._events += len(ids)
-        if ends_with_id is not None:
-            self._is_resumable = ends_with_id
-        return whole
+        if self._rest:
+            self._rest += data
+            if b"\n" not in data and b"\r" not in data:
+                self._check_line()
+                return b""
+            if self._find_end(self._rest, 0) is None:
+                self._check_partial()
+                return b""
+            data = bytes(self._rest)
+        end = self._read_blocks(data)
+        if end == len(data):
+            self.drop_partial()
+            return data
+        self._rest = bytearray(data[end:])
+        if end:
+            self._checked = self._line = 0
+        self._check_partial()
+        return data[:end]
 
     def resume(self, after: str) -> None:
         """Expects the events of another upstream, without the partial one.
@@ -94,63 +121,124 @@
                 the stream.
         """
         self.drop_partial()
-        self._resumes_after = after
-        self._goes_back = False
+        self._before = after
+        self._bytes_between = 0
+        self._fault = None
+        self._may_have_mark = not self._events
+        if not self._events:
+            is_numbered = is_number(after)
+            self._numbering = Numbering.NUMBERS if is_numbered else None
+            self._number = int(after) if is_numbered else -1
 
     def drop_partial(self) -> None:
         """Discards a partial event."""
-        self._rest = b""
+        self._rest.clear()
+        self._checked = self._line = 0
 
     def flush(self) -> bytes:
         """Returns the buffered bytes at the end of a complete stream."""
-        rest, self._rest = self._rest, b""
+        rest = bytes(self._rest)
+        self.drop_partial()
         return rest
 
-
-def _read(whole: bytes) -> tuple[list[str], bool | None]:
-    """Reads whole events.
-
-    Returns:
-        Their ids in order, and whether the last event with data has an id; None
-        if no event has data.
-    """
-    ids = []
-    ends_with_id = None
-    has_id = has_data = False
-    for line in whole.splitlines():
-        if line.startswith(_ID):
-            event_id = line[len(_ID) :].strip()
-            ids.append(event_id.decode("utf-8", "surrogateescape"))
-            has_id = True
-        elif line.startswith(_DATA):
-            has_data = True
-        elif not line:
-            if has_data:
-                ends_with_id = has_id
-            has_id = has_data = False
-    return ids, ends_with_id
-
-
-def _count_strays(whole: bytes) -> int:
-    """Counts blocks that hold more than comments but no id."""
-    blocks = b"\n".join(whole.splitlines()).split(b"\n\n")
-    fields = [
-        [line for line in block.split(b"\n") if line and line[:1] != b":"]
-        for block in blocks
-    ]
-    return sum(
-        bool(lines) and not any(line.startswith(_ID) for line in lines)
-        for lines in fields
-    )
-
-
-def _follows(event_id: str, before: str) -> bool:
-    """Whether an event may follow another one, as far as their ids tell."""
-    if _is_number(event_id) and _is_number(before):
-        return int(event_id) > int(before)
-    return event_id != before
-
-
-def _is_number(event_id: str) -> bool:
-    is_short = len(event_id) <= _MAX_DIGITS
-    return is_short and event_id.isascii() and event_id.isdigit()
+    def _read_blocks(self, data: bytes) -> int:
+        """Reads whole blocks; returns the end of the last sound one."""
+        position = self._mark_length(data) if self._may_have_mark else 0
+        is_ascii = data.isascii()
+        while position < len(data):
+            usual = _USUAL_EVENT.match(data, position)
+            if usual is not None and (is_ascii or is_text(usual[0])):
+                end = usual.end()
+                self._fault = self._add_usual(usual[1])
+            else:
+                end = self._read_block(data, position)
+            if self._fault is not None or end < 0:
+                break
+            self._may_have_mark = False
+            position = end
+        return position
+
+    def _read_block(self, data: bytes, start: int) -> int:
+        """Reads any block; returns its end, or -1 if it is not whole."""
+        end = self._find_end(data, start)
+        if end is None:
+            return -1
+        self._fault = self._add_block(data[start:end])
+        return end
+
+    def _find_end(self, data: bytes | bytearray, start: int) -> int | None:
+        """Finds the end of the block that begins at an index."""
+        # A blank line may have begun in the bytes that have been checked.
+        begin = max(start, self._checked - len(b"\r\n\r"))
+        found = _END.search(data, begin)
+        return None if found is None else found.end()
+
+    def _add_usual(self, digits: bytes | None) -> EventFault | None:
+        """Adds an event that has a number or no id."""
+        if digits is None or self._numbering is not Numbering.NUMBERS:
+            return self._add_event((digits or b"").decode())
+        number = int(digits)
+        if number <= self._number:
+            return EventFault.OUT_OF_ORDER
+        self._number = number
+        self._note_event(digits.decode())
+        return None
+
+    def _add_block(self, data: bytes) -> EventFault | None:
+        block = read_block(data)
+        if isinstance(block, EventFault):
+            return block
+        if block.is_event:
+            return self._add_event(block.event_id)
+        self._bytes_between += len(data)
+        if self._bytes_between > MAX_BYTES_BETWEEN_EVENTS:
+            return EventFault.NO_EVENTS
+        return None
+
+    def _add_event(self, event_id: str) -> EventFault | None:
+        numbering = numbering_of(event_id)
+        if self._numbering is None:
+            is_like_before = numbering is not Numbering.NONE or not self._before
+        else:
+            is_like_before = numbering is self._numbering
+        if not is_like_before:
+            return EventFault.OTHER_NUMBERING
+        if event_id and not follows(event_id, self._before):
+            return EventFault.OUT_OF_ORDER
+        self._numbering = numbering
+        if numbering is Numbering.NUMBERS:
+            self._number = int(event_id)
+        self._note_event(event_id)
+        return None
+
+    def _note_event(self, event_id: str) -> None:
+        self._events += 1
+        self._bytes_between = 0
+        if event_id:
+            self._before = self._last_id = event_id
+
+    def _check_line(self) -> None:
+        """Checks the line that the partial event ends in, until it is named."""
+        if self._checked - self._line <= MAX_NAME_BYTES:
+            self._check_partial()
+        self._checked = len(self._rest)
+
+    def _check_partial(self) -> None:
+        """Finds a line that no event has before the block is whole."""
+        if self._fault is not None:
+            self.drop_partial()
+            return
+        lines = bytes(self._rest[self._line :])
+        if self._may_have_mark and _BYTE_ORDER_MARK.startswith(lines[:3]):
+            return
+        if has_bad_line(lines):
+            self._fault = EventFault.NOT_A_FIELD
+            self.drop_partial()
+            return
+        self._checked = len(self._rest)
+        self._line += 1 + max(lines.rfind(b"\n"), lines.rfind(b"\r"))
+
+    def _mark_length(self, data: bytes) -> int:
+        """Returns the length of the byte order mark that may begin a stream."""
+        has_mark = self._may_have_mark and data.startswith(_BYTE_ORDER_MARK)
+        return len(_BYTE_ORDER_MARK) if has_mark else 0
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_events.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_events.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from hollyknot_coordination.forwarding import EventFramer
+from hollyknot_coordination.forwarding import EventFault, EventFramer
+from hollyknot_coordination.forwarding._events import MAX_BYTES_BETWEEN_EVENTS
 
 
 class TestEventFramer:
@@ -63,18 +64,17 @@
         assert framer.feed(b": a comment\n\n")
         event = f"id: {first}\ndata: a\n\n".encode()
         assert framer.feed(event) == (b"" if goes_back else event)
-        assert framer.goes_back is goes_back
+        is_fault = framer.fault is EventFault.OUT_OF_ORDER
+        assert is_fault is goes_back
         assert framer.last_id == ("" if goes_back else first)
         framer.resume("0")
-        assert not framer.goes_back
+        assert framer.fault is None
 
     @pytest.mark.parametrize(
         ("whole", "is_resumable"),
         [
             (b": a comment\n\n", True),
             (b"data: a\n\n", False),
-            (b"data: a\n\nid: 1\ndata: b\n\n", True),
-            (b"id: 1\ndata: a\n\ndata: b\n\n", False),
             (b"id: 1\r\ndata: a\r\n\r\n: a comment\r\n\r\n", True),
             (b"data: a\n\n: a comment\n\n", False),
         ],
@@ -85,5 +85,64 @@
         """Guards against events that come twice, as none tells their place."""
         framer = EventFramer()
         assert framer.is_resumable
-        framer.feed(whole)
+        assert framer.feed(whole) == whole
         assert framer.is_resumable is is_resumable
+
+    @pytest.mark.parametrize(
+        ("first", "second"),
+        [
+            (b"data: a\n\n", b"id: 1\ndata: b\n\n"),
+            (b"id: 1\ndata: a\n\n", b"data: b\n\n"),
+            (b"id: a\ndata: a\n\n", b"id: 1\ndata: b\n\n"),
+        ],
+    )
+    def test_events_of_one_stream_are_identified_alike(
+        self, first: bytes, second: bytes
+    ) -> None:
+        """Guards against an event whose place in the stream nobody knows."""
+        framer = EventFramer()
+        assert framer.feed(first + second) == first
+        assert framer.fault is EventFault.OTHER_NUMBERING
+        assert framer.feed(first) == b""
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b": hello\n\nretry: 100\n\nid: 1\ndata: a\n\n",
+            b"x-weight-versions: 2\nid: 1\nevent: e\ndata: a\ndata\n\n",
+            b"\r\n\r\nid:1\r\ndata:a\r\n\r\n\r\nid: 22\r\ndata: b\r\n\r\n",
+            b"id: 1\rdata: a\r\rdata: b\rid: 7\r\r",
+            "\ufeffid: 1\ndata: \u20ac\n\nid: 2\r\ndata: \0\n\r\n".encode(),
+            b"data: {}\n\ndata: [DONE]\n\n",
+        ],
+    )
+    @pytest.mark.parametrize("size", [1, 2, 3, 5, 1000])
+    def test_sound_streams_pass_unchanged(self, data: bytes, size: int) -> None:
+        """Guards against sound streams that are broken off as faulty."""
+        framer = EventFramer()
+        parts = [
+            framer.feed(data[at : at + size])
+            for at in range(0, len(data), size)
+        ]
+        assert framer.fault is None
+        assert b"".join(parts) == data
+
+    @pytest.mark.parametrize("block", [b"\n\n", b": wait\n\n", b"retry: 1\n\n"])
+    def test_blocks_without_end_are_bounded(self, block: bytes) -> None:
+        """Guards against a try that lasts to its time limit for nothing."""
+        framer = EventFramer()
+        passed = sum(len(framer.feed(block)) for _ in range(100_000))
+        assert passed <= MAX_BYTES_BETWEEN_EVENTS
+        assert framer.fault is EventFault.NO_EVENTS
+
+    @pytest.mark.parametrize(
+        "line", [b"\0\0", b"<", b"Oops, ", b"\xff", b"a" * 99]
+    )
+    def test_a_line_that_is_no_field_is_found_before_its_end(
+        self, line: bytes
+    ) -> None:
+        """Guards against lines without end that pass for a long event."""
+        framer = EventFramer()
+        framer.feed(b"id: 1\ndata: a\n")
+        framer.feed(line)
+        assert framer.fault is EventFault.NOT_A_FIELD
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -80,7 +80,6 @@
         intervals: Number of observed gaps between parts of a stream.
         is_other_upstream: Whether another incarnation now has the address.
         took_s: Seconds from sending the request to the end of the try.
-        strays: Blocks of a stream without an id, after events with ids.
         is_reused: Whether the connection had carried other requests.
     """
 
@@ -91,7 +90,6 @@
     intervals: int = 0
     is_other_upstream: bool = False
     took_s: float = 0.0
-    strays: int = 0
     is_reused: bool = False
 
 
@@ -138,10 +136,10 @@
             connection: The upstream's connection; paused while the caller is
                 slow.
             clock: The loop's monotonic clock, in seconds.
-            on_first_event: Called before the first bytes of a relayed answer
-                are written to the caller.
+            on_first_event: Called before the first event of a stream, or the
+                first bytes of a large answer, are written to the caller.
             on_interval: Called with the seconds between two parts of a
-                stream.
+                stream that hold whole events.
             on_traits: Called with what the answer's head says and the time at
                 which the request was sent.
         """
@@ -163,6 +161,7 @@
         self._gap_s = 0.0
         self._intervals = 0
         self._last_byte_s = self._sent_s
+        self._last_event_s = self._sent_s
         self._is_relayed = False
         self._has_events = False
         self._is_unbuffered = False
@@ -202,7 +201,7 @@
     def on_head(self, head: Head) -> None:
         """Reads the head and rejects answers that must not be forwarded."""
         self._head = head
-        self._last_byte_s = self._clock()
+        self._last_byte_s = self._last_event_s = self._clock()
         self._first_s = self._last_byte_s - self._sent_s
         traits = self._dialect.read_answer(head.status, head.fields)
         self._traits = traits
@@ -225,13 +224,7 @@
 
     def on_data(self, data: bytes) -> None:
         """Buffers or relays a part of the body."""
-        now_s = self._clock()
-        if self._is_relayed and self._reply.has_begun:
-            interval_s = now_s - self._last_byte_s
-            self._gap_s = max(self._gap_s, interval_s)
-            self._intervals += 1
-            self._on_interval(interval_s)
-        self._last_byte_s = now_s
+        self._last_byte_s = self._clock()
         if self.done.done():
             return
         if self._is_relayed:
@@ -322,28 +315,46 @@
             gap_s=self._gap_s,
             intervals=self._intervals,
             took_s=self._clock() - self._sent_s,
-            strays=self._stream.framer.strays,
             is_reused=self._connection.requests > 1,
         )
 
     def _relay_events(self, data: bytes) -> None:
-        complete = self._stream.framer.feed(data)
+        framer = self._stream.framer
+        before = framer.events
+        complete = framer.feed(data)
+        if framer.events > before:
+            self._note_event(is_first=not before)
         if complete:
-            self._has_events = True
             self._write_to_caller(complete)
-        if self._stream.framer.goes_back:
-            self.reject("the stream does not go on after its last event")
+        if framer.fault is not None:
+            self.reject(framer.fault.value)
             self._connection.abandon()
-        elif self._stream.framer.partial_bytes > MAX_EVENT_BYTES:
+        elif framer.partial_bytes > MAX_EVENT_BYTES:
             self._fail(Reason.TRUNCATED, Lost.FLOODED.value)
-            self._stream.framer.drop_partial()
+            framer.drop_partial()
             self._connection.abandon()
 
+    def _note_event(self, *, is_first: bool) -> None:
+        """Notes that the caller is about to get events.
+
+        Args:
+            is_first: Whether no try has brought any before.
+        """
+        now_s = self._last_byte_s
+        self._has_events = True
+        if is_first:
+            self._first_s = now_s - self._sent_s
+            self._on_first_event()
+        else:
+            interval_s = now_s - self._last_event_s
+            self._gap_s = max(self._gap_s, interval_s)
+            self._intervals += 1
+            self._on_interval(interval_s)
+        self._last_event_s = now_s
+
     def _write_to_caller(self, data: bytes) -> None:
         assert self._head is not None
         if not self._reply.has_begun:
-            self._first_s = self._clock() - self._sent_s
-            self._on_first_event()
             self._reply.start(
                 self._head.status, end_to_end(self._head.headers), data
             )
@@ -374,6 +385,8 @@
         data = b"".join(self._parts)
         self._parts.clear()
         self._is_unbuffered = True
+        self._first_s = self._clock() - self._sent_s
+        self._on_first_event()
         self._write_to_caller(data)
 
     def _end_stream(self) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_metrics.py
+++ b/packages/gateway/src/hollyknot_gateway/_metrics.py
@@ -127,6 +127,7 @@
 RELAYS_TAKEN = "hollyknot_relays_taken_total"
 OFFERS_WITHHELD = "hollyknot_offers_withheld_total"
 FLOODS = "hollyknot_floods_total"
+GARBLED = "hollyknot_garbled_streams_total"
 TASK_FAILURES = "hollyknot_task_failures_total"
 TAKE_UPS = "hollyknot_take_ups_total"
 CACHE_READS = "hollyknot_cache_reads_total"
@@ -144,6 +145,7 @@
     RELAYS_TAKEN: "Tries made for peers, by service and outcome.",
     OFFERS_WITHHELD: "Offers not made, as peers accept few, by service.",
     FLOODS: "Tries that ended as the upstream sent no end, by service.",
+    GARBLED: "Tries that ended at bytes that are no event, by service.",
     TASK_FAILURES: "Ends of tasks that should run all the time, by task.",
     TAKE_UPS: "Streams taken up, by the ground of their version.",
     CACHE_READS: "Upstreams asked which parts of prompts they hold.",
--- a/packages/gateway/src/hollyknot_gateway/_try_records.py
+++ b/packages/gateway/src/hollyknot_gateway/_try_records.py
@@ -85,7 +85,6 @@
             resumes=job.call.resumes,
             from_copy=job.resumes_copy,
             reused=result.is_reused,
-            strays=result.strays,
         )
 
     def observe(self, job: Job, result: Result) -> None:
@@ -100,6 +99,8 @@
         )
         if verdict.detail == Lost.FLOODED.value:
             parts.metrics.count(metrics.FLOODS, service=job.service.name)
+        if job.stream.framer.fault is not None:
+            parts.metrics.count(metrics.GARBLED, service=job.service.name)
         if verdict.is_complete and job.late is not Late.NO:
             parts.metrics.count(
                 metrics.LATE, route=job.route.name, cause=job.late.value
--- a/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
@@ -224,6 +224,7 @@
     """The connection of an upstream that streams without end."""
 
     keeps_s: float = 0.0
+    requests: int = 1
     is_abandoned: bool = False
 
     def abandon(self) -> None:
