Join no large refusal to a stream that has begun (ORDER)

What a caller could see: a stream that breaks off, and behind its events the body of another upstream's refusal, as a whole answer.

Cause: a refusal may follow a stream that has begun, since it lets the next upstream be asked; an answer of over 1 MiB is passed on as it comes, and the check for that looked at the seal and the status only.

Change: a refusal is never passed on as it comes. The test failed before: two events and two megabytes of zeros, ended as whole.

--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -378,7 +378,8 @@
         """Starts to relay an answer that is too large to buffer."""
         assert self._head is not None
         assert self._traits is not None
-        if not self._traits.is_sealed or self._head.status in _NOT_RUN_STATUSES:
+        is_proved = self._traits.is_sealed and not self._traits.is_refusal
+        if not is_proved or self._head.status in _NOT_RUN_STATUSES:
             self.reject("a large answer without proof of origin")
             self._connection.abandon()
             return
