--- a/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
@@ -13,10 +13,10 @@
 from typing import Any, Protocol, cast
 
 import attrs
-from aiohttp import StreamReader
+from aiohttp import HttpVersion11, StreamReader
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.http_parser import HttpResponseParser
+from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 
 from hollyknot_gateway._paced_input import PacedInput
 
@@ -48,6 +48,10 @@
 KEEPALIVE_PROBES = 2
 _UNREACHED_LIMIT_BYTES = 2**26
 _HEAD_END = b"\r\n\r\n"
+_CONTROLS = bytes(set(range(32)) - set(b"\t\r\n")) + b"\x7f"
+"""Bytes that no head may hold. The parser passes most of them on."""
+
+_STATUSES = range(100, 600)
 _CONTINUE = 100
 _INFORMATIONAL = 200
 
@@ -325,10 +329,13 @@
         assert self._parser is not None
         assert self._receiver is not None
         messages, is_upgraded, _ = self._parser.feed_data(data)
-        if not messages or is_upgraded:
+        if not messages or is_upgraded or not _is_clean(data):
             self._fail(Lost.GARBLED)
             return False
         message, payload = messages[0]
+        if not _is_answer(message):
+            self._fail(Lost.GARBLED)
+            return False
         if message.code < _INFORMATIONAL:
             if message.code == _CONTINUE:
                 self._send_body()
@@ -424,6 +431,29 @@
             receiver.on_lost(lost)
 
 
+def _is_clean(head: bytes) -> bool:
+    """Whether a head has no control bytes and all its lines end alike.
+
+    The parser also ends a head, and begins its body, at line feeds alone.
+    """
+    has_controls = len(head.translate(None, _CONTROLS)) < len(head)
+    return not has_controls and head.count(b"\n") == head.count(b"\r\n")
+
+
+def _is_answer(message: RawResponseMessage) -> bool:
+    """Whether a head is that of an answer whose body can be read.
+
+    No request allows any transfer coding but chunks.
+    """
+    codings = message.headers.getall("Transfer-Encoding", ())
+    is_coded = bool(codings) and (
+        message.version < HttpVersion11
+        or [coding.strip().lower() for coding in codings] != ["chunked"]
+    )
+    is_http1 = message.version.major == 1
+    return is_http1 and message.code in _STATUSES and not is_coded
+
+
 def set_socket_options(transport: asyncio.Transport) -> None:
     """Sets socket options that detect a dead peer within seconds."""
     sock = transport.get_extra_info("socket")
