--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -213,10 +213,12 @@
             # ran is unknown.
             self.reject("the answer names another request")
             return
-        self._on_traits(traits, self._sent_s)
         if _ENCODING in head.fields:
             self.reject("the body has a Content-Encoding")
-        elif head.status == _OK and traits.is_event_stream:
+            return
+        if _is_believed(head, traits):
+            self._on_traits(traits, self._sent_s)
+        if head.status == _OK and traits.is_event_stream:
             self._is_relayed = traits.is_sealed or self._reply.has_begun
             if not self._is_relayed:
                 self.reject("an event stream without proof of origin")
@@ -399,3 +401,12 @@
     def _set_result(self, result: Result) -> None:
         if not self.done.done():
             self.done.set_result(result)
+
+
+def _is_believed(head: Head, traits: AnswerTraits) -> bool:
+    """Whether the notices in a head are taken for the upstream's.
+
+    A success without proof of origin may come from anything at the upstream's
+    address.
+    """
+    return traits.is_sealed or head.status >= _MIN_ERROR_STATUS
