Trust nameless answers on new connections only (MIXED, LOST)

Replicas name the request in each answer, since one may come late or twice, where the next answer is expected. An answer that named no request was taken for that of the request in flight: a success or a refusal to another request, and an error page of whatever has the address, reached the caller. And after an answer that was one too many its connection was used again, so that the next request, of another caller, was lost with it.

An answer without an id now counts only as the first on its connection, where no other request can have been meant, and with a seal or a refusal. One that does not count also ends its connection, as the right answer may still follow. Answers that a peer gives itself are read by their headers alone, as they need not name the request.

Before: test_answers_that_name_no_request_need_a_new_connection gave 404 for the error page in place of 502, and test_an_answer_too_many_costs_one_request [200, 502, 502, 200, 200], [200, 200, 502, ...], [200, 503, 502, ...] and [200, 404, 502, ...] in place of [200, 502, 200, 200, 200]. After: both pass, as do the tests of promises, notices, relays, copies, versions and orders.

--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -207,11 +207,13 @@
         traits = self._dialect.read_answer(head.status, head.fields)
         self._traits = traits
         self._connection.keeps_s = traits.keeps_s
-        answered_id = traits.attempt_id
-        if answered_id and answered_id != self._attempt_id:
-            # This is a late answer to an earlier request. Whether this request
-            # ran is unknown.
-            self.reject("the answer names another request")
+        if traits.attempt_id != self._attempt_id and (
+            traits.attempt_id or not self._may_omit_id(traits)
+        ):
+            # This may be a late answer to an earlier request. Whether this
+            # request ran is unknown, and its own answer may still follow.
+            self.reject("the answer names another request or none")
+            self._connection.abandon()
             return
         if _ENCODING in head.fields:
             self.reject("the body has a Content-Encoding")
@@ -278,6 +280,11 @@
         """Fails a try whose answer can't be completed."""
         self._fail(_REASONS[lost], lost.value)
 
+    def _may_omit_id(self, traits: AnswerTraits) -> bool:
+        """Whether an answer that names no request can be to this one only."""
+        is_proved = traits.is_sealed or traits.is_refusal
+        return is_proved and self._connection.requests == 1
+
     def _classify(self, head: Head, traits: AnswerTraits) -> Result:
         status = head.status
         if traits.is_refusal:
--- a/packages/gateway/src/hollyknot_gateway/_relay_sender.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_sender.py
@@ -80,6 +80,10 @@
 
     def on_head(self, head: Head) -> None:
         self.told = read_peer_headers(head.fields)
+        if self.told.verdict is not None:
+            # The peer's own answer, which need not name the request.
+            self._exchange.reject(self.told.verdict.detail)
+            return
         if not self._accepts(self.told):
             self._exchange.reject(_OTHER_VERSION)
             return
