Refuse engines' heads that are no answer (hollyknotd)

A caller who asked for a stream got an HTML page, or a body of no type, as a whole answer, and a status 0 or 999 was passed on. A 200 with X-Not-Run proved that the request had not run, so that it went to another engine. A refusal whose Retry-After was a superscript digit counted as a lost connection, as str.isdigit() takes it and float() does not, and 400 digits made the wait infinite.

A head is now an answer if its status is from 100 to 599, X-Not-Run stands only beside an error, and a 200 for a stream is one of events or, from engines that do not stream, JSON. Retry-After is read from ASCII digits, nine at most.

--- a/packages/transport/src/hollyknot_transport/_exchange.py
+++ b/packages/transport/src/hollyknot_transport/_exchange.py
@@ -42,7 +42,15 @@
 _READ_BUFFER_BYTES = 16_384
 _DONE_LINE = b"data: [DONE]"
 _TAIL_BYTES = 64
+_OK = 200
+_CLIENT_ERROR = 400
 _SERVER_ERROR = 500
+_STATUSES = range(100, 600)
+_STREAM_TYPES = frozenset({"text/event-stream", "application/json"})
+"""Types of an engine's answer to a request for a stream; it may answer with a
+document instead."""
+
+_MAX_RETRY_DIGITS = 9
 _FORWARDED_ANSWER_HEADERS = ("Content-Type", "Location", "Cache-Control")
 _ENCODING = "Content-Encoding"
 
@@ -298,11 +306,13 @@
         ) as response:
             self._watched.progress_at = self._clock()
             self._watched.phase = Phase.NEXT_BYTES
-            if response.headers.get(NOT_RUN) == "true":
+            is_error = response.status >= _CLIENT_ERROR
+            if is_error and response.headers.get(NOT_RUN) == "true":
                 return self._refused_result(response)
             # The answer to another request must never reach this caller.
             answered_id = response.headers.get(REQUEST_ID, request.request_id)
-            if answered_id != request.request_id:
+            is_other = answered_id != request.request_id
+            if is_other or not self._is_answer(response):
                 return self.incomplete_result(
                     Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_ERROR
                 )
@@ -311,6 +321,16 @@
                 return await self._relay(response, head)
             return await self._read_whole(response, head)
 
+    def _is_answer(self, response: aiohttp.ClientResponse) -> bool:
+        """Whether a head can be that of an answer to this request."""
+        status = response.status
+        if status >= _CLIENT_ERROR:
+            return status in _STATUSES
+        if status not in _STATUSES or NOT_RUN in response.headers:
+            return False
+        is_stream = self._request.is_streamed and status == _OK
+        return not is_stream or response.content_type in _STREAM_TYPES
+
     def _refused_result(self, response: aiohttp.ClientResponse) -> Result:
         verdict = Verdict(
             Outcome.NOT_RUN,
@@ -426,4 +446,5 @@
 
 
 def _retry_after_s(text: str) -> float:
-    return float(text) if text.isdigit() else 0.0
+    is_number = text.isascii() and text.isdigit()
+    return float(text[:_MAX_RETRY_DIGITS]) if is_number else 0.0
--- a/packages/transport/src/hollyknot_transport/tests/test_upstream_requests.py
+++ b/packages/transport/src/hollyknot_transport/tests/test_upstream_requests.py
@@ -7,9 +7,10 @@
 import pytest
 from aiohttp import connector, web
 
-from hollyknot_state import Address, Nature, Outcome
+from hollyknot_state import Address, Nature, Outcome, Reason
 from hollyknot_transport import (
     IDLE_CONNECTION_S,
+    Result,
     Sink,
     StallGuard,
     UpstreamAnswer,
@@ -121,3 +122,66 @@
             "content-length": "2",
             "content-type": "application/octet-stream",
         }
+
+
+_NO_ANSWERS = {
+    "status 0": "000 X\r\nContent-Type: text/event-stream",
+    "status 999": "999 X\r\nContent-Type: text/event-stream",
+    "page": "200 OK\r\nContent-Type: text/html",
+    "no type": "200 OK",
+    "success not run": "200 OK\r\nContent-Type: text/event-stream\r\n"
+    "X-Not-Run: true",
+}
+
+
+async def _result(head: str) -> Result:
+    """Returns the result of a request for a stream."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(f"HTTP/1.1 {head}\r\nContent-Length: 1\r\n\r\n<".encode())
+        writer.close()
+
+    server = await asyncio.start_server(serve, _IP, 0)
+    port = server.sockets[0].getsockname()[1]
+    exchanges = UpstreamClient(StallGuard())
+    request = UpstreamRequest(
+        url=f"http://{_IP}:{port}/",
+        method="GET",
+        headers={},
+        body=b"",
+        request_id="req-1",
+        nature=Nature.NON_IDEMPOTENT,
+        is_streamed=True,
+        first_byte_s=20.0,
+        next_bytes_s=20.0,
+    )
+    async with server:
+        result = await exchanges.run(request, _SINK)
+        await exchanges.close()
+    return result
+
+
+class TestNoAnswers:
+    """Heads that are no answer to a request for a stream."""
+
+    @pytest.mark.parametrize("name", _NO_ANSWERS)
+    def test_reach_no_caller_and_prove_nothing(self, name: str) -> None:
+        """Guards against pages for streams, and requests that run twice."""
+        verdict = asyncio.run(_result(_NO_ANSWERS[name])).verdict
+        assert verdict.outcome is Outcome.MAY_HAVE_RUN
+        assert verdict.reason is Reason.UPSTREAM_ERROR
+
+    @pytest.mark.parametrize(
+        ("text", "expected_s"), [("3", 3.0), ("\u00b2", 0.0), ("9" * 400, 1e9)]
+    )
+    def test_refusals_count_whatever_their_retry_after(
+        self, text: str, expected_s: float
+    ) -> None:
+        """Guards against refusals that are taken for lost connections."""
+        head = f"503 X\r\nX-Not-Run: true\r\nRetry-After: {text}"
+        verdict = asyncio.run(_result(head)).verdict
+        assert verdict.outcome is Outcome.NOT_RUN
+        assert verdict.retry_after_s == pytest.approx(expected_s)
