--- a/packages/gateway/src/hollyknot_gateway/_relay_messages.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_messages.py
@@ -6,6 +6,7 @@
 complete, and which upstream it chose.
 """
 
+import math
 import urllib.parse
 
 import attrs
@@ -40,6 +41,9 @@
 _ANSWERED = "answered"
 """The outcome of a try whose answer is the upstream's own."""
 
+_UNKNOWN_VERDICT = Verdict(
+    Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_ERROR, "unknown verdict"
+)
 _PREFIX = b"hollyknot-"
 _MS = 1000
 
@@ -194,17 +198,20 @@
     outcome_text = _last(fields, _OUTCOME)
     if outcome_text in ("", _ANSWERED):
         return PeerHeaders(upstream, version)
+    return PeerHeaders(upstream, version, _read_verdict(outcome_text, fields))
+
+
+def _read_verdict(outcome_text: str, fields: Fields) -> Verdict:
     try:
         outcome = Outcome(outcome_text)
         reason = Reason(_last(fields, _REASON))
         retry_after_s = float(fields.get(_RETRY_AFTER, 0.0))
     except ValueError:
-        verdict = Verdict(
-            Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_ERROR, "unknown verdict"
-        )
-        return PeerHeaders(upstream, version, verdict)
-    verdict = Verdict(outcome, reason, _last(fields, _DETAIL), retry_after_s)
-    return PeerHeaders(upstream, version, verdict)
+        return _UNKNOWN_VERDICT
+    is_time = math.isfinite(retry_after_s) and retry_after_s >= 0
+    if outcome is Outcome.COMPLETE or not is_time:
+        return _UNKNOWN_VERDICT
+    return Verdict(outcome, reason, _last(fields, _DETAIL), retry_after_s)
 
 
 def _last(fields: Fields, name: str) -> str:
