--- a/packages/coordination/src/hollyknot_coordination/forwarding/peers/_peers.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/peers/_peers.py
@@ -258,6 +258,11 @@
             if now_s - peer.heard_s <= fresh_s
         ]
 
+    def silent_s(self, now_s: float) -> float:
+        """Returns the seconds since a peer last reported; infinity if none."""
+        heard_s = (peer.heard_s for peer in self._peers.values())
+        return now_s - max(heard_s, default=-math.inf)
+
     def silent_data_centres(self, now_s: float) -> frozenset[str]:
         """Returns other data centres whose peers have all fallen silent.
 
--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -151,6 +151,11 @@
             tables.revision, upstreams.revision, tables.era, upstreams.era
         )
 
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the upstreams were last answered."""
+        return self._upstreams.silent_s
+
     def on_peer_read(self, read: ReadRevisions) -> None:
         """Reads at once whatever a peer has read and this host has not."""
         self._published.on_peer_read(Position(read.tables_era, read.tables))
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -204,6 +204,7 @@
                 or self._neighbours.is_alone,
                 running_s=self._neighbours.running_s,
             ),
+            lambda: self._directory.silent_s,
         )
         self._brittle = BrittleServices(
             self._brittle_limits,
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -50,7 +50,7 @@
 from hollyknot_gateway._routing_state import RoutingState
 from hollyknot_gateway._standstills import Standstills
 from hollyknot_gateway._suspect_exchange import SuspectExchange
-from hollyknot_gateway._take_ups import TakeUps
+from hollyknot_gateway._take_ups import Currency, TakeUps
 from hollyknot_gateway._trial_requester import TrialRequester
 from hollyknot_gateway._version_requester import VersionRequester
 from hollyknot_state import (
@@ -87,6 +87,7 @@
         rng: random.Random,
         clock: Callable[[], float],
         is_current: Callable[[], bool] = lambda: True,
+        directory_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Builds the exchange; `open` opens its socket.
 
@@ -104,6 +105,7 @@
             clock: The loop's monotonic clock, in seconds.
             is_current: Returns whether the upstreams that this host has listed
                 may be taken for the newest.
+            directory_s: Returns the seconds since the directory last answered.
         """
         self._settings = settings
         self._shared = shared
@@ -246,6 +248,7 @@
             history,
             self._version_requester,
             self._cache_searches,
+            Currency(directory_s, lambda: self._peers.silent_s(clock())),
             log,
             metrics,
             clock,
--- a/packages/gateway/src/hollyknot_gateway/_take_ups.py
+++ b/packages/gateway/src/hollyknot_gateway/_take_ups.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 from collections.abc import Callable
 
 import attrs
@@ -50,6 +51,25 @@
     NONE = "none"
 
 
+def _always_current() -> float:
+    return 0.0
+
+
+@attrs.frozen
+class Currency:
+    """How old this host's knowledge of the upstreams may be.
+
+    Attributes:
+        directory_s: Returns the seconds since the directory last answered;
+            infinity if it never has.
+        peers_s: Returns the seconds since a peer last reported; infinity if
+            none has.
+    """
+
+    directory_s: Callable[[], float] = _always_current
+    peers_s: Callable[[], float] = _always_current
+
+
 @attrs.frozen
 class _Found:
     """The version at which a stream goes on.
@@ -71,6 +91,7 @@
         history: VersionHistory,
         versions: VersionRequester,
         searches: CacheSearches,
+        currency: Currency,
         log: Log,
         metrics: Metrics,
         clock: Callable[[], float],
@@ -81,6 +102,7 @@
             history: The versions that have served.
             versions: The versions of streams that this host and its peers know.
             searches: Finds upstreams that hold the last part of a prompt.
+            currency: How old this host's knowledge of the upstreams may be.
             log: Logs each stream that goes on or is refused.
             metrics: Counts them by ground.
             clock: The loop's monotonic clock, in seconds.
@@ -88,6 +110,7 @@
         self._history = history
         self._versions = versions
         self._searches = searches
+        self._currency = currency
         self._log = log
         self._metrics = metrics
         self._clock = clock
@@ -101,13 +124,20 @@
         service = job.service.name
         only = self._only_version(service)
         if only is not None and self._remembered(job) in (None, only):
-            # A second version may appear before an upstream is chosen.
-            job.version = only
-            self._count(service, Ground.ALONE)
-            return None
-        found = await self._find(job)
+            found = _Found(Ground.ALONE, only)
+        else:
+            found = await self._find(job)
+        # A second version may appear before an upstream is chosen.
         job.version = found.version
-        self._count(service, found.ground)
+        self._record(job, found)
+        return None if found.version is not None else self._refusal(service)
+
+    def _record(self, job: Job, found: _Found) -> None:
+        """Counts and logs on what ground a stream goes on or is refused."""
+        service = job.service.name
+        self._metrics.count(
+            TAKE_UPS, service=service, ground=found.ground.value
+        )
         self._log.line(
             "take_up",
             request=job.call.attempt_id,
@@ -117,11 +147,9 @@
             version=found.version or "",
             ground=found.ground.value,
             mixed=self._history.is_mixed(service, self._clock()),
+            directory_s=_rounded(self._currency.directory_s()),
+            peers_s=_rounded(self._currency.peers_s()),
         )
-        return None if found.version is not None else self._refusal(service)
-
-    def _count(self, service: str, ground: Ground) -> None:
-        self._metrics.count(TAKE_UPS, service=service, ground=ground.value)
 
     def _remembered(self, job: Job) -> str | None:
         """Returns the version that this host knows to have begun the stream."""
@@ -177,3 +205,8 @@
 
     def _only_version(self, service: str) -> str | None:
         return self._history.only_version(service, self._clock())
+
+
+def _rounded(seconds: float) -> float | str:
+    """Returns a duration for a log line, empty if it has no beginning."""
+    return round(seconds, 2) if math.isfinite(seconds) else ""
--- a/packages/gateway/src/hollyknot_gateway/tests/test_grounds.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_grounds.py
@@ -14,6 +14,7 @@
     stream_id,
 )
 from hollyknot_gateway._job import Job
+from hollyknot_gateway._log import Log
 from hollyknot_gateway._ports import SourceFailure
 from hollyknot_gateway._relay_messages import PeerHeaders
 from hollyknot_gateway._relay_sender import RelaySender
@@ -241,6 +242,28 @@
         run_virtually(test())
 
 
+class TestLines:
+    """Decisions can be explained from the log."""
+
+    def test_going_on_at_the_only_version_is_logged(self) -> None:
+        """Guards against a stream of two versions that no line explains."""
+
+        async def test() -> None:
+            network = Network(1, 1, is_busy=False)
+            neighbours = network.hosts[0].neighbours
+            lines: list[dict[str, object]] = []
+            log = SimpleNamespace(line=lambda _, **kw: lines.append(kw))
+            neighbours.take_ups._log = cast(Log, log)
+            history = neighbours.versions._history
+            history.update(SERVICE, (_OLD,), -history.retention_s)
+            await neighbours.take_ups.resolve(_take_up("first"))
+            (line,) = lines
+            assert (line["ground"], line["version"]) == ("alone", "v1")
+            assert (line["directory_s"], line["peers_s"]) == (0.0, "")
+
+        run_virtually(test())
+
+
 class TestTriesBeforeTheFirstEvent:
     """Tries without an event stay at a version that can still be used."""
 
