--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -69,6 +69,14 @@
 """Reads of a lost source that are retried per second, over all hosts of a
 fleet."""
 
+CONFIRM_TIMEOUT_S = 0.3
+"""Seconds to wait for the answer to a read that is wanted at once. A sound
+directory answers within milliseconds, or a few hundred where it is slow."""
+
+FLEET_CONFIRMS_PER_S = 400.0
+"""Reads that are wanted at once, per second over all hosts of a fleet, if none
+of them hears enough of its peers."""
+
 RETRY_PAUSE_FRACTION = 0.25
 """The longest pause between two retries, as a fraction of the time within which
 an outage must count as over. Changes made during the outage are then read well
@@ -152,9 +160,20 @@
         )
 
     @property
-    def silent_s(self) -> float:
-        """Seconds since the upstreams were last answered."""
-        return self._upstreams.silent_s
+    def proof_age_s(self) -> float:
+        """Seconds for which upstreams may have come unread.
+
+        Infinity if a peer has read of a change that this host has not.
+        """
+        return self._upstreams.proof_age_s
+
+    async def confirm(self) -> bool:
+        """Reads the upstreams at once, unless they are known to be silent.
+
+        Returns:
+            Whether all that was written before this call has been read.
+        """
+        return await self._upstreams.confirm(CONFIRM_TIMEOUT_S)
 
     def on_peer_read(self, read: ReadRevisions) -> None:
         """Reads at once whatever a peer has read and this host has not."""
@@ -233,6 +252,7 @@
             lapse_after_s=self._lapse_after_s(),
             renewal_s=RENEWAL_S,
             restored_s=self._bounds.heartbeat_s * RESTORED_HEARTBEATS,
+            confirm_pause_s=self._parts.hosts() / FLEET_CONFIRMS_PER_S,
         )
 
     def _lapse_after_s(self) -> float:
--- a/packages/gateway/src/hollyknot_gateway/_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/_follower.py
@@ -14,6 +14,8 @@
 """
 
 import asyncio
+import contextlib
+import math
 import random
 from collections.abc import Callable
 from typing import Generic, TypeVar
@@ -83,6 +85,7 @@
             have lapsed are written again.
         restored_s: Seconds after a restore of the source from an older copy in
             which items may be missing or present again only because of that.
+        confirm_pause_s: Least seconds between two reads by `confirm`.
     """
 
     wait_s: float
@@ -93,6 +96,7 @@
     lapse_after_s: float = float("inf")
     renewal_s: float = 0.0
     restored_s: float = 0.0
+    confirm_pause_s: float = 0.0
 
 
 def _ignore_gap() -> None:
@@ -147,7 +151,13 @@
         self._era_problem = ""
         self._behind_at = float("inf")
         self._answered_at = float("-inf")
+        self._proven_s = -math.inf
+        self._confirmed_s = -math.inf
         self._peer_read = asyncio.Event()
+        # Set while a read is wanted at once.
+        self._wanted = asyncio.Event()
+        # Set, and replaced, at each answer or failure.
+        self._ended = asyncio.Event()
         self._failures = 0
         self._failed_at = float("-inf")
         self._available_at = float("-inf")
@@ -175,6 +185,17 @@
         """Seconds since the source last answered this host."""
         return self._clock() - self._answered_at
 
+    @property
+    def proof_age_s(self) -> float:
+        """Seconds for which items may have been written that were not read.
+
+        Infinity if a peer has read some. An answer older than what a peer has
+        read comes from another copy of the source and proves nothing.
+        """
+        if self._peer_position > self._position:
+            return math.inf
+        return self._clock() - self._proven_s
+
     @property
     def changed(self) -> Position:
         """The position of the newest change that was read."""
@@ -194,6 +215,30 @@
             self._peer_position = changed
             self._peer_read.set()
 
+    async def confirm(self, timeout_s: float) -> bool:
+        """Reads at once, unless the source is known not to answer.
+
+        Args:
+            timeout_s: Seconds to wait for the answer.
+
+        Returns:
+            Whether all that was written before this call has been read.
+        """
+        wanted_s = self._clock()
+        if self._failures:
+            return False
+        if wanted_s - self._confirmed_s >= self._options().confirm_pause_s:
+            self._confirmed_s = wanted_s
+            self._wanted.set()
+            self._peer_read.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while self._proven_s < wanted_s and not self._failures:
+                    await self._ended.wait()
+        return (
+            self._proven_s >= wanted_s and self._peer_position <= self._position
+        )
+
     async def run(self) -> None:
         """Reads until it is cancelled."""
         # A failed run may have lost changes that it was about to report.
@@ -207,6 +252,8 @@
     async def _list(self, *, may_have_missed: bool) -> bool:
         known = self._position
         peer_position = self._peer_position
+        self._wanted.clear()
+        began_s = self._clock()
         found = await self._source.list()
         if isinstance(found, SourceFailure):
             await self._back_off(found)
@@ -227,6 +274,7 @@
         if position.era > self._position.era:
             self._record_restore(position)
         self._record_success()
+        self._proven_s = began_s
         self._record_answer(found, peer_position)
         is_other_era = position.era != known.era
         may_have_missed = is_other_era or (may_have_missed and position > known)
@@ -245,10 +293,14 @@
         wait_s = self._jittered_wait_s()
         while True:
             options = self._options()
-            if self._failures or self._is_behind:
+            is_urgent = self._is_behind or self._wanted.is_set()
+            if self._failures or is_urgent:
                 wait_s = _PROBE_WAIT_S
             peer_position = self._peer_position
-            found = await self._watch_once(wait_s)
+            self._wanted.clear()
+            began_s = self._clock()
+            found = await self._watch_once(wait_s, is_urgent=is_urgent)
+            unchanged_s = began_s + wait_s
             wait_s = options.wait_s
             if found is None:
                 continue
@@ -275,23 +327,35 @@
                 await self._pause(_FIRST_PAUSE_S * self._rng.random())
                 return True
             self._record_success()
+            has_changes = found.items or found.removed or found.unreadable
+            if Position(era, found.revision) >= self._position:
+                # An answer may have been on its way for long, but one without
+                # changes was not sent before its watch had waited.
+                has_waited = self._clock() >= unchanged_s and not has_changes
+                self._proven_s = unchanged_s if has_waited else began_s
             self._record_answer(found, peer_position)
-            if found.items or found.removed or found.unreadable:
+            if has_changes:
                 self._on_changes(found, self._lapse_end())
-                await self._pause(options.pause_s)
+                await self._pause_unless_wanted(options.pause_s)
                 wait_s = self._jittered_wait_s()
             if needs_second_list and not self._is_settling():
                 return False
 
     async def _watch_once(
-        self, wait_s: float
+        self, wait_s: float, *, is_urgent: bool
     ) -> Changes[T] | Compacted | SourceFailure | None:
-        """Watches until an answer arrives or this host falls behind its peers.
+        """Watches until an answer arrives or this host must read anew.
+
+        Args:
+            wait_s: Seconds that the watch waits for a change.
+            is_urgent: Whether to wait for the answer in any case. It then reads
+                the changes that the host has not read, so that further reports
+                of peers and further wishes don't restart it.
 
         Returns:
             The answer; None if the watch was abandoned.
         """
-        behind = asyncio.ensure_future(self._wait_until_behind())
+        behind = asyncio.ensure_future(self._wait_until_outdated())
 
         def await_answer() -> None:
             behind.cancel()
@@ -300,9 +364,7 @@
             self._source.watch(self._position.revision, wait_s, await_answer)
         )
         try:
-            if self._is_behind:
-                # This watch already reads the changes that the host has not
-                # read, so further reports of peers don't restart it.
+            if is_urgent:
                 return await watch
             await asyncio.wait(
                 (watch, behind), return_when=asyncio.FIRST_COMPLETED
@@ -312,19 +374,25 @@
         finally:
             behind.cancel()
             watch.cancel()
-        self._log.line(
-            "watch_behind",
-            source=self._source.name,
-            **_fields(self._position),
-            told_era=self._peer_position.era,
-            told=self._peer_position.revision,
-        )
+        if not self._wanted.is_set():
+            self._log.line(
+                "watch_behind",
+                source=self._source.name,
+                **_fields(self._position),
+                told_era=self._peer_position.era,
+                told=self._peer_position.revision,
+            )
         return None
 
-    async def _wait_until_behind(self) -> None:
-        """Returns when a watch has been behind a peer for too long."""
+    async def _wait_until_outdated(self) -> None:
+        """Returns when a watch has been behind a peer for too long.
+
+        It also does so when a read is wanted at once.
+        """
         while True:
             self._peer_read.clear()
+            if self._wanted.is_set():
+                return
             if self._is_behind:
                 await asyncio.sleep(BEHIND_TOLERANCE_S)
                 return
@@ -439,10 +507,12 @@
             )
         self._failures = 0
         self._answered_at = self._clock()
+        self._note_end()
 
     async def _back_off(self, failure: SourceFailure) -> None:
         self._failures += 1
         self._failed_at = self._clock()
+        self._note_end()
         if self._failures == 1:
             self._log.line(
                 "source_lost",
@@ -455,6 +525,23 @@
         longest_s = self._options().longest_pause_s
         await self._pause(min(_FIRST_PAUSE_S * factor, longest_s))
 
+    def _note_end(self) -> None:
+        """Wakes those that wait for the end of a read."""
+        self._ended.set()
+        self._ended = asyncio.Event()
+
+    async def _pause_unless_wanted(self, seconds: float) -> None:
+        """Pauses, at most until a read is wanted at once."""
+        pause = asyncio.ensure_future(self._pause(seconds))
+        wanted = asyncio.ensure_future(self._wanted.wait())
+        try:
+            await asyncio.wait(
+                (pause, wanted), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            pause.cancel()
+            wanted.cancel()
+
     async def _pause(self, seconds: float) -> None:
         if seconds > 0:
             factor = self._rng.uniform(1 - PAUSE_JITTER, 1 + PAUSE_JITTER)
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -46,6 +46,7 @@
 from hollyknot_gateway._flow_parts import FlowParts
 from hollyknot_gateway._gauges import GaugeSources, add_gauges
 from hollyknot_gateway._host_tasks import HostTasks
+from hollyknot_gateway._list_proof import ListProof
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._loss_classifier import LossClassifier
 from hollyknot_gateway._metrics import Metrics
@@ -204,7 +205,10 @@
                 or self._neighbours.is_alone,
                 running_s=self._neighbours.running_s,
             ),
-            lambda: self._directory.silent_s,
+            ListProof(
+                lambda: self._directory.proof_age_s,
+                self._confirm_upstreams,
+            ),
         )
         self._brittle = BrittleServices(
             self._brittle_limits,
@@ -464,6 +468,9 @@
             reason="unread",
         )
 
+    async def _confirm_upstreams(self) -> bool:
+        return await self._directory.confirm()
+
     def _on_peer_read(self, read: ReadRevisions) -> None:
         self._directory.on_peer_read(read)
 
--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -28,6 +28,7 @@
 from hollyknot_gateway._evidence_exchange import EvidenceExchange
 from hollyknot_gateway._host_queries import HostQueries
 from hollyknot_gateway._inquirer import Inquirer
+from hollyknot_gateway._list_proof import ALWAYS_NEWEST, ListProof
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._metrics import Metrics
 from hollyknot_gateway._partition_detector import PartitionDetector
@@ -50,7 +51,7 @@
 from hollyknot_gateway._routing_state import RoutingState
 from hollyknot_gateway._standstills import Standstills
 from hollyknot_gateway._suspect_exchange import SuspectExchange
-from hollyknot_gateway._take_ups import Currency, TakeUps
+from hollyknot_gateway._take_ups import TakeUps
 from hollyknot_gateway._trial_requester import TrialRequester
 from hollyknot_gateway._version_requester import VersionRequester
 from hollyknot_state import (
@@ -87,7 +88,7 @@
         rng: random.Random,
         clock: Callable[[], float],
         is_current: Callable[[], bool] = lambda: True,
-        directory_s: Callable[[], float] = lambda: 0.0,
+        list_proof: ListProof = ALWAYS_NEWEST,
     ) -> None:
         """Builds the exchange; `open` opens its socket.
 
@@ -105,7 +106,7 @@
             clock: The loop's monotonic clock, in seconds.
             is_current: Returns whether the upstreams that this host has listed
                 may be taken for the newest.
-            directory_s: Returns the seconds since the directory last answered.
+            list_proof: Proves that these upstreams are the newest.
         """
         self._settings = settings
         self._shared = shared
@@ -221,6 +222,7 @@
             cached,
             Keepers(lambda: self._known_hosts.hosts),
             self._host_queries,
+            list_proof,
             self._rate,
             self._socket.send,
             log,
@@ -248,7 +250,8 @@
             history,
             self._version_requester,
             self._cache_searches,
-            Currency(directory_s, lambda: self._peers.silent_s(clock())),
+            list_proof,
+            lambda: self._peers.silent_s(clock()),
             log,
             metrics,
             clock,
--- a/packages/gateway/src/hollyknot_gateway/_take_ups.py
+++ b/packages/gateway/src/hollyknot_gateway/_take_ups.py
@@ -18,6 +18,7 @@
 )
 from hollyknot_gateway._cache_searches import CacheSearches
 from hollyknot_gateway._job import Job
+from hollyknot_gateway._list_proof import ListProof
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._metrics import TAKE_UPS, Metrics
 from hollyknot_gateway._version_requester import VersionRequester
@@ -26,6 +27,12 @@
 SEARCHING_RETRY_S = 0.5
 """Mean Retry-After in seconds while a search goes on."""
 
+PROOF_S = 0.1
+"""Age in seconds up to which a proof counts that one version is the only one.
+An upstream may serve as soon as it is listed, its streams may break after their
+first event, and their callers may return at once. So a proof serves only the
+take-ups that arrive together."""
+
 UNKNOWN_RETRY_S = 2.0
 """Mean Retry-After in seconds once a search has found nothing."""
 
@@ -40,7 +47,7 @@
     """It has seen the stream begin, or was told."""
 
     ALONE = "alone"
-    """Only one version has served for long."""
+    """Only one version has served for long, by a list proved to be current."""
 
     PEER = "peer"
     """A peer has, or has seen only one version for long."""
@@ -51,25 +58,6 @@
     NONE = "none"
 
 
-def _always_current() -> float:
-    return 0.0
-
-
-@attrs.frozen
-class Currency:
-    """How old this host's knowledge of the upstreams may be.
-
-    Attributes:
-        directory_s: Returns the seconds since the directory last answered;
-            infinity if it never has.
-        peers_s: Returns the seconds since a peer last reported; infinity if
-            none has.
-    """
-
-    directory_s: Callable[[], float] = _always_current
-    peers_s: Callable[[], float] = _always_current
-
-
 @attrs.frozen
 class _Found:
     """The version at which a stream goes on.
@@ -91,7 +79,8 @@
         history: VersionHistory,
         versions: VersionRequester,
         searches: CacheSearches,
-        currency: Currency,
+        list_proof: ListProof,
+        peers_s: Callable[[], float],
         log: Log,
         metrics: Metrics,
         clock: Callable[[], float],
@@ -102,7 +91,9 @@
             history: The versions that have served.
             versions: The versions of streams that this host and its peers know.
             searches: Finds upstreams that hold the last part of a prompt.
-            currency: How old this host's knowledge of the upstreams may be.
+            list_proof: Proves that this host's list of upstreams is the newest.
+            peers_s: Returns the seconds since a peer last reported; infinity
+                if none has.
             log: Logs each stream that goes on or is refused.
             metrics: Counts them by ground.
             clock: The loop's monotonic clock, in seconds.
@@ -110,7 +101,8 @@
         self._history = history
         self._versions = versions
         self._searches = searches
-        self._currency = currency
+        self._list_proof = list_proof
+        self._peers_s = peers_s
         self._log = log
         self._metrics = metrics
         self._clock = clock
@@ -121,16 +113,22 @@
         Returns:
             Why the request must not be sent; None if it may be.
         """
-        service = job.service.name
-        only = self._only_version(service)
-        if only is not None and self._remembered(job) in (None, only):
-            found = _Found(Ground.ALONE, only)
-        else:
-            found = await self._find(job)
+        found = self._alone(job) or await self._find(job)
         # A second version may appear before an upstream is chosen.
         job.version = found.version
         self._record(job, found)
-        return None if found.version is not None else self._refusal(service)
+        if found.version is None:
+            return self._refusal(job.service.name)
+        return None
+
+    def _alone(self, job: Job) -> _Found | None:
+        """Returns the only version, if it is proved to be the only one."""
+        if self._list_proof.age_s() > PROOF_S:
+            return None
+        only = self._only_version(job.service.name)
+        if only is None or self._remembered(job) not in (None, only):
+            return None
+        return _Found(Ground.ALONE, only)
 
     def _record(self, job: Job, found: _Found) -> None:
         """Counts and logs on what ground a stream goes on or is refused."""
@@ -147,8 +145,8 @@
             version=found.version or "",
             ground=found.ground.value,
             mixed=self._history.is_mixed(service, self._clock()),
-            directory_s=_rounded(self._currency.directory_s()),
-            peers_s=_rounded(self._currency.peers_s()),
+            directory_s=_rounded(self._list_proof.age_s()),
+            peers_s=_rounded(self._peers_s()),
         )
 
     def _remembered(self, job: Job) -> str | None:
@@ -178,6 +176,10 @@
         version = await self._ask(service, stream)
         if version is not None:
             return _Found(Ground.PEER, version)
+        if self._only_version(service) and await self._list_proof.renew():
+            alone = self._alone(job)
+            if alone is not None:
+                return alone
         if part is not None:
             version = await self._searches.find(
                 service,
--- a/packages/gateway/src/hollyknot_gateway/_version_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_version_requester.py
@@ -18,6 +18,7 @@
 )
 from hollyknot_gateway._host_queries import HostQueries
 from hollyknot_gateway._job import Job
+from hollyknot_gateway._list_proof import ListProof
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._reports import VersionMessage, encode_message
 from hollyknot_state import (
@@ -48,6 +49,9 @@
 MAX_STREAMS_PER_NOTE = 24
 """Most streams in a datagram, at some 40 bytes each."""
 
+_Answers = asyncio.Queue[tuple[Address, VersionAnswer]]
+"""Answers of peers, with their senders."""
+
 
 class VersionRequester:
     """Keeps the versions of a host's streams, together with its peers."""
@@ -58,6 +62,7 @@
         cached: CachedVersions,
         keepers: Keepers,
         hosts: HostQueries,
+        list_proof: ListProof,
         rate: ReportRate,
         send: Callable[[bytes, list[Address]], None],
         log: Log,
@@ -70,6 +75,7 @@
             cached: The versions whose upstreams hold parts of prompts.
             keepers: Chooses the peers that are told and asked.
             hosts: Learns of further peers while this host has just started.
+            list_proof: Proves that this host's list of upstreams is the newest.
             rate: Byte budget that all sent messages are charged to.
             send: Sends a datagram to the given hosts.
             log: Logs which version began a stream, and what is forgotten.
@@ -80,6 +86,7 @@
         self._cached = cached
         self._keepers = keepers
         self._hosts = hosts
+        self._list_proof = list_proof
         self._told = ToldStreams(keepers)
         self._rate = rate
         self._send = send
@@ -90,7 +97,7 @@
         self._told_new_s = -math.inf
         self._listed: Mapping[str, Sequence[UpstreamEntry]] = {}
         self._numbers = itertools.count(1)
-        self._waiting: dict[int, asyncio.Queue[VersionAnswer]] = {}
+        self._waiting: dict[int, _Answers] = {}
 
     @property
     def forgotten(self) -> int:
@@ -204,7 +211,7 @@
         elif isinstance(message, VersionQuery):
             self._answer(message, sender, now_s)
         elif message.number in self._waiting:
-            self._waiting[message.number].put_nowait(message)
+            self._waiting[message.number].put_nowait((sender, message))
 
     def _answer(
         self, query: VersionQuery, sender: Address, now_s: float
@@ -217,7 +224,8 @@
         only = None
         has_several = held is Held.BY_SEVERAL
         if query.pool is not None:
-            only = self._history.only_version(query.pool, now_s)
+            if not self._list_proof.is_behind:
+                only = self._history.only_version(query.pool, now_s)
             has_several = self._history.is_mixed(query.pool, now_s)
         answer = VersionAnswer(query.number, version, only, has_several or None)
         self._send_to(answer, [sender])
@@ -244,15 +252,20 @@
 
         Returns:
             An answer that names its version, or else the only version of the
-            service if no peer has seen several, or else none.
+            service if most peers answered and none has seen several, or else
+            none. Peers that are cut off together hear each other only.
         """
+        peers = self._keepers.to_ask(stream)
         answers = await self._collect(
             VersionQuery(next(self._numbers), stream, service),
-            self._keepers.to_ask(stream),
+            peers,
             is_enough=lambda answer: answer.version is not None,
         )
         best = max(answers, key=_knowledge, default=VersionAnswer(0))
-        if best.version is None and any(a.has_several for a in answers):
+        if best.version is not None:
+            return best
+        are_most = 2 * len(answers) > len(peers)
+        if not are_most or any(a.has_several for a in answers):
             return VersionAnswer(0)
         return best
 
@@ -286,25 +299,26 @@
     ) -> list[VersionAnswer]:
         """Sends a query until all peers have answered, or one knows enough."""
         addresses = [peer.address for peer in peers]
-        found: list[VersionAnswer] = []
+        # A peer may answer each time that it is asked.
+        found: dict[Address, VersionAnswer] = {}
         if not addresses:
-            return found
-        answers: asyncio.Queue[VersionAnswer] = asyncio.Queue()
+            return []
+        answers: _Answers = asyncio.Queue()
         self._waiting[query.number] = answers
         try:
             for _ in range(MAX_QUERIES):
-                found.clear()
                 self._send_to(query, addresses)
                 try:
                     async with asyncio.timeout(ANSWER_TIMEOUT_S):
                         while len(found) < len(addresses):
-                            found.append(await answers.get())
-                            if is_enough(found[-1]):
-                                return found
-                        return found
+                            sender, answer = await answers.get()
+                            found[sender] = answer
+                            if is_enough(answer):
+                                break
+                        return list(found.values())
                 except TimeoutError:
                     continue
-            return found
+            return list(found.values())
         finally:
             del self._waiting[query.number]
 
--- a/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_follower.py
@@ -463,3 +463,44 @@
         run_virtually(main())
         assert len(tries) <= 16
         assert tries[-1] < back_s + 1.3
+
+
+class TestConfirmedReads:
+    """Reads that are wanted at once, while a long watch waits."""
+
+    @pytest.mark.parametrize(
+        ("revision", "told", "is_proof"),
+        [(5, 0, True), (4, 0, False), (6, 7, False)],
+    )
+    def test_only_the_newest_copy_proves_anything(
+        self, revision: int, told: int, is_proof: bool
+    ) -> None:
+        """Guards against a source that answers from an older copy."""
+
+        async def read() -> Listed:
+            return Listing({}, 5, changed=5)
+
+        async def watch(
+            _: int, wait_s: float, __: Callable[[], None]
+        ) -> Watched:
+            await asyncio.sleep(wait_s)
+            return Changes({}, (), revision)
+
+        async def test() -> None:
+            follower = Follower(
+                Source("test", read, watch),
+                lambda: FollowOptions(18.0, 18.0, 0.0, 3.0),
+                lambda *_: None,
+                lambda *_: None,
+                Log("h", "d", os.open(os.devnull, os.O_WRONLY)),
+                random.Random(1),
+                asyncio.get_running_loop().time,
+            )
+            running = asyncio.create_task(follower.run())
+            await asyncio.sleep(1.0)
+            follower.on_peer_read(Position(0, told))
+            assert await follower.confirm(0.3) is is_proof
+            assert (follower.proof_age_s < 0.3) is is_proof
+            running.cancel()
+
+        run_virtually(test())
--- a/packages/gateway/src/hollyknot_gateway/tests/test_grounds.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_grounds.py
@@ -14,6 +14,7 @@
     stream_id,
 )
 from hollyknot_gateway._job import Job
+from hollyknot_gateway._list_proof import ListProof
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._ports import SourceFailure
 from hollyknot_gateway._relay_messages import PeerHeaders
@@ -242,6 +243,34 @@
         run_virtually(test())
 
 
+async def _refuse() -> bool:
+    return False
+
+
+class TestHostsThatAreCutOff:
+    """They have missed what the others have read."""
+
+    def test_hosts_that_hear_only_each_other_prove_nothing(self) -> None:
+        """Guards against two hosts that vouch for each other's old list."""
+
+        async def test() -> None:
+            network = Network(6, 1, is_busy=False)
+            network.start()
+            await asyncio.sleep(5.0)
+            for host in network.hosts:
+                history = host.neighbours.versions._history
+                history.update(SERVICE, (_OLD,), -history.retention_s)
+            network.is_cut = lambda a, b: a != b
+            neighbours = network.hosts[0].neighbours
+            neighbours.take_ups._list_proof = ListProof(lambda: 1.0, _refuse)
+            job = _take_up("first")
+            await neighbours.take_ups.resolve(job)
+            network.stop()
+            assert job.version is None
+
+        run_virtually(test())
+
+
 class TestLines:
     """Decisions can be explained from the log."""
 
