--- a/packages/gateway/src/hollyknot_gateway/_neighbours.py
+++ b/packages/gateway/src/hollyknot_gateway/_neighbours.py
@@ -28,6 +28,7 @@
 from hollyknot_gateway._evidence_exchange import EvidenceExchange
 from hollyknot_gateway._host_queries import HostQueries
 from hollyknot_gateway._inquirer import Inquirer
+from hollyknot_gateway._list_proof import ALWAYS_NEWEST, ListProof
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._metrics import Metrics
 from hollyknot_gateway._partition_detector import PartitionDetector
@@ -87,6 +88,7 @@
         rng: random.Random,
         clock: Callable[[], float],
         is_current: Callable[[], bool] = lambda: True,
+        list_proof: ListProof = ALWAYS_NEWEST,
     ) -> None:
         """Builds the exchange; `open` opens its socket.
 
@@ -104,6 +106,7 @@
             clock: The loop's monotonic clock, in seconds.
             is_current: Returns whether the upstreams that this host has listed
                 may be taken for the newest.
+            list_proof: Proves that these upstreams are the newest.
         """
         self._settings = settings
         self._shared = shared
@@ -219,6 +222,7 @@
             cached,
             Keepers(lambda: self._known_hosts.hosts),
             self._host_queries,
+            list_proof,
             self._rate,
             self._socket.send,
             log,
@@ -246,6 +250,8 @@
             history,
             self._version_requester,
             self._cache_searches,
+            list_proof,
+            lambda: self._peers.silent_s(clock()),
             log,
             metrics,
             clock,
