--- a/packages/gateway/src/hollyknot_gateway/__init__.py
+++ b/packages/gateway/src/hollyknot_gateway/__init__.py
@@ -3,6 +3,7 @@
 Platforms plug in their interfaces through `Ports`.
 """
 
+from hollyknot_gateway._bounded_json import parse_json
 from hollyknot_gateway._fetch import Document, FetchFailure, fetch
 from hollyknot_gateway._host import Host, Ports
 from hollyknot_gateway._neighbours import REPORT_INTERVAL_S
@@ -42,5 +43,6 @@
     "encode_message",
     "encode_report",
     "fetch",
+    "parse_json",
     "run",
 ]
--- a/packages/gateway/src/hollyknot_gateway/_fetch.py
+++ b/packages/gateway/src/hollyknot_gateway/_fetch.py
@@ -58,8 +58,13 @@
 class _Collector:
     """Assembles the parts of an answer into a document."""
 
-    def __init__(self, on_progress: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        on_progress: Callable[[], None],
+        max_bytes: int = MAX_DOCUMENT_BYTES,
+    ) -> None:
         self._on_progress = on_progress
+        self._max_bytes = max_bytes
         self._status = 0
         self._fields: Any = {}
         self._parts: list[bytes] = []
@@ -79,13 +84,14 @@
             return
         self._parts.append(data)
         self._size += len(data)
-        if self._size > MAX_DOCUMENT_BYTES:
+        if self._size > self._max_bytes:
             self._parts.clear()
             self._set(FetchFailure.TOO_LARGE)
         self._note_progress()
 
     def on_end(self) -> None:
         body = b"".join(self._parts)
+        self._parts.clear()
         self._set(Document(self._status, body, self._fields))
 
     def on_lost(self, lost: Lost) -> None:
@@ -133,6 +139,7 @@
     on_progress: Callable[[], None] = _ignore_progress,
     *,
     headers: Headers = (),
+    max_bytes: int = MAX_DOCUMENT_BYTES,
 ) -> Document | FetchFailure:
     """Reads a document with a GET request.
 
@@ -147,6 +154,7 @@
             requested again and again, and never be read in full.
         on_progress: Called each time a part of the answer arrives.
         headers: Further headers of the request.
+        max_bytes: The largest body that is read.
 
     Returns:
         The document, or why there is none. A connection whose answer timed out
@@ -158,7 +166,9 @@
             connection = await pool.acquire(name, address, timeout_s)
             if isinstance(connection, ConnectFailure):
                 return FetchFailure.CONNECT
-            collector = _Collector(_deadline_extender(timeout, on_progress))
+            collector = _Collector(
+                _deadline_extender(timeout, on_progress), max_bytes
+            )
             host = f"{address.ip}:{address.port}".encode()
             line = f"GET {target} HTTP/1.1".encode("latin-1")
             head = write_head(line, [(b"Host", host), *headers])
