Read a bounded amount behind a request that is answered (LATE)

What callers saw: answers that came seconds late while another caller, owed an answer, went on sending bytes that were no request.

Cause: bytes before the end of a head, and framing, were counted only while no request was in work. Behind one, they were read and parsed for as long as its answer took; and once they could not be parsed, each further read was tried again and wrote a line.

Twice the limit of heads is now read behind a whole request, then the connection is not read until the next request begins; nothing is read behind input that can't be parsed.

--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -60,6 +60,7 @@
 
     __slots__ = (
         "_accepts",
+        "_ahead_bytes",
         "_body_bytes",
         "_closes",
         "_handler",
@@ -68,6 +69,7 @@
         "_idle_since",
         "_input",
         "_is_reading_body",
+        "_is_unreadable",
         "_limits",
         "_on_lost",
         "_on_unread",
@@ -111,9 +113,7 @@
         )
         # aiohttp's own flow control holds the transport too.
         self._input = PacedInput(
-            self._parse,
-            self._pause_reading_for_buffer,
-            self._resume_reading_for_buffer,
+            self._parse, self._pause_reading_for_buffer, self._release
         )
         self._payload: Any = None
         self._body_bytes = 0
@@ -125,6 +125,8 @@
         self._idle_since = loop.time()
         self._waiting_head = False
         self._head_bytes = 0
+        self._ahead_bytes = 0
+        self._is_unreadable = False
 
     @property
     def has_request(self) -> bool:
@@ -144,6 +146,12 @@
         """Whether the answer being written is the connection's last."""
         return self._closes
 
+    @property
+    def _is_far_ahead(self) -> bool:
+        """Whether enough was read behind the request that is answered."""
+        limit_bytes = _HEAD_FACTOR * self._limits.max_head_bytes
+        return self._ahead_bytes > limit_bytes
+
     def close_after_answer(self) -> None:
         """Closes the connection after the current request's answer."""
         self._closes = True
@@ -210,10 +218,12 @@
         self._input.feed(data)
 
     def _parse(self, data: bytes) -> None:
-        if self.transport is None or self.transport.is_closing():
+        is_open = self.transport is not None and not self.transport.is_closing()
+        if not is_open or self._is_unreadable:
             self._input.clear()
             return
         assert self._parser is not None
+        self._count_ahead(data)
         try:
             messages, is_upgraded, _ = self._parser.feed_data(data)
         except HttpProcessingError as error:
@@ -241,6 +251,18 @@
                 return
         self._start_next()
 
+    def _count_ahead(self, data: bytes) -> None:
+        """Stops reading once enough has arrived behind a whole request."""
+        if self._has_request and self._payload.is_eof():
+            self._ahead_bytes += len(data)
+            if self._is_far_ahead:
+                self._pause_reading_for_buffer()
+
+    def _release(self) -> None:
+        """Starts to read again, unless enough was read ahead."""
+        if not self._is_far_ahead and not self._is_unreadable:
+            self._resume_reading_for_buffer()
+
     def _check_framing(self, data: bytes) -> None:
         """Resets a connection whose body brings little but framing."""
         self._body_bytes += len(data)
@@ -256,6 +278,7 @@
             return
         message, payload = self._queue.pop(0)
         self._has_request = True
+        self._payload = payload
         self._waiting_head = False
         self._task = self._loop.create_task(self._serve(message, payload))
 
@@ -267,7 +290,6 @@
         reply = Reply(self, message.method, is_http11=is_http11)
         self._is_reading_body = True
         self._idle_since = arrived_s
-        self._payload = payload
         self._body_bytes = 0
         body = await self._body(message, payload)
         self._is_reading_body = False
@@ -306,8 +328,12 @@
         self._idle_since = self._loop.time()
         if self._closes:
             self.close()
-        else:
-            self._start_next()
+            return
+        self._start_next()
+        if self._ahead_bytes:
+            self._ahead_bytes = 0
+            if not self._input.is_waiting:
+                self._release()
 
     async def _body(
         self, message: RawRequestMessage, payload: Any
@@ -335,6 +361,9 @@
             # The request in progress is answered first. Then the connection
             # closes without an answer to the unparsable input.
             self._queue.clear()
+            self._input.clear()
+            self._is_unreadable = True
+            self._pause_reading_for_buffer()
             self._on_unread(0, type(error).__name__)
             return
         if self._task is not None:
--- a/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
@@ -316,3 +316,57 @@
             connection.connection_lost(None)
 
         run_virtually(main())
+
+
+BEHIND = {
+    "empty lines": b"\r\n",
+    "a field": b"GET / HTTP/1.1\r\nA: ",
+    "an extension": _POST + b"1;",
+    "chunks": _POST,
+    "no request": b"?",
+}
+
+
+class TestRequestsBehindOthers:
+    """Callers that send more while they are owed an answer."""
+
+    @pytest.mark.parametrize("form", BEHIND)
+    def test_bytes_without_end_are_not_read(self, form: str) -> None:
+        """Guards against parsing for as long as an answer takes."""
+        piece = b"1\r\nx\r\n" if form == "chunks" else BEHIND[form][-1:]
+        unread: list[str] = []
+
+        async def main() -> int:
+            held = asyncio.Event()
+            transport = _Reading()
+            connection = CallerConnection(
+                lambda *_: held.wait(),  # type: ignore[arg-type, return-value]
+                CallerLimits(),
+                lambda _: None,
+                lambda _, reason: unread.append(reason),
+            )
+            connection.connection_made(transport)
+            connection.data_received(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            connection.data_received(BEHIND[form])
+            await asyncio.sleep(0)
+            sent = 0
+            while transport.is_reading and sent < READ_BYTES:
+                connection.data_received(piece * 1000)
+                sent += 1000 * len(piece)
+            connection.connection_lost(None)
+            return sent
+
+        assert asyncio.run(main()) < READ_BYTES
+        assert len(unread) <= 1
+
+
+class _Reading(_Transport):
+    """Notes whether it is read."""
+
+    is_reading = True
+
+    def pause_reading(self) -> None:
+        self.is_reading = False
+
+    def resume_reading(self) -> None:
+        self.is_reading = True
