--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
@@ -311,8 +312,18 @@
                 arrived_s=arrived_s,
             )
             await self._answer(request, reply)
+        await self._drain_answer()
         self._on_request_end()
 
+    async def _drain_answer(self) -> None:
+        """Waits until the caller has taken most of the answer.
+
+        Otherwise answers to pipelined requests pile up for a caller that reads
+        none.
+        """
+        with contextlib.suppress(ConnectionError):
+            await self.drained()
+
     async def _answer(self, request: CallerRequest, reply: Reply) -> None:
         try:
             await self._handler(request, reply)
--- a/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
@@ -359,6 +359,30 @@
         assert asyncio.run(main()) < READ_BYTES
         assert len(unread) <= 1
 
+    def test_unread_answers_do_not_pile_up(self) -> None:
+        """Guards against callers that pipeline requests and read nothing."""
+        handled: list[object] = []
+
+        async def handle(request: CallerRequest, reply: Reply) -> None:
+            handled.append(request)
+            reply.respond(200, (), b"")
+
+        async def main() -> None:
+            connection = CallerConnection(
+                handle, CallerLimits(), lambda _: None, lambda *_: None
+            )
+            connection.connection_made(_Transport())
+            connection.pause_writing()
+            connection.data_received(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 9)
+            await asyncio.sleep(0.01)
+            assert len(handled) == 1
+            connection.resume_writing()
+            await asyncio.sleep(0.01)
+            assert len(handled) == 9
+            connection.connection_lost(None)
+
+        asyncio.run(main())
+
 
 class _Reading(_Transport):
     """Notes whether it is read."""
