--- a/packages/gateway/src/hollyknot_gateway/_paced_input.py
+++ b/packages/gateway/src/hollyknot_gateway/_paced_input.py
@@ -50,6 +50,8 @@
         self._clock = clock
         self._waiting = b""
         self._timer: asyncio.TimerHandle | None = None
+        self._is_in_turn = False
+        self._has_read_enough = False
 
     @property
     def is_waiting(self) -> bool:
@@ -66,6 +68,7 @@
             return
         self._waiting = data
         self._parse_waiting()
+        self._count_read()
 
     def finish(self) -> None:
         """Parses what waits, as nothing will follow."""
@@ -95,6 +98,25 @@
                 return
         self._release()
 
+    def _count_read(self) -> None:
+        """Stops reading after two large reads in one turn of the event loop.
+
+        The event loop may read a fast connection dozens of times before it
+        turns to the others.
+        """
+        if not self._is_in_turn:
+            self._is_in_turn = True
+            asyncio.get_running_loop().call_soon(self._end_turn)
+        elif self._timer is None:
+            self._has_read_enough = True
+            self._hold()
+
+    def _end_turn(self) -> None:
+        self._is_in_turn = False
+        if self._has_read_enough and self._timer is None:
+            self._release()
+        self._has_read_enough = False
+
     def _pause(self, took_s: float) -> None:
         self._hold()
         pause_s = min(took_s * PAUSE_FACTOR, MAX_PAUSE_S)
--- a/packages/gateway/src/hollyknot_gateway/tests/test_paced_input.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_paced_input.py
@@ -132,3 +132,18 @@
             assert not paced.is_waiting
 
         _run(connection, test)
+
+    def test_fast_input_leaves_turns_to_others(self) -> None:
+        """Guards against a connection that is read over and over."""
+        connection = _Connection(byte_s=1e-9)
+
+        async def test(paced: PacedInput) -> None:
+            reads = 0
+            while not connection.is_held:
+                paced.feed(DATA)
+                reads += 1
+                assert reads <= 2
+            await asyncio.sleep(0.0)
+            assert not connection.is_held
+
+        _run(connection, test)
