--- a/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
@@ -70,6 +70,11 @@
         """Whether the events so far, if any, have ids."""
         return self._numbering is not Numbering.NONE
 
+    @property
+    def is_numbered(self) -> bool:
+        """Whether the events so far, if any, have numbers, or must have."""
+        return self._numbering is Numbering.NUMBERS
+
     @property
     def fault(self) -> EventFault | None:
         """Why the bytes after those returned are no events of the stream."""
@@ -113,12 +118,13 @@
         self._check_partial()
         return data[:end]
 
-    def resume(self, after: str) -> None:
+    def resume(self, after: str, *, must_be_numbered: bool = False) -> None:
         """Expects the events of another upstream, without the partial one.
 
         Args:
             after: Id of the event after which they go on; empty if they begin
                 the stream.
+            must_be_numbered: Whether an event without a number is none.
         """
         self.drop_partial()
         self._before = after
@@ -126,9 +132,10 @@
         self._fault = None
         self._may_have_mark = not self._events
         if not self._events:
-            is_numbered = is_number(after)
+            is_after_number = is_number(after)
+            is_numbered = is_after_number or must_be_numbered
             self._numbering = Numbering.NUMBERS if is_numbered else None
-            self._number = int(after) if is_numbered else -1
+            self._number = int(after) if is_after_number else -1
 
     def drop_partial(self) -> None:
         """Discards a partial event."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/__init__.py
@@ -20,6 +20,7 @@
     possible_holders,
     run_key,
 )
+from hollyknot_coordination.forwarding.streams._stream_forms import StreamForms
 from hollyknot_coordination.forwarding.streams._stream_versions import (
     StreamVersions,
     stream_id,
@@ -37,6 +38,7 @@
     "CachedVersions",
     "Held",
     "Keepers",
+    "StreamForms",
     "StreamVersions",
     "ToldStreams",
     "VersionHistory",
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -105,10 +105,19 @@
     framer: EventFramer = attrs.Factory(EventFramer)
     resumes_after: str = ""
 
-    def begin_try(self, call: CallTraits) -> None:
-        """Expects the events of the next try of a call."""
+    def begin_try(
+        self, call: CallTraits, *, must_be_numbered: bool = False
+    ) -> None:
+        """Expects the events of the next try of a call.
+
+        Args:
+            call: The call.
+            must_be_numbered: Whether an event without a number is none.
+        """
         self.resumes_after = self.framer.last_id or call.last_event_id
-        self.framer.resume(self.resumes_after)
+        self.framer.resume(
+            self.resumes_after, must_be_numbered=must_be_numbered
+        )
 
 
 class Exchange:
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -20,6 +20,7 @@
     RetryBudget,
     Shedding,
     Speeds,
+    StreamForms,
 )
 from hollyknot_coordination.suspects import Suspects
 from hollyknot_gateway._answer_notices import AnswerNotices
@@ -58,6 +59,7 @@
         suspects: Tracks what may crash upstreams.
         losses: Reports to `suspects` how each try ended.
         brittle: Keeps requests from upstreams that must not reject many.
+        stream_forms: Learns which services number the events of streams.
         stalls: Ends tries that have stopped receiving data.
         budget: The retry budget of each service.
         pool: Idle and new connections to upstreams.
@@ -88,6 +90,7 @@
     suspects: Suspects
     losses: LossClassifier
     brittle: BrittleServices
+    stream_forms: StreamForms
     stalls: Stalls
     budget: RetryBudget
     pool: Pool
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -30,6 +30,7 @@
     Shedding,
     SlotOwners,
     Speeds,
+    StreamForms,
     UpstreamRegistry,
 )
 from hollyknot_coordination.suspects import Suspects
@@ -354,6 +355,7 @@
             suspects=self._suspects,
             losses=self._losses,
             brittle=self._brittle,
+            stream_forms=StreamForms(),
             stalls=self._watch.stalls,
             budget=self._budget,
             pool=self._pool,
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -6,6 +6,7 @@
 
 from hollyknot_coordination.forwarding import (
     Choice,
+    EventFault,
     PlacedRequest,
 )
 from hollyknot_gateway import _metrics as metrics
@@ -205,7 +206,12 @@
         parts = self._parts
         entry = choice.entry
         stream = job.stream
-        stream.begin_try(job.call)
+        stream.begin_try(
+            job.call,
+            must_be_numbered=parts.stream_forms.are_numbered(
+                entry.service, entry.version
+            ),
+        )
         sent_s = parts.clock()
         exchange = Exchange(
             parts.dialect,
@@ -251,6 +257,8 @@
         self, job: Job, choice: Choice, work: PlacedRequest, sent_s: float
     ) -> None:
         parts = self._parts
+        if job.route.kind is RouteKind.STREAM:
+            self._note_form(job, choice.entry)
         parts.neighbours.versions.on_first_event(
             job, choice.entry.version, choice.entry.incarnation
         )
@@ -262,6 +270,15 @@
             parts.clock() - sent_s,
         )
 
+    def _note_form(self, job: Job, entry: UpstreamEntry) -> None:
+        framer = job.stream.framer
+        is_other = framer.fault is EventFault.OTHER_NUMBERING
+        self._parts.stream_forms.note(
+            entry.service,
+            entry.version,
+            is_numbered=framer.is_numbered and not is_other,
+        )
+
     def _record_interval(
         self, job: Job, entry: UpstreamEntry, interval_s: float
     ) -> None:
@@ -391,6 +408,9 @@
             self._parts.forecasts.note_answer(
                 job.route.name, job.call.answer_tokens, result.intervals
             )
+        framer = job.stream.framer
+        if framer.fault is EventFault.OTHER_NUMBERING and not framer.events:
+            self._note_form(job, entry)
         self._records.observe(job, result)
         self._records.log_try(job, choice, result)
 
