--- a/packages/gateway/src/hollyknot_gateway/_take_ups.py
+++ b/packages/gateway/src/hollyknot_gateway/_take_ups.py
@@ -113,7 +113,9 @@
         Returns:
             Why the request must not be sent; None if it may be.
         """
-        found = self._alone(job) or await self._find(job)
+        is_proved = self._list_proof.age_s() <= PROOF_S
+        found = self._only(job) if is_proved else None
+        found = found or await self._find(job)
         # A second version may appear before an upstream is chosen.
         job.version = found.version
         self._record(job, found)
@@ -121,11 +123,10 @@
             return self._refusal(job.service.name)
         return None
 
-    def _alone(self, job: Job) -> _Found | None:
-        """Returns the only version, if it is proved to be the only one."""
-        if self._list_proof.age_s() > PROOF_S:
-            return None
-        only = self._only_version(job.service.name)
+    def _only(self, job: Job) -> _Found | None:
+        """Returns the only version by this host's list, if there is one."""
+        service = job.service.name
+        only = self._history.only_version(service, self._clock())
         if only is None or self._remembered(job) not in (None, only):
             return None
         return _Found(Ground.ALONE, only)
@@ -176,10 +177,10 @@
         version = await self._ask(service, stream)
         if version is not None:
             return _Found(Ground.PEER, version)
-        if self._only_version(service) and await self._list_proof.renew():
-            alone = self._alone(job)
-            if alone is not None:
-                return alone
+        if self._only(job) and await self._list_proof.renew():
+            only = self._only(job)
+            if only is not None:
+                return only
         if part is not None:
             version = await self._searches.find(
                 service,
@@ -205,9 +206,6 @@
         self._history.vouch(service, only, now_s)
         return None if self._history.is_mixed(service, now_s) else only
 
-    def _only_version(self, service: str) -> str | None:
-        return self._history.only_version(service, self._clock())
-
 
 def _rounded(seconds: float) -> float | str:
     """Returns a duration for a log line, empty if it has no beginning."""
--- a/packages/gateway/src/hollyknot_gateway/tests/test_grounds.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_grounds.py
@@ -6,6 +6,7 @@
 from typing import Any, cast
 
 import attrs
+import pytest
 
 from hollyknot_coordination.forwarding import (
     CachedVersions,
@@ -14,7 +15,7 @@
     stream_id,
 )
 from hollyknot_gateway._job import Job
-from hollyknot_gateway._list_proof import ListProof
+from hollyknot_gateway._list_proof import ALWAYS_NEWEST, ListProof
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._ports import SourceFailure
 from hollyknot_gateway._relay_messages import PeerHeaders
@@ -274,7 +275,8 @@
 class TestLines:
     """Decisions can be explained from the log."""
 
-    def test_going_on_at_the_only_version_is_logged(self) -> None:
+    @pytest.mark.parametrize("age_s", [0.0, 1.0])
+    def test_going_on_at_the_only_version_is_logged(self, age_s: float) -> None:
         """Guards against a stream of two versions that no line explains."""
 
         async def test() -> None:
@@ -283,12 +285,15 @@
             lines: list[dict[str, object]] = []
             log = SimpleNamespace(line=lambda _, **kw: lines.append(kw))
             neighbours.take_ups._log = cast(Log, log)
+            # A slow directory proves what was written before it was asked.
+            proof = attrs.evolve(ALWAYS_NEWEST, age_s=lambda: age_s)
+            neighbours.take_ups._list_proof = proof
             history = neighbours.versions._history
             history.update(SERVICE, (_OLD,), -history.retention_s)
             await neighbours.take_ups.resolve(_take_up("first"))
             (line,) = lines
             assert (line["ground"], line["version"]) == ("alone", "v1")
-            assert (line["directory_s"], line["peers_s"]) == (0.0, "")
+            assert (line["directory_s"], line["peers_s"]) == (age_s, "")
 
         run_virtually(test())
 
