Take a byte order mark for no part of a stream (ORDER)

What callers saw: an answer that began with a byte order mark began their stream at once, with a status of 200, though garbage followed; marks in segments of their own were passed on without end. A stream that went on at an upstream which begins its answer with a mark was broken off, and if only comments had been passed, its mark stood amid the text, where readers take it for a part of a field's name, such as the id's.

Cause: the end of the mark counted as the end of a sound block, so that it was forwarded by itself and another might follow; a mark that came in pieces ended the check of lines up to the first blank line; and a mark was allowed only before the first event of all tries.

Change: a mark is held back until the block behind it is whole, lines behind it are checked like others, and each try may begin with one, which is dropped if the caller has been given anything before.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
@@ -54,6 +54,9 @@
         self._bytes_between = 0
         self._fault: EventFault | None = None
         self._may_have_mark = True
+        # Whether any bytes were returned. A byte order mark after them would be
+        # read as a part of its line.
+        self._has_begun = False
 
     @property
     def last_id(self) -> str:
@@ -103,15 +106,18 @@
                 self._check_partial()
                 return b""
             data = bytes(self._rest)
-        end = self._read_blocks(data)
+        mark = self._mark_length(data)
+        end = self._read_blocks(data, mark)
         if end == len(data):
             self.drop_partial()
-            return data
-        self._rest = bytearray(data[end:])
-        if end:
-            self._checked = self._line = 0
-        self._check_partial()
-        return data[:end]
+        else:
+            self._rest = bytearray(data[end:])
+            if end:
+                self._checked = self._line = 0
+            self._check_partial()
+        begin = mark if self._has_begun else 0
+        self._has_begun = self._has_begun or end > 0
+        return data[begin:end]
 
     def resume(self, after: str) -> None:
         """Expects the events of another upstream, without the partial one.
@@ -124,7 +130,7 @@
         self._before = after
         self._bytes_between = 0
         self._fault = None
-        self._may_have_mark = not self._events
+        self._may_have_mark = True
         if not self._events:
             is_numbered = is_number(after)
             self._numbering = Numbering.NUMBERS if is_numbered else None
@@ -141,9 +147,9 @@
         self.drop_partial()
         return rest
 
-    def _read_blocks(self, data: bytes) -> int:
-        """Reads whole blocks; returns the end of the last sound one."""
-        position = self._mark_length(data) if self._may_have_mark else 0
+    def _read_blocks(self, data: bytes, start: int) -> int:
+        """Reads whole blocks; returns the end of the last sound one, or 0."""
+        position = start
         is_ascii = data.isascii()
         while position < len(data):
             usual = _USUAL_EVENT.match(data, position)
@@ -156,7 +162,7 @@
                 break
             self._may_have_mark = False
             position = end
-        return position
+        return position if position > start else 0
 
     def _read_block(self, data: bytes, start: int) -> int:
         """Reads any block; returns its end, or -1 if it is not whole."""
@@ -228,9 +234,11 @@
         if self._fault is not None:
             self.drop_partial()
             return
+        if self._may_have_mark:
+            if _BYTE_ORDER_MARK.startswith(self._rest[:4]):
+                return
+            self._line = max(self._line, self._mark_length(self._rest))
         lines = bytes(self._rest[self._line :])
-        if self._may_have_mark and _BYTE_ORDER_MARK.startswith(lines[:3]):
-            return
         if has_bad_line(lines):
             self._fault = EventFault.NOT_A_FIELD
             self.drop_partial()
@@ -238,7 +246,7 @@
         self._checked = len(self._rest)
         self._line += 1 + max(lines.rfind(b"\n"), lines.rfind(b"\r"))
 
-    def _mark_length(self, data: bytes) -> int:
-        """Returns the length of the byte order mark that may begin a stream."""
+    def _mark_length(self, data: bytes | bytearray) -> int:
+        """Returns the length of the byte order mark that may begin a try."""
         has_mark = self._may_have_mark and data.startswith(_BYTE_ORDER_MARK)
         return len(_BYTE_ORDER_MARK) if has_mark else 0
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_events.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_events.py
@@ -146,3 +146,26 @@
         framer.feed(b"id: 1\ndata: a\n")
         framer.feed(line)
         assert framer.fault is EventFault.NOT_A_FIELD
+
+    @pytest.mark.parametrize("size", [1, 3, 4, 1000])
+    @pytest.mark.parametrize("garbage", [b"<html>", "\ufeffid: 1".encode()])
+    def test_a_byte_order_mark_begins_no_stream(
+        self, garbage: bytes, size: int
+    ) -> None:
+        """Guards against marks that hide garbage, or are passed for ever."""
+        framer = EventFramer()
+        data = b"\xef\xbb\xbf" + garbage
+        for at in range(0, len(data), size):
+            assert framer.feed(data[at : at + size]) == b""
+        assert framer.fault is EventFault.NOT_A_FIELD
+
+    @pytest.mark.parametrize("first", [b": a\n\n", b"id: 1\ndata: a\n\n"])
+    def test_a_stream_may_go_on_with_a_byte_order_mark(
+        self, first: bytes
+    ) -> None:
+        """Guards against a stream broken off, or a mark amid its text."""
+        framer = EventFramer()
+        assert framer.feed(first) == first
+        framer.resume(framer.last_id)
+        event = b"id: 2\ndata: b\n\n"
+        assert framer.feed(b"\xef\xbb\xbf" + event) == event
