Send no body after the head of a stream to HEAD requests

What callers saw: the answer to a HEAD request for a stream was followed by the last chunk of a body, which callers on a kept connection read as the beginning of their next answer.

Evidence: test_get_no_body, whose second answer began with "0", failed before (IndexError in the caller's parser) and passes now.

--- a/packages/gateway/src/hollyknot_gateway/_reply.py
+++ b/packages/gateway/src/hollyknot_gateway/_reply.py
@@ -119,7 +119,7 @@
     def finish(self) -> None:
         """Ends the body of an answer that is complete."""
         self._has_ended = True
-        if self._is_http11:
+        if self._is_http11 and self._method != "HEAD":
             self._connection.write(_LAST_CHUNK)
 
     def abort_answer(self) -> None:
@@ -146,6 +146,8 @@
         return write_head(line, headers)
 
     def _framed(self, data: bytes) -> bytes:
+        if self._method == "HEAD":
+            return b""
         if not self._is_http11:
             return data
         return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
