--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -73,7 +73,7 @@
     give_up,
     next_step,
 )
-from hollyknot_coordination.forwarding.speeds import Speeds
+from hollyknot_coordination.forwarding.speeds import Durations, Speeds
 from hollyknot_coordination.forwarding.streams import (
     CACHED_RETENTION_S,
     PARTS_ASKED,
@@ -131,6 +131,7 @@
     "ColdStarts",
     "CustomerShares",
     "Demand",
+    "Durations",
     "Ended",
     "EventFramer",
     "Forecasts",
--- a/packages/gateway/src/hollyknot_gateway/_answers.py
+++ b/packages/gateway/src/hollyknot_gateway/_answers.py
@@ -71,12 +71,14 @@
             self.refuse(job.reply, job.call, step, job)
 
     def time_out(self, job: Job) -> None:
-        """Answers a request whose deadline has passed."""
+        """Answers a request whose deadline or whose host's grace has passed."""
         if job.reply.has_ended:
             # The answer ended just before its task could be woken.
             self._count(job.route.name, Verdict(Outcome.COMPLETE), _OK, job)
             return
-        if job.may_have_run:
+        if self._parts.grace.is_shortened(job):
+            verdict = self._parts.grace.end(job)
+        elif job.may_have_run:
             verdict = Verdict(
                 Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_SILENT, _TIME_LIMIT_PASSED
             )
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -76,18 +76,24 @@
 
     async def serve(self, job: Job) -> None:
         """Runs a request until it is answered, late or cancelled."""
-        if self._parts.clock() >= job.deadline_s:
+        grace = self._parts.grace
+        end_s = grace.end_s(job.deadline_s)
+        if self._parts.clock() >= end_s:
             # The timeout below ends it at its first wait only.
             self._answers.time_out(job)
             return
+        limit = asyncio.timeout_at(end_s)
+        grace.add(limit)
         try:
-            async with asyncio.timeout_at(job.deadline_s):
+            async with limit:
                 await self._run(job)
         except TimeoutError:
             self._answers.time_out(job)
         except asyncio.CancelledError:
             self._answers.caller_gone(job)
             raise
+        finally:
+            grace.discard(limit)
 
     def _admit(
         self, request: CallerRequest, reply: Reply, call: CallTraits
@@ -167,6 +173,8 @@
             not be sent.
         """
         job.is_without_slot = False
+        if self._parts.grace.is_too_late(job):
+            return self._too_late(job, last)
         gate = self._suspect_gate.check(job)
         if isinstance(gate, Refuse):
             return give_up(gate.verdict, self._try_state(job))
@@ -256,6 +264,8 @@
         """Returns what follows a try without an answer for the caller."""
         state = self._try_state(job)
         verdict = result.verdict
+        if self._parts.grace.is_too_late(job):
+            return self._too_late(job, result)
         if job.is_refused_by_peer:
             step = give_up(verdict, state)
             return attrs.evolve(step, return_s=verdict.retry_after_s or None)
@@ -273,6 +283,13 @@
             state = attrs.evolve(state, candidates=max(1, state.candidates))
         return next_step(job.route, verdict, state)
 
+    def _too_late(self, job: Job, last: Result) -> GiveUp:
+        """Refuses a try that would end after this host does."""
+        verdict = last.verdict
+        if not job.may_have_run:
+            verdict = self._parts.grace.refusal(job)
+        return give_up(verdict, self._try_state(job))
+
     def _log_retry(self, job: Job, *, is_sent: bool) -> None:
         """Logs a sent or denied retry with the state of its retry budget."""
         parts = self._parts
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -23,6 +23,7 @@
 )
 from hollyknot_coordination.suspects import Suspects
 from hollyknot_gateway._answer_notices import AnswerNotices
+from hollyknot_gateway._grace import Grace
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._loss_classifier import LossClassifier
 from hollyknot_gateway._metrics import Metrics
@@ -60,6 +61,7 @@
         brittle: Keeps requests from upstreams that must not reject many.
         stalls: Ends tries that have stopped receiving data.
         budget: The retry budget of each service.
+        grace: The time that requests have left while the host stops.
         pool: Idle and new connections to upstreams.
         relays: Chooses peers that make tries for this host.
         relay_pool: Idle and new connections to these peers.
@@ -90,6 +92,7 @@
     brittle: BrittleServices
     stalls: Stalls
     budget: RetryBudget
+    grace: Grace
     pool: Pool
     relays: Relays
     relay_pool: Pool
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -45,6 +45,7 @@
 from hollyknot_gateway._flow import Flow
 from hollyknot_gateway._flow_parts import FlowParts
 from hollyknot_gateway._gauges import GaugeSources, add_gauges
+from hollyknot_gateway._grace import Grace
 from hollyknot_gateway._host_tasks import HostTasks
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._loss_classifier import LossClassifier
@@ -152,6 +153,9 @@
         self._lane_shares = LaneShares(rng.getrandbits(_TOKEN_BITS))
         self._customers = CustomerShares(self._size)
         self._health = Health()
+        self._grace = Grace(
+            lambda service: bool(self._neighbours.relays(service)), clock
+        )
         self._budget = RetryBudget(settings.bounds, self._size, rng)
         self._cold_starts = ColdStarts(
             rng, self._size, self._routing_state.cold_start
@@ -288,6 +292,7 @@
         )
         self._shutdown = Shutdown(
             self._readiness,
+            self._grace,
             self._callers,
             self._relay_server,
             self._losses,
@@ -351,6 +356,7 @@
             brittle=self._brittle,
             stalls=self._watch.stalls,
             budget=self._budget,
+            grace=self._grace,
             pool=self._pool,
             relays=Relays(self._neighbours.relays, self._rng),
             relay_pool=self._relay_pool,
--- a/packages/gateway/src/hollyknot_gateway/_relay_sender.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_sender.py
@@ -155,6 +155,9 @@
         if isinstance(connection, ConnectFailure):
             parts.relays.failed(peer, parts.clock())
             return _not_run(f"peer: {connection.value}"), PeerHeaders()
+        if parts.grace.is_too_late(job):
+            parts.relay_pool.release(str(peer.incarnation), connection)
+            return Result(parts.grace.refusal(job)), PeerHeaders()
         exchange = self._exchange(
             job, connection, lambda: self._note_version(job, receiver.told)
         )
@@ -280,6 +283,8 @@
         finally:
             parts.stalls.discard(exchange)
         note_lateness(job, result)
+        if result.verdict.is_complete and not job.is_resumed:
+            parts.grace.observe(job.route.name, result.took_s)
         if exchange.has_head:
             job.last_byte_s = exchange.last_byte_s
         return result
--- a/packages/gateway/src/hollyknot_gateway/_shutdown.py
+++ b/packages/gateway/src/hollyknot_gateway/_shutdown.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from hollyknot_gateway._caller_server import CallerServer
+from hollyknot_gateway._grace import Grace
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._loss_classifier import LossClassifier
 from hollyknot_gateway._neighbours import Neighbours
@@ -16,7 +17,8 @@
 
 STOP_MARGIN_S = 0.8
 """Seconds before the end of the grace period, when the host is killed, at which
-it ends the remaining requests itself."""
+it ends the remaining requests itself. Half of it is left to send their answers,
+the rest to end the process."""
 
 CHECK_INTERVAL_S = 0.125
 """Seconds between two checks whether everything has ended."""
@@ -28,6 +30,7 @@
     def __init__(
         self,
         readiness: Readiness,
+        grace: Grace,
         callers: CallerServer,
         relay_server: RelayServer,
         losses: LossClassifier,
@@ -39,6 +42,7 @@
 
         Args:
             readiness: Ends first, so that no new callers are sent.
+            grace: Ends requests that are not answered in time.
             callers: Connections and requests of callers.
             relay_server: Tries that this host makes for peers.
             losses: Losses that await a verdict.
@@ -47,6 +51,7 @@
             clock: The loop's monotonic clock, in seconds.
         """
         self._readiness = readiness
+        self._grace = grace
         self._callers = callers
         self._relay_server = relay_server
         self._losses = losses
@@ -70,8 +75,11 @@
         Args:
             grace_s: Seconds after which the process is killed.
         """
-        last_s = self._clock() + grace_s - min(STOP_MARGIN_S, grace_s / 2)
+        margin_s = min(STOP_MARGIN_S, grace_s / 2)
+        ends_s = self._clock() + grace_s - margin_s
+        last_s = ends_s + margin_s / 2
         self._readiness.stop()
+        self._grace.begin(ends_s)
         self._log.line("stop", in_work=self._callers.in_work)
         self._callers.announce_close()
         self._relay_server.announce_close()
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -43,6 +43,7 @@
         Reason.NO_UPSTREAM,
         Reason.UPSTREAMS_RESTING,
         Reason.RATE_LIMITED,
+        Reason.STOPPING,
     }
 )
 
@@ -104,6 +105,9 @@
             ):
                 connection.close()
                 return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
+            if parts.grace.is_too_late(job):
+                self._release(entry, connection)
+                return Result(parts.grace.refusal(job))
             exchange = self._send(job, choice, connection, work)
             parts.stalls.add(
                 exchange,
@@ -314,7 +318,10 @@
             flight until its end.
         """
         is_call = job.route.kind is RouteKind.NON_IDEMPOTENT
-        is_late = self._parts.clock() >= job.deadline_s
+        end_s = self._parts.grace.end_s(job.deadline_s)
+        is_late = self._parts.clock() >= end_s
+        if is_late:
+            self._observe_duration(job, exchange.partial_result(_CALLER_GONE))
         caller_gone_verdict = attrs.evolve(
             _CALLER_GONE, detail=_DEADLINE_PASSED if is_late else _CALLER_LEFT
         )
@@ -391,9 +398,16 @@
             self._parts.forecasts.note_answer(
                 job.route.name, job.call.answer_tokens, result.intervals
             )
+        if verdict.outcome in (Outcome.COMPLETE, Outcome.FAILED):
+            self._observe_duration(job, result)
         self._records.observe(job, result)
         self._records.log_try(job, choice, result)
 
+    def _observe_duration(self, job: Job, result: Result) -> None:
+        """Records how long a try took that had the whole answer to get."""
+        if not job.is_resumed:
+            self._parts.grace.observe(job.route.name, result.took_s)
+
     def _record_health(self, entry: UpstreamEntry, verdict: Verdict) -> None:
         parts = self._parts
         if verdict.reason in _NOT_SENT:
--- a/packages/gateway/src/hollyknot_gateway/tests/test_answers.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_answers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from hollyknot_gateway._answers import Answers
+from hollyknot_gateway._grace import Grace
 
 
 class _Reply:
@@ -25,6 +26,7 @@
         statuses.append(labels["status"])
 
     parts = SimpleNamespace(
+        grace=Grace(lambda _: False, lambda: 0.0),
         log=SimpleNamespace(line=lambda *_, **__: None),
         metrics=SimpleNamespace(count=count),
     )
@@ -50,6 +52,7 @@
         job = SimpleNamespace(
             reply=reply,
             may_have_run=True,
+            deadline_s=0.0,
             relayed_for="",
             route=SimpleNamespace(name="r"),
             service=SimpleNamespace(name="s"),
