--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -131,6 +131,14 @@
         """Whether a request is being read or answered."""
         return self._has_request
 
+    @property
+    def is_in_work(self) -> bool:
+        """Whether a request is in work or its answer is not sent in full."""
+        if self._has_request:
+            return True
+        transport = self.transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     @property
     def sender_ip(self) -> str:
         """IP address of the other side; empty if it has disconnected."""
--- a/packages/gateway/src/hollyknot_gateway/_caller_server.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_server.py
@@ -46,7 +46,7 @@
     @property
     def in_work(self) -> int:
         """Number of connections with a request not answered in full."""
-        return sum(c.has_request for c in self._connections)
+        return sum(c.is_in_work for c in self._connections)
 
     @property
     def connections(self) -> int:
