--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -24,6 +24,7 @@
 )
 from hollyknot_coordination.suspects import Suspects
 from hollyknot_gateway._answer_notices import AnswerNotices
+from hollyknot_gateway._grace import Grace
 from hollyknot_gateway._log import Log
 from hollyknot_gateway._loss_classifier import LossClassifier
 from hollyknot_gateway._metrics import Metrics
@@ -62,6 +63,7 @@
         stream_forms: Learns which services number the events of streams.
         stalls: Ends tries that have stopped receiving data.
         budget: The retry budget of each service.
+        grace: The time that requests have left while the host stops.
         pool: Idle and new connections to upstreams.
         relays: Chooses peers that make tries for this host.
         relay_pool: Idle and new connections to these peers.
@@ -93,6 +95,7 @@
     stream_forms: StreamForms
     stalls: Stalls
     budget: RetryBudget
+    grace: Grace
     pool: Pool
     relays: Relays
     relay_pool: Pool
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -44,6 +44,7 @@
         Reason.NO_UPSTREAM,
         Reason.UPSTREAMS_RESTING,
         Reason.RATE_LIMITED,
+        Reason.STOPPING,
     }
 )
 
@@ -105,6 +106,9 @@
             ):
                 connection.close()
                 return Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
+            if parts.grace.is_too_late(job):
+                self._release(entry, connection)
+                return Result(parts.grace.refusal(job))
             exchange = self._send(job, choice, connection, work)
             parts.stalls.add(
                 exchange,
@@ -331,7 +335,10 @@
             flight until its end.
         """
         is_call = job.route.kind is RouteKind.NON_IDEMPOTENT
-        is_late = self._parts.clock() >= job.deadline_s
+        end_s = self._parts.grace.end_s(job.deadline_s)
+        is_late = self._parts.clock() >= end_s
+        if is_late:
+            self._observe_duration(job, exchange.partial_result(_CALLER_GONE))
         caller_gone_verdict = attrs.evolve(
             _CALLER_GONE, detail=_DEADLINE_PASSED if is_late else _CALLER_LEFT
         )
@@ -403,6 +410,13 @@
         if result.is_other_upstream:
             self._parts.in_force.registry.mark_replaced(entry.incarnation)
             self._parts.pool.drop(entry.incarnation)
+        self._learn(job, entry, result)
+        self._records.observe(job, result)
+        self._records.log_try(job, choice, result)
+
+    def _learn(self, job: Job, entry: UpstreamEntry, result: Result) -> None:
+        """Notes what the end of a try tells of its route and service."""
+        verdict = result.verdict
         if verdict.is_complete and result.intervals and job.sent == 1:
             # The intervals of a resumed stream cover only its last part.
             self._parts.forecasts.note_answer(
@@ -411,8 +425,13 @@
         framer = job.stream.framer
         if framer.fault is EventFault.OTHER_NUMBERING and not framer.events:
             self._note_form(job, entry)
-        self._records.observe(job, result)
-        self._records.log_try(job, choice, result)
+        if verdict.outcome in (Outcome.COMPLETE, Outcome.FAILED):
+            self._observe_duration(job, result)
+
+    def _observe_duration(self, job: Job, result: Result) -> None:
+        """Records how long a try took that had the whole answer to get."""
+        if not job.is_resumed:
+            self._parts.grace.observe(job.route.name, result.took_s)
 
     def _record_health(self, entry: UpstreamEntry, verdict: Verdict) -> None:
         parts = self._parts
