--- a/packages/transport/src/hollyknot_transport/_aiohttp_relay.py
+++ b/packages/transport/src/hollyknot_transport/_aiohttp_relay.py
@@ -1,6 +1,6 @@
 """Relays the chunks of an HTTP body as soon as aiohttp has parsed them.
 
-This is the only module that uses private parts of aiohttp. Reading a body
+This module and `_bounded_client` alone use private parts of aiohttp. Reading a body
 through the public interface costs a future, a turn of the event loop and a
 step of the waiting task for each token, which is more than all other work of a
 host for a token. Instead, the reader of the body is switched to a subclass of
--- a/packages/transport/src/hollyknot_transport/_exchange.py
+++ b/packages/transport/src/hollyknot_transport/_exchange.py
@@ -14,6 +14,7 @@
 from hollyknot_state import Nature, Outcome, Reason, Verdict
 from hollyknot_transport._aiohttp_relay import relay
 from hollyknot_transport._answers import NOT_RUN, REQUEST_ID
+from hollyknot_transport._bounded_client import BoundedConnector
 from hollyknot_transport._stall_guard import Phase, StallGuard, WatchedExchange
 
 MAX_BUFFERED_ANSWER_BYTES = 262_144
@@ -219,7 +220,7 @@
 
 
 def _session(force_close: bool) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(
+    connector = BoundedConnector(
         limit=0,
         force_close=force_close,
         keepalive_timeout=None if force_close else IDLE_CONNECTION_S,
