--- a/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
@@ -340,7 +340,7 @@
             held = asyncio.Event()
             transport = _Reading()
             connection = CallerConnection(
-                lambda *_: held.wait(),  # type: ignore[arg-type, return-value]
+                lambda *_: held.wait(),  # type: ignore[arg-type]
                 CallerLimits(),
                 lambda _: None,
                 lambda _, reason: unread.append(reason),
@@ -350,7 +350,7 @@
             connection.data_received(BEHIND[form])
             await asyncio.sleep(0)
             sent = 0
-            while transport.is_reading and sent < READ_BYTES:
+            while not transport.is_held and sent < READ_BYTES:
                 connection.data_received(piece * 1000)
                 sent += 1000 * len(piece)
             connection.connection_lost(None)
@@ -387,10 +387,10 @@
 class _Reading(_Transport):
     """Notes whether it is read."""
 
-    is_reading = True
+    is_held = False
 
     def pause_reading(self) -> None:
-        self.is_reading = False
+        self.is_held = True
 
     def resume_reading(self) -> None:
-        self.is_reading = True
+        self.is_held = False
--- a/packages/transport/src/hollyknot_transport/_aiohttp_relay.py
+++ b/packages/transport/src/hollyknot_transport/_aiohttp_relay.py
@@ -1,7 +1,7 @@
 """Relays the chunks of an HTTP body as soon as aiohttp has parsed them.
 
-This module and `_bounded_client` alone use private parts of aiohttp. Reading a body
-through the public interface costs a future, a turn of the event loop and a
+This module and `_bounded_client` alone use private parts of aiohttp. Reading a
+body through the public interface costs a future, a turn of the event loop and a
 step of the waiting task for each token, which is more than all other work of a
 host for a token. Instead, the reader of the body is switched to a subclass of
 the same memory layout, whose `feed_data` calls a callback, and its `_waiter`,
