A peer that saw several versions goes before this host's own list (ORDER)

The answer of the peers now says that several were seen; the stream is refused unless its parts are found. The test before: v1 in place of none.

--- a/packages/gateway/src/hollyknot_gateway/_take_ups.py
+++ b/packages/gateway/src/hollyknot_gateway/_take_ups.py
@@ -12,6 +12,7 @@
 import attrs
 
 from hollyknot_coordination.forwarding import (
+    Held,
     VersionHistory,
     part_id,
     stream_id,
@@ -174,10 +175,10 @@
         if version is not None:
             return _Found(Ground.OWN, version)
         await self._searches.until_met()
-        version = await self._ask(service, stream)
-        if version is not None:
-            return _Found(Ground.PEER, version)
-        if self._only(job) and await self._list_proof.renew():
+        told = await self._ask(service, stream)
+        if isinstance(told, str):
+            return _Found(Ground.PEER, told)
+        if told is None and self._only(job) and await self._list_proof.renew():
             only = self._only(job)
             if only is not None:
                 return only
@@ -189,16 +190,24 @@
             if version is not None:
                 return _Found(Ground.CACHE, version)
         # More peers may be known by now.
-        version = await self._ask(service, stream)
-        ground = Ground.NONE if version is None else Ground.PEER
-        return _Found(ground, version)
+        told = await self._ask(service, stream)
+        if isinstance(told, str):
+            return _Found(Ground.PEER, told)
+        return _Found(Ground.NONE)
+
+    async def _ask(self, service: str, stream: int | None) -> str | Held | None:
+        """Asks peers for a stream, or for the only version that served.
 
-    async def _ask(self, service: str, stream: int | None) -> str | None:
-        """Asks peers for a stream, or for the only version that served."""
+        Returns:
+            The version; that several have served, if a peer says so; None if
+            nobody can tell.
+        """
         key = stream if stream is not None else stream_id(service, "")
         answer = await self._versions.ask(key, service)
         if answer.version is not None and stream is not None:
             return answer.version
+        if answer.has_several:
+            return Held.BY_SEVERAL
         now_s = self._clock()
         only = answer.only_version
         if only is None or self._history.is_mixed(service, now_s):
--- a/packages/gateway/src/hollyknot_gateway/_version_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_version_requester.py
@@ -252,8 +252,9 @@
 
         Returns:
             An answer that names its version, or else the only version of the
-            service if most peers answered and none has seen several, or else
-            none. Peers that are cut off together hear each other only.
+            service if most peers answered, or else none. Peers that are cut
+            off together hear each other only. It says if a peer has seen
+            several versions.
         """
         peers = self._keepers.to_ask(stream)
         answers = await self._collect(
@@ -264,10 +265,10 @@
         best = max(answers, key=_knowledge, default=VersionAnswer(0))
         if best.version is not None:
             return best
+        if any(a.has_several for a in answers):
+            return VersionAnswer(0, has_several=True)
         are_most = 2 * len(answers) > len(peers)
-        if not are_most or any(a.has_several for a in answers):
-            return VersionAnswer(0)
-        return best
+        return best if are_most else VersionAnswer(0)
 
     async def ask_part(self, part: int, keepers: Keepers) -> str | Held | None:
         """Asks peers whose upstreams hold a part, and looks into own memory.
--- a/packages/gateway/src/hollyknot_gateway/tests/test_grounds.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_grounds.py
@@ -271,6 +271,28 @@
 
         run_virtually(test())
 
+    def test_a_peer_that_saw_two_versions_is_heard_before_the_directory(
+        self,
+    ) -> None:
+        """Guards against a version that came and left unread."""
+
+        async def test() -> None:
+            network = Network(2, 1, is_busy=False)
+            network.start()
+            await asyncio.sleep(5.0)
+            own, knows = (host.neighbours for host in network.hosts)
+            for found, entries in ((own, (_OLD,)), (knows, (_OLD, _NEW))):
+                history = found.versions._history
+                history.update(SERVICE, entries, -history.retention_s)
+            proof = attrs.evolve(ALWAYS_NEWEST, age_s=lambda: 1.0)
+            own.take_ups._list_proof = proof
+            job = _take_up("first")
+            await own.take_ups.resolve(job)
+            network.stop()
+            assert job.version is None
+
+        run_virtually(test())
+
 
 class TestLines:
     """Decisions can be explained from the log."""
