Strip no control characters from the ids of events

An id such as "2" with a unit separator behind it was read as 2 and became the place to go on at, while its caller reads another id, or a number that its own parser refuses: whitespace of any script was stripped, among it control characters and line separators. Only spaces and tabs are now; what is left and can't be printed is no id, as elsewhere.

The 4 cases of test_an_id_is_what_callers_read failed before and pass now.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_event_blocks.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_event_blocks.py
@@ -69,7 +69,9 @@
         return EventFault.NOT_A_FIELD
     fields = [line.partition(b":") for line in lines]
     names = {name for name, _, _ in fields}
-    ids = [value.decode().strip() for name, _, value in fields if name == _ID]
+    ids = [
+        value.strip(b" \t").decode() for name, _, value in fields if name == _ID
+    ]
     if names <= _BETWEEN_EVENTS:
         return Block(is_event=False)
     if _DATA not in names:
--- a/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_events.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/tests/test_events.py
@@ -169,3 +169,10 @@
         framer.resume(framer.last_id)
         event = b"id: 2\ndata: b\n\n"
         assert framer.feed(b"\xef\xbb\xbf" + event) == event
+
+    @pytest.mark.parametrize("event_id", ["2\x1f", "2\x0b", "\x852", "\u20282"])
+    def test_an_id_is_what_callers_read(self, event_id: str) -> None:
+        """Guards against ids that callers read otherwise than hosts do."""
+        framer = EventFramer()
+        assert framer.feed(f"id: {event_id}\ndata: a\n\n".encode()) == b""
+        assert framer.fault is EventFault.BAD_ID
