Count each garbled stream once

A try of a stream that could not be sent, such as one whose connection was refused, was counted as garbled if the try before had been: the count asked the stream's framer, which keeps its fault until the next request is sent. It now asks the verdict of the try, as the count of floods does.

test_counts_tries_that_were_garbled found 2 before and finds 1 now.

--- a/packages/gateway/src/hollyknot_gateway/_try_records.py
+++ b/packages/gateway/src/hollyknot_gateway/_try_records.py
@@ -1,6 +1,6 @@
 """Logs and measures the tries of requests."""
 
-from hollyknot_coordination.forwarding import Choice
+from hollyknot_coordination.forwarding import Choice, EventFault
 from hollyknot_gateway import _metrics as metrics
 from hollyknot_gateway._exchange import Result
 from hollyknot_gateway._flow_parts import FlowParts
@@ -10,6 +10,8 @@
 from hollyknot_gateway._upstream_connection import Lost
 from hollyknot_state.routes import UpstreamEntry
 
+_STREAM_FAULTS = frozenset(fault.value for fault in EventFault)
+
 
 class TryRecords:
     """Writes the log lines and metrics of tries."""
@@ -99,7 +101,7 @@
         )
         if verdict.detail == Lost.FLOODED.value:
             parts.metrics.count(metrics.FLOODS, service=job.service.name)
-        if job.stream.framer.fault is not None:
+        if verdict.detail in _STREAM_FAULTS:
             parts.metrics.count(metrics.GARBLED, service=job.service.name)
         if verdict.is_complete and job.late is not Late.NO:
             parts.metrics.count(
