--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -422,8 +422,8 @@
             self._parts.forecasts.note_answer(
                 job.route.name, job.call.answer_tokens, result.intervals
             )
-        framer = job.stream.framer
-        if framer.fault is EventFault.OTHER_NUMBERING and not framer.events:
+        is_other = verdict.detail == EventFault.OTHER_NUMBERING.value
+        if is_other and not job.stream.framer.events:
             self._note_form(job, entry)
         if verdict.outcome in (Outcome.COMPLETE, Outcome.FAILED):
             self._observe_duration(job, result)
