--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
@@ -30,6 +32,9 @@
 )
 from hollyknot_state.routes import CallerLimits
 
+_NO_LINGER = struct.pack("ii", 1, 0)
+"""Option of a socket whose close is a reset; it is a plain end otherwise."""
+
 _BODY_BUFFER_BYTES = 65_536
 _HEAD_FACTOR = 2
 """Most bytes before the end of a head, as a multiple of the largest field. It
@@ -154,10 +159,19 @@
             self.transport.write(data)
 
     def abort(self) -> None:
-        """Resets the connection."""
+        """Closes the connection at once; drops bytes not yet sent."""
         if self.transport is not None:
             self.transport.abort()
 
+    def reset(self) -> None:
+        """Resets the connection; drops bytes not yet received too."""
+        if self.transport is None:
+            return
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.transport.abort()
+
     def close(self) -> None:
         """Closes an idle connection."""
         if self.transport is not None:
--- a/packages/gateway/src/hollyknot_gateway/_reply.py
+++ b/packages/gateway/src/hollyknot_gateway/_reply.py
@@ -35,7 +35,10 @@
         """Closes the connection after the current request's answer."""
 
     def abort(self) -> None:
-        """Resets the connection."""
+        """Closes the connection at once; drops bytes not yet sent."""
+
+    def reset(self) -> None:
+        """Resets the connection; drops bytes not yet received too."""
 
 
 class Reply:
@@ -123,13 +126,16 @@
             self._connection.write(_LAST_CHUNK)
 
     def abort_answer(self) -> None:
-        """Resets the connection, so that the answer is seen to be incomplete.
+        """Ends the connection, so that the answer is seen to be incomplete.
 
-        A plain close would show that only for a chunked body: a body that is
-        delimited by the end of the connection would look complete.
+        A close shows that only for a chunked body: a body that is delimited by
+        the end of the connection would look complete.
         """
         self._has_ended = True
-        self._connection.abort()
+        if self._is_http11:
+            self._connection.abort()
+        else:
+            self._connection.reset()
 
     def _head(
         self, status: int, headers: Iterable[tuple[bytes, bytes]]
