Tell which events each try brought (ORDER)

Lines of tries named the event to go on after, not what the try then brought, and lines of relayed tries neither, so that an unfounded first event and two parties that name different last events look alike.

Change: `first_id` and `last_id` in the lines of tries, `after` and `resumes` in those of relayed ones. No logic changes.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
@@ -46,6 +46,7 @@
         # Indices in the partial event: the end of the bytes that have been
         # checked, and the beginning of the line that they end in.
         self._checked = self._line = 0
+        self._first_id = ""
         self._last_id = ""
         self._events = 0
         self._before = ""
@@ -58,6 +59,11 @@
         # read as a part of its line.
         self._has_begun = False
 
+    @property
+    def first_id(self) -> str:
+        """Id of the first event of the current try; empty if it has none."""
+        return self._first_id
+
     @property
     def last_id(self) -> str:
         """Id of the last whole event that had one; empty before the first."""
@@ -133,6 +139,7 @@
             must_be_numbered: Whether an event without a number is none.
         """
         self.drop_partial()
+        self._first_id = ""
         self._before = after
         self._bytes_between = 0
         self._fault = None
@@ -229,6 +236,7 @@
         self._bytes_between = 0
         if event_id:
             self._before = self._last_id = event_id
+            self._first_id = self._first_id or event_id
 
     def _check_line(self) -> None:
         """Checks the line that the partial event ends in, until it is named."""
--- a/packages/gateway/src/hollyknot_gateway/_relay_sender.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_sender.py
@@ -21,6 +21,7 @@
 )
 from hollyknot_gateway._running_time import wait_while_running
 from hollyknot_gateway._tries import note_lateness
+from hollyknot_gateway._try_records import event_ids
 from hollyknot_gateway._upstream_connection import (
     Head,
     UpstreamConnection,
@@ -371,6 +372,8 @@
             tokens=job.call.prompt_tokens,
             customer=job.customer,
             late=job.late.value,
+            **event_ids(job),
+            resumes=job.call.resumes,
         )
         self._parts.metrics.count(
             metrics.RELAYED,
--- a/packages/gateway/src/hollyknot_gateway/_try_records.py
+++ b/packages/gateway/src/hollyknot_gateway/_try_records.py
@@ -83,7 +83,7 @@
             customer=job.customer,
             late=job.late.value,
             version=choice.entry.version,
-            after=job.stream.resumes_after,
+            **event_ids(job),
             resumes=job.call.resumes,
             from_copy=job.resumes_copy,
             reused=result.is_reused,
@@ -119,5 +119,15 @@
             )
 
 
+def event_ids(job: Job) -> dict[str, str]:
+    """Returns which events a try was asked for, and which it has brought."""
+    stream = job.stream
+    return {
+        "after": stream.resumes_after,
+        "first_id": stream.framer.first_id,
+        "last_id": stream.framer.last_id,
+    }
+
+
 def _ms(seconds: float) -> float:
     return round(seconds * 1000, 1)
