Let the dialect promise numbered events (ORDER)

What callers saw: garbage with the form of an event but no number (id -3, next, none) as a whole answer, or as the beginning of a stream that goes on after a place that no run made.

Cause: the form of a first event was learned from five streams of a version; a host that has just started, or sees a new version, has seen none, and believed whatever came. The sender of a relayed try looked at nothing at all.

Each try expects numbers from its first event on. An interface without a promise learns as before: the tests of names, of events without ids and of learning run with such a dialect, their checks are the same.

--- a/packages/gateway/src/hollyknot_gateway/_ports.py
+++ b/packages/gateway/src/hollyknot_gateway/_ports.py
@@ -37,12 +37,15 @@
         read_answer: Parses an answer's status and headers.
         attempt_header: Name of the header that carries the caller's request
             id in answers that the host writes itself.
+        numbers_events: Whether the interface promises that the events of
+            streams have increasing numbers as ids.
     """
 
     read_call: Callable[[Fields], CallTraits]
     upstream_headers: Callable[[Headers, Dispatch], list[tuple[bytes, bytes]]]
     read_answer: Callable[[int, Fields], AnswerTraits]
     attempt_header: bytes
+    numbers_events: bool = False
 
 
 @attrs.frozen
--- a/packages/gateway/src/hollyknot_gateway/_relay_sender.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_sender.py
@@ -221,7 +221,9 @@
     ) -> Exchange:
         parts = self._parts
         stream = job.stream
-        stream.begin_try(job.call)
+        stream.begin_try(
+            job.call, must_be_numbered=parts.dialect.numbers_events
+        )
         # What upstreams say of themselves is learnt by the peer.
         return Exchange(
             parts.dialect,
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -210,12 +210,10 @@
         parts = self._parts
         entry = choice.entry
         stream = job.stream
-        stream.begin_try(
-            job.call,
-            must_be_numbered=parts.stream_forms.are_numbered(
-                entry.service, entry.version
-            ),
+        is_numbered = parts.dialect.numbers_events or (
+            parts.stream_forms.are_numbered(entry.service, entry.version)
         )
+        stream.begin_try(job.call, must_be_numbered=is_numbered)
         sent_s = parts.clock()
         exchange = Exchange(
             parts.dialect,
