Reject tries that begin beyond the next event (ORDER)

What callers saw: a stream that goes on at another upstream without the events between, and ends as whole.

Cause: ids were only asked to increase, so that an upstream that goes on too far ahead of Last-Event-Id, or a first event with a made-up number, passes for the next one. Host and upstream named different last events, and nobody knew which number comes next.

A try that begins beyond the next place has failed as "may have run" (EventFault.GAP). Nothing is expected where events hold varying numbers of tokens. The framer does no more work for each event than to keep the number before the last.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/__init__.py
@@ -1,7 +1,10 @@
 """Decides how a host forwards calls by routes, without doing any I/O."""
 
-from hollyknot_coordination.forwarding._event_blocks import EventFault
-from hollyknot_coordination.forwarding._events import EventFramer
+from hollyknot_coordination.forwarding._event_blocks import (
+    EventFault,
+    is_number,
+)
+from hollyknot_coordination.forwarding._events import EventFramer, TryNumbers
 from hollyknot_coordination.forwarding._gap_tolerance import GapTolerance
 from hollyknot_coordination.forwarding._route_index import (
     NoOwner,
@@ -84,6 +87,7 @@
     Held,
     Keepers,
     StreamForms,
+    StreamPlaces,
     StreamVersions,
     ToldStreams,
     VersionHistory,
@@ -118,6 +122,7 @@
     "pack_hosts",
     "unpack_hosts",
     "StreamForms",
+    "StreamPlaces",
     "StreamVersions",
     "VersionHistory",
     "copy_holder",
@@ -138,6 +143,8 @@
     "Ended",
     "EventFault",
     "EventFramer",
+    "TryNumbers",
+    "is_number",
     "Forecasts",
     "GapTolerance",
     "GiveUp",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_event_blocks.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_event_blocks.py
@@ -40,6 +40,7 @@
     BAD_ID = "an event with several ids, or with one that can't be sent back"
     OTHER_NUMBERING = "an event identified unlike those before it"
     OUT_OF_ORDER = "the stream does not go on after its last event"
+    GAP = "the stream goes on too far after its last event"
     NO_EVENTS = "too many bytes between two events"
 
 
--- a/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
@@ -10,6 +10,8 @@
 
 import re
 
+import attrs
+
 from hollyknot_coordination.forwarding._event_blocks import (
     MAX_NAME_BYTES,
     EventFault,
@@ -33,6 +35,45 @@
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
+_MIN_STEPS = 2
+"""Steps between events from which a stream's step is known."""
+
+
+@attrs.frozen
+class TryNumbers:
+    """The numbers of a try's events.
+
+    The last one is left out of the step, as it may hold less than the others.
+
+    Attributes:
+        after: Number of the event that they follow; None for a new stream.
+        first: Number of the first event.
+        before_last: Number of the last event but one.
+        events: Number of events.
+    """
+
+    after: int | None
+    first: int
+    before_last: int
+    events: int
+
+    @property
+    def has_steps(self) -> bool:
+        """Whether there are enough events to tell their step."""
+        return self.events - 2 >= _MIN_STEPS
+
+    @property
+    def step(self) -> int | None:
+        """The step from each event to the next; None if not known or varied.
+
+        It is exact if it is 1; others may be the mean of steps that differ.
+        """
+        if not self.has_steps:
+            return None
+        step, rest = divmod(self.before_last - self.first, self.events - 2)
+        return None if rest else step
+
+
 class EventFramer:
     """Checks the events of one stream and buffers the partial one at its end.
 
@@ -51,7 +92,11 @@
         self._events = 0
         self._before = ""
         self._numbering: Numbering | None = None
-        self._number = -1
+        self._number = self._number_before = -1
+        self._furthest: int | None = None
+        self._first_number: int | None = None
+        self._events_before = 0
+        self._after: int | None = None
         self._bytes_between = 0
         self._fault: EventFault | None = None
         self._may_have_mark = True
@@ -74,6 +119,21 @@
         """Number of whole events."""
         return self._events
 
+    @property
+    def numbers(self) -> TryNumbers | None:
+        """The numbers of the current try's events; None if it has none.
+
+        An event that was rejected because it lies too far ahead counts.
+        """
+        if self._first_number is None:
+            return None
+        return TryNumbers(
+            self._after,
+            self._first_number,
+            self._number_before,
+            self._events - self._events_before,
+        )
+
     @property
     def is_resumable(self) -> bool:
         """Whether the events so far, if any, have ids."""
@@ -130,25 +190,36 @@
         self._has_begun = self._has_begun or end > 0
         return data[begin:end]
 
-    def resume(self, after: str, *, must_be_numbered: bool = False) -> None:
+    def resume(
+        self,
+        after: str,
+        *,
+        must_be_numbered: bool = False,
+        furthest: int | None = None,
+    ) -> None:
         """Expects the events of another upstream, without the partial one.
 
         Args:
             after: Id of the event after which they go on; empty if they begin
                 the stream.
             must_be_numbered: Whether an event without a number is none.
+            furthest: The highest number that their first one may have; None if
+                that is not known.
         """
         self.drop_partial()
         self._first_id = ""
+        self._furthest = furthest
+        self._first_number = None
+        self._events_before = self._events
+        self._after = int(after) if is_number(after) else None
         self._before = after
         self._bytes_between = 0
         self._fault = None
         self._may_have_mark = True
         if not self._events:
-            is_after_number = is_number(after)
-            is_numbered = is_after_number or must_be_numbered
+            is_numbered = self._after is not None or must_be_numbered
             self._numbering = Numbering.NUMBERS if is_numbered else None
-            self._number = int(after) if is_after_number else -1
+            self._number = -1 if self._after is None else self._after
 
     def drop_partial(self) -> None:
         """Discards a partial event."""
@@ -200,10 +271,17 @@
         number = int(digits)
         if number <= self._number:
             return EventFault.OUT_OF_ORDER
-        self._number = number
+        if self._first_number is None and not self._begins_at(number):
+            return EventFault.GAP
+        self._number_before, self._number = self._number, number
         self._note_event(digits.decode())
         return None
 
+    def _begins_at(self, number: int) -> bool:
+        """Notes a try's first number; returns whether it leaves no gap."""
+        self._first_number = number
+        return self._furthest is None or number <= self._furthest
+
     def _add_block(self, data: bytes) -> EventFault | None:
         block = read_block(data)
         if isinstance(block, EventFault):
@@ -225,9 +303,12 @@
             return EventFault.OTHER_NUMBERING
         if event_id and not follows(event_id, self._before):
             return EventFault.OUT_OF_ORDER
-        self._numbering = numbering
         if numbering is Numbering.NUMBERS:
-            self._number = int(event_id)
+            number = int(event_id)
+            if self._first_number is None and not self._begins_at(number):
+                return EventFault.GAP
+            self._number_before, self._number = self._number, number
+        self._numbering = numbering
         self._note_event(event_id)
         return None
 
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding import EventFramer
+from hollyknot_coordination.forwarding import EventFramer, is_number
 from hollyknot_gateway._headers import end_to_end
 from hollyknot_gateway._ports import Dialect, Headers
 from hollyknot_gateway._reply import Reply
@@ -93,6 +93,11 @@
     is_reused: bool = False
 
 
+Furthest = Callable[[int | None, bool], int | None]
+"""Takes the number of the event to go on after, None for a new stream, and
+whether the numbers of the stream's events so far are known to go up by one."""
+
+
 @attrs.define
 class StreamState:
     """The part of a stream that the caller has received in all tries so far.
@@ -106,17 +111,30 @@
     resumes_after: str = ""
 
     def begin_try(
-        self, call: CallTraits, *, must_be_numbered: bool = False
+        self,
+        call: CallTraits,
+        *,
+        must_be_numbered: bool = False,
+        furthest: Furthest | None = None,
     ) -> None:
         """Expects the events of the next try of a call.
 
         Args:
             call: The call.
             must_be_numbered: Whether an event without a number is none.
+            furthest: Returns the highest number that the first event may have,
+                if that is known.
         """
-        self.resumes_after = self.framer.last_id or call.last_event_id
+        self.resumes_after = after = self.framer.last_id or call.last_event_id
+        numbers = self.framer.numbers
+        has_no_gaps = numbers is not None and numbers.step == 1
+        place = int(after) if is_number(after) else None
+        limit = None
+        # A place that is not a number tells nothing of the next one.
+        if furthest is not None and (place is not None or not after):
+            limit = furthest(place, has_no_gaps)
         self.framer.resume(
-            self.resumes_after, must_be_numbered=must_be_numbered
+            after, must_be_numbered=must_be_numbered, furthest=limit
         )
 
 
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -21,6 +21,7 @@
     Shedding,
     Speeds,
     StreamForms,
+    StreamPlaces,
 )
 from hollyknot_coordination.suspects import Suspects
 from hollyknot_gateway._answer_notices import AnswerNotices
@@ -61,6 +62,7 @@
         losses: Reports to `suspects` how each try ended.
         brittle: Keeps requests from upstreams that must not reject many.
         stream_forms: Learns which services number the events of streams.
+        stream_places: Learns where streams begin and how their numbers go up.
         stalls: Ends tries that have stopped receiving data.
         budget: The retry budget of each service.
         grace: The time that requests have left while the host stops.
@@ -93,6 +95,7 @@
     losses: LossClassifier
     brittle: BrittleServices
     stream_forms: StreamForms
+    stream_places: StreamPlaces
     stalls: Stalls
     budget: RetryBudget
     grace: Grace
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -31,6 +31,7 @@
     SlotOwners,
     Speeds,
     StreamForms,
+    StreamPlaces,
     UpstreamRegistry,
 )
 from hollyknot_coordination.suspects import Suspects
@@ -361,6 +362,7 @@
             losses=self._losses,
             brittle=self._brittle,
             stream_forms=StreamForms(),
+            stream_places=StreamPlaces(),
             stalls=self._watch.stalls,
             budget=self._budget,
             grace=self._grace,
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -213,7 +213,13 @@
         is_numbered = parts.dialect.numbers_events or (
             parts.stream_forms.are_numbered(entry.service, entry.version)
         )
-        stream.begin_try(job.call, must_be_numbered=is_numbered)
+        stream.begin_try(
+            job.call,
+            must_be_numbered=is_numbered,
+            furthest=lambda after, has_no_gaps: parts.stream_places.furthest(
+                entry.service, entry.version, after, has_no_gaps=has_no_gaps
+            ),
+        )
         sent_s = parts.clock()
         exchange = Exchange(
             parts.dialect,
@@ -420,6 +426,11 @@
             self._parts.forecasts.note_answer(
                 job.route.name, job.call.answer_tokens, result.intervals
             )
+        numbers = job.stream.framer.numbers
+        if numbers is not None:
+            self._parts.stream_places.note(
+                entry.service, entry.version, numbers
+            )
         is_other = verdict.detail == EventFault.OTHER_NUMBERING.value
         if is_other and not job.stream.framer.events:
             self._note_form(job, entry)
