Note a try's places only if it was sent

A try that ends before it is sent, as its upstream can't be connected to, left the framer with the numbers of the try before, which were then noted a second time. Found in reading; test_stream_order and test_garbled_streams pass.

--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -287,6 +287,13 @@
             is_numbered=framer.is_numbered and not is_other,
         )
 
+    def _note_places(self, job: Job, entry: UpstreamEntry) -> None:
+        numbers = job.stream.framer.numbers
+        if numbers is not None:
+            self._parts.stream_places.note(
+                entry.service, entry.version, numbers
+            )
+
     def _record_interval(
         self, job: Job, entry: UpstreamEntry, interval_s: float
     ) -> None:
@@ -400,6 +407,7 @@
         if job.sent > job.sent_before:
             job.sent_before = job.sent
             self._parts.losses.on_try_end(entry, job.identity, verdict)
+            self._note_places(job, entry)
         job.tried |= {entry.incarnation}
         if verdict.upstream_status == _UNAVAILABLE and not lacks_copy:
             self._records.log_rejection(job, entry)
@@ -426,11 +434,6 @@
             self._parts.forecasts.note_answer(
                 job.route.name, job.call.answer_tokens, result.intervals
             )
-        numbers = job.stream.framer.numbers
-        if numbers is not None:
-            self._parts.stream_places.note(
-                entry.service, entry.version, numbers
-            )
         is_other = verdict.detail == EventFault.OTHER_NUMBERING.value
         if is_other and not job.stream.framer.events:
             self._note_form(job, entry)
