Take streams of a split route up at the service that began them (ORDER)

What callers saw: a stream of a split route, taken up through any host, goes on with what another service of the split writes; without any fault, once a host has run for a minute.

Cause: the service was drawn for each request before anything else, and only the version at that service was asked for. That one version alone has served there is no ground for a stream that another service began.

Change: a take-up on a route with several services first finds the one that began its stream, by what names this very stream: the memory of this host or of a peer, or the last part of its prompt, if upstreams of one service alone hold it. Else it is refused, "not run", with a time to come back. Streams of such routes are told to peers as they begin, as beside a second version, so that their host may end. The version is then found as before. A share without weight gets no take-up.

The stub of a route in test_known_hosts names its service now.

--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -136,8 +136,13 @@
 
     async def _run(self, job: Job) -> None:
         parts = self._parts
+        unknown = await self._find_service(job)
         if not job.relayed_for:
             parts.budget.on_first_try(job.service.name, parts.clock())
+        if unknown is not None:
+            refusal = self._give_up_unknown(job, unknown)
+            self._answers.give_up(job, Result(unknown), refusal)
+            return
         if job.call.prompt:
             parts.forecasts.note_request(job.route.name, job.call.answer_tokens)
         result = Result(Verdict(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
@@ -161,6 +166,33 @@
                 parts.budget.spend(job.service.name, parts.clock())
                 self._log_retry(job, is_sent=True)
 
+    async def _find_service(self, job: Job) -> Verdict | None:
+        """Has a request go on at the service that began its stream.
+
+        Returns:
+            Why the request must not be sent; None if it may be.
+        """
+        services = job.route.services
+        if not job.is_take_up or job.relayed_for or len(services) == 1:
+            return None
+        take_ups = self._parts.neighbours.take_ups
+        found = await take_ups.find_service(job, services)
+        if isinstance(found, Verdict):
+            return found
+        if found != job.service.name:
+            self._move(job, found)
+        return None
+
+    def _move(self, job: Job, name: str) -> None:
+        """Gives a request to another service of its route."""
+        index = self._parts.in_force.index
+        services = index.table.services if index is not None else {}
+        job.service = services.get(name) or Service(name)
+        job.identity = identify(job.request, job.call, job.service)
+        if index is not None:
+            job.is_loose = index.is_loose(job.route, name)
+            job.shed_from_urgency = index.shed_from_urgency(name)
+
     async def _attempt(self, job: Job, last: Result) -> Result | GiveUp:
         """Makes one try, through a peer if this host reaches no upstream.
 
--- a/packages/gateway/src/hollyknot_gateway/_take_ups.py
+++ b/packages/gateway/src/hollyknot_gateway/_take_ups.py
@@ -5,9 +5,10 @@
 several is no reason to refuse: others still know.
 """
 
+import asyncio
 import enum
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -108,6 +109,71 @@
         self._metrics = metrics
         self._clock = clock
 
+    async def find_service(
+        self, job: Job, services: Sequence[str]
+    ) -> str | Verdict:
+        """Finds which service of a split route began a request's stream.
+
+        That a service has served at one version proves nothing here: only what
+        names this very stream does.
+
+        Args:
+            job: The request.
+            services: The services that share the route.
+
+        Returns:
+            The service, or why the request must not be sent.
+        """
+        found = await self._service_of_stream(job, services)
+        found = found or await self._service_of_part(job, services)
+        if found is not None:
+            return found
+        self._record(job, _Found(Ground.NONE))
+        return self._refusal(job.service.name)
+
+    async def _service_of_stream(
+        self, job: Job, services: Sequence[str]
+    ) -> str | None:
+        """Returns the service whose stream this host or a peer remembers."""
+        attempt = job.call.resumes
+        if not attempt:
+            return None
+        streams = {name: stream_id(name, attempt) for name in services}
+        now_s = self._clock()
+        for name, stream in streams.items():
+            if self._versions.find(stream, now_s) is not None:
+                return name
+        await self._searches.until_met()
+        answers = await asyncio.gather(
+            *(self._versions.ask(streams[name], name) for name in services)
+        )
+        known = [answer.version is not None for answer in answers]
+        return _only_one(services, known)
+
+    async def _service_of_part(
+        self, job: Job, services: Sequence[str]
+    ) -> str | None:
+        """Returns the service whose upstreams alone hold the last part."""
+        if not job.call.prompt:
+            return None
+        last = job.call.prompt[-1].name
+
+        async def is_held(service: str) -> bool:
+            part = part_id(service, last)
+            holders: list[str | Held | None] = [None]
+
+            async def ask() -> str | Held | None:
+                holders[0] = await self._versions.ask_part(
+                    part, self._searches.keepers
+                )
+                return holders[0]
+
+            await self._searches.find(service, ask)
+            return holders[0] is not None
+
+        held = await asyncio.gather(*map(is_held, services))
+        return _only_one(services, held)
+
     async def resolve(self, job: Job) -> Verdict | None:
         """Finds the version at which a request has to go on with its stream.
 
@@ -216,6 +282,14 @@
         return None if self._history.is_mixed(service, now_s) else only
 
 
+def _only_one(services: Sequence[str], known: Sequence[bool]) -> str | None:
+    """Returns the service of which something is known, if there is one."""
+    found = [
+        name for name, is_known in zip(services, known, strict=True) if is_known
+    ]
+    return found[0] if len(found) == 1 else None
+
+
 def _rounded(seconds: float) -> float | str:
     """Returns a duration for a log line, empty if it has no beginning."""
     return round(seconds, 2) if math.isfinite(seconds) else ""
--- a/packages/gateway/src/hollyknot_gateway/_version_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_version_requester.py
@@ -164,7 +164,8 @@
         for stream in streams:
             self._versions.note(stream, service, version, now_s)
         self._log_forgotten()
-        if self._history.only_version(service, now_s) is None:
+        is_shared = len(job.route.services) > 1
+        if is_shared or self._history.only_version(service, now_s) is None:
             self._log.line(
                 "stream_began",
                 request=job.call.resumes or job.call.attempt_id,
--- a/packages/gateway/src/hollyknot_gateway/tests/test_known_hosts.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_known_hosts.py
@@ -29,7 +29,7 @@
 def _job(attempt: str, resumes: str) -> Job:
     job = SimpleNamespace(
         service=SimpleNamespace(name=SERVICE),
-        route=SimpleNamespace(may_resume=True),
+        route=SimpleNamespace(may_resume=True, services=(SERVICE,)),
         call=SimpleNamespace(
             resumes=resumes, attempt_id=attempt, last_event_id="4", prompt=()
         ),
--- a/packages/state/src/hollyknot_state/routes/_table.py
+++ b/packages/state/src/hollyknot_state/routes/_table.py
@@ -69,6 +69,12 @@
     has_prompts: bool = False
     may_resume: bool = False
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Names of the services that may get requests."""
+        names = (share.service for share in self.shares if share.weight > 0)
+        return tuple(dict.fromkeys(names))
+
     @property
     def is_repeatable(self) -> bool:
         """Whether a request that may have run may be sent again."""
