Test of grounds: the stub of a job has a stream

Lines of relayed tries name the events that they have brought since, for which the stub had no stream, so that the test failed with an AttributeError. Its check is the same.

--- a/packages/gateway/src/hollyknot_gateway/tests/test_grounds.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_grounds.py
@@ -14,6 +14,7 @@
     part_id,
     stream_id,
 )
+from hollyknot_gateway._exchange import StreamState
 from hollyknot_gateway._job import Job
 from hollyknot_gateway._list_proof import ALWAYS_NEWEST, ListProof
 from hollyknot_gateway._log import Log
@@ -383,8 +384,9 @@
             late=late,
             customer="",
             service=SimpleNamespace(name=SERVICE),
-            call=SimpleNamespace(attempt_id="a", prompt_tokens=1),
+            call=SimpleNamespace(attempt_id="a", prompt_tokens=1, resumes=""),
             route=SimpleNamespace(name="r"),
+            stream=StreamState(),
         )
         verdict = Verdict(Outcome.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
         result = SimpleNamespace(
