Doubt services between which routes of streams move (ORDER)

What callers saw: a stream that broke off, taken up after a new version of the routes has given its route to another service, goes on with that service's run, as a sealed and whole answer; no host or upstream has to fail for it.

Change: a new table is compared with the one before, place by place (host and prefix, as requests find them). Services that lose or get a route of resumable streams count as services of several versions for the retention: `alone` and a peer's word of one version prove nothing, streams are told to peers, and only what names the stream itself is a ground.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/_version_history.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/_version_history.py
@@ -50,6 +50,8 @@
         self._since_s = -math.inf if is_first_start else math.inf
         # By service: time since which a peer's word names every version.
         self._vouched_since_s: dict[str, float] = {}
+        # By service: time at which it was doubted last, in seconds.
+        self._doubted_s: dict[str, float] = {}
 
     @property
     def retention_s(self) -> float:
@@ -101,6 +103,21 @@
                 mixed.append(service)
         return mixed
 
+    def doubt(self, service: str, now_s: float) -> bool:
+        """Notes that streams which others began may be taken up at a service.
+
+        Args:
+            service: Name of the service, which counts as one with several
+                versions.
+            now_s: Current time, in seconds.
+
+        Returns:
+            Whether it did not count as one before.
+        """
+        was_mixed = self.is_mixed(service, now_s)
+        self._doubted_s[service] = now_s
+        return not was_mixed
+
     def vouch(self, service: str, version: str, now_s: float) -> None:
         """Notes the word of a peer that a service had only one version lately.
 
@@ -118,7 +135,10 @@
         self._vouched_since_s.clear()
 
     def is_mixed(self, service: str, now_s: float) -> bool:
-        """Whether several versions serve, or did so lately."""
+        """Whether streams may be of several versions, or of other services."""
+        doubted_s = self._doubted_s.get(service, -math.inf)
+        if now_s - doubted_s < self.retention_s:
+            return True
         listed_s = self._listed_s.get(service, {})
         if len(listed_s) <= 1:
             return False
--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -111,6 +111,8 @@
         on_ended: Called with each incarnation that has left for good.
         on_versions: Called with the versions of upstreams by service, whether
             they get requests, are leaving or have left meanwhile.
+        on_moved: Called with the services between which routes of streams have
+            moved.
         on_gap: Called when upstreams may have come and gone unseen.
         log: Receives a line for each change of the routing state.
         metrics: Counts items that can't be read.
@@ -126,6 +128,7 @@
     pool: Pool
     on_ended: Callable[[Ended], None]
     on_versions: Callable[[Mapping[str, Collection[str]]], None]
+    on_moved: Callable[[Collection[str]], None]
     on_gap: Callable[[], None]
     log: Log
     metrics: Metrics
@@ -339,6 +342,7 @@
         ]
         for table in tables:
             began = time.perf_counter()
+            self._parts.on_moved(self._parts.in_force.moved_services(table))
             is_new = self._parts.in_force.apply_table(table)
             self._parts.log.line(
                 "routes",
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -243,6 +243,7 @@
                 pool=self._pool,
                 on_ended=self._on_upstream_ended,
                 on_versions=self._neighbours.versions.on_versions,
+                on_moved=self._neighbours.versions.on_moved,
                 on_gap=self._neighbours.versions.on_gap,
                 log=self._log,
                 metrics=self._metrics,
--- a/packages/gateway/src/hollyknot_gateway/_routing_state.py
+++ b/packages/gateway/src/hollyknot_gateway/_routing_state.py
@@ -2,8 +2,12 @@
 
 import attrs
 
-from hollyknot_coordination.forwarding import RouteIndex, UpstreamRegistry
-from hollyknot_state.routes import ColdStart, RouteTable
+from hollyknot_coordination.forwarding import (
+    NoRoute,
+    RouteIndex,
+    UpstreamRegistry,
+)
+from hollyknot_state.routes import ColdStart, Route, RouteTable
 
 
 @attrs.define
@@ -76,6 +80,26 @@
         self._update_index()
         return self.index is not None
 
+    def moved_services(self, table: RouteTable) -> frozenset[str]:
+        """Returns the services between which a table moves streams.
+
+        Args:
+            table: A table that has not been applied yet; an outdated one moves
+                none.
+        """
+        if self._newest is None or table.version <= self._newest.table.version:
+            return frozenset()
+        before, after = self._newest, RouteIndex(table)
+        routes = (*before.table.routes, *table.routes)
+        places = {(r.host, r.prefix) for r in routes if r.may_resume}
+        moved: set[str] = set()
+        for host, prefix in places:
+            old = _stream_services(before.find(host, prefix))
+            new = _stream_services(after.find(host, prefix))
+            if old and new and old != new:
+                moved |= old | new
+        return frozenset(moved)
+
     def await_table(self, version: int) -> bool:
         """Puts no version of the route table in force that is older than this.
 
@@ -104,3 +128,10 @@
             self.index = None
         else:
             self.index = newest
+
+
+def _stream_services(route: Route | NoRoute) -> frozenset[str]:
+    """Returns the services of a route whose streams may be taken up."""
+    if isinstance(route, NoRoute) or not route.may_resume:
+        return frozenset()
+    return frozenset(route.services)
--- a/packages/gateway/src/hollyknot_gateway/_version_requester.py
+++ b/packages/gateway/src/hollyknot_gateway/_version_requester.py
@@ -129,6 +129,17 @@
         for service in self._history.note(versions, now_s):
             self._on_mixed(service, now_s)
 
+    def on_moved(self, services: Collection[str]) -> None:
+        """Notes services between which routes of streams have moved.
+
+        Args:
+            services: The services that have lost or got a route.
+        """
+        now_s = self._clock()
+        for service in services:
+            if self._history.doubt(service, now_s):
+                self._on_mixed(service, now_s)
+
     def on_gap(self) -> None:
         """Notes that versions may have come and gone unseen."""
         self._history.miss(self._clock())
--- a/packages/gateway/src/hollyknot_gateway/tests/_leased_entries.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/_leased_entries.py
@@ -189,6 +189,7 @@
                 pool=Pool(clock),
                 on_ended=lambda _: None,
                 on_versions=lambda _: None,
+                on_moved=lambda _: None,
                 on_gap=lambda: None,
                 log=Log("h", "d", os.open(os.devnull, os.O_WRONLY)),
                 metrics=Metrics(),
