--- a/packages/coordination/src/hollyknot_coordination/_peer_commands.py
+++ b/packages/coordination/src/hollyknot_coordination/_peer_commands.py
@@ -7,6 +7,7 @@
 
 from hollyknot_state import (
     DocumentKind,
+    LeftOut,
     MemberState,
     PeerMessage,
     SuspectRecord,
@@ -58,6 +59,21 @@
     problems: str
 
 
+@attrs.frozen
+class ReportLeftOut:
+    """Log that parts of a version in force are unusable and left out.
+
+    Attributes:
+        document: Document that was checked.
+        version: Version in force.
+        left_out: The parts that this version adds to those known before.
+    """
+
+    document: DocumentKind
+    version: int
+    left_out: tuple[LeftOut, ...]
+
+
 @attrs.frozen
 class ReportConflict:
     """Log that a peer holds another body under the version in force.
@@ -137,6 +153,7 @@
     | Apply
     | Reject
     | ReportConflict
+    | ReportLeftOut
     | StartPolling
     | StopPolling
     | ReportMember
--- a/packages/coordination/src/hollyknot_coordination/spread/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/__init__.py
@@ -5,6 +5,7 @@
     PeerCommand,
     Reject,
     ReportConflict,
+    ReportLeftOut,
     ReportMember,
     ReportSignals,
     Send,
@@ -17,6 +18,7 @@
     Check,
     DocumentState,
     Invalid,
+    Partial,
 )
 from hollyknot_coordination.spread._peer_state import TICK_S, PeerState
 from hollyknot_coordination.spread._polling import READ_PAUSE_S
@@ -30,10 +32,12 @@
     "Check",
     "DocumentState",
     "Invalid",
+    "Partial",
     "PeerCommand",
     "PeerState",
     "Reject",
     "ReportConflict",
+    "ReportLeftOut",
     "ReportMember",
     "ReportSignals",
     "Send",
--- a/packages/coordination/src/hollyknot_coordination/spread/_document.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_document.py
@@ -18,6 +18,7 @@
     PeerCommand,
     Reject,
     ReportConflict,
+    ReportLeftOut,
     Send,
 )
 from hollyknot_coordination.spread._announced import AnnouncedVersion
@@ -32,7 +33,7 @@
     empty_snapshot,
     find_change,
     make_snapshot,
-    read_records,
+    read_parts,
     write_body,
 )
 from hollyknot_state import (
@@ -41,6 +42,7 @@
     DocumentPage,
     DocumentVersion,
     FetchDocument,
+    LeftOut,
 )
 
 MAX_REJECTED = 64
@@ -67,6 +69,19 @@
     problems: str
 
 
+@attrs.frozen
+class Partial:
+    """Result of a check that accepts a version without some of its parts.
+
+    Attributes:
+        value: Parsed document without these parts.
+        left_out: Unusable parts among those that the version changes.
+    """
+
+    value: object
+    left_out: tuple[LeftOut, ...]
+
+
 @attrs.frozen
 class Candidate:
     """A newer version that is to be checked.
@@ -94,7 +109,8 @@
 
 
 Check = Callable[[Candidate], object]
-"""Function that returns the parsed value or `Invalid`, and never raises."""
+"""Function that returns the parsed value, `Partial` or `Invalid`, and never
+raises."""
 
 
 class DocumentState:
@@ -113,6 +129,7 @@
         self._fetcher = Fetcher(document, rng)
         self._announced = AnnouncedVersion()
         self._must_fetch_full = False
+        self._unsplit: tuple[LeftOut, ...] = ()
         self._paged: PagedDocument | Absent = Absent.ABSENT
         self._paged_used_s = 0.0
 
@@ -146,15 +163,21 @@
         if version <= self.read_after:
             return []
         try:
-            records = read_records(self._document, body)
+            records, left_out = read_parts(self._document, body)
         except UnreadableError as error:
             # With digest 0 a readable body of this version from a peer is not
             # rejected.
             unreadable = DocumentVersion(self._document, version, 0)
             return self._reject(unreadable, str(error))
-        return self._process_snapshot(
+        commands = self._process_snapshot(
             make_snapshot(self._document, version, records), now_s
         )
+        if self.version.version == version:
+            # They are in each version that is read until somebody mends them.
+            new = tuple(p for p in left_out if p not in self._unsplit)
+            self._unsplit = left_out
+            commands += self._report_left_out(new)
+        return commands
 
     def on_version(
         self, peer: str, version: DocumentVersion, now_s: float
@@ -272,6 +295,10 @@
         if isinstance(value, Invalid):
             commands = self._reject(snapshot.version, value.problems)
         else:
+            left_out: tuple[LeftOut, ...] = ()
+            if isinstance(value, Partial):
+                left_out = value.left_out
+                value = value.value
             self._log.append(self._in_force, snapshot.version, change)
             self._in_force = snapshot
             self._value = value
@@ -279,6 +306,7 @@
             self._must_fetch_full = False
             version = snapshot.version.version
             commands = [Apply(self._document, version, value)]
+            commands += self._report_left_out(left_out)
         self._fetcher.drop_unwanted(self._is_version_missing)
         commands.extend(self._next_request(now_s))
         return commands
@@ -297,6 +325,14 @@
             del self._rejected[min(self._rejected, key=lambda v: v.version)]
         return [Reject(self._document, version.version, problems)]
 
+    def _report_left_out(
+        self, left_out: tuple[LeftOut, ...]
+    ) -> list[PeerCommand]:
+        if not left_out:
+            return []
+        version = self.version.version
+        return [ReportLeftOut(self._document, version, left_out)]
+
     def _send_page(
         self, peer: str, request: FetchDocument, now_s: float
     ) -> list[Send]:
--- a/packages/coordination/src/hollyknot_coordination/spread/_pages.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_pages.py
@@ -13,6 +13,7 @@
 from hollyknot_coordination.spread._records import (
     Records,
     Snapshot,
+    UnreadableError,
     dump_record,
 )
 from hollyknot_state import DocumentPage, DocumentVersion
@@ -113,7 +114,8 @@
         """Returns the records of the assembled document.
 
         Raises:
-            PageError: The pages together are not a JSON object.
+            PageError: The pages together are not a JSON object, or a record
+                is nested too deeply.
         """
         try:
             value = orjson.loads(b"".join(self._bodies))
@@ -121,7 +123,10 @@
             raise PageError(f"the pages are not valid JSON: {error}") from error
         if not isinstance(value, dict):
             raise PageError("the pages are not a JSON object")
-        return {path: dump_record(body) for path, body in value.items()}
+        try:
+            return {path: dump_record(body) for path, body in value.items()}
+        except UnreadableError as error:
+            raise PageError(str(error)) from error
 
 
 def _canonical(records: Mapping[str, bytes]) -> bytes:
--- a/packages/coordination/src/hollyknot_coordination/spread/_records.py
+++ b/packages/coordination/src/hollyknot_coordination/spread/_records.py
@@ -14,14 +14,20 @@
 import orjson
 import xxhash
 
-from hollyknot_state import DocumentKind, DocumentRecord, DocumentVersion
+from hollyknot_state import (
+    DocumentKind,
+    DocumentRecord,
+    DocumentVersion,
+    LeftOut,
+    Problem,
+    split_host_list,
+)
 
 Records = dict[str, bytes]
 """Record bodies by path; not modified once it is in a `Snapshot`."""
 
 _DIGEST_MASK = (1 << 63) - 1
 _HOST_ENTRIES = "entries"
-_ENTRY_NAME = "name"
 _VERSION_FIELDS = {
     DocumentKind.DECLARATIONS: "version",
     DocumentKind.HOSTS: "revision",
@@ -83,9 +89,24 @@
     """Returns the records of a document in the format of the platform.
 
     Raises:
-        UnreadableError: The body is not a JSON object, or its parts do not
-            have unique names.
+        UnreadableError: The body can't be split into records.
     """
+    return read_parts(document, body)[0]
+
+
+def read_parts(
+    document: DocumentKind, body: bytes
+) -> tuple[Records, tuple[LeftOut, ...]]:
+    """Returns a document's records, and what can't be one of them.
+
+    Only entries of the host list are left out. Declarations are written by
+    operators as a whole: one with a mistake is rejected as a whole.
+
+    Raises:
+        UnreadableError: The body can't be split into records.
+    """
+    if document is DocumentKind.HOSTS:
+        return _read_host_list(body)
     try:
         value = orjson.loads(body)
     except orjson.JSONDecodeError as error:
@@ -97,11 +118,28 @@
             "the body is not a JSON object; publish an object"
         )
     value.pop(_VERSION_FIELDS[document], None)
-    if document is DocumentKind.HOSTS:
-        named = _by_name(value.pop(_HOST_ENTRIES, None))
-        if named:
-            value[_HOST_ENTRIES] = named
-    return _flatten(value)
+    return _flatten(value), ()
+
+
+def _read_host_list(body: bytes) -> tuple[Records, tuple[LeftOut, ...]]:
+    parts = split_host_list(body)
+    if isinstance(parts, Problem):
+        raise UnreadableError(str(parts))
+    parts.fields.pop(_VERSION_FIELDS[DocumentKind.HOSTS], None)
+    records = _flatten(parts.fields)
+    left_out = list(parts.left_out)
+    for name, entry in parts.entries.items():
+        try:
+            records[f"{_HOST_ENTRIES}/{name}"] = dump_record(entry)
+        except UnreadableError as error:
+            left_out.append(LeftOut(name, str(error)))
+    if left_out and not any(_is_entry(path) for path in records):
+        raise UnreadableError(f"no entry can be read; {left_out[0].problem}")
+    return records, tuple(left_out)
+
+
+def _is_entry(path: str) -> bool:
+    return path.startswith(f"{_HOST_ENTRIES}/")
 
 
 def write_body(snapshot: Snapshot) -> bytes:
@@ -129,8 +167,16 @@
     The bytes are copied because orjson returns them in a buffer of 4 KB that
     it does not shrink. Without the copy a host grows by 70 MB with 18,000
     customers.
+
+    Raises:
+        UnreadableError: The value is nested too deeply.
     """
-    written = orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+    try:
+        written = orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+    except orjson.JSONEncodeError as error:
+        raise UnreadableError(
+            f"can't be written as JSON; flatten it: {error}"
+        ) from error
     return bytes(bytearray(written))
 
 
@@ -181,20 +227,6 @@
     return xxhash.xxh3_64_intdigest(path.encode() + b"\0" + body)
 
 
-def _by_name(entries: Any) -> dict[str, Any]:
-    if not isinstance(entries, list):
-        raise UnreadableError("entries: is not an array; publish an array")
-    named: dict[str, Any] = {}
-    for i, entry in enumerate(entries):
-        name = entry.get(_ENTRY_NAME) if isinstance(entry, dict) else ""
-        if not isinstance(name, str) or not name or name in named:
-            raise UnreadableError(
-                f"entries[{i}]: has no unique name; give it one"
-            )
-        named[name] = entry
-    return named
-
-
 def _flatten(value: dict[str, Any]) -> Records:
     records: Records = {}
     for section, content in value.items():
--- a/packages/daemon/src/hollyknot_daemon/_peers_task.py
+++ b/packages/daemon/src/hollyknot_daemon/_peers_task.py
@@ -11,6 +11,7 @@
     PeerState,
     Reject,
     ReportConflict,
+    ReportLeftOut,
     ReportMember,
     ReportSignals,
     Send,
@@ -35,6 +36,9 @@
 
 _LOG = get_logger("daemon")
 
+_MAX_LOGGED = 100
+"""Most parts of a version that are logged one by one."""
+
 SendMessage = Callable[[str, PeerMessage], None]
 """Sends a message to the named host, without a guarantee of delivery."""
 
@@ -127,6 +131,8 @@
                     version=version,
                     problems=command.problems,
                 )
+            case ReportLeftOut():
+                _log_left_out(command)
             case ReportConflict(document=document, version=version):
                 _LOG.error(
                     "document-conflict",
@@ -178,3 +184,23 @@
                     found.name, found.version, found.body, self._clock()
                 )
             )
+
+
+def _log_left_out(report: ReportLeftOut) -> None:
+    document, version = report.document.value, report.version
+    for left_out in report.left_out[:_MAX_LOGGED]:
+        _LOG.error(
+            "document-part-left-out",
+            document=document,
+            version=version,
+            part=left_out.part,
+            problem=left_out.problem,
+        )
+    more = len(report.left_out) - _MAX_LOGGED
+    if more > 0:
+        _LOG.error(
+            "document-parts-left-out",
+            document=document,
+            version=version,
+            more=more,
+        )
--- a/packages/daemon/src/hollyknot_daemon/tests/rig.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/rig.py
@@ -5,7 +5,7 @@
 import hashlib
 import random
 import secrets
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import aiohttp
@@ -152,6 +152,7 @@
     trace_file: str = "",
     ahead_s: float = 0.05,
     is_listed_late: bool = False,
+    write_list: Callable[[list[dict[str, Any]]], bytes] | None = None,
 ) -> AsyncIterator[Rig]:
     """Runs a host and the stand-ins around it until the context ends.
 
@@ -161,6 +162,8 @@
         trace_file: File to which the host writes its spans; empty for none.
         ahead_s: `ahead_s` of the claim options, in seconds.
         is_listed_late: Whether the host first reads a list without itself.
+        write_list: Writes the host list's entries as JSON, which may be
+            invalid.
     """
     claim_options = ClaimOptions(ahead_s=ahead_s, skew_s=0.01)
     async with contextlib.AsyncExitStack() as stack:
@@ -187,6 +190,9 @@
         if is_listed_late:
             await rig.until(lambda: rig.version("hosts") == 1)
             await rig.until(lambda: rig.version("declarations") == 1)
-        host_list.control.set_entries(entries)
+        if write_list is None:
+            host_list.control.set_entries(entries)
+        else:
+            host_list.control.published.publish(write_list(entries))
         await rig.until_ready()
         yield rig
--- a/packages/state/src/hollyknot_state/__init__.py
+++ b/packages/state/src/hollyknot_state/__init__.py
@@ -50,6 +50,11 @@
     Probe,
     ProbeAck,
 )
+from hollyknot_state._host_list_parts import (
+    HostListParts,
+    LeftOut,
+    split_host_list,
+)
 from hollyknot_state._host_report import (
     HeldRun,
     HostReport,
@@ -79,6 +84,7 @@
     MAX_SETTINGS_BYTES,
     dump_declarations,
     parse_declarations,
+    parse_host_entry,
     parse_host_list,
     parse_settings,
 )
@@ -155,6 +161,7 @@
     "HolderEpoch",
     "HostList",
     "HostListEntry",
+    "HostListParts",
     "HostReport",
     "HostsNote",
     "HostsQuery",
@@ -219,10 +226,13 @@
     "dump_declarations",
     "normalise_path",
     "parse_declarations",
+    "parse_host_entry",
     "parse_host_list",
     "parse_settings",
     "short_name",
     "structure_or_first_problem",
     "structure_or_problems",
     "update_declarations",
+    "LeftOut",
+    "split_host_list",
 ]
--- a/packages/state/src/hollyknot_state/_parse.py
+++ b/packages/state/src/hollyknot_state/_parse.py
@@ -9,16 +9,21 @@
 import orjson
 
 from hollyknot_state._declarations import Declarations
-from hollyknot_state._hosts import HostList
+from hollyknot_state._hosts import HostList, HostListEntry
 from hollyknot_state._json import read_json
-from hollyknot_state._problem import ProblemCollector, Problems
+from hollyknot_state._problem import Problem, ProblemCollector, Problems
 from hollyknot_state._references import check_raw_references
 from hollyknot_state._settings import Settings
-from hollyknot_state._structure import structure, unstructure
+from hollyknot_state._structure import (
+    structure,
+    structure_or_first_problem,
+    unstructure,
+)
 
 MAX_DECLARATIONS_BYTES = 16 * 1024 * 1024
 MAX_SETTINGS_BYTES = 64 * 1024
 MAX_HOST_LIST_BYTES = 16 * 1024 * 1024
+MAX_HOST_ENTRY_BYTES = 64 * 1024
 
 T = TypeVar("T")
 
@@ -57,7 +62,9 @@
 
 
 def parse_host_list(data: bytes | str) -> HostList | Problems:
-    """Reads the platform's host list.
+    """Reads the platform's host list, for a report of all of its problems.
+
+    Hosts read the entries one by one, by `parse_host_entry`.
 
     Unknown fields are ignored: the platform may add one at any time, and hosts
     that then refused the list would go on sending work to leaving upstreams.
@@ -68,6 +75,17 @@
     return _build(document, HostList, ProblemCollector(), strict=False)
 
 
+def parse_host_entry(data: bytes) -> HostListEntry | Problem:
+    """Reads an entry of the host list, or returns the first problem in it.
+
+    Unknown fields are ignored, as in the whole list.
+    """
+    document = read_json(data, MAX_HOST_ENTRY_BYTES)
+    if isinstance(document, Problems):
+        return document.problems[0]
+    return structure_or_first_problem(document, HostListEntry)
+
+
 def dump_declarations(declarations: Declarations) -> bytes:
     """Writes declarations as JSON that `parse_declarations` reads.
 
--- a/packages/transport/src/hollyknot_transport/_platform.py
+++ b/packages/transport/src/hollyknot_transport/_platform.py
@@ -15,7 +15,7 @@
 import attrs
 import orjson
 
-from hollyknot_state import Address, DocumentKind
+from hollyknot_state import Address, DocumentKind, Problem, split_host_list
 from hollyknot_transport._bounded import TooLarge, read_bounded
 
 _MAX_PAUSE_FACTOR = 8.0
@@ -135,18 +135,29 @@
 def _parse(
     name: DocumentKind, body: bytes
 ) -> PlatformDocument | PlatformFailure:
+    if name is DocumentKind.HOSTS:
+        return _parse_host_list(body)
     try:
         document = orjson.loads(body)
     except orjson.JSONDecodeError as error:
         return PlatformFailure(name, f"the body is not JSON: {error}")
     if not isinstance(document, dict):
         return PlatformFailure(name, "the body is not a JSON object")
-    if name is DocumentKind.HOSTS:
-        version = document.get("revision")
-        value = body
-    else:
-        version = document.get("version")
-        value = orjson.dumps(document.get("value"))
+    value = orjson.dumps(document.get("value"))
+    return _with_version(name, document.get("version"), value)
+
+
+def _parse_host_list(body: bytes) -> PlatformDocument | PlatformFailure:
+    """Returns a host list, of which some entries may be no JSON."""
+    parts = split_host_list(body)
+    if isinstance(parts, Problem):
+        return PlatformFailure(DocumentKind.HOSTS, f"the body {parts}")
+    return _with_version(DocumentKind.HOSTS, parts.fields.get("revision"), body)
+
+
+def _with_version(
+    name: DocumentKind, version: object, value: bytes
+) -> PlatformDocument | PlatformFailure:
     if not isinstance(version, int) or isinstance(version, bool):
         return PlatformFailure(
             name,
