Keep polling the platform after a document that can't be written (LOST)

What callers saw: after declarations nested 255 to 1,023 levels deep a hollyknotd followed none any more, and its log did not say so: a revoked key stayed good.

Cause: such a value can be read but not be written; the error ended the task that polls the configuration service.

Change: it is a failed read. Whatever else is wrong with a document is logged as poll-failed with the exception, and the poll goes on.

Evidence: test_deep_declarations_end_no_poll failed for 300 and 1,000 levels before, test_a_fault_in_a_document_ends_no_poll with any exception.

--- a/packages/daemon/src/hollyknot_daemon/tests/test_odd_entries.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Tests that an odd entry of the host list costs that entry alone."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -9,8 +10,13 @@
 import structlog
 
 from hollyknot_daemon.tests.rig import Rig, entry, running_rig
-from hollyknot_state import DocumentKind
-from hollyknot_transport import _platform
+from hollyknot_standins import (
+    ConfigurationControl,
+    ConfigurationOptions,
+    start_configuration,
+)
+from hollyknot_state import Address, DocumentKind
+from hollyknot_transport import _platform, poll_document
 
 _TIMEOUT_S = 30.0
 _BODY = {"model": "tariff", "messages": [{"role": "user", "content": "?"}]}
@@ -138,8 +144,78 @@
     assert len(rig.host._documents.view.hosts.entries) == 4
 
 
-def _deliver(rig: Rig, revision: int, entries: bytes) -> None:
+async def _poll(
+    address: Address, control: ConfigurationControl, odd: str
+) -> list[Any]:
+    """Returns what a poll delivers until a version follows an odd one."""
+    got: list[Any] = []
+
+    def read_after() -> int:
+        return max((getattr(d, "version", 0) for d in got), default=0)
+
+    rng = random.Random(1)
+    kind = DocumentKind.DECLARATIONS
+    poll = asyncio.ensure_future(
+        poll_document(kind, (address,), read_after, 1e-4, got.append, rng)
+    )
+    control.publish_raw(odd)
+    async with asyncio.timeout(_TIMEOUT_S):
+        while control.reads < 3 and not poll.done():
+            await asyncio.sleep(0)
+        control.publish_raw("{}")
+        while read_after() < 3 and not poll.done():
+            await asyncio.sleep(0)
+    poll.cancel()
+    await asyncio.gather(poll, return_exceptions=True)
+    return got
+
+
+def _deliver(rig: Rig, revision: int | str, entries: bytes) -> None:
     """Hands the host an answer of the host list, as its poll does."""
-    body = b'{"revision":%d,"entries":%b}' % (revision, entries)
+    start = f'{{"revision":{revision},"entries":'
+    body = start.encode() + entries + b"}"
     found = _platform._parse(DocumentKind.HOSTS, body)
     rig.host._control_plane._peers_task._on_platform_result(found)
+
+
+class TestDocuments:
+    """Whole documents that are odd."""
+
+    @pytest.mark.parametrize("levels", _DEPTHS)
+    def test_deep_declarations_end_no_poll(self, levels: int) -> None:
+        """Guards against a host that follows no declarations any more."""
+        deep = f'{{"deep":{_nested(levels)}}}'
+
+        async def main() -> None:
+            options = ConfigurationOptions()
+            async with start_configuration(options) as standin:
+                control = standin.control
+                got = await _poll(standin.address, control, deep)
+                assert [(d.version, d.body) for d in got[-1:]] == [(3, b"{}")]
+
+        asyncio.run(main())
+
+    def test_a_fault_in_a_document_ends_no_poll(self) -> None:
+        """Guards against a host that follows nothing after an exception."""
+        got: list[Any] = []
+
+        def deliver(found: Any) -> None:
+            got.append(found)
+            raise AssertionError(found)
+
+        async def main() -> None:
+            kind, rng = DocumentKind.DECLARATIONS, random.Random(1)
+            async with start_configuration(ConfigurationOptions()) as standin:
+                poll = asyncio.ensure_future(
+                    poll_document(
+                        kind, (standin.address,), lambda: 0, 1e-4, deliver, rng
+                    )
+                )
+                async with asyncio.timeout(_TIMEOUT_S):
+                    while len(got) < 3 and not poll.done():
+                        await asyncio.sleep(0)
+                poll.cancel()
+                await asyncio.gather(poll, return_exceptions=True)
+
+        asyncio.run(main())
+        assert len(got) >= 3
--- a/packages/transport/src/hollyknot_transport/_platform.py
+++ b/packages/transport/src/hollyknot_transport/_platform.py
@@ -17,6 +17,9 @@
 
 from hollyknot_state import Address, DocumentKind, Problem, split_host_list
 from hollyknot_transport._bounded import TooLarge, read_bounded
+from hollyknot_transport._logging import get_logger
+
+_LOG = get_logger("transport")
 
 _MAX_PAUSE_FACTOR = 8.0
 """Longest pause after failures, as a multiple of the usual pause."""
@@ -98,10 +101,23 @@
             else:
                 pause_factor = 1.0
             if not isinstance(result, _Unchanged):
-                deliver(result)
+                _deliver(name, result, deliver)
             await asyncio.sleep(pause_s * pause_factor * rng.uniform(0.5, 1.5))
 
 
+def _deliver(
+    name: DocumentKind,
+    result: PlatformDocument | PlatformFailure,
+    deliver: Deliver,
+) -> None:
+    # An exception must not end the poll: the host would keep its documents for
+    # good, and its log would not show why.
+    try:
+        deliver(result)
+    except Exception:
+        _LOG.exception("poll-failed", document=name.value)
+
+
 class _Unchanged(enum.Enum):
     UNCHANGED = "unchanged"
 
@@ -143,7 +159,11 @@
         return PlatformFailure(name, f"the body is not JSON: {error}")
     if not isinstance(document, dict):
         return PlatformFailure(name, "the body is not a JSON object")
-    value = orjson.dumps(document.get("value"))
+    try:
+        value = orjson.dumps(document.get("value"))
+    except orjson.JSONEncodeError as error:
+        # Some of what can be read is nested too deeply to be written.
+        return PlatformFailure(name, f"the value can't be written: {error}")
     return _with_version(name, document.get("version"), value)
 
 
