--- a/packages/daemon/src/hollyknot_daemon/tests/test_odd_entries.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_odd_entries.py
@@ -219,3 +219,15 @@
 
         asyncio.run(main())
         assert len(got) >= 3
+
+    @pytest.mark.parametrize("number", [-1, 2**63, 2**64 - 1, 2**64, "1e308"])
+    def test_an_odd_revision_ends_no_list(self, number: int | str) -> None:
+        """Guards against a host that takes all later lists for older ones."""
+
+        async def test(rig: Rig) -> None:
+            entries = orjson.dumps(list(rig.host_list.control.entries.values()))
+            _deliver(rig, number, entries)
+            _deliver(rig, 7, entries)
+            assert rig.version("hosts") == 7
+
+        _run(test)
--- a/packages/transport/src/hollyknot_transport/_platform.py
+++ b/packages/transport/src/hollyknot_transport/_platform.py
@@ -26,6 +26,9 @@
 
 _READ_TIMEOUT_S = 5.0
 _MAX_DOCUMENT_BYTES = 16_777_216
+_VERSIONS = range(2**63)
+"""Versions that fit into messages between hosts."""
+
 _NOT_MODIFIED = 304
 _OK = 200
 
@@ -184,4 +187,7 @@
             "the document's version must be an integer, not"
             f" {type(version).__name__}",
         )
+    if version not in _VERSIONS:
+        # A rejected version hides all lower ones, so that it isn't read again.
+        return PlatformFailure(name, f"the document's version is {version}")
     return PlatformDocument(name, version, value)
