--- a/packages/daemon/src/hollyknot_daemon/tests/test_odd_entries.py
+++ b/packages/daemon/src/hollyknot_daemon/tests/test_odd_entries.py
@@ -13,6 +13,7 @@
 from hollyknot_standins import (
     ConfigurationControl,
     ConfigurationOptions,
+    Standin,
     start_configuration,
 )
 from hollyknot_state import Address, DocumentKind
@@ -144,6 +145,10 @@
     assert len(rig.host._documents.view.hosts.entries) == 4
 
 
+def _address(standin: Standin[Any]) -> Address:
+    return Address(standin.address.ip, standin.address.port)
+
+
 async def _poll(
     address: Address, control: ConfigurationControl, odd: str
 ) -> list[Any]:
@@ -190,7 +195,7 @@
             options = ConfigurationOptions()
             async with start_configuration(options) as standin:
                 control = standin.control
-                got = await _poll(standin.address, control, deep)
+                got = await _poll(_address(standin), control, deep)
                 assert [(d.version, d.body) for d in got[-1:]] == [(3, b"{}")]
 
         asyncio.run(main())
@@ -206,10 +211,9 @@
         async def main() -> None:
             kind, rng = DocumentKind.DECLARATIONS, random.Random(1)
             async with start_configuration(ConfigurationOptions()) as standin:
+                at = (_address(standin),)
                 poll = asyncio.ensure_future(
-                    poll_document(
-                        kind, (standin.address,), lambda: 0, 1e-4, deliver, rng
-                    )
+                    poll_document(kind, at, lambda: 0, 1e-4, deliver, rng)
                 )
                 async with asyncio.timeout(_TIMEOUT_S):
                     while len(got) < 3 and not poll.done():
