--- a/packages/transport/src/hollyknot_transport/_platform.py
+++ b/packages/transport/src/hollyknot_transport/_platform.py
@@ -15,14 +15,20 @@
 import attrs
 import orjson
 
-from hollyknot_state import Address, DocumentKind
+from hollyknot_state import Address, DocumentKind, Problem, split_host_list
 from hollyknot_transport._bounded import TooLarge, read_bounded
+from hollyknot_transport._logging import get_logger
+
+_LOG = get_logger("transport")
 
 _MAX_PAUSE_FACTOR = 8.0
 """Longest pause after failures, as a multiple of the usual pause."""
 
 _READ_TIMEOUT_S = 5.0
 _MAX_DOCUMENT_BYTES = 16_777_216
+_VERSIONS = range(2**63)
+"""Versions that fit into messages between hosts."""
+
 _NOT_MODIFIED = 304
 _OK = 200
 
@@ -98,10 +104,23 @@
             else:
                 pause_factor = 1.0
             if not isinstance(result, _Unchanged):
-                deliver(result)
+                _deliver(name, result, deliver)
             await asyncio.sleep(pause_s * pause_factor * rng.uniform(0.5, 1.5))
 
 
+def _deliver(
+    name: DocumentKind,
+    result: PlatformDocument | PlatformFailure,
+    deliver: Deliver,
+) -> None:
+    # An exception must not end the poll: the host would keep its documents for
+    # good, and its log would not show why.
+    try:
+        deliver(result)
+    except Exception:
+        _LOG.exception("poll-failed", document=name.value)
+
+
 class _Unchanged(enum.Enum):
     UNCHANGED = "unchanged"
 
@@ -135,22 +154,40 @@
 def _parse(
     name: DocumentKind, body: bytes
 ) -> PlatformDocument | PlatformFailure:
+    if name is DocumentKind.HOSTS:
+        return _parse_host_list(body)
     try:
         document = orjson.loads(body)
     except orjson.JSONDecodeError as error:
         return PlatformFailure(name, f"the body is not JSON: {error}")
     if not isinstance(document, dict):
         return PlatformFailure(name, "the body is not a JSON object")
-    if name is DocumentKind.HOSTS:
-        version = document.get("revision")
-        value = body
-    else:
-        version = document.get("version")
+    try:
         value = orjson.dumps(document.get("value"))
+    except orjson.JSONEncodeError as error:
+        # Some of what can be read is nested too deeply to be written.
+        return PlatformFailure(name, f"the value can't be written: {error}")
+    return _with_version(name, document.get("version"), value)
+
+
+def _parse_host_list(body: bytes) -> PlatformDocument | PlatformFailure:
+    """Returns a host list, of which some entries may be no JSON."""
+    parts = split_host_list(body)
+    if isinstance(parts, Problem):
+        return PlatformFailure(DocumentKind.HOSTS, f"the body {parts}")
+    return _with_version(DocumentKind.HOSTS, parts.fields.get("revision"), body)
+
+
+def _with_version(
+    name: DocumentKind, version: object, value: bytes
+) -> PlatformDocument | PlatformFailure:
     if not isinstance(version, int) or isinstance(version, bool):
         return PlatformFailure(
             name,
             "the document's version must be an integer, not"
             f" {type(version).__name__}",
         )
+    if version not in _VERSIONS:
+        # A rejected version hides all lower ones, so that it isn't read again.
+        return PlatformFailure(name, f"the document's version is {version}")
     return PlatformDocument(name, version, value)
