Refuse to go on after events that no run has made (ORDER)

What callers saw: a last event that is no number, or one named on a route whose streams may not be resumed, reached an upstream, whose answer passed as whole: the stream from its first event on, behind what the caller had, or a part of it from any version, since only resumable routes have theirs looked up.

Cause: whoever sent the header stated the place. The interface's promise (Dialect.numbers_events) was held against events of upstreams alone.

Change: a request that names a place on a stream route is refused, "not run", where the route's streams may not be resumed, and where the interface promises numbers and the place is none (two different headers make none). On routes of other kinds the header is dropped, as all that only hosts may set.

Not known better: a number that no run made, such as one far ahead. An upstream that has nothing behind it may end the stream there as whole.

--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -14,6 +14,7 @@
     TryAnother,
     TryState,
     give_up,
+    is_number,
     next_step,
 )
 from hollyknot_coordination.suspects import Refuse, Sendable
@@ -29,10 +30,11 @@
 from hollyknot_gateway._relay_sender import RelaySender
 from hollyknot_gateway._reply import Reply
 from hollyknot_gateway._suspect_gate import SuspectGate
+from hollyknot_gateway._take_ups import UNKNOWN_RETRY_S
 from hollyknot_gateway._tries import Tries
 from hollyknot_gateway._upstream_selector import UpstreamSelector
 from hollyknot_state import Outcome, Reason, Verdict
-from hollyknot_state.routes import CallTraits, Route, Service
+from hollyknot_state.routes import CallTraits, Route, RouteKind, Service
 
 _NOT_FOUND = 404
 _UNAUTHORISED = 401
@@ -44,6 +46,8 @@
 back a few times only."""
 
 _UNREACHABLE = "upstreams that may have begun the stream are unreachable"
+_NOT_RESUMABLE = "streams of the route may not be resumed"
+_MADE_UP = "no run has made the event that the caller names"
 _LOST = frozenset({Reason.UPSTREAM_LOST, Reason.TRUNCATED})
 """Reasons of tries that were lost with their upstream or its connection."""
 
@@ -136,12 +140,11 @@
 
     async def _run(self, job: Job) -> None:
         parts = self._parts
-        unknown = await self._find_service(job)
+        refusal = await self._find_place(job)
         if not job.relayed_for:
             parts.budget.on_first_try(job.service.name, parts.clock())
-        if unknown is not None:
-            refusal = self._give_up_unknown(job, unknown)
-            self._answers.give_up(job, Result(unknown), refusal)
+        if refusal is not None:
+            self._answers.give_up(job, Result(refusal.verdict), refusal)
             return
         if job.call.prompt:
             parts.forecasts.note_request(job.route.name, job.call.answer_tokens)
@@ -166,23 +169,45 @@
                 parts.budget.spend(job.service.name, parts.clock())
                 self._log_retry(job, is_sent=True)
 
-    async def _find_service(self, job: Job) -> Verdict | None:
-        """Has a request go on at the service that began its stream.
+    async def _find_place(self, job: Job) -> GiveUp | None:
+        """Has a request go on at the service that began its stream, if any.
 
         Returns:
-            Why the request must not be sent; None if it may be.
+            The refusal of a request that must not be sent.
         """
+        fault = self._place_fault(job)
+        if fault:
+            verdict = Verdict(
+                Outcome.NOT_RUN,
+                Reason.VERSION_UNKNOWN,
+                fault,
+                retry_after_s=UNKNOWN_RETRY_S,
+            )
+            return give_up(verdict, self._try_state(job))
+        if not job.route.may_resume:
+            # Elsewhere the header names no place in a stream.
+            job.call = attrs.evolve(job.call, last_event_id="")
         services = job.route.services
         if not job.is_take_up or job.relayed_for or len(services) == 1:
             return None
         take_ups = self._parts.neighbours.take_ups
         found = await take_ups.find_service(job, services)
         if isinstance(found, Verdict):
-            return found
+            return self._give_up_unknown(job, found)
         if found != job.service.name:
             self._move(job, found)
         return None
 
+    def _place_fault(self, job: Job) -> str:
+        """Returns why no run goes on after the event that a caller names."""
+        after = job.call.last_event_id
+        if not after or job.route.kind is not RouteKind.STREAM:
+            return ""
+        if not job.route.may_resume:
+            return _NOT_RESUMABLE
+        is_promised = self._parts.dialect.numbers_events
+        return _MADE_UP if is_promised and not is_number(after) else ""
+
     def _move(self, job: Job, name: str) -> None:
         """Gives a request to another service of its route."""
         index = self._parts.in_force.index
