Write a body to its upstream without a second copy

Head and body were joined for each try, so a body of 4 MiB was held twice until its upstream had taken it, and once more for each retry; the body of a request that can't be repeated was also kept after its caller had left. Head and body are written one after the other now (bodies to 4 KiB still together), and a request that goes on without its caller keeps no body.

--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -228,7 +228,7 @@
         )
         copy_to = copy_target(parts, job, entry)
         job.is_copied = job.is_copied or copy_to is not None
-        data = self._request_bytes(job, choice, copy_to)
+        head = self._request_head(job, choice, copy_to)
         job.sent_s = parts.clock()
         job.is_resumed = job.reply.has_begun
         if not job.sent:
@@ -248,9 +248,10 @@
         job.may_have_run = True
         is_head = job.request.method == "HEAD"
         connection.send(
-            data,
+            head,
             exchange,
             is_head=is_head,
+            body=job.request.body,
             is_patient=not job.route.is_repeatable,
         )
         return exchange
@@ -293,7 +294,7 @@
             job.is_proved = True
             parts.suspects.on_answer(job.identity, now)
 
-    def _request_bytes(
+    def _request_head(
         self, job: Job, choice: Choice, copy_to: Address | None
     ) -> bytes:
         entry, source = choice.entry, choice.source
@@ -317,7 +318,7 @@
         if request.has_body or request.method in _BODY_METHODS:
             headers.append((CONTENT_LENGTH.title(), b"%d" % len(request.body)))
         line = f"{request.method} {request.target} HTTP/1.1"
-        return write_head(line.encode("latin-1"), headers) + request.body
+        return write_head(line.encode("latin-1"), headers)
 
     def _end_unwaited(
         self,
@@ -350,7 +351,9 @@
             )
             return False
         # A request that can't be repeated is not cancelled half-way either: its
-        # end is awaited, so that it counts as in flight at the upstream.
+        # end is awaited, so that it counts as in flight at the upstream. Its
+        # body has been written; nobody counts it any more.
+        job.request = attrs.evolve(job.request, body=b"")
         task = asyncio.ensure_future(
             self._await_end(job, choice, work, exchange)
         )
--- a/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
@@ -46,6 +46,9 @@
 detected before the next request is lost on it."""
 
 KEEPALIVE_PROBES = 2
+_JOINED_BODY_BYTES = 4096
+"""Bodies up to this size are written with their head, at the cost of a copy."""
+
 _UNREACHED_LIMIT_BYTES = 2**26
 _HEAD_END = b"\r\n\r\n"
 _CONTROLS = bytes(set(range(32)) - set(b"\t\r\n")) + b"\x7f"
@@ -152,10 +155,11 @@
 
     def send(
         self,
-        data: bytes,
+        head: bytes,
         receiver: Receiver,
         *,
         is_head: bool,
+        body: bytes = b"",
         is_patient: bool = False,
     ) -> None:
         """Writes a complete request.
@@ -163,10 +167,11 @@
         If the connection has ended, the answer counts as lost at once.
 
         Args:
-            data: The request's head and body.
+            head: The request's head.
             receiver: Receives the answer.
             is_head: Whether the method is HEAD, whose answer has no body even
                 if its headers announce one.
+            body: The request's body; not copied if it is large.
             is_patient: Whether the connection outlasts a longer silence.
         """
         if self._transport is None:
@@ -190,7 +195,11 @@
             read_until_eof=True,
             auto_decompress=False,
         )
-        self._transport.write(data)
+        if len(body) <= _JOINED_BODY_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.write(head)
+            self._transport.write(body)
 
     def send_expecting(
         self,
