Bound what all callers together make a host hold

Callers saw a host end: 120 connections with unfinished bodies of 4 MiB, or whole ones while an upstream is silent, took 540 to 800 MB of 300. Each connection was bounded, their sum was not; a body of no key or route was read to its end, and a byte each 14 s held a body for ever.

- One budget over heads, bodies being read and in work, input behind a request and answers that are not read.
When it is full, the unfinished holder with the most bytes and seconds gives way: 503 with Retry-After and Connection: close, as its body was never whole; what it held is freed at once.
Input behind a request is dropped and the connection closed after the answer; a caller that doesn't read its answer is reset.
Whole requests never give way.
- A body beyond 64 KiB is read only if key and route would be accepted; else the 401, 404 or 503 comes at once.
- A body that is not whole by the time limit of its route or caller gets 408.

Peers' requests share the budget; the operators' ports have small ones of their own.

The transport of test_floods.py tells its unsent bytes, as real ones do.

--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -22,8 +22,21 @@
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 from aiohttp.http_writer import HttpVersion11
 
+from hollyknot_coordination.forwarding import GiveUp
+from hollyknot_coordination.holding import (
+    SMALL_BYTES,
+    ByteBudget,
+    default_capacity_bytes,
+)
+from hollyknot_gateway._body_rules import (
+    LATE_BODY,
+    NO_MEMORY,
+    BodyRules,
+    plain_rules,
+)
 from hollyknot_gateway._caller_request import CallerRequest
-from hollyknot_gateway._headers import CONTENT_LENGTH
+from hollyknot_gateway._holdings import SMALL_ANSWER_BYTES, Holdings
+from hollyknot_gateway._incoming import Incoming
 from hollyknot_gateway._paced_input import PacedInput
 from hollyknot_gateway._reply import Reply
 from hollyknot_gateway._upstream_connection import (
@@ -31,6 +44,7 @@
     MAX_FRAMING_BYTES,
     set_socket_options,
 )
+from hollyknot_state import Outcome, Reason, Verdict
 from hollyknot_state.routes import CallerLimits
 
 _NO_LINGER = struct.pack("ii", 1, 0)
@@ -46,8 +60,8 @@
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _BAD_REQUEST = 400
-_TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
+_TOO_LARGE = GiveUp(413, Verdict(Outcome.NOT_RUN, Reason.TOO_LARGE))
 
 
 def accept_any(_: str) -> bool:
@@ -72,7 +86,9 @@
         "_handler",
         "_has_request",
         "_head_bytes",
+        "_holdings",
         "_idle_since",
+        "_incoming",
         "_input",
         "_is_reading_body",
         "_is_unreadable",
@@ -81,6 +97,7 @@
         "_on_unread",
         "_payload",
         "_queue",
+        "_rules",
         "_task",
         "_waiting_head",
     )
@@ -92,6 +109,8 @@
         on_lost: Callable[["CallerConnection"], None],
         on_unread: OnUnread,
         accepts: Callable[[str], bool] = accept_any,
+        rules: BodyRules | None = None,
+        budget: ByteBudget | None = None,
     ) -> None:
         """Builds a connection that waits for its first request.
 
@@ -101,6 +120,9 @@
             on_lost: Called when the connection has ended.
             on_unread: Called for each request that can't be read.
             accepts: Returns whether an IP address may connect.
+            rules: Decides on requests that are not whole; None accepts all.
+            budget: Bounds what this connection and others hold; None for a
+                budget of its own.
         """
         loop = asyncio.get_running_loop()
         super().__init__(loop)
@@ -121,6 +143,15 @@
         self._input = PacedInput(
             self._parse, self._pause_reading_for_buffer, self._release
         )
+        self._rules = rules or plain_rules(limits.idle_timeout_s)
+        self._holdings = Holdings(
+            budget or ByteBudget(default_capacity_bytes(0)),
+            loop.time,
+            lambda: self._break_off(NO_MEMORY),
+            self._drop_behind,
+            self._drop_answer,
+        )
+        self._incoming: Incoming | None = None
         self._payload: Any = None
         self._body_bytes = 0
         self._queue: list[tuple[RawRequestMessage, Any]] = []
@@ -174,6 +205,17 @@
         """Writes bytes; drops them if the caller has disconnected."""
         if self.transport is not None and data:
             self.transport.write(data)
+            self.count_unsent()
+
+    def count_unsent(self) -> None:
+        """Counts what the caller has not taken of its answers."""
+        if self.transport is not None:
+            self._holdings.owe(self.transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        """Goes on with an answer that the caller was slow to take."""
+        super().resume_writing()
+        self.count_unsent()
 
     def abort(self) -> None:
         """Closes the connection at once; drops bytes not yet sent."""
@@ -230,6 +272,9 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancels the handling of the caller's requests."""
         super().connection_lost(exc)
+        self._holdings.close()
+        if self._incoming is not None:
+            self._incoming.stop()
         self._input.clear()
         self._queue.clear()
         if self._task is not None:
@@ -239,6 +284,20 @@
     def data_received(self, data: bytes) -> None:
         """Parses requests and starts to handle the next one."""
         self._input.feed(data)
+        self._count_held()
+
+    def _count_held(self) -> None:
+        """Counts what was read and is not in work yet."""
+        if self._is_unreadable or self.transport is None:
+            return
+        waiting_bytes = self._input.waiting_bytes
+        if not self._has_request:
+            head_bytes = self._head_bytes if self._waiting_head else 0
+            self._holdings.read(head_bytes + waiting_bytes)
+        elif self._payload.is_eof():
+            self._holdings.read_behind(self._ahead_bytes + waiting_bytes)
+        else:
+            self._holdings.read(self._payload.total_bytes + waiting_bytes)
 
     def _parse(self, data: bytes) -> None:
         is_open = self.transport is not None and not self.transport.is_closing()
@@ -303,40 +362,115 @@
         self._has_request = True
         self._payload = payload
         self._waiting_head = False
-        self._task = self._loop.create_task(self._serve(message, payload))
+        self._incoming = Incoming(message, self._loop.time())
+        self._task = self._loop.create_task(self._serve(self._incoming))
 
-    async def _serve(self, message: RawRequestMessage, payload: Any) -> None:
-        arrived_s = self._loop.time()
+    async def _serve(self, incoming: Incoming) -> None:
+        message = incoming.message
         if message.should_close:
             self._closes = True
-        is_http11 = message.version >= HttpVersion11
-        reply = Reply(self, message.method, is_http11=is_http11)
         self._is_reading_body = True
-        self._idle_since = arrived_s
+        self._idle_since = incoming.arrived_s
         self._body_bytes = 0
-        body = await self._body(message, payload)
+        if not self._payload.is_eof():
+            self._limit_body(incoming)
+        body = await self._body(incoming, self._payload)
         self._is_reading_body = False
-        if body is None:
-            self._closes = True
-            reply.respond(_TOO_LARGE, (), b"The body is too large.\n")
-            self._on_unread(_TOO_LARGE, "the body is too large")
-        else:
-            request = CallerRequest(
-                method=message.method,
-                target=message.path,
-                headers=message.raw_headers,
-                fields=message.headers,
-                body=body,
-                has_body=message.chunked
-                or any(
-                    n.lower() == CONTENT_LENGTH for n, _ in message.raw_headers
-                ),
-                arrived_s=arrived_s,
-            )
-            await self._answer(request, reply)
+        incoming.stop()
+        if self._task is None:
+            # It was refused while its last bytes were taken.
+            return
+        if isinstance(body, GiveUp):
+            self._refuse_unread(body)
+            return
+        if not self._holdings.keep(len(body) + incoming.head_bytes):
+            self._refuse_unread(NO_MEMORY)
+            return
+        reply = self._reply()
+        await self._answer(incoming.request(body), reply)
         await self._drain_answer()
         self._on_request_end()
 
+    def _reply(self) -> Reply:
+        """Returns the reply to the current request, or to a head."""
+        if not self._has_request or self._incoming is None:
+            return Reply(self, "GET", is_http11=True)
+        message = self._incoming.message
+        is_http11 = message.version >= HttpVersion11
+        return Reply(self, message.method, is_http11=is_http11)
+
+    def _limit_body(self, incoming: Incoming) -> None:
+        """Starts the time within which a body has to be whole."""
+        found = self._rules.check(incoming.request())
+        if isinstance(found, GiveUp):
+            incoming.refusal = found
+            found = self._limits.idle_timeout_s
+        incoming.timer = self._loop.call_at(
+            incoming.arrived_s + found,
+            lambda: self._break_off(incoming.refusal or LATE_BODY),
+        )
+
+    def _break_off(self, refusal: GiveUp) -> None:
+        """Refuses a request that is not whole, and reads no more of it."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        task, self._task = self._task, None
+        if task is not None:
+            task.cancel()
+        self._refuse_unread(refusal)
+
+    def _refuse_unread(self, refusal: GiveUp) -> None:
+        """Answers a request of which nothing is kept, and closes."""
+        self._closes = True
+        reply = self._reply()
+        if self._has_request and refusal is not _TOO_LARGE:
+            assert self._incoming is not None
+            self._rules.refuse(self._incoming.request(), reply, refusal)
+        else:
+            reason = refusal.verdict.reason.value
+            reply.respond(refusal.status, (), f"{reason}\n".encode())
+            self._on_unread(refusal.status, reason)
+        self._discard_input()
+        self._discard_body()
+        self._holdings.end_request()
+        self.close()
+
+    def _drop_behind(self) -> None:
+        """Closes the connection after the answer in progress."""
+        self._closes = True
+        self._discard_input()
+        self._pause_reading_for_buffer()
+        self._on_unread(0, "no memory for what is behind a request")
+
+    def _drop_answer(self) -> None:
+        """Resets the connection of a caller that doesn't read its answer."""
+        transport = self.transport
+        if transport is None:
+            return
+        if transport.get_write_buffer_size() > SMALL_ANSWER_BYTES:
+            self._on_unread(0, "no memory for an answer that is not read")
+            self.reset()
+
+    def _discard_input(self) -> None:
+        """Frees all that was read behind the current request."""
+        self._is_unreadable = True
+        self._queue.clear()
+        self._input.clear()
+        self._parser = None
+
+    def _discard_body(self) -> None:
+        """Frees what was read of the current request.
+
+        The task that reads it ends only after others have been read, and they
+        may fill the same memory until then.
+        """
+        if not self._has_request or self._incoming is None:
+            return
+        self._incoming.stop()
+        self._incoming.parts.clear()
+        if not self._payload.at_eof():
+            self._payload._buffer.clear()
+
     async def _drain_answer(self) -> None:
         """Waits until the caller has taken most of the answer.
 
@@ -358,34 +492,39 @@
     def _on_request_end(self) -> None:
         self._has_request = False
         self._task = None
+        self._holdings.end_request()
         self._idle_since = self._loop.time()
         if self._closes:
             self.close()
             return
         self._start_next()
         if self._ahead_bytes:
-            self._ahead_bytes = 0
+            self._ahead_bytes = sum(p.total_bytes for _, p in self._queue)
+            self._holdings.read_behind(self._ahead_bytes)
+            self._count_held()
             if not self._input.is_waiting:
                 self._release()
 
-    async def _body(
-        self, message: RawRequestMessage, payload: Any
-    ) -> bytes | None:
-        """Reads a request's body; returns None if it is too large."""
+    async def _body(self, incoming: Incoming, payload: Any) -> bytes | GiveUp:
+        """Reads a request's body; returns why it is not read to its end."""
         max_bytes = self._limits.max_body_bytes
-        announced = message.headers.get("Content-Length", "0")
-        if int(announced) > max_bytes:
-            return None
-        if message.headers.get("Expect", "").lower() == "100-continue":
+        refusal = incoming.refusal
+        announced_bytes = incoming.announced_bytes
+        if announced_bytes > max_bytes:
+            return _TOO_LARGE
+        if refusal is not None and announced_bytes > SMALL_BYTES:
+            return refusal
+        if incoming.expects_continue:
             self.write(_CONTINUE)
-        parts = []
         size = 0
         while part := await payload.readany():
             size += len(part)
             if size > max_bytes:
-                return None
-            parts.append(part)
-        return b"".join(parts)
+                return _TOO_LARGE
+            if refusal is not None and size > SMALL_BYTES:
+                return refusal
+            incoming.parts.append(part)
+        return incoming.take_body()
 
     def _reject_unparsable(self, error: HttpProcessingError) -> None:
         """Rejects unparsable input, after which the connection is unusable."""
--- a/packages/gateway/src/hollyknot_gateway/_caller_server.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_server.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from hollyknot_coordination.holding import ByteBudget, default_capacity_bytes
+from hollyknot_gateway._body_rules import BodyRules
 from hollyknot_gateway._caller_connection import (
     CallerConnection,
     Handler,
@@ -26,6 +28,8 @@
         limits: Callable[[], CallerLimits],
         on_unread: OnUnread,
         accepts: Callable[[str], bool] = accept_any,
+        rules: BodyRules | None = None,
+        budget: ByteBudget | None = None,
     ) -> None:
         """Builds a server that does not listen yet.
 
@@ -34,11 +38,16 @@
             limits: Returns the limits for a new connection.
             on_unread: Called for each request that can't be read.
             accepts: Returns whether an IP address may connect.
+            rules: Decides on requests that are not whole; None accepts all.
+            budget: Bounds what all connections hold; None for a small budget
+                of this server.
         """
         self._handler = handler
         self._limits = limits
         self._on_unread = on_unread
         self._accepts = accepts
+        self._rules = rules
+        self._budget = budget or ByteBudget(default_capacity_bytes(0))
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._is_last_answer = False
@@ -93,6 +102,8 @@
         Returns:
             How many connections were closed.
         """
+        for connection in list(self._connections):
+            connection.count_unsent()
         overdue = [c for c in self._connections if c.is_overdue(now_s)]
         for connection in overdue:
             connection.close()
@@ -112,6 +123,8 @@
             self._connections.discard,
             self._on_unread,
             self._accepts,
+            self._rules,
+            self._budget,
         )
         if self._is_last_answer:
             connection.close_after_answer()
--- a/packages/gateway/src/hollyknot_gateway/_flow.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow.py
@@ -10,6 +10,7 @@
     GiveUp,
     NoOwner,
     NoRoute,
+    RouteIndex,
     TooSlow,
     TryAnother,
     TryState,
@@ -32,7 +33,12 @@
 from hollyknot_gateway._tries import Tries
 from hollyknot_gateway._upstream_selector import UpstreamSelector
 from hollyknot_state import Outcome, Reason, Verdict
-from hollyknot_state.routes import CallTraits, Route, Service
+from hollyknot_state.routes import (
+    CallTraits,
+    KeyOwner,
+    Route,
+    Service,
+)
 
 _NOT_FOUND = 404
 _UNAUTHORISED = 401
@@ -48,6 +54,16 @@
 """Reasons of tries that were lost with their upstream or its connection."""
 
 
+@attrs.frozen
+class _Found:
+    """What the head of a request that is accepted names."""
+
+    index: RouteIndex
+    route: Route
+    owner: KeyOwner | NoOwner
+    limit_s: float
+
+
 class Flow:
     """Routes requests to upstreams and gives each exactly one answer."""
 
@@ -64,16 +80,34 @@
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
         """Handles one request until it is answered, late or cancelled."""
         call = self._parts.dialect.read_call(request.fields)
-        job = self._admit(request, reply, call)
-        if isinstance(job, GiveUp):
-            self._answers.refuse(reply, call, job, None)
+        found = self._find(request, call)
+        if isinstance(found, GiveUp):
+            self._answers.refuse(reply, call, found, None)
             return
+        job = self._job(request, reply, call, found)
         await self.serve(job)
         took_s = self._parts.clock() - request.arrived_s
         self._parts.metrics.observe(
             metrics.ANSWER_SECONDS, took_s, route=job.route.name
         )
 
+    def check(self, head: CallerRequest) -> float | GiveUp:
+        """Decides on a request whose body is still arriving.
+
+        Returns:
+            Its time limit in seconds, or why it is refused whatever its body.
+        """
+        call = self._parts.dialect.read_call(head.fields)
+        found = self._find(head, call)
+        return found if isinstance(found, GiveUp) else found.limit_s
+
+    def refuse(
+        self, head: CallerRequest, reply: Reply, refusal: GiveUp
+    ) -> None:
+        """Answers a request whose body won't be read to its end."""
+        call = self._parts.dialect.read_call(head.fields)
+        self._answers.refuse(reply, call, refusal, None)
+
     async def serve(self, job: Job) -> None:
         """Runs a request until it is answered, late or cancelled."""
         grace = self._parts.grace
@@ -95,9 +129,10 @@
         finally:
             grace.discard(limit)
 
-    def _admit(
-        self, request: CallerRequest, reply: Reply, call: CallTraits
-    ) -> Job | GiveUp:
+    def _find(
+        self, request: CallerRequest, call: CallTraits
+    ) -> _Found | GiveUp:
+        """Returns what a request's head names, or why it is refused."""
         index = self._parts.in_force.index
         if index is None or not self._parts.in_force.has_upstreams:
             return _not_run(_UNAVAILABLE, Reason.NOT_READY)
@@ -108,10 +143,20 @@
         owner = index.owner(route, call.key)
         if owner is NoOwner.UNKNOWN:
             return _not_run(_UNAUTHORISED, Reason.BAD_KEY)
-        service = self._service(route, index.table.services)
         limit_s = route.timeout_s
         if call.budget_s is not None:
             limit_s = min(limit_s, call.budget_s)
+        return _Found(index, route, owner, limit_s)
+
+    def _job(
+        self,
+        request: CallerRequest,
+        reply: Reply,
+        call: CallTraits,
+        found: _Found,
+    ) -> Job:
+        index, route, owner = found.index, found.route, found.owner
+        service = self._service(route, index.table.services)
         return Job(
             request=request,
             reply=reply,
@@ -123,7 +168,7 @@
             urgency=index.urgency(route, owner),
             is_loose=index.is_loose(route, service.name),
             shed_from_urgency=index.shed_from_urgency(service.name),
-            deadline_s=request.arrived_s + limit_s,
+            deadline_s=request.arrived_s + found.limit_s,
         )
 
     def _service(self, route: Route, services: dict[str, Service]) -> Service:
--- a/packages/gateway/src/hollyknot_gateway/_gauges.py
+++ b/packages/gateway/src/hollyknot_gateway/_gauges.py
@@ -5,6 +5,7 @@
 import attrs
 
 from hollyknot_coordination.forwarding import HostCount, NamedLimits
+from hollyknot_coordination.holding import ByteBudget
 from hollyknot_gateway._caller_server import CallerServer
 from hollyknot_gateway._directory import Directory
 from hollyknot_gateway._log import Log
@@ -34,6 +35,7 @@
         cut_off: Returns the services of which no upstream is reached.
         pool: Connections to upstreams.
         log: Lines that wait to be written.
+        held: What callers make the host hold.
     """
 
     is_ready: Callable[[], bool]
@@ -51,6 +53,7 @@
     cut_off: Callable[[], Collection[str]]
     pool: Pool
     log: Log
+    held: ByteBudget
 
 
 def add_gauges(metrics: Metrics, sources: GaugeSources) -> None:
@@ -74,6 +77,8 @@
         "services_cut_off": lambda: len(sources.cut_off()),
         "requests_in_work": lambda: sources.callers.in_work,
         "caller_connections": lambda: sources.callers.connections,
+        "caller_held_bytes": lambda: sources.held.held_bytes,
+        "caller_held_bytes_limit": lambda: sources.held.capacity_bytes,
         "upstream_connections_opened": lambda: sources.pool.opened,
         "log_lines_waiting": lambda: sources.log.waiting,
         "log_lines_dropped": lambda: sources.log.dropped,
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -33,10 +33,12 @@
     StreamForms,
     UpstreamRegistry,
 )
+from hollyknot_coordination.holding import ByteBudget, default_capacity_bytes
 from hollyknot_coordination.suspects import Suspects
 from hollyknot_gateway import _metrics as metrics
 from hollyknot_gateway._answer_notices import AnswerNotices
 from hollyknot_gateway._answers import NO_ROUTE
+from hollyknot_gateway._body_rules import BodyRules
 from hollyknot_gateway._caller_server import CallerServer
 from hollyknot_gateway._directory import (
     Directory,
@@ -259,11 +261,16 @@
             self._log,
         )
         flow = Flow(parts)
+        held = ByteBudget(default_capacity_bytes(settings.memory_bytes))
         self._callers = CallerServer(
-            flow.handle, self._limits, self._on_unreadable_request
+            flow.handle,
+            self._limits,
+            self._on_unreadable_request,
+            rules=BodyRules(flow.check, flow.refuse),
+            budget=held,
         )
         self._relay_server = RelayServer(
-            parts, flow.serve, self._on_unreadable_request
+            parts, flow.serve, self._on_unreadable_request, held
         )
         self._operator_servers = OperatorServers(
             lambda: self.is_ready, self._metrics, self._on_unreadable_request
@@ -286,6 +293,7 @@
                 cut_off=lambda: self._watch.cut_off_services.names,
                 pool=self._pool,
                 log=self._log,
+                held=held,
             ),
         )
         self._readiness = Readiness(
--- a/packages/gateway/src/hollyknot_gateway/_paced_input.py
+++ b/packages/gateway/src/hollyknot_gateway/_paced_input.py
@@ -58,6 +58,11 @@
         """Whether some bytes have not been parsed."""
         return bool(self._waiting)
 
+    @property
+    def waiting_bytes(self) -> int:
+        """How many bytes have not been parsed."""
+        return len(self._waiting)
+
     def feed(self, data: bytes) -> None:
         """Parses bytes, now or after those that wait."""
         if self._timer is not None:
--- a/packages/gateway/src/hollyknot_gateway/_relay_server.py
+++ b/packages/gateway/src/hollyknot_gateway/_relay_server.py
@@ -4,7 +4,10 @@
 
 import attrs
 
+from hollyknot_coordination.forwarding import GiveUp
+from hollyknot_coordination.holding import ByteBudget
 from hollyknot_gateway import _metrics as metrics
+from hollyknot_gateway._body_rules import BodyRules
 from hollyknot_gateway._caller_request import CallerRequest
 from hollyknot_gateway._caller_server import CallerServer
 from hollyknot_gateway._flow_parts import FlowParts
@@ -44,6 +47,7 @@
         parts: FlowParts,
         serve: Callable[[Job], Awaitable[None]],
         on_unread: Callable[[int, str], None],
+        budget: ByteBudget,
     ) -> None:
         """Builds a server that does not listen yet.
 
@@ -51,11 +55,17 @@
             parts: The flow's parts.
             serve: Makes one try of a request and answers it.
             on_unread: Called for each request that can't be read.
+            budget: Bounds what callers and peers make this host hold.
         """
         self._parts = parts
         self._serve = serve
         self._server = CallerServer(
-            self._handle, self._limits, on_unread, parts.neighbours.has_ip
+            self._handle,
+            self._limits,
+            on_unread,
+            parts.neighbours.has_ip,
+            BodyRules(lambda _: _IDLE_TIMEOUT_S, self._refuse_unread),
+            budget,
         )
         self._taken = 0
         self._is_stopping = False
@@ -143,6 +153,11 @@
         known = index.table.services.get(name) if index is not None else None
         return known or Service(name)
 
+    def _refuse_unread(
+        self, _: CallerRequest, reply: Reply, refusal: GiveUp
+    ) -> None:
+        self._refuse(reply, refusal.verdict)
+
     def _refuse(self, reply: Reply, verdict: Verdict) -> None:
         self._parts.log.line(
             "relay_refused",
--- a/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_floods.py
@@ -65,6 +65,10 @@
     def write(self, data: Any) -> None:
         """Discards bytes."""
 
+    def get_write_buffer_size(self) -> int:
+        """Returns the bytes that were not sent: none."""
+        return 0
+
     def close(self) -> None:
         self.is_closed = True
 
--- a/packages/state/src/hollyknot_state/routes/_gateway_settings.py
+++ b/packages/state/src/hollyknot_state/routes/_gateway_settings.py
@@ -65,6 +65,8 @@
         data_centres: Number of data centres that have hosts.
         is_first_start: Whether all hosts start for the first time, so that
             there was no caller before.
+        memory_bytes: Memory of the machine. A part of it bounds what callers
+            make the host hold.
     """
 
     host: str = attrs.field(validator=is_long_name)
@@ -78,6 +80,9 @@
     metrics: Address | None = None
     data_centres: int = attrs.field(default=1, validator=validators.ge(1))
     is_first_start: bool = False
+    memory_bytes: int = attrs.field(
+        default=300_000_000, validator=validators.ge(1)
+    )
 
 
 def parse_gateway_settings(data: bytes | str) -> GatewaySettings | Problems:
