Bound callers' connections by the descriptors of the host

600 idle connections took 621 descriptors where 400 are allowed; a host that may not open more then answered nobody until they were idle for 15 s. Callers get half of the descriptors beyond 200 now, as each may need a connection to an upstream. At the limit those idle for longest are closed, then those with unfinished heads and bodies (503) and those that don't read their answers; requests in work never, the new connection is reset then. The accept queue is a quarter, since the event loop accepts all of it at once. The operators' ports take 64 connections each.

--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -35,6 +35,7 @@
     plain_rules,
 )
 from hollyknot_gateway._caller_request import CallerRequest
+from hollyknot_gateway._connection_limits import Use
 from hollyknot_gateway._holdings import SMALL_ANSWER_BYTES, Holdings
 from hollyknot_gateway._incoming import Incoming
 from hollyknot_gateway._paced_input import PacedInput
@@ -91,6 +92,7 @@
         "_incoming",
         "_input",
         "_is_reading_body",
+        "_is_surplus",
         "_is_unreadable",
         "_limits",
         "_on_lost",
@@ -164,6 +166,7 @@
         self._head_bytes = 0
         self._ahead_bytes = 0
         self._is_unreadable = False
+        self._is_surplus = False
 
     @property
     def has_request(self) -> bool:
@@ -178,6 +181,20 @@
         transport = self.transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
+    @property
+    def use(self) -> Use:
+        """What the connection is used for."""
+        if not self._has_request:
+            return Use.HEAD if self._waiting_head else Use.IDLE
+        if self._is_reading_body:
+            return Use.BODY
+        return Use.UNREAD_ANSWER if self.writing_paused else Use.WORK
+
+    @property
+    def idle_since(self) -> float:
+        """When the last request ended, or the current one came."""
+        return self._idle_since
+
     @property
     def sender_ip(self) -> str:
         """IP address of the other side; empty if it has disconnected."""
@@ -197,6 +214,19 @@
         limit_bytes = _HEAD_FACTOR * self._limits.max_head_bytes
         return self._ahead_bytes > limit_bytes
 
+    def refuse(self) -> None:
+        """Resets the connection as soon as it is made."""
+        self._is_surplus = True
+
+    def make_way(self) -> None:
+        """Ends a connection that is not in work for a new one."""
+        if self.use is Use.BODY:
+            self._break_off(NO_MEMORY)
+        elif self.is_in_work:
+            self.reset()
+        else:
+            self.close()
+
     def close_after_answer(self) -> None:
         """Closes the connection after the current request's answer."""
         self._closes = True
@@ -263,7 +293,10 @@
         """Sets the socket's options."""
         super().connection_made(transport)
         set_socket_options(cast(asyncio.Transport, transport))
-        if self._accepts is not accept_any and not self._accepts(
+        if self._is_surplus:
+            self._on_unread(0, "too many connections")
+            self.reset()
+        elif self._accepts is not accept_any and not self._accepts(
             self.sender_ip
         ):
             self._on_unread(0, f"unknown sender {self.sender_ip}")
--- a/packages/gateway/src/hollyknot_gateway/_caller_server.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_server.py
@@ -1,6 +1,7 @@
 """Accepts callers' connections and closes them when the host shuts down."""
 
 import asyncio
+import heapq
 from collections.abc import Callable
 
 from hollyknot_coordination.holding import ByteBudget, default_capacity_bytes
@@ -11,12 +12,17 @@
     OnUnread,
     accept_any,
 )
+from hollyknot_gateway._connection_limits import (
+    UNLIMITED,
+    ConnectionLimits,
+    Use,
+)
 from hollyknot_state import Address
 from hollyknot_state.routes import CallerLimits
 
-BACKLOG = 1024
-"""Accept queue, large enough for callers that reconnect together after a fault:
-if it is full, each waits a second or more until its SYN is resent."""
+_CLOSED_SHARE = 64
+"""At the limit, one in so many connections is closed together, so that finding
+them costs little for each new one."""
 
 
 class CallerServer:
@@ -30,6 +36,7 @@
         accepts: Callable[[str], bool] = accept_any,
         rules: BodyRules | None = None,
         budget: ByteBudget | None = None,
+        most: ConnectionLimits = UNLIMITED,
     ) -> None:
         """Builds a server that does not listen yet.
 
@@ -41,12 +48,15 @@
             rules: Decides on requests that are not whole; None accepts all.
             budget: Bounds what all connections hold; None for a small budget
                 of this server.
+            most: Limits on connections. At the limit those idle for longest
+                are closed, then those whose request is not whole.
         """
         self._handler = handler
         self._limits = limits
         self._on_unread = on_unread
         self._accepts = accepts
         self._rules = rules
+        self._most = most
         self._budget = budget or ByteBudget(default_capacity_bytes(0))
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -73,7 +83,7 @@
         """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._accept, address.ip, address.port, backlog=BACKLOG
+            self._accept, address.ip, address.port, backlog=self._most.backlog
         )
         port: int = self._server.sockets[0].getsockname()[1]
         return port
@@ -128,5 +138,24 @@
         )
         if self._is_last_answer:
             connection.close_after_answer()
-        self._connections.add(connection)
+        if self._has_room():
+            self._connections.add(connection)
+        else:
+            connection.refuse()
         return connection
+
+    def _has_room(self) -> bool:
+        """Whether another connection may stay; others may be closed for it."""
+        most = self._most.connections
+        if len(self._connections) < most:
+            return True
+        spare = (c for c in self._connections if c.use is not Use.WORK)
+        closed = heapq.nsmallest(
+            most // _CLOSED_SHARE + 1,
+            spare,
+            key=lambda c: (c.use, c.idle_since),
+        )
+        for connection in closed:
+            self._connections.discard(connection)
+            connection.make_way()
+        return bool(closed)
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -40,6 +40,7 @@
 from hollyknot_gateway._answers import NO_ROUTE
 from hollyknot_gateway._body_rules import BodyRules
 from hollyknot_gateway._caller_server import CallerServer
+from hollyknot_gateway._connection_limits import caller_limits
 from hollyknot_gateway._directory import (
     Directory,
     DirectoryParts,
@@ -268,6 +269,7 @@
             self._on_unreadable_request,
             rules=BodyRules(flow.check, flow.refuse),
             budget=held,
+            most=caller_limits(settings.descriptors),
         )
         self._relay_server = RelayServer(
             parts, flow.serve, self._on_unreadable_request, held
--- a/packages/gateway/src/hollyknot_gateway/_operator_servers.py
+++ b/packages/gateway/src/hollyknot_gateway/_operator_servers.py
@@ -6,10 +6,12 @@
 from hollyknot_gateway._caller_connection import OnUnread
 from hollyknot_gateway._caller_request import CallerRequest
 from hollyknot_gateway._caller_server import CallerServer
+from hollyknot_gateway._connection_limits import ConnectionLimits
 from hollyknot_gateway._metrics import Metrics
 from hollyknot_gateway._reply import Reply
 from hollyknot_state.routes import CallerLimits, GatewaySettings
 
+_MOST = ConnectionLimits(connections=64, backlog=64)
 _READY = 200
 _NOT_READY = 503
 
@@ -33,10 +35,10 @@
         self._is_ready = is_ready
         self._metrics = metrics
         self._readiness = CallerServer(
-            self._answer_readiness, CallerLimits, on_unread
+            self._answer_readiness, CallerLimits, on_unread, most=_MOST
         )
         self._scrapes = CallerServer(
-            self._answer_scrape, CallerLimits, on_unread
+            self._answer_scrape, CallerLimits, on_unread, most=_MOST
         )
 
     async def start(
--- a/packages/state/src/hollyknot_state/routes/_gateway_settings.py
+++ b/packages/state/src/hollyknot_state/routes/_gateway_settings.py
@@ -67,6 +67,8 @@
             there was no caller before.
         memory_bytes: Memory of the machine. A part of it bounds what callers
             make the host hold.
+        descriptors: File descriptors that the host may have open. They bound
+            the connections of callers.
     """
 
     host: str = attrs.field(validator=is_long_name)
@@ -83,6 +85,7 @@
     memory_bytes: int = attrs.field(
         default=300_000_000, validator=validators.ge(1)
     )
+    descriptors: int = attrs.field(default=4100, validator=validators.ge(1))
 
 
 def parse_gateway_settings(data: bytes | str) -> GatewaySettings | Problems:
