Count answers that wait in a host, and reset who reads none

An answer is buffered up to 1 MiB before its caller gets any of it: 100 callers that read nothing took 149 MB of 140 beside the budget. The buffer counts as the caller's now, so that the one with the most bytes and seconds is reset when the budget is full. Large answers are written without being joined first, and what goes on without its caller keeps no body.

--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -83,6 +83,7 @@
         "_accepts",
         "_ahead_bytes",
         "_body_bytes",
+        "_buffered_bytes",
         "_closes",
         "_handler",
         "_has_request",
@@ -156,6 +157,7 @@
         self._incoming: Incoming | None = None
         self._payload: Any = None
         self._body_bytes = 0
+        self._buffered_bytes = 0
         self._queue: list[tuple[RawRequestMessage, Any]] = []
         self._task: asyncio.Task[None] | None = None
         self._has_request = False
@@ -237,10 +239,22 @@
             self.transport.write(data)
             self.count_unsent()
 
+    @property
+    def _owed_bytes(self) -> int:
+        """Bytes of answers that the caller has not taken."""
+        assert self.transport is not None
+        return self._buffered_bytes + self.transport.get_write_buffer_size()
+
     def count_unsent(self) -> None:
         """Counts what the caller has not taken of its answers."""
         if self.transport is not None:
-            self._holdings.owe(self.transport.get_write_buffer_size())
+            self._holdings.owe(self._owed_bytes)
+
+    def note_buffered(self, size_bytes: int) -> None:
+        """Counts bytes of an answer that wait to be written."""
+        if size_bytes != self._buffered_bytes:
+            self._buffered_bytes = size_bytes
+            self.count_unsent()
 
     def resume_writing(self) -> None:
         """Goes on with an answer that the caller was slow to take."""
@@ -477,10 +491,9 @@
 
     def _drop_answer(self) -> None:
         """Resets the connection of a caller that doesn't read its answer."""
-        transport = self.transport
-        if transport is None:
+        if self.transport is None:
             return
-        if transport.get_write_buffer_size() > SMALL_ANSWER_BYTES:
+        if self._owed_bytes > SMALL_ANSWER_BYTES:
             self._on_unread(0, "no memory for an answer that is not read")
             self.reset()
 
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -174,6 +174,7 @@
         self._is_relayed = False
         self._has_events = False
         self._is_unbuffered = False
+        self._is_unwanted = False
         self._is_paused = False
         self._resume_task: asyncio.Task[None] | None = None
         self.done: asyncio.Future[Result] = (
@@ -246,8 +247,11 @@
         if self._is_unbuffered:
             self._write_to_caller(data)
             return
+        if self._is_unwanted:
+            return
         self._parts.append(data)
         self._size += len(data)
+        self._reply.note_buffered(self._size)
         if self._size > MAX_BUFFERED_BYTES:
             self._start_unbuffered()
 
@@ -266,6 +270,11 @@
         assert self._traits is not None
         self._set_result(self._classify(self._head, self._traits))
 
+    def forget_body(self) -> None:
+        """Keeps no body, as the caller has left; the end is still awaited."""
+        self._is_unwanted = True
+        self._parts.clear()
+
     def fail_as_silent(self) -> None:
         """Fails a try that has received nothing for too long."""
         self._fail(Reason.UPSTREAM_SILENT, "no byte in time")
@@ -401,12 +410,13 @@
             self.reject("a large answer without proof of origin")
             self._connection.abandon()
             return
-        data = b"".join(self._parts)
-        self._parts.clear()
+        parts, self._parts = self._parts, []
         self._is_unbuffered = True
         self._first_s = self._clock() - self._sent_s
         self._on_first_event()
-        self._write_to_caller(data)
+        self._reply.note_buffered(0)
+        for part in parts:
+            self._write_to_caller(part)
 
     def _end_stream(self) -> None:
         if self._stream.framer.has_partial_event:
@@ -429,8 +439,11 @@
         )
 
     def _set_result(self, result: Result) -> None:
-        if not self.done.done():
-            self.done.set_result(result)
+        if self.done.done():
+            return
+        if self._size and result.answer is None:
+            self._reply.note_buffered(0)
+        self.done.set_result(result)
 
 
 def _is_believed(head: Head, traits: AnswerTraits) -> bool:
--- a/packages/gateway/src/hollyknot_gateway/_reply.py
+++ b/packages/gateway/src/hollyknot_gateway/_reply.py
@@ -7,6 +7,9 @@
 from hollyknot_gateway._headers import write_head
 
 _LAST_CHUNK = b"0\r\n\r\n"
+_JOINED_BODY_BYTES = 4096
+"""Bodies up to this size are written with their head, at the cost of a copy."""
+
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -28,6 +31,9 @@
     async def drained(self) -> None:
         """Waits until unsent bytes fall below the low-water mark."""
 
+    def note_buffered(self, size_bytes: int) -> None:
+        """Counts bytes of the answer that wait to be written."""
+
     def write(self, data: bytes) -> None:
         """Writes bytes; drops them if the caller has disconnected."""
 
@@ -85,6 +91,14 @@
         """Waits until unsent bytes fall below the low-water mark."""
         await self._connection.drained()
 
+    def note_buffered(self, size_bytes: int) -> None:
+        """Counts bytes of the answer that wait for its end.
+
+        Args:
+            size_bytes: All that wait; 0 if they are given up.
+        """
+        self._connection.note_buffered(size_bytes)
+
     def add_header(self, name: bytes, value: bytes) -> None:
         """Adds a header to the answer, or replaces one that was added."""
         self._extra_headers[name] = value
@@ -100,7 +114,12 @@
         head = self._head(status, framed)
         if self._method == "HEAD" or status in _STATUSES_WITHOUT_BODY:
             body = b""
-        self._connection.write(head + body)
+        self._connection.note_buffered(0)
+        if len(body) <= _JOINED_BODY_BYTES:
+            self._connection.write(head + body)
+        else:
+            self._connection.write(head)
+            self._connection.write(body)
 
     def start(
         self, status: int, headers: Iterable[tuple[bytes, bytes]], data: bytes
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -354,6 +354,7 @@
         # end is awaited, so that it counts as in flight at the upstream. Its
         # body has been written; nobody counts it any more.
         job.request = attrs.evolve(job.request, body=b"")
+        exchange.forget_body()
         task = asyncio.ensure_future(
             self._await_end(job, choice, work, exchange)
         )
