--- a/packages/state/src/hollyknot_state/_settings.py
+++ b/packages/state/src/hollyknot_state/_settings.py
@@ -20,6 +20,7 @@
 MAX_PORT = 65_535
 MAX_BODY_BYTES = 1_073_741_824
 MAX_STOP_GRACE_S = 86_400
+MAX_MEMORY_MB = 1_048_576
 
 
 @attrs.frozen
@@ -84,6 +85,8 @@
             each is accepted, so that a key can be replaced host by host.
         tls: TLS files of the links; absent for links without TLS.
         max_body_bytes: Largest request body that is accepted, in bytes.
+        memory_mb: Memory that the process may take, in megabytes; 0 for all
+            that the machine, or the process's control group, has.
         trace_file: File to which spans are written, one JSON object per line;
             empty for none.
         stop_grace_s: Seconds that a graceful stop waits for in-flight requests
@@ -105,6 +108,9 @@
     max_body_bytes: int = attrs.field(
         default=4_194_304, validator=is_between(1, MAX_BODY_BYTES, "bytes")
     )
+    memory_mb: int = attrs.field(
+        default=0, validator=is_between(0, MAX_MEMORY_MB, "MB")
+    )
     trace_file: str = ""
     stop_grace_s: float = attrs.field(
         default=0.0, validator=is_between(0, MAX_STOP_GRACE_S, "s")
