Refuse callers without a key before their body (crowds)

40 connections without a customer's key made a host hold 230 MB: the key was looked at only when the whole body had been read. It is in the head, so that it is now checked first; what follows is dropped for a second at most, as for every refusal, and then the connection is closed.

--- a/packages/daemon/src/hollyknot_daemon/_flow.py
+++ b/packages/daemon/src/hollyknot_daemon/_flow.py
@@ -77,27 +77,31 @@
         if not ready.is_ready:
             return response.refuse(_not_ready(ready))
         view = parts.in_force()
+        # The body of a caller without a key is never read.
+        customer = _authenticate(view, request)
+        if isinstance(customer, Verdict):
+            return response.refuse(Refusal(http_status(customer), customer))
         if path == _MODELS_PATH:
-            return _models_response(view, request, response)
+            return _models_response(view)
         arrived_s = asyncio.get_running_loop().time()
         call = await read_call(request, request_id, parts.max_body_bytes)
         if isinstance(call, Refusal):
             return response.refuse(call)
-        return await _serve(parts, view, call, response, arrived_s)
+        found = _classify(view, customer, call)
+        if isinstance(found, Verdict):
+            return response.refuse(Refusal(http_status(found), found))
+        return await _serve(parts, found, call, response, arrived_s)
 
     return handle
 
 
 async def _serve(
     parts: FlowParts,
-    view: DocumentsView,
+    found: Classification,
     call: CallerCall,
     response: CallerResponse,
     arrived_s: float,
 ) -> web.StreamResponse:
-    found = _authenticate_and_classify(view, call)
-    if isinstance(found, Verdict):
-        return response.refuse(Refusal(http_status(found), found))
     with parts.tracing.span(
         "request",
         call.traceparent,
@@ -121,12 +125,16 @@
     return response.refuse(refusal)
 
 
-def _authenticate_and_classify(
-    view: DocumentsView, call: CallerCall
+def _authenticate(
+    view: DocumentsView, request: web.BaseRequest
+) -> str | Verdict:
+    header = request.headers.get("Authorization", "")
+    return authenticate(view.customers_by_key, header)
+
+
+def _classify(
+    view: DocumentsView, customer: str, call: CallerCall
 ) -> Classification | Verdict:
-    customer = authenticate(view.customers_by_key, call.authorization)
-    if isinstance(customer, Verdict):
-        return customer
     name = call.request_class or Absent.CLASS
     return classify(view.declarations, customer, name, call.target)
 
@@ -154,13 +162,7 @@
     )
 
 
-def _models_response(
-    view: DocumentsView, request: web.BaseRequest, response: CallerResponse
-) -> web.Response:
-    header = request.headers.get("Authorization", "")
-    customer = authenticate(view.customers_by_key, header)
-    if isinstance(customer, Verdict):
-        return response.refuse(Refusal(http_status(customer), customer))
+def _models_response(view: DocumentsView) -> web.Response:
     models = [
         {"id": name, "object": "model", "created": 0, "owned_by": "hollyknot"}
         for name in view.declarations.models
--- a/packages/transport/src/hollyknot_transport/_calls.py
+++ b/packages/transport/src/hollyknot_transport/_calls.py
@@ -58,7 +58,6 @@
         target: The model or service that is called.
         is_streamed: Whether the caller requests server-sent events.
         prefix: Hash of the start of the prompt, for prefix locality; 0 if none.
-        authorization: The `Authorization` header as sent; empty if none.
         request_class: Request class that the caller names; empty if none.
         idempotency_key: The `Idempotency-Key` header as sent; empty if none.
         traceparent: The `traceparent` header as sent; empty if none.
@@ -73,7 +72,6 @@
     target: ModelCall | ServiceCall
     is_streamed: bool
     prefix: int
-    authorization: str
     request_class: str
     idempotency_key: str
     traceparent: str
@@ -114,7 +112,6 @@
         target=target.call,
         is_streamed=target.is_streamed,
         prefix=target.prefix,
-        authorization=headers.get("Authorization", ""),
         request_class=headers.get("X-Request-Class", "")[:_MAX_HEADER_CHARS],
         idempotency_key=headers.get("Idempotency-Key", ""),
         traceparent=headers.get("traceparent", ""),
