Hold all callers' bodies in one budget of bytes (crowds)

40 connections with bodies of 4 MiB that stop just short made a host hold 231 MB; each was bounded, the sum was not. All bodies, read or waiting for their answer, now count in one budget: half of the memory beyond 96 MiB, at least 8 MiB. When it is full, the unfinished body that held most, in bytes and seconds, is freed and its request refused: 503 shed, X-Not-Run, a spread Retry-After, connection closed. Parts are kept in one buffer, as a part of two bytes takes fifty. memory_mb now has its effect. A single body is read whatever the budget. test_caller_server.py patches the body's time limit where it now is and gives the call its budget; it checks what it checked.

--- a/packages/daemon/src/hollyknot_daemon/_flow.py
+++ b/packages/daemon/src/hollyknot_daemon/_flow.py
@@ -1,6 +1,8 @@
 """Handles each caller's request: checks, classifies, runs and answers it."""
 
 import asyncio
+import contextlib
+import random
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -13,6 +15,7 @@
     authenticate,
     classify,
 )
+from hollyknot_coordination.holding import ByteBudget
 from hollyknot_coordination.retries import http_status
 from hollyknot_daemon._claiming import Claim
 from hollyknot_daemon._documents_view import DocumentsView
@@ -29,6 +32,7 @@
     SERVICE_PREFIX,
     CallerCall,
     CallerResponse,
+    HeldBody,
     Readiness,
     Refusal,
     Tracing,
@@ -51,6 +55,8 @@
         claim: Requests the claim for a non-idempotent request.
         tracing: Records a span for each hop.
         max_body_bytes: Largest request body that is read, in bytes.
+        budget: Counts the bytes of all bodies that are held.
+        rng: Source of the jitter in the times after which callers retry.
     """
 
     in_force: Callable[[], DocumentsView]
@@ -59,6 +65,8 @@
     claim: Claim
     tracing: Tracing
     max_body_bytes: int
+    budget: ByteBudget
+    rng: random.Random
 
 
 def caller_handler(
@@ -83,18 +91,42 @@
             return response.refuse(Refusal(http_status(customer), customer))
         if path == _MODELS_PATH:
             return _models_response(view)
-        arrived_s = asyncio.get_running_loop().time()
-        call = await read_call(request, request_id, parts.max_body_bytes)
-        if isinstance(call, Refusal):
-            return response.refuse(call)
-        found = _classify(view, customer, call)
-        if isinstance(found, Verdict):
-            return response.refuse(Refusal(http_status(found), found))
-        return await _serve(parts, found, call, response, arrived_s)
+        clock = asyncio.get_running_loop().time
+        arrived_s = clock()
+        held_body = HeldBody(parts.budget, clock)
+        with contextlib.closing(held_body):
+            call = await read_call(
+                request, request_id, parts.max_body_bytes, held_body
+            )
+            if isinstance(call, Refusal):
+                return _refuse_spread(call, response, parts.rng)
+            found = _classify(view, customer, call)
+            if isinstance(found, Verdict):
+                return response.refuse(Refusal(http_status(found), found))
+            return await _serve(parts, found, call, response, arrived_s)
 
     return handle
 
 
+def _refuse_spread(
+    refusal: Refusal, response: CallerResponse, rng: random.Random
+) -> web.Response:
+    """Refuses a request; a crowd that is refused comes back spread out."""
+    verdict = refusal.verdict
+    after_s = verdict.retry_after_s
+    answer = response.refuse(
+        attrs.evolve(
+            refusal,
+            verdict=attrs.evolve(
+                verdict, retry_after_s=after_s * (1 + rng.random())
+            ),
+        )
+    )
+    if after_s:
+        answer.force_close()
+    return answer
+
+
 async def _serve(
     parts: FlowParts,
     found: Classification,
--- a/packages/daemon/src/hollyknot_daemon/_host.py
+++ b/packages/daemon/src/hollyknot_daemon/_host.py
@@ -6,11 +6,16 @@
 from collections.abc import Coroutine
 
 from hollyknot_coordination.claims import ClaimOptions
+from hollyknot_coordination.holding import (
+    ByteBudget,
+    default_capacity_bytes,
+)
 from hollyknot_daemon._control_plane import ControlPlane
 from hollyknot_daemon._dispatch import Dispatcher
 from hollyknot_daemon._documents import Documents
 from hollyknot_daemon._documents_view import DocumentsView
 from hollyknot_daemon._flow import FlowParts, caller_handler
+from hollyknot_daemon._memory import memory_bytes
 from hollyknot_daemon._probes import Probes
 from hollyknot_daemon._record import Recorder
 from hollyknot_daemon._status import status_document
@@ -183,6 +188,10 @@
             claim=self._control_plane.claim,
             tracing=tracing,
             max_body_bytes=settings.max_body_bytes,
+            budget=ByteBudget(
+                default_capacity_bytes(memory_bytes(settings.memory_mb))
+            ),
+            rng=self._rng,
         )
         await self._listen(stack, parts)
         self._spawn(stack, self._run_ticks())
--- a/packages/transport/src/hollyknot_transport/__init__.py
+++ b/packages/transport/src/hollyknot_transport/__init__.py
@@ -22,6 +22,7 @@
     UpstreamClient,
     UpstreamRequest,
 )
+from hollyknot_transport._held_body import HeldBody
 from hollyknot_transport._links import (
     Handler,
     LinkCredentials,
@@ -54,6 +55,7 @@
     "CallerResponse",
     "CallerServer",
     "Handler",
+    "HeldBody",
     "KindTraffic",
     "LinkCounters",
     "LinkCredentials",
--- a/packages/transport/src/hollyknot_transport/_calls.py
+++ b/packages/transport/src/hollyknot_transport/_calls.py
@@ -4,7 +4,6 @@
 the problem, and parsing takes bounded time and memory.
 """
 
-import asyncio
 import secrets
 
 import attrs
@@ -15,16 +14,12 @@
 from hollyknot_coordination.classification import ModelCall, ServiceCall
 from hollyknot_state import Outcome, Reason, Verdict
 from hollyknot_transport._answers import Refusal, bad_request
-from hollyknot_transport._bounded import TooLarge, read_bounded
+from hollyknot_transport._bounded import TooLarge
+from hollyknot_transport._held_body import BODY_TIMEOUT_S, HeldBody, NoRoom
 
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
 SERVICE_PREFIX = "/v1/services/"
-BODY_TIMEOUT_S = 30.0
-"""Maximum time in seconds to receive a body.
-
-It ends requests of callers that send one byte a second.
-"""
-
+_NO_ROOM_RETRY_S = 2.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _MAX_PREFIX_CHARS = 2048
 _MAX_HEADER_CHARS = 200
@@ -84,7 +79,10 @@
 
 
 async def read_call(
-    request: web.BaseRequest, request_id: str, max_body_bytes: int
+    request: web.BaseRequest,
+    request_id: str,
+    max_body_bytes: int,
+    held_body: HeldBody,
 ) -> CallerCall | Refusal:
     """Reads and parses a request to a model or a service.
 
@@ -92,11 +90,12 @@
         request: The request, its body not yet read.
         request_id: Request id of the call.
         max_body_bytes: Maximum size of the body in bytes.
+        held_body: Reads the body and counts it.
 
     Returns:
         The call, or the refusal to answer with.
     """
-    body = await _read_body(request, max_body_bytes)
+    body = await _read_body(request, max_body_bytes, held_body)
     if isinstance(body, Refusal):
         return body
     target = _read_target(request, body)
@@ -135,19 +134,13 @@
 
 
 async def _read_body(
-    request: web.BaseRequest, max_body_bytes: int
+    request: web.BaseRequest, max_body_bytes: int, held_body: HeldBody
 ) -> bytes | Refusal:
     if (request.content_length or 0) > max_body_bytes:
         return _too_large(max_body_bytes)
     await _ask_for_body(request)
-    content = request.content
     try:
-        # Most bodies arrive together with the head and need no timer.
-        if content.is_eof():
-            body = await read_bounded(content, max_body_bytes)
-        else:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                body = await read_bounded(content, max_body_bytes)
+        body = await held_body.read(request.content, max_body_bytes)
     except TimeoutError:
         return bad_request(
             f"The body did not arrive within {BODY_TIMEOUT_S:.0f} s", 408
@@ -156,7 +149,17 @@
         return bad_request(f"The body can't be read: {error}")
     if isinstance(body, TooLarge):
         return _too_large(max_body_bytes)
-    return body
+    return _no_room() if isinstance(body, NoRoom) else body
+
+
+def _no_room() -> Refusal:
+    verdict = Verdict(
+        Outcome.NOT_RUN,
+        Reason.SHED,
+        "This host has no memory left for the body",
+        _NO_ROOM_RETRY_S,
+    )
+    return Refusal(503, verdict)
 
 
 def _too_large(limit: int) -> Refusal:
--- a/packages/transport/src/hollyknot_transport/tests/test_caller_server.py
+++ b/packages/transport/src/hollyknot_transport/tests/test_caller_server.py
@@ -6,11 +6,13 @@
 import pytest
 from aiohttp import web
 
+from hollyknot_coordination.holding import ByteBudget
 from hollyknot_state import Address
 from hollyknot_transport import (
     CallerServer,
+    HeldBody,
     Refusal,
-    _calls,
+    _held_body,
     read_call,
     start_server,
 )
@@ -24,7 +26,8 @@
 
 
 async def _answer(request: web.BaseRequest) -> web.Response:
-    found = await read_call(request, "req-1", 1024)
+    held_body = HeldBody(ByteBudget(1024), asyncio.get_running_loop().time)
+    found = await read_call(request, "req-1", 1024, held_body)
     status = found.status if isinstance(found, Refusal) else 200
     return web.Response(status=status)
 
@@ -146,7 +149,7 @@
         A caller states a length and sends one byte a second. The time in which
         a body arrives must be limited, not only its size; the answer is 408.
         """
-        monkeypatch.setattr(_calls, "BODY_TIMEOUT_S", 0.01)
+        monkeypatch.setattr(_held_body, "BODY_TIMEOUT_S", 0.01)
 
         async def test(server: CallerServer, connection: Connection) -> None:
             del server
