--- a/packages/daemon/src/hollyknot_daemon/_flow.py
+++ b/packages/daemon/src/hollyknot_daemon/_flow.py
@@ -1,6 +1,8 @@
 """Handles each caller's request: checks, classifies, runs and answers it."""
 
 import asyncio
+import contextlib
+import random
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -13,6 +15,7 @@
     authenticate,
     classify,
 )
+from hollyknot_coordination.holding import ByteBudget
 from hollyknot_coordination.retries import http_status
 from hollyknot_daemon._claiming import Claim
 from hollyknot_daemon._documents_view import DocumentsView
@@ -27,8 +30,10 @@
 from hollyknot_transport import (
     MODEL_PATHS,
     SERVICE_PREFIX,
+    BodyLimits,
     CallerCall,
     CallerResponse,
+    HeldBody,
     Readiness,
     Refusal,
     Tracing,
@@ -50,7 +55,9 @@
         tries: Places a request at upstreams and retries it.
         claim: Requests the claim for a non-idempotent request.
         tracing: Records a span for each hop.
-        max_body_bytes: Largest request body that is read, in bytes.
+        limits: Limits of each body.
+        budget: Counts the bytes of all bodies that are held.
+        rng: Source of the jitter in the times after which callers retry.
     """
 
     in_force: Callable[[], DocumentsView]
@@ -58,7 +65,9 @@
     tries: Tries
     claim: Claim
     tracing: Tracing
-    max_body_bytes: int
+    limits: BodyLimits
+    budget: ByteBudget
+    rng: random.Random
 
 
 def caller_handler(
@@ -77,27 +86,53 @@
         if not ready.is_ready:
             return response.refuse(_not_ready(ready))
         view = parts.in_force()
+        # The body of a caller without a key is never read.
+        customer = _authenticate(view, request)
+        if isinstance(customer, Verdict):
+            return response.refuse(Refusal(http_status(customer), customer))
         if path == _MODELS_PATH:
-            return _models_response(view, request, response)
-        arrived_s = asyncio.get_running_loop().time()
-        call = await read_call(request, request_id, parts.max_body_bytes)
-        if isinstance(call, Refusal):
-            return response.refuse(call)
-        return await _serve(parts, view, call, response, arrived_s)
+            return _models_response(view)
+        clock = asyncio.get_running_loop().time
+        arrived_s = clock()
+        held_body = HeldBody(parts.budget, clock)
+        with contextlib.closing(held_body):
+            call = await read_call(request, request_id, parts.limits, held_body)
+            if isinstance(call, Refusal):
+                return _refuse_spread(call, response, parts.rng)
+            found = _classify(view, customer, call)
+            if isinstance(found, Verdict):
+                return response.refuse(Refusal(http_status(found), found))
+            return await _serve(parts, found, call, response, arrived_s)
 
     return handle
 
 
+def _refuse_spread(
+    refusal: Refusal, response: CallerResponse, rng: random.Random
+) -> web.Response:
+    """Refuses a request; a crowd that is refused comes back spread out."""
+    verdict = refusal.verdict
+    after_s = verdict.retry_after_s
+    answer = response.refuse(
+        attrs.evolve(
+            refusal,
+            verdict=attrs.evolve(
+                verdict, retry_after_s=after_s * (1 + rng.random())
+            ),
+        )
+    )
+    if after_s:
+        answer.force_close()
+    return answer
+
+
 async def _serve(
     parts: FlowParts,
-    view: DocumentsView,
+    found: Classification,
     call: CallerCall,
     response: CallerResponse,
     arrived_s: float,
 ) -> web.StreamResponse:
-    found = _authenticate_and_classify(view, call)
-    if isinstance(found, Verdict):
-        return response.refuse(Refusal(http_status(found), found))
     with parts.tracing.span(
         "request",
         call.traceparent,
@@ -121,12 +156,16 @@
     return response.refuse(refusal)
 
 
-def _authenticate_and_classify(
-    view: DocumentsView, call: CallerCall
+def _authenticate(
+    view: DocumentsView, request: web.BaseRequest
+) -> str | Verdict:
+    header = request.headers.get("Authorization", "")
+    return authenticate(view.customers_by_key, header)
+
+
+def _classify(
+    view: DocumentsView, customer: str, call: CallerCall
 ) -> Classification | Verdict:
-    customer = authenticate(view.customers_by_key, call.authorization)
-    if isinstance(customer, Verdict):
-        return customer
     name = call.request_class or Absent.CLASS
     return classify(view.declarations, customer, name, call.target)
 
@@ -154,13 +193,7 @@
     )
 
 
-def _models_response(
-    view: DocumentsView, request: web.BaseRequest, response: CallerResponse
-) -> web.Response:
-    header = request.headers.get("Authorization", "")
-    customer = authenticate(view.customers_by_key, header)
-    if isinstance(customer, Verdict):
-        return response.refuse(Refusal(http_status(customer), customer))
+def _models_response(view: DocumentsView) -> web.Response:
     models = [
         {"id": name, "object": "model", "created": 0, "owned_by": "hollyknot"}
         for name in view.declarations.models
--- a/packages/daemon/src/hollyknot_daemon/_host.py
+++ b/packages/daemon/src/hollyknot_daemon/_host.py
@@ -6,17 +6,24 @@
 from collections.abc import Coroutine
 
 from hollyknot_coordination.claims import ClaimOptions
+from hollyknot_coordination.holding import (
+    ByteBudget,
+    default_capacity_bytes,
+)
 from hollyknot_daemon._control_plane import ControlPlane
 from hollyknot_daemon._dispatch import Dispatcher
 from hollyknot_daemon._documents import Documents
 from hollyknot_daemon._documents_view import DocumentsView
 from hollyknot_daemon._flow import FlowParts, caller_handler
+from hollyknot_daemon._machine import connections, memory_bytes
 from hollyknot_daemon._probes import Probes
 from hollyknot_daemon._record import Recorder
 from hollyknot_daemon._status import status_document
 from hollyknot_daemon._tries import Tries
 from hollyknot_state import Reason, Settings
 from hollyknot_transport import (
+    VALUE_BYTES,
+    BodyLimits,
     CallerServer,
     Metrics,
     Readiness,
@@ -33,6 +40,10 @@
 _TICK_S = 0.1
 _SWEEP_S = 1.0
 _FORGET_S = 60.0
+_MAX_BACKLOG = 1024
+_PARSED_SHARE = 0.5
+"""Memory of one parsed body, as a share of the budget. It is freed at once."""
+
 _READY = Readiness(True, "ready")
 _NOT_CONFIGURED = Readiness(
     False, "This host has not learnt its configuration yet"
@@ -176,13 +187,21 @@
         tries = Tries(
             dispatcher, exchanges, self._recorder, tracing, self._rng, clock
         )
+        capacity_bytes = default_capacity_bytes(
+            memory_bytes(settings.memory_mb)
+        )
         parts = FlowParts(
             in_force=lambda: self._documents.view,
             readiness=lambda: self.readiness,
             tries=tries,
             claim=self._control_plane.claim,
             tracing=tracing,
-            max_body_bytes=settings.max_body_bytes,
+            limits=BodyLimits(
+                settings.max_body_bytes,
+                int(capacity_bytes * _PARSED_SHARE / VALUE_BYTES),
+            ),
+            budget=ByteBudget(capacity_bytes),
+            rng=self._rng,
         )
         await self._listen(stack, parts)
         self._spawn(stack, self._run_ticks())
@@ -202,8 +221,13 @@
         runner, port = await start_server(operators, self._settings.operators)
         stack.push_async_callback(runner.cleanup)
         self._operators_port = port
-        self._callers = CallerServer(caller_handler(parts))
-        runner, port = await start_server(self._callers, self._settings.callers)
+        most = connections(self._settings.max_connections)
+        self._callers = CallerServer(caller_handler(parts), most)
+        # What waits is accepted at once, before any connection is closed.
+        backlog = min(_MAX_BACKLOG, max(1, most // 4))
+        runner, port = await start_server(
+            self._callers, self._settings.callers, backlog
+        )
         stack.push_async_callback(runner.cleanup)
         self._callers_port = port
 
--- a/packages/transport/src/hollyknot_transport/__init__.py
+++ b/packages/transport/src/hollyknot_transport/__init__.py
@@ -6,14 +6,20 @@
 
 from hollyknot_transport._answers import Refusal, bad_request
 from hollyknot_transport._caller_response import CallerResponse
-from hollyknot_transport._caller_server import CallerServer, start_server
+from hollyknot_transport._caller_server import (
+    MAX_CONNECTIONS,
+    CallerServer,
+    start_server,
+)
 from hollyknot_transport._calls import (
     MODEL_PATHS,
     SERVICE_PREFIX,
+    BodyLimits,
     CallerCall,
     new_request_id,
     read_call,
 )
+from hollyknot_transport._counted_json import VALUE_BYTES
 from hollyknot_transport._exchange import (
     IDLE_CONNECTION_S,
     Result,
@@ -22,6 +28,7 @@
     UpstreamClient,
     UpstreamRequest,
 )
+from hollyknot_transport._held_body import HeldBody
 from hollyknot_transport._links import (
     Handler,
     LinkCredentials,
@@ -48,12 +55,15 @@
 
 __all__ = [
     "IDLE_CONNECTION_S",
+    "MAX_CONNECTIONS",
     "MODEL_PATHS",
     "SERVICE_PREFIX",
+    "BodyLimits",
     "CallerCall",
     "CallerResponse",
     "CallerServer",
     "Handler",
+    "HeldBody",
     "KindTraffic",
     "LinkCounters",
     "LinkCredentials",
@@ -76,6 +86,7 @@
     "UpstreamAnswer",
     "UpstreamClient",
     "UpstreamRequest",
+    "VALUE_BYTES",
     "Waste",
     "bad_request",
     "configure_logging",
--- a/packages/transport/src/hollyknot_transport/_calls.py
+++ b/packages/transport/src/hollyknot_transport/_calls.py
@@ -4,7 +4,6 @@
 the problem, and parsing takes bounded time and memory.
 """
 
-import asyncio
 import secrets
 
 import attrs
@@ -15,16 +14,13 @@
 from hollyknot_coordination.classification import ModelCall, ServiceCall
 from hollyknot_state import Outcome, Reason, Verdict
 from hollyknot_transport._answers import Refusal, bad_request
-from hollyknot_transport._bounded import TooLarge, read_bounded
+from hollyknot_transport._bounded import TooLarge
+from hollyknot_transport._counted_json import has_more_values
+from hollyknot_transport._held_body import BODY_TIMEOUT_S, HeldBody, NoRoom
 
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
 SERVICE_PREFIX = "/v1/services/"
-BODY_TIMEOUT_S = 30.0
-"""Maximum time in seconds to receive a body.
-
-It ends requests of callers that send one byte a second.
-"""
-
+_NO_ROOM_RETRY_S = 2.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _MAX_PREFIX_CHARS = 2048
 _MAX_HEADER_CHARS = 200
@@ -45,6 +41,19 @@
     prefix: int = 0
 
 
+@attrs.frozen
+class BodyLimits:
+    """Limits of one body.
+
+    Attributes:
+        max_bytes: Maximum size in bytes.
+        max_values: Most values that its JSON may have.
+    """
+
+    max_bytes: int
+    max_values: int
+
+
 @attrs.frozen
 class CallerCall:
     """One request of a caller with its whole body.
@@ -58,7 +67,6 @@
         target: The model or service that is called.
         is_streamed: Whether the caller requests server-sent events.
         prefix: Hash of the start of the prompt, for prefix locality; 0 if none.
-        authorization: The `Authorization` header as sent; empty if none.
         request_class: Request class that the caller names; empty if none.
         idempotency_key: The `Idempotency-Key` header as sent; empty if none.
         traceparent: The `traceparent` header as sent; empty if none.
@@ -73,7 +81,6 @@
     target: ModelCall | ServiceCall
     is_streamed: bool
     prefix: int
-    authorization: str
     request_class: str
     idempotency_key: str
     traceparent: str
@@ -86,22 +93,26 @@
 
 
 async def read_call(
-    request: web.BaseRequest, request_id: str, max_body_bytes: int
+    request: web.BaseRequest,
+    request_id: str,
+    limits: BodyLimits,
+    held_body: HeldBody,
 ) -> CallerCall | Refusal:
     """Reads and parses a request to a model or a service.
 
     Args:
         request: The request, its body not yet read.
         request_id: Request id of the call.
-        max_body_bytes: Maximum size of the body in bytes.
+        limits: Limits of the body.
+        held_body: Reads the body and counts it.
 
     Returns:
         The call, or the refusal to answer with.
     """
-    body = await _read_body(request, max_body_bytes)
+    body = await _read_body(request, limits.max_bytes, held_body)
     if isinstance(body, Refusal):
         return body
-    target = _read_target(request, body)
+    target = _read_target(request, body, limits.max_values)
     if isinstance(target, Refusal):
         return target
     headers = request.headers
@@ -114,7 +125,6 @@
         target=target.call,
         is_streamed=target.is_streamed,
         prefix=target.prefix,
-        authorization=headers.get("Authorization", ""),
         request_class=headers.get("X-Request-Class", "")[:_MAX_HEADER_CHARS],
         idempotency_key=headers.get("Idempotency-Key", ""),
         traceparent=headers.get("traceparent", ""),
@@ -138,19 +148,13 @@
 
 
 async def _read_body(
-    request: web.BaseRequest, max_body_bytes: int
+    request: web.BaseRequest, max_body_bytes: int, held_body: HeldBody
 ) -> bytes | Refusal:
     if (request.content_length or 0) > max_body_bytes:
         return _too_large(max_body_bytes)
     await _ask_for_body(request)
-    content = request.content
     try:
-        # Most bodies arrive together with the head and need no timer.
-        if content.is_eof():
-            body = await read_bounded(content, max_body_bytes)
-        else:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                body = await read_bounded(content, max_body_bytes)
+        body = await held_body.read(request.content, max_body_bytes)
     except TimeoutError:
         return bad_request(
             f"The body did not arrive within {BODY_TIMEOUT_S:.0f} s", 408
@@ -159,7 +163,17 @@
         return bad_request(f"The body can't be read: {error}")
     if isinstance(body, TooLarge):
         return _too_large(max_body_bytes)
-    return body
+    return _no_room() if isinstance(body, NoRoom) else body
+
+
+def _no_room() -> Refusal:
+    verdict = Verdict(
+        Outcome.NOT_RUN,
+        Reason.SHED,
+        "This host has no memory left for the body",
+        _NO_ROOM_RETRY_S,
+    )
+    return Refusal(503, verdict)
 
 
 def _too_large(limit: int) -> Refusal:
@@ -168,11 +182,15 @@
     return Refusal(413, verdict)
 
 
-def _read_target(request: web.BaseRequest, body: bytes) -> _Target | Refusal:
+def _read_target(
+    request: web.BaseRequest, body: bytes, max_values: int
+) -> _Target | Refusal:
     if request.path.startswith(SERVICE_PREFIX):
         return _read_service(request)
     if request.method != "POST":
         return bad_request(f"{request.path} takes POST only", 405)
+    if has_more_values(body, max_values):
+        return bad_request(f"The body has more than {max_values} values", 413)
     return _read_model(body)
 
 
