Let only a sealed event stream go on with a stream (ORDER)

This host's own answer alone told whether the caller had got a part of the stream.

Change: an answer that is no event stream ends no stream that the caller holds a part of, whoever brought that part: this answer, or the one before, as the caller's last event says. A failure is still told to a caller that takes up.

--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -248,12 +248,22 @@
         if _is_believed(head, traits):
             self._on_traits(traits, self._sent_s)
         if head.status == _OK and traits.is_event_stream:
-            self._is_relayed = traits.is_sealed or self._reply.has_begun
+            self._is_relayed = traits.is_sealed
             if not self._is_relayed:
                 self.reject("an event stream without proof of origin")
-        elif self._reply.has_begun and not traits.is_refusal:
+        elif self._cannot_go_on(head, traits):
             self.reject("the answer does not resume the caller's stream")
 
+    def _cannot_go_on(self, head: Head, traits: AnswerTraits) -> bool:
+        """Whether an answer that is no stream follows a part of one.
+
+        A failure may be told to a caller that got its part in another answer.
+        """
+        if self._reply.has_begun:
+            return not traits.is_refusal
+        is_success = head.status < _MIN_ERROR_STATUS
+        return is_success and bool(self._stream.resumes_after)
+
     def on_data(self, data: bytes) -> None:
         """Buffers or relays a part of the body."""
         self._last_byte_s = self._clock()
