--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/_stream_places.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/_stream_places.py
@@ -11,10 +11,10 @@
 
 from hollyknot_coordination.forwarding._events import TryNumbers
 
-MIN_STREAMS = 20
+MIN_STREAMS = 10
 """Streams of one form from which the next ones are expected to have it."""
 
-OTHER_SHARE = 0.1
+OTHER_SHARE = 0.25
 """Share of other streams, relative to those of the usual form, above which
 nothing is expected."""
 
@@ -77,6 +77,8 @@
     def note(self, service: str, version: str, numbers: TryNumbers) -> None:
         """Notes the events of a try, forwarded or not.
 
+        Where a try goes on says nothing of the steps: that is what is judged.
+
         Args:
             service: Name of the service.
             version: Version of the upstream that sent them.
@@ -86,8 +88,6 @@
         self._forms.move_to_end((service, version))
         if numbers.after is None:
             form.first.note(numbers.first)
-        else:
-            form.step.note(numbers.first - numbers.after)
         if numbers.has_steps:
             form.step.note(numbers.step)
         if len(self._forms) > _MAX_KEYS:
