Count what goes on without its caller, and release each share in time

Found by reading. A caller that sends a body to a route that can't be repeated and leaves was counted no longer, while its upstream had not taken all of it: the request counts on now, with what is unsent. The share of input behind a request outlived the request if all of that input had waited to be parsed, and could end a later one. An unfinished head that gives way is told when to come back, and a body over the limit has its former text.

--- a/packages/gateway/src/hollyknot_gateway/_caller_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_caller_connection.py
@@ -62,7 +62,10 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _BAD_REQUEST = 400
 _HEAD_TOO_LARGE = 431
-_TOO_LARGE = GiveUp(413, Verdict(Outcome.NOT_RUN, Reason.TOO_LARGE))
+_RETRY_AFTER = ((b"Retry-After", b"1"),)
+_TOO_LARGE = GiveUp(
+    413, Verdict(Outcome.NOT_RUN, Reason.TOO_LARGE, "the body is too large")
+)
 
 
 def accept_any(_: str) -> bool:
@@ -92,6 +95,7 @@
         "_idle_since",
         "_incoming",
         "_input",
+        "_is_detached",
         "_is_reading_body",
         "_is_surplus",
         "_is_unreadable",
@@ -169,6 +173,7 @@
         self._ahead_bytes = 0
         self._is_unreadable = False
         self._is_surplus = False
+        self._is_detached = False
 
     @property
     def has_request(self) -> bool:
@@ -256,6 +261,19 @@
             self._buffered_bytes = size_bytes
             self.count_unsent()
 
+    def detach(self, unsent_bytes: int) -> Callable[[], None]:
+        """Counts a request on that goes on without its caller.
+
+        Args:
+            unsent_bytes: What its upstream has not taken yet.
+
+        Returns:
+            Called when the request has ended.
+        """
+        self._is_detached = True
+        self._holdings.keep(unsent_bytes)
+        return self._holdings.end_request
+
     def resume_writing(self) -> None:
         """Goes on with an answer that the caller was slow to take."""
         super().resume_writing()
@@ -338,13 +356,15 @@
         if self._is_unreadable or self.transport is None:
             return
         waiting_bytes = self._input.waiting_bytes
-        if not self._has_request:
-            head_bytes = self._head_bytes if self._waiting_head else 0
-            self._holdings.read(head_bytes + waiting_bytes)
-        elif self._payload.is_eof():
+        if self._has_request and self._payload.is_eof():
             self._holdings.read_behind(self._ahead_bytes + waiting_bytes)
+            return
+        self._holdings.read_behind(0)
+        if self._has_request:
+            read_bytes = self._payload.total_bytes
         else:
-            self._holdings.read(self._payload.total_bytes + waiting_bytes)
+            read_bytes = self._head_bytes if self._waiting_head else 0
+        self._holdings.read(read_bytes + waiting_bytes)
 
     def _parse(self, data: bytes) -> None:
         is_open = self.transport is not None and not self.transport.is_closing()
@@ -433,8 +453,13 @@
         if not self._holdings.keep(len(body) + incoming.head_bytes):
             self._refuse_unread(NO_MEMORY)
             return
-        reply = self._reply()
-        await self._answer(incoming.request(body), reply)
+        request = incoming.request(body)
+        del body
+        try:
+            await self._answer(request, self._reply())
+        finally:
+            if not self._is_detached:
+                self._holdings.end_request()
         await self._drain_answer()
         self._on_request_end()
 
@@ -474,9 +499,10 @@
             assert self._incoming is not None
             self._rules.refuse(self._incoming.request(), reply, refusal)
         else:
-            reason = refusal.verdict.reason.value
-            reply.respond(refusal.status, (), f"{reason}\n".encode())
-            self._on_unread(refusal.status, reason)
+            detail = refusal.verdict.detail
+            after = _RETRY_AFTER if refusal is NO_MEMORY else ()
+            reply.respond(refusal.status, after, f"{detail}\n".encode())
+            self._on_unread(refusal.status, detail)
         self._discard_input()
         self._discard_body()
         self._holdings.end_request()
@@ -546,10 +572,9 @@
         self._start_next()
         if self._ahead_bytes:
             self._ahead_bytes = sum(p.total_bytes for _, p in self._queue)
-            self._holdings.read_behind(self._ahead_bytes)
-            self._count_held()
             if not self._input.is_waiting:
                 self._release()
+        self._count_held()
 
     async def _body(self, incoming: Incoming, payload: Any) -> bytes | GiveUp:
         """Reads a request's body; returns why it is not read to its end."""
--- a/packages/gateway/src/hollyknot_gateway/_holdings.py
+++ b/packages/gateway/src/hollyknot_gateway/_holdings.py
@@ -73,9 +73,9 @@
             self._budget.hold(self._request, 0, self._clock())
 
     def close(self) -> None:
-        """Releases all."""
+        """Releases all but a whole request, which may go on."""
         for holder in (self._request, self._behind, self._answer):
-            if holder.size_bytes:
+            if holder.size_bytes and not holder.is_whole:
                 self._budget.hold(holder, 0, self._clock())
 
     def _hold(self, holder: Holder, size_bytes: int) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_reply.py
+++ b/packages/gateway/src/hollyknot_gateway/_reply.py
@@ -1,7 +1,7 @@
 """Writes the answer to one request of a caller."""
 
 import http
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from hollyknot_gateway._headers import write_head
@@ -34,6 +34,9 @@
     def note_buffered(self, size_bytes: int) -> None:
         """Counts bytes of the answer that wait to be written."""
 
+    def detach(self, unsent_bytes: int) -> Callable[[], None]:
+        """Counts a request on that goes on without its caller."""
+
     def write(self, data: bytes) -> None:
         """Writes bytes; drops them if the caller has disconnected."""
 
@@ -99,6 +102,17 @@
         """
         self._connection.note_buffered(size_bytes)
 
+    def detach(self, unsent_bytes: int) -> Callable[[], None]:
+        """Counts a request on that goes on without its caller.
+
+        Args:
+            unsent_bytes: What its upstream has not taken yet.
+
+        Returns:
+            Called when the request has ended.
+        """
+        return self._connection.detach(unsent_bytes)
+
     def add_header(self, name: bytes, value: bytes) -> None:
         """Adds a header to the answer, or replaces one that was added."""
         self._extra_headers[name] = value
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -355,9 +355,11 @@
         # body has been written; nobody counts it any more.
         job.request = attrs.evolve(job.request, body=b"")
         exchange.forget_body()
+        release = job.reply.detach(exchange.connection.unsent_bytes)
         task = asyncio.ensure_future(
             self._await_end(job, choice, work, exchange)
         )
+        task.add_done_callback(lambda _: release())
         self._detached.add(task)
         task.add_done_callback(self._detached.discard)
         return True
--- a/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
@@ -138,6 +138,12 @@
         is_idle = self._receiver is None and not self._input.is_waiting
         return self.is_open and is_idle and self._is_kept_alive
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of requests that the upstream has not taken."""
+        transport = self._transport
+        return transport.get_write_buffer_size() if transport else 0
+
     @property
     def requests(self) -> int:
         """Number of requests that have been written."""
--- a/packages/gateway/src/hollyknot_gateway/tests/test_full_memory.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_full_memory.py
@@ -119,3 +119,19 @@
             assert transport.sent.startswith(b"HTTP/1.1 200 ")
 
         _run(test)
+
+    def test_what_goes_on_without_its_caller_counts_on(self) -> None:
+        """Guards against callers that send bodies and leave at once."""
+
+        async def test(host: _Host) -> None:
+            connection, _ = await host.send(_POST + _BODY)
+            await host.until(lambda: bool(host.handled))
+            connection.connection_lost(None)
+            assert host.budget.held_bytes >= len(_BODY)
+            release = connection.detach(1000)
+            await asyncio.sleep(0)
+            assert host.budget.held_bytes == 1000
+            release()
+            assert not host.budget.held_bytes
+
+        _run(test)
