--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -152,6 +152,7 @@
         on_first_event: Callable[[], None],
         on_interval: Callable[[float], None],
         on_traits: Callable[[AnswerTraits, float], None],
+        has_crashed: Callable[[], Awaitable[bool]] | None = None,
     ) -> None:
         """Builds an exchange whose request is about to be sent.
 
@@ -169,6 +170,9 @@
                 stream that hold whole events.
             on_traits: Called with what the answer's head says and the time at
                 which the request was sent.
+            has_crashed: Returns whether the upstream has ended unannounced;
+                asked if the answer ends with its connection. None if that
+                shows in the answer itself.
         """
         self._dialect = dialect
         self._attempt_id = attempt_id
@@ -179,6 +183,8 @@
         self._on_first_event = on_first_event
         self._on_interval = on_interval
         self._on_traits = on_traits
+        self._has_crashed = has_crashed
+        self._end_task: asyncio.Task[None] | None = None
         self._head: Head | None = None
         self._traits: AnswerTraits | None = None
         self._parts: list[bytes] = []
@@ -285,6 +291,27 @@
 
     def on_end(self) -> None:
         """Completes the try after the end of the answer."""
+        if self._has_crashed is None or not self._connection.has_ended_answer:
+            self._complete()
+            return
+        self._end_task = asyncio.ensure_future(
+            self._complete_unless(self._has_crashed)
+        )
+
+    async def _complete_unless(
+        self, has_crashed: Callable[[], Awaitable[bool]]
+    ) -> None:
+        """Completes the try unless the upstream has crashed.
+
+        The connections of a process that crashes are closed as if it had ended
+        its answers.
+        """
+        if await has_crashed():
+            self._fail(Reason.UPSTREAM_LOST, "the upstream has ended as well")
+        elif not self._reply.has_ended:
+            self._complete()
+
+    def _complete(self) -> None:
         if self.done.done():
             return
         if self._is_relayed:
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -33,6 +33,10 @@
 """Seconds for which a stream has to go on until it proves that no part of its
 prompt crashes upstreams: one that crashes may have written a few events."""
 
+CRASH_S = 0.01
+"""Seconds within which a process that crashes has closed its listening socket
+after its connections."""
+
 _BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 _CALLER_GONE = Verdict(Outcome.MAY_HAVE_RUN, Reason.CALLER_GONE)
 _DEADLINE_PASSED = "the request's deadline has passed"
@@ -231,6 +235,7 @@
             lambda: self._record_first_event(job, choice, work, sent_s),
             lambda interval_s: self._record_interval(job, entry, interval_s),
             lambda traits, sent_s: parts.notices.observe(entry, traits, sent_s),
+            lambda: self._has_crashed(entry),
         )
         copy_to = copy_target(parts, job, entry)
         job.is_copied = job.is_copied or copy_to is not None
@@ -262,6 +267,20 @@
         )
         return exchange
 
+    async def _has_crashed(self, entry: UpstreamEntry) -> bool:
+        """Whether an upstream that was to serve on refuses connections.
+
+        One that leaves is listed no more, or says so, before its process ends.
+        """
+        parts = self._parts
+        is_usable = parts.in_force.registry.is_usable(
+            entry.incarnation, parts.clock()
+        )
+        if not is_usable or parts.notices.is_leaving(entry):
+            return False
+        await asyncio.sleep(CRASH_S)
+        return await parts.prober.check(entry) is ConnectFailure.REFUSED
+
     def _record_first_event(
         self, job: Job, choice: Choice, work: PlacedRequest, sent_s: float
     ) -> None:
--- a/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
+++ b/packages/gateway/src/hollyknot_gateway/_upstream_connection.py
@@ -125,6 +125,7 @@
         self._is_patient = False
         self._idle_since = self._loop.time()
         self._requests = 0
+        self._has_ended_answer = False
         self.keeps_s = 0.0
 
     @property
@@ -149,6 +150,11 @@
         """Number of requests that have been written."""
         return self._requests
 
+    @property
+    def has_ended_answer(self) -> bool:
+        """Whether the answer ended as the upstream closed the connection."""
+        return self._has_ended_answer
+
     @property
     def idle_since(self) -> float:
         """Time at which the last answer ended, on the loop's clock."""
@@ -433,6 +439,7 @@
             self._fail(Lost.TRUNCATED)
             return
         self._is_kept_alive = False
+        self._has_ended_answer = True
         self._finish()
 
     def _fail(self, lost: Lost) -> None:
