--- a/packages/gateway/src/hollyknot_gateway/tests/test_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/tests/test_exchange.py
@@ -39,6 +39,9 @@
     def start(self, *_: object) -> None:
         self.has_begun = True
 
+    def note_buffered(self, *_: object) -> None:
+        """Counts nothing."""
+
     async def drained(self) -> None:
         await self.left.wait()
         raise ConnectionResetError
