Prove routes too before one version counts as the only one (ORDER)

What callers saw: a stream that began at the service to which a route had just moved went on at the service that had lost it, as a whole answer, through a host that had not read the new routes yet.

That the routes were the newest was proved by nothing, and the host that hasn't read of the move has no reason to doubt either service.

Change: the age of the proof is that of the older of the two collections, and infinite once a peer has read routes that this host has not. So peers are asked before the list proves anything, and one that has read of the move says that the service counts as one of several versions. The read that renews the proof is one of both collections, as often as before. That of the routes needn't end in time: in a fleet of many hosts it is allowed once in several seconds, and take-ups would be refused meanwhile.

Not covered: a host that hears no peer that knows of the move, while its own read of the routes is not allowed yet or fails.

--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -3,6 +3,8 @@
 What is read from its two collections is put in force in the routing state.
 """
 
+import asyncio
+import math
 import random
 import time
 from collections.abc import Callable, Collection, Iterable, Mapping
@@ -164,19 +166,24 @@
 
     @property
     def proof_age_s(self) -> float:
-        """Seconds for which upstreams may have come unread.
+        """Seconds for which upstreams or routes may have come unread.
 
         Infinity if a peer has read of a change that this host has not.
         """
-        return self._upstreams.proof_age_s
+        return max(self._upstreams.proof_age_s, self._published.proof_age_s)
 
     async def confirm(self) -> bool:
-        """Reads the upstreams at once, unless they are known to be silent.
+        """Reads both collections at once, unless they are known to be silent.
 
         Returns:
-            Whether all that was written before this call has been read.
+            Whether all upstreams that were written before this call have been
+            read, and all routes that peers have read.
         """
-        return await self._upstreams.confirm(CONFIRM_TIMEOUT_S)
+        is_confirmed, _ = await asyncio.gather(
+            self._upstreams.confirm(CONFIRM_TIMEOUT_S),
+            self._published.confirm(CONFIRM_TIMEOUT_S),
+        )
+        return is_confirmed and not math.isinf(self._published.proof_age_s)
 
     def on_peer_read(self, read: ReadRevisions) -> None:
         """Reads at once whatever a peer has read and this host has not."""
--- a/packages/gateway/src/hollyknot_gateway/_list_proof.py
+++ b/packages/gateway/src/hollyknot_gateway/_list_proof.py
@@ -8,13 +8,13 @@
 
 @attrs.frozen
 class ListProof:
-    """The proof that no upstream has come that a host has not read of.
+    """The proof that no upstream or route has come that a host has not read of.
 
     A host that hears nothing can't tell a directory without changes from one
     that it is cut off from: what was true at the last answer may no longer be.
 
     Attributes:
-        age_s: Returns the seconds for which upstreams may have come unread;
+        age_s: Returns the seconds for which either may have come unread;
             infinity if a peer has read of a change that this host has not.
         renew: Reads the directory at once; returns whether all that was written
             until then has been read.
