Doubt the past once tables between two may have been missed (ORDER)

What callers saw: a route moved to another service and back, and a host that read both changes at once had a stream of the service in between go on at the one that has the route now, as a whole answer.

Cause: services count as moved by two tables that follow each other at this host. An answer of the platform's store holds the newest value of each item, and a full list nothing else, so that the table in between is never compared. For upstreams this has been covered (what they held meanwhile is read, and a list after a gap says that versions may have come unseen); for routes it was not.

Change: a watch's answer tells whether items were replaced within it (Changes.has_replaced), without decoding what they held, as tables are large. If such an answer or a full list brings a newer table than the one known, versions may have come and gone unseen (VersionHistory.miss): the host's own history is no ground for the retention, peers' word and what names a stream are.

--- a/packages/gateway/src/hollyknot_gateway/_directory.py
+++ b/packages/gateway/src/hollyknot_gateway/_directory.py
@@ -115,7 +115,8 @@
             they get requests, are leaving or have left meanwhile.
         on_moved: Called with the services between which routes of streams have
             moved.
-        on_gap: Called when upstreams may have come and gone unseen.
+        on_gap: Called when upstreams may have come and gone unseen, or routes
+            may have moved there and back.
         log: Receives a line for each change of the routing state.
         metrics: Counts items that can't be read.
         hosts: Returns how many hosts this one knows of, itself included.
@@ -298,7 +299,7 @@
         # Evacuations go first, so that no new route leads to an evacuated data
         # centre.
         self._apply_evacuations(listing.items)
-        self._apply_tables(listing.items)
+        self._apply_tables(listing.items, may_have_missed=True)
 
     def _apply_published_changes(self, changes: Changes[Published]) -> None:
         """Applies published changes; unreadable items change nothing."""
@@ -306,7 +307,7 @@
         for name in changes.removed:
             self._evacuations.pop(name, None)
         self._apply_evacuations(changes.items)
-        self._apply_tables(changes.items)
+        self._apply_tables(changes.items, may_have_missed=changes.has_replaced)
 
     def _report_unreadable(self, unreadable: tuple[Unreadable, ...]) -> None:
         for item in unreadable:
@@ -342,13 +343,23 @@
             if entry.data_centre == data_centre:
                 self._parts.cold_starts.suspect(entry, now_s)
 
-    def _apply_tables(self, items: dict[str, Published]) -> None:
-        """Puts each route table in force unless it is outdated."""
+    def _apply_tables(
+        self, items: dict[str, Published], *, may_have_missed: bool
+    ) -> None:
+        """Puts each route table in force unless it is outdated.
+
+        Args:
+            items: What was read.
+            may_have_missed: Whether there may have been further tables between
+                the one before and these.
+        """
         tables = [
             item for item in items.values() if isinstance(item, RouteTable)
         ]
         for table in tables:
             began = time.perf_counter()
+            if may_have_missed and self._parts.in_force.is_replaced_by(table):
+                self._parts.on_gap()
             self._parts.on_moved(self._parts.in_force.moved_services(table))
             is_new = self._parts.in_force.apply_table(table)
             self._parts.log.line(
--- a/packages/gateway/src/hollyknot_gateway/_ports.py
+++ b/packages/gateway/src/hollyknot_gateway/_ports.py
@@ -95,6 +95,7 @@
             name it.
         past: What items held meanwhile, before their newest change or their
             removal.
+        has_replaced: Whether items held anything meanwhile, read or not.
     """
 
     items: dict[str, T]
@@ -104,6 +105,7 @@
     changed: int = 0
     era: int | None = None
     past: tuple[T, ...] = ()
+    has_replaced: bool = False
 
 
 class Compacted(enum.Enum):
--- a/packages/gateway/src/hollyknot_gateway/_routing_state.py
+++ b/packages/gateway/src/hollyknot_gateway/_routing_state.py
@@ -80,6 +80,11 @@
         self._update_index()
         return self.index is not None
 
+    def is_replaced_by(self, table: RouteTable) -> bool:
+        """Whether a table is newer than one that is known."""
+        newest = self._newest
+        return newest is not None and table.version > newest.table.version
+
     def moved_services(self, table: RouteTable) -> frozenset[str]:
         """Returns the services between which a table moves streams.
 
@@ -87,7 +92,7 @@
             table: A table that has not been applied yet; an outdated one moves
                 none.
         """
-        if self._newest is None or table.version <= self._newest.table.version:
+        if self._newest is None or not self.is_replaced_by(table):
             return frozenset()
         before, after = self._newest, RouteIndex(table)
         routes = (*before.table.routes, *table.routes)
