Refuse JSON with more values than the memory holds (crowds)

12 bodies of 4 MiB of lists or objects made a host hold 246 and 254 MB: a value of three bytes takes up to a hundred once it is parsed. Brackets, commas and colons outside of strings are now counted first; a body with more values than half of the budget holds, a hundred bytes each, gets 413 too (98,341 values with 140 MB, 498,341 with 300). Text in strings doesn't count, so that a prompt of commas is no such body.

--- a/packages/daemon/src/hollyknot_daemon/_flow.py
+++ b/packages/daemon/src/hollyknot_daemon/_flow.py
@@ -30,6 +30,7 @@
 from hollyknot_transport import (
     MODEL_PATHS,
     SERVICE_PREFIX,
+    BodyLimits,
     CallerCall,
     CallerResponse,
     HeldBody,
@@ -54,7 +55,7 @@
         tries: Places a request at upstreams and retries it.
         claim: Requests the claim for a non-idempotent request.
         tracing: Records a span for each hop.
-        max_body_bytes: Largest request body that is read, in bytes.
+        limits: Limits of each body.
         budget: Counts the bytes of all bodies that are held.
         rng: Source of the jitter in the times after which callers retry.
     """
@@ -64,7 +65,7 @@
     tries: Tries
     claim: Claim
     tracing: Tracing
-    max_body_bytes: int
+    limits: BodyLimits
     budget: ByteBudget
     rng: random.Random
 
@@ -95,9 +96,7 @@
         arrived_s = clock()
         held_body = HeldBody(parts.budget, clock)
         with contextlib.closing(held_body):
-            call = await read_call(
-                request, request_id, parts.max_body_bytes, held_body
-            )
+            call = await read_call(request, request_id, parts.limits, held_body)
             if isinstance(call, Refusal):
                 return _refuse_spread(call, response, parts.rng)
             found = _classify(view, customer, call)
--- a/packages/daemon/src/hollyknot_daemon/_host.py
+++ b/packages/daemon/src/hollyknot_daemon/_host.py
@@ -22,6 +22,8 @@
 from hollyknot_daemon._tries import Tries
 from hollyknot_state import Reason, Settings
 from hollyknot_transport import (
+    VALUE_BYTES,
+    BodyLimits,
     CallerServer,
     Metrics,
     Readiness,
@@ -38,6 +40,9 @@
 _TICK_S = 0.1
 _SWEEP_S = 1.0
 _FORGET_S = 60.0
+_PARSED_SHARE = 0.5
+"""Memory of one parsed body, as a share of the budget. It is freed at once."""
+
 _READY = Readiness(True, "ready")
 _NOT_CONFIGURED = Readiness(
     False, "This host has not learnt its configuration yet"
@@ -181,16 +186,20 @@
         tries = Tries(
             dispatcher, exchanges, self._recorder, tracing, self._rng, clock
         )
+        capacity_bytes = default_capacity_bytes(
+            memory_bytes(settings.memory_mb)
+        )
         parts = FlowParts(
             in_force=lambda: self._documents.view,
             readiness=lambda: self.readiness,
             tries=tries,
             claim=self._control_plane.claim,
             tracing=tracing,
-            max_body_bytes=settings.max_body_bytes,
-            budget=ByteBudget(
-                default_capacity_bytes(memory_bytes(settings.memory_mb))
+            limits=BodyLimits(
+                settings.max_body_bytes,
+                int(capacity_bytes * _PARSED_SHARE / VALUE_BYTES),
             ),
+            budget=ByteBudget(capacity_bytes),
             rng=self._rng,
         )
         await self._listen(stack, parts)
--- a/packages/transport/src/hollyknot_transport/__init__.py
+++ b/packages/transport/src/hollyknot_transport/__init__.py
@@ -10,10 +10,12 @@
 from hollyknot_transport._calls import (
     MODEL_PATHS,
     SERVICE_PREFIX,
+    BodyLimits,
     CallerCall,
     new_request_id,
     read_call,
 )
+from hollyknot_transport._counted_json import VALUE_BYTES
 from hollyknot_transport._exchange import (
     IDLE_CONNECTION_S,
     Result,
@@ -51,6 +53,7 @@
     "IDLE_CONNECTION_S",
     "MODEL_PATHS",
     "SERVICE_PREFIX",
+    "BodyLimits",
     "CallerCall",
     "CallerResponse",
     "CallerServer",
@@ -78,6 +81,7 @@
     "UpstreamAnswer",
     "UpstreamClient",
     "UpstreamRequest",
+    "VALUE_BYTES",
     "Waste",
     "bad_request",
     "configure_logging",
--- a/packages/transport/src/hollyknot_transport/_calls.py
+++ b/packages/transport/src/hollyknot_transport/_calls.py
@@ -15,6 +15,7 @@
 from hollyknot_state import Outcome, Reason, Verdict
 from hollyknot_transport._answers import Refusal, bad_request
 from hollyknot_transport._bounded import TooLarge
+from hollyknot_transport._counted_json import has_more_values
 from hollyknot_transport._held_body import BODY_TIMEOUT_S, HeldBody, NoRoom
 
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
@@ -40,6 +41,19 @@
     prefix: int = 0
 
 
+@attrs.frozen
+class BodyLimits:
+    """Limits of one body.
+
+    Attributes:
+        max_bytes: Maximum size in bytes.
+        max_values: Most values that its JSON may have.
+    """
+
+    max_bytes: int
+    max_values: int
+
+
 @attrs.frozen
 class CallerCall:
     """One request of a caller with its whole body.
@@ -81,7 +95,7 @@
 async def read_call(
     request: web.BaseRequest,
     request_id: str,
-    max_body_bytes: int,
+    limits: BodyLimits,
     held_body: HeldBody,
 ) -> CallerCall | Refusal:
     """Reads and parses a request to a model or a service.
@@ -89,16 +103,16 @@
     Args:
         request: The request, its body not yet read.
         request_id: Request id of the call.
-        max_body_bytes: Maximum size of the body in bytes.
+        limits: Limits of the body.
         held_body: Reads the body and counts it.
 
     Returns:
         The call, or the refusal to answer with.
     """
-    body = await _read_body(request, max_body_bytes, held_body)
+    body = await _read_body(request, limits.max_bytes, held_body)
     if isinstance(body, Refusal):
         return body
-    target = _read_target(request, body)
+    target = _read_target(request, body, limits.max_values)
     if isinstance(target, Refusal):
         return target
     headers = request.headers
@@ -168,11 +182,15 @@
     return Refusal(413, verdict)
 
 
-def _read_target(request: web.BaseRequest, body: bytes) -> _Target | Refusal:
+def _read_target(
+    request: web.BaseRequest, body: bytes, max_values: int
+) -> _Target | Refusal:
     if request.path.startswith(SERVICE_PREFIX):
         return _read_service(request)
     if request.method != "POST":
         return bad_request(f"{request.path} takes POST only", 405)
+    if has_more_values(body, max_values):
+        return bad_request(f"The body has more than {max_values} values", 413)
     return _read_model(body)
 
 
--- a/packages/transport/src/hollyknot_transport/tests/test_caller_server.py
+++ b/packages/transport/src/hollyknot_transport/tests/test_caller_server.py
@@ -9,6 +9,7 @@
 from hollyknot_coordination.holding import ByteBudget
 from hollyknot_state import Address
 from hollyknot_transport import (
+    BodyLimits,
     CallerServer,
     HeldBody,
     Refusal,
@@ -27,7 +28,7 @@
 
 async def _answer(request: web.BaseRequest) -> web.Response:
     held_body = HeldBody(ByteBudget(1024), asyncio.get_running_loop().time)
-    found = await read_call(request, "req-1", 1024, held_body)
+    found = await read_call(request, "req-1", BodyLimits(1024, 1024), held_body)
     status = found.status if isinstance(found, Refusal) else 200
     return web.Response(status=status)
 
