Keep half of the descriptors from callers' connections (crowds)

600 idle connections before a host with 400 descriptors took all of them: it could reach no upstream, and an ordinary request got 503 (no answer for the users). Callers now have half of the descriptors (setting max_connections); beyond that the connection that has been idle for the longest is closed, as HTTP allows, or the new one if all have requests. The backlog is a quarter of it at most, as all that wait are accepted before one can be closed.

--- a/packages/daemon/src/hollyknot_daemon/_host.py
+++ b/packages/daemon/src/hollyknot_daemon/_host.py
@@ -15,7 +15,7 @@
 from hollyknot_daemon._documents import Documents
 from hollyknot_daemon._documents_view import DocumentsView
 from hollyknot_daemon._flow import FlowParts, caller_handler
-from hollyknot_daemon._memory import memory_bytes
+from hollyknot_daemon._machine import connections, memory_bytes
 from hollyknot_daemon._probes import Probes
 from hollyknot_daemon._record import Recorder
 from hollyknot_daemon._status import status_document
@@ -40,6 +40,7 @@
 _TICK_S = 0.1
 _SWEEP_S = 1.0
 _FORGET_S = 60.0
+_MAX_BACKLOG = 1024
 _PARSED_SHARE = 0.5
 """Memory of one parsed body, as a share of the budget. It is freed at once."""
 
@@ -220,8 +221,13 @@
         runner, port = await start_server(operators, self._settings.operators)
         stack.push_async_callback(runner.cleanup)
         self._operators_port = port
-        self._callers = CallerServer(caller_handler(parts))
-        runner, port = await start_server(self._callers, self._settings.callers)
+        most = connections(self._settings.max_connections)
+        self._callers = CallerServer(caller_handler(parts), most)
+        # What waits is accepted at once, before any connection is closed.
+        backlog = min(_MAX_BACKLOG, max(1, most // 4))
+        runner, port = await start_server(
+            self._callers, self._settings.callers, backlog
+        )
         stack.push_async_callback(runner.cleanup)
         self._callers_port = port
 
--- a/packages/daemon/src/hollyknot_daemon/_memory.py
+++ b/packages/daemon/src/hollyknot_daemon/_machine.py
@@ -1,7 +1,10 @@
-"""Finds how much memory a process may take."""
+"""Finds how much memory and how many descriptors a process may take."""
 
 import os
 import pathlib
+import resource
+
+from hollyknot_transport import MAX_CONNECTIONS
 
 _GROUP_LIMITS = (
     pathlib.Path("/sys/fs/cgroup/memory.max"),
@@ -23,6 +26,21 @@
     return int(min(machine, *map(_group_bytes, _GROUP_LIMITS)))
 
 
+def connections(max_connections: int) -> int:
+    """Returns how many connections callers may open.
+
+    The other half of the descriptors is for upstreams, of which each request
+    may need one, for peers, the platform and files.
+
+    Args:
+        max_connections: Number by the settings; 0 for half of the descriptors.
+    """
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        descriptors = 2 * MAX_CONNECTIONS
+    return max_connections or descriptors // 2
+
+
 def _group_bytes(file: pathlib.Path) -> float:
     try:
         return float(file.read_text())
--- a/packages/state/src/hollyknot_state/_settings.py
+++ b/packages/state/src/hollyknot_state/_settings.py
@@ -20,6 +20,7 @@
 MAX_PORT = 65_535
 MAX_BODY_BYTES = 1_073_741_824
 MAX_STOP_GRACE_S = 86_400
+MAX_CONNECTIONS = 1_000_000
 MAX_MEMORY_MB = 1_048_576
 
 
@@ -87,6 +88,9 @@
         max_body_bytes: Largest request body that is accepted, in bytes.
         memory_mb: Memory that the process may take, in megabytes; 0 for all
             that the machine, or the process's control group, has.
+        max_connections: Most connections of callers; beyond it the one that
+            has been idle the longest is closed, or the new one if all have
+            requests. 0 for half of the descriptors that the process may open.
         trace_file: File to which spans are written, one JSON object per line;
             empty for none.
         stop_grace_s: Seconds that a graceful stop waits for in-flight requests
@@ -111,6 +115,9 @@
     memory_mb: int = attrs.field(
         default=0, validator=is_between(0, MAX_MEMORY_MB, "MB")
     )
+    max_connections: int = attrs.field(
+        default=0, validator=is_between(0, MAX_CONNECTIONS)
+    )
     trace_file: str = ""
     stop_grace_s: float = attrs.field(
         default=0.0, validator=is_between(0, MAX_STOP_GRACE_S, "s")
--- a/packages/transport/src/hollyknot_transport/__init__.py
+++ b/packages/transport/src/hollyknot_transport/__init__.py
@@ -6,7 +6,11 @@
 
 from hollyknot_transport._answers import Refusal, bad_request
 from hollyknot_transport._caller_response import CallerResponse
-from hollyknot_transport._caller_server import CallerServer, start_server
+from hollyknot_transport._caller_server import (
+    MAX_CONNECTIONS,
+    CallerServer,
+    start_server,
+)
 from hollyknot_transport._calls import (
     MODEL_PATHS,
     SERVICE_PREFIX,
@@ -51,6 +55,7 @@
 
 __all__ = [
     "IDLE_CONNECTION_S",
+    "MAX_CONNECTIONS",
     "MODEL_PATHS",
     "SERVICE_PREFIX",
     "BodyLimits",
--- a/packages/transport/src/hollyknot_transport/_caller_server.py
+++ b/packages/transport/src/hollyknot_transport/_caller_server.py
@@ -25,6 +25,9 @@
 minute, a process that is to exit at once would wait for its slowest request.
 """
 
+MAX_CONNECTIONS = 1_000_000
+_BACKLOG = 1024
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -38,12 +41,15 @@
 class CallerServer(web.Server):
     """Tracks the requests of each connection and closes idle connections."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(
+        self, handler: Handler, max_connections: int = MAX_CONNECTIONS
+    ) -> None:
         """Builds a server around a handler.
 
         Args:
             handler: Answers each request. It is cancelled when the connection
                 of the caller is lost.
+            max_connections: Most connections that are open at a time.
         """
         super().__init__(
             self._handle,
@@ -56,6 +62,7 @@
         )
         self._wrapped_handler = handler
         self._open_connections: dict[RequestHandler, _Connection] = {}
+        self._max_connections = max_connections
         self._in_work = 0
         self._is_stopping = False
         self._idle = asyncio.Event()
@@ -80,9 +87,11 @@
     def connection_made(
         self, handler: RequestHandler, transport: asyncio.Transport
     ) -> None:
-        """Registers a new connection."""
+        """Registers a new connection, for which an idle one may be closed."""
         super().connection_made(handler, transport)
         now = asyncio.get_running_loop().time()
+        if len(self._open_connections) >= self._max_connections:
+            self._close_longest_idle(transport)
         self._open_connections[handler] = _Connection(transport, now)
 
     def connection_lost(
@@ -114,6 +123,24 @@
             connection.transport.close()
         return len(stale)
 
+    def _close_longest_idle(self, newest: asyncio.Transport) -> None:
+        """Closes the connection without a request for the longest time.
+
+        If all have requests, the newest connection is closed.
+        """
+        idle = [
+            (handler, connection)
+            for handler, connection in self._open_connections.items()
+            if not connection.in_work
+        ]
+        if not idle:
+            newest.abort()
+            return
+        handler, oldest = min(idle, key=lambda pair: pair[1].idle_since)
+        # A connection is reported as lost only in the next turn of the loop.
+        del self._open_connections[handler]
+        oldest.transport.abort()
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = self._open_connections.get(request.protocol)
         self._in_work += 1
@@ -146,13 +173,14 @@
 
 
 async def start_server(
-    server: web.Server, address: Address
+    server: web.Server, address: Address, backlog: int = _BACKLOG
 ) -> tuple[web.ServerRunner, int]:
     """Starts a server at an address.
 
     Args:
         server: The server to start.
         address: Address to listen at; port 0 selects a free port.
+        backlog: Most connections that wait to be accepted.
 
     Returns:
         The runner, whose `cleanup` stops the server, and the port.
@@ -162,7 +190,7 @@
     """
     runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
     await runner.setup()
-    site = web.TCPSite(runner, address.ip, address.port, backlog=1024)
+    site = web.TCPSite(runner, address.ip, address.port, backlog=backlog)
     await site.start()
     port: int = runner.addresses[0][1]
     return runner, port
--- a/packages/transport/src/hollyknot_transport/tests/test_caller_server.py
+++ b/packages/transport/src/hollyknot_transport/tests/test_caller_server.py
@@ -9,6 +9,7 @@
 from hollyknot_coordination.holding import ByteBudget
 from hollyknot_state import Address
 from hollyknot_transport import (
+    MAX_CONNECTIONS,
     BodyLimits,
     CallerServer,
     HeldBody,
@@ -33,9 +34,9 @@
     return web.Response(status=status)
 
 
-def _run(test: Test) -> None:
+def _run(test: Test, max_connections: int = MAX_CONNECTIONS) -> None:
     async def main() -> None:
-        server = CallerServer(_answer)
+        server = CallerServer(_answer, max_connections)
         runner, port = await start_server(server, Address(_IP, 0))
         reader, writer = await asyncio.open_connection(_IP, port)
         try:
@@ -123,6 +124,26 @@
 
         _run(test)
 
+    @pytest.mark.parametrize("has_request", [False, True])
+    def test_an_idle_connection_makes_room_for_a_new_one(
+        self, has_request: bool
+    ) -> None:
+        """Guards against idle connections that take all descriptors."""
+
+        async def test(server: CallerServer, connection: Connection) -> None:
+            reader, writer = connection
+            if has_request:
+                writer.write(_HEAD + b"Content-Length: 2\r\n\r\n{")
+                while not server.in_work:
+                    await asyncio.sleep(0)
+            host, port = writer.get_extra_info("peername")
+            new_reader, new_writer = await asyncio.open_connection(host, port)
+            closed = new_reader if has_request else reader
+            assert await _is_closed(closed)
+            new_writer.close()
+
+        _run(test, max_connections=1)
+
     def test_expect_100_continue_is_answered(self) -> None:
         """Guards against large requests that take a second more or time out.
 
