Parse callers' dear input in turns (crowds)

60 connections that send chunks of two bytes held the event loop: each chunk costs 2.5 us, and every connection was parsed as fast as it came. Each connection may now take 2 ms at once and its part of a fifth of the time; beyond that it waits for its turn, one connection after the other, about 2 ms in a turn of the loop. Nothing is refused: a single body of such chunks is parsed in every turn.

--- a/packages/transport/src/hollyknot_transport/_caller_server.py
+++ b/packages/transport/src/hollyknot_transport/_caller_server.py
@@ -7,12 +7,18 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import attrs
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
 from hollyknot_state import Address
+from hollyknot_transport._input_turns import (
+    READ_BYTES,
+    CallerInput,
+    InputTurns,
+)
 from hollyknot_transport._server_header import make_request
 
 HEAD_TIMEOUT_S = 30.0
@@ -27,6 +33,7 @@
 
 MAX_CONNECTIONS = 1_000_000
 _BACKLOG = 1024
+_READ_BUFFER_BYTES = 65_536
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -59,7 +66,10 @@
             keepalive_timeout=HEAD_TIMEOUT_S,
             lingering_time=1.0,
             auto_decompress=False,
+            read_bufsize=_READ_BUFFER_BYTES,
         )
+        self._turns = InputTurns()
+        self._buffer = memoryview(bytearray(READ_BYTES))
         self._wrapped_handler = handler
         self._open_connections: dict[RequestHandler, _Connection] = {}
         self._max_connections = max_connections
@@ -68,6 +78,10 @@
         self._idle = asyncio.Event()
         self._idle.set()
 
+    def __call__(self) -> Any:
+        """Returns the protocol of a new connection."""
+        return CallerInput(super().__call__(), self._turns, self._buffer)
+
     @property
     def in_work(self) -> int:
         """Number of requests whose answer is not yet fully written."""
