Expect steps only where no sound stream differed (ORDER)

What callers saw: sound streams broken off as having gaps.

Cause: the learning tolerated streams of other steps and went on expecting, and the first number of a new stream was judged by the others'.

Change: StreamSteps replaces StreamPlaces. One stream with another step ends all expectations for its service and version, and a new stream's first number is not judged.

--- a/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/_events.py
@@ -46,13 +46,11 @@
     The last one is left out of the step, as it may hold less than the others.
 
     Attributes:
-        after: Number of the event that they follow; None for a new stream.
         first: Number of the first event.
         before_last: Number of the last event but one.
         events: Number of events.
     """
 
-    after: int | None
     first: int
     before_last: int
     events: int
@@ -96,7 +94,6 @@
         self._furthest: int | None = None
         self._first_number: int | None = None
         self._events_before = 0
-        self._after: int | None = None
         self._bytes_between = 0
         self._fault: EventFault | None = None
         self._may_have_mark = True
@@ -121,14 +118,10 @@
 
     @property
     def numbers(self) -> TryNumbers | None:
-        """The numbers of the current try's events; None if it has none.
-
-        An event that was rejected because it lies too far ahead counts.
-        """
+        """The numbers of the current try's events; None if it has none."""
         if self._first_number is None:
             return None
         return TryNumbers(
-            self._after,
             self._first_number,
             self._number_before,
             self._events - self._events_before,
@@ -211,15 +204,15 @@
         self._furthest = furthest
         self._first_number = None
         self._events_before = self._events
-        self._after = int(after) if is_number(after) else None
         self._before = after
         self._bytes_between = 0
         self._fault = None
         self._may_have_mark = True
         if not self._events:
-            is_numbered = self._after is not None or must_be_numbered
+            is_after_number = is_number(after)
+            is_numbered = is_after_number or must_be_numbered
             self._numbering = Numbering.NUMBERS if is_numbered else None
-            self._number = -1 if self._after is None else self._after
+            self._number = int(after) if is_after_number else -1
 
     def drop_partial(self) -> None:
         """Discards a partial event."""
--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/__init__.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/__init__.py
@@ -21,9 +21,7 @@
     run_key,
 )
 from hollyknot_coordination.forwarding.streams._stream_forms import StreamForms
-from hollyknot_coordination.forwarding.streams._stream_places import (
-    StreamPlaces,
-)
+from hollyknot_coordination.forwarding.streams._stream_steps import StreamSteps
 from hollyknot_coordination.forwarding.streams._stream_versions import (
     StreamVersions,
     stream_id,
@@ -42,7 +40,7 @@
     "Held",
     "Keepers",
     "StreamForms",
-    "StreamPlaces",
+    "StreamSteps",
     "StreamVersions",
     "ToldStreams",
     "VersionHistory",
--- a/packages/coordination/src/hollyknot_coordination/forwarding/streams/_version_history.py
+++ b/packages/coordination/src/hollyknot_coordination/forwarding/streams/_version_history.py
@@ -155,7 +155,7 @@
             return False
         current = {entry.version for entry in self._entries.get(service, ())}
         since_s = now_s - CHANGE_S
-        listed_s = self._listed_s[service]
+        listed_s = self._listed_s.get(service, {})
         late = {version for version, at_s in listed_s.items() if at_s > since_s}
         return len(current | late) > 1
 
--- a/packages/gateway/src/hollyknot_gateway/_exchange.py
+++ b/packages/gateway/src/hollyknot_gateway/_exchange.py
@@ -93,9 +93,9 @@
     is_reused: bool = False
 
 
-Furthest = Callable[[int | None, bool], int | None]
-"""Takes the number of the event to go on after, None for a new stream, and
-whether the numbers of the stream's events so far are known to go up by one."""
+Furthest = Callable[[int, bool], int | None]
+"""Takes the number of the event to go on after, and whether the numbers of the
+stream's events so far are known to go up by one."""
 
 
 @attrs.define
@@ -128,11 +128,9 @@
         self.resumes_after = after = self.framer.last_id or call.last_event_id
         numbers = self.framer.numbers
         has_no_gaps = numbers is not None and numbers.step == 1
-        place = int(after) if is_number(after) else None
         limit = None
-        # A place that is not a number tells nothing of the next one.
-        if furthest is not None and (place is not None or not after):
-            limit = furthest(place, has_no_gaps)
+        if furthest is not None and is_number(after):
+            limit = furthest(int(after), has_no_gaps)
         self.framer.resume(
             after, must_be_numbered=must_be_numbered, furthest=limit
         )
--- a/packages/gateway/src/hollyknot_gateway/_flow_parts.py
+++ b/packages/gateway/src/hollyknot_gateway/_flow_parts.py
@@ -21,7 +21,7 @@
     Shedding,
     Speeds,
     StreamForms,
-    StreamPlaces,
+    StreamSteps,
 )
 from hollyknot_coordination.suspects import Suspects
 from hollyknot_gateway._answer_notices import AnswerNotices
@@ -62,7 +62,7 @@
         losses: Reports to `suspects` how each try ended.
         brittle: Keeps requests from upstreams that must not reject many.
         stream_forms: Learns which services number the events of streams.
-        stream_places: Learns where streams begin and how their numbers go up.
+        stream_steps: Learns by which step the numbers of streams go up.
         stalls: Ends tries that have stopped receiving data.
         budget: The retry budget of each service.
         grace: The time that requests have left while the host stops.
@@ -95,7 +95,7 @@
     losses: LossClassifier
     brittle: BrittleServices
     stream_forms: StreamForms
-    stream_places: StreamPlaces
+    stream_steps: StreamSteps
     stalls: Stalls
     budget: RetryBudget
     grace: Grace
--- a/packages/gateway/src/hollyknot_gateway/_host.py
+++ b/packages/gateway/src/hollyknot_gateway/_host.py
@@ -31,7 +31,7 @@
     SlotOwners,
     Speeds,
     StreamForms,
-    StreamPlaces,
+    StreamSteps,
     UpstreamRegistry,
 )
 from hollyknot_coordination.holding import ByteBudget, default_capacity_bytes
@@ -373,7 +373,7 @@
             losses=self._losses,
             brittle=self._brittle,
             stream_forms=StreamForms(),
-            stream_places=StreamPlaces(),
+            stream_steps=StreamSteps(),
             stalls=self._watch.stalls,
             budget=self._budget,
             grace=self._grace,
--- a/packages/gateway/src/hollyknot_gateway/_routing_state.py
+++ b/packages/gateway/src/hollyknot_gateway/_routing_state.py
@@ -9,6 +9,9 @@
 )
 from hollyknot_state.routes import ColdStart, Route, RouteTable
 
+_MAX_FORMER = 1024
+"""Most places whose former services are remembered."""
+
 
 @attrs.define
 class RoutingState:
@@ -33,6 +36,10 @@
     longest_stream_s: float = 0.0
     _newest: RouteIndex | None = attrs.field(default=None, init=False)
     _awaited: int = attrs.field(default=0, init=False)
+    # By place: the services of routes that resume no streams any more.
+    _former: dict[tuple[str, str], frozenset[str]] = attrs.field(
+        factory=dict, init=False
+    )
 
     @property
     def is_complete(self) -> bool:
@@ -86,7 +93,7 @@
         return newest is not None and table.version > newest.table.version
 
     def moved_services(self, table: RouteTable) -> frozenset[str]:
-        """Returns the services that lose or get routes of streams by a table.
+        """Returns the services between which a table moves streams.
 
         A route may move by several tables, of which one resumes no streams.
 
@@ -97,13 +104,15 @@
         if self._newest is None or not self.is_replaced_by(table):
             return frozenset()
         before, after = self._newest, RouteIndex(table)
-        routes = (*before.table.routes, *table.routes)
-        places = {(r.host, r.prefix) for r in routes if r.may_resume}
         moved: set[str] = set()
-        for host, prefix in places:
-            old = _stream_services(before.find(host, prefix))
-            new = _stream_services(after.find(host, prefix))
-            if old != new:
+        for place in _stream_places(before.table) | _stream_places(table):
+            old = _stream_services(before.find(*place)) or self._former.pop(
+                place, frozenset()
+            )
+            new = _stream_services(after.find(*place))
+            if old and not new and len(self._former) < _MAX_FORMER:
+                self._former[place] = old
+            if old and new and old != new:
                 moved |= old | new
         return frozenset(moved)
 
@@ -137,6 +146,11 @@
             self.index = newest
 
 
+def _stream_places(table: RouteTable) -> set[tuple[str, str]]:
+    """Returns hosts and prefixes of the routes that resume streams."""
+    return {(r.host, r.prefix) for r in table.routes if r.may_resume}
+
+
 def _stream_services(route: Route | NoRoute) -> frozenset[str]:
     """Returns the services of a route whose streams may be taken up."""
     if isinstance(route, NoRoute) or not route.may_resume:
--- a/packages/gateway/src/hollyknot_gateway/_tries.py
+++ b/packages/gateway/src/hollyknot_gateway/_tries.py
@@ -220,7 +220,7 @@
         stream.begin_try(
             job.call,
             must_be_numbered=is_numbered,
-            furthest=lambda after, has_no_gaps: parts.stream_places.furthest(
+            furthest=lambda after, has_no_gaps: parts.stream_steps.furthest(
                 entry.service, entry.version, after, has_no_gaps=has_no_gaps
             ),
         )
@@ -307,11 +307,11 @@
             is_numbered=framer.is_numbered and not is_other,
         )
 
-    def _note_places(self, job: Job, entry: UpstreamEntry) -> None:
+    def _note_step(self, job: Job, entry: UpstreamEntry) -> None:
         numbers = job.stream.framer.numbers
-        if numbers is not None:
-            self._parts.stream_places.note(
-                entry.service, entry.version, numbers
+        if numbers is not None and numbers.has_steps:
+            self._parts.stream_steps.note(
+                entry.service, entry.version, numbers.step
             )
 
     def _record_interval(
@@ -432,7 +432,7 @@
         if job.sent > job.sent_before:
             job.sent_before = job.sent
             self._parts.losses.on_try_end(entry, job.identity, verdict)
-            self._note_places(job, entry)
+            self._note_step(job, entry)
         job.tried |= {entry.incarnation}
         if verdict.upstream_status == _UNAVAILABLE and not lacks_copy:
             self._records.log_rejection(job, entry)
