--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -537,10 +537,14 @@
         with contextlib.ExitStack() as stack:
             rig = Rig(folder, stack)
             rig.record.line(f"TROUBLE={int(trouble)}")
+            # An end from outside closes the stack, which ends the hosts.
+            asyncio.get_running_loop().add_signal_handler(
+                signal.SIGTERM, asyncio.current_task().cancel
+            )
             try:
                 async with asyncio.timeout(110):
                     held = await case(rig, trouble)
-            except (RuntimeError, OSError, TimeoutError) as error:
+            except (Exception, asyncio.CancelledError) as error:
                 rig.record.line(f"could not run: {error!r}")
                 return COULD_NOT_RUN
             rig.record.line("the rule held" if held else "the rule was broken")
